--- /dev/null
+++ b/logging/logging.go
@@ -0,0 +1,33 @@
+// Package logging sets up klog to write JSON lines with Pascal-case keys.
+package logging
+
+import (
+	"io"
+	"log/slog"
+
+	"k8s.io/klog/v2"
+)
+
+// New directs klog to writer as JSON lines. The level is one of Debug, Info, Warn and Error.
+func New(writer io.Writer, level slog.Level) *slog.Logger {
+	handler := slog.NewJSONHandler(writer, &slog.HandlerOptions{Level: level, ReplaceAttr: rename})
+	logger := slog.New(handler)
+	klog.SetSlogLogger(logger)
+	return logger
+}
+
+// rename gives the standard keys the Pascal case of the project's formats.
+func rename(groups []string, attr slog.Attr) slog.Attr {
+	if len(groups) > 0 {
+		return attr
+	}
+	switch attr.Key {
+	case slog.TimeKey:
+		attr.Key = "Time"
+	case slog.LevelKey:
+		attr.Key = "Level"
+	case slog.MessageKey:
+		attr.Key = "Message"
+	}
+	return attr
+}
