--- /dev/null
+++ b/clock/clock_test.go
@@ -0,0 +1,63 @@
+package clock
+
+import (
+	"testing"
+	"time"
+)
+
+func assertTime(t *testing.T, have, want Time) {
+	t.Helper()
+	if have != want {
+		t.Fatalf("have time %d, want %d", have, want)
+	}
+}
+
+// Guards against timers of the fake clock that fire early, twice or never.
+func TestFakeFiresDueTimersOnce(t *testing.T) {
+	fake := NewFake(1000)
+	early, late := fake.After(10), fake.After(20)
+
+	t.Run("before any is due", func(t *testing.T) {
+		fake.Advance(9)
+		select {
+		case <-early:
+			t.Fatal("timer fired before it was due")
+		default:
+		}
+	})
+	t.Run("first is due", func(t *testing.T) {
+		fake.Advance(1)
+		assertTime(t, <-early, 1010)
+		if len(late) != 0 {
+			t.Fatal("later timer fired with the earlier one")
+		}
+	})
+	t.Run("second is due", func(t *testing.T) {
+		fake.Advance(50)
+		assertTime(t, <-late, 1060)
+		fake.Advance(50)
+		if len(early)+len(late) != 0 {
+			t.Fatal("timer fired twice")
+		}
+	})
+	t.Run("no wait", func(t *testing.T) {
+		assertTime(t, <-fake.After(0), 1110)
+	})
+}
+
+// Guards against a system clock whose first reading could be mistaken for "never".
+func TestSystemStartsAboveZero(t *testing.T) {
+	if now := NewSystem().Now(); now <= 0 {
+		t.Fatalf("first reading is %d", now)
+	}
+}
+
+// Guards against rounding that turns a short duration into a longer one.
+func TestMillisConversion(t *testing.T) {
+	if have := FromDuration(1999 * time.Microsecond); have != 1 {
+		t.Fatalf("have %d, want 1", have)
+	}
+	if have := (1500 * Millisecond).Duration(); have != 1500*time.Millisecond {
+		t.Fatalf("have %s", have)
+	}
+}
--- /dev/null
+++ b/controlpb/convert.go
@@ -0,0 +1,85 @@
+package controlpb
+
+import (
+	"hyssopjunction/ident"
+	"hyssopjunction/unit"
+	"hyssopjunction/worker"
+)
+
+// FromResources converts quantities for the wire.
+func FromResources(resources unit.Resources) *Resources {
+	return &Resources{
+		CpuMilli:     int64(resources.CPU),
+		MemoryMib:    int64(resources.Memory),
+		Accelerators: int64(resources.Accelerators),
+	}
+}
+
+// ToResources converts quantities from the wire. A nil message is zero.
+func ToResources(message *Resources) unit.Resources {
+	return unit.Resources{
+		CPU:          unit.MilliCPU(message.GetCpuMilli()),
+		Memory:       unit.Mebibytes(message.GetMemoryMib()),
+		Accelerators: unit.Accelerators(message.GetAccelerators()),
+	}
+}
+
+// FromTask converts a task and its epoch for the wire.
+func FromTask(task ident.Task, epoch ident.Epoch) *TaskRef {
+	return &TaskRef{Job: string(task.Job), Index: int32(task.Index), Epoch: uint64(epoch)}
+}
+
+// ToTask converts a task and its epoch from the wire.
+func ToTask(message *TaskRef) (ident.Task, ident.Epoch) {
+	task := ident.Task{Job: ident.Job(message.GetJob()), Index: int(message.GetIndex())}
+	return task, ident.Epoch(message.GetEpoch())
+}
+
+// FromCheckpoint converts a checkpoint for the wire; none is nil.
+func FromCheckpoint(checkpoint worker.Checkpoint) *Checkpoint {
+	if checkpoint.Name == "" {
+		return nil
+	}
+	return &Checkpoint{Epoch: uint64(checkpoint.Epoch), Name: checkpoint.Name}
+}
+
+// ToCheckpoint converts a checkpoint from the wire.
+func ToCheckpoint(message *Checkpoint) worker.Checkpoint {
+	return worker.Checkpoint{Epoch: ident.Epoch(message.GetEpoch()), Name: message.GetName()}
+}
+
+// FromStatus converts a worker's record of a task for the wire.
+func FromStatus(status worker.Status) *TaskStatus {
+	return &TaskStatus{
+		Task:            FromTask(status.Task, status.Epoch),
+		State:           string(status.State),
+		Resources:       FromResources(status.Resources),
+		Checkpoint:      FromCheckpoint(status.Checkpoint),
+		ThrottlePercent: int32(status.Throttle),
+		Reason:          status.Reason,
+	}
+}
+
+// ToStatus converts a worker's record of a task from the wire.
+func ToStatus(message *TaskStatus) worker.Status {
+	task, epoch := ToTask(message.GetTask())
+	return worker.Status{
+		Task:       task,
+		Epoch:      epoch,
+		State:      worker.State(message.GetState()),
+		Resources:  ToResources(message.GetResources()),
+		Checkpoint: ToCheckpoint(message.GetCheckpoint()),
+		Throttle:   int(message.GetThrottlePercent()),
+		Reason:     message.GetReason(),
+	}
+}
+
+// FromUsage converts a measurement for the wire.
+func FromUsage(usage worker.Usage) *TaskUsage {
+	return &TaskUsage{
+		Task:            FromTask(usage.Task, 0),
+		Resources:       FromResources(usage.Resources),
+		SlowdownPercent: int32(usage.Slowdown),
+		LagMillis:       int64(usage.Lag),
+	}
+}
