Add job, capacity and lease, and the exported API of placement

Cause: the agent and entry daemons need the task path's types to be wired while the scheduler is being written.

Conclusion: the exported API is meant to stay as it is from here on.

--- /dev/null
+++ b/lease/granter.go
@@ -0,0 +1,187 @@
+package lease
+
+import (
+	"hyssopjunction/clock"
+	"hyssopjunction/ident"
+	"hyssopjunction/set"
+)
+
+// Reason tells why an incarnation is certainly over, see safety rule 3 of the design.
+type Reason string
+
+// Reasons to place again.
+const (
+	// LeaseLapsed is condition (a): the last grant plus term plus margin has passed here.
+	LeaseLapsed Reason = "LeaseLapsed"
+	// NewerIncarnation is condition (b): a newer incarnation announced itself with its list.
+	NewerIncarnation Reason = "NewerIncarnation"
+	// HomeLeft and HomeSilent are condition (c): the granting entry's row says Left, or was not
+	// renewed for the outage grace, and a term plus margin has passed since.
+	HomeLeft   Reason = "HomeLeft"
+	HomeSilent Reason = "HomeSilent"
+	// OperatorStatement is condition (d).
+	OperatorStatement Reason = "OperatorStatement"
+)
+
+// Settings of a granter.
+type Settings struct {
+	// Term of a lease; 0 means DefaultTerm.
+	Term clock.Millis
+	// OutageGrace is how long a home may grant without renewing its row; 0 means DefaultOutageGrace.
+	OutageGrace clock.Millis
+}
+
+func (settings Settings) withDefaults() Settings {
+	if settings.Term <= 0 {
+		settings.Term = DefaultTerm
+	}
+	if settings.OutageGrace <= 0 {
+		settings.OutageGrace = DefaultOutageGrace
+	}
+	return settings
+}
+
+type grant struct {
+	incarnation ident.Incarnation
+	// recorded is set while the table names this entry as the granter of the worker.
+	recorded bool
+	last     clock.Time
+	over     bool
+}
+
+// Granter is the home's side of the leases. It is not safe for concurrent use.
+//
+// Condition (a) is only sound if no other entry granted a later lease. Two entries with different
+// views of the membership can both believe they are the home, so an entry grants only while the
+// table names it as the granter of the worker: it records itself with a compare-and-set write before
+// the first grant (Record), and the write that ends an incarnation must hold on the same revision.
+type Granter struct {
+	settings Settings
+	grants   map[ident.Worker]*grant
+}
+
+// NewGranter returns a granter without workers.
+func NewGranter(settings Settings) *Granter {
+	return &Granter{settings: settings.withDefaults(), grants: make(map[ident.Worker]*grant)}
+}
+
+// Record notes that the table names this entry as granter of the worker's incarnation. The previous
+// granter may have granted until now, so the grant is taken to be as young as possible.
+func (granter *Granter) Record(worker ident.Worker, incarnation ident.Incarnation, now clock.Time) error {
+	have, ok := granter.grants[worker]
+	if ok && (incarnation < have.incarnation || (incarnation == have.incarnation && have.over)) {
+		return ErrFenced{Worker: worker, Incarnation: incarnation, Have: have.incarnation}
+	}
+	if ok && incarnation == have.incarnation {
+		have.recorded = true
+		have.last = max(have.last, now)
+		return nil
+	}
+	granter.grants[worker] = &grant{incarnation: incarnation, recorded: true, last: now}
+	return nil
+}
+
+// Lose notes that the table names another entry as granter, or that the worker moved. Grants are
+// refused until the next Record, and this entry makes no statement about the worker.
+func (granter *Granter) Lose(worker ident.Worker) {
+	if have, ok := granter.grants[worker]; ok {
+		have.recorded = false
+	}
+}
+
+// Grant returns the term to put in the reply to a heartbeat. It must be called right before the
+// reply is sent, because the home counts from then. Errors are ErrFenced and ErrNotGranter.
+func (granter *Granter) Grant(worker ident.Worker, incarnation ident.Incarnation, now clock.Time) (clock.Millis, error) {
+	have, ok := granter.grants[worker]
+	if ok && (incarnation < have.incarnation || (incarnation == have.incarnation && have.over)) {
+		return 0, ErrFenced{Worker: worker, Incarnation: incarnation, Have: have.incarnation}
+	}
+	if !ok || !have.recorded || incarnation > have.incarnation {
+		return 0, ErrNotGranter{Worker: worker}
+	}
+	have.last = max(have.last, now)
+	return granter.settings.Term, nil
+}
+
+// Lapsed reports condition (a) for the worker's incarnation.
+func (granter *Granter) Lapsed(worker ident.Worker, incarnation ident.Incarnation, now clock.Time) bool {
+	have, ok := granter.grants[worker]
+	if !ok || !have.recorded || incarnation != have.incarnation {
+		return false
+	}
+	term := granter.settings.Term
+	return !now.Before(have.last.Add(term + Margin(term)))
+}
+
+// Over notes the decision that the incarnation is over and refuses every later grant of it. It must
+// be called before the decision is written, so that no grant can follow. The error is ErrNotOver
+// unless the incarnation lapsed; use Declare for the other conditions.
+func (granter *Granter) Over(worker ident.Worker, incarnation ident.Incarnation, now clock.Time) error {
+	if !granter.Lapsed(worker, incarnation, now) {
+		return ErrNotOver{Worker: worker}
+	}
+	granter.grants[worker].over = true
+	return nil
+}
+
+// Declare notes that the table says that the incarnation is over.
+func (granter *Granter) Declare(worker ident.Worker, incarnation ident.Incarnation) {
+	have, ok := granter.grants[worker]
+	if !ok || incarnation > have.incarnation {
+		granter.grants[worker] = &grant{incarnation: incarnation, over: true}
+		return
+	}
+	if incarnation == have.incarnation {
+		have.over = true
+	}
+}
+
+// Due returns the workers whose incarnation lapsed and is not yet declared over, in ascending order.
+func (granter *Granter) Due(now clock.Time) []ident.Worker {
+	var due []ident.Worker
+	for _, worker := range set.SortedKeys(granter.grants) {
+		have := granter.grants[worker]
+		if !have.over && granter.Lapsed(worker, have.incarnation, now) {
+			due = append(due, worker)
+		}
+	}
+	return due
+}
+
+// Evidence is what an entry knows about the incarnation of an unreachable worker.
+type Evidence struct {
+	// Lapsed is the statement of the recorded granter, condition (a).
+	Lapsed bool
+	// Newest is the newest incarnation that announced itself with its complete list, 0 for none.
+	Newest ident.Incarnation
+	// HomeLeft is set if the granting entry's row says Left. HomeLeftAt is when this entry first
+	// read that, on its own clock.
+	HomeLeft   bool
+	HomeLeftAt clock.Time
+	// HomeRenewedAt is when this entry last saw the revision of the granting entry's row change, or
+	// first read the row, on its own clock; 0 if it never read it.
+	HomeRenewedAt clock.Time
+	// Stated is set if an operator stated that the worker or its data centre is lost.
+	Stated bool
+}
+
+// Certain reports whether the incarnation is certainly over and why. The weakest evidence is
+// considered last, so that the reason in logs is the strongest one.
+func (settings Settings) Certain(incarnation ident.Incarnation, evidence Evidence, now clock.Time) (Reason, bool) {
+	settings = settings.withDefaults()
+	wait := settings.Term + Margin(settings.Term)
+	grace := settings.OutageGrace + Margin(settings.OutageGrace) - fixedMargin
+	switch {
+	case evidence.Newest > incarnation:
+		return NewerIncarnation, true
+	case evidence.Lapsed:
+		return LeaseLapsed, true
+	case evidence.HomeLeft && !now.Before(evidence.HomeLeftAt.Add(wait)):
+		return HomeLeft, true
+	case evidence.HomeRenewedAt != 0 && !now.Before(evidence.HomeRenewedAt.Add(grace+wait)):
+		return HomeSilent, true
+	case evidence.Stated:
+		return OperatorStatement, true
+	}
+	return "", false
+}
--- /dev/null
+++ b/placement/policy.go
@@ -0,0 +1,65 @@
+package placement
+
+import (
+	"hyssopjunction/clock"
+	"hyssopjunction/ident"
+	"hyssopjunction/unit"
+)
+
+// Sizer tells how much to reserve for a task.
+type Sizer interface {
+	Size(job ident.Job, class string, declared unit.Resources) unit.Resources
+}
+
+// Interference predicts the slowdown of a task of class among residents, in percent; 100 is
+// undisturbed.
+type Interference interface {
+	Slowdown(class string, residents []string) int
+}
+
+// Health tells which workers and jobs are set aside because of faults.
+type Health interface {
+	Usable(worker ident.Worker, now clock.Time) bool
+	Blocked(job ident.Job, now clock.Time) (reason string, blocked bool)
+}
+
+// Quotas tells whether a team may use want in addition to the usage last given to UsageObserver,
+// which is the usage in the team's row.
+type Quotas interface {
+	Admit(team ident.Team, want unit.Resources, urgent bool) (reason string, ok bool)
+}
+
+// UsageObserver is implemented by Quotas that need to know the teams' usage. Observe is called
+// whenever this entry learns the content of a team's row.
+type UsageObserver interface {
+	Observe(team ident.Team, used unit.Resources)
+}
+
+// DeclaredSizes is the Sizer that believes the caller.
+type DeclaredSizes struct{}
+
+// Size returns declared.
+func (DeclaredSizes) Size(_ ident.Job, _ string, declared unit.Resources) unit.Resources {
+	return declared
+}
+
+// NoInterference is the Interference model in which no task disturbs another.
+type NoInterference struct{}
+
+// Slowdown returns 100.
+func (NoInterference) Slowdown(string, []string) int { return 100 }
+
+// AllUsable is the Health that trusts every worker and job.
+type AllUsable struct{}
+
+// Usable returns true.
+func (AllUsable) Usable(ident.Worker, clock.Time) bool { return true }
+
+// Blocked returns false.
+func (AllUsable) Blocked(ident.Job, clock.Time) (reason string, blocked bool) { return "", false }
+
+// Unlimited is the Quotas without limits.
+type Unlimited struct{}
+
+// Admit returns true.
+func (Unlimited) Admit(ident.Team, unit.Resources, bool) (reason string, ok bool) { return "", true }
--- /dev/null
+++ b/placement/settings.go
@@ -0,0 +1,110 @@
+package placement
+
+import (
+	"hyssopjunction/capacity"
+	"hyssopjunction/clock"
+	"hyssopjunction/ident"
+)
+
+// Settings of a scheduler. A zero value of a field means its default.
+type Settings struct {
+	// Round is the interval of the Round event, default 500 ms: 530 starts a second then share two
+	// claim transactions a second, and an urgent start is never more than a round away from its
+	// reservation.
+	Round clock.Millis
+	// ReservationTerm is asked of agents, default capacity.DefaultReservationTerm.
+	ReservationTerm clock.Millis
+	// MaxStarts bounds the reservations of a round, default 400.
+	MaxStarts int
+	// MaxRows bounds the rows of a transaction, default 256.
+	MaxRows int
+	// Candidates is the number of fitting workers scored per task, default 32.
+	Candidates int
+	// MaxSlowdown is the highest predicted slowdown in percent a placement may cause or suffer,
+	// default 200. Urgent work ignores it.
+	MaxSlowdown int
+	// Starvation is how long ordinary work waits before it goes ahead of team fairness and holds
+	// workers free, default 10 minutes.
+	Starvation clock.Millis
+	// StarvedShare is the part of a round, in percent, that urgent work leaves to starved work,
+	// default 20.
+	StarvedShare int
+	// MaxEvictions is how often preemption may end the placements of one task, default 3.
+	MaxEvictions int
+	// MaxFailures is how many failed placements end a batch task, default 10.
+	MaxFailures int
+	// CheckpointBound is how long a stop with checkpoint may take before it is repeated without,
+	// default 1.5 s: with a round before and a round after it an urgent start stays below 4.2 s.
+	CheckpointBound clock.Millis
+	// Retry is the interval at which unanswered starts, stops and reads are repeated, default 1 s.
+	Retry clock.Millis
+	// ParkAfter is how long the set of workers must be unchanged before a job that fits on none is
+	// parked, default 30 s.
+	ParkAfter clock.Millis
+	// Ramp is how long a data centre that returns takes to be filled, default 60 s.
+	Ramp clock.Millis
+	// DrainBound is used when an operator gives no bound, default 5 minutes.
+	DrainBound clock.Millis
+	// NoDrain leaves the tasks of a closed data centre where they are until the bound and stops
+	// them then without a checkpoint. It is the baseline of the drain benchmark.
+	NoDrain bool
+	// FirstFit takes the first worker that fits in order of name. It is the baseline of the
+	// throughput benchmark.
+	FirstFit bool
+}
+
+func (settings Settings) withDefaults() Settings {
+	millis := func(value *clock.Millis, fallback clock.Millis) {
+		if *value <= 0 {
+			*value = fallback
+		}
+	}
+	count := func(value *int, fallback int) {
+		if *value <= 0 {
+			*value = fallback
+		}
+	}
+	millis(&settings.Round, 500*clock.Millisecond)
+	millis(&settings.ReservationTerm, capacity.DefaultReservationTerm)
+	count(&settings.MaxStarts, 400)
+	count(&settings.MaxRows, 256)
+	count(&settings.Candidates, 32)
+	count(&settings.MaxSlowdown, 200)
+	millis(&settings.Starvation, 10*clock.Minute)
+	count(&settings.StarvedShare, 20)
+	count(&settings.MaxEvictions, 3)
+	count(&settings.MaxFailures, 10)
+	millis(&settings.CheckpointBound, 1500*clock.Millisecond)
+	millis(&settings.Retry, clock.Second)
+	millis(&settings.ParkAfter, 30*clock.Second)
+	millis(&settings.Ramp, clock.Minute)
+	millis(&settings.DrainBound, 5*clock.Minute)
+	return settings
+}
+
+// Dependencies of a scheduler. A nil policy means its trivial implementation.
+type Dependencies struct {
+	// Entry and Incarnation make write and reservation ids unique.
+	Entry        ident.Entry
+	Incarnation  ident.Incarnation
+	Sizer        Sizer
+	Interference Interference
+	Health       Health
+	Quotas       Quotas
+}
+
+func (dependencies Dependencies) withDefaults() Dependencies {
+	if dependencies.Sizer == nil {
+		dependencies.Sizer = DeclaredSizes{}
+	}
+	if dependencies.Interference == nil {
+		dependencies.Interference = NoInterference{}
+	}
+	if dependencies.Health == nil {
+		dependencies.Health = AllUsable{}
+	}
+	if dependencies.Quotas == nil {
+		dependencies.Quotas = Unlimited{}
+	}
+	return dependencies
+}
