Add the platform's stand-in in memory and the settings types

Cause: entries and agents need a table, an object store, a worker runtime and endpoints to run against, and settings to read.

Change: package standin with an in-memory table, object store, worker runtime and endpoint, each with faults that can be switched at run time. Worker progress is integer arithmetic between events, so runs are reproducible. Package setting with the settings of entry, agent and stand-in; unknown keys, wrong types, values out of range and contradictions are reported together.

--- /dev/null
+++ b/setting/daemon.go
@@ -0,0 +1,45 @@
+package setting
+
+import "hyssopjunction/clock"
+
+// Config configures how a daemon learns of changes of the operators' configuration.
+type Config struct {
+	PollMillis clock.Millis `default:"2000" min:"100" max:"6000" doc:"Time between two reads of the configuration from the table; changes must be in force within 7 s"`
+}
+
+// Shutdown bounds the graceful shutdown.
+type Shutdown struct {
+	BoundMillis clock.Millis `default:"30000" min:"0" max:"3600000" doc:"Longest wait for requests in flight"`
+}
+
+// TLS names the files of the daemon's certificate. Without them connections are not encrypted.
+type TLS struct {
+	CertificateFile string `kind:"file" optional:"true" doc:"Certificate in PEM form"`
+	KeyFile         string `kind:"file" optional:"true" doc:"Private key in PEM form"`
+	AuthorityFile   string `kind:"file" optional:"true" doc:"Certificates in PEM form of the authorities of other daemons"`
+}
+
+func (tls TLS) check(reader *reader) {
+	keys := []string{"TLS.CertificateFile", "TLS.KeyFile", "TLS.AuthorityFile"}
+	files := []string{tls.CertificateFile, tls.KeyFile, tls.AuthorityFile}
+	some := tls != TLS{}
+	for index, file := range files {
+		reader.require(!some || file != "", []string{keys[index]}, "is required when another file of TLS is given")
+	}
+}
+
+// Operators configures the access of operators.
+type Operators struct {
+	TokensFile string `kind:"file" optional:"true" doc:"File with one line per operator, a name and a token; empty allows operators on loopback only"`
+}
+
+// Log configures the log.
+type Log struct {
+	Level    string `kind:"level" default:"Info" doc:"Lowest level that is logged: Debug, Info, Warn or Error"`
+	Sampling int    `default:"1" min:"1" max:"1000000" doc:"One of this many routing decisions is logged"`
+}
+
+// Metrics configures the metrics page.
+type Metrics struct {
+	Listen string `kind:"address" optional:"true" doc:"Address of the metrics page; empty offers none"`
+}
--- /dev/null
+++ b/standin/checkpoint.go
@@ -0,0 +1,106 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+
+	"hyssopjunction/ident"
+	"hyssopjunction/set"
+	"hyssopjunction/worker"
+)
+
+// Checkpoint saves the task's progress in the object store under (task, epoch), replacing an older
+// checkpoint of the same epoch. For an ended task it returns the newest saved checkpoint, whose
+// name is empty if there is none. If the object store is unavailable, the checkpoint stays on the
+// worker, ErrUnavailable is returned and Tick saves it later.
+func (runtime *Worker) Checkpoint(ctx context.Context, name ident.Task, epoch ident.Epoch) (worker.Checkpoint, error) {
+	var checkpoint worker.Checkpoint
+	ended := false
+	err := runtime.change(ctx, name, epoch, func(task *simulated) {
+		if ended = task.state != worker.Running; ended {
+			checkpoint = task.checkpoint
+			return
+		}
+		checkpoint = checkpointOf(task.spec)
+		// A savedState of strings and integers always has a JSON form.
+		value, _ := json.Marshal(savedState{Task: name.String(), Epoch: uint64(epoch), ProgressMillis: task.progress()})
+		runtime.unsaved[checkpoint.Name] = value
+	})
+	if err != nil || ended {
+		return checkpoint, err
+	}
+	if err := runtime.save(ctx, checkpoint.Name); err != nil {
+		return worker.Checkpoint{}, worker.ErrUnavailable{Reason: err.Error()}
+	}
+	return checkpoint, nil
+}
+
+// save moves a checkpoint from the worker to the object store.
+func (runtime *Worker) save(ctx context.Context, name string) error {
+	runtime.mu.Lock()
+	value, ok := runtime.unsaved[name]
+	runtime.mu.Unlock()
+	if !ok {
+		return nil
+	}
+	if err := runtime.options.Objects.Put(ctx, name, value); err != nil {
+		return err
+	}
+	var saved savedState
+	if err := json.Unmarshal(value, &saved); err != nil {
+		return err
+	}
+	runtime.mu.Lock()
+	defer runtime.mu.Unlock()
+	// A newer checkpoint may have been taken while this one was being saved.
+	if string(runtime.unsaved[name]) == string(value) {
+		delete(runtime.unsaved, name)
+	}
+	for _, task := range runtime.tasks {
+		if checkpoint := checkpointOf(task.spec); checkpoint.Name == name {
+			task.checkpoint = checkpoint
+			runtime.options.Records.saved(task.run, saved.ProgressMillis)
+		}
+	}
+	return nil
+}
+
+// Tick ends the tasks whose lease lapsed and saves the checkpoints that stayed on the worker.
+func (runtime *Worker) Tick(ctx context.Context) {
+	runtime.mu.Lock()
+	runtime.advance()
+	var names []string
+	if !runtime.faults.Paused {
+		names = set.SortedKeys(runtime.unsaved)
+	}
+	runtime.mu.Unlock()
+	for _, name := range names {
+		if err := runtime.save(ctx, name); err != nil {
+			return
+		}
+	}
+}
+
+// Restart replaces the worker by one without tasks, as when its VM fails. Checkpoints that stayed
+// on the worker are lost.
+func (runtime *Worker) Restart() {
+	runtime.mu.Lock()
+	defer runtime.mu.Unlock()
+	runtime.advance()
+	for _, task := range runtime.running() {
+		runtime.end(task, worker.Stopped, "WorkerLost")
+	}
+	clear(runtime.tasks)
+	clear(runtime.fences)
+	clear(runtime.unsaved)
+}
+
+// settle brings the records of the worker's tasks up to date.
+func (runtime *Worker) settle() {
+	runtime.mu.Lock()
+	defer runtime.mu.Unlock()
+	runtime.advance()
+	for _, task := range runtime.running() {
+		runtime.options.Records.progressed(task.run, task.progress())
+	}
+}
--- /dev/null
+++ b/standin/faults.go
@@ -0,0 +1,136 @@
+package standin
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+
+	"hyssopjunction/clock"
+)
+
+// StoreFaults are the faults of the table or of the object store. The zero value is a healthy
+// store.
+type StoreFaults struct {
+	// Outage refuses every call without effect.
+	Outage bool
+	// DelayMillis is the time before a call takes effect.
+	DelayMillis clock.Millis
+	// AnswerDelayMillis is the time between the effect and the answer.
+	AnswerDelayMillis clock.Millis
+	// LoseNext is the number of writes that still take effect without an answer.
+	LoseNext int
+	// LoseRate is the probability, from 0 to 1, that the answer to a write is lost.
+	LoseRate float64
+	// ErrorRate is the probability, from 0 to 1, that a call is refused without effect.
+	ErrorRate float64
+}
+
+// Valid returns ErrBadFault if a value is out of range.
+func (faults StoreFaults) Valid() error {
+	switch {
+	case faults.DelayMillis < 0 || faults.AnswerDelayMillis < 0:
+		return ErrBadFault{Reason: "delays must not be negative"}
+	case faults.LoseNext < 0:
+		return ErrBadFault{Reason: "LoseNext must not be negative"}
+	case !isRate(faults.LoseRate) || !isRate(faults.ErrorRate):
+		return ErrBadFault{Reason: "rates must be from 0 to 1"}
+	}
+	return nil
+}
+
+func isRate(rate float64) bool {
+	return rate >= 0 && rate <= 1
+}
+
+// verdict tells what happens to one call.
+type verdict int
+
+const (
+	served verdict = iota
+	refused
+	abandoned // the caller's context ended before the call took effect
+)
+
+// injector applies StoreFaults to calls. It is safe for concurrent use.
+type injector struct {
+	clock clock.Clock
+
+	mu     sync.Mutex
+	faults StoreFaults
+	random *rand.Rand
+}
+
+func newInjector(source clock.Clock, seed uint64) *injector {
+	return &injector{clock: source, random: newRandom(seed)}
+}
+
+func newRandom(seed uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, 0))
+}
+
+func (injector *injector) get() StoreFaults {
+	injector.mu.Lock()
+	defer injector.mu.Unlock()
+	return injector.faults
+}
+
+func (injector *injector) set(faults StoreFaults) error {
+	if err := faults.Valid(); err != nil {
+		return err
+	}
+	injector.mu.Lock()
+	defer injector.mu.Unlock()
+	injector.faults = faults
+	return nil
+}
+
+// before delays the call and decides whether it may take effect. The outage is read after the
+// delay, so that a call that was waiting when the outage began has no effect.
+func (injector *injector) before(ctx context.Context) verdict {
+	if !wait(ctx, injector.clock, injector.get().DelayMillis) {
+		return abandoned
+	}
+	injector.mu.Lock()
+	defer injector.mu.Unlock()
+	if injector.faults.Outage || injector.chance(injector.faults.ErrorRate) {
+		return refused
+	}
+	return served
+}
+
+// after delays the answer and decides whether it is lost. Only a call with an effect uses up
+// LoseNext.
+func (injector *injector) after(ctx context.Context, effect bool) (lost bool) {
+	if !wait(ctx, injector.clock, injector.get().AnswerDelayMillis) {
+		return true
+	}
+	injector.mu.Lock()
+	defer injector.mu.Unlock()
+	if effect && injector.faults.LoseNext > 0 {
+		injector.faults.LoseNext--
+		return true
+	}
+	return injector.chance(injector.faults.LoseRate)
+}
+
+// chance draws only for rates above zero, so that a healthy store uses no random numbers and a
+// seed gives the same faults whenever they are switched on.
+func (injector *injector) chance(rate float64) bool {
+	return rate > 0 && injector.random.Float64() < rate
+}
+
+// wait returns false if ctx ended before millis had passed.
+func wait(ctx context.Context, source clock.Clock, millis clock.Millis) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	if millis <= 0 {
+		return true
+	}
+	select {
+	case <-source.After(millis):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/standin/payload.go
@@ -0,0 +1,86 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/unit"
+	"hyssopjunction/worker"
+)
+
+// Payload tells a simulated task how to behave. It is the JSON form of worker.Spec.Payload.
+type Payload struct {
+	// RunMillis is the run time of a batch task that runs alone and unthrottled.
+	RunMillis clock.Millis
+	// FailAfterMillis is the progress at which the task fails; 0 means that it does not fail.
+	FailAfterMillis clock.Millis
+	// ActualCPU is the processor time the task really uses; 0 means the declared one.
+	ActualCPU unit.MilliCPU
+	// ActualMemory is the memory the task really uses; 0 means the declared one.
+	ActualMemory unit.Mebibytes
+	// Class selects the task's row and column of the interference matrix.
+	Class string
+}
+
+// ErrBadPayload reports a payload that is not the JSON form of a Payload.
+type ErrBadPayload struct {
+	Reason string
+}
+
+// Error describes the payload.
+func (err ErrBadPayload) Error() string {
+	return "bad payload: " + err.Reason
+}
+
+// IsErrBadPayload reports whether err is an ErrBadPayload.
+func IsErrBadPayload(err error) bool {
+	_, ok := err.(ErrBadPayload)
+	return ok
+}
+
+// ParsePayload reads the JSON form. An empty string is a task that finishes at once.
+func ParsePayload(text string) (Payload, error) {
+	var payload Payload
+	if text == "" {
+		return payload, nil
+	}
+	if err := json.Unmarshal([]byte(text), &payload); err != nil {
+		return Payload{}, ErrBadPayload{Reason: err.Error()}
+	}
+	if payload.RunMillis < 0 || payload.FailAfterMillis < 0 || payload.ActualCPU < 0 || payload.ActualMemory < 0 {
+		return Payload{}, ErrBadPayload{Reason: "values must not be negative"}
+	}
+	return payload, nil
+}
+
+// String returns the JSON form.
+func (payload Payload) String() string {
+	text, err := json.Marshal(payload)
+	if err != nil {
+		return fmt.Sprintf("%q", err.Error())
+	}
+	return string(text)
+}
+
+// actual returns what the task uses when it is not throttled.
+func (payload Payload) actual(declared unit.Resources) unit.Resources {
+	if payload.ActualCPU > 0 {
+		declared.CPU = payload.ActualCPU
+	}
+	if payload.ActualMemory > 0 {
+		declared.Memory = payload.ActualMemory
+	}
+	return declared
+}
+
+// savedState is the JSON form of a checkpoint in the object store.
+type savedState struct {
+	Task           string
+	Epoch          uint64
+	ProgressMillis clock.Millis
+}
+
+func checkpointOf(spec worker.Spec) worker.Checkpoint {
+	return worker.Checkpoint{Epoch: spec.Epoch, Name: fmt.Sprintf("Checkpoint/%s/%d", spec.Task, spec.Epoch)}
+}
--- /dev/null
+++ b/standin/table.go
@@ -0,0 +1,263 @@
+// Package standin is the platform's stand-in for development and tests: the table service, the
+// object store, worker runtimes and endpoints, in process and over HTTP, with faults that can be
+// switched at run time and records from which checks count violations.
+package standin
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"strings"
+	"sync"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/ident"
+	"hyssopjunction/table"
+)
+
+// Default limits of the table.
+const (
+	DefaultValueBytes       = 256 << 10
+	DefaultTransactionBytes = 1 << 20
+)
+
+// outageRetry is the RetryAfter of a refused call. The platform gives no better estimate.
+const outageRetry = clock.Second
+
+// TableOptions configure a Table. Limits of zero take the defaults.
+type TableOptions struct {
+	Clock clock.Clock
+	// Seed determines which calls fail or lose their answer.
+	Seed uint64
+	// ValueBytes is the largest value of a row.
+	ValueBytes int
+	// TransactionBytes is the largest sum of keys and values of a transaction.
+	TransactionBytes int
+	// HistoryCommits is the number of newest commits recorded per row; 0 records none.
+	HistoryCommits int
+}
+
+// Commit is the record of one write to one row.
+type Commit struct {
+	At       clock.Time
+	Write    ident.Write
+	Revision table.Revision
+	Value    []byte
+	Deleted  bool
+}
+
+// TableCounts count the calls of a Table.
+type TableCounts struct {
+	Gets      int
+	Ranges    int
+	Commits   int
+	Conflicts int
+	Refused   int
+	Lost      int
+}
+
+// Table is an in-memory table.Store. It is safe for concurrent use.
+type Table struct {
+	options  TableOptions
+	injector *injector
+
+	mu      sync.Mutex
+	rows    map[table.Key]table.Row
+	keys    []table.Key // sorted, including keys of deleted rows
+	history map[table.Key][]Commit
+	counts  TableCounts
+}
+
+// NewTable returns an empty, healthy Table.
+func NewTable(options TableOptions) *Table {
+	if options.ValueBytes == 0 {
+		options.ValueBytes = DefaultValueBytes
+	}
+	if options.TransactionBytes == 0 {
+		options.TransactionBytes = DefaultTransactionBytes
+	}
+	return &Table{
+		options:  options,
+		injector: newInjector(options.Clock, options.Seed),
+		rows:     make(map[table.Key]table.Row),
+		history:  make(map[table.Key][]Commit),
+	}
+}
+
+// Faults returns the faults in force.
+func (store *Table) Faults() StoreFaults {
+	return store.injector.get()
+}
+
+// SetFaults replaces the faults in force. It returns ErrBadFault.
+func (store *Table) SetFaults(faults StoreFaults) error {
+	return store.injector.set(faults)
+}
+
+// Get returns one row. A missing row is a Row with Revision 0 and no error.
+func (store *Table) Get(ctx context.Context, key table.Key) (table.Row, error) {
+	if err := store.admit(ctx); err != nil {
+		return table.Row{}, err
+	}
+	store.mu.Lock()
+	store.counts.Gets++
+	row, ok := store.rows[key]
+	store.mu.Unlock()
+	if !ok {
+		row = table.Row{Key: key}
+	}
+	return copyRow(row), store.answerRead(ctx)
+}
+
+// Range returns up to limit existing rows whose keys start with prefix and are greater than after,
+// in ascending order of key. A limit of zero or less returns no rows.
+func (store *Table) Range(ctx context.Context, prefix, after table.Key, limit int) ([]table.Row, error) {
+	if err := store.admit(ctx); err != nil {
+		return nil, err
+	}
+	return store.scan(prefix, after, limit), store.answerRead(ctx)
+}
+
+func (store *Table) scan(prefix, after table.Key, limit int) []table.Row {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	store.counts.Ranges++
+	from, _ := slices.BinarySearch(store.keys, max(prefix, after))
+	var found []table.Row
+	for _, key := range store.keys[from:] {
+		if len(found) >= limit || !strings.HasPrefix(string(key), string(prefix)) {
+			break
+		}
+		if row := store.rows[key]; key > after && row.Exists() {
+			found = append(found, copyRow(row))
+		}
+	}
+	return found
+}
+
+// Commit applies the transaction if all its conditions hold.
+func (store *Table) Commit(ctx context.Context, transaction table.Transaction) (table.Result, error) {
+	if err := store.admit(ctx); err != nil {
+		return table.Result{}, err
+	}
+	if err := store.measure(transaction); err != nil {
+		return table.Result{}, err
+	}
+	result, err := store.apply(transaction)
+	if store.injector.after(ctx, err == nil) {
+		store.count(func(counts *TableCounts) { counts.Lost++ })
+		return table.Result{}, table.ErrUnknownOutcome{Write: transaction.Write, Reason: "answer lost"}
+	}
+	return result, err
+}
+
+func (store *Table) admit(ctx context.Context) error {
+	switch store.injector.before(ctx) {
+	case refused:
+		store.count(func(counts *TableCounts) { counts.Refused++ })
+		return table.ErrUnavailable{Reason: "stand-in refuses calls", RetryAfter: outageRetry}
+	case abandoned:
+		return table.ErrUnavailable{Reason: context.Cause(ctx).Error(), RetryAfter: outageRetry}
+	default:
+		return nil
+	}
+}
+
+// answerRead delays the answer to a read. Reads have no effect, so a lost answer is ErrUnavailable.
+func (store *Table) answerRead(ctx context.Context) error {
+	if wait(ctx, store.options.Clock, store.injector.get().AnswerDelayMillis) {
+		return nil
+	}
+	return table.ErrUnavailable{Reason: context.Cause(ctx).Error(), RetryAfter: outageRetry}
+}
+
+func (store *Table) measure(transaction table.Transaction) error {
+	sum := 0
+	for _, operation := range transaction.Operations {
+		if len(operation.Value) > store.options.ValueBytes {
+			return table.ErrTooLarge{Key: operation.Key, Bytes: len(operation.Value), Limit: store.options.ValueBytes}
+		}
+		sum += len(operation.Key) + len(operation.Value)
+		if sum > store.options.TransactionBytes {
+			return table.ErrTooLarge{Key: operation.Key, Bytes: sum, Limit: store.options.TransactionBytes}
+		}
+	}
+	return nil
+}
+
+func (store *Table) apply(transaction table.Transaction) (table.Result, error) {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	for _, condition := range transaction.Conditions {
+		row := store.rows[condition.Key]
+		if row.Revision != condition.Revision {
+			store.counts.Conflicts++
+			return table.Result{}, table.ErrConflict{
+				Key: condition.Key, Want: condition.Revision, Have: row.Revision, Winner: row.Write,
+			}
+		}
+	}
+	store.counts.Commits++
+	result := table.Result{Revisions: make(map[table.Key]table.Revision, len(transaction.Operations))}
+	for _, operation := range transaction.Operations {
+		result.Revisions[operation.Key] = store.write(transaction.Write, operation)
+	}
+	return result, nil
+}
+
+// write applies one operation and returns the new revision. The caller holds mu.
+func (store *Table) write(write ident.Write, operation table.Operation) table.Revision {
+	row := table.Row{
+		Key:      operation.Key,
+		Revision: store.rows[operation.Key].Revision + 1,
+		Write:    write,
+		Deleted:  operation.Delete,
+	}
+	if !operation.Delete {
+		row.Value = bytes.Clone(operation.Value)
+	}
+	if row.Revision == 1 {
+		at, _ := slices.BinarySearch(store.keys, row.Key)
+		store.keys = slices.Insert(store.keys, at, row.Key)
+	}
+	store.rows[row.Key] = row
+	store.remember(row)
+	return row.Revision
+}
+
+// remember adds the write to the row's history. The caller holds mu.
+func (store *Table) remember(row table.Row) {
+	limit := store.options.HistoryCommits
+	if limit == 0 {
+		return
+	}
+	commits := append(store.history[row.Key], Commit{
+		At: store.options.Clock.Now(), Write: row.Write, Revision: row.Revision, Value: row.Value, Deleted: row.Deleted,
+	})
+	store.history[row.Key] = commits[max(0, len(commits)-limit):]
+}
+
+// History returns the recorded commits of a row, oldest first.
+func (store *Table) History(key table.Key) []Commit {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	return slices.Clone(store.history[key])
+}
+
+// Counts returns the number of calls so far.
+func (store *Table) Counts() TableCounts {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	return store.counts
+}
+
+func (store *Table) count(change func(counts *TableCounts)) {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	change(&store.counts)
+}
+
+func copyRow(row table.Row) table.Row {
+	row.Value = bytes.Clone(row.Value)
+	return row
+}
--- /dev/null
+++ b/standin/workerfaults.go
@@ -0,0 +1,92 @@
+package standin
+
+import (
+	"context"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/worker"
+)
+
+// WorkerFaults are the faults of one worker. The zero value is a healthy worker.
+type WorkerFaults struct {
+	// Unavailable makes every call fail while tasks continue to run.
+	Unavailable bool
+	// Paused freezes the worker: calls wait and tasks make no progress, while its clock advances.
+	Paused bool
+	// DelayMillis is the time before a call takes effect.
+	DelayMillis clock.Millis
+	// UsageLagMillis is added to the lag of reported usage.
+	UsageLagMillis clock.Millis
+	// StartFailNext is the number of starts that still fail.
+	StartFailNext int
+	// StartFailRate is the probability, from 0 to 1, that a start fails.
+	StartFailRate float64
+	// FailEverything makes every task fail as soon as it has started.
+	FailEverything bool
+}
+
+// Valid returns ErrBadFault if a value is out of range.
+func (faults WorkerFaults) Valid() error {
+	switch {
+	case faults.DelayMillis < 0 || faults.UsageLagMillis < 0:
+		return ErrBadFault{Reason: "delays and lags must not be negative"}
+	case faults.StartFailNext < 0:
+		return ErrBadFault{Reason: "StartFailNext must not be negative"}
+	case !isRate(faults.StartFailRate):
+		return ErrBadFault{Reason: "rates must be from 0 to 1"}
+	}
+	return nil
+}
+
+// Faults returns the faults in force.
+func (runtime *Worker) Faults() WorkerFaults {
+	runtime.mu.Lock()
+	defer runtime.mu.Unlock()
+	return runtime.faults
+}
+
+// SetFaults replaces the faults in force. It returns ErrBadFault.
+func (runtime *Worker) SetFaults(faults WorkerFaults) error {
+	if err := faults.Valid(); err != nil {
+		return err
+	}
+	runtime.mu.Lock()
+	defer runtime.mu.Unlock()
+	runtime.advance()
+	if faults.Paused != runtime.faults.Paused {
+		if faults.Paused {
+			runtime.resume = make(chan struct{})
+		} else {
+			close(runtime.resume)
+		}
+	}
+	runtime.faults = faults
+	return nil
+}
+
+// enter delays a call by the faults in force.
+func (runtime *Worker) enter(ctx context.Context) error {
+	runtime.mu.Lock()
+	faults, resume := runtime.faults, runtime.resume
+	runtime.mu.Unlock()
+	select {
+	case <-resume:
+	case <-ctx.Done():
+		return worker.ErrUnavailable{Reason: context.Cause(ctx).Error()}
+	}
+	if faults.Unavailable {
+		return worker.ErrUnavailable{Reason: "stand-in refuses calls"}
+	}
+	if !wait(ctx, runtime.options.Clock, faults.DelayMillis) {
+		return worker.ErrUnavailable{Reason: context.Cause(ctx).Error()}
+	}
+	return nil
+}
+
+func (runtime *Worker) startFails() bool {
+	if runtime.faults.StartFailNext > 0 {
+		runtime.faults.StartFailNext--
+		return true
+	}
+	return runtime.faults.StartFailRate > 0 && runtime.random.Float64() < runtime.faults.StartFailRate
+}
