--- /dev/null
+++ b/quota/escrow.go
@@ -0,0 +1,93 @@
+package quota
+
+import (
+	"errors"
+	"fmt"
+
+	"hyssopjunction/ident"
+	"hyssopjunction/unit"
+)
+
+// Transfer moves quota of one team between regions. Each region has its own table, so a transfer
+// takes three transactions: the sender's debit (Send), the receiver's credit (Receive) and the
+// sender's confirmation (Confirm). Between debit and credit the amount can be used nowhere.
+type Transfer struct {
+	From ident.Region
+	To   ident.Region
+	// Number counts the transfers from From to To of the team, starting at 1.
+	Number uint64
+	Amount unit.Resources
+}
+
+// Send returns the row after the debit of a new transfer. It fails with ErrOverLimit if the amount
+// is in use or lent.
+func (row Row) Send(from, to ident.Region, amount unit.Resources) (Row, error) {
+	available := row.Free().Min(row.Grant).Min(row.Target)
+	if amount.Negative() || amount.IsZero() || !amount.FitsIn(available) {
+		return row, ErrOverLimit{Team: row.Team, Want: amount, Free: available}
+	}
+	row = row.clone()
+	row.Sent[to]++
+	row.Grant = row.Grant.Sub(amount)
+	row.Target = row.Target.Sub(amount).Max(unit.Resources{})
+	row.Outgoing = append(row.Outgoing, Transfer{From: from, To: to, Number: row.Sent[to], Amount: amount})
+	return row, nil
+}
+
+// Receive returns the row after the credit of a transfer and whether the transfer was new. A repeat
+// has no effect. It fails with ErrTransferOrder if an earlier transfer was not received yet.
+func (row Row) Receive(transfer Transfer) (Row, bool, error) {
+	last := row.Received[transfer.From]
+	switch {
+	case transfer.Number <= last:
+		return row, false, nil
+	case transfer.Number > last+1 || transfer.Amount.Negative():
+		return row, false, ErrTransferOrder{Team: row.Team, Transfer: transfer, Last: last}
+	}
+	row = row.clone()
+	row.Received[transfer.From] = transfer.Number
+	row.Grant = row.Grant.Add(transfer.Amount)
+	row.Target = row.Target.Add(transfer.Amount)
+	return row, true, nil
+}
+
+// Confirm returns the row without the outgoing transfers that the other region has received, as its
+// row's Received shows.
+func (row Row) Confirm(to ident.Region, received uint64) Row {
+	row = row.clone()
+	open := row.Outgoing[:0]
+	for _, transfer := range row.Outgoing {
+		if transfer.To != to || transfer.Number > received {
+			open = append(open, transfer)
+		}
+	}
+	row.Outgoing = open
+	return row
+}
+
+// Update replaces a team's row within the round, as returned by SetTarget, Send, Receive or Confirm.
+// It fails with ErrOvercommitted.
+func (round *Round) Update(row Row) error {
+	if err := row.Check(); err != nil {
+		return err
+	}
+	round.rows[row.Team] = row
+	return nil
+}
+
+// ErrTransferOrder reports a transfer that arrived before an earlier one.
+type ErrTransferOrder struct {
+	Team     ident.Team
+	Transfer Transfer
+	Last     uint64
+}
+
+// Error describes the transfer.
+func (err ErrTransferOrder) Error() string {
+	return fmt.Sprintf("team %s: transfer %d from region %s after %d", err.Team, err.Transfer.Number, err.Transfer.From, err.Last)
+}
+
+// IsErrTransferOrder reports whether err is or wraps an ErrTransferOrder.
+func IsErrTransferOrder(err error) bool {
+	return errors.As(err, new(ErrTransferOrder))
+}
