Add the agent's task control

Cause: nothing owned a worker's capacity and lease yet.

Change: agent with reserve, start, release, stop and throttle calls, the reading of the worker's own list, lease renewal in the worker's clock, checkpoint and stop before the lease lapses, heartbeats, and reports of ended tasks.

--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,185 @@
+package agent
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+
+	"k8s.io/klog/v2"
+
+	"hyssopjunction/capacity"
+	"hyssopjunction/clock"
+	"hyssopjunction/controlpb"
+	"hyssopjunction/ident"
+	"hyssopjunction/lease"
+	"hyssopjunction/loop"
+	"hyssopjunction/set"
+	"hyssopjunction/worker"
+)
+
+// Gate is the admission control of the agent's endpoint.
+type Gate interface {
+	Serve(ctx context.Context, request *controlpb.ServeRequest) *controlpb.ServeReply
+	Query(ctx context.Context, request *controlpb.QueryRequest) *controlpb.QueryReply
+	Follow(ctx context.Context, request *controlpb.FollowRequest, pass func(*controlpb.FollowChunk) error) error
+	State() *controlpb.EndpointState
+	SetSlowdown(percent int32)
+	Leave()
+	Drain(ctx context.Context) error
+}
+
+// Entries gives connections to entries by their control address.
+type Entries interface {
+	Entry(address string) (controlpb.EntryClient, error)
+	Discard(address string)
+}
+
+// Configuration is the configuration that the agent has applied.
+type Configuration interface {
+	// Version returns the newest version applied.
+	Version() ident.Version
+	// Apply takes over a delta and never lowers a version.
+	Apply(delta *controlpb.ConfigDelta) error
+}
+
+// Agent is the daemon. It is safe for concurrent use.
+type Agent struct {
+	controlpb.UnimplementedAgentServer
+
+	settings Settings
+	time     clock.Clock
+	runtime  worker.Runtime
+	gate     Gate
+	entries  Entries
+	config   Configuration
+	control  *loop.Loop
+	random   *rand.Rand
+
+	// The fields below belong to the control goroutine.
+	incarnation ident.Incarnation
+	sequence    ident.Sequence
+	ledger      *capacity.Ledger
+	holder      *lease.Holder
+	finder      *homeFinder
+	tasks       map[ident.Task]*task
+	ended       map[ident.Task]worker.Status
+	usage       []worker.Usage
+	renewed     worker.Instant
+	known       []*controlpb.EntryState
+	complete    bool
+	leaving     bool
+	stopping    bool
+
+	kick     chan struct{}
+	reported chan struct{}
+	quit     chan struct{}
+	closing  sync.Once
+	running  sync.WaitGroup
+}
+
+// task is what the agent remembers of a reserved or running task to start it.
+type task struct {
+	spec  worker.Spec
+	team  ident.Team
+	class string
+	// starting is set while a call to the worker is in progress.
+	starting bool
+	// confirmed is set once the worker's list showed the task.
+	confirmed bool
+}
+
+// New returns a running agent. Its incarnation must be higher than that of every earlier process
+// on the same worker. A nil gate means that the worker has no endpoint. The agent admits no task
+// before it has read the worker's own list of tasks.
+func New(settings Settings, time clock.Clock, runtime worker.Runtime, gate Gate, entries Entries,
+	config Configuration, incarnation ident.Incarnation, random *rand.Rand,
+) *Agent {
+	agent := &Agent{
+		settings:    settings,
+		time:        time,
+		runtime:     runtime,
+		gate:        gate,
+		entries:     entries,
+		config:      config,
+		control:     loop.New(),
+		random:      random,
+		incarnation: incarnation,
+		ledger:      capacity.New(capacity.Settings{}),
+		holder:      lease.NewHolder(),
+		finder:      newHomeFinder(settings.Balancer, random),
+		tasks:       map[ident.Task]*task{},
+		ended:       map[ident.Task]worker.Status{},
+		complete:    true,
+		kick:        make(chan struct{}, 1),
+		reported:    make(chan struct{}, 1),
+		quit:        make(chan struct{}),
+	}
+	agent.running.Go(func() { agent.every(settings.Watch, nil, agent.watch) })
+	agent.running.Go(func() { agent.every(settings.Heartbeat, agent.kick, agent.announce) })
+	agent.running.Go(func() { agent.every(reportInterval, agent.reported, agent.report) })
+	klog.InfoS("Agent started", "Worker", settings.Worker, "Incarnation", incarnation, "Address", settings.Address)
+	return agent
+}
+
+// every calls step at once, then at each interval or when woken, until the agent closes.
+func (agent *Agent) every(interval clock.Millis, wake <-chan struct{}, step func()) {
+	for {
+		step()
+		select {
+		case <-agent.time.After(interval):
+		case <-wake:
+		case <-agent.quit:
+			return
+		}
+	}
+}
+
+// wake makes a loop take its next step without waiting for its interval.
+func wake(signal chan struct{}) {
+	select {
+	case signal <- struct{}{}:
+	default:
+	}
+}
+
+// call bounds one call to another process.
+func (agent *Agent) call() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), agent.settings.CallTimeout.Duration())
+}
+
+// Incarnation returns the number of this process, which rises when the agent was fenced.
+func (agent *Agent) Incarnation() ident.Incarnation {
+	var incarnation ident.Incarnation
+	agent.control.Call(func() { incarnation = agent.incarnation })
+	return incarnation
+}
+
+// Tasks returns the tasks in the ledger in ascending order.
+func (agent *Agent) Tasks() []capacity.Entry {
+	var entries []capacity.Entry
+	agent.control.Call(func() { entries = agent.ledger.Entries() })
+	return entries
+}
+
+// Close ends the agent at once without draining, as a crash would. Running tasks stay on the
+// worker until their lease lapses.
+func (agent *Agent) Close() {
+	agent.closing.Do(func() { close(agent.quit) })
+	agent.running.Wait()
+	agent.control.Close()
+}
+
+// classes counts the running tasks by class.
+func (agent *Agent) classes() []*controlpb.ClassCount {
+	counts := map[string]int32{}
+	for _, entry := range agent.ledger.Entries() {
+		if known := agent.tasks[entry.Task]; known != nil && entry.Running {
+			counts[known.class]++
+		}
+	}
+	classes := make([]*controlpb.ClassCount, 0, len(counts))
+	for _, class := range set.SortedKeys(counts) {
+		classes = append(classes, &controlpb.ClassCount{Class: class, Tasks: counts[class]})
+	}
+	return classes
+}
--- /dev/null
+++ b/agent/announce.go
@@ -0,0 +1,169 @@
+package agent
+
+import (
+	"k8s.io/klog/v2"
+
+	"hyssopjunction/capacity"
+	"hyssopjunction/clock"
+	"hyssopjunction/controlpb"
+	"hyssopjunction/ident"
+	"hyssopjunction/lease"
+)
+
+// announce sends a heartbeat to the home entry and applies the reply.
+func (agent *Agent) announce() {
+	var request *controlpb.AnnounceRequest
+	var sequence ident.Sequence
+	var target string
+	agent.control.Call(func() {
+		if !agent.ledger.Ready() {
+			return
+		}
+		agent.sequence++
+		sequence = agent.sequence
+		request = agent.announcement()
+		target = agent.finder.target()
+		agent.holder.Sent(sequence, agent.time.Now())
+	})
+	if request == nil || target == "" {
+		return
+	}
+	reply, err := agent.sendAnnouncement(target, request)
+	if err != nil {
+		agent.announcementFailed(target, err)
+		return
+	}
+	fenced := false
+	agent.control.Call(func() { fenced = agent.announced(sequence, reply) })
+	if fenced {
+		agent.restart(ident.Incarnation(reply.HighestIncarnation))
+		return
+	}
+	agent.stopRefs(reply.Stop)
+}
+
+func (agent *Agent) sendAnnouncement(target string, request *controlpb.AnnounceRequest) (*controlpb.AnnounceReply, error) {
+	client, err := agent.entries.Entry(target)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := agent.call()
+	defer cancel()
+	return client.Announce(ctx, request)
+}
+
+// announcementFailed counts the failure and dials anew next time, because the connection may have
+// gone silent.
+func (agent *Agent) announcementFailed(target string, err error) {
+	agent.entries.Discard(target)
+	moved := false
+	agent.control.Call(func() {
+		if moved = agent.finder.failed(); moved {
+			agent.complete = true
+		}
+	})
+	klog.ErrorS(err, "Announcement had no answer", "Worker", agent.settings.Worker, "Entry", target, "Moved", moved)
+	if moved {
+		wake(agent.kick)
+	}
+}
+
+// announcement builds the heartbeat.
+func (agent *Agent) announcement() *controlpb.AnnounceRequest {
+	state := &controlpb.WorkerState{
+		Worker:        string(agent.settings.Worker),
+		AgentAddress:  agent.settings.Address,
+		Incarnation:   uint64(agent.incarnation),
+		Sequence:      uint64(agent.sequence),
+		Region:        string(agent.settings.Region),
+		DataCentre:    string(agent.settings.DataCentre),
+		Rack:          string(agent.settings.Rack),
+		Capacity:      controlpb.FromResources(agent.ledger.Capacity()),
+		Used:          controlpb.FromResources(agent.ledger.Used()),
+		Draining:      agent.ledger.Draining(),
+		ConfigVersion: uint64(agent.config.Version()),
+		Classes:       agent.classes(),
+	}
+	if agent.gate != nil {
+		state.Endpoint = agent.gate.State()
+		state.Endpoint.Leaving = state.Endpoint.Leaving || agent.leaving
+	}
+	request := &controlpb.AnnounceRequest{State: state, Complete: agent.complete}
+	for _, entry := range agent.ledger.Entries() {
+		if entry.Running {
+			state.Tasks++
+			if agent.complete {
+				request.Tasks = append(request.Tasks, agent.statusMessage(entry))
+			}
+		}
+	}
+	for _, usage := range agent.usage {
+		message := controlpb.FromUsage(usage)
+		if known := agent.tasks[usage.Task]; known != nil {
+			message.Class = known.class
+		}
+		request.Usage = append(request.Usage, message)
+	}
+	agent.usage = nil
+	return request
+}
+
+func (agent *Agent) statusMessage(entry capacity.Entry) *controlpb.TaskStatus {
+	status := &controlpb.TaskStatus{Task: controlpb.FromTask(entry.Task, entry.Epoch), Resources: controlpb.FromResources(entry.Size)}
+	if known := agent.tasks[entry.Task]; known != nil {
+		status.Class = known.class
+	}
+	return status
+}
+
+// announced applies a reply and reports whether this incarnation was fenced.
+func (agent *Agent) announced(sequence ident.Sequence, reply *controlpb.AnnounceReply) bool {
+	if reply.Config != nil {
+		if err := agent.config.Apply(reply.Config); err != nil {
+			klog.ErrorS(err, "Configuration was not applied", "Worker", agent.settings.Worker)
+		}
+	}
+	if len(reply.Entries) > 0 {
+		agent.known = reply.Entries
+	}
+	if reply.Fenced {
+		return true
+	}
+	if !reply.Accepted {
+		agent.finder.redirected(reply.Home, reply.Entries)
+		agent.complete = true
+		wake(agent.kick)
+		return false
+	}
+	agent.finder.accepted(reply.Entries)
+	agent.complete = reply.WantComplete
+	if reply.LeaseTermMillis == 0 {
+		return false
+	}
+	agent.holder.Granted(sequence, clock.Millis(reply.LeaseTermMillis), agent.time.Now())
+	return false
+}
+
+// restart begins a new incarnation: all tasks are stopped and the ledger is rebuilt from the
+// worker's list, because the tasks of the old incarnation may have been placed elsewhere.
+func (agent *Agent) restart(highest ident.Incarnation) {
+	klog.InfoS("Incarnation was declared over", "Worker", agent.settings.Worker, "Highest", highest)
+	agent.stopAll("incarnation was declared over")
+	agent.control.Call(func() {
+		agent.incarnation = max(agent.incarnation, highest) + 1
+		agent.ledger = capacity.New(capacity.Settings{})
+		agent.holder = lease.NewHolder()
+		agent.renewed = 0
+		agent.tasks = map[ident.Task]*task{}
+		agent.complete = true
+	})
+}
+
+// stopRefs stops tasks whose epoch is over.
+func (agent *Agent) stopRefs(refs []*controlpb.TaskRef) {
+	for _, ref := range refs {
+		ctx, cancel := agent.call()
+		agent.stop(ctx, ref, false, "epoch is over")
+		cancel()
+	}
+}
--- /dev/null
+++ b/agent/watch.go
@@ -0,0 +1,151 @@
+package agent
+
+import (
+	"k8s.io/klog/v2"
+
+	"hyssopjunction/capacity"
+	"hyssopjunction/clock"
+	"hyssopjunction/ident"
+	"hyssopjunction/worker"
+)
+
+// watch reads the worker's own list, takes over what ended, renews the worker's lease, repeats
+// starts without an answer, and stops the tasks when the agent's lease is about to lapse.
+func (agent *Agent) watch() {
+	ctx, cancel := agent.call()
+	defer cancel()
+	sent := agent.time.Now()
+	report, err := agent.runtime.List(ctx)
+	if err != nil {
+		klog.ErrorS(err, "Worker did not report", "Worker", agent.settings.Worker)
+		return
+	}
+	received := agent.time.Now()
+	var repeat []ident.Task
+	var expiry worker.Instant
+	var renew, lapsing bool
+	agent.control.Call(func() {
+		agent.holder.Sampled(sent, received, report.Now)
+		repeat = agent.observe(report, received)
+		expiry, renew = agent.holder.WorkerExpiry()
+		renew = renew && expiry > agent.renewed && agent.holder.Valid(agent.time.Now())
+		lapsing = agent.lapsing(agent.time.Now())
+	})
+	if renew {
+		agent.renew(expiry)
+	}
+	for _, name := range repeat {
+		agent.launch(name)
+	}
+	if lapsing {
+		agent.stopAll("lease is about to lapse")
+	}
+	agent.observeSlowdown(report)
+}
+
+// observe applies the worker's report and returns the tasks that were started but are not listed.
+func (agent *Agent) observe(report worker.Report, now clock.Time) []ident.Task {
+	agent.usage = report.Usage
+	if !agent.ledger.Ready() {
+		agent.rebuild(report, now)
+		return nil
+	}
+	agent.ledger.Resize(report.Capacity)
+	agent.ledger.Expire(now)
+	listed := make(map[ident.Task]ident.Epoch, len(report.Tasks))
+	for _, status := range report.Tasks {
+		listed[status.Task] = max(listed[status.Task], status.Epoch)
+		if status.State != worker.Running {
+			agent.taskEnded(status, now)
+		}
+	}
+	return agent.unlisted(listed)
+}
+
+// unlisted marks the listed running tasks as confirmed and returns the others.
+func (agent *Agent) unlisted(listed map[ident.Task]ident.Epoch) []ident.Task {
+	var missing []ident.Task
+	held := map[ident.Task]bool{}
+	for _, entry := range agent.ledger.Entries() {
+		held[entry.Task] = true
+		known := agent.tasks[entry.Task]
+		if !entry.Running || known == nil {
+			continue
+		}
+		if listed[entry.Task] == entry.Epoch {
+			known.confirmed = true
+			continue
+		}
+		if !known.starting && !known.confirmed {
+			missing = append(missing, entry.Task)
+		}
+	}
+	for name := range agent.tasks {
+		if !held[name] {
+			delete(agent.tasks, name)
+		}
+	}
+	return missing
+}
+
+// rebuild opens the ledger with what the worker says it runs.
+func (agent *Agent) rebuild(report worker.Report, now clock.Time) {
+	var running, ended []capacity.Entry
+	for _, status := range report.Tasks {
+		entry := capacity.Entry{Task: status.Task, Epoch: status.Epoch, Size: status.Resources}
+		if status.State == worker.Running {
+			running = append(running, entry)
+			agent.tasks[status.Task] = &task{confirmed: true}
+			continue
+		}
+		ended = append(ended, entry)
+		agent.ended[status.Task] = status
+	}
+	agent.ledger.Rebuild(report.Capacity, running, ended, now)
+	klog.InfoS("Rebuilt from the worker's list", "Worker", agent.settings.Worker, "Running", len(running), "Ended", len(ended))
+	wake(agent.kick)
+}
+
+// taskEnded records that a task ended, to be reported to its job's home.
+func (agent *Agent) taskEnded(status worker.Status, now clock.Time) {
+	if have, ok := agent.ended[status.Task]; ok && have.Epoch >= status.Epoch {
+		return
+	}
+	if !agent.ledger.Ended(status.Task, status.Epoch, now) && !agent.ledger.EndedUnrecorded(status.Task, status.Epoch) {
+		return
+	}
+	agent.ended[status.Task] = status
+	klog.InfoS("Task ended", "Worker", agent.settings.Worker, "Task", status.Task.String(), "Epoch", status.Epoch,
+		"State", status.State, "Reason", status.Reason)
+	wake(agent.reported)
+}
+
+// renew passes the agent's lease on to the worker as an instant of the worker's own clock, so that a
+// delayed call cannot extend it.
+func (agent *Agent) renew(expiry worker.Instant) {
+	ctx, cancel := agent.call()
+	defer cancel()
+	if _, err := agent.runtime.Renew(ctx, expiry); err != nil {
+		klog.ErrorS(err, "Worker's lease was not renewed", "Worker", agent.settings.Worker)
+		return
+	}
+	agent.control.Call(func() { agent.renewed = max(agent.renewed, expiry) })
+}
+
+// lapsing reports whether running tasks must be saved and stopped before the lease lapses.
+func (agent *Agent) lapsing(now clock.Time) bool {
+	return agent.holder.Expiry() != 0 && agent.holder.Left(now) <= agent.settings.StopMargin && len(agent.ledger.Entries()) > 0
+}
+
+// observeSlowdown tells the gate how much the endpoint's own class is slowed by its neighbours: the
+// mean slowdown that the worker reports for the tasks beside it.
+func (agent *Agent) observeSlowdown(report worker.Report) {
+	if agent.gate == nil || len(report.Usage) == 0 {
+		return
+	}
+	sum := 0
+	for _, usage := range report.Usage {
+		sum += usage.Slowdown
+	}
+	agent.gate.SetSlowdown(int32(sum / len(report.Usage)))
+}
