--- /dev/null
+++ b/config/editor.go
@@ -0,0 +1,204 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/ident"
+	"hyssopjunction/set"
+	"hyssopjunction/table"
+
+	"github.com/VictoriaMetrics/metrics"
+	"k8s.io/klog/v2"
+)
+
+const (
+	// editAttempts is how often a change is tried whose head moved because of other documents.
+	editAttempts = 12
+	// maxEdits and maxChangeBytes keep the history row of a change, which holds each document before
+	// and after, below the table's limit for one row.
+	maxEdits       = 64
+	maxChangeBytes = 128 << 10
+)
+
+var (
+	changesAccepted = metrics.NewCounter("hyssopjunction_config_changes_accepted_total")
+	changesRefused  = metrics.NewCounter("hyssopjunction_config_changes_refused_total")
+	changesRetried  = metrics.NewCounter("hyssopjunction_config_changes_retried_total")
+)
+
+// Edit writes or deletes one document.
+type Edit struct {
+	Document Name
+	// Base is the version that the operator saw, 0 for a document that did not exist.
+	Base   ident.Version
+	Value  json.RawMessage
+	Delete bool
+}
+
+// Change is an operator's change of one or more documents, which are accepted together or not at
+// all.
+type Change struct {
+	// ID makes sending the change again harmless. An empty ID is replaced by a random one.
+	ID       string
+	Operator string
+	// Time is the operator's wall-clock time in RFC 3339, for people only.
+	Time  string
+	Edits []Edit
+}
+
+// Editor accepts changes. It is safe for concurrent use; changes of one Editor are made one after
+// the other.
+type Editor struct {
+	clock     clock.Clock
+	publisher *Publisher
+
+	mu     sync.Mutex
+	loader *loader
+	random *rand.Rand
+}
+
+// NewEditor returns an Editor that puts accepted changes in force in publisher at once. Random is
+// used for jitter and ids of changes.
+func NewEditor(store table.Store, source clock.Clock, random *rand.Rand, publisher *Publisher) *Editor {
+	return &Editor{clock: source, publisher: publisher, loader: newLoader(store), random: random}
+}
+
+// Apply makes the change and returns its version. Its errors are ErrConflict, ErrInvalid, ErrBusy,
+// ErrUnknownOutcome, table.ErrUnavailable, and ErrNotReady if the configuration cannot be read. All
+// but ErrUnknownOutcome mean that nothing was changed.
+func (editor *Editor) Apply(ctx context.Context, change Change) (ident.Version, error) {
+	editor.mu.Lock()
+	defer editor.mu.Unlock()
+	if change.ID == "" {
+		change.ID = fmt.Sprintf("%016x", editor.random.Uint64())
+	}
+	version, err := editor.apply(ctx, change)
+	if err != nil {
+		changesRefused.Inc()
+		klog.InfoS("configuration change refused", "Operator", change.Operator, "Change", change.ID, "Reason", err.Error())
+		return 0, err
+	}
+	changesAccepted.Inc()
+	klog.InfoS("configuration change accepted", "Operator", change.Operator, "Change", change.ID, "Version", uint64(version))
+	return version, editor.publisher.Publish(editor.loader.view)
+}
+
+// Bootstrap writes the default presets, with the ordinary one in force, into a table that has no
+// configuration. Several daemons may do so at the same time.
+func (editor *Editor) Bootstrap(ctx context.Context, operator string) error {
+	editor.mu.Lock()
+	err := editor.loader.refresh(ctx)
+	exists := editor.loader.view.version > 0
+	editor.mu.Unlock()
+	if err != nil || exists {
+		return err
+	}
+	change := Change{Operator: operator, Edits: []Edit{{Document: InForce, Value: json.RawMessage(`{"Preset":"Ordinary"}`)}}}
+	presets := DefaultPresets()
+	for _, name := range set.SortedKeys(presets) {
+		value, err := json.Marshal(presets[name])
+		if err != nil {
+			return ErrBadRow{Key: string(PresetName(name).Key()), Reason: err.Error()}
+		}
+		change.Edits = append(change.Edits, Edit{Document: PresetName(name), Value: value})
+	}
+	if _, err := editor.Apply(ctx, change); !IsErrConflict(err) {
+		return err
+	}
+	return nil
+}
+
+func (editor *Editor) apply(ctx context.Context, change Change) (ident.Version, error) {
+	for attempt := range editAttempts {
+		if attempt > 0 {
+			changesRetried.Inc()
+			if err := editor.pause(ctx, attempt); err != nil {
+				return 0, table.ErrUnavailable{Reason: err.Error()}
+			}
+		}
+		if err := editor.loader.refresh(ctx); err != nil {
+			return 0, err
+		}
+		view := editor.loader.view
+		if version, done := accepted(view, change); done {
+			return version, nil
+		}
+		plan, err := newPlan(view, editor.loader.headRevision, change)
+		if err != nil {
+			return 0, err
+		}
+		done, err := editor.commit(ctx, plan)
+		if err != nil {
+			return 0, err
+		}
+		if done {
+			return plan.record.Version, nil
+		}
+	}
+	return 0, ErrBusy{Attempts: editAttempts}
+}
+
+// commit sends the plan and reports whether it was accepted; false means certainly not. A lost
+// answer is resolved with the history row, which only one change can create.
+func (editor *Editor) commit(ctx context.Context, plan plan) (bool, error) {
+	unknown := false
+	var last error
+	for attempt := range editAttempts {
+		if attempt > 0 {
+			if editor.pause(ctx, attempt) != nil {
+				break
+			}
+		}
+		_, err := editor.loader.store.Commit(ctx, plan.transaction)
+		switch {
+		case err == nil:
+			editor.loader.view, editor.loader.headRevision = plan.next, plan.headRevision
+			return true, nil
+		case table.IsErrConflict(err) && !unknown:
+			return false, nil
+		case table.IsErrUnavailable(err) && !unknown, table.IsErrTooLarge(err) && !unknown:
+			return false, err
+		}
+		unknown, last = true, err
+		row, err := editor.loader.store.Get(ctx, HistoryKey(plan.record.Version))
+		if err != nil || !row.Exists() {
+			// Not written yet. The same transaction is sent again; it cannot take effect twice.
+			continue
+		}
+		record, err := decodeRow[Record](row)
+		if err != nil {
+			return false, err
+		}
+		if record.Change != plan.record.Change {
+			return false, nil
+		}
+		editor.loader.view, editor.loader.headRevision = plan.next, plan.headRevision
+		return true, nil
+	}
+	return false, ErrUnknownOutcome{Change: plan.record.Change, Version: plan.record.Version, Reason: last.Error()}
+}
+
+// pause waits between attempts, up to 400 ms, with full jitter.
+func (editor *Editor) pause(ctx context.Context, attempt int) error {
+	ceiling := int64(10) << min(attempt, 5)
+	select {
+	case <-editor.clock.After(clock.Millis(1 + editor.random.Int64N(min(ceiling, 400)))):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// accepted reports whether the change with this id is already in the view.
+func accepted(view *View, change Change) (ident.Version, bool) {
+	if len(change.Edits) == 0 {
+		return 0, false
+	}
+	document, ok := view.Document(change.Edits[0].Document)
+	return document.Version, ok && document.Change == change.ID
+}
--- /dev/null
+++ b/keys/listen.go
@@ -0,0 +1,31 @@
+package keys
+
+import (
+	"net"
+	"net/netip"
+)
+
+// CheckListen reports whether a server may listen on address, which is an IP address and a port.
+// Without a certificate only loopback addresses are allowed, unless allowPlaintext is set. Host
+// names are refused, because what they resolve to can change.
+func CheckListen(address string, hasCertificate, allowPlaintext bool) error {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return ErrBadAddress{Address: address, Reason: err.Error()}
+	}
+	if hasCertificate || allowPlaintext {
+		return nil
+	}
+	if host == "" {
+		// An empty host listens on all addresses.
+		return ErrPlaintext{Address: address}
+	}
+	ip, err := netip.ParseAddr(host)
+	if err != nil {
+		return ErrBadAddress{Address: address, Reason: "not an IP address"}
+	}
+	if !ip.Unmap().IsLoopback() {
+		return ErrPlaintext{Address: address}
+	}
+	return nil
+}
--- /dev/null
+++ b/membership/settings.go
@@ -0,0 +1,49 @@
+// Package membership keeps the view of the entries, workers and endpoints that are present. It is
+// state without goroutines or sockets: callers pass in rows, messages and the time.
+package membership
+
+import "hyssopjunction/clock"
+
+// Settings are the intervals of the view, in milliseconds.
+type Settings struct {
+	// RenewMillis is the interval at which an entry renews its row.
+	RenewMillis clock.Millis
+	// EntryExpiryMillis is how long an entry without a renewal or a heartbeat counts as live.
+	EntryExpiryMillis clock.Millis
+	// OutageGraceMillis is how long a home may continue to grant leases without renewing its row.
+	OutageGraceMillis clock.Millis
+	// LeaseTermMillis and LeaseMarginMillis are the term of an agent's lease and the margin that the
+	// home adds to it.
+	LeaseTermMillis   clock.Millis
+	LeaseMarginMillis clock.Millis
+	// WorkerExpiryMillis is how long a worker stays in its home's view without an announcement.
+	WorkerExpiryMillis clock.Millis
+	// PeerExpiryMillis is how long the workers of another home stay in the view without an exchange
+	// from that home.
+	PeerExpiryMillis clock.Millis
+	// ExchangeMillis is the interval of exchanges between two entries.
+	ExchangeMillis clock.Millis
+	// UrgentMillis is the shortest interval of exchanges while an endpoint's leaving is not
+	// acknowledged. It allows one lost message within the 3 s after which a leaving endpoint must
+	// get no new work.
+	UrgentMillis clock.Millis
+	// FullMillis is the interval of exchanges that carry all workers although nothing was missed.
+	FullMillis clock.Millis
+}
+
+// DefaultSettings returns the settings of the design page.
+func DefaultSettings() Settings {
+	return Settings{
+		RenewMillis:       5 * clock.Second,
+		EntryExpiryMillis: 16 * clock.Second,
+		OutageGraceMillis: 3700 * clock.Second,
+		LeaseTermMillis:   20 * clock.Second,
+		// 2% of the term plus 500 ms.
+		LeaseMarginMillis:  900,
+		WorkerExpiryMillis: 10 * clock.Second,
+		PeerExpiryMillis:   15 * clock.Second,
+		ExchangeMillis:     2 * clock.Second,
+		UrgentMillis:       500,
+		FullMillis:         10 * clock.Minute,
+	}
+}
