--- /dev/null
+++ b/caller/handler.go
@@ -0,0 +1,194 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gorilla/mux"
+	"k8s.io/klog/v2"
+
+	"hyssopjunction/admission"
+	"hyssopjunction/clock"
+	"hyssopjunction/dispatch"
+	"hyssopjunction/ident"
+	"hyssopjunction/outcome"
+)
+
+// Header names of the API.
+const (
+	teamHeader     = "Team"
+	keyHeader      = "Request-Key"
+	patienceHeader = "Patience-Millis"
+	priorityHeader = "Priority"
+	requestHeader  = "Request-Id"
+	outcomeHeader  = "Outcome"
+	replayHeader   = "Replayed"
+	offsetHeader   = "Stream-Offset"
+)
+
+// Dispatcher carries out callers' requests.
+type Dispatcher interface {
+	Dispatch(ctx context.Context, request dispatch.Request) (dispatch.Answer, error)
+	Follow(ctx context.Context, request dispatch.StreamRequest, pass func(data []byte) error) error
+}
+
+// Handler serves the API. It is safe for concurrent use.
+type Handler struct {
+	settings   Settings
+	dispatcher Dispatcher
+	requests   func() ident.Request
+	bytes      atomic.Int64
+	streams    atomic.Int64
+}
+
+// New returns a handler. The function requests returns a new request id with each call.
+func New(dispatcher Dispatcher, requests func() ident.Request, settings Settings) *Handler {
+	return &Handler{settings: settings, dispatcher: dispatcher, requests: requests}
+}
+
+// Register adds the API's routes to router.
+func (handler *Handler) Register(router *mux.Router) {
+	router.HandleFunc("/v1/services/{Service}/requests", handler.serveRequest).Methods(http.MethodPost)
+	router.HandleFunc("/v1/services/{Service}/streams/{Stream}", handler.serveStream).Methods(http.MethodGet)
+}
+
+var badRequests = metrics.NewCounter(`hyssopjunction_caller_bad_requests_total`)
+
+func (handler *Handler) serveRequest(writer http.ResponseWriter, incoming *http.Request) {
+	id := handler.requests()
+	writer.Header().Set(requestHeader, string(id))
+	request, err := parse(incoming, handler.settings)
+	if err == nil {
+		request.ID = id
+		var release func()
+		release, err = handler.readBody(writer, incoming, &request)
+		defer release()
+	}
+	if err != nil {
+		handler.refuse(writer, err)
+		return
+	}
+	answer, err := handler.dispatcher.Dispatch(incoming.Context(), request)
+	if err := handler.writeDeadline(writer); err != nil {
+		klog.V(1).InfoS("No write deadline", "Request", id, "Reason", err.Error())
+	}
+	if err != nil {
+		writeError(writer, err)
+		return
+	}
+	handler.writeAnswer(writer, id, answer)
+}
+
+// refuse sends an error of the request itself. The rest of the body is not read, so the connection
+// is closed.
+func (handler *Handler) refuse(writer http.ResponseWriter, err error) {
+	badRequests.Inc()
+	writer.Header().Set("Connection", "close")
+	writeError(writer, err)
+}
+
+func (handler *Handler) writeDeadline(writer http.ResponseWriter) error {
+	return http.NewResponseController(writer).SetWriteDeadline(deadline(handler.settings.WriteTimeout))
+}
+
+func (handler *Handler) writeAnswer(writer http.ResponseWriter, id ident.Request, answer dispatch.Answer) {
+	header := writer.Header()
+	header.Set(outcomeHeader, outcome.Ran.String())
+	header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	if answer.ContentType != "" {
+		header.Set("Content-Type", answer.ContentType)
+	}
+	if answer.Replayed {
+		header.Set(replayHeader, "true")
+	}
+	status := answer.Status
+	if status < http.StatusOK || status > 599 {
+		status = http.StatusOK
+	}
+	writer.WriteHeader(status)
+	if _, err := writer.Write(answer.Body); err != nil {
+		klog.V(1).InfoS("Caller gone", "Request", id, "Reason", err.Error())
+	}
+}
+
+// parse reads the request without its body.
+func parse(incoming *http.Request, settings Settings) (dispatch.Request, error) {
+	header := incoming.Header
+	request := dispatch.Request{
+		Service:     ident.Service(mux.Vars(incoming)["Service"]),
+		Team:        ident.Team(header.Get(teamHeader)),
+		Key:         ident.Key(header.Get(keyHeader)),
+		ContentType: header.Get("Content-Type"),
+		Priority:    admission.Normal,
+	}
+	if !ident.Valid(request.Service) {
+		return request, bad("UnknownService", "the service name is malformed", http.StatusNotFound)
+	}
+	if !ident.Valid(request.Team) {
+		return request, bad("MalformedTeam", "the header Team must name a team", http.StatusBadRequest)
+	}
+	if _, present := header[keyHeader]; present && !ident.Valid(request.Key) {
+		return request, bad("MalformedKey", "the header Request-Key must be 1 to 64 letters, digits, dots, dashes or underscores", http.StatusBadRequest)
+	}
+	if text := header.Get(patienceHeader); text != "" {
+		patience, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || patience <= 0 || clock.Millis(patience) > settings.MaxPatience {
+			return request, bad("MalformedPatience", "the header Patience-Millis must be between 1 and "+
+				strconv.FormatInt(int64(settings.MaxPatience), 10), http.StatusBadRequest)
+		}
+		request.Patience = clock.Millis(patience)
+	}
+	return request, parsePriority(header.Get(priorityHeader), &request)
+}
+
+func parsePriority(text string, request *dispatch.Request) error {
+	switch text {
+	case "", "Normal":
+	case "Low":
+		request.Priority = admission.Low
+	case "High":
+		request.Priority = admission.High
+	default:
+		return bad("MalformedPriority", "the header Priority must be Low, Normal or High", http.StatusBadRequest)
+	}
+	return nil
+}
+
+func bad(kind, reason string, status int) error {
+	return ErrBadRequest{Type: kind, Reason: reason, Status: status}
+}
+
+// readBody reads the body within the limits of size, time and total memory. The returned function
+// gives the memory back and is never nil.
+func (handler *Handler) readBody(writer http.ResponseWriter, incoming *http.Request, request *dispatch.Request) (func(), error) {
+	limit := handler.settings.BodyBytes
+	tooLarge := bad("TooLarge", "the body exceeds "+strconv.FormatInt(limit, 10)+" bytes", http.StatusRequestEntityTooLarge)
+	if incoming.ContentLength > limit {
+		return func() {}, tooLarge
+	}
+	reserved := incoming.ContentLength
+	if reserved < 0 {
+		reserved = limit
+	}
+	release := func() { handler.bytes.Add(-reserved) }
+	if handler.bytes.Add(reserved) > handler.settings.TotalBytes {
+		return release, dispatch.ErrNotRun{Request: request.ID, Reason: dispatch.Overload, RetryAfter: handler.settings.RetryAfter}
+	}
+	if err := http.NewResponseController(writer).SetReadDeadline(deadline(handler.settings.ReadTimeout)); err != nil {
+		klog.V(1).InfoS("No read deadline", "Request", request.ID, "Reason", err.Error())
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(writer, incoming.Body, limit))
+	if errors.As(err, new(*http.MaxBytesError)) {
+		return release, tooLarge
+	}
+	if err != nil {
+		return release, bad("IncompleteBody", "the body did not arrive completely in time", http.StatusRequestTimeout)
+	}
+	request.Body = body
+	return release, nil
+}
--- /dev/null
+++ b/dispatch/dispatcher.go
@@ -0,0 +1,228 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+	"k8s.io/klog/v2"
+
+	"hyssopjunction/admission"
+	"hyssopjunction/clock"
+	"hyssopjunction/dedup"
+	"hyssopjunction/ident"
+	"hyssopjunction/outcome"
+	"hyssopjunction/retry"
+	"hyssopjunction/routing"
+	"hyssopjunction/table"
+)
+
+// Settings of a Dispatcher.
+type Settings struct {
+	// Silence is the time without an answer after which the agent is asked over a new connection.
+	Silence clock.Millis
+	// QueryTimeout bounds one query.
+	QueryTimeout clock.Millis
+	// Attempts bounds the attempts of one request, besides the retry budget.
+	Attempts int
+	// Hop is the time kept back from the patience for the way to the agent and back.
+	Hop clock.Millis
+	// RetryAfter is told to callers when nothing better is known.
+	RetryAfter clock.Millis
+	// TableTimeout bounds one use of the table.
+	TableTimeout clock.Millis
+}
+
+// Defaults returns the settings of the current deployments.
+func Defaults() Settings {
+	return Settings{
+		Silence:      500 * clock.Millisecond,
+		QueryTimeout: 500 * clock.Millisecond,
+		Attempts:     3,
+		Hop:          2 * clock.Millisecond,
+		RetryAfter:   clock.Second,
+		TableTimeout: 2 * clock.Second,
+	}
+}
+
+// Dispatcher sends requests to endpoints. It is safe for concurrent use.
+type Dispatcher struct {
+	settings   Settings
+	clock      clock.Clock
+	agents     Agents
+	view       View
+	ledger     *dedup.Ledger
+	budget     *retry.Budget
+	limiter    *admission.Limiter
+	requests   func() ident.Request
+	unrecorded unrecorded
+
+	mu       sync.Mutex
+	stopping bool
+	inFlight int
+	idle     chan struct{}
+}
+
+// New returns a dispatcher. The function requests returns a new request id with each call; it names
+// the attempts of a keyed submission after the first.
+func New(time clock.Clock, agents Agents, view View, ledger *dedup.Ledger, budget *retry.Budget,
+	limiter *admission.Limiter, requests func() ident.Request, settings Settings,
+) *Dispatcher {
+	return &Dispatcher{
+		settings: settings, clock: time, agents: agents, view: view, ledger: ledger, budget: budget,
+		limiter: limiter, requests: requests,
+	}
+}
+
+var (
+	outcomeCounters = map[outcome.Outcome]*metrics.Counter{
+		outcome.Ran:     metrics.NewCounter(`hyssopjunction_dispatch_requests_total{outcome="Ran"}`),
+		outcome.NotRun:  metrics.NewCounter(`hyssopjunction_dispatch_requests_total{outcome="NotRun"}`),
+		outcome.Unknown: metrics.NewCounter(`hyssopjunction_dispatch_requests_total{outcome="Unknown"}`),
+	}
+	attemptCounter = metrics.NewCounter(`hyssopjunction_dispatch_attempts_total`)
+	latencies      = metrics.NewHistogram(`hyssopjunction_dispatch_millis`)
+)
+
+// flow is the state of one request on its way.
+type flow struct {
+	Request
+	service    Service
+	candidates *routing.View
+	started    clock.Time
+	deadline   clock.Time
+	attempts   int
+	// excluded lists endpoints that must not be tried again.
+	excluded []ident.Endpoint
+}
+
+// Dispatch sends the request and returns the complete answer to it. Errors are ErrNotRun,
+// ErrUnknown and ErrRanUnkept; Answer.Outcome always tells what is known.
+func (dispatcher *Dispatcher) Dispatch(ctx context.Context, request Request) (Answer, error) {
+	started := dispatcher.clock.Now()
+	answer, err := dispatcher.admit(ctx, request, started)
+	answer.Request = request.ID
+	answer.Outcome = outcomeOf(err)
+	outcomeCounters[answer.Outcome].Inc()
+	latencies.Update(float64(dispatcher.clock.Now().Sub(started)))
+	if err != nil && klog.V(1).Enabled() {
+		klog.InfoS("Request without answer", "Request", request.ID, "Service", request.Service, "Team", request.Team,
+			"Outcome", answer.Outcome, "Reason", err.Error())
+	}
+	return answer, err
+}
+
+func outcomeOf(err error) outcome.Outcome {
+	switch {
+	case err == nil, IsErrRanUnkept(err):
+		return outcome.Ran
+	case IsErrNotRun(err):
+		return outcome.NotRun
+	default:
+		return outcome.Unknown
+	}
+}
+
+func (dispatcher *Dispatcher) admit(ctx context.Context, request Request, started clock.Time) (Answer, error) {
+	refuse := func(reason Reason, after clock.Millis) (Answer, error) {
+		return Answer{}, ErrNotRun{Request: request.ID, Reason: reason, RetryAfter: after}
+	}
+	service, candidates, ok := dispatcher.view.Service(request.Service)
+	switch {
+	case !ok:
+		return refuse(UnknownService, 0)
+	case !service.Idempotent && request.Key == "":
+		return refuse(MissingKey, 0)
+	case service.BodyBytes > 0 && int64(len(request.Body)) > service.BodyBytes:
+		return refuse(TooLarge, 0)
+	case !dispatcher.enter():
+		return refuse(Stopping, dispatcher.settings.RetryAfter)
+	}
+	defer dispatcher.leave()
+	if after, ok := dispatcher.limiter.Acquire(request.Priority); !ok {
+		return refuse(Overload, after)
+	}
+	defer dispatcher.limiter.Release()
+	if request.Patience <= 0 {
+		request.Patience = service.Patience
+	}
+	dispatcher.budget.Earn()
+	flow := &flow{
+		Request: request, service: service, candidates: candidates,
+		started: started, deadline: started.Add(request.Patience),
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if service.Idempotent {
+		return dispatcher.plain(ctx, flow)
+	}
+	return dispatcher.keyed(ctx, flow)
+}
+
+// Stop refuses new requests and waits until those in flight have ended, or ctx ends.
+func (dispatcher *Dispatcher) Stop(ctx context.Context) error {
+	dispatcher.mu.Lock()
+	dispatcher.stopping = true
+	if dispatcher.idle == nil {
+		dispatcher.idle = make(chan struct{})
+		if dispatcher.inFlight == 0 {
+			close(dispatcher.idle)
+		}
+	}
+	idle := dispatcher.idle
+	dispatcher.mu.Unlock()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (dispatcher *Dispatcher) enter() bool {
+	dispatcher.mu.Lock()
+	defer dispatcher.mu.Unlock()
+	if dispatcher.stopping {
+		return false
+	}
+	dispatcher.inFlight++
+	return true
+}
+
+func (dispatcher *Dispatcher) leave() {
+	dispatcher.mu.Lock()
+	defer dispatcher.mu.Unlock()
+	dispatcher.inFlight--
+	if dispatcher.stopping && dispatcher.inFlight == 0 {
+		close(dispatcher.idle)
+	}
+}
+
+// choose draws an endpoint and logs the decision.
+func (dispatcher *Dispatcher) choose(flow *flow) (routing.Decision, error) {
+	decision, err := flow.candidates.Choose(dispatcher.clock.Now(), flow.excluded)
+	if err != nil {
+		klog.InfoS("No endpoint", "Request", flow.ID, "Service", flow.Service, "Reason", err.Error())
+		return decision, err
+	}
+	klog.InfoS("Endpoint chosen", "Request", flow.ID, "Service", flow.Service, "Endpoint", decision.Endpoint,
+		"Why", decision.Why, "Candidates", decision.String(), "Attempt", flow.attempts+1)
+	return decision, nil
+}
+
+func targetOf(decision *routing.Decision) dedup.Target {
+	return dedup.Target{
+		Endpoint: decision.Endpoint, Worker: decision.Worker,
+		Address: decision.Address, Incarnation: decision.Incarnation,
+	}
+}
+
+// tableRetryAfter is what the table asked for, or fallback.
+func tableRetryAfter(err error, fallback clock.Millis) clock.Millis {
+	var unavailable table.ErrUnavailable
+	if errors.As(err, &unavailable) && unavailable.RetryAfter > 0 {
+		return unavailable.RetryAfter
+	}
+	return fallback
+}
--- /dev/null
+++ b/endpoint/gate.go
@@ -0,0 +1,249 @@
+package endpoint
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"hyssopjunction/admission"
+	"hyssopjunction/clock"
+	"hyssopjunction/controlpb"
+	"hyssopjunction/ident"
+	"hyssopjunction/outcome"
+)
+
+// Doer is the part of Client that a Gate needs.
+type Doer interface {
+	Do(ctx context.Context, call Call) (Reply, error)
+	Stream(ctx context.Context, call StreamCall, pass func(offset int64, data []byte) error) (int64, error)
+}
+
+// GateSettings of a Gate.
+type GateSettings struct {
+	Endpoint    ident.Endpoint
+	Service     ident.Service
+	Incarnation ident.Incarnation
+	Admission   admission.Settings
+	// Tick is the interval at which queued requests are checked against their deadlines.
+	Tick clock.Millis
+	// UnhealthyAfter is the number of consecutive failures after which the endpoint is announced
+	// as unhealthy.
+	UnhealthyAfter int
+}
+
+// GateDefaults returns the settings of the current deployments, without names.
+func GateDefaults() GateSettings {
+	return GateSettings{Admission: admission.Defaults(), Tick: 20 * clock.Millisecond, UnhealthyAfter: 3}
+}
+
+// Gate admits requests to one endpoint. One control goroutine owns the admission controller; each
+// running request has a traffic goroutine. It is safe for concurrent use.
+type Gate struct {
+	settings GateSettings
+	clock    clock.Clock
+	doer     Doer
+
+	// The following are used by the control goroutine only.
+	controller *admission.Controller
+	calls      map[ident.Request]*call
+	waiting    map[ident.Request][]chan *controlpb.ServeReply
+	failures   int
+	idle       []chan struct{}
+
+	commands chan func()
+	state    atomic.Pointer[controlpb.EndpointState]
+	slowdown atomic.Int32
+	ctx      context.Context
+	cancel   context.CancelFunc
+	control  chan struct{}
+	traffic  sync.WaitGroup
+}
+
+// call is a queued or running request.
+type call struct {
+	Call
+	arrived clock.Time
+}
+
+// undisturbed is the slowdown in percent of an endpoint without interference.
+const undisturbed = 100
+
+// NewGate returns a gate and starts its control goroutine, which Close ends.
+func NewGate(time clock.Clock, doer Doer, settings GateSettings) *Gate {
+	ctx, cancel := context.WithCancel(context.Background())
+	gate := &Gate{
+		settings: settings, clock: time, doer: doer,
+		controller: admission.New(settings.Admission),
+		calls:      map[ident.Request]*call{},
+		waiting:    map[ident.Request][]chan *controlpb.ServeReply{},
+		commands:   make(chan func()),
+		ctx:        ctx, cancel: cancel,
+		control: make(chan struct{}),
+	}
+	gate.slowdown.Store(undisturbed)
+	gate.publish()
+	go func() {
+		defer close(gate.control)
+		tick := time.After(settings.Tick)
+		for {
+			select {
+			case command := <-gate.commands:
+				command()
+			case <-tick:
+				gate.act(gate.controller.Tick(time.Now()))
+				tick = time.After(settings.Tick)
+			case <-ctx.Done():
+				return
+			}
+			gate.publish()
+		}
+	}()
+	return gate
+}
+
+// run executes command on the control goroutine and reports whether it did.
+func (gate *Gate) run(command func()) bool {
+	done := make(chan struct{})
+	select {
+	case gate.commands <- func() { defer close(done); command() }:
+		<-done
+		return true
+	case <-gate.ctx.Done():
+		return false
+	}
+}
+
+// Serve admits the request and returns the endpoint's answer or the refusal. If ctx ends first,
+// the reply has outcome Unknown, or NotRun if the request was still queued.
+func (gate *Gate) Serve(ctx context.Context, request *controlpb.ServeRequest) *controlpb.ServeReply {
+	if refusal := gate.misdirected(request); refusal != "" {
+		return gate.reply(request.GetRequest(), outcome.NotRun, refusal)
+	}
+	id := ident.Request(request.GetRequest())
+	waiter := make(chan *controlpb.ServeReply, 1)
+	if !gate.run(func() { gate.arrive(id, request, waiter) }) {
+		return gate.reply(request.GetRequest(), outcome.Unknown, "ErrClosed")
+	}
+	select {
+	case answer := <-waiter:
+		return answer
+	case <-ctx.Done():
+	case <-gate.ctx.Done():
+		return gate.reply(request.GetRequest(), outcome.Unknown, "ErrClosed")
+	}
+	if gate.run(func() { gate.abandon(id, waiter) }) {
+		select {
+		case answer := <-waiter:
+			return answer
+		default:
+		}
+	}
+	lost := gate.reply(request.GetRequest(), outcome.Unknown, "ErrPending")
+	lost.Pending = true
+	return lost
+}
+
+// misdirected returns the refusal of a request for another endpoint or incarnation. A request sent
+// to an earlier incarnation never runs in this one.
+func (gate *Gate) misdirected(request *controlpb.ServeRequest) string {
+	switch {
+	case ident.Incarnation(request.GetIncarnation()) != gate.settings.Incarnation:
+		return "ErrIncarnation"
+	case ident.Endpoint(request.GetEndpoint()) != gate.settings.Endpoint,
+		ident.Service(request.GetService()) != gate.settings.Service:
+		return "ErrWrongEndpoint"
+	default:
+		return ""
+	}
+}
+
+// Query tells what became of a request. An unknown incarnation or a request that was never seen is
+// not known.
+func (gate *Gate) Query(_ context.Context, request *controlpb.QueryRequest) *controlpb.QueryReply {
+	if ident.Incarnation(request.GetIncarnation()) != gate.settings.Incarnation {
+		return &controlpb.QueryReply{Reply: gate.reply(request.GetRequest(), outcome.Unknown, "ErrIncarnation")}
+	}
+	var status admission.Status
+	if !gate.run(func() {
+		status = gate.controller.Query(gate.clock.Now(), ident.Request(request.GetRequest()), request.GetRefuseIfAbsent())
+	}) {
+		return &controlpb.QueryReply{Reply: gate.reply(request.GetRequest(), outcome.Unknown, "ErrClosed")}
+	}
+	reply := &controlpb.QueryReply{Known: status.State != admission.Absent}
+	switch status.State {
+	case admission.Finished:
+		reply.Reply = gate.answer(request.GetRequest(), status.Answer)
+	case admission.Denied:
+		reply.Reply = gate.reply(request.GetRequest(), outcome.NotRun, string(admission.Refused))
+	case admission.Queued, admission.Running:
+		reply.Reply = gate.reply(request.GetRequest(), outcome.Unknown, "")
+		reply.Reply.Pending = true
+	default:
+		reply.Reply = gate.reply(request.GetRequest(), outcome.Unknown, "ErrAbsent")
+	}
+	return reply
+}
+
+// State returns the endpoint's current load, for the agent's announcement.
+func (gate *Gate) State() *controlpb.EndpointState {
+	return gate.state.Load()
+}
+
+// SetSlowdown records how much colocated tasks slow the endpoint down, in percent; 100 is
+// undisturbed.
+func (gate *Gate) SetSlowdown(percent int32) {
+	gate.slowdown.Store(percent)
+	gate.run(func() {})
+}
+
+// Leave refuses new and queued requests as not run. Running requests and streams go on.
+func (gate *Gate) Leave() {
+	gate.run(func() { gate.act(gate.controller.Leave(gate.clock.Now())) })
+}
+
+// Drain calls Leave and returns once nothing runs or streams, or with ctx's error.
+func (gate *Gate) Drain(ctx context.Context) error {
+	idle := make(chan struct{})
+	gate.run(func() {
+		gate.act(gate.controller.Leave(gate.clock.Now()))
+		gate.idle = append(gate.idle, idle)
+		gate.signalIdle()
+	})
+	select {
+	case <-idle:
+		return nil
+	case <-gate.ctx.Done():
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Close ends the control goroutine, cancels running requests and waits for their goroutines. To
+// interrupt no request, call Drain first.
+func (gate *Gate) Close() {
+	gate.cancel()
+	<-gate.control
+	gate.traffic.Wait()
+}
+
+func (gate *Gate) signalIdle() {
+	if !gate.controller.Idle() {
+		return
+	}
+	for _, idle := range gate.idle {
+		close(idle)
+	}
+	gate.idle = nil
+}
+
+func (gate *Gate) publish() {
+	load := gate.controller.Load()
+	gate.state.Store(&controlpb.EndpointState{
+		Endpoint: string(gate.settings.Endpoint), Service: string(gate.settings.Service),
+		Leaving: load.Leaving, Healthy: gate.failures < gate.settings.UnhealthyAfter,
+		Slots: int32(load.Slots), Connections: int32(load.Connections),
+		SlotsUsed: int32(load.SlotsUsed), ConnectionsUsed: int32(load.ConnectionsUsed),
+		Queue: int32(load.Queue), LatencyMillis: int64(load.Service), SlowdownPercent: gate.slowdown.Load(),
+	})
+}
--- /dev/null
+++ b/endpoint/traffic.go
@@ -0,0 +1,207 @@
+package endpoint
+
+import (
+	"context"
+	"slices"
+
+	"github.com/VictoriaMetrics/metrics"
+	"k8s.io/klog/v2"
+
+	"hyssopjunction/admission"
+	"hyssopjunction/clock"
+	"hyssopjunction/controlpb"
+	"hyssopjunction/ident"
+	"hyssopjunction/outcome"
+)
+
+var (
+	requestsRan     = metrics.NewCounter(`hyssopjunction_endpoint_requests_total{outcome="Ran"}`)
+	requestsRefused = metrics.NewCounter(`hyssopjunction_endpoint_requests_total{outcome="NotRun"}`)
+	requestsUnknown = metrics.NewCounter(`hyssopjunction_endpoint_requests_total{outcome="Unknown"}`)
+)
+
+// An idempotent request is repeated on a new connection if its answer takes suspectFactor times
+// the mean service time, and at least suspectLeast. Less would repeat ordinary slow requests.
+const (
+	suspectFactor = 20
+	suspectLeast  = 250 * clock.Millisecond
+)
+
+// arrive runs on the control goroutine.
+func (gate *Gate) arrive(id ident.Request, request *controlpb.ServeRequest, waiter chan *controlpb.ServeReply) {
+	now := gate.clock.Now()
+	gate.waiting[id] = append(gate.waiting[id], waiter)
+	if _, ok := gate.calls[id]; !ok {
+		gate.calls[id] = &call{arrived: now, Call: Call{
+			Request: id, Team: ident.Team(request.GetTeam()), Method: request.GetMethod(), Path: request.GetPath(),
+			ContentType: request.GetContentType(), Body: request.GetBody(), Idempotent: request.GetIdempotent(),
+			Patience: clock.Millis(request.GetPatienceMillis()),
+		}}
+	}
+	gate.act(gate.controller.Arrive(now, admission.Arrival{
+		Request: id, Team: ident.Team(request.GetTeam()), Priority: admission.Priority(request.GetPriority()),
+		Idempotent: request.GetIdempotent(), Patience: clock.Millis(request.GetPatienceMillis()),
+	}))
+}
+
+// abandon removes a waiter whose caller has gone; a queued request without waiters is withdrawn.
+func (gate *Gate) abandon(id ident.Request, waiter chan *controlpb.ServeReply) {
+	waiters := gate.waiting[id]
+	index := slices.Index(waiters, waiter)
+	if index < 0 {
+		return
+	}
+	if len(waiters) > 1 {
+		gate.waiting[id] = slices.Delete(waiters, index, index+1)
+		return
+	}
+	gate.act(gate.controller.Cancel(gate.clock.Now(), id))
+	delete(gate.waiting, id)
+}
+
+// act carries out the controller's actions on the control goroutine.
+func (gate *Gate) act(actions []admission.Action) {
+	for _, action := range actions {
+		switch action.Kind {
+		case admission.Run:
+			gate.start(gate.calls[action.Request])
+		case admission.Refuse:
+			requestsRefused.Inc()
+			reply := gate.reply(string(action.Request), action.Outcome, string(action.Reason))
+			reply.RetryAfterMillis = int64(action.RetryAfter)
+			gate.deliver(action.Request, reply)
+		case admission.Deliver:
+			gate.deliver(action.Request, gate.answer(string(action.Request), action.Answer))
+		case admission.Wait:
+		}
+	}
+	gate.signalIdle()
+}
+
+func (gate *Gate) deliver(id ident.Request, reply *controlpb.ServeReply) {
+	for _, waiter := range gate.waiting[id] {
+		waiter <- reply
+	}
+	delete(gate.waiting, id)
+	delete(gate.calls, id)
+}
+
+// start sends the request on a traffic goroutine and reports its end to the control goroutine.
+func (gate *Gate) start(call *call) {
+	sent := call.Call
+	sent.Patience -= gate.clock.Now().Sub(call.arrived)
+	if sent.Idempotent {
+		sent.Suspect = max(suspectLeast, suspectFactor*gate.controller.Load().Service)
+	}
+	gate.traffic.Add(1)
+	go func() {
+		defer gate.traffic.Done()
+		started := gate.clock.Now()
+		reply, err := gate.doer.Do(gate.ctx, sent)
+		elapsed := gate.clock.Now().Sub(started)
+		gate.run(func() { gate.finish(sent.Request, reply, err, elapsed) })
+	}()
+}
+
+func (gate *Gate) finish(id ident.Request, reply Reply, err error, elapsed clock.Millis) {
+	answer := admission.Answer{
+		Outcome: outcome.Ran, Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body, Service: elapsed,
+	}
+	if err != nil {
+		gate.failures++
+		answer = admission.Answer{Outcome: outcome.Unknown, Service: elapsed, Reason: reasonOf(err)}
+		if IsErrNotSent(err) {
+			answer.Outcome = outcome.NotRun
+		}
+		klog.InfoS("Request failed at endpoint", "Request", id, "Endpoint", gate.settings.Endpoint,
+			"Outcome", answer.Outcome, "Reason", err.Error())
+	} else {
+		gate.failures = 0
+	}
+	switch answer.Outcome {
+	case outcome.Ran:
+		requestsRan.Inc()
+	case outcome.Unknown:
+		requestsUnknown.Inc()
+	case outcome.NotRun:
+		// Counted as a refusal.
+	}
+	gate.act(gate.controller.Finish(gate.clock.Now(), id, answer))
+}
+
+func reasonOf(err error) admission.Reason {
+	switch {
+	case IsErrSilent(err):
+		return "ErrSilent"
+	case IsErrCrossed(err):
+		return "ErrCrossed"
+	case IsErrTruncated(err):
+		return "ErrTruncated"
+	case IsErrAnswerTooLarge(err):
+		return "ErrAnswerTooLarge"
+	default:
+		return "ErrLost"
+	}
+}
+
+func (gate *Gate) answer(id string, answer admission.Answer) *controlpb.ServeReply {
+	reply := gate.reply(id, answer.Outcome, string(answer.Reason))
+	reply.Status = int32(answer.Status)
+	reply.ContentType = answer.ContentType
+	reply.Body = answer.Body
+	reply.BodyLength = int64(len(answer.Body))
+	reply.ServiceMillis = int64(answer.Service)
+	if answer.Dropped {
+		// The request ran, but its answer can no longer be given.
+		reply.Outcome, reply.Refusal = int32(outcome.Unknown), string(admission.Forgotten)
+	}
+	return reply
+}
+
+func (gate *Gate) reply(id string, known outcome.Outcome, refusal string) *controlpb.ServeReply {
+	return &controlpb.ServeReply{Request: id, Outcome: int32(known), Refusal: refusal, Endpoint: gate.State()}
+}
+
+// Follow passes the data of a stream on in chunks that carry the request id and the offset. It
+// returns when the stream ends, ctx ends or pass fails; a refusal is the last chunk. The stream can
+// be resumed from the offset after the last chunk.
+func (gate *Gate) Follow(ctx context.Context, request *controlpb.FollowRequest, pass func(*controlpb.FollowChunk) error) error {
+	last := &controlpb.FollowChunk{Request: request.GetRequest(), Offset: request.GetOffset(), End: true}
+	refusal := gate.misdirected(&controlpb.ServeRequest{
+		Service: request.GetService(), Endpoint: request.GetEndpoint(), Incarnation: request.GetIncarnation(),
+	})
+	opened := false
+	if refusal == "" && !gate.run(func() {
+		if opened = gate.controller.OpenStream(); opened {
+			gate.traffic.Add(1)
+		}
+	}) {
+		refusal = "ErrClosed"
+	}
+	if refusal == "" && !opened {
+		refusal = string(admission.Overload)
+	}
+	if refusal != "" {
+		last.Refusal = refusal
+		return pass(last)
+	}
+	defer gate.traffic.Done()
+	defer gate.run(func() {
+		gate.controller.CloseStream()
+		gate.signalIdle()
+	})
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(gate.ctx, cancel)()
+	offset, err := gate.doer.Stream(ctx, StreamCall{
+		Request: ident.Request(request.GetRequest()), Team: ident.Team(request.GetTeam()),
+		Stream: request.GetStream(), Offset: request.GetOffset(),
+	}, func(offset int64, data []byte) error {
+		return pass(&controlpb.FollowChunk{Request: request.GetRequest(), Offset: offset, Data: slices.Clone(data)})
+	})
+	if err != nil {
+		return err
+	}
+	last.Offset = offset
+	return pass(last)
+}
--- /dev/null
+++ b/routing/choose.go
@@ -0,0 +1,146 @@
+package routing
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/ident"
+)
+
+// Why names the reason of a decision, for its log line.
+type Why string
+
+// Reasons of a decision.
+const (
+	// Only means that a single endpoint could be chosen.
+	Only Why = "Only"
+	// Faster means that the chosen endpoint is predicted to finish first.
+	Faster Why = "Faster"
+	// LocalFull means that an endpoint of another data centre is predicted to finish first.
+	LocalFull Why = "LocalFull"
+)
+
+// Considered is a candidate of a decision.
+type Considered struct {
+	Endpoint ident.Endpoint
+	// Finish is the predicted time to the answer in milliseconds.
+	Finish float64
+	// Outstanding is the number of requests this entry has open at the endpoint.
+	Outstanding int
+}
+
+// maxConsidered is two local and two remote candidates.
+const maxConsidered = 4
+
+// Decision is the choice of one endpoint. Done or Cancel must be called once for each decision.
+type Decision struct {
+	Candidate
+	Why        Why
+	considered [maxConsidered]Considered
+	count      int
+	track      *track
+	view       *View
+}
+
+// Considered returns the compared candidates.
+func (decision *Decision) Considered() []Considered {
+	return decision.considered[:decision.count]
+}
+
+// String lists the compared candidates with their predicted finish times in milliseconds, as in
+// "a=1.50 b=3.25".
+func (decision *Decision) String() string {
+	var text strings.Builder
+	for index, candidate := range decision.Considered() {
+		if index > 0 {
+			text.WriteByte(' ')
+		}
+		fmt.Fprintf(&text, "%s=%.2f", candidate.Endpoint, candidate.Finish)
+	}
+	return text.String()
+}
+
+// Choose picks an endpoint that is not in excluded and counts the request as outstanding there.
+func (view *View) Choose(now clock.Time, excluded []ident.Endpoint) (Decision, error) {
+	decision := Decision{view: view}
+	best := view.draw(now, excluded, view.local, 0, nil, &decision)
+	penalty := float64(view.router.settings.RemotePenalty)
+	if best == nil || best.wait(now, view.router.settings) > 0 {
+		local := best
+		best = view.draw(now, excluded, view.remote, penalty, best, &decision)
+		if local != nil && best != local {
+			decision.Why = LocalFull
+		}
+	}
+	if best == nil {
+		return Decision{}, ErrNoEndpoint{
+			Service: view.service, Candidates: len(view.members), Usable: view.Usable(), Ejected: view.Ejected(now),
+		}
+	}
+	if decision.Why == "" {
+		decision.Why = Faster
+		if decision.count == 1 {
+			decision.Why = Only
+		}
+	}
+	decision.Candidate = best.Candidate
+	decision.track = best.track
+	best.track.outstanding.Add(1)
+	return decision, nil
+}
+
+// draw compares up to two random members of the pool with best and returns the one predicted to
+// finish first. Unusable draws are replaced by the next usable member in order.
+func (view *View) draw(now clock.Time, excluded []ident.Endpoint, pool []int, penalty float64, best *member, decision *Decision) *member {
+	if len(pool) == 0 {
+		return best
+	}
+	finish := math.Inf(1)
+	if best != nil {
+		finish = best.finish(now, view.router.settings)
+	}
+	random := view.router.random()
+	first := view.usable(now, excluded, pool, int(random%uint64(len(pool))), -1)
+	second := -1
+	if first >= 0 && len(pool) > 1 {
+		start := int((random >> 32) % uint64(len(pool)))
+		second = view.usable(now, excluded, pool, start, first)
+	}
+	for _, position := range [2]int{first, second} {
+		if position < 0 {
+			continue
+		}
+		candidate := &view.members[pool[position]]
+		predicted := candidate.finish(now, view.router.settings) + penalty
+		decision.considered[decision.count] = Considered{
+			Endpoint: candidate.Endpoint, Finish: predicted, Outstanding: int(candidate.track.outstanding.Load()),
+		}
+		decision.count++
+		if predicted < finish {
+			best, finish = candidate, predicted
+		}
+	}
+	return best
+}
+
+// usable returns the first position at or after start whose member may be chosen, or -1.
+func (view *View) usable(now clock.Time, excluded []ident.Endpoint, pool []int, start, except int) int {
+	for step := range pool {
+		position := (start + step) % len(pool)
+		if position == except {
+			continue
+		}
+		candidate := &view.members[pool[position]]
+		if candidate.track.leaving.Load() || candidate.track.ejectedUntil.Load() > int64(now) {
+			continue
+		}
+		if len(excluded) > 0 && slices.Contains(excluded, candidate.Endpoint) {
+			continue
+		}
+		return position
+	}
+	return -1
+}
