Let agents ignore leases of an entry that was replaced as granter

Cause: an agent that moves from one home to another and back could hold a lease of the first home while the second one counts the lease as lapsed.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -9,6 +9,7 @@
 
 	"hyssopjunction/capacity"
 	"hyssopjunction/clock"
+	"hyssopjunction/config"
 	"hyssopjunction/controlpb"
 	"hyssopjunction/ident"
 	"hyssopjunction/lease"
@@ -36,8 +37,8 @@
 
 // Configuration is the configuration that the agent has applied.
 type Configuration interface {
-	// Version returns the newest version applied.
-	Version() ident.Version
+	// Current returns the configuration in force.
+	Current() *config.View
 	// Apply takes over a delta and never lowers a version.
 	Apply(delta *controlpb.ConfigDelta) error
 }
@@ -66,6 +67,10 @@
 	usage       []worker.Usage
 	renewed     worker.Instant
 	known       []*controlpb.EntryState
+	knownDigest uint64
+	// granted is the highest revision of the worker's row under which a lease was accepted. A grant
+	// under a lower one comes from an entry that was replaced as granter and is ignored.
+	granted     uint64
 	complete    bool
 	leaving     bool
 	stopping    bool
@@ -92,7 +97,7 @@
 // on the same worker. A nil gate means that the worker has no endpoint. The agent admits no task
 // before it has read the worker's own list of tasks.
 func New(settings Settings, time clock.Clock, runtime worker.Runtime, gate Gate, entries Entries,
-	config Configuration, incarnation ident.Incarnation, random *rand.Rand,
+	configuration Configuration, incarnation ident.Incarnation, random *rand.Rand,
 ) *Agent {
 	agent := &Agent{
 		settings:    settings,
@@ -100,7 +105,7 @@
 		runtime:     runtime,
 		gate:        gate,
 		entries:     entries,
-		config:      config,
+		config:      configuration,
 		control:     loop.New(),
 		random:      random,
 		incarnation: incarnation,
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -81,14 +81,16 @@
 		Capacity:      controlpb.FromResources(agent.ledger.Capacity()),
 		Used:          controlpb.FromResources(agent.ledger.Used()),
 		Draining:      agent.ledger.Draining(),
-		ConfigVersion: uint64(agent.config.Version()),
+		ConfigVersion: uint64(agent.config.Current().Version()),
 		Classes:       agent.classes(),
 	}
 	if agent.gate != nil {
 		state.Endpoint = agent.gate.State()
 		state.Endpoint.Leaving = state.Endpoint.Leaving || agent.leaving
 	}
-	request := &controlpb.AnnounceRequest{State: state, Complete: agent.complete}
+	request := &controlpb.AnnounceRequest{
+		State: state, Complete: agent.complete, GrantRevision: agent.granted, EntriesDigest: agent.knownDigest,
+	}
 	for _, entry := range agent.ledger.Entries() {
 		if entry.Running {
 			state.Tasks++
@@ -124,7 +126,7 @@
 		}
 	}
 	if len(reply.Entries) > 0 {
-		agent.known = reply.Entries
+		agent.known, agent.knownDigest = reply.Entries, reply.EntriesDigest
 	}
 	if reply.Fenced {
 		return true
@@ -137,9 +139,10 @@
 	}
 	agent.finder.accepted(reply.Entries)
 	agent.complete = reply.WantComplete
-	if reply.LeaseTermMillis == 0 {
+	if reply.LeaseTermMillis == 0 || reply.GrantRevision < agent.granted {
 		return false
 	}
+	agent.granted = reply.GrantRevision
 	agent.holder.Granted(sequence, clock.Millis(reply.LeaseTermMillis), agent.time.Now())
 	return false
 }
--- a/agent/server.go
+++ b/agent/server.go
@@ -46,7 +46,7 @@
 	reply := &controlpb.ConfigureReply{}
 	agent.control.Call(func() {
 		err = agent.config.Apply(request.Config)
-		reply.ConfigVersion = uint64(agent.config.Version())
+		reply.ConfigVersion = uint64(agent.config.Current().Version())
 	})
 	return reply, err
 }
