--- a/agent/agent.go
+++ b/agent/agent.go
@@ -70,10 +70,10 @@
 	knownDigest uint64
 	// granted is the highest revision of the worker's row under which a lease was accepted. A grant
 	// under a lower one comes from an entry that was replaced as granter and is ignored.
-	granted     uint64
-	complete    bool
-	leaving     bool
-	stopping    bool
+	granted  uint64
+	complete bool
+	leaving  bool
+	stopping bool
 
 	kick     chan struct{}
 	reported chan struct{}
--- /dev/null
+++ b/entry/actions.go
@@ -0,0 +1,238 @@
+package entry
+
+import (
+	"k8s.io/klog/v2"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/controlpb"
+	"hyssopjunction/ident"
+	"hyssopjunction/placement"
+	"hyssopjunction/table"
+)
+
+// recordedKept is how long the entry remembers that the end of a task is in the table, to answer
+// repeated reports of its agent.
+const recordedKept = 2 * clock.Minute
+
+type recordedEnd struct {
+	epoch ident.Epoch
+	at    clock.Time
+}
+
+// execute carries out the scheduler's actions. It runs on the control goroutine and must not block.
+func (entry *Entry) execute(actions []placement.Action) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case placement.Reserve:
+			entry.reserve(action)
+		case placement.Start:
+			entry.startTasks(action)
+		case placement.Release:
+			entry.release(action)
+		case placement.Stop:
+			entry.stopTasks(action)
+		case placement.Throttle:
+			entry.throttle(action)
+		case placement.Commit:
+			entry.running.Go(func() { entry.commit(action) })
+		case placement.Read:
+			entry.running.Go(func() { entry.read(action) })
+		case placement.Recorded:
+			for _, ref := range action.Tasks {
+				entry.recorded[ref.Task] = recordedEnd{epoch: ref.Epoch, at: entry.time.Now()}
+			}
+		case placement.Park:
+			klog.InfoS("Job parked", "Job", action.Job, "Reason", action.Reason)
+		case placement.Decision:
+			logDecision(action)
+		}
+	}
+}
+
+func logDecision(decision placement.Decision) {
+	candidates := make([]string, 0, len(decision.Candidates))
+	for _, candidate := range decision.Candidates {
+		candidates = append(candidates, string(candidate.Worker))
+	}
+	klog.InfoS("Placement decision", "Kind", decision.Kind, "Task", decision.Task.String(), "Epoch", decision.Epoch,
+		"Worker", decision.Worker, "Size", decision.Size.String(), "Reason", decision.Reason,
+		"Candidates", candidates, "Considered", decision.Considered)
+}
+
+// agentOf returns a client of the worker's agent, or false if the worker is not known.
+func (entry *Entry) agentOf(worker ident.Worker) (controlpb.AgentClient, bool) {
+	state, ok := entry.workers.Get(worker)
+	if !ok {
+		return nil, false
+	}
+	client, err := entry.connections.Agent(state.GetAgentAddress())
+	if err != nil {
+		klog.ErrorS(err, "Agent cannot be dialled", "Worker", worker)
+		return nil, false
+	}
+	return client, true
+}
+
+func (entry *Entry) commit(action placement.Commit) {
+	ctx, cancel := entry.call(4 * clock.Second)
+	defer cancel()
+	result, err := entry.store.Commit(ctx, action.Transaction)
+	if err != nil {
+		klog.InfoS("Claim was not committed", "Write", action.Transaction.Write, "Claims", action.Claims, "Reason", err.Error())
+		entry.post(placement.CommitFailed{Write: action.Transaction.Write, Err: err})
+		return
+	}
+	claimTransactions.Inc()
+	claimedTasks.Add(action.Claims)
+	entry.post(placement.Committed{Write: action.Transaction.Write, Result: result})
+}
+
+func (entry *Entry) read(action placement.Read) {
+	ctx, cancel := entry.call(4 * clock.Second)
+	defer cancel()
+	rows := make([]table.Row, 0, len(action.Keys))
+	for _, key := range action.Keys {
+		row, err := entry.store.Get(ctx, key)
+		if err != nil {
+			entry.post(placement.ReadFailed{Keys: action.Keys})
+			return
+		}
+		row.Key = key
+		rows = append(rows, row)
+	}
+	entry.post(placement.RowsRead{Rows: rows})
+}
+
+func (entry *Entry) reserve(action placement.Reserve) {
+	client, ok := entry.agentOf(action.Worker)
+	request := &controlpb.ReserveRequest{
+		Entry: string(entry.settings.ID), Reservation: string(action.Reservation),
+		Incarnation: uint64(action.Incarnation), TermMillis: int64(action.Term),
+	}
+	for _, spec := range action.Tasks {
+		request.Tasks = append(request.Tasks, specMessage(spec))
+	}
+	answer := placement.Reserved{Worker: action.Worker, Reservation: action.Reservation}
+	if !ok {
+		entry.running.Go(func() { entry.post(answer) })
+		return
+	}
+	entry.lanes.do(action.Worker, func() {
+		ctx, cancel := entry.call(entry.settings.CallTimeout)
+		defer cancel()
+		reply, err := client.Reserve(ctx, request)
+		if err == nil {
+			answer.FreeKnown = reply.Free != nil
+			answer.Free = controlpb.ToResources(reply.Free)
+			for _, result := range reply.Results {
+				task, epoch := controlpb.ToTask(result.Task)
+				answer.Results = append(answer.Results, placement.ReserveResult{Task: task, Epoch: epoch, OK: result.Ok, Refusal: result.Refusal})
+			}
+		}
+		entry.post(answer)
+	})
+}
+
+func (entry *Entry) startTasks(action placement.Start) {
+	client, ok := entry.agentOf(action.Worker)
+	answer := placement.Started{Worker: action.Worker, Incarnation: action.Incarnation}
+	if !ok {
+		entry.running.Go(func() { entry.post(answer) })
+		return
+	}
+	request := &controlpb.StartRequest{
+		Reservation: string(action.Reservation), Incarnation: uint64(action.Incarnation), Tasks: refMessages(action.Tasks),
+	}
+	entry.lanes.do(action.Worker, func() {
+		ctx, cancel := entry.call(entry.settings.CallTimeout)
+		defer cancel()
+		reply, err := client.Start(ctx, request)
+		if err == nil {
+			for _, result := range reply.Results {
+				task, epoch := controlpb.ToTask(result.Task)
+				answer.Results = append(answer.Results, placement.StartResult{Task: task, Epoch: epoch, OK: result.Ok, Refusal: result.Refusal})
+			}
+		}
+		entry.control.Post(func() {
+			entry.learned.started(action.Worker, answer.Results, entry.time.Now())
+			entry.handle(answer)
+		})
+	})
+}
+
+func (entry *Entry) release(action placement.Release) {
+	client, ok := entry.agentOf(action.Worker)
+	if !ok {
+		return
+	}
+	request := &controlpb.ReleaseRequest{Reservation: string(action.Reservation), Tasks: refMessages(action.Tasks)}
+	entry.lanes.do(action.Worker, func() {
+		ctx, cancel := entry.call(entry.settings.CallTimeout)
+		defer cancel()
+		if _, err := client.Release(ctx, request); err != nil {
+			klog.V(1).InfoS("Release had no answer", "Worker", action.Worker, "Reason", err.Error())
+		}
+	})
+}
+
+func (entry *Entry) stopTasks(action placement.Stop) {
+	client, ok := entry.agentOf(action.Worker)
+	answer := placement.Stopped{Worker: action.Worker, Incarnation: action.Incarnation}
+	if !ok {
+		entry.running.Go(func() { entry.post(answer) })
+		return
+	}
+	request := &controlpb.StopRequest{
+		Incarnation: uint64(action.Incarnation), Tasks: refMessages(action.Tasks),
+		Checkpoint: action.Checkpoint, Reason: action.Reason,
+	}
+	entry.lanes.do(action.Worker, func() {
+		ctx, cancel := entry.call(entry.settings.StopTimeout)
+		defer cancel()
+		reply, err := client.Stop(ctx, request)
+		if err == nil {
+			for _, result := range reply.Results {
+				task, epoch := controlpb.ToTask(result.Task)
+				answer.Results = append(answer.Results, placement.StopResult{
+					Task: task, Epoch: epoch, Stopped: result.Ok, Absent: !result.Ok,
+					Checkpoint: controlpb.ToCheckpoint(result.Checkpoint),
+				})
+			}
+		}
+		entry.post(answer)
+	})
+}
+
+func (entry *Entry) throttle(action placement.Throttle) {
+	client, ok := entry.agentOf(action.Worker)
+	if !ok {
+		return
+	}
+	request := &controlpb.ThrottleRequest{
+		Incarnation: uint64(action.Incarnation), Tasks: refMessages(action.Tasks), Percent: int32(action.Percent),
+	}
+	entry.lanes.do(action.Worker, func() {
+		ctx, cancel := entry.call(entry.settings.CallTimeout)
+		defer cancel()
+		if _, err := client.Throttle(ctx, request); err != nil {
+			klog.V(1).InfoS("Throttle had no answer", "Worker", action.Worker, "Reason", err.Error())
+		}
+	})
+}
+
+func refMessages(refs []placement.TaskRef) []*controlpb.TaskRef {
+	messages := make([]*controlpb.TaskRef, 0, len(refs))
+	for _, ref := range refs {
+		messages = append(messages, controlpb.FromTask(ref.Task, ref.Epoch))
+	}
+	return messages
+}
+
+func specMessage(spec placement.TaskSpec) *controlpb.TaskSpec {
+	return &controlpb.TaskSpec{
+		Task: controlpb.FromTask(spec.Task, spec.Epoch), Kind: string(spec.Kind),
+		Resources: controlpb.FromResources(spec.Size), Payload: spec.Payload,
+		Checkpoint: controlpb.FromCheckpoint(spec.Checkpoint), Team: string(spec.Team),
+		Urgent: spec.Urgent, Class: spec.Class,
+	}
+}
--- /dev/null
+++ b/entry/announce.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"context"
+
+	"k8s.io/klog/v2"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/controlpb"
+	"hyssopjunction/ident"
+	"hyssopjunction/lease"
+	"hyssopjunction/membership"
+)
+
+// Announce takes an agent's heartbeat. The home entry grants the agent's lease in the reply; any
+// other entry names the home.
+func (entry *Entry) Announce(_ context.Context, request *controlpb.AnnounceRequest) (*controlpb.AnnounceReply, error) {
+	if err := entry.notReady(); err != nil {
+		return nil, err
+	}
+	state := request.GetState()
+	worker := ident.Worker(state.GetWorker())
+	incarnation := ident.Incarnation(state.GetIncarnation())
+	reply := &controlpb.AnnounceReply{}
+	home, fenced, record := false, false, false
+	entry.control.Call(func() {
+		if home = entry.takeHeartbeat(request, reply); home {
+			fenced, record = entry.grantState(worker, incarnation, request.GrantRevision)
+		}
+	})
+	if !home {
+		return reply, nil
+	}
+	if record {
+		fenced = entry.recordGrant(worker, incarnation)
+	}
+	entry.control.Call(func() { entry.answerHeartbeat(request, reply, fenced) })
+	return reply, nil
+}
+
+// takeHeartbeat takes the state into the view if this entry is the agent's home, and otherwise
+// fills the reply with the home.
+func (entry *Entry) takeHeartbeat(request *controlpb.AnnounceRequest, reply *controlpb.AnnounceReply) bool {
+	now := entry.time.Now()
+	state := request.GetState()
+	live := entry.entries.Live(now)
+	digest := entriesDigest(live)
+	reply.EntriesDigest = digest
+	if digest != request.EntriesDigest {
+		for _, known := range live {
+			reply.Entries = append(reply.Entries, known.Message())
+		}
+	}
+	place := membership.Place{Region: ident.Region(state.GetRegion()), DataCentre: ident.DataCentre(state.GetDataCentre())}
+	home, ok := membership.Home(ident.Worker(state.GetWorker()), place, live).Get()
+	if !ok {
+		return false
+	}
+	reply.Home = home.Message()
+	if home.ID != entry.settings.ID {
+		return false
+	}
+	if entry.workers.Announce(state, now) == membership.Stale {
+		return false
+	}
+	entry.workerSeen(ident.Worker(state.GetWorker()))
+	entry.learnUsage(request, now)
+	return true
+}
+
+// answerHeartbeat completes the reply to an agent whose home this entry is. The lease is granted
+// last, because the home counts it from here.
+func (entry *Entry) answerHeartbeat(request *controlpb.AnnounceRequest, reply *controlpb.AnnounceReply, fenced bool) {
+	state := request.GetState()
+	worker := ident.Worker(state.GetWorker())
+	incarnation := ident.Incarnation(state.GetIncarnation())
+	view := entry.publisher.Current()
+	if delta, err := view.Delta(ident.Version(state.GetConfigVersion())); err == nil && view.Version() > ident.Version(state.GetConfigVersion()) {
+		reply.Config = delta
+	}
+	known := entry.grants[worker]
+	if known != nil {
+		reply.HighestIncarnation = uint64(known.incarnation)
+	}
+	if fenced {
+		reply.Fenced = true
+		return
+	}
+	reply.Accepted = true
+	now := entry.time.Now()
+	if known == nil || !entry.entries.MayGrant(now) {
+		return
+	}
+	term, err := entry.granter.Grant(worker, incarnation, now)
+	if err != nil {
+		reply.Fenced = lease.IsErrFenced(err)
+		reply.Accepted = !reply.Fenced
+		return
+	}
+	reply.LeaseTermMillis = int64(term)
+	reply.GrantRevision = uint64(known.revision)
+	leaseGrants.Inc()
+}
+
+// learnUsage feeds the measurements of a heartbeat to the estimates.
+func (entry *Entry) learnUsage(request *controlpb.AnnounceRequest, now clock.Time) {
+	for _, usage := range request.GetUsage() {
+		task, _ := controlpb.ToTask(usage.GetTask())
+		entry.learned.sizes.Usage(task.Job, usage.GetClass(), controlpb.ToResources(usage.GetResources()), now)
+	}
+}
+
+// Leave takes the message that an endpoint takes no new work, or that its agent is gone.
+func (entry *Entry) Leave(_ context.Context, request *controlpb.LeaveRequest) (*controlpb.LeaveReply, error) {
+	entry.control.Call(func() {
+		if entry.workers.Leave(request, entry.time.Now()) {
+			klog.InfoS("Endpoint leaves", "Worker", request.Worker, "Endpoint", request.Endpoint, "AgentGone", request.AgentGone)
+			entry.refresh()
+		}
+	})
+	return &controlpb.LeaveReply{}, nil
+}
--- /dev/null
+++ b/entry/configure.go
@@ -0,0 +1,70 @@
+package entry
+
+import (
+	"k8s.io/klog/v2"
+
+	"hyssopjunction/config"
+	"hyssopjunction/controlpb"
+	"hyssopjunction/ident"
+	"hyssopjunction/placement"
+)
+
+// followConfig applies each new configuration and pushes it to the agents homed here.
+func (entry *Entry) followConfig() {
+	applied := ident.Version(0)
+	for {
+		changed := entry.publisher.Changed()
+		view := entry.publisher.Current()
+		if entry.publisher.Ready() && (view.Version() > applied || applied == 0) {
+			entry.control.Call(func() {
+				entry.applyConfig(view)
+				entry.pushConfig(applied, view)
+			})
+			applied = max(view.Version(), 1)
+			wakeUp(entry.rescan)
+		}
+		select {
+		case <-changed:
+		case <-entry.quit:
+			return
+		}
+	}
+}
+
+// applyConfig tells the scheduler the state of the data centres.
+func (entry *Entry) applyConfig(view *config.View) {
+	for _, name := range view.DataCentres() {
+		centre, ok := view.DataCentre(name)
+		if !ok {
+			continue
+		}
+		key, revision := view.DataCentreRow(name)
+		entry.handle(placement.DataCentreChanged{
+			DataCentre: name, Open: centre.Open, Key: key, Revision: revision, Bound: centre.DrainMillis,
+		})
+	}
+	entry.refresh()
+	klog.InfoS("Configuration in force", "Entry", entry.settings.ID, "Version", view.Version())
+}
+
+// pushConfig sends the documents that are newer than from to the agents homed here. An agent that
+// misses the push receives them with its next heartbeat.
+func (entry *Entry) pushConfig(from ident.Version, view *config.View) {
+	delta, err := view.Delta(from)
+	if err != nil {
+		return
+	}
+	for _, worker := range entry.workers.Own() {
+		client, ok := entry.agentOf(worker)
+		if !ok {
+			continue
+		}
+		entry.running.Go(func() {
+			ctx, cancel := entry.call(entry.settings.CallTimeout)
+			defer cancel()
+			if _, err := client.Configure(ctx, &controlpb.ConfigureRequest{Config: delta}); err != nil {
+				klog.V(1).InfoS("Configuration was not pushed", "Worker", worker, "Reason", err.Error())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,229 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"k8s.io/klog/v2"
+
+	"hyssopjunction/admission"
+	"hyssopjunction/clock"
+	"hyssopjunction/config"
+	"hyssopjunction/controlpb"
+	"hyssopjunction/dedup"
+	"hyssopjunction/dispatch"
+	"hyssopjunction/ident"
+	"hyssopjunction/lease"
+	"hyssopjunction/loop"
+	"hyssopjunction/membership"
+	"hyssopjunction/placement"
+	"hyssopjunction/retry"
+	"hyssopjunction/routing"
+	"hyssopjunction/table"
+)
+
+// Connections gives connections to other daemons by their control address.
+type Connections interface {
+	Agent(address string) (controlpb.AgentClient, error)
+	Entry(address string) (controlpb.EntryClient, error)
+	// Connect returns once a connection to address is established, or an error if none can be.
+	Connect(ctx context.Context, address string) error
+	Discard(address string)
+}
+
+// Dependencies of an entry.
+type Dependencies struct {
+	Clock clock.Clock
+	// Table is a client that resolves lost answers, see table.Client.
+	Table table.Store
+	// Traffic carries callers' requests, control everything else. They are separate, so that giving
+	// up a silent connection of one kind does not cut the calls of the other.
+	Traffic Connections
+	Control Connections
+}
+
+// Entry is the daemon. It is safe for concurrent use.
+type Entry struct {
+	controlpb.UnimplementedEntryServer
+
+	settings     Settings
+	time         clock.Clock
+	store        table.Store
+	connections  Connections
+	publisher    *config.Publisher
+	reader       *config.Reader
+	editor       *config.Editor
+	view         *membership.Publisher
+	services     atomic.Pointer[serviceTable]
+	router       *routing.Router
+	dispatcher   *dispatch.Dispatcher
+	sweeper      *dedup.Sweeper
+	control      *loop.Loop
+	lanes        *lanes
+	writes       atomic.Uint64
+	incarnation  ident.Incarnation
+	shuttingDown atomic.Bool
+
+	// The fields below belong to the control goroutine.
+	entries   *membership.Entries
+	workers   *membership.Workers
+	granter   *lease.Granter
+	grants    map[ident.Worker]*grant
+	ended     map[ident.Worker]endedIncarnation
+	scheduler *placement.Scheduler
+	learned   *learned
+	recorded  map[ident.Task]recordedEnd
+	homed     map[ident.Job]bool
+	homes     string
+	// publishedHomes are the live entries of the published view.
+	publishedHomes string
+	inExchange     map[ident.Entry]bool
+	silent         map[ident.Worker]silence
+	since     map[ident.Endpoint]presence
+	applied   *config.View
+
+	// readAt is when the entries' rows were last read. It belongs to the renewing goroutine.
+	readAt clock.Time
+
+	quit    chan struct{}
+	rescan  chan struct{}
+	closing sync.Once
+	running sync.WaitGroup
+}
+
+// New returns a running entry that is not ready until it has read the configuration in force. It
+// returns an error if the entry's own row cannot be read.
+func New(ctx context.Context, settings Settings, dependencies Dependencies) (*Entry, error) {
+	settings = settings.withDefaults()
+	now := dependencies.Clock.Now()
+	row, err := dependencies.Table.Get(ctx, membership.EntryKey(settings.ID))
+	if err != nil {
+		return nil, err
+	}
+	entries, err := membership.NewEntries(membership.Entry{
+		ID: settings.ID, State: membership.Live,
+		ControlAddress: settings.ControlAddress, CallerAddress: settings.CallerAddress,
+		Region: settings.Region, DataCentre: settings.DataCentre,
+	}, row, settings.Membership, now)
+	if err != nil {
+		return nil, err
+	}
+	entry := newEntry(settings, dependencies, entries)
+	entry.start()
+	klog.InfoS("Entry started", "Entry", settings.ID, "Incarnation", entry.incarnation, "Control", settings.ControlAddress)
+	return entry, nil
+}
+
+func newEntry(settings Settings, dependencies Dependencies, entries *membership.Entries) *Entry {
+	publisher := config.NewPublisher()
+	incarnation := entries.Self().Incarnation
+	entry := &Entry{
+		settings: settings, time: dependencies.Clock, store: dependencies.Table, connections: dependencies.Control,
+		publisher: publisher, view: membership.NewPublisher(), router: routing.New(settings.Routing),
+		control: loop.New(), lanes: newLanes(), incarnation: incarnation,
+		entries: entries, workers: membership.NewWorkers(settings.ID, settings.Membership),
+		granter: lease.NewGranter(settings.Lease), grants: map[ident.Worker]*grant{},
+		ended: map[ident.Worker]endedIncarnation{}, learned: newLearned(),
+		recorded: map[ident.Task]recordedEnd{}, homed: map[ident.Job]bool{},
+		inExchange: map[ident.Entry]bool{}, silent: map[ident.Worker]silence{}, since: map[ident.Endpoint]presence{},
+		quit: make(chan struct{}), rescan: make(chan struct{}, 1),
+	}
+	entry.scheduler = placement.New(settings.Placement, placement.Dependencies{
+		Entry: settings.ID, Incarnation: incarnation,
+		Sizer: entry.learned.sizes, Interference: entry.learned, Health: entry.learned.health,
+	})
+	entry.services.Store(&serviceTable{})
+	entry.reader = config.NewReader(dependencies.Table, dependencies.Clock, entry.newRandom(1), publisher, config.DefaultReaderSettings())
+	entry.editor = config.NewEditor(dependencies.Table, dependencies.Clock, entry.newRandom(2), publisher)
+	entry.dispatcher = dispatch.New(dependencies.Clock, &agents{traffic: dependencies.Traffic, probes: dependencies.Control},
+		entry, dedup.New(dependencies.Table, entry.newWrite, dedup.Defaults()), retry.NewBudget(retry.Defaults()),
+		admission.NewLimiter(settings.Concurrency, clock.Second), entry.NewRequest, settings.Dispatch)
+	entry.sweeper = dedup.NewSweeper(dependencies.Table, entry.newWrite, entry.retention)
+	return entry
+}
+
+// start runs the entry's loops.
+func (entry *Entry) start() {
+	entry.every(entry.settings.Tick, nil, entry.tick)
+	entry.every(entry.settings.Round, nil, entry.round)
+	entry.every(clock.Second, nil, entry.renew)
+	entry.every(clock.Second, nil, entry.adopt)
+	entry.every(clock.Second, nil, entry.settleGrants)
+	entry.every(clock.Minute, entry.rescan, entry.scanJobs)
+	entry.every(10*clock.Second, nil, entry.sweep)
+	entry.running.Go(entry.followConfig)
+}
+
+// every calls step at each interval or when woken, until the entry closes.
+func (entry *Entry) every(interval clock.Millis, wake <-chan struct{}, step func()) {
+	entry.running.Go(func() {
+		for {
+			step()
+			select {
+			case <-entry.time.After(interval):
+			case <-wake:
+			case <-entry.quit:
+				return
+			}
+		}
+	})
+}
+
+// newRandom returns a source of its own for each purpose, so that goroutines share none.
+func (entry *Entry) newRandom(purpose uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(entry.settings.Seed, purpose))
+}
+
+// call bounds one call to another daemon or to the table.
+func (entry *Entry) call(bound clock.Millis) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), bound.Duration())
+}
+
+// Ready reports whether the entry knows the configuration in force and is not leaving.
+func (entry *Entry) Ready() bool {
+	return entry.publisher.Ready() && !entry.shuttingDown.Load()
+}
+
+// Dispatcher returns the request flow for the callers' API.
+func (entry *Entry) Dispatcher() *dispatch.Dispatcher {
+	return entry.dispatcher
+}
+
+// handle passes an event to the scheduler and carries out its actions. It runs on the control
+// goroutine.
+func (entry *Entry) handle(event placement.Event) {
+	entry.execute(entry.scheduler.Handle(event, entry.time.Now()))
+}
+
+// Post passes an event to the scheduler from any goroutine.
+func (entry *Entry) post(event placement.Event) {
+	entry.control.Post(func() { entry.handle(event) })
+}
+
+// round is the tick of the scheduler.
+func (entry *Entry) round() {
+	if entry.publisher.Ready() {
+		entry.control.Call(func() { entry.handle(placement.Round{}) })
+	}
+}
+
+// notReady refuses a call before the configuration is known.
+func (entry *Entry) notReady() error {
+	if entry.publisher.Ready() {
+		return nil
+	}
+	return status.Error(codes.Unavailable, "configuration is not loaded")
+}
+
+// Close ends the entry at once without handing anything over, as a crash would.
+func (entry *Entry) Close() {
+	entry.closing.Do(func() { close(entry.quit) })
+	entry.running.Wait()
+	entry.reader.Close()
+	entry.control.Close()
+	entry.lanes.close()
+}
--- /dev/null
+++ b/entry/exchange.go
@@ -0,0 +1,134 @@
+package entry
+
+import (
+	"context"
+
+	"k8s.io/klog/v2"
+
+	"hyssopjunction/controlpb"
+	"hyssopjunction/ident"
+	"hyssopjunction/membership"
+	"hyssopjunction/set"
+)
+
+// maxPairs bounds the interference estimates in one exchange.
+const maxPairs = 32
+
+// outgoing is one exchange to send.
+type outgoing struct {
+	peer     membership.Entry
+	sequence ident.Sequence
+	request  *controlpb.ExchangeRequest
+}
+
+// exchange sends what changed to the peers that are due.
+func (entry *Entry) exchange() {
+	var due []outgoing
+	entry.control.Call(func() {
+		now := entry.time.Now()
+		var pairs []*controlpb.PairEstimate
+		for _, peer := range entry.entries.Peers(now) {
+			if entry.inExchange[peer.ID] || !entry.workers.Due(peer.ID, now) {
+				continue
+			}
+			if pairs == nil {
+				pairs = entry.learned.pairs.Export(maxPairs, false)
+			}
+			request := entry.workers.Delta(peer.ID, now)
+			request.Sender = entry.entries.Self().Message()
+			request.Pairs = pairs
+			for _, worker := range set.SortedKeys(entry.ended) {
+				request.Ended = append(request.Ended, &controlpb.EndedIncarnation{
+					Worker: string(worker), Incarnation: uint64(entry.ended[worker].incarnation),
+				})
+			}
+			entry.inExchange[peer.ID] = true
+			due = append(due, outgoing{peer: peer, sequence: ident.Sequence(request.Sequence), request: request})
+		}
+	})
+	for _, message := range due {
+		entry.running.Go(func() { entry.sendExchange(message) })
+	}
+}
+
+func (entry *Entry) sendExchange(message outgoing) {
+	reply, err := entry.callExchange(message)
+	entry.control.Call(func() {
+		delete(entry.inExchange, message.peer.ID)
+		now := entry.time.Now()
+		if err != nil {
+			entry.workers.Unanswered(message.peer.ID, message.sequence)
+			return
+		}
+		entry.workers.Acknowledge(message.peer.ID, message.sequence, reply, now)
+		entry.heard(reply.GetReceiver())
+	})
+	if err != nil {
+		klog.V(1).InfoS("Exchange had no answer", "Peer", message.peer.ID, "Reason", err.Error())
+		entry.connections.Discard(message.peer.ControlAddress)
+		return
+	}
+	if delta := reply.GetConfig(); delta != nil {
+		entry.applyPeerConfig(delta)
+	}
+}
+
+func (entry *Entry) callExchange(message outgoing) (*controlpb.ExchangeReply, error) {
+	client, err := entry.connections.Entry(message.peer.ControlAddress)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := entry.call(entry.settings.CallTimeout)
+	defer cancel()
+	return client.Exchange(ctx, message.request)
+}
+
+// applyPeerConfig takes over newer configuration from a peer, which reaches this entry also while
+// it cannot read the table itself.
+func (entry *Entry) applyPeerConfig(delta *controlpb.ConfigDelta) {
+	if err := entry.publisher.Apply(delta); err != nil {
+		klog.V(1).InfoS("Peer's configuration was not applied", "Reason", err.Error())
+	}
+}
+
+// heard takes the state that a peer told of itself.
+func (entry *Entry) heard(message *controlpb.EntryState) {
+	if message.GetEntry() == "" || message.GetEntry() == string(entry.settings.ID) {
+		return
+	}
+	entry.entries.Heartbeat(membership.FromMessage(message), entry.time.Now())
+}
+
+// Exchange takes the heartbeat of another entry.
+func (entry *Entry) Exchange(_ context.Context, request *controlpb.ExchangeRequest) (*controlpb.ExchangeReply, error) {
+	var reply *controlpb.ExchangeReply
+	entry.control.Call(func() {
+		now := entry.time.Now()
+		entry.heard(request.GetSender())
+		reply = entry.workers.Exchange(request, now)
+		reply.Receiver = entry.entries.Self().Message()
+		for _, state := range request.GetWorkers() {
+			entry.workerSeen(ident.Worker(state.GetWorker()))
+		}
+		entry.learned.pairs.Import(ident.Entry(request.GetSender().GetEntry()), request.GetPairs())
+		for _, over := range request.GetEnded() {
+			entry.incarnationEndedElsewhere(ident.Worker(over.GetWorker()), ident.Incarnation(over.GetIncarnation()))
+		}
+		view := entry.publisher.Current()
+		if from := ident.Version(request.GetSender().GetConfigVersion()); view.Version() > from {
+			if delta, err := view.Delta(from); err == nil {
+				reply.Config = delta
+			}
+		}
+	})
+	if reply == nil {
+		return nil, errClosed{}
+	}
+	return reply, nil
+}
+
+// errClosed reports a call to an entry that has ended.
+type errClosed struct{}
+
+// Error describes the state.
+func (errClosed) Error() string { return "entry is closed" }
--- /dev/null
+++ b/entry/grants.go
@@ -0,0 +1,341 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"k8s.io/klog/v2"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/controlpb"
+	"hyssopjunction/ident"
+	"hyssopjunction/lease"
+	"hyssopjunction/placement"
+	"hyssopjunction/set"
+	"hyssopjunction/table"
+)
+
+// workerPrefix starts the keys of the rows that name the granter of each worker.
+const workerPrefix = "Worker/"
+
+// endedKept is how long an ended incarnation is repeated in exchanges. Entries that miss all of
+// them read the worker's row.
+const endedKept = clock.Minute
+
+// maxGrantWriteTries bounds the attempts to record a granter in one heartbeat.
+const maxGrantWriteTries = 3
+
+// workerRow is the value of a worker's row. It is written when the granter or the incarnation
+// changes and when the incarnation ends.
+type workerRow struct {
+	Incarnation        ident.Incarnation
+	Granter            ident.Entry
+	GranterIncarnation ident.Incarnation
+	// Over is set once the incarnation and all earlier ones are certainly over.
+	Over   bool
+	Reason string `json:",omitempty"`
+}
+
+// errBadWorkerRow reports a worker row that cannot be read.
+type errBadWorkerRow struct {
+	key   table.Key
+	cause error
+}
+
+// Error describes the row.
+func (err errBadWorkerRow) Error() string {
+	return fmt.Sprintf("bad row %s: %v", err.key, err.cause)
+}
+
+// grant is what this entry knows of its right to grant a worker's lease.
+type grant struct {
+	incarnation ident.Incarnation
+	// revision is that of the worker's row that names this entry as granter.
+	revision table.Revision
+	// previous is the granter that this entry replaced, until the agent or the previous granter has
+	// confirmed the change. Until then this entry makes no statement about the worker, because the
+	// previous granter may still extend its lease.
+	previous ident.Entry
+	// ending is set from the decision that the incarnation is over until the row says so.
+	ending bool
+}
+
+type endedIncarnation struct {
+	incarnation ident.Incarnation
+	at          clock.Time
+}
+
+func workerKey(worker ident.Worker) table.Key {
+	return table.Key(workerPrefix + string(worker))
+}
+
+func decodeWorkerRow(row table.Row) (workerRow, error) {
+	var content workerRow
+	if !row.Exists() {
+		return content, nil
+	}
+	if err := json.Unmarshal(row.Value, &content); err != nil {
+		return content, errBadWorkerRow{key: row.Key, cause: err}
+	}
+	return content, nil
+}
+
+func encodeWorkerRow(content workerRow) []byte {
+	value, err := json.Marshal(content)
+	if err != nil {
+		panic(err) // strings and integers always have a JSON form
+	}
+	return value
+}
+
+// grantState reports whether the incarnation is fenced, and whether this entry has to record itself
+// as granter before it can grant. It runs on the control goroutine.
+func (entry *Entry) grantState(worker ident.Worker, incarnation ident.Incarnation, acknowledged uint64) (fenced, record bool) {
+	known := entry.grants[worker]
+	if known == nil {
+		return false, true
+	}
+	switch {
+	case incarnation < known.incarnation:
+		return true, false
+	case incarnation > known.incarnation:
+		return false, true
+	case known.ending:
+		return true, false
+	}
+	if acknowledged > uint64(known.revision) {
+		// Another entry was recorded as granter in between.
+		entry.granter.Lose(worker)
+		delete(entry.grants, worker)
+		return false, true
+	}
+	if acknowledged == uint64(known.revision) {
+		known.previous = ""
+	}
+	return false, false
+}
+
+// recordGrant writes this entry as granter into the worker's row. It reports whether the
+// incarnation is fenced. Without an answer of the table nothing is granted.
+func (entry *Entry) recordGrant(worker ident.Worker, incarnation ident.Incarnation) (fenced bool) {
+	ctx, cancel := entry.call(entry.settings.CallTimeout)
+	defer cancel()
+	for range maxGrantWriteTries {
+		row, err := entry.store.Get(ctx, workerKey(worker))
+		if err != nil {
+			klog.V(1).InfoS("Worker's row was not read", "Worker", worker, "Reason", err.Error())
+			return false
+		}
+		have, err := decodeWorkerRow(row)
+		if err != nil {
+			klog.ErrorS(err, "Worker cannot be granted a lease", "Worker", worker)
+			return false
+		}
+		if incarnation < have.Incarnation || (incarnation == have.Incarnation && have.Over) {
+			entry.control.Call(func() { entry.noteFence(worker, have) })
+			return true
+		}
+		err = entry.writeGrant(ctx, worker, incarnation, row, have)
+		if err == nil || !table.IsErrConflict(err) {
+			return false
+		}
+	}
+	return false
+}
+
+func (entry *Entry) writeGrant(ctx context.Context, worker ident.Worker, incarnation ident.Incarnation, row table.Row, have workerRow) error {
+	mine := workerRow{Incarnation: incarnation, Granter: entry.settings.ID, GranterIncarnation: entry.incarnation}
+	revision := row.Revision
+	if have != mine {
+		result, err := entry.store.Commit(ctx, entry.workerWrite(worker, row.Revision, mine))
+		if err != nil {
+			klog.V(1).InfoS("Granter was not recorded", "Worker", worker, "Reason", err.Error())
+			return err
+		}
+		revision = result.Revisions[workerKey(worker)]
+	}
+	previous := have.Granter
+	if have.Incarnation != incarnation || have.Over || previous == entry.settings.ID {
+		previous = ""
+	}
+	entry.control.Call(func() {
+		if err := entry.granter.Record(worker, incarnation, entry.time.Now()); err != nil {
+			klog.ErrorS(err, "Granter was recorded for an ended incarnation", "Worker", worker)
+			return
+		}
+		entry.grants[worker] = &grant{incarnation: incarnation, revision: revision, previous: previous}
+		klog.InfoS("Recorded as granter", "Worker", worker, "Incarnation", incarnation, "Previous", previous)
+	})
+	return nil
+}
+
+// workerWrite returns the transaction that replaces the worker's row. It keeps an id of its own, so
+// that it is not merged with others and its revision is known.
+func (entry *Entry) workerWrite(worker ident.Worker, revision table.Revision, content workerRow) table.Transaction {
+	key := workerKey(worker)
+	return table.Transaction{
+		Write:      entry.newWrite(),
+		Conditions: []table.Condition{{Key: key, Revision: revision}},
+		Operations: []table.Operation{{Key: key, Value: encodeWorkerRow(content)}},
+	}
+}
+
+// noteFence remembers what the table says about the worker, so that the agent learns which
+// incarnation to exceed.
+func (entry *Entry) noteFence(worker ident.Worker, have workerRow) {
+	known := entry.grants[worker]
+	if known == nil || known.incarnation < have.Incarnation {
+		entry.grants[worker] = &grant{incarnation: have.Incarnation, ending: true}
+	}
+	if have.Over {
+		entry.granter.Declare(worker, have.Incarnation)
+	}
+}
+
+// settleGrants asks previous granters to yield, and declares incarnations over whose lease lapsed.
+func (entry *Entry) settleGrants() {
+	type handover struct {
+		worker   ident.Worker
+		revision table.Revision
+		address  string
+	}
+	var handovers []handover
+	var ending []ident.Worker
+	entry.control.Call(func() {
+		now := entry.time.Now()
+		for _, worker := range set.SortedKeys(entry.grants) {
+			known := entry.grants[worker]
+			if known.previous == "" {
+				continue
+			}
+			if previous, ok := entry.entries.Get(known.previous); ok {
+				handovers = append(handovers, handover{worker, known.revision, previous.ControlAddress})
+			}
+		}
+		ending = entry.endLapsed(now)
+		entry.forgetOld(now)
+	})
+	for _, change := range handovers {
+		entry.requestYield(change.worker, change.revision, change.address)
+	}
+	for _, worker := range ending {
+		entry.writeEnd(worker)
+	}
+	entry.reviewSilent()
+}
+
+// endLapsed decides which incarnations are over and returns them with those decided before whose
+// row does not say so yet.
+func (entry *Entry) endLapsed(now clock.Time) []ident.Worker {
+	for _, worker := range entry.granter.Due(now) {
+		known := entry.grants[worker]
+		if known == nil || known.previous != "" || known.ending {
+			continue
+		}
+		if err := entry.granter.Over(worker, known.incarnation, now); err == nil {
+			known.ending = true
+		}
+	}
+	var ending []ident.Worker
+	for _, worker := range set.SortedKeys(entry.grants) {
+		known := entry.grants[worker]
+		if known.ending && known.revision != 0 {
+			ending = append(ending, worker)
+		}
+	}
+	return ending
+}
+
+// writeEnd writes that the incarnation is over and tells the scheduler.
+func (entry *Entry) writeEnd(worker ident.Worker) {
+	var known grant
+	entry.control.Call(func() { known = *entry.grants[worker] })
+	ctx, cancel := entry.call(entry.settings.CallTimeout)
+	defer cancel()
+	content := workerRow{
+		Incarnation: known.incarnation, Granter: entry.settings.ID, GranterIncarnation: entry.incarnation,
+		Over: true, Reason: string(lease.LeaseLapsed),
+	}
+	_, err := entry.store.Commit(ctx, entry.workerWrite(worker, known.revision, content))
+	switch {
+	case err == nil:
+		entry.control.Call(func() {
+			entry.grants[worker].revision = 0
+			entry.incarnationEnded(worker, known.incarnation, lease.LeaseLapsed)
+		})
+	case table.IsErrConflict(err):
+		// Another entry is the granter now, or the end was written by an attempt without an answer.
+		entry.control.Call(func() {
+			entry.granter.Lose(worker)
+			delete(entry.grants, worker)
+		})
+	default:
+		klog.V(1).InfoS("End of incarnation was not written", "Worker", worker, "Reason", err.Error())
+	}
+}
+
+// incarnationEnded tells the scheduler, and the other entries with the next exchanges.
+func (entry *Entry) incarnationEnded(worker ident.Worker, incarnation ident.Incarnation, reason lease.Reason) {
+	if have, ok := entry.ended[worker]; ok && have.incarnation >= incarnation {
+		return
+	}
+	entry.ended[worker] = endedIncarnation{incarnation: incarnation, at: entry.time.Now()}
+	endedIncarnations.Inc()
+	klog.InfoS("Incarnation is over", "Worker", worker, "Incarnation", incarnation, "Reason", reason)
+	entry.handle(placement.WorkerGone{Worker: worker, Incarnation: incarnation})
+}
+
+func (entry *Entry) forgetOld(now clock.Time) {
+	for worker, known := range entry.ended {
+		if now.Sub(known.at) > endedKept {
+			delete(entry.ended, worker)
+		}
+	}
+	for task, known := range entry.recorded {
+		if now.Sub(known.at) > recordedKept {
+			delete(entry.recorded, task)
+		}
+	}
+}
+
+// requestYield asks the previous granter to grant no more.
+func (entry *Entry) requestYield(worker ident.Worker, revision table.Revision, address string) {
+	client, err := entry.connections.Entry(address)
+	if err != nil {
+		return
+	}
+	ctx, cancel := entry.call(entry.settings.CallTimeout)
+	defer cancel()
+	if _, err := client.Yield(ctx, &controlpb.YieldRequest{Worker: string(worker), GrantRevision: uint64(revision)}); err != nil {
+		klog.V(1).InfoS("Previous granter did not yield", "Worker", worker, "Entry", address, "Reason", err.Error())
+		return
+	}
+	entry.control.Call(func() {
+		if known := entry.grants[worker]; known != nil && known.revision == revision {
+			known.previous = ""
+		}
+	})
+}
+
+// Yield stops granting leases to an agent whose granter another entry has become.
+func (entry *Entry) Yield(_ context.Context, request *controlpb.YieldRequest) (*controlpb.YieldReply, error) {
+	entry.control.Call(func() {
+		worker := ident.Worker(request.Worker)
+		known := entry.grants[worker]
+		if known == nil || uint64(known.revision) < request.GrantRevision {
+			entry.granter.Lose(worker)
+			delete(entry.grants, worker)
+		}
+	})
+	return &controlpb.YieldReply{}, nil
+}
+
+// incarnationEndedElsewhere takes the statement of another entry, which the table already holds.
+func (entry *Entry) incarnationEndedElsewhere(worker ident.Worker, incarnation ident.Incarnation) {
+	if have, ok := entry.ended[worker]; ok && have.incarnation >= incarnation {
+		return
+	}
+	entry.granter.Declare(worker, incarnation)
+	entry.handle(placement.WorkerGone{Worker: worker, Incarnation: incarnation})
+}
--- /dev/null
+++ b/entry/jobs.go
@@ -0,0 +1,207 @@
+package entry
+
+import (
+	"context"
+
+	"k8s.io/klog/v2"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/controlpb"
+	"hyssopjunction/ident"
+	"hyssopjunction/job"
+	"hyssopjunction/membership"
+	"hyssopjunction/placement"
+	"hyssopjunction/table"
+)
+
+const (
+	// pendingPrefix starts the keys of rows that tell the home of a job to read its row. They exist
+	// from a change by another entry until the home has read it, so a range read of them is small.
+	pendingPrefix = "Pending/"
+	// jobPage is the number of rows read at once.
+	jobPage = 100
+)
+
+func pendingKey(name ident.Job) table.Key {
+	return table.Key(pendingPrefix + string(name))
+}
+
+// isHome reports whether this entry schedules the job. It runs on the control goroutine.
+func (entry *Entry) isHome(name ident.Job) bool {
+	home, ok := membership.JobHome(name, entry.settings.Region, entry.entries.Live(entry.time.Now())).Get()
+	return ok && home.ID == entry.settings.ID
+}
+
+// adopt reads the jobs whose rows were changed by other entries.
+func (entry *Entry) adopt() {
+	if !entry.publisher.Ready() {
+		return
+	}
+	ctx, cancel := entry.call(4 * clock.Second)
+	defer cancel()
+	rows, err := entry.store.Range(ctx, pendingPrefix, "", jobPage)
+	if err != nil {
+		return
+	}
+	for _, row := range rows {
+		name := ident.Job(row.Key[len(pendingPrefix):])
+		if !entry.mine(name) || entry.loadJob(ctx, name) != nil {
+			continue
+		}
+		entry.clearPending(ctx, row)
+	}
+}
+
+func (entry *Entry) mine(name ident.Job) bool {
+	mine := false
+	entry.control.Call(func() { mine = entry.isHome(name) })
+	return mine
+}
+
+// clearPending removes the row if it was not written again since it was read.
+func (entry *Entry) clearPending(ctx context.Context, row table.Row) {
+	_, err := entry.store.Commit(ctx, table.Transaction{
+		Conditions: []table.Condition{{Key: row.Key, Revision: row.Revision}},
+		Operations: []table.Operation{{Key: row.Key, Delete: true}},
+	})
+	if err != nil {
+		klog.V(1).InfoS("Pending row was not removed", "Key", row.Key, "Reason", err.Error())
+	}
+}
+
+// loadJob reads a job's row and passes it to the scheduler.
+func (entry *Entry) loadJob(ctx context.Context, name ident.Job) error {
+	row, err := entry.store.Get(ctx, job.Key(name))
+	if err != nil {
+		return err
+	}
+	row.Key = job.Key(name)
+	entry.control.Call(func() { entry.takeJob(name, row) })
+	return nil
+}
+
+func (entry *Entry) takeJob(name ident.Job, row table.Row) {
+	if !entry.homed[name] {
+		entry.homed[name] = true
+		adoptedJobs.Inc()
+		klog.InfoS("Home of job", "Job", name, "Revision", row.Revision)
+	}
+	entry.handle(placement.JobLoaded{Row: row})
+}
+
+// scanJobs reads all job rows. It runs when the live entries change, because jobs then change their
+// home, and now and then as a safeguard.
+func (entry *Entry) scanJobs() {
+	if !entry.publisher.Ready() {
+		return
+	}
+	after := table.Key("")
+	for {
+		ctx, cancel := entry.call(4 * clock.Second)
+		rows, err := entry.store.Range(ctx, job.KeyPrefix, after, jobPage)
+		cancel()
+		if err != nil {
+			klog.V(1).InfoS("Job rows were not read", "Reason", err.Error())
+			return
+		}
+		entry.control.Call(func() {
+			for _, row := range rows {
+				entry.sortJob(row)
+			}
+		})
+		if len(rows) < jobPage {
+			return
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
+
+// sortJob takes the job if this entry is its home and drops it otherwise.
+func (entry *Entry) sortJob(row table.Row) {
+	name := ident.Job(row.Key[len(job.KeyPrefix):])
+	if entry.isHome(name) {
+		entry.takeJob(name, row)
+		return
+	}
+	if entry.homed[name] {
+		delete(entry.homed, name)
+		klog.InfoS("No longer home of job", "Job", name)
+		entry.handle(placement.JobDropped{Job: name})
+	}
+}
+
+// Notify loads jobs that another entry changed.
+func (entry *Entry) Notify(ctx context.Context, request *controlpb.NotifyRequest) (*controlpb.NotifyReply, error) {
+	for _, name := range request.GetJobs() {
+		if !entry.mine(ident.Job(name)) {
+			continue
+		}
+		if err := entry.loadJob(ctx, ident.Job(name)); err != nil {
+			return nil, err
+		}
+	}
+	return &controlpb.NotifyReply{}, nil
+}
+
+// notifyHome tells the home of a job that its row changed. The pending row reaches the home if this
+// call does not.
+func (entry *Entry) notifyHome(ctx context.Context, name ident.Job) {
+	var home membership.Entry
+	found := false
+	entry.control.Call(func() {
+		home, found = membership.JobHome(name, entry.settings.Region, entry.entries.Live(entry.time.Now())).Get()
+	})
+	if !found {
+		return
+	}
+	if home.ID == entry.settings.ID {
+		_ = entry.loadJob(ctx, name)
+		return
+	}
+	client, err := entry.connections.Entry(home.ControlAddress)
+	if err != nil {
+		return
+	}
+	if _, err := client.Notify(ctx, &controlpb.NotifyRequest{Jobs: []string{string(name)}}); err != nil {
+		klog.V(1).InfoS("Home of job was not notified", "Job", name, "Entry", home.ID, "Reason", err.Error())
+	}
+}
+
+// Report takes the ends of tasks that an agent reports until they are recorded in the table.
+func (entry *Entry) Report(_ context.Context, request *controlpb.ReportRequest) (*controlpb.ReportReply, error) {
+	if err := entry.notReady(); err != nil {
+		return nil, err
+	}
+	reply := &controlpb.ReportReply{}
+	entry.control.Call(func() {
+		now := entry.time.Now()
+		for _, message := range request.GetEnded() {
+			status := controlpb.ToStatus(message)
+			if known, ok := entry.recorded[status.Task]; ok && known.epoch >= status.Epoch {
+				reply.Recorded = append(reply.Recorded, message.Task)
+				continue
+			}
+			if !entry.isHome(status.Task.Job) {
+				reply.Misdirected = append(reply.Misdirected, message.Task)
+				continue
+			}
+			worker := ident.Worker(request.GetWorker())
+			entry.learned.taskEnded(worker, status, now)
+			entry.handle(placement.TaskEnded{Worker: worker, Status: status})
+		}
+	})
+	return reply, nil
+}
+
+// sweep deletes claim rows of keyed submissions whose retention is over.
+func (entry *Entry) sweep() {
+	if !entry.publisher.Ready() {
+		return
+	}
+	ctx, cancel := entry.call(4 * clock.Second)
+	defer cancel()
+	if _, err := entry.sweeper.Step(ctx, entry.time.Now(), jobPage); err != nil {
+		klog.V(1).InfoS("Old claims were not swept", "Reason", err.Error())
+	}
+	entry.dispatcher.Flush(ctx)
+}
--- /dev/null
+++ b/entry/names.go
@@ -0,0 +1,23 @@
+package entry
+
+import (
+	"fmt"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/ident"
+)
+
+// newWrite returns a write id that no other process uses.
+func (entry *Entry) newWrite() ident.Write {
+	return ident.Write(fmt.Sprintf("%s-%d-w%d", entry.settings.ID, entry.incarnation, entry.writes.Add(1)))
+}
+
+// NewRequest returns a request id that no other process uses.
+func (entry *Entry) NewRequest() ident.Request {
+	return ident.Request(fmt.Sprintf("%s-%d-r%d", entry.settings.ID, entry.incarnation, entry.writes.Add(1)))
+}
+
+// retention is how long the claim rows of a service are kept.
+func (entry *Entry) retention(ident.Service) clock.Millis {
+	return clock.Day
+}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,73 @@
+// Package entry is the daemon that serves callers and operators, schedules the jobs it is home of,
+// and grants leases to the agents it is home of.
+package entry
+
+import (
+	"hyssopjunction/clock"
+	"hyssopjunction/dispatch"
+	"hyssopjunction/ident"
+	"hyssopjunction/lease"
+	"hyssopjunction/membership"
+	"hyssopjunction/placement"
+	"hyssopjunction/routing"
+)
+
+// Settings are the entry's identity, addresses and times.
+type Settings struct {
+	ID         ident.Entry
+	Region     ident.Region
+	DataCentre ident.DataCentre
+	// ControlAddress serves gRPC and CallerAddress HTTP; both are "IP:port" as other daemons reach
+	// them.
+	ControlAddress string
+	CallerAddress  string
+	// CallTimeout bounds one call to another daemon.
+	CallTimeout clock.Millis
+	// StopTimeout bounds a call that checkpoints and stops tasks.
+	StopTimeout clock.Millis
+	// Tick is the interval of the periodic work besides scheduling rounds.
+	Tick clock.Millis
+	// Round is the interval of scheduling rounds.
+	Round clock.Millis
+	// Concurrency bounds the caller requests in flight.
+	Concurrency int
+	// Seed makes random choices reproducible.
+	Seed       uint64
+	Lease      lease.Settings
+	Membership membership.Settings
+	Placement  placement.Settings
+	Routing    routing.Settings
+	Dispatch   dispatch.Settings
+}
+
+// DefaultSettings returns the settings used in production, without identity and addresses.
+func DefaultSettings() Settings {
+	return Settings{
+		CallTimeout: 1500 * clock.Millisecond,
+		StopTimeout: 5 * clock.Second,
+		Tick:        250 * clock.Millisecond,
+		Round:       250 * clock.Millisecond,
+		Concurrency: 2048,
+		Seed:        1,
+		Membership:  membership.DefaultSettings(),
+		Routing:     routing.Defaults(),
+		Dispatch:    dispatch.Defaults(),
+	}
+}
+
+// withDefaults derives the settings that must agree with each other.
+func (settings Settings) withDefaults() Settings {
+	if settings.Lease.Term <= 0 {
+		settings.Lease.Term = lease.DefaultTerm
+	}
+	if settings.Lease.OutageGrace <= 0 {
+		settings.Lease.OutageGrace = lease.DefaultOutageGrace
+	}
+	settings.Membership.LeaseTermMillis = settings.Lease.Term
+	settings.Membership.LeaseMarginMillis = lease.Margin(settings.Lease.Term)
+	settings.Membership.OutageGraceMillis = settings.Lease.OutageGrace
+	settings.Placement.Round = settings.Round
+	settings.Routing.DataCentre = settings.DataCentre
+	settings.Routing.Seed = settings.Seed
+	return settings
+}
--- /dev/null
+++ b/entry/silent.go
@@ -0,0 +1,100 @@
+package entry
+
+import (
+	"k8s.io/klog/v2"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/ident"
+	"hyssopjunction/lease"
+	"hyssopjunction/placement"
+	"hyssopjunction/set"
+	"hyssopjunction/table"
+)
+
+// silentReview is how often the row of a silent worker is read. It is the way to learn of an ended
+// incarnation when the exchanges that said so were missed or when its granter is gone.
+const silentReview = 10 * clock.Second
+
+// silence is a worker that was not heard of in time.
+type silence struct {
+	incarnation ident.Incarnation
+	due         clock.Time
+}
+
+// reviewSilent reads the rows of silent workers and ends the incarnations whose granter can
+// certainly not have a lease in force.
+func (entry *Entry) reviewSilent() {
+	var due []ident.Worker
+	entry.control.Call(func() {
+		now := entry.time.Now()
+		for _, worker := range set.SortedKeys(entry.silent) {
+			known := entry.silent[worker]
+			if !now.Before(known.due) {
+				known.due = now.Add(silentReview)
+				entry.silent[worker] = known
+				due = append(due, worker)
+			}
+		}
+	})
+	for _, worker := range due {
+		entry.reviewWorker(worker)
+	}
+}
+
+func (entry *Entry) reviewWorker(worker ident.Worker) {
+	ctx, cancel := entry.call(entry.settings.CallTimeout)
+	defer cancel()
+	row, err := entry.store.Get(ctx, workerKey(worker))
+	if err != nil {
+		return
+	}
+	have, err := decodeWorkerRow(row)
+	if err != nil {
+		klog.ErrorS(err, "Silent worker cannot be reviewed", "Worker", worker)
+		return
+	}
+	if have.Over {
+		entry.control.Call(func() {
+			delete(entry.silent, worker)
+			entry.incarnationEnded(worker, have.Incarnation, lease.Reason(have.Reason))
+		})
+		return
+	}
+	gone := false
+	entry.control.Call(func() {
+		gone = have.Granter != "" && entry.entries.Gone(have.Granter, have.GranterIncarnation, entry.time.Now())
+	})
+	if !gone {
+		return
+	}
+	have.Over, have.Reason = true, string(lease.HomeSilent)
+	if _, err := entry.store.Commit(ctx, entry.workerWrite(worker, row.Revision, have)); err != nil {
+		if !table.IsErrConflict(err) {
+			klog.V(1).InfoS("End of incarnation was not written", "Worker", worker, "Reason", err.Error())
+		}
+		return
+	}
+	entry.control.Call(func() {
+		delete(entry.silent, worker)
+		entry.incarnationEnded(worker, have.Incarnation, lease.HomeSilent)
+	})
+}
+
+// workerSeen tells the scheduler the newest state of a worker.
+func (entry *Entry) workerSeen(worker ident.Worker) {
+	state, ok := entry.workers.Get(worker)
+	if !ok {
+		return
+	}
+	delete(entry.silent, worker)
+	entry.handle(placement.WorkerChanged{State: placementState(state)})
+}
+
+// workerSilent tells the scheduler that a worker was not heard of in time.
+func (entry *Entry) workerSilent(worker ident.Worker) {
+	klog.InfoS("Worker is silent", "Worker", worker)
+	if _, ok := entry.silent[worker]; !ok {
+		entry.silent[worker] = silence{due: entry.time.Now().Add(silentReview)}
+	}
+	entry.handle(placement.WorkerSilent{Worker: worker})
+}
--- /dev/null
+++ b/entry/tick.go
@@ -0,0 +1,179 @@
+package entry
+
+import (
+	"hash/fnv"
+	"slices"
+
+	"k8s.io/klog/v2"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/controlpb"
+	"hyssopjunction/ident"
+	"hyssopjunction/membership"
+	"hyssopjunction/placement"
+	"hyssopjunction/table"
+)
+
+// tick expires what was not heard of, publishes the view for traffic and sends exchanges.
+func (entry *Entry) tick() {
+	entry.control.Call(func() {
+		for _, worker := range entry.workers.Expire(entry.time.Now()) {
+			entry.workerSilent(worker)
+		}
+		entry.refresh()
+	})
+	entry.exchange()
+}
+
+// refresh publishes the current view if it changed.
+func (entry *Entry) refresh() {
+	view := entry.publisher.Current()
+	now := entry.time.Now()
+	live := entry.entries.Live(now)
+	homes := homesOf(live)
+	if homes != entry.homes {
+		entry.homes = homes
+		klog.InfoS("Live entries changed", "Entries", homes)
+		wakeUp(entry.rescan)
+	}
+	if !entry.workers.Changed() && entry.applied == view && homes == entry.publishedHomes {
+		return
+	}
+	entry.applied, entry.publishedHomes = view, homes
+	snapshot := entry.workers.Snapshot(live, now)
+	entry.view.Publish(snapshot)
+	entry.publishServices(snapshot, view, now)
+	fleet := make([]ident.Worker, 0, len(snapshot.Workers))
+	for _, worker := range snapshot.Workers {
+		fleet = append(fleet, worker.ID)
+	}
+	entry.learned.health.SetFleet(fleet)
+}
+
+// homesOf returns the ids of the live entries, for comparison.
+func homesOf(live []membership.Entry) string {
+	homes := ""
+	for _, known := range live {
+		homes += string(known.ID) + " "
+	}
+	return homes
+}
+
+// entriesDigest returns a checksum of the entries as agents know them.
+func entriesDigest(live []membership.Entry) uint64 {
+	hash := fnv.New64a()
+	for _, known := range live {
+		_, _ = hash.Write([]byte(string(known.ID) + "\x00" + known.ControlAddress + "\x00" + string(known.State) + "\x00"))
+	}
+	return hash.Sum64()
+}
+
+// wakeUp makes a loop take its next step without waiting for its interval.
+func wakeUp(signal chan struct{}) {
+	select {
+	case signal <- struct{}{}:
+	default:
+	}
+}
+
+// renew renews the entry's row and reads those of the others.
+func (entry *Entry) renew() {
+	var renewal table.Transaction
+	due := false
+	entry.control.Call(func() {
+		entry.entries.SetConfigVersion(entry.publisher.Current().Version())
+		renewal, due = entry.entries.Renewal(entry.time.Now()).Get()
+	})
+	if due {
+		entry.writeRenewal(renewal)
+	}
+	if now := entry.time.Now(); due || now.Sub(entry.readAt) >= entry.settings.Membership.RenewMillis {
+		entry.readAt = now
+		entry.readEntries()
+	}
+}
+
+func (entry *Entry) writeRenewal(renewal table.Transaction) {
+	ctx, cancel := entry.call(entry.settings.CallTimeout)
+	defer cancel()
+	sent := entry.time.Now()
+	result, err := entry.store.Commit(ctx, renewal)
+	entry.control.Call(func() { entry.entries.Renewed(result, err, sent, entry.time.Now()) })
+	if err == nil {
+		return
+	}
+	klog.V(1).InfoS("Entry's row was not renewed", "Entry", entry.settings.ID, "Reason", err.Error())
+	if row, err := entry.store.Get(ctx, membership.EntryKey(entry.settings.ID)); err == nil {
+		entry.control.Call(func() { entry.observeEntry(row) })
+	}
+}
+
+// readEntries reads the rows of all entries and marks those that are certainly gone.
+func (entry *Entry) readEntries() {
+	ctx, cancel := entry.call(entry.settings.CallTimeout)
+	defer cancel()
+	rows, err := entry.store.Range(ctx, membership.EntryPrefix, "", maxEntries)
+	if err != nil {
+		return
+	}
+	var burials []table.Transaction
+	entry.control.Call(func() {
+		for _, row := range rows {
+			entry.observeEntry(row)
+		}
+		burials = entry.entries.Bury(entry.time.Now())
+	})
+	for _, burial := range burials {
+		if _, err := entry.store.Commit(ctx, burial); err != nil {
+			klog.V(1).InfoS("Row of a gone entry was not marked", "Reason", err.Error())
+		}
+	}
+}
+
+// maxEntries bounds the rows of entries that are read at once.
+const maxEntries = 256
+
+func (entry *Entry) observeEntry(row table.Row) {
+	if err := entry.entries.Observe(row, entry.time.Now()); membership.IsErrSuperseded(err) {
+		klog.ErrorS(err, "Entry was superseded and stops granting and scheduling", "Entry", entry.settings.ID)
+		entry.shuttingDown.Store(true)
+	}
+}
+
+// placementState converts the state of a worker for the scheduler.
+func placementState(state *controlpb.WorkerState) placement.WorkerState {
+	converted := placement.WorkerState{
+		Worker:      ident.Worker(state.GetWorker()),
+		Incarnation: ident.Incarnation(state.GetIncarnation()),
+		DataCentre:  ident.DataCentre(state.GetDataCentre()),
+		Rack:        ident.Rack(state.GetRack()),
+		Capacity:    controlpb.ToResources(state.GetCapacity()),
+		Used:        controlpb.ToResources(state.GetUsed()),
+		Draining:    state.GetDraining() || state.GetEndpoint().GetLeaving(),
+	}
+	if service := state.GetEndpoint().GetService(); service != "" {
+		converted.Classes = append(converted.Classes, service)
+	}
+	for _, count := range state.GetClasses() {
+		converted.Classes = append(converted.Classes, slices.Repeat([]string{count.GetClass()}, int(count.GetTasks()))...)
+	}
+	return converted
+}
+
+// sinceOf returns when the endpoint announced itself with its incarnation or recovered.
+func (entry *Entry) sinceOf(endpoint membership.Endpoint, now clock.Time) clock.Time {
+	known, ok := entry.since[endpoint.ID]
+	if !ok || known.incarnation != endpoint.Incarnation || (!known.healthy && endpoint.Healthy) {
+		known = presence{incarnation: endpoint.Incarnation, at: now}
+	}
+	known.healthy = endpoint.Healthy
+	entry.since[endpoint.ID] = known
+	return known.at
+}
+
+// presence is when an endpoint was first seen in its current incarnation and health.
+type presence struct {
+	incarnation ident.Incarnation
+	healthy     bool
+	at          clock.Time
+}
