--- a/standin/checkpoint.go
+++ b/standin/checkpoint.go
@@ -88,7 +88,7 @@
 	defer runtime.mu.Unlock()
 	runtime.advance()
 	for _, task := range runtime.running() {
-		runtime.end(task, worker.Stopped, "WorkerLost")
+		runtime.end(task, worker.Stopped, reasonWorkerLost)
 	}
 	clear(runtime.tasks)
 	clear(runtime.fences)
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -120,11 +120,21 @@
 
 // SetFaults replaces the faults in force. It returns ErrBadFault.
 func (endpoint *Endpoint) SetFaults(faults EndpointFaults) error {
+	return endpoint.UpdateFaults(replaceBy(faults))
+}
+
+// UpdateFaults changes the faults in force. If change returns an error or the result is out of
+// range, the faults stay as they are.
+func (endpoint *Endpoint) UpdateFaults(change func(faults *EndpointFaults) error) error {
+	endpoint.mu.Lock()
+	defer endpoint.mu.Unlock()
+	faults := endpoint.faults
+	if err := change(&faults); err != nil {
+		return err
+	}
 	if err := faults.Valid(); err != nil {
 		return err
 	}
-	endpoint.mu.Lock()
-	defer endpoint.mu.Unlock()
 	endpoint.faults = faults
 	return nil
 }
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -74,16 +74,29 @@
 	return injector.faults
 }
 
-func (injector *injector) set(faults StoreFaults) error {
+// update changes the faults in force, or none if the result is out of range.
+func (injector *injector) update(change func(faults *StoreFaults) error) error {
+	injector.mu.Lock()
+	defer injector.mu.Unlock()
+	faults := injector.faults
+	if err := change(&faults); err != nil {
+		return err
+	}
 	if err := faults.Valid(); err != nil {
 		return err
 	}
-	injector.mu.Lock()
-	defer injector.mu.Unlock()
 	injector.faults = faults
 	return nil
 }
 
+// replaceBy returns a change that sets all faults.
+func replaceBy[Faults any](faults Faults) func(*Faults) error {
+	return func(have *Faults) error {
+		*have = faults
+		return nil
+	}
+}
+
 // before delays the call and decides whether it may take effect. The outage is read after the
 // delay, so that a call that was waiting when the outage began has no effect.
 func (injector *injector) before(ctx context.Context) verdict {
--- a/standin/objects.go
+++ b/standin/objects.go
@@ -61,7 +61,13 @@
 
 // SetFaults replaces the faults in force. It returns ErrBadFault.
 func (objects *Objects) SetFaults(faults StoreFaults) error {
-	return objects.injector.set(faults)
+	return objects.injector.update(replaceBy(faults))
+}
+
+// UpdateFaults changes the faults in force. If change returns an error or the result is out of
+// range, the faults stay as they are.
+func (objects *Objects) UpdateFaults(change func(faults *StoreFaults) error) error {
+	return objects.injector.update(change)
 }
 
 // Put stores value under name, replacing an older value. Its errors are ErrObjectTooLarge and
--- /dev/null
+++ b/standin/server.go
@@ -0,0 +1,87 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/gorilla/mux"
+	"k8s.io/klog/v2"
+)
+
+// Server offers a Platform's table, object store, worker runtimes, faults and records over HTTP:
+//
+//	POST /table/{get,range,commit}     see table.HTTP
+//	GET, PUT, DELETE /objects/{Name}   see HTTPObjects
+//	GET /objects?Prefix=P
+//	POST /workers/{Worker}/{Call}      see worker.HTTP
+//	GET, POST /faults                  see FaultState and FaultChange
+//	GET /records                       see Report
+type Server struct {
+	platform *Platform
+	server   *http.Server
+	changes  sync.Mutex // serialises changes of faults
+}
+
+// NewServer returns a Server that serves once Serve is called.
+func NewServer(platform *Platform) *Server {
+	server := &Server{platform: platform}
+	// Object names contain slashes, and escaped ones must not be cleaned away.
+	router := mux.NewRouter().UseEncodedPath().SkipClean(true)
+	server.routeTable(router)
+	server.routeObjects(router)
+	server.routeWorkers(router)
+	router.HandleFunc("/faults", server.getFaults).Methods(http.MethodGet)
+	router.HandleFunc("/faults", server.postFaults).Methods(http.MethodPost)
+	router.HandleFunc("/records", server.getRecords).Methods(http.MethodGet)
+	server.server = &http.Server{Handler: router}
+	return server
+}
+
+// Handler returns the handler of all paths, for use without a listener of its own.
+func (server *Server) Handler() http.Handler {
+	return server.server.Handler
+}
+
+// Serve accepts connections until ctx ends, closes all of them and returns nil.
+func (server *Server) Serve(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = server.server.Close() })
+	defer stop()
+	klog.InfoS("Platform stand-in listens", "Address", listener.Addr().String())
+	if err := server.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// writeJSON writes a response; a failure to write concerns only the client.
+func writeJSON(writer http.ResponseWriter, status int, value any) {
+	text, err := json.Marshal(value)
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	_, _ = writer.Write(text)
+}
+
+// readJSON reads the request's body into value and reports whether it could.
+func readJSON(writer http.ResponseWriter, request *http.Request, value any) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(writer, request.Body, maxRequestBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(value); err != nil {
+		writeJSON(writer, http.StatusBadRequest, badRequest{Type: "ErrBadRequest", Reason: err.Error()})
+		return false
+	}
+	return true
+}
+
+// badRequest is the body of a response to a request that can't be read.
+type badRequest struct {
+	Type   string
+	Reason string
+}
--- a/standin/simulation.go
+++ b/standin/simulation.go
@@ -14,6 +14,16 @@
 // integer arithmetic and runs are reproducible.
 const workScale = 10_000
 
+// Reasons of ended tasks.
+const (
+	reasonLeaseLapsed = "LeaseLapsed"
+	reasonPayload     = "PayloadFailure"
+	reasonWorker      = "WorkerFailure"
+	reasonWorkerLost  = "WorkerLost"
+	reasonSuperseded  = "Superseded"
+	reasonRequested   = "Requested"
+)
+
 // sample is what a task used from At on.
 type sample struct {
 	at        clock.Time
@@ -62,7 +72,7 @@
 		runtime.progressTo(at)
 		reason := ""
 		if state == worker.Stopped {
-			reason = "LeaseLapsed"
+			reason = reasonLeaseLapsed
 		}
 		runtime.end(task, state, reason)
 	}
@@ -107,7 +117,7 @@
 }
 
 // slowdown returns the run time of work of a class, relative to running alone and in percent,
-// beside the running tasks other than self.
+// beside the running tasks other than self. Without self, the work is the resident endpoint's.
 func (runtime *Worker) slowdown(class string, self *simulated) int {
 	percent := 100
 	var used unit.MilliCPU
@@ -120,8 +130,10 @@
 			percent += runtime.options.Matrix.extra(class, other.payload.Class, other.throttle)
 		}
 	}
-	for _, resident := range runtime.options.Residents {
-		percent += runtime.options.Matrix.extra(class, resident, 100)
+	if self != nil {
+		for _, resident := range runtime.options.Residents {
+			percent += runtime.options.Matrix.extra(class, resident, 100)
+		}
 	}
 	if capacity := runtime.options.Capacity.CPU; capacity > 0 && used > capacity {
 		percent = percent * int(used) / int(capacity)
@@ -158,7 +170,7 @@
 func (runtime *Worker) end(task *simulated, state worker.State, reason string) {
 	task.state, task.reason = state, reason
 	if state == worker.Failed && reason == "" {
-		task.reason = "PayloadFailure"
+		task.reason = reasonPayload
 	}
 	runtime.options.Records.end(task.run, runtime.settled, state, task.reason, task.progress())
 	runtime.observe()
--- a/standin/table.go
+++ b/standin/table.go
@@ -91,7 +91,13 @@
 
 // SetFaults replaces the faults in force. It returns ErrBadFault.
 func (store *Table) SetFaults(faults StoreFaults) error {
-	return store.injector.set(faults)
+	return store.injector.update(replaceBy(faults))
+}
+
+// UpdateFaults changes the faults in force. If change returns an error or the result is out of
+// range, the faults stay as they are.
+func (store *Table) UpdateFaults(change func(faults *StoreFaults) error) error {
+	return store.injector.update(change)
 }
 
 // Get returns one row. A missing row is a Row with Revision 0 and no error.
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -113,7 +113,7 @@
 		return worker.ErrStaleEpoch{Task: spec.Task, Epoch: spec.Epoch, Have: fence}
 	}
 	if have != nil && have.state == worker.Running {
-		runtime.end(have, worker.Stopped, "Superseded")
+		runtime.end(have, worker.Stopped, reasonSuperseded)
 	}
 	runtime.fences[spec.Task] = spec.Epoch + 1
 	if runtime.startFails() {
@@ -136,7 +136,7 @@
 	runtime.checkCapacity()
 	runtime.observe()
 	if runtime.faults.FailEverything {
-		runtime.end(task, worker.Failed, "WorkerFailure")
+		runtime.end(task, worker.Failed, reasonWorker)
 	}
 	runtime.advance()
 }
@@ -210,7 +210,7 @@
 func (runtime *Worker) Stop(ctx context.Context, name ident.Task, epoch ident.Epoch) error {
 	return runtime.change(ctx, name, epoch, func(task *simulated) {
 		if task.state == worker.Running {
-			runtime.end(task, worker.Stopped, "Requested")
+			runtime.end(task, worker.Stopped, reasonRequested)
 		}
 	})
 }
@@ -277,9 +277,9 @@
 	return report, nil
 }
 
-// Slowdown returns the run time in percent, relative to running alone, of work of the class beside
-// the running tasks. An endpoint on the worker scales its service times by it.
-func (runtime *Worker) Slowdown(class string) int {
+// EndpointSlowdown returns the service time in percent, relative to running alone, of an endpoint
+// of the class beside the running tasks.
+func (runtime *Worker) EndpointSlowdown(class string) int {
 	runtime.mu.Lock()
 	defer runtime.mu.Unlock()
 	runtime.advance()
--- a/standin/workerfaults.go
+++ b/standin/workerfaults.go
@@ -47,11 +47,21 @@
 
 // SetFaults replaces the faults in force. It returns ErrBadFault.
 func (runtime *Worker) SetFaults(faults WorkerFaults) error {
+	return runtime.UpdateFaults(replaceBy(faults))
+}
+
+// UpdateFaults changes the faults in force. If change returns an error or the result is out of
+// range, the faults stay as they are.
+func (runtime *Worker) UpdateFaults(change func(faults *WorkerFaults) error) error {
+	runtime.mu.Lock()
+	defer runtime.mu.Unlock()
+	faults := runtime.faults
+	if err := change(&faults); err != nil {
+		return err
+	}
 	if err := faults.Valid(); err != nil {
 		return err
 	}
-	runtime.mu.Lock()
-	defer runtime.mu.Unlock()
 	runtime.advance()
 	if faults.Paused != runtime.faults.Paused {
 		if faults.Paused {
