--- a/admission/controller.go
+++ b/admission/controller.go
@@ -19,9 +19,11 @@
 	service  estimate
 	refused  *memory
 	fenced   *memory
-	// ended holds ids of non-idempotent requests that ran and whose answers were forgotten.
-	ended *memory
-	kept  retention
+	// ended and endedOnce hold ids of requests that ran and whose answers were forgotten;
+	// endedOnce those that are not idempotent.
+	ended     *memory
+	endedOnce *memory
+	kept      retention
 }
 
 // item is one request from its admission until its answer is forgotten.
@@ -47,8 +49,10 @@
 		service:  newEstimate(settings.PriorService),
 		refused:  newMemory(settings.RefusedRetention, settings.RefusedIDs),
 		fenced:   newMemory(settings.FencedRetention, settings.RefusedIDs),
-		ended:    newMemory(settings.FencedRetention, settings.RefusedIDs),
-		kept:     retention{bytesLimit: settings.AnswerBytes},
+		ended:    newMemory(settings.RefusedRetention, settings.RefusedIDs),
+		// A claim row may outlive any fixed time, and a query for it must not be taken as not run.
+		endedOnce: newMemory(forever, settings.RefusedIDs),
+		kept:      retention{bytesLimit: settings.AnswerBytes},
 	}
 }
 
@@ -62,7 +66,7 @@
 		}
 		return []Action{{Kind: Wait, Request: arrival.Request}}
 	}
-	if controller.ended.has(arrival.Request) {
+	if controller.forgotten(arrival.Request) {
 		return []Action{{Kind: Refuse, Request: arrival.Request, Reason: Forgotten}}
 	}
 	if controller.denied(arrival.Request) {
@@ -135,16 +139,17 @@
 }
 
 // Query tells what became of a request. With refuseIfAbsent an unseen request is refused from now
-// on; the state is then Denied, or Absent if the refusal cannot be remembered.
+// on; the state is then Denied, or Absent if the refusal cannot be remembered or so many requests
+// ran that this one may have been forgotten.
 func (controller *Controller) Query(now clock.Time, request ident.Request, refuseIfAbsent bool) Status {
 	controller.forget(now)
 	if known, ok := controller.requests[request]; ok {
 		return Status{State: known.state, Answer: known.answer}
 	}
-	if controller.ended.has(request) {
+	if controller.forgotten(request) {
 		return Status{State: Finished, Answer: Answer{Dropped: true, Reason: Forgotten}}
 	}
-	if refuseIfAbsent && controller.fenced.add(now, request) {
+	if refuseIfAbsent && !controller.endedOnce.lossy && controller.fenced.add(now, request) {
 		return Status{State: Denied}
 	}
 	if controller.denied(request) {
@@ -212,7 +217,7 @@
 	if controller.leaving {
 		panic(ErrInvariant{Rule: "a leaving endpoint starts no request", Request: next.Request})
 	}
-	if next.state == Running || next.state == Finished || controller.ended.has(next.Request) {
+	if next.state == Running || next.state == Finished || controller.forgotten(next.Request) {
 		panic(ErrInvariant{Rule: "a request runs at most once", Request: next.Request})
 	}
 	next.state = Running
@@ -240,6 +245,11 @@
 	return controller.refused.has(request) || controller.fenced.has(request)
 }
 
+// forgotten reports whether the request ran and its answer is no longer kept.
+func (controller *Controller) forgotten(request ident.Request) bool {
+	return controller.ended.has(request) || controller.endedOnce.has(request)
+}
+
 // refuse remembers the id and appends the refusal.
 func (controller *Controller) refuse(actions []Action, now clock.Time, request ident.Request, reason Reason, after clock.Millis) []Action {
 	known := outcome.NotRun
@@ -256,8 +266,10 @@
 	controller.ended.rotate(now)
 	for _, expired := range controller.kept.expire(now) {
 		delete(controller.requests, expired.Request)
-		if !expired.Idempotent {
-			controller.ended.add(now, expired.Request)
+		if expired.Idempotent {
+			controller.ended.push(now, expired.Request)
+		} else {
+			controller.endedOnce.push(now, expired.Request)
 		}
 	}
 }
--- a/admission/memory.go
+++ b/admission/memory.go
@@ -15,8 +15,13 @@
 	rotated   clock.Time
 	young     map[uint64]struct{}
 	old       map[uint64]struct{}
+	// lossy means that ids were forgotten for lack of room.
+	lossy bool
 }
 
+// forever is the retention of a memory that forgets only for lack of room.
+const forever clock.Millis = 0
+
 func newMemory(retention clock.Millis, limit int) *memory {
 	return &memory{retention: retention, limit: limit, young: map[uint64]struct{}{}}
 }
@@ -35,6 +40,16 @@
 	return true
 }
 
+// push remembers the id; if there is no room, the older generation is forgotten.
+func (ids *memory) push(now clock.Time, id ident.Request) {
+	if ids.add(now, id) {
+		return
+	}
+	ids.old, ids.young = ids.young, map[uint64]struct{}{}
+	ids.lossy = true
+	ids.add(now, id)
+}
+
 func (ids *memory) has(id ident.Request) bool {
 	hash := xxhash.Sum64String(string(id))
 	if _, ok := ids.young[hash]; ok {
@@ -45,7 +60,7 @@
 }
 
 func (ids *memory) rotate(now clock.Time) {
-	if now.Sub(ids.rotated) < ids.retention {
+	if ids.retention == forever || now.Sub(ids.rotated) < ids.retention {
 		return
 	}
 	// After two retentions without a call both generations are due.
--- /dev/null
+++ b/dedup/ledger_test.go
@@ -0,0 +1,332 @@
+package dedup_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"iter"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/dedup"
+	"hyssopjunction/ident"
+	"hyssopjunction/outcome"
+	"hyssopjunction/table"
+)
+
+// The seed is fixed; -rapid.seed overrides it.
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "20261203", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// store is a table with faults: calls refused, answers lost with and without effect, and commits
+// that take effect only later.
+type store struct {
+	rows    map[table.Key]table.Row
+	delayed []table.Transaction
+	fault   func() string
+}
+
+func newStore() *store {
+	return &store{rows: map[table.Key]table.Row{}, fault: func() string { return "" }}
+}
+
+func (store *store) Get(_ context.Context, key table.Key) (table.Row, error) {
+	if store.fault() == "unavailable" {
+		return table.Row{}, table.ErrUnavailable{Reason: "fault"}
+	}
+	row := store.rows[key]
+	row.Key = key
+	return row, nil
+}
+
+func (store *store) Range(_ context.Context, prefix, after table.Key, limit int) ([]table.Row, error) {
+	var rows []table.Row
+	for _, key := range slices.Sorted(maps.Keys(store.rows)) {
+		if strings.HasPrefix(string(key), string(prefix)) && key > after && store.rows[key].Exists() && len(rows) < limit {
+			rows = append(rows, store.rows[key])
+		}
+	}
+	return rows, nil
+}
+
+func (store *store) Commit(_ context.Context, transaction table.Transaction) (table.Result, error) {
+	lost := table.ErrUnknownOutcome{Write: transaction.Write}
+	switch store.fault() {
+	case "unavailable":
+		return table.Result{}, table.ErrUnavailable{Reason: "fault"}
+	case "lost before":
+		return table.Result{}, lost
+	case "lost after":
+		// The caller learns nothing, whether or not the conditions held.
+		_, _ = store.commit(transaction)
+		return table.Result{}, lost
+	case "delayed":
+		store.delayed = append(store.delayed, transaction)
+		return table.Result{}, lost
+	}
+	return store.commit(transaction)
+}
+
+func (store *store) commit(transaction table.Transaction) (table.Result, error) {
+	for _, condition := range transaction.Conditions {
+		if row := store.rows[condition.Key]; row.Revision != condition.Revision {
+			return table.Result{}, table.ErrConflict{Key: condition.Key, Want: condition.Revision, Have: row.Revision, Winner: row.Write}
+		}
+	}
+	for _, operation := range transaction.Operations {
+		store.rows[operation.Key] = table.Row{
+			Key: operation.Key, Value: operation.Value, Deleted: operation.Delete,
+			Revision: store.rows[operation.Key].Revision + 1, Write: transaction.Write,
+		}
+	}
+	return table.Result{}, nil
+}
+
+// world is the table and the agents; actors submit the same key concurrently.
+type world struct {
+	*store
+	seen    map[string]outcome.Outcome
+	answers map[string]string
+	runs    []string
+	writes  int
+	ids     int
+}
+
+// actor is one entry that handles one submission. It yields before each call, so that the
+// scheduler can run others in between or let the entry die.
+type actor struct {
+	*world
+	yield   func(struct{}) bool
+	crashed bool
+	result  string
+	err     error
+}
+
+var errCrashed = table.ErrUnavailable{Reason: "crashed"}
+
+func (actor *actor) alive() bool {
+	actor.crashed = actor.crashed || !actor.yield(struct{}{})
+	return !actor.crashed
+}
+
+func (actor *actor) Get(ctx context.Context, key table.Key) (table.Row, error) {
+	if !actor.alive() {
+		return table.Row{}, errCrashed
+	}
+	return actor.store.Get(ctx, key)
+}
+
+func (actor *actor) Commit(ctx context.Context, transaction table.Transaction) (table.Result, error) {
+	if !actor.alive() {
+		return table.Result{}, errCrashed
+	}
+	return actor.store.Commit(ctx, transaction)
+}
+
+// send runs the request at its target unless the agent refused or ran it before.
+func (actor *actor) send(ticket dedup.Ticket) outcome.Outcome {
+	if !actor.alive() {
+		return outcome.Unknown
+	}
+	name := fmt.Sprint(ticket.Record.Request, "@", ticket.Record.Target.Endpoint)
+	if known, ok := actor.seen[name]; ok {
+		return known
+	}
+	if actor.fault() == "unavailable" {
+		actor.seen[name] = outcome.NotRun
+		return outcome.NotRun
+	}
+	actor.seen[name] = outcome.Ran
+	actor.answers[name] = "answer of " + name
+	actor.runs = append(actor.runs, name)
+	return outcome.Ran
+}
+
+// query asks the agent, which refuses the request if it was not seen.
+func (actor *actor) query(ticket dedup.Ticket) outcome.Outcome {
+	if !actor.alive() {
+		return outcome.Unknown
+	}
+	name := fmt.Sprint(ticket.Record.Request, "@", ticket.Record.Target.Endpoint)
+	if _, ok := actor.seen[name]; !ok {
+		actor.seen[name] = outcome.NotRun
+	}
+	return actor.seen[name]
+}
+
+func (world *world) id() ident.Request {
+	world.ids++
+	return ident.Request(fmt.Sprint("r", world.ids))
+}
+
+func (world *world) target() dedup.Target {
+	return dedup.Target{Endpoint: ident.Endpoint(fmt.Sprint("e", world.ids%3))}
+}
+
+func (actor *actor) submit(settings dedup.Settings) {
+	ctx := context.Background()
+	ledger := dedup.New(actor, func() ident.Write {
+		actor.writes++
+		return ident.Write(fmt.Sprint("w", actor.writes))
+	}, settings)
+	ticket, answer, err := ledger.Claim(ctx, dedup.Claim{Service: "s", Key: "k", Request: actor.id(), Digest: "d", Target: actor.target()})
+	for range 5 {
+		var running dedup.ErrStillRunning
+		var known outcome.Outcome
+		switch {
+		case answer != nil:
+			actor.result = string(answer.Body)
+			return
+		case errors.As(err, &running):
+			ticket = running.Ticket
+			known = actor.query(ticket)
+		case err != nil:
+			actor.err = err
+			return
+		default:
+			known = actor.send(ticket)
+		}
+		switch known {
+		case outcome.Ran:
+			name := fmt.Sprint(ticket.Record.Request, "@", ticket.Record.Target.Endpoint)
+			actor.result = actor.answers[name]
+			actor.err = ledger.Complete(ctx, ticket, dedup.Answer{Outcome: outcome.Ran, Body: []byte(actor.result)})
+			return
+		case outcome.NotRun:
+			if ticket, err = ledger.Reassign(ctx, ticket, known, actor.id(), actor.target()); dedup.IsErrSuperseded(err) {
+				ticket, answer, err = ledger.Claim(ctx, dedup.Claim{Service: "s", Key: "k", Request: actor.id(), Digest: "d", Target: actor.target()})
+			}
+		default:
+			return
+		}
+	}
+}
+
+// Guards against a keyed submission that runs twice, or is answered with anything but its first
+// answer, when entries race, die at any step and the table loses answers.
+func TestAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		world := &world{store: newStore(), seen: map[string]outcome.Outcome{}, answers: map[string]string{}}
+		faults := rapid.SampledFrom([]string{"", "", "", "unavailable", "lost before", "lost after", "delayed"})
+		world.fault = func() string { return faults.Draw(t, "fault") }
+		var actors []*actor
+		var steps []func() (struct{}, bool)
+		var stops []func()
+		for range rapid.IntRange(1, 4).Draw(t, "entries") {
+			entry := &actor{world: world}
+			step, stop := iter.Pull(func(yield func(struct{}) bool) {
+				entry.yield = yield
+				entry.submit(dedup.Defaults())
+			})
+			defer stop()
+			actors, steps, stops = append(actors, entry), append(steps, step), append(stops, stop)
+		}
+		for range 120 {
+			index := rapid.IntRange(0, len(actors)-1).Draw(t, "entry")
+			if rapid.IntRange(0, 30).Draw(t, "crash") == 0 {
+				stops[index]()
+			}
+			steps[index]()
+			if len(world.delayed) > 0 && rapid.Bool().Draw(t, "land") {
+				// A late commit that fails its condition changes nothing.
+				_, _ = world.commit(world.delayed[0])
+				world.delayed = world.delayed[1:]
+			}
+		}
+		if len(world.runs) > 1 {
+			t.Fatalf("ran %d times: %v", len(world.runs), world.runs)
+		}
+		for _, entry := range actors {
+			if entry.result != "" && entry.result != world.answers[world.runs[0]] {
+				t.Fatalf("answered %q, the request that ran is %v", entry.result, world.runs)
+			}
+		}
+	})
+}
+
+func newLedger(store dedup.Table) *dedup.Ledger {
+	count := 0
+	return dedup.New(store, func() ident.Write { count++; return ident.Write(fmt.Sprint("w", count)) }, dedup.Defaults())
+}
+
+func claim(t *testing.T, ledger *dedup.Ledger, request ident.Request, digest string) (dedup.Ticket, *dedup.Answer, error) {
+	t.Helper()
+	return ledger.Claim(t.Context(), dedup.Claim{Service: "s", Key: "k", Request: request, Digest: digest, Target: dedup.Target{Endpoint: "e1"}})
+}
+
+func assertError(t *testing.T, err error, is func(error) bool) {
+	t.Helper()
+	if !is(err) {
+		t.Fatalf("unexpected error %v", err)
+	}
+}
+
+// Guards against a repeated key that gets no typed answer for the state of its claim.
+func TestRepeatedKey(t *testing.T) {
+	ledger := newLedger(newStore())
+	ticket, _, err := claim(t, ledger, "r1", "d")
+	assertError(t, err, func(err error) bool { return err == nil })
+	_, _, err = claim(t, ledger, "r2", "d")
+	assertError(t, err, dedup.IsErrStillRunning)
+	_, _, err = claim(t, ledger, "r2", "other")
+	assertError(t, err, dedup.IsErrKeyReused)
+	assertError(t, ledger.Lose(t.Context(), ticket), func(err error) bool { return err == nil })
+	_, _, err = claim(t, ledger, "r2", "d")
+	assertError(t, err, dedup.IsErrUnknownOutcome)
+	// The answer arrives after all and replaces the loss.
+	err = ledger.Complete(t.Context(), ticket, dedup.Answer{Outcome: outcome.Ran, Body: make([]byte, 1<<20)})
+	assertError(t, err, func(err error) bool { return err == nil })
+	_, answer, _ := claim(t, ledger, "r2", "d")
+	if answer == nil || !answer.Omitted || answer.Bytes != 1<<20 || len(answer.Body) > 0 {
+		t.Fatalf("answer %+v", answer)
+	}
+}
+
+// Guards against a claim that moves although its request may have run.
+func TestReassignNeedsNotRun(t *testing.T) {
+	ledger := newLedger(newStore())
+	ticket, _, _ := claim(t, ledger, "r1", "d")
+	for _, known := range []outcome.Outcome{outcome.Unknown, outcome.Ran} {
+		func() {
+			defer func() {
+				if err, ok := recover().(error); !ok || !dedup.IsErrInvariant(err) {
+					t.Fatalf("no invariant panic for %s", known)
+				}
+			}()
+			_, err := ledger.Reassign(t.Context(), ticket, known, "r2", dedup.Target{Endpoint: "e2"})
+			t.Fatalf("reassigned after %s: %v", known, err)
+		}()
+	}
+}
+
+// Guards against rows that are deleted too early, in particular after a change, or never.
+func TestSweeper(t *testing.T) {
+	store := newStore()
+	ledger := newLedger(store)
+	ticket, _, _ := claim(t, ledger, "r1", "d")
+	sweeper := dedup.NewSweeper(store, func() ident.Write { return "sweep" }, func(ident.Service) clock.Millis { return 100 })
+	expect := func(now clock.Time, want int) {
+		t.Helper()
+		if deleted, err := sweeper.Step(t.Context(), now, 10); deleted != want || err != nil {
+			t.Fatalf("at %d deleted %d, want %d (%v)", now, deleted, want, err)
+		}
+	}
+	expect(1, 0)
+	expect(99, 0)
+	assertError(t, ledger.Complete(t.Context(), ticket, dedup.Answer{Outcome: outcome.Ran}), func(err error) bool { return err == nil })
+	expect(150, 0)
+	expect(249, 0)
+	expect(250, 1)
+	expect(400, 0)
+}
