--- /dev/null
+++ b/endpoint/client_test.go
@@ -0,0 +1,252 @@
+package endpoint_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"go.uber.org/goleak"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/endpoint"
+	"hyssopjunction/ident"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// backend is an endpoint whose answers are scripted: answer gets the number of the connection and
+// of the request on it, and returns the raw bytes to send, or false to send nothing more.
+type backend struct {
+	listener    net.Listener
+	answer      func(connection, number int, request *http.Request) (string, bool)
+	connections atomic.Int32
+	// hangUp closes a connection that would otherwise go silent.
+	hangUp atomic.Bool
+	done   sync.WaitGroup
+}
+
+func newBackend(t *testing.T, answer func(connection, number int, request *http.Request) (string, bool)) *backend {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	backend := &backend{listener: listener, answer: answer}
+	backend.done.Go(func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			backend.done.Go(func() { backend.serve(connection) })
+		}
+	})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		backend.done.Wait()
+	})
+	return backend
+}
+
+func (backend *backend) serve(connection net.Conn) {
+	defer func() { _ = connection.Close() }()
+	index := int(backend.connections.Add(1))
+	reader := bufio.NewReader(connection)
+	for number := 1; ; number++ {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := http.MaxBytesReader(nil, request.Body, 1<<20).Read(make([]byte, 1<<20)); err == nil {
+			_ = request.Body.Close()
+		}
+		text, ok := backend.answer(index, number, request)
+		if _, err := connection.Write([]byte(text)); err != nil {
+			return
+		}
+		if !ok && backend.hangUp.Load() {
+			return
+		}
+		if !ok {
+			// Silent from now on: the connection stays open until the client closes it.
+			_, _ = reader.Peek(1 << 20)
+			return
+		}
+	}
+}
+
+func (backend *backend) client(t *testing.T, settings endpoint.ClientSettings) *endpoint.Client {
+	t.Helper()
+	settings.Address = backend.listener.Addr().String()
+	client := endpoint.NewClient(clock.NewSystem(), settings)
+	t.Cleanup(client.Close)
+	return client
+}
+
+func reply(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func echo(_, _ int, request *http.Request) (string, bool) {
+	id := request.Header.Get("Request-Id")
+	return reply(id, "answer to "+id), true
+}
+
+func do(t *testing.T, client *endpoint.Client, id string, idempotent bool) (string, error) {
+	t.Helper()
+	got, err := client.Do(t.Context(), endpoint.Call{Request: ident.Request(id), Idempotent: idempotent, Body: []byte("{}")})
+	return string(got.Body), err
+}
+
+// Guards against an answer that reaches the wrong request, is cut short, or is passed on although
+// it cannot be checked. Such answers are dropped; a request that is not idempotent is not repeated.
+func TestBadAnswers(t *testing.T) {
+	cases := map[string]struct {
+		text string
+		is   func(error) bool
+	}{
+		"crossed":      {text: reply("other", "x"), is: endpoint.IsErrCrossed},
+		"no id":        {text: "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", is: endpoint.IsErrCrossed},
+		"no length":    {text: "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nConnection: close\r\n\r\nx", is: endpoint.IsErrTruncated},
+		"silent":       {text: "", is: endpoint.IsErrSilent},
+		"silent body":  {text: "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 10\r\n\r\nabc", is: endpoint.IsErrSilent},
+		"too large":    {text: "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 1000000\r\n\r\n", is: endpoint.IsErrAnswerTooLarge},
+		"not HTTP":     {text: "hello\r\n\r\n", is: endpoint.IsErrLost},
+		"chunked body": {text: "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n", is: endpoint.IsErrTruncated},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			var requests atomic.Int32
+			backend := newBackend(t, func(int, int, *http.Request) (string, bool) {
+				requests.Add(1)
+				return test.text, false
+			})
+			client := backend.client(t, endpoint.ClientSettings{ResponseDeadline: 50, ProgressDeadline: 50, AnswerBytes: 1000})
+			body, err := do(t, client, "r1", false)
+			if !test.is(err) || body != "" {
+				t.Fatalf("body %q, error %v", body, err)
+			}
+			if requests.Load() != 1 {
+				t.Fatalf("sent %d times", requests.Load())
+			}
+			if client.Connections() != 0 {
+				t.Fatalf("%d connections kept", client.Connections())
+			}
+		})
+	}
+}
+
+// Guards against a truncated answer that is passed on as complete.
+func TestTruncatedAnswer(t *testing.T) {
+	backend := newBackend(t, func(int, int, *http.Request) (string, bool) {
+		return "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 10\r\n\r\nabc", false
+	})
+	backend.hangUp.Store(true)
+	client := backend.client(t, endpoint.ClientSettings{})
+	if body, err := do(t, client, "r1", false); !endpoint.IsErrTruncated(err) {
+		t.Fatalf("body %q, error %v", body, err)
+	}
+}
+
+// Guards against a doubled answer that becomes the answer to the next request on the connection.
+func TestDoubledAnswer(t *testing.T) {
+	backend := newBackend(t, func(_, _ int, request *http.Request) (string, bool) {
+		text, ok := echo(0, 0, request)
+		return text + text, ok
+	})
+	client := backend.client(t, endpoint.ClientSettings{})
+	for _, id := range []string{"r1", "r2", "r3"} {
+		if body, err := do(t, client, id, true); err != nil || body != "answer to "+id {
+			t.Fatalf("%s got %q, %v", id, body, err)
+		}
+	}
+}
+
+// Guards against a silent connection that fails an idempotent request although a new connection
+// works.
+func TestSilentConnection(t *testing.T) {
+	backend := newBackend(t, func(connection, number int, request *http.Request) (string, bool) {
+		if connection == 1 && number == 2 {
+			return "", false
+		}
+		return echo(0, 0, request)
+	})
+	client := backend.client(t, endpoint.ClientSettings{ResponseDeadline: 100})
+	for _, id := range []string{"r1", "r2", "r3"} {
+		if body, err := do(t, client, id, true); err != nil || body != "answer to "+id {
+			t.Fatalf("%s got %q, %v", id, body, err)
+		}
+	}
+	if got := backend.connections.Load(); got != 2 {
+		t.Fatalf("%d connections", got)
+	}
+}
+
+// Guards against more open connections than the limit, idle ones included.
+func TestConnectionLimit(t *testing.T) {
+	backend := newBackend(t, echo)
+	client := backend.client(t, endpoint.ClientSettings{Connections: 4})
+	var requests sync.WaitGroup
+	for index := range 100 {
+		requests.Go(func() {
+			id := fmt.Sprint("r", index)
+			if body, err := do(t, client, id, index%2 == 0); err != nil || body != "answer to "+id {
+				t.Errorf("%s got %q, %v", id, body, err)
+			}
+		})
+	}
+	requests.Wait()
+	if open := client.Connections(); open > 4 {
+		t.Fatalf("%d open connections", open)
+	}
+}
+
+// Guards against a request to an unreachable endpoint that is reported as possibly run.
+func TestNotSent(t *testing.T) {
+	backend := newBackend(t, echo)
+	client := backend.client(t, endpoint.ClientSettings{})
+	_ = backend.listener.Close()
+	if _, err := do(t, client, "r1", false); !endpoint.IsErrNotSent(err) {
+		t.Fatalf("error %v", err)
+	}
+}
+
+// Guards against a stream with a gap, a repetition or a cut end that is taken for complete.
+func TestStream(t *testing.T) {
+	const content = "0123456789"
+	backend := newBackend(t, func(_, _ int, request *http.Request) (string, bool) {
+		var offset int
+		_, _ = fmt.Sscan(request.URL.Query().Get("Offset"), &offset)
+		header := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nStream-Offset: %d\r\nTransfer-Encoding: chunked\r\n\r\n",
+			request.Header.Get("Request-Id"), offset)
+		if offset < 4 {
+			return header + "4\r\n" + content[offset:offset+4] + "\r\n", false
+		}
+		return header + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(content)-offset, content[offset:]), true
+	})
+	client := backend.client(t, endpoint.ClientSettings{StreamDeadline: 50})
+	got := ""
+	pass := func(offset int64, data []byte) error {
+		if int(offset) != len(got) {
+			t.Fatalf("offset %d after %d bytes", offset, len(got))
+		}
+		got += string(data)
+		return nil
+	}
+	call := endpoint.StreamCall{Request: "r1", Stream: "s"}
+	next, err := client.Stream(t.Context(), call, pass)
+	if !endpoint.IsErrSilent(err) || next != 4 {
+		t.Fatalf("reached %d, error %v", next, err)
+	}
+	call.Offset = next
+	if next, err = client.Stream(context.Background(), call, pass); err != nil || next != 10 || got != content {
+		t.Fatalf("reached %d, got %q, error %v", next, got, err)
+	}
+}
