Add the entry and agent subcommands

Cause: the daemons could not be started.

Change: fx wiring of entry and agent from their settings, TLS and plaintext rules, operators' tokens, the operators' calls on the entry, health and metrics pages; AllowPlaintext in the TLS section.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -159,6 +159,13 @@
 	return incarnation
 }
 
+// Ready reports whether the agent has read the worker's list and holds a lease.
+func (agent *Agent) Ready() bool {
+	ready := false
+	agent.control.Call(func() { ready = agent.holder.Valid(agent.time.Now()) && !agent.leaving })
+	return ready
+}
+
 // Tasks returns the tasks in the ledger in ascending order.
 func (agent *Agent) Tasks() []capacity.Entry {
 	var entries []capacity.Entry
--- /dev/null
+++ b/cmd/daemon.go
@@ -0,0 +1,115 @@
+package cmd
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"go.uber.org/fx"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"k8s.io/klog/v2"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/controlpb"
+	"hyssopjunction/ident"
+	"hyssopjunction/keys"
+	"hyssopjunction/logging"
+	"hyssopjunction/setting"
+)
+
+// startTimeout bounds the start of a daemon. It is long, because a daemon that starts during a table
+// outage waits for the table.
+const startTimeout = 24 * time.Hour
+
+// stopExtra is added to the bound of the graceful shutdown for closing listeners and connections.
+const stopExtra = 5 * time.Second
+
+// pools are the connections of a daemon: requests of callers use traffic, everything else control.
+type pools struct {
+	traffic *controlpb.Pool
+	control *controlpb.Pool
+}
+
+func newPools(lifecycle fx.Lifecycle, ring *keys.Ring) pools {
+	var transport credentials.TransportCredentials = insecure.NewCredentials()
+	if ring != nil {
+		transport = ring.ClientCredentials()
+	}
+	made := pools{
+		traffic: controlpb.NewPool(controlpb.DialOptions(transport)...),
+		control: controlpb.NewPool(controlpb.DialOptions(transport)...),
+	}
+	lifecycle.Append(fx.StopHook(made.traffic.Close))
+	lifecycle.Append(fx.StopHook(made.control.Close))
+	return made
+}
+
+// newRing loads the certificate, or returns nil if the settings name none.
+func newRing(settings setting.TLS, source clock.Clock) (*keys.Ring, error) {
+	if settings.CertificateFile == "" {
+		return nil, nil
+	}
+	return keys.New(keys.Settings{
+		Certificate: settings.CertificateFile, Key: settings.KeyFile, Authority: settings.AuthorityFile,
+	}, source)
+}
+
+// listen opens a listener. Without a certificate, addresses other than loopback are refused.
+func listen(address string, ring *keys.Ring, settings setting.TLS) (net.Listener, error) {
+	if err := keys.CheckListen(address, ring != nil, settings.AllowPlaintext); err != nil {
+		return nil, err
+	}
+	return net.Listen("tcp", address)
+}
+
+// newIncarnation returns a number above that of every earlier process on the same machine, as long
+// as the wall clock does not go back. A fenced agent is told by its home which number to exceed.
+func newIncarnation() ident.Incarnation {
+	return ident.Incarnation(time.Now().UnixMilli())
+}
+
+// newRandom returns a source that differs between processes, so that their retries spread.
+func newRandom() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
+
+// httpClient returns a client whose calls are bounded by their contexts.
+func httpClient(connections int) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxConnsPerHost: connections, MaxIdleConnsPerHost: connections, IdleConnTimeout: time.Minute,
+	}}
+}
+
+// setLog directs the log of a daemon.
+func setLog(std streams, settings setting.Log) error {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(settings.Level)); err != nil {
+		return ErrExit{Code: ExitUsage, Reason: err.Error()}
+	}
+	logging.New(std.log, level)
+	return nil
+}
+
+// runDaemon runs a daemon until SIGINT or SIGTERM and then stops it within bound.
+func runDaemon(bound clock.Millis, options ...fx.Option) error {
+	app := fx.New(fx.NopLogger, fx.StartTimeout(startTimeout), fx.StopTimeout(bound.Duration()+stopExtra), fx.Options(options...))
+	if err := app.Err(); err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := app.Start(ctx); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	klog.InfoS("Stopping")
+	bounded, cancel := context.WithTimeout(context.Background(), bound.Duration()+stopExtra)
+	defer cancel()
+	return app.Stop(bounded)
+}
--- /dev/null
+++ b/cmd/entry.go
@@ -0,0 +1,222 @@
+package cmd
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jessevdk/go-flags"
+	"go.uber.org/fx"
+	"google.golang.org/grpc"
+	"k8s.io/klog/v2"
+
+	"hyssopjunction/caller"
+	"hyssopjunction/clock"
+	"hyssopjunction/entry"
+	"hyssopjunction/ident"
+	"hyssopjunction/keys"
+	"hyssopjunction/lease"
+	"hyssopjunction/operator"
+	"hyssopjunction/setting"
+	tables "hyssopjunction/table"
+)
+
+// tableConnections bounds the connections of an entry to the table service.
+const tableConnections = 16
+
+func init() {
+	registrars = append(registrars, func(parser *flags.Parser, std streams) error {
+		_, err := parser.AddCommand("entry", "Run an entry daemon",
+			"Serves callers and operators, schedules jobs and grants leases until it is interrupted.", &entryCommand{std: std})
+		return err
+	})
+}
+
+type entryCommand struct {
+	std    streams
+	Config string `long:"config" required:"true" value-name:"FILE" description:"Settings of the entry"`
+	Check  bool   `long:"check" description:"Check the settings and exit"`
+}
+
+// Execute runs the entry until SIGINT or SIGTERM.
+func (command *entryCommand) Execute([]string) error {
+	settings, err := setting.Load[setting.Entry](command.Config)
+	if err != nil {
+		return ErrExit{Code: ExitUsage, Reason: err.Error()}
+	}
+	if command.Check {
+		_, err := fmt.Fprintf(command.std.out, "%s: settings are valid\n", command.Config)
+		return err
+	}
+	if err := setLog(command.std, settings.Log); err != nil {
+		return err
+	}
+	return runDaemon(settings.Shutdown.BoundMillis,
+		fx.Supply(settings),
+		fx.Provide(
+			func() clock.Clock { return clock.NewSystem() },
+			newRandom,
+			func(settings setting.Entry, source clock.Clock) (*keys.Ring, error) {
+				return newRing(settings.TLS, source)
+			},
+			newPools, newEntryTable, newCredentials,
+		),
+		fx.Invoke(startEntry),
+	)
+}
+
+// newEntryTable returns the client through which the entry uses the table.
+func newEntryTable(lifecycle fx.Lifecycle, settings setting.Entry, source clock.Clock, random *rand.Rand) *tables.Client {
+	limits := tables.DefaultSettings()
+	limits.CallMillis = settings.Table.TimeoutMillis
+	limits.GroupMillis = settings.Table.GroupMillis
+	limits.BreakerFailures = settings.Table.BreakerFailures
+	limits.ProbeMillis = settings.Table.BreakerMillis
+	limits.Entries = 1
+	limits.SystemReads = int(settings.Table.ReadsPerSecond)
+	limits.SystemWrites = int(settings.Table.WritesPerSecond)
+	writer := fmt.Sprintf("%s-%d", settings.Identity.Name, newIncarnation())
+	client := tables.NewClient(tables.NewHTTP(settings.Table.URL, httpClient(tableConnections)), source, writer, random, limits)
+	lifecycle.Append(fx.StopHook(client.Close))
+	return client
+}
+
+// loopbackToken is accepted from operators when no tokens file is set. The operators' API then
+// listens on loopback only.
+const loopbackToken = "loopback-operators-need-no-secret"
+
+// newCredentials reads the operators' tokens: a name, a token and optionally ReadOnly on each line.
+func newCredentials(settings setting.Entry) ([]operator.Credential, error) {
+	if settings.Operators.TokensFile == "" {
+		if err := keys.CheckListen(settings.Listen.Operator, false, false); err != nil {
+			return nil, err
+		}
+		return []operator.Credential{{Operator: "loopback", Token: loopbackToken}}, nil
+	}
+	file, err := os.Open(settings.Operators.TokensFile)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = file.Close() }()
+	var credentials []operator.Credential
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		fields := strings.Fields(lines.Text())
+		if len(fields) == 0 || strings.HasPrefix(fields[0], "#") {
+			continue
+		}
+		if len(fields) < 2 {
+			return nil, operator.ErrBadRequest{Field: settings.Operators.TokensFile, Reason: "each line needs a name and a token"}
+		}
+		credentials = append(credentials, operator.Credential{
+			Operator: fields[0], Token: fields[1], ReadOnly: len(fields) > 2 && fields[2] == "ReadOnly",
+		})
+	}
+	return credentials, lines.Err()
+}
+
+// startEntry starts the entry and its servers with the application and stops them gracefully.
+func startEntry(lifecycle fx.Lifecycle, settings setting.Entry, source clock.Clock, store *tables.Client,
+	connections pools, ring *keys.Ring, credentials []operator.Credential,
+) error {
+	listeners, err := entryListeners(settings, ring)
+	if err != nil {
+		return err
+	}
+	var server *entry.Server
+	lifecycle.Append(fx.Hook{
+		OnStart: func(ctx context.Context) error {
+			daemon, err := newEntry(ctx, settings, source, store, connections)
+			if err != nil {
+				return err
+			}
+			operators, err := newOperators(daemon, credentials)
+			if err != nil {
+				return err
+			}
+			var secure *tls.Config
+			var options []grpc.ServerOption
+			if ring != nil {
+				secure = ring.OpenConfig()
+				options = append(options, grpc.Creds(ring.ServerCredentials()))
+			}
+			server = entry.NewServer(daemon, listeners, operators, callerSettings(settings.Requests), secure, options...)
+			return nil
+		},
+		OnStop: func(ctx context.Context) error { return server.Shutdown(ctx) },
+	})
+	return nil
+}
+
+func entryListeners(settings setting.Entry, ring *keys.Ring) (entry.Listeners, error) {
+	listeners := entry.Listeners{}
+	for address, listener := range map[string]*net.Listener{
+		settings.Listen.Control: &listeners.Control, settings.Listen.Caller: &listeners.Caller,
+		settings.Listen.Operator: &listeners.Operator, settings.Metrics.Listen: &listeners.Metrics,
+	} {
+		if address == "" {
+			continue
+		}
+		opened, err := listen(address, ring, settings.TLS)
+		if err != nil {
+			return listeners, err
+		}
+		*listener = opened
+	}
+	return listeners, nil
+}
+
+// newEntry starts the entry once its row can be read.
+func newEntry(ctx context.Context, settings setting.Entry, source clock.Clock, store *tables.Client, connections pools) (*entry.Entry, error) {
+	converted := entry.DefaultSettings()
+	converted.ID = ident.Entry(settings.Identity.Name)
+	converted.Region, converted.DataCentre = settings.Identity.Region, settings.Identity.DataCentre
+	converted.ControlAddress = advertised(settings.Listen.AdvertiseControl, settings.Listen.Control)
+	converted.CallerAddress = advertised(settings.Listen.AdvertiseCaller, settings.Listen.Caller)
+	converted.Round = settings.Tasks.RoundMillis
+	converted.Seed = rand.Uint64()
+	converted.Lease = lease.Settings{Term: settings.Tasks.LeaseTermMillis, OutageGrace: settings.Tasks.OutageGraceMillis}
+	converted.Placement.ReservationTerm = settings.Tasks.ReservationTermMillis
+	converted.ConfigPoll = settings.Config.PollMillis
+	for {
+		daemon, err := entry.New(ctx, converted, entry.Dependencies{
+			Clock: source, Table: store, Traffic: connections.traffic, Control: connections.control,
+		})
+		if err == nil || !tables.IsErrUnavailable(err) {
+			return daemon, err
+		}
+		klog.ErrorS(err, "Entry waits for the table", "Entry", converted.ID)
+		select {
+		case <-source.After(clock.Second):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func newOperators(daemon *entry.Entry, credentials []operator.Credential) (http.Handler, error) {
+	settings := operator.Defaults()
+	settings.Credentials = credentials
+	return operator.New(settings, daemon.Operations(), metrics.GetDefaultSet())
+}
+
+func callerSettings(requests setting.Requests) caller.Settings {
+	converted := caller.Defaults()
+	converted.BodyBytes = requests.BodyBytes
+	converted.MaxPatience = requests.MaxPatienceMillis
+	return converted
+}
+
+func advertised(address, listening string) string {
+	if address != "" {
+		return address
+	}
+	return listening
+}
--- a/cmd/standin.go
+++ b/cmd/standin.go
@@ -119,7 +119,7 @@
 	case err != nil:
 		return ErrExit{Code: ExitRetry, Reason: err.Error()}
 	}
-	return printJSON(command.std.out, state)
+	return printIndented(command.std.out, state)
 }
 
 // change returns the change that the options describe.
@@ -229,7 +229,7 @@
 	if err != nil {
 		return ErrExit{Code: ExitRetry, Reason: err.Error()}
 	}
-	if err := printJSON(command.std.out, report); err != nil {
+	if err := printIndented(command.std.out, report); err != nil {
 		return err
 	}
 	if report.Any() {
@@ -238,7 +238,7 @@
 	return nil
 }
 
-func printJSON(out io.Writer, value any) error {
+func printIndented(out io.Writer, value any) error {
 	encoder := json.NewEncoder(out)
 	encoder.SetIndent("", "  ")
 	return encoder.Encode(value)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -83,8 +83,8 @@
 	publishedHomes string
 	inExchange     map[ident.Entry]bool
 	silent         map[ident.Worker]silence
-	since     map[ident.Endpoint]presence
-	applied   *config.View
+	since          map[ident.Endpoint]presence
+	applied        *config.View
 
 	// readAt is when the entries' rows were last read. It belongs to the renewing goroutine.
 	readAt clock.Time
@@ -137,7 +137,9 @@
 		Sizer: entry.learned.sizes, Interference: entry.learned, Health: entry.learned.health,
 	})
 	entry.services.Store(&serviceTable{})
-	entry.reader = config.NewReader(dependencies.Table, dependencies.Clock, entry.newRandom(1), publisher, config.DefaultReaderSettings())
+	polling := config.DefaultReaderSettings()
+	polling.PollMillis = settings.ConfigPoll
+	entry.reader = config.NewReader(dependencies.Table, dependencies.Clock, entry.newRandom(1), publisher, polling)
 	entry.editor = config.NewEditor(dependencies.Table, dependencies.Clock, entry.newRandom(2), publisher)
 	entry.dispatcher = dispatch.New(dependencies.Clock, &agents{traffic: dependencies.Traffic, probes: dependencies.Control},
 		entry, dedup.New(dependencies.Table, entry.newWrite, dedup.Defaults()), retry.NewBudget(retry.Defaults()),
--- /dev/null
+++ b/entry/operations_view.go
@@ -0,0 +1,235 @@
+package entry
+
+import (
+	"context"
+	"strings"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/config"
+	"hyssopjunction/ident"
+	"hyssopjunction/lease"
+	"hyssopjunction/operator"
+	"hyssopjunction/set"
+	"hyssopjunction/table"
+)
+
+const (
+	// waitPoll is how often Wait looks at the versions that the daemons told.
+	waitPoll = 200 * clock.Millisecond
+	// maxLagging bounds the names in the answer to Wait.
+	maxLagging = 20
+)
+
+// Workers returns the workers that match, in ascending order of name.
+func (operations *operations) Workers(_ context.Context, filter operator.WorkerFilter) (operator.WorkerList, error) {
+	list := operator.WorkerList{}
+	now := operations.entry.time.Now()
+	quarantined := operations.quarantined()
+	for _, worker := range operations.entry.view.Current().Workers {
+		state := operator.WorkerState{
+			Worker: worker.ID, Incarnation: worker.Incarnation, Region: worker.Place.Region,
+			DataCentre: worker.Place.DataCentre, Rack: worker.Rack, State: "Live",
+			Capacity: worker.Capacity, Used: worker.Used, Tasks: worker.Tasks, Home: worker.Home,
+			AgeMillis: now.Sub(worker.SeenAt),
+		}
+		switch {
+		case worker.Draining:
+			state.State = "Draining"
+		case quarantined.Has(worker.ID):
+			state.State, state.Reason = "Quarantined", "tasks of many jobs failed on it"
+		}
+		if (filter.DataCentre != "" && state.DataCentre != filter.DataCentre) || (filter.State != "" && state.State != filter.State) ||
+			(filter.After != "" && state.Worker <= filter.After) {
+			continue
+		}
+		if filter.Limit > 0 && len(list.Workers) == filter.Limit {
+			list.More = true
+			break
+		}
+		list.Workers = append(list.Workers, state)
+	}
+	return list, nil
+}
+
+func (operations *operations) quarantined() set.Set[ident.Worker] {
+	members := set.New[ident.Worker]()
+	operations.entry.control.Call(func() {
+		members = set.New(operations.entry.learned.health.Quarantined()...)
+	})
+	return members
+}
+
+// DeclareLost states that an incarnation of a worker is over.
+func (operations *operations) DeclareLost(ctx context.Context, call operator.Call, loss operator.WorkerLoss) (operator.Accepted, error) {
+	entry := operations.entry
+	row, err := entry.store.Get(ctx, workerKey(loss.Worker))
+	if err != nil {
+		return operator.Accepted{}, operatorError(err, call.Request)
+	}
+	have, err := decodeWorkerRow(row)
+	if err != nil {
+		return operator.Accepted{}, err
+	}
+	document := string(workerKey(loss.Worker))
+	switch {
+	case !row.Exists():
+		return operator.Accepted{}, operator.ErrNotFound{Kind: "Worker", Name: string(loss.Worker)}
+	case have.Incarnation != loss.Incarnation:
+		return operator.Accepted{}, operator.ErrConflict{Document: document, Winner: string(have.Granter), Version: ident.Version(row.Revision)}
+	case have.Over:
+		return operator.Accepted{Document: document, Version: ident.Version(row.Revision)}, nil
+	}
+	have.Over, have.Reason = true, string(lease.OperatorStatement)
+	result, err := entry.store.Commit(ctx, entry.workerWrite(loss.Worker, row.Revision, have))
+	if table.IsErrConflict(err) {
+		return operator.Accepted{}, operator.ErrConflict{Document: document, Winner: string(have.Granter)}
+	}
+	if err != nil {
+		return operator.Accepted{}, operatorError(err, call.Request)
+	}
+	entry.control.Call(func() {
+		entry.granter.Declare(loss.Worker, loss.Incarnation)
+		entry.incarnationEnded(loss.Worker, loss.Incarnation, lease.OperatorStatement)
+	})
+	return operator.Accepted{Document: document, Version: ident.Version(result.Revisions[workerKey(loss.Worker)])}, nil
+}
+
+// History returns configuration changes, newest first.
+func (operations *operations) History(ctx context.Context, filter operator.HistoryFilter) (operator.HistoryList, error) {
+	list := operator.HistoryList{}
+	limit := filter.Limit
+	if limit <= 0 {
+		limit = 50
+	}
+	newest := operations.view().Version()
+	if filter.Before > 0 && filter.Before <= newest {
+		newest = filter.Before - 1
+	}
+	for newest > 0 && len(list.Changes) < limit {
+		from := ident.Version(0)
+		if newest > jobPage {
+			from = newest - jobPage
+		}
+		records, err := config.History(ctx, operations.entry.store, from, int(newest-from))
+		if err != nil {
+			return list, operatorError(err, "")
+		}
+		for index := len(records) - 1; index >= 0 && len(list.Changes) < limit; index-- {
+			list.Changes = append(list.Changes, historyChanges(records[index], filter.Document)...)
+		}
+		newest = from
+	}
+	list.More = newest > 0
+	return list, nil
+}
+
+func historyChanges(record config.Record, wanted string) []operator.HistoryChange {
+	var changes []operator.HistoryChange
+	summaries := map[config.Name][]string{}
+	for _, change := range config.Diff(record) {
+		summaries[change.Document] = append(summaries[change.Document], change.Field+": "+change.Before+" -> "+change.After)
+	}
+	for _, document := range record.After {
+		if wanted != "" && string(document.Name) != wanted {
+			continue
+		}
+		changes = append(changes, operator.HistoryChange{
+			Version: record.Version, Document: string(document.Name), Operator: record.Operator,
+			Request: ident.Request(record.Change), Written: record.Time, Summary: strings.Join(summaries[document.Name], "; "),
+		})
+	}
+	return changes
+}
+
+// Diff returns the documents that differ between two configuration versions.
+func (operations *operations) Diff(ctx context.Context, from, to ident.Version) (operator.DiffList, error) {
+	list := operator.DiffList{From: from, To: to}
+	if to <= from {
+		return list, operator.ErrBadRequest{Field: "To", Reason: "must be above From"}
+	}
+	before, after := map[config.Name]string{}, map[config.Name]string{}
+	for version := from; version < to; version += jobPage {
+		records, err := config.History(ctx, operations.entry.store, version, min(jobPage, int(to-version)))
+		if err != nil {
+			return list, operatorError(err, "")
+		}
+		for _, record := range records {
+			for index, document := range record.After {
+				if _, seen := before[document.Name]; !seen {
+					before[document.Name] = string(record.Before[index].Value)
+				}
+				after[document.Name] = string(document.Value)
+			}
+		}
+	}
+	for _, name := range set.SortedKeys(after) {
+		if before[name] != after[name] {
+			list.Documents = append(list.Documents, operator.DocumentDiff{Document: string(name), Before: before[name], After: after[name]})
+		}
+	}
+	return list, nil
+}
+
+// Wait returns once the version is in force everywhere or patience has passed.
+func (operations *operations) Wait(ctx context.Context, version ident.Version, patience clock.Millis) (operator.InForce, error) {
+	deadline := operations.entry.time.Now().Add(patience)
+	for {
+		lagging := operations.lagging(version)
+		result := operator.InForce{Version: version, Everywhere: len(lagging) == 0, Lagging: lagging[:min(len(lagging), maxLagging)]}
+		if result.Everywhere || !operations.entry.time.Now().Before(deadline) {
+			return result, nil
+		}
+		select {
+		case <-operations.entry.time.After(waitPoll):
+		case <-ctx.Done():
+			return result, nil
+		}
+	}
+}
+
+// lagging names the live daemons that have not told that they applied the version.
+func (operations *operations) lagging(version ident.Version) []string {
+	var names []string
+	snapshot := operations.entry.view.Current()
+	for _, known := range snapshot.Entries {
+		applied := known.ConfigVersion
+		if known.ID == operations.entry.settings.ID {
+			applied = operations.view().Version()
+		}
+		if applied < version {
+			names = append(names, string(known.ID))
+		}
+	}
+	for _, worker := range snapshot.Workers {
+		if worker.ConfigVersion < version {
+			names = append(names, string(worker.ID))
+		}
+	}
+	return names
+}
+
+// Status returns a summary of the system as this entry sees it.
+func (operations *operations) Status(context.Context) (operator.Status, error) {
+	entry, view, snapshot := operations.entry, operations.view(), operations.entry.view.Current()
+	preset, _ := view.InForce()
+	status := operator.Status{
+		Entry: entry.settings.ID, Region: entry.settings.Region, Preset: preset, ConfigVersion: view.Version(),
+		Entries: len(snapshot.Entries), Workers: len(snapshot.Workers), Services: len(view.Services()), Teams: len(view.Teams()),
+		TableAvailable: true,
+	}
+	for _, worker := range snapshot.Workers {
+		status.TasksRunning += worker.Tasks
+		status.Capacity = status.Capacity.Add(worker.Capacity)
+		status.Used = status.Used.Add(worker.Used)
+	}
+	if breaker, ok := entry.store.(interface{ Outage() bool }); ok && breaker.Outage() {
+		status.TableAvailable = false
+		status.Notes = append(status.Notes, "table service unavailable: running work goes on, changes and starts wait")
+	}
+	entry.control.Call(func() {
+		status.Quarantined = len(entry.learned.health.Quarantined())
+		status.WorkersDown = len(entry.silent)
+		status.JobsWaiting = entry.scheduler.Stats().Waiting
+	})
+	return status, nil
+}
--- /dev/null
+++ b/entry/server.go
@@ -0,0 +1,102 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+
+	"github.com/gorilla/mux"
+	"google.golang.org/grpc"
+	"k8s.io/klog/v2"
+
+	"hyssopjunction/caller"
+	"hyssopjunction/controlpb"
+	"hyssopjunction/probe"
+)
+
+// Listeners are where an entry listens. A nil listener leaves its API out.
+type Listeners struct {
+	// Control serves gRPC to agents and other entries.
+	Control net.Listener
+	// Caller serves callers, /healthz and /readyz.
+	Caller net.Listener
+	// Operator serves operators. Callers cannot reach operator paths, because they are on another
+	// listener.
+	Operator net.Listener
+	// Metrics serves /metrics, /healthz and /readyz.
+	Metrics net.Listener
+}
+
+// Server serves an entry's APIs.
+type Server struct {
+	entry    *Entry
+	control  *grpc.Server
+	caller   *http.Server
+	operator *http.Server
+	metrics  *http.Server
+}
+
+// NewServer serves the entry on the listeners. HTTP is encrypted if secure is not nil, gRPC as the
+// options say.
+func NewServer(entry *Entry, listeners Listeners, operators http.Handler, settings caller.Settings, secure *tls.Config, options ...grpc.ServerOption) *Server {
+	server := &Server{entry: entry, control: grpc.NewServer(append(controlpb.ServerOptions(), options...)...)}
+	controlpb.RegisterEntryServer(server.control, entry)
+	go func() {
+		if err := server.control.Serve(listeners.Control); err != nil {
+			klog.ErrorS(err, "Control server ended")
+		}
+	}()
+	router := mux.NewRouter()
+	probe.Register(router, entry.Ready)
+	caller.New(entry.Dispatcher(), entry.NewRequest, settings).Register(router)
+	server.caller = caller.NewServer(router, settings)
+	serveHTTP(server.caller, listeners.Caller, secure)
+	if listeners.Operator != nil {
+		server.operator = caller.NewServer(operators, settings)
+		serveHTTP(server.operator, listeners.Operator, secure)
+	}
+	if listeners.Metrics != nil {
+		server.metrics = caller.NewServer(probe.New(entry.Ready), settings)
+		serveHTTP(server.metrics, listeners.Metrics, nil)
+	}
+	return server
+}
+
+func serveHTTP(server *http.Server, listener net.Listener, secure *tls.Config) {
+	if secure != nil {
+		listener = tls.NewListener(listener, secure)
+	}
+	go func() {
+		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			klog.ErrorS(err, "HTTP server ended", "Address", listener.Addr().String())
+		}
+	}()
+}
+
+// Shutdown ends the entry gracefully within ctx and then its servers.
+func (server *Server) Shutdown(ctx context.Context) error {
+	err := server.entry.Shutdown(ctx)
+	for _, part := range []*http.Server{server.caller, server.operator, server.metrics} {
+		if part == nil {
+			continue
+		}
+		if shutdownErr := part.Shutdown(ctx); err == nil {
+			err = shutdownErr
+		}
+	}
+	server.control.Stop()
+	return err
+}
+
+// Close ends the servers and the entry at once, as a crash would.
+func (server *Server) Close() {
+	server.control.Stop()
+	for _, part := range []*http.Server{server.caller, server.operator, server.metrics} {
+		if part != nil {
+			_ = part.Close()
+		}
+	}
+	server.entry.Close()
+}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -29,6 +29,8 @@
 	Tick clock.Millis
 	// Round is the interval of scheduling rounds.
 	Round clock.Millis
+	// ConfigPoll is the mean interval at which the configuration's head is read.
+	ConfigPoll clock.Millis
 	// Concurrency bounds the caller requests in flight.
 	Concurrency int
 	// Seed makes random choices reproducible.
@@ -47,6 +49,7 @@
 		StopTimeout: 5 * clock.Second,
 		Tick:        250 * clock.Millisecond,
 		Round:       250 * clock.Millisecond,
+		ConfigPoll:  clock.Second,
 		Concurrency: 2048,
 		Seed:        1,
 		Membership:  membership.DefaultSettings(),
