Add the scheduler of placement and its randomised runs

Cause: placement.Handle did nothing.

Change: reserve, claim, start with one transaction per round; read-back after a conflict or an unknown outcome with the agents' reports applied again to the new content; queue by due time with team fairness and bounded starvation; preemption; paced drain and gradual return of data centres; parking; cancellation. API: Ledger.Rebuild takes the ended tasks and the time; Ledger.Forget and EndedUnrecorded are new; Settings.Refresh and Scheduler.Job are new.

--- a/job/row.go
+++ b/job/row.go
@@ -65,8 +65,8 @@
 	// Cancelled is set once a cancellation was accepted. No task is claimed afterwards; live tasks
 	// become Cancelled when they are known to have stopped.
 	Cancelled bool
-	// Waited is how long the job had been waiting in total when the row was written. It keeps a job's
-	// place in the queue when another entry becomes its home, because clocks of processes differ.
+	// Waited is the time since the submission when the row was written. It keeps a job's place in the
+	// queue when another entry becomes its home, because clocks of processes differ.
 	Waited clock.Millis
 	Tasks  []Task
 }
--- /dev/null
+++ b/placement/explain.go
@@ -0,0 +1,147 @@
+package placement
+
+import (
+	"fmt"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/ident"
+	"hyssopjunction/job"
+	"hyssopjunction/unit"
+)
+
+// Explanation tells how a job stands.
+type Explanation struct {
+	Job    ident.Job
+	States map[job.State]int
+	// Reason tells why waiting or parked tasks are not placed; empty if none waits.
+	Reason string
+	// Waited is the time since the submission.
+	Waited clock.Millis
+	// Late is set if a task still waits for its first start after the job's patience.
+	Late bool
+}
+
+// Explain tells how a job stands, and false if it is unknown here.
+func (scheduler *Scheduler) Explain(name ident.Job) (Explanation, bool) {
+	view, ok := scheduler.jobs[name]
+	if !ok {
+		return Explanation{}, false
+	}
+	explanation := Explanation{Job: name, States: make(map[job.State]int), Waited: scheduler.waited(view)}
+	unplaced, never := false, false
+	parked := ""
+	for index := range view.row.Tasks {
+		task := &view.row.Tasks[index]
+		explanation.States[task.State]++
+		if task.State == job.Waiting || task.State == job.Parked {
+			unplaced = true
+			never = never || task.Epoch == 0
+		}
+		if task.State == job.Parked && parked == "" {
+			parked = task.Reason
+		}
+	}
+	if unplaced {
+		explanation.Reason = view.reason
+		if parked != "" {
+			explanation.Reason = parked
+		}
+		if scheduler.now.Before(scheduler.tableAt) {
+			explanation.Reason = "TableUnavailable: nothing is placed while the table cannot be written"
+		}
+		if explanation.Reason == "" {
+			explanation.Reason = "Waiting for the next round"
+		}
+	}
+	patience := view.row.Spec.Patience
+	explanation.Late = never && patience > 0 && explanation.Waited > patience
+	return explanation, true
+}
+
+// Job returns a copy of the job's row as this scheduler sees it, including changes that are not in
+// the table yet, and false if the job is unknown here.
+func (scheduler *Scheduler) Job(name ident.Job) (*job.Row, bool) {
+	view, ok := scheduler.jobs[name]
+	if !ok {
+		return nil, false
+	}
+	return view.row.Clone(), true
+}
+
+// Fits reports whether the known workers could ever hold the job, and why not. Submissions are
+// refused on its word, so it also answers yes while no worker is known.
+func (scheduler *Scheduler) Fits(spec job.Spec) (reason string, ok bool) {
+	if scheduler.total.IsZero() {
+		return "", true
+	}
+	return scheduler.fitsEver(&spec, scheduler.size(&spec))
+}
+
+// fitsEver reports whether empty workers could hold the job. Closed data centres count, because
+// they return.
+func (scheduler *Scheduler) fitsEver(spec *job.Spec, size unit.Resources) (reason string, ok bool) {
+	room := int64(0)
+	var largest unit.Resources
+	for _, worker := range scheduler.order {
+		if !worker.known || !spec.Allows(worker.state.DataCentre) {
+			continue
+		}
+		largest = largest.Max(worker.state.Capacity)
+		if !size.FitsIn(worker.state.Capacity) {
+			continue
+		}
+		if !spec.Gang {
+			return "", true
+		}
+		room += times(size, worker.state.Capacity)
+		if room >= int64(spec.Count) {
+			return "", true
+		}
+	}
+	if room > 0 {
+		return fmt.Sprintf("NeverFits: all %d tasks must run together, workers hold %d of them", spec.Count, room), false
+	}
+	return fmt.Sprintf("NeverFits: a task needs %s, workers hold up to %s", size, largest), false
+}
+
+// times returns how often size fits in room.
+func times(size, room unit.Resources) int64 {
+	count := int64(job.MaxTasks)
+	if size.CPU > 0 {
+		count = min(count, int64(room.CPU/size.CPU))
+	}
+	if size.Memory > 0 {
+		count = min(count, int64(room.Memory/size.Memory))
+	}
+	if size.Accelerators > 0 {
+		count = min(count, int64(room.Accelerators/size.Accelerators))
+	}
+	return count
+}
+
+// Stats are counters since New, and the current queue.
+type Stats struct {
+	Jobs, Waiting, Live, Parked                    int
+	Transactions, Claims, Conflicts, Unknown       int
+	Placed, Started, NotStarted, Evictions, Losses int
+	Preemptions, Refusals, BadRows, TeamRepairs    int
+}
+
+// Stats returns the counters.
+func (scheduler *Scheduler) Stats() Stats {
+	stats := scheduler.stats
+	stats.Jobs = len(scheduler.jobs)
+	for _, view := range scheduler.jobs {
+		for index := range view.row.Tasks {
+			switch state := view.row.Tasks[index].State; {
+			case state == job.Waiting:
+				stats.Waiting++
+			case state == job.Parked:
+				stats.Parked++
+			case state.Live():
+				stats.Live++
+			}
+		}
+	}
+	return stats
+}
--- a/placement/settings.go
+++ b/placement/settings.go
@@ -45,6 +45,9 @@
 	Ramp clock.Millis
 	// DrainBound is used when an operator gives no bound, default 5 minutes.
 	DrainBound clock.Millis
+	// Refresh is how often the row of an unfinished job is read again if this scheduler did not write
+	// it, default 30 s. A write of an earlier home can arrive after this one loaded the row.
+	Refresh clock.Millis
 	// NoDrain leaves the tasks of a closed data centre where they are until the bound and stops
 	// them then without a checkpoint. It is the baseline of the drain benchmark.
 	NoDrain bool
@@ -79,6 +82,7 @@
 	millis(&settings.ParkAfter, 30*clock.Second)
 	millis(&settings.Ramp, clock.Minute)
 	millis(&settings.DrainBound, 5*clock.Minute)
+	millis(&settings.Refresh, 30*clock.Second)
 	return settings
 }
 
