--- a/standin/checkpoint.go
+++ b/standin/checkpoint.go
@@ -37,6 +37,8 @@
 
 // save moves a checkpoint from the worker to the object store.
 func (runtime *Worker) save(ctx context.Context, name string) error {
+	runtime.saving.Lock()
+	defer runtime.saving.Unlock()
 	runtime.mu.Lock()
 	value, ok := runtime.unsaved[name]
 	runtime.mu.Unlock()
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -89,7 +89,12 @@
 	router.HandleFunc("/health", endpoint.health).Methods(http.MethodGet)
 	router.HandleFunc("/streams/{Stream}", endpoint.stream).Methods(http.MethodGet)
 	router.PathPrefix("/").HandlerFunc(endpoint.serveRequest)
-	endpoint.server = &http.Server{Handler: router}
+	endpoint.server = &http.Server{
+		Handler: router,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connectionKey{}, conn)
+		},
+	}
 	return endpoint
 }
 
--- a/standin/response.go
+++ b/standin/response.go
@@ -1,16 +1,14 @@
 package standin
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"hash/crc32"
+	"io"
 	"net/http"
 	"strconv"
 
-	"k8s.io/klog/v2"
-
 	"hyssopjunction/ident"
 )
 
@@ -59,10 +57,6 @@
 	if drawn.failed {
 		answer.status = http.StatusInternalServerError
 	}
-	if drawn.doubled {
-		endpoint.answerTwice(writer, answer)
-		return
-	}
 	header := writer.Header()
 	header.Set(HeaderRequestID, string(answer.id))
 	header.Set("Content-Type", "application/json")
@@ -75,38 +69,26 @@
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = writer.Write(answer.body)
+	if drawn.doubled {
+		answerAgain(writer, request, answer)
+	}
 }
 
-// answerTwice writes the response twice to the connection, which then closes.
-func (endpoint *Endpoint) answerTwice(writer http.ResponseWriter, answer response) {
-	conn, buffer, err := http.NewResponseController(writer).Hijack()
-	if err != nil {
-		klog.ErrorS(err, "Endpoint stand-in can't take over the connection", "Endpoint", endpoint.options.Name)
+// answerAgain writes the response a second time to the open connection, where a client that does not
+// check ids takes it for the response to its next request.
+func answerAgain(writer http.ResponseWriter, request *http.Request, answer response) {
+	conn, ok := request.Context().Value(connectionKey{}).(*connection)
+	if !ok || http.NewResponseController(writer).Flush() != nil {
 		return
 	}
-	defer func() { _ = conn.Close() }()
-	for range 2 {
-		writeRaw(buffer.Writer, answer)
-	}
-	_ = buffer.Flush()
-}
-
-func writeRaw(writer *bufio.Writer, answer response) {
 	raw := http.Response{
 		ProtoMajor: 1, ProtoMinor: 1, StatusCode: answer.status, ContentLength: int64(len(answer.body)),
-		Header: http.Header{}, Body: http.NoBody,
+		Header: http.Header{}, Body: io.NopCloser(bytes.NewReader(answer.body)),
 	}
 	raw.Header.Set(HeaderRequestID, string(answer.id))
 	raw.Header.Set("Content-Type", "application/json")
-	raw.Body = readCloser{bytes.NewReader(answer.body)}
-	_ = raw.Write(writer)
+	_ = raw.Write(conn)
 }
 
-type readCloser struct {
-	*bytes.Reader
-}
-
-// Close does nothing.
-func (readCloser) Close() error {
-	return nil
-}
+// connectionKey is the key of the request context's connection.
+type connectionKey struct{}
--- a/standin/servefaults.go
+++ b/standin/servefaults.go
@@ -131,7 +131,7 @@
 	if name != everyName {
 		part, ok := parts[name]
 		if !ok {
-			return nil, ErrBadFault{Reason: fmt.Sprintf("there is no %q", name)}
+			return nil, ErrBadFault{Reason: fmt.Sprintf("there is no worker or endpoint %q", name)}
 		}
 		return []Part{part}, nil
 	}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -57,6 +57,8 @@
 	// unsaved holds checkpoints that the object store has not accepted.
 	unsaved map[string][]byte
 	settled clock.Time
+
+	saving sync.Mutex // keeps an older checkpoint from replacing a newer one
 }
 
 // NewWorker returns a healthy Worker without tasks.
@@ -86,7 +88,7 @@
 }
 
 // Start runs the task until expiry, unless the lease is renewed. An older epoch of the same task is
-// stopped first. An epoch that has ended is not started again.
+// stopped first. An epoch that has ended is not started again; one whose start failed can be.
 func (runtime *Worker) Start(ctx context.Context, spec worker.Spec, expiry worker.Instant) error {
 	if err := runtime.enter(ctx); err != nil {
 		return err
@@ -107,7 +109,7 @@
 	}
 	have := runtime.tasks[spec.Task]
 	if have != nil && have.spec.Epoch == spec.Epoch {
-		return nil
+		return runtime.answer()
 	}
 	if fence := runtime.fences[spec.Task]; spec.Epoch < fence {
 		return worker.ErrStaleEpoch{Task: spec.Task, Epoch: spec.Epoch, Have: fence}
@@ -115,14 +117,14 @@
 	if have != nil && have.state == worker.Running {
 		runtime.end(have, worker.Stopped, reasonSuperseded)
 	}
-	runtime.fences[spec.Task] = spec.Epoch + 1
+	runtime.fences[spec.Task] = spec.Epoch
 	if runtime.startFails() {
-		delete(runtime.tasks, spec.Task)
 		runtime.options.Records.startFailed()
 		return worker.ErrStartFailed{Task: spec.Task, Reason: "stand-in fails starts"}
 	}
+	runtime.fences[spec.Task] = spec.Epoch + 1
 	runtime.begin(spec, payload, from, runtime.time(expiry))
-	return nil
+	return runtime.answer()
 }
 
 // begin records the task as running from the progress given.
@@ -194,7 +196,7 @@
 	for _, task := range runtime.running() {
 		task.expiry = max(task.expiry, runtime.time(expiry))
 	}
-	return now, nil
+	return now, runtime.answer()
 }
 
 // Throttle limits the task's processor time to percent, from 1 to 100, of its share.
@@ -206,13 +208,24 @@
 }
 
 // Stop ends the task. A task that has already ended is no error. The epoch can't start later, even
-// if the worker has not seen it yet.
+// if the worker has no record of it.
 func (runtime *Worker) Stop(ctx context.Context, name ident.Task, epoch ident.Epoch) error {
-	return runtime.change(ctx, name, epoch, func(task *simulated) {
-		if task.state == worker.Running {
-			runtime.end(task, worker.Stopped, reasonRequested)
-		}
-	})
+	if err := runtime.enter(ctx); err != nil {
+		return err
+	}
+	runtime.mu.Lock()
+	defer runtime.mu.Unlock()
+	runtime.advance()
+	task, err := runtime.find(name, epoch)
+	if err != nil {
+		// A start that is still on its way must not follow the stop of the same epoch.
+		runtime.fences[name] = max(runtime.fences[name], epoch+1)
+		return err
+	}
+	if task.state == worker.Running {
+		runtime.end(task, worker.Stopped, reasonRequested)
+	}
+	return runtime.answer()
 }
 
 // Forget drops the record of an ended task. A running task is kept.
@@ -237,21 +250,19 @@
 		return err
 	}
 	apply(task)
-	return nil
+	return runtime.answer()
 }
 
-// find returns the record of the task's epoch. It fences an epoch that it has no record of, so that
-// a delayed start can't follow the stop of the same epoch.
+// find returns the record of the task's epoch.
 func (runtime *Worker) find(name ident.Task, epoch ident.Epoch) (*simulated, error) {
 	task := runtime.tasks[name]
 	switch {
-	case task != nil && task.spec.Epoch == epoch:
-		return task, nil
-	case task != nil && task.spec.Epoch > epoch:
+	case task == nil || task.spec.Epoch < epoch:
+		return nil, worker.ErrNoSuchTask{Task: name, Epoch: epoch}
+	case task.spec.Epoch > epoch:
 		return nil, worker.ErrStaleEpoch{Task: name, Epoch: epoch, Have: task.spec.Epoch}
 	}
-	runtime.fences[name] = max(runtime.fences[name], epoch+1)
-	return nil, worker.ErrNoSuchTask{Task: name, Epoch: epoch}
+	return task, nil
 }
 
 // List reports the tasks that run and those that ended and were not forgotten, by name.
--- a/standin/workerfaults.go
+++ b/standin/workerfaults.go
@@ -15,6 +15,8 @@
 	Paused bool
 	// DelayMillis is the time before a call takes effect.
 	DelayMillis clock.Millis
+	// LoseNext is the number of calls that still take effect without an answer.
+	LoseNext int
 	// UsageLagMillis is added to the lag of reported usage.
 	UsageLagMillis clock.Millis
 	// StartFailNext is the number of starts that still fail.
@@ -30,8 +32,8 @@
 	switch {
 	case faults.DelayMillis < 0 || faults.UsageLagMillis < 0:
 		return ErrBadFault{Reason: "delays and lags must not be negative"}
-	case faults.StartFailNext < 0:
-		return ErrBadFault{Reason: "StartFailNext must not be negative"}
+	case faults.StartFailNext < 0 || faults.LoseNext < 0:
+		return ErrBadFault{Reason: "StartFailNext and LoseNext must not be negative"}
 	case !isRate(faults.StartFailRate):
 		return ErrBadFault{Reason: "rates must be from 0 to 1"}
 	}
@@ -76,23 +78,33 @@
 
 // enter delays a call by the faults in force.
 func (runtime *Worker) enter(ctx context.Context) error {
+	if !wait(ctx, runtime.options.Clock, runtime.Faults().DelayMillis) {
+		return worker.ErrUnavailable{Reason: context.Cause(ctx).Error()}
+	}
 	runtime.mu.Lock()
-	faults, resume := runtime.faults, runtime.resume
+	resume := runtime.resume
 	runtime.mu.Unlock()
 	select {
 	case <-resume:
 	case <-ctx.Done():
 		return worker.ErrUnavailable{Reason: context.Cause(ctx).Error()}
 	}
-	if faults.Unavailable {
+	if runtime.Faults().Unavailable {
 		return worker.ErrUnavailable{Reason: "stand-in refuses calls"}
 	}
-	if !wait(ctx, runtime.options.Clock, faults.DelayMillis) {
-		return worker.ErrUnavailable{Reason: context.Cause(ctx).Error()}
-	}
 	return nil
 }
 
+// answer loses the answer to a call that took effect, if the faults in force say so. The caller
+// holds mu.
+func (runtime *Worker) answer() error {
+	if runtime.faults.LoseNext == 0 {
+		return nil
+	}
+	runtime.faults.LoseNext--
+	return worker.ErrUnavailable{Reason: "answer lost"}
+}
+
 func (runtime *Worker) startFails() bool {
 	if runtime.faults.StartFailNext > 0 {
 		runtime.faults.StartFailNext--
