Test routing and the caller API

Cause: the choice must respect exclusion, ejection limits, ramp-up, data centres and interference, from several goroutines; callers send anything. The state machine showed that a request routed by an older, larger view could eject more than a third of the newest one; the limit now refers to the newest view.

--- /dev/null
+++ b/caller/handler_test.go
@@ -0,0 +1,280 @@
+package caller_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/gorilla/mux"
+	"go.uber.org/goleak"
+
+	"hyssopjunction/caller"
+	"hyssopjunction/dispatch"
+	"hyssopjunction/ident"
+	"hyssopjunction/outcome"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// dispatcher answers as told and keeps the last request.
+type dispatcher struct {
+	mu     sync.Mutex
+	last   dispatch.Request
+	answer dispatch.Answer
+	err    error
+	chunks []string
+	// entered and block hold requests inside Dispatch.
+	entered chan struct{}
+	block   chan struct{}
+}
+
+func (dispatcher *dispatcher) Dispatch(_ context.Context, request dispatch.Request) (dispatch.Answer, error) {
+	if dispatcher.block != nil {
+		dispatcher.entered <- struct{}{}
+		<-dispatcher.block
+	}
+	dispatcher.mu.Lock()
+	defer dispatcher.mu.Unlock()
+	dispatcher.last = request
+	return dispatcher.answer, dispatcher.err
+}
+
+func (dispatcher *dispatcher) Follow(_ context.Context, request dispatch.StreamRequest, pass func([]byte) error) error {
+	for _, chunk := range dispatcher.chunks {
+		if err := pass([]byte(chunk)[request.Offset:]); err != nil {
+			return err
+		}
+	}
+	return dispatcher.err
+}
+
+func newServer(t *testing.T, dispatcher *dispatcher, settings caller.Settings) *httptest.Server {
+	t.Helper()
+	router := mux.NewRouter()
+	count := 0
+	var mu sync.Mutex
+	caller.New(dispatcher, func() ident.Request {
+		mu.Lock()
+		defer mu.Unlock()
+		count++
+		return ident.Request(fmt.Sprint("r", count))
+	}, settings).Register(router)
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = caller.NewServer(router, settings)
+	server.Start()
+	t.Cleanup(server.Close)
+	return server
+}
+
+func post(t *testing.T, server *httptest.Server, body io.Reader, headers ...string) (*http.Response, string) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL+"/v1/services/checks/requests", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Team", "omaruru")
+	for index := 0; index < len(headers); index += 2 {
+		request.Header.Set(headers[index], headers[index+1])
+	}
+	response, err := server.Client().Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response, string(text)
+}
+
+// assertError checks status, type, outcome and retry-after of an error response.
+func assertError(t *testing.T, response *http.Response, text string, status int, kind string, known outcome.Outcome, retry bool) {
+	t.Helper()
+	var body caller.ErrorBody
+	if err := json.Unmarshal([]byte(text), &body); err != nil {
+		t.Fatalf("body %q: %v", text, err)
+	}
+	if response.StatusCode != status || body.Error.Type != kind || body.Outcome != known {
+		t.Fatalf("status %d, body %s; want %d %s %s", response.StatusCode, text, status, kind, known)
+	}
+	if response.Header.Get("Outcome") != known.String() || response.Header.Get("Request-Id") == "" {
+		t.Fatalf("header %v", response.Header)
+	}
+	if got := response.Header.Get("Retry-After") != ""; got != retry || got != (body.Error.RetryAfterMillis > 0) {
+		t.Fatalf("retry-after %v, body %s", response.Header, text)
+	}
+}
+
+// Guards against malformed requests that are dispatched or get an untyped error.
+func TestMalformedRequests(t *testing.T) {
+	settings := caller.Defaults()
+	settings.BodyBytes = 100
+	fake := &dispatcher{}
+	server := newServer(t, fake, settings)
+	cases := []struct {
+		name, header, value, kind string
+		status                    int
+	}{
+		{"no team", "Team", "", "MalformedTeam", 400},
+		{"malformed key", "Request-Key", "a/b", "MalformedKey", 400},
+		{"empty key", "Request-Key", "", "MalformedKey", 400},
+		{"negative patience", "Patience-Millis", "-5", "MalformedPatience", 400},
+		{"patience is no number", "Patience-Millis", "soon", "MalformedPatience", 400},
+		{"endless patience", "Patience-Millis", "99999999999", "MalformedPatience", 400},
+		{"unknown priority", "Priority", "Now", "MalformedPriority", 400},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			response, text := post(t, server, strings.NewReader("{}"), test.header, test.value)
+			assertError(t, response, text, test.status, test.kind, outcome.NotRun, false)
+		})
+	}
+	t.Run("declared body too large", func(t *testing.T) {
+		response, text := post(t, server, strings.NewReader(strings.Repeat("x", 101)))
+		assertError(t, response, text, 413, "TooLarge", outcome.NotRun, false)
+	})
+	t.Run("chunked body too large", func(t *testing.T) {
+		response, text := post(t, server, io.MultiReader(strings.NewReader(strings.Repeat("x", 101))))
+		assertError(t, response, text, 413, "TooLarge", outcome.NotRun, false)
+	})
+	t.Run("header too large", func(t *testing.T) {
+		response, _ := post(t, server, nil, "Padding", strings.Repeat("x", 64<<10))
+		if response.StatusCode != http.StatusRequestHeaderFieldsTooLarge {
+			t.Fatalf("status %d", response.StatusCode)
+		}
+	})
+	if fake.last.ID != "" {
+		t.Fatalf("dispatched %+v", fake.last)
+	}
+}
+
+// Guards against an error of dispatch that reaches the caller with the wrong status or outcome.
+func TestDispatchErrors(t *testing.T) {
+	cases := []struct {
+		err    error
+		kind   string
+		status int
+		known  outcome.Outcome
+		retry  bool
+	}{
+		{dispatch.ErrNotRun{Reason: dispatch.UnknownService}, "UnknownService", 404, outcome.NotRun, false},
+		{dispatch.ErrNotRun{Reason: dispatch.MissingKey}, "MissingKey", 400, outcome.NotRun, false},
+		{dispatch.ErrNotRun{Reason: dispatch.KeyReused}, "KeyReused", 422, outcome.NotRun, false},
+		{dispatch.ErrNotRun{Reason: dispatch.Overload, RetryAfter: 10}, "Overload", 429, outcome.NotRun, true},
+		{dispatch.ErrNotRun{Reason: dispatch.Patience, RetryAfter: 10}, "Patience", 503, outcome.NotRun, true},
+		{dispatch.ErrNotRun{Reason: dispatch.Outage, RetryAfter: 1500}, "Outage", 503, outcome.NotRun, true},
+		{dispatch.ErrUnknown{Reason: dispatch.StillRunning, RetryAfter: 10}, "StillRunning", 409, outcome.Unknown, true},
+		{dispatch.ErrUnknown{Reason: dispatch.Patience, RetryAfter: 10}, "Patience", 504, outcome.Unknown, true},
+		{dispatch.ErrUnknown{Reason: dispatch.Lost}, "Lost", 502, outcome.Unknown, false},
+		{dispatch.ErrRanUnkept{Bytes: 5}, "NotKept", 410, outcome.Ran, false},
+		{io.ErrUnexpectedEOF, "Internal", 500, outcome.Unknown, false},
+	}
+	fake := &dispatcher{}
+	server := newServer(t, fake, caller.Defaults())
+	for _, test := range cases {
+		t.Run(fmt.Sprint(test.kind, test.known), func(t *testing.T) {
+			fake.err = test.err
+			response, text := post(t, server, strings.NewReader("{}"))
+			assertError(t, response, text, test.status, test.kind, test.known, test.retry)
+		})
+	}
+}
+
+// Guards against headers that are not passed on and answers that are changed on the way.
+func TestAnswer(t *testing.T) {
+	fake := &dispatcher{answer: dispatch.Answer{Status: 201, Body: []byte("ok"), ContentType: "text/x", Replayed: true}}
+	server := newServer(t, fake, caller.Defaults())
+	response, text := post(t, server, strings.NewReader("{}"), "Request-Key", "k1", "Patience-Millis", "250", "Priority", "High")
+	if response.StatusCode != 201 || text != "ok" || response.Header.Get("Content-Type") != "text/x" ||
+		response.Header.Get("Outcome") != "Ran" || response.Header.Get("Replayed") != "true" {
+		t.Fatalf("%d %q %v", response.StatusCode, text, response.Header)
+	}
+	last := fake.last
+	if last.Service != "checks" || last.Team != "omaruru" || last.Key != "k1" || last.Patience != 250 ||
+		last.Priority != 2 || string(last.Body) != "{}" || string(last.ID) != response.Header.Get("Request-Id") {
+		t.Fatalf("dispatched %+v", last)
+	}
+}
+
+// Guards against memory that grows with the number of callers.
+func TestBoundedMemory(t *testing.T) {
+	settings := caller.Defaults()
+	settings.TotalBytes = 10
+	fake := &dispatcher{block: make(chan struct{}), entered: make(chan struct{}, 2)}
+	server := newServer(t, fake, settings)
+	var first sync.WaitGroup
+	first.Go(func() { post(t, server, strings.NewReader("12345678")) })
+	<-fake.entered
+	response, text := post(t, server, strings.NewReader("123"))
+	assertError(t, response, text, 429, "Overload", outcome.NotRun, true)
+	close(fake.block)
+	first.Wait()
+	if response, _ := post(t, server, strings.NewReader("123")); response.StatusCode != http.StatusOK {
+		t.Fatalf("status %d after the memory was given back", response.StatusCode)
+	}
+}
+
+// Guards against a caller who sends a body so slowly that it holds its memory for ever.
+func TestSlowCaller(t *testing.T) {
+	settings := caller.Defaults()
+	settings.ReadTimeout = 20
+	server := newServer(t, &dispatcher{}, settings)
+	connection, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	if _, err := io.WriteString(connection, "POST /v1/services/checks/requests HTTP/1.1\r\nHost: x\r\nTeam: t\r\nContent-Length: 10\r\n\r\nabc"); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, _ := io.ReadAll(response.Body)
+	assertError(t, response, string(text), 408, "IncompleteBody", outcome.NotRun, false)
+}
+
+// Guards against a stream that broke off and looks complete to the caller, and against a stream
+// that does not start at the requested offset.
+func TestStream(t *testing.T) {
+	fake := &dispatcher{chunks: []string{"0123456789"}}
+	server := newServer(t, fake, caller.Defaults())
+	get := func(query string) (*http.Response, string, error) {
+		request, _ := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL+"/v1/services/checks/streams/sheet"+query, nil)
+		request.Header.Set("Team", "t")
+		response, err := server.Client().Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = response.Body.Close() }()
+		text, err := io.ReadAll(response.Body)
+		return response, string(text), err
+	}
+	response, text, err := get("?Offset=4")
+	if err != nil || text != "456789" || response.Header.Get("Stream-Offset") != "4" {
+		t.Fatalf("%q %v %v", text, response.Header, err)
+	}
+	response, text, _ = get("?Offset=-1")
+	assertError(t, response, text, 400, "MalformedOffset", outcome.NotRun, false)
+	fake.err = dispatch.ErrUnknown{Reason: dispatch.Outage}
+	if _, text, err = get(""); !errors.Is(err, io.ErrUnexpectedEOF) || text != "0123456789" {
+		t.Fatalf("%q %v", text, err)
+	}
+	fake.chunks = nil
+	response, text, _ = get("")
+	assertError(t, response, text, 503, "Outage", outcome.Unknown, false)
+}
--- a/routing/result.go
+++ b/routing/result.go
@@ -68,13 +68,15 @@
 	return count
 }
 
-// eject takes the endpoint out for a while, unless a third of the candidates is out already. It
-// ramps up afterwards.
+// eject takes the endpoint out for a while, unless a third of the service's candidates is out
+// already. It ramps up afterwards. The request may have been routed by an older view, so the limit
+// refers to the newest one.
 func (view *View) eject(now clock.Time, seen *track) {
 	router := view.router
 	router.mu.Lock()
 	defer router.mu.Unlock()
-	if seen.ejectedUntil.Load() > int64(now) || 3*(view.Ejected(now)+1) > len(view.members) {
+	newest := router.newest[view.service]
+	if seen.ejectedUntil.Load() > int64(now) || 3*(newest.Ejected(now)+1) > len(newest.members) {
 		return
 	}
 	times := min(seen.ejections.Add(1), 16)
--- a/routing/router.go
+++ b/routing/router.go
@@ -47,11 +47,13 @@
 	draws    atomic.Uint64
 	mu       sync.Mutex
 	tracks   map[ident.Endpoint]*track
+	// newest holds the newest view of each service, which the limit on ejections refers to.
+	newest map[ident.Service]*View
 }
 
 // New returns a router without endpoints.
 func New(settings Settings) *Router {
-	return &Router{settings: settings, tracks: map[ident.Endpoint]*track{}}
+	return &Router{settings: settings, tracks: map[ident.Endpoint]*track{}, newest: map[ident.Service]*View{}}
 }
 
 // NewView prepares a view of candidates. Endpoints seen for the first time, and those with a new
@@ -85,6 +87,7 @@
 	for ejected := view.Ejected(now); 3*ejected > len(view.members); ejected-- {
 		view.lift(now)
 	}
+	router.newest[service] = view
 	return view
 }
 
