--- a/setting/daemon.go
+++ b/setting/daemon.go
@@ -17,7 +17,7 @@
 	CertificateFile string `kind:"file" optional:"true" doc:"Certificate in PEM form"`
 	KeyFile         string `kind:"file" optional:"true" doc:"Private key in PEM form"`
 	AuthorityFile   string `kind:"file" optional:"true" doc:"Certificates in PEM form of the authorities of other daemons"`
-	AllowPlaintext  bool   `default:"false" doc:"Listen without a certificate on addresses other than loopback"`
+	AllowPlaintext  bool   `optional:"true" doc:"Listen without a certificate on addresses other than loopback"`
 }
 
 func (tls TLS) check(reader *reader) {
