--- a/entry/operations.go
+++ b/entry/operations.go
@@ -14,6 +14,9 @@
 	"hyssopjunction/unit"
 )
 
+// defaultDrain bounds the drain of a data centre for which operators named no bound.
+const defaultDrain = 5 * clock.Minute
+
 // retryAfterOutage is told to operators whose change could not be made.
 const retryAfterOutage = 2 * clock.Second
 
@@ -133,6 +136,9 @@
 func (operations *operations) SetDataCentre(ctx context.Context, call operator.Call, change operator.DataCentreChange) (operator.Accepted, error) {
 	have, known := operations.view().DataCentre(change.DataCentre)
 	value := config.DataCentre{Open: change.State == operator.In, Region: operations.entry.settings.Region, DrainMillis: change.DrainMillis}
+	if value.DrainMillis == 0 {
+		value.DrainMillis = defaultDrain
+	}
 	if known {
 		value.Region = have.Region
 		if change.DrainMillis == 0 {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
 
 	"golang.org/x/sync/errgroup"
 
@@ -26,8 +27,11 @@
 	Endpoints map[ident.Endpoint]*Endpoint
 
 	addresses map[ident.Endpoint]string
-	cancel    context.CancelFunc
-	ticking   chan struct{} // closed when the ticker has ended
+	mu        sync.Mutex
+	// serving holds the addresses of the endpoints that ServeEndpoint started.
+	serving map[ident.Endpoint]string
+	cancel  context.CancelFunc
+	ticking chan struct{} // closed when the ticker has ended
 }
 
 // New returns a Platform in which nothing listens yet. Its ticker runs until Close.
@@ -44,6 +48,7 @@
 		Workers:   make(map[ident.Worker]*Worker),
 		Endpoints: make(map[ident.Endpoint]*Endpoint),
 		addresses: make(map[ident.Endpoint]string),
+		serving:   make(map[ident.Endpoint]string),
 		ticking:   make(chan struct{}),
 	}
 	platform.addWorkers(settings, seed)
@@ -129,6 +134,24 @@
 	return group.Wait()
 }
 
+// ServeEndpoint lets one endpoint listen on its address and returns the address it listens on. A
+// repeated call returns the same address. Close of the endpoint ends it.
+func (platform *Platform) ServeEndpoint(name ident.Endpoint) (string, error) {
+	platform.mu.Lock()
+	defer platform.mu.Unlock()
+	if address, ok := platform.serving[name]; ok {
+		return address, nil
+	}
+	inner, err := net.Listen("tcp", platform.addresses[name])
+	if err != nil {
+		return "", fmt.Errorf("endpoint %s: %w", name, err)
+	}
+	platform.serving[name] = inner.Addr().String()
+	served := platform.Endpoints[name]
+	go func() { _ = served.Serve(inner) }()
+	return platform.serving[name], nil
+}
+
 // Close stops the ticker and returns when it has ended.
 func (platform *Platform) Close() {
 	platform.cancel()
--- a/standin/response.go
+++ b/standin/response.go
@@ -92,3 +92,17 @@
 
 // connectionKey is the key of the request context's connection.
 type connectionKey struct{}
+
+// ParseAnswer reads the JSON body of a response. It returns ErrBadPayload if it is not one.
+func ParseAnswer(body []byte) (Answer, error) {
+	var answer Answer
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return answer, ErrBadPayload{Reason: err.Error()}
+	}
+	return answer, nil
+}
+
+// Answers reports whether the answer is to a request with the given body.
+func (answer Answer) Answers(body []byte) bool {
+	return answer.BodyBytes == len(body) && answer.BodySum == crc32.ChecksumIEEE(body)
+}
