--- a/admission/queue.go
+++ b/admission/queue.go
@@ -89,7 +89,7 @@
 func (controller *Controller) fillSlots(now clock.Time, actions []Action) []Action {
 	for controller.room() && controller.queue.len() > 0 && !controller.leaving {
 		waiting := controller.next()
-		if controller.running > 0 && controller.late(now, waiting) {
+		if controller.late(now, waiting) {
 			controller.dequeue(waiting)
 			actions = controller.refuse(actions, now, waiting.Request, Patience, controller.service.whole())
 			continue
--- a/caller/handler_test.go
+++ b/caller/handler_test.go
@@ -77,7 +77,13 @@
 	return server
 }
 
-func post(t *testing.T, server *httptest.Server, body io.Reader, headers ...string) (*http.Response, string) {
+// received is a response whose body was read.
+type received struct {
+	StatusCode int
+	Header     http.Header
+}
+
+func post(t *testing.T, server *httptest.Server, body io.Reader, headers ...string) (received, string) {
 	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL+"/v1/services/checks/requests", body)
 	if err != nil {
@@ -96,11 +102,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return response, string(text)
+	return received{StatusCode: response.StatusCode, Header: response.Header}, string(text)
 }
 
 // assertError checks status, type, outcome and retry-after of an error response.
-func assertError(t *testing.T, response *http.Response, text string, status int, kind string, known outcome.Outcome, retry bool) {
+func assertError(t *testing.T, response received, text string, status int, kind string, known outcome.Outcome, retry bool) {
 	t.Helper()
 	var body caller.ErrorBody
 	if err := json.Unmarshal([]byte(text), &body); err != nil {
@@ -245,7 +251,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	text, _ := io.ReadAll(response.Body)
-	assertError(t, response, string(text), 408, "IncompleteBody", outcome.NotRun, false)
+	assertError(t, received{StatusCode: response.StatusCode, Header: response.Header}, string(text), 408, "IncompleteBody", outcome.NotRun, false)
 }
 
 // Guards against a stream that broke off and looks complete to the caller, and against a stream
@@ -253,7 +259,7 @@
 func TestStream(t *testing.T) {
 	fake := &dispatcher{chunks: []string{"0123456789"}}
 	server := newServer(t, fake, caller.Defaults())
-	get := func(query string) (*http.Response, string, error) {
+	get := func(query string) (received, string, error) {
 		request, _ := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL+"/v1/services/checks/streams/sheet"+query, nil)
 		request.Header.Set("Team", "t")
 		response, err := server.Client().Do(request)
@@ -262,7 +268,7 @@
 		}
 		defer func() { _ = response.Body.Close() }()
 		text, err := io.ReadAll(response.Body)
-		return response, string(text), err
+		return received{StatusCode: response.StatusCode, Header: response.Header}, string(text), err
 	}
 	response, text, err := get("?Offset=4")
 	if err != nil || text != "456789" || response.Header.Get("Stream-Offset") != "4" {
