Add waves of noise, rate limits and idempotent services to the stand-in

Cause: interference changes with load, the table serves only several hundred writes and about 2,000 reads a second, and a retry of an idempotent request is no violation. The records of endpoints grew without bound.

Change: WaveMillis in a task's payload alternates its load; ReadsPerSecond and WritesPerSecond refuse calls of the table above the rate, and its counts give the busiest second; endpoints have the setting Idempotent in place of a request header, and keep the newest 500,000 request ids.

Conclusion: overload of the table and noisy neighbours can be tested.

--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -50,9 +50,14 @@
 				continue
 			}
 			checker := &reader{file: name}
-			if field.Type.Kind() == reflect.String {
+			switch field.Type.Kind() {
+			case reflect.String:
 				checker.checkString(name, field, text)
-			} else {
+			case reflect.Bool:
+				if text != "true" && text != "false" {
+					t.Errorf("default of %s is %q", name, text)
+				}
+			default:
 				number, err := strconv.ParseFloat(text, 64)
 				if err != nil || field.Tag.Get("min") == "" || field.Tag.Get("max") == "" {
 					t.Errorf("%s has no range or a default that is no number: %v", name, err)
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -17,10 +17,11 @@
 	"hyssopjunction/ident"
 )
 
-// Default limits of an endpoint, as in the current deployments.
+// Default limits of an endpoint. Slots and connections are those of the current deployments.
 const (
 	DefaultSlots       = 8
 	DefaultConnections = 64
+	DefaultRequestIDs  = 500_000
 )
 
 // maxRequestBytes bounds the memory a request can take.
@@ -35,6 +36,10 @@
 	Seed        uint64
 	Slots       int
 	Connections int
+	// RequestIDs is the number of newest request ids whose executions are recorded.
+	RequestIDs int
+	// Idempotent is true if requests of the service may run more than once.
+	Idempotent bool
 	// MedianMillis is the median service time.
 	MedianMillis clock.Millis
 	// Spread is the standard deviation of the logarithm of the service time; 0 is constant.
@@ -64,6 +69,7 @@
 	previous response
 	records  EndpointRecords
 	byID     map[ident.Request]*Execution
+	order    []ident.Request // the keys of byID, oldest first
 }
 
 // NewEndpoint returns a healthy Endpoint that serves once Serve is called.
@@ -74,6 +80,9 @@
 	if options.Connections == 0 {
 		options.Connections = DefaultConnections
 	}
+	if options.RequestIDs == 0 {
+		options.RequestIDs = DefaultRequestIDs
+	}
 	if options.ChunkBytes == 0 {
 		options.ChunkBytes = 256
 	}
--- a/standin/endpoint_test.go
+++ b/standin/endpoint_test.go
@@ -71,7 +71,7 @@
 // Guards against responses that can't be checked by their receiver and executions that are not
 // counted, so that a doubled run would go unnoticed.
 func TestEndpointAnswersAndCounts(t *testing.T) {
-	endpoint, address, _ := serve(t, standin.EndpointOptions{ResponseBytes: 500})
+	endpoint, address, _ := serve(t, standin.EndpointOptions{ResponseBytes: 500, RequestIDs: 1})
 	client := caller(t)
 	for run := 1; run <= 2; run++ {
 		response, err := send(client, address, "r1", "roster")
@@ -91,6 +91,22 @@
 	execution, ok := endpoint.Execution("r1")
 	assertEqual(t, ok, true)
 	assertEqual(t, execution, standin.Execution{Request: "r1", Runs: 2, First: 1_000, Last: 1_000})
+	_, err := send(client, address, "r2", "")
+	assertNoError(t, err)
+	_, ok = endpoint.Execution("r1")
+	assertEqual(t, []bool{ok, endpoint.Records().Dropped == 1}, []bool{false, true})
+}
+
+// Guards against a retry that the service allows being counted as a violation.
+func TestEndpointIdempotentService(t *testing.T) {
+	endpoint, address, _ := serve(t, standin.EndpointOptions{Idempotent: true})
+	client := caller(t)
+	for range 2 {
+		_, err := send(client, address, "r1", "")
+		assertNoError(t, err)
+	}
+	records := endpoint.Records()
+	assertEqual(t, []int{records.RepeatedRuns, records.DoubledRuns}, []int{1, 0})
 }
 
 // Guards against limits that are exceeded without a record, and a record without a violation.
--- a/standin/endpointrecords.go
+++ b/standin/endpointrecords.go
@@ -12,8 +12,6 @@
 	Request ident.Request
 	// Key is the caller's idempotency key, if the request has one.
 	Key ident.Key
-	// Idempotent is true if the request said that it may run more than once.
-	Idempotent bool
 	// Runs is the number of times the request was executed.
 	Runs int
 	// First and Last are the starts of the first and of the last execution.
@@ -25,10 +23,13 @@
 type EndpointRecords struct {
 	// Executed counts executions, including repeated ones.
 	Executed int
-	// DoubledRuns counts executions beyond the first of requests that are not idempotent.
+	// DoubledRuns counts executions beyond the first of a request id, unless the service is
+	// idempotent.
 	DoubledRuns int
-	// RepeatedRuns counts executions beyond the first of idempotent requests.
+	// RepeatedRuns counts executions beyond the first of a request id of an idempotent service.
 	RepeatedRuns int
+	// Dropped counts request ids whose record was dropped; their repetition goes unnoticed.
+	Dropped int
 	// WithoutID counts executions of requests without a Request-Id.
 	WithoutID int
 	// SlotsPeak and ConnectionsPeak are the most used at the same time.
@@ -49,8 +50,6 @@
 const (
 	HeaderRequestID  = "Request-Id"
 	HeaderRequestKey = "Request-Key"
-	// HeaderIdempotent is "true" on requests that may run more than once.
-	HeaderIdempotent = "Idempotent"
 )
 
 // begin records the start of an execution.
@@ -73,16 +72,15 @@
 	execution := endpoint.byID[id]
 	if execution == nil {
 		execution = &Execution{
-			Request: id, Key: ident.Key(request.Header.Get(HeaderRequestKey)),
-			Idempotent: request.Header.Get(HeaderIdempotent) == "true", First: now,
+			Request: id, Key: ident.Key(request.Header.Get(HeaderRequestKey)), First: now,
 		}
-		endpoint.byID[id] = execution
+		endpoint.remember(execution)
 	}
 	execution.Runs++
 	execution.Last = now
 	switch {
 	case execution.Runs == 1:
-	case execution.Idempotent:
+	case endpoint.options.Idempotent:
 		records.RepeatedRuns++
 	default:
 		records.DoubledRuns++
@@ -90,6 +88,18 @@
 	return *execution
 }
 
+// remember adds the record of a new request id and drops the oldest one above the limit. The caller
+// holds mu.
+func (endpoint *Endpoint) remember(execution *Execution) {
+	endpoint.byID[execution.Request] = execution
+	endpoint.order = append(endpoint.order, execution.Request)
+	if len(endpoint.order) > endpoint.options.RequestIDs {
+		delete(endpoint.byID, endpoint.order[0])
+		endpoint.order = endpoint.order[1:]
+		endpoint.records.Dropped++
+	}
+}
+
 // finish frees the slot and returns the response to send.
 func (endpoint *Endpoint) finish(own response, drawn fate) response {
 	endpoint.mu.Lock()
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -23,6 +23,10 @@
 	LoseRate float64
 	// ErrorRate is the probability, from 0 to 1, that a call is refused without effect.
 	ErrorRate float64
+	// ReadsPerSecond and WritesPerSecond are the rates above which the table refuses calls; 0 means
+	// no limit. The object store ignores them.
+	ReadsPerSecond  int
+	WritesPerSecond int
 }
 
 // Valid returns ErrBadFault if a value is out of range.
@@ -30,8 +34,8 @@
 	switch {
 	case faults.DelayMillis < 0 || faults.AnswerDelayMillis < 0:
 		return ErrBadFault{Reason: "delays must not be negative"}
-	case faults.LoseNext < 0:
-		return ErrBadFault{Reason: "LoseNext must not be negative"}
+	case faults.LoseNext < 0 || faults.ReadsPerSecond < 0 || faults.WritesPerSecond < 0:
+		return ErrBadFault{Reason: "LoseNext and rates per second must not be negative"}
 	case !isRate(faults.LoseRate) || !isRate(faults.ErrorRate):
 		return ErrBadFault{Reason: "rates must be from 0 to 1"}
 	}
--- a/standin/payload.go
+++ b/standin/payload.go
@@ -9,6 +9,12 @@
 	"hyssopjunction/worker"
 )
 
+// minWave bounds the number of simulated changes of load.
+const minWave = 100 * clock.Millisecond
+
+// quietPercent is the load of a task in the quiet part of its wave.
+const quietPercent = 25
+
 // Payload tells a simulated task how to behave. It is the JSON form of worker.Spec.Payload.
 type Payload struct {
 	// RunMillis is the run time of a batch task that runs alone and unthrottled.
@@ -19,6 +25,9 @@
 	ActualCPU unit.MilliCPU
 	// ActualMemory is the memory the task really uses; 0 means the declared one.
 	ActualMemory unit.Mebibytes
+	// WaveMillis makes the task alternate between full load and quietPercent of it, each for
+	// WaveMillis; 0 means constant load. Its own progress does not change.
+	WaveMillis clock.Millis
 	// Class selects the task's row and column of the interference matrix.
 	Class string
 }
@@ -51,6 +60,9 @@
 	if payload.RunMillis < 0 || payload.FailAfterMillis < 0 || payload.ActualCPU < 0 || payload.ActualMemory < 0 {
 		return Payload{}, ErrBadPayload{Reason: "values must not be negative"}
 	}
+	if payload.WaveMillis != 0 && payload.WaveMillis < minWave {
+		return Payload{}, ErrBadPayload{Reason: fmt.Sprintf("WaveMillis must be 0 or at least %d", minWave)}
+	}
 	return payload, nil
 }
 
--- a/standin/simulation.go
+++ b/standin/simulation.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"hyssopjunction/clock"
@@ -66,6 +67,11 @@
 	now := runtime.options.Clock.Now()
 	for {
 		task, at, state := runtime.nextEnd()
+		if wave := runtime.nextWave(); wave <= now && (task == nil || wave.Before(at)) {
+			runtime.progressTo(wave)
+			runtime.observe()
+			continue
+		}
 		if task == nil || at.After(now) {
 			break
 		}
@@ -98,6 +104,26 @@
 	return next, max(at, runtime.settled), state
 }
 
+// nextWave returns the next time at which the load of a running task changes.
+func (runtime *Worker) nextWave() clock.Time {
+	next := clock.Time(math.MaxInt64)
+	for _, task := range runtime.tasks {
+		if wave := task.payload.WaveMillis; wave > 0 && task.state == worker.Running {
+			passed := runtime.settled.Sub(task.run.Start) / wave
+			next = min(next, task.run.Start.Add((passed+1)*wave))
+		}
+	}
+	return next
+}
+
+// load returns the task's load in percent at the settled time, under its throttle and wave.
+func (runtime *Worker) load(task *simulated) int {
+	if wave := task.payload.WaveMillis; wave > 0 && runtime.settled.Sub(task.run.Start)/wave%2 == 1 {
+		return task.throttle * quietPercent / 100
+	}
+	return task.throttle
+}
+
 func (runtime *Worker) progressTo(at clock.Time) {
 	elapsed := int64(at.Sub(runtime.settled))
 	if elapsed > 0 && !runtime.faults.Paused {
@@ -127,7 +153,7 @@
 		}
 		used += runtime.usage(other).CPU
 		if other != self {
-			percent += runtime.options.Matrix.extra(class, other.payload.Class, other.throttle)
+			percent += runtime.options.Matrix.extra(class, other.payload.Class, runtime.load(other))
 		}
 	}
 	if self != nil {
@@ -141,10 +167,10 @@
 	return max(1, percent)
 }
 
-// usage returns what the task uses under its throttle.
+// usage returns what the task uses under its throttle and wave.
 func (runtime *Worker) usage(task *simulated) unit.Resources {
 	actual := task.payload.actual(task.spec.Resources)
-	actual.CPU = actual.CPU * unit.MilliCPU(task.throttle) / 100
+	actual.CPU = actual.CPU * unit.MilliCPU(runtime.load(task)) / 100
 	return actual
 }
 
--- a/standin/table.go
+++ b/standin/table.go
@@ -54,6 +54,9 @@
 	Conflicts int
 	Refused   int
 	Lost      int
+	// PeakReads and PeakCommits are the most admitted reads and commits in one second of the clock.
+	PeakReads   int
+	PeakCommits int
 }
 
 // Table is an in-memory table.Store. It is safe for concurrent use.
@@ -66,6 +69,9 @@
 	keys    []table.Key // sorted, including keys of deleted rows
 	history map[table.Key][]Commit
 	counts  TableCounts
+	second  clock.Time // start of the second that reads and commits count
+	reads   int
+	commits int
 }
 
 // NewTable returns an empty, healthy Table.
@@ -102,7 +108,7 @@
 
 // Get returns one row. A missing row is a Row with Revision 0 and no error.
 func (store *Table) Get(ctx context.Context, key table.Key) (table.Row, error) {
-	if err := store.admit(ctx); err != nil {
+	if err := store.admit(ctx, false); err != nil {
 		return table.Row{}, err
 	}
 	store.mu.Lock()
@@ -118,7 +124,7 @@
 // Range returns up to limit existing rows whose keys start with prefix and are greater than after,
 // in ascending order of key. A limit of zero or less returns no rows.
 func (store *Table) Range(ctx context.Context, prefix, after table.Key, limit int) ([]table.Row, error) {
-	if err := store.admit(ctx); err != nil {
+	if err := store.admit(ctx, false); err != nil {
 		return nil, err
 	}
 	return store.scan(prefix, after, limit), store.answerRead(ctx)
@@ -143,7 +149,7 @@
 
 // Commit applies the transaction if all its conditions hold.
 func (store *Table) Commit(ctx context.Context, transaction table.Transaction) (table.Result, error) {
-	if err := store.admit(ctx); err != nil {
+	if err := store.admit(ctx, true); err != nil {
 		return table.Result{}, err
 	}
 	if err := store.measure(transaction); err != nil {
@@ -157,16 +163,41 @@
 	return result, err
 }
 
-func (store *Table) admit(ctx context.Context) error {
+// admit applies the faults in force to a call before its effect.
+func (store *Table) admit(ctx context.Context, commit bool) error {
 	switch store.injector.before(ctx) {
 	case refused:
 		store.count(func(counts *TableCounts) { counts.Refused++ })
 		return table.ErrUnavailable{Reason: "stand-in refuses calls", RetryAfter: outageRetry}
 	case abandoned:
 		return table.ErrUnavailable{Reason: context.Cause(ctx).Error(), RetryAfter: outageRetry}
-	default:
-		return nil
 	}
+	if !store.withinRate(commit) {
+		store.count(func(counts *TableCounts) { counts.Refused++ })
+		return table.ErrUnavailable{Reason: "rate limit", RetryAfter: outageRetry}
+	}
+	return nil
+}
+
+// withinRate counts the call in the current second, unless the rate in force is used up.
+func (store *Table) withinRate(commit bool) bool {
+	faults := store.injector.get()
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	now := store.options.Clock.Now()
+	if second := now - now%clock.Time(clock.Second); second != store.second {
+		store.second, store.reads, store.commits = second, 0, 0
+	}
+	used, peak, limit := &store.reads, &store.counts.PeakReads, faults.ReadsPerSecond
+	if commit {
+		used, peak, limit = &store.commits, &store.counts.PeakCommits, faults.WritesPerSecond
+	}
+	if limit > 0 && *used >= limit {
+		return false
+	}
+	*used++
+	*peak = max(*peak, *used)
+	return true
 }
 
 // answerRead delays the answer to a read. Reads have no effect, so a lost answer is ErrUnavailable.
--- a/standin/table_test.go
+++ b/standin/table_test.go
@@ -144,8 +144,8 @@
 	})
 }
 
-// Guards against a delayed call that takes effect after its caller gave up, and against a seed that
-// does not determine which calls fail.
+// Guards against a delayed call that takes effect after its caller gave up, calls above the rate that
+// are served or not counted, and a seed that does not determine which calls fail.
 func TestTableDelayAndSeed(t *testing.T) {
 	store := newTable(1)
 	assertNoError(t, store.SetFaults(standin.StoreFaults{DelayMillis: 50}))
@@ -154,6 +154,12 @@
 	_, err := store.Commit(ctx, put("w1", "a", 0, "v"))
 	assertEqual(t, table.IsErrUnavailable(err), true)
 	assertEqual(t, store.Counts(), standin.TableCounts{})
+	assertNoError(t, store.SetFaults(standin.StoreFaults{WritesPerSecond: 1}))
+	_, err = store.Commit(t.Context(), put("w1", "a", 0, "v"))
+	assertNoError(t, err)
+	_, err = store.Commit(t.Context(), put("w2", "b", 0, "v"))
+	assertEqual(t, err, error(table.ErrUnavailable{Reason: "rate limit", RetryAfter: clock.Second}))
+	assertEqual(t, store.Counts(), standin.TableCounts{Commits: 1, Refused: 1, PeakCommits: 1})
 
 	outcomes := func(seed uint64) string {
 		store, pattern := newTable(seed), ""
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -97,7 +97,7 @@
 	if err != nil {
 		return worker.ErrStartFailed{Task: spec.Task, Reason: err.Error()}
 	}
-	from, err := runtime.load(ctx, spec)
+	from, err := runtime.restore(ctx, spec)
 	if err != nil {
 		return err
 	}
@@ -155,8 +155,8 @@
 	}
 }
 
-// load returns the progress saved in the checkpoint that spec resumes from.
-func (runtime *Worker) load(ctx context.Context, spec worker.Spec) (clock.Millis, error) {
+// restore returns the progress saved in the checkpoint that spec resumes from.
+func (runtime *Worker) restore(ctx context.Context, spec worker.Spec) (clock.Millis, error) {
 	name := spec.Checkpoint.Name
 	if name == "" {
 		return 0, nil
--- a/standin/worker_test.go
+++ b/standin/worker_test.go
@@ -207,6 +207,28 @@
 	assertEqual(t, runtime.EndpointSlowdown("other"), 200)
 }
 
+// Guards against a wave of a noisy task that changes neither its usage nor the progress beside it.
+func TestWave(t *testing.T) {
+	hall := newHall(1)
+	runtime := hall.workers[0]
+	noise := ident.Task{Job: "noise"}
+	assertNoError(t, runtime.Start(t.Context(), spec(noise, 1, standin.Payload{RunMillis: 9_000, Class: "noise", WaveMillis: 400}), hall.expiry(99_000)))
+	assertNoError(t, runtime.Start(t.Context(), spec(task, 1, standin.Payload{RunMillis: 520, Class: "layout"}), hall.expiry(99_000)))
+	hall.clock.Advance(700) // progress 200 at half speed, then 240 at four fifths
+	report, err := runtime.List(t.Context())
+	assertNoError(t, err)
+	assertEqual(t, []int{report.Usage[0].Slowdown, int(report.Usage[1].Resources.CPU)}, []int{125, 250})
+	hall.clock.Advance(99)
+	assertEqual(t, statusOf(t, runtime, task).State, worker.Running)
+	hall.clock.Advance(1)
+	assertEqual(t, statusOf(t, runtime, task).State, worker.Finished)
+	assertEqual(t, standin.IsErrBadPayload(onlyError(standin.ParsePayload(`{"WaveMillis":99}`))), true)
+}
+
+func onlyError[Value any](_ Value, err error) error {
+	return err
+}
+
 // Guards against tasks that can never run, fail by themselves or meet a broken worker being reported
 // as anything but failed.
 func TestFailures(t *testing.T) {
