Make the linter pass on the daemons

Cause: golangci-lint reported 6 issues in the new daemons.

Change: consistent receivers, inferred types, unused fields removed.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -73,7 +73,6 @@
 	granted  uint64
 	complete bool
 	leaving  bool
-	stopping bool
 
 	kick     chan struct{}
 	reported chan struct{}
--- a/cmd/daemon.go
+++ b/cmd/daemon.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"go.uber.org/fx"
-	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"k8s.io/klog/v2"
 
@@ -37,7 +36,7 @@
 }
 
 func newPools(lifecycle fx.Lifecycle, ring *keys.Ring) pools {
-	var transport credentials.TransportCredentials = insecure.NewCredentials()
+	transport := insecure.NewCredentials()
 	if ring != nil {
 		transport = ring.ClientCredentials()
 	}
--- a/cmd/standalone.go
+++ b/cmd/standalone.go
@@ -33,7 +33,7 @@
 
 // Execute runs the sample system and prints the outcome.
 func (command *standaloneCommand) Execute([]string) error {
-	var log io.Writer = io.Discard
+	log := io.Discard
 	if command.Log != "" {
 		file, err := os.Create(command.Log)
 		if err != nil {
--- a/entry/actions.go
+++ b/entry/actions.go
@@ -94,7 +94,7 @@
 	for _, key := range action.Keys {
 		row, err := entry.store.Get(ctx, key)
 		if err != nil {
-			entry.post(placement.ReadFailed{Keys: action.Keys})
+			entry.post(placement.ReadFailed(action))
 			return
 		}
 		row.Key = key
--- a/entry/silent.go
+++ b/entry/silent.go
@@ -17,8 +17,7 @@
 
 // silence is a worker that was not heard of in time.
 type silence struct {
-	incarnation ident.Incarnation
-	due         clock.Time
+	due clock.Time
 }
 
 // reviewSilent reads the rows of silent workers and ends the incarnations whose granter can
--- a/standalone/outcome.go
+++ b/standalone/outcome.go
@@ -41,12 +41,12 @@
 }
 
 // Clean reports whether nothing was lost, duplicated or above a limit.
-func (outcome Outcome) Clean() bool {
-	return outcome.Lost == 0 && outcome.Duplicated == 0 && outcome.Crossed == 0 && outcome.LimitsExceeded == 0
+func (counted Outcome) Clean() bool {
+	return counted.Lost == 0 && counted.Duplicated == 0 && counted.Crossed == 0 && counted.LimitsExceeded == 0
 }
 
 // Print writes the result for people.
-func (outcome Outcome) Print(out io.Writer) error {
+func (counted Outcome) Print(out io.Writer) error {
 	_, err := fmt.Fprintf(out, `Requests   done %d, not run %d, unknown %d, answered from the first run %d
 Tasks      finished %d, unfinished %d, evictions %d, resumes %d
 Lost       %d
@@ -54,9 +54,9 @@
 Crossed    %d
 Limits     exceeded %d
 Elapsed    %s
-`, outcome.RequestsDone, outcome.RequestsNotRun, outcome.RequestsUnknown, outcome.Replayed,
-		outcome.TasksFinished, outcome.TasksUnfinished, outcome.Evictions, outcome.Resumes,
-		outcome.Lost, outcome.Duplicated, outcome.Crossed, outcome.LimitsExceeded, outcome.ElapsedMillis)
+`, counted.RequestsDone, counted.RequestsNotRun, counted.RequestsUnknown, counted.Replayed,
+		counted.TasksFinished, counted.TasksUnfinished, counted.Evictions, counted.Resumes,
+		counted.Lost, counted.Duplicated, counted.Crossed, counted.LimitsExceeded, counted.ElapsedMillis)
 	return err
 }
 
