--- a/agent/announce.go
+++ b/agent/announce.go
@@ -62,7 +62,7 @@
 			agent.complete = true
 		}
 	})
-	klog.ErrorS(err, "Announcement had no answer", "Worker", agent.settings.Worker, "Entry", target, "Moved", moved)
+	klog.InfoS("Announcement had no answer", "Worker", agent.settings.Worker, "Entry", target, "Moved", moved, "Reason", err.Error())
 	if moved {
 		wake(agent.kick)
 	}
--- a/membership/settings.go
+++ b/membership/settings.go
@@ -35,7 +35,9 @@
 func DefaultSettings() Settings {
 	return Settings{
 		RenewMillis:       5 * clock.Second,
-		EntryExpiryMillis: 16 * clock.Second,
+		// Agents of a dead entry must have a new home before they stop their tasks, 16 s after their
+		// last heartbeat: 8 s to notice, 4 s to the next heartbeat and its repetition.
+		EntryExpiryMillis: 8 * clock.Second,
 		OutageGraceMillis: 3700 * clock.Second,
 		LeaseTermMillis:   20 * clock.Second,
 		// 2% of the term plus 500 ms.
--- a/standalone/deployment.go
+++ b/standalone/deployment.go
@@ -21,6 +21,7 @@
 	"hyssopjunction/endpoint"
 	"hyssopjunction/entry"
 	"hyssopjunction/ident"
+	"hyssopjunction/membership"
 	"hyssopjunction/operator"
 	"hyssopjunction/setting"
 	"hyssopjunction/standin"
@@ -52,6 +53,8 @@
 	Heartbeat clock.Millis
 	Watch     clock.Millis
 	Term      clock.Millis
+	// Membership are the times of failure detection between daemons.
+	Membership membership.Settings
 }
 
 // Deployment is a running system. Entries and agents can be stopped and started one by one.
@@ -194,7 +197,7 @@
 	settings.ID, settings.Region, settings.DataCentre = id, deployment.layout.Region, centre
 	settings.ControlAddress, settings.CallerAddress = listeners.Control.Addr().String(), node.caller
 	settings.Round, settings.Seed = 100*clock.Millisecond, deployment.layout.Seed
-	settings.Lease.Term = deployment.layout.Term
+	settings.Lease.Term, settings.Membership = deployment.layout.Term, deployment.layout.Membership
 	daemon, err := entry.New(ctx, settings, entry.Dependencies{
 		Clock: deployment.time, Table: node.store, Traffic: node.pools[0], Control: node.pools[1],
 	})
--- a/standalone/run.go
+++ b/standalone/run.go
@@ -8,6 +8,7 @@
 	"hyssopjunction/clock"
 	"hyssopjunction/config"
 	"hyssopjunction/ident"
+	"hyssopjunction/membership"
 	"hyssopjunction/operator"
 	"hyssopjunction/outcome"
 	"hyssopjunction/setting"
@@ -45,9 +46,23 @@
 		Workers: 3, Services: []ident.Service{checks, entries}, CPU: 16_000, Memory: 60 << 10,
 		Interference: []setting.Interference{{Victim: string(checks), Aggressor: "layout", Percent: 10}},
 		Seed:         1, Heartbeat: 300 * clock.Millisecond, Watch: 100 * clock.Millisecond, Term: 5 * clock.Second,
+		Membership: shortMembership(),
 	}
 }
 
+// shortMembership scales the membership times to the short lease: a dead entry must be noticed, and
+// its agents have a new home, well before their leases lapse.
+func shortMembership() membership.Settings {
+	settings := membership.DefaultSettings()
+	settings.RenewMillis = clock.Second
+	settings.EntryExpiryMillis = 2 * clock.Second
+	settings.WorkerExpiryMillis = 2 * clock.Second
+	settings.PeerExpiryMillis = 3 * clock.Second
+	settings.ExchangeMillis = 500 * clock.Millisecond
+	settings.UrgentMillis = 200 * clock.Millisecond
+	return settings
+}
+
 // Run starts the sample deployment, serves requests, runs jobs while a data centre leaves and
 // returns, and counts the outcome. Progress is written to out.
 func Run(ctx context.Context, out io.Writer) (Outcome, error) {
@@ -146,7 +161,7 @@
 func (run *sampleRun) until(ctx context.Context, awaited string, reached func() (bool, error)) error {
 	for {
 		done, err := reached()
-		if err != nil && ctx.Err() == nil {
+		if err != nil && !operator.IsErrRetryLater(err) && ctx.Err() == nil {
 			return err
 		}
 		if done {
