Read ended tasks from the runtime of a silent worker before placing again

In the agent subcommand the gate also had another incarnation than the agent, so that every request was refused.

Change: agents announce the address of the worker's runtime; the home reads the runtime's list before it declares an incarnation over, reports the ends in the agent's place, and waits while the list shows a running task; one incarnation for gate and agent, raised together; refusals are logged.

Conclusion: an end is lost only if the worker itself is lost before its agent could report it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -25,6 +25,8 @@
 	Follow(ctx context.Context, request *controlpb.FollowRequest, pass func(*controlpb.FollowChunk) error) error
 	State() *controlpb.EndpointState
 	SetSlowdown(percent int32)
+	// SetIncarnation makes requests to earlier incarnations be refused.
+	SetIncarnation(incarnation ident.Incarnation)
 	Leave()
 	Drain(ctx context.Context) error
 }
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -71,18 +71,19 @@
 // announcement builds the heartbeat.
 func (agent *Agent) announcement() *controlpb.AnnounceRequest {
 	state := &controlpb.WorkerState{
-		Worker:        string(agent.settings.Worker),
-		AgentAddress:  agent.settings.Address,
-		Incarnation:   uint64(agent.incarnation),
-		Sequence:      uint64(agent.sequence),
-		Region:        string(agent.settings.Region),
-		DataCentre:    string(agent.settings.DataCentre),
-		Rack:          string(agent.settings.Rack),
-		Capacity:      controlpb.FromResources(agent.ledger.Capacity()),
-		Used:          controlpb.FromResources(agent.ledger.Used()),
-		Draining:      agent.ledger.Draining(),
-		ConfigVersion: uint64(agent.config.Current().Version()),
-		Classes:       agent.classes(),
+		Worker:         string(agent.settings.Worker),
+		AgentAddress:   agent.settings.Address,
+		Incarnation:    uint64(agent.incarnation),
+		Sequence:       uint64(agent.sequence),
+		Region:         string(agent.settings.Region),
+		DataCentre:     string(agent.settings.DataCentre),
+		Rack:           string(agent.settings.Rack),
+		Capacity:       controlpb.FromResources(agent.ledger.Capacity()),
+		Used:           controlpb.FromResources(agent.ledger.Used()),
+		Draining:       agent.ledger.Draining(),
+		ConfigVersion:  uint64(agent.config.Current().Version()),
+		Classes:        agent.classes(),
+		RuntimeAddress: agent.settings.RuntimeAddress,
 	}
 	if agent.gate != nil {
 		state.Endpoint = agent.gate.State()
@@ -159,6 +160,9 @@
 		agent.renewed = 0
 		agent.tasks = map[ident.Task]*task{}
 		agent.complete = true
+		if agent.gate != nil {
+			agent.gate.SetIncarnation(agent.incarnation)
+		}
 	})
 }
 
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -15,6 +15,8 @@
 	Rack       ident.Rack
 	// Address is where entries reach the agent's gRPC service (IP number and port).
 	Address string
+	// RuntimeAddress is where the worker's runtime is reached by entries when the agent is silent.
+	RuntimeAddress string
 	// Balancer are addresses through which any entry's gRPC service is reached.
 	Balancer []string
 	// Heartbeat is the interval of announcements to the home entry.
--- a/cmd/agent.go
+++ b/cmd/agent.go
@@ -15,6 +15,7 @@
 	"hyssopjunction/clock"
 	"hyssopjunction/config"
 	"hyssopjunction/endpoint"
+	"hyssopjunction/ident"
 	"hyssopjunction/keys"
 	"hyssopjunction/probe"
 	"hyssopjunction/setting"
@@ -58,7 +59,7 @@
 			func(settings setting.Agent, source clock.Clock) (*keys.Ring, error) {
 				return newRing(settings.TLS, source)
 			},
-			newPools, newRuntime, newGate, config.NewPublisher,
+			newPools, newIncarnation, newRuntime, newGate, config.NewPublisher,
 		),
 		fx.Invoke(startAgent),
 	)
@@ -69,7 +70,7 @@
 }
 
 // newGate returns the admission control of the endpoint, or nil if the worker has none.
-func newGate(lifecycle fx.Lifecycle, settings setting.Agent, source clock.Clock) (agent.Gate, error) {
+func newGate(lifecycle fx.Lifecycle, settings setting.Agent, source clock.Clock, incarnation ident.Incarnation) (agent.Gate, error) {
 	if settings.Endpoint.Name == "" {
 		return nil, nil
 	}
@@ -84,7 +85,7 @@
 	client := endpoint.NewClient(source, limits)
 	admitted := endpoint.GateDefaults()
 	admitted.Endpoint, admitted.Service = settings.Endpoint.Name, settings.Endpoint.Service
-	admitted.Incarnation = newIncarnation()
+	admitted.Incarnation = incarnation
 	admitted.Admission.Slots = settings.Requests.Slots
 	admitted.Admission.Connections = settings.Requests.Connections
 	admitted.Admission.Queue = settings.Requests.Queue
@@ -96,7 +97,7 @@
 
 // startAgent starts the agent and its servers with the application and stops them gracefully.
 func startAgent(lifecycle fx.Lifecycle, settings setting.Agent, source clock.Clock, runtime worker.Runtime,
-	gate agent.Gate, connections pools, ring *keys.Ring, publisher *config.Publisher,
+	gate agent.Gate, connections pools, ring *keys.Ring, publisher *config.Publisher, incarnation ident.Incarnation,
 ) error {
 	listener, err := listen(settings.Listen.Control, ring, settings.TLS)
 	if err != nil {
@@ -107,6 +108,7 @@
 	converted.Region, converted.DataCentre, converted.Rack = settings.Identity.Region, settings.Identity.DataCentre, settings.Identity.Rack
 	converted.Address = advertised(settings.Listen.AdvertiseControl, settings.Listen.Control)
 	converted.Balancer = settings.Peers.Entries
+	converted.RuntimeAddress = settings.Worker.URL
 	converted.Heartbeat = settings.Tasks.HeartbeatMillis
 	converted.Watch = settings.Worker.PollMillis
 	converted.Shutdown = settings.Shutdown.BoundMillis
@@ -114,7 +116,7 @@
 	var page *http.Server
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			daemon := agent.New(converted, source, runtime, gate, connections.control, publisher, newIncarnation(), newRandom())
+			daemon := agent.New(converted, source, runtime, gate, connections.control, publisher, incarnation, newRandom())
 			var options []grpc.ServerOption
 			if ring != nil {
 				options = append(options, grpc.Creds(ring.ServerCredentials()))
--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -26,6 +26,7 @@
 	"hyssopjunction/operator"
 	"hyssopjunction/setting"
 	tables "hyssopjunction/table"
+	"hyssopjunction/worker"
 )
 
 // tableConnections bounds the connections of an entry to the table service.
@@ -185,9 +186,11 @@
 	converted.Lease = lease.Settings{Term: settings.Tasks.LeaseTermMillis, OutageGrace: settings.Tasks.OutageGraceMillis}
 	converted.Placement.ReservationTerm = settings.Tasks.ReservationTermMillis
 	converted.ConfigPoll = settings.Config.PollMillis
+	client := httpClient(workerConnections)
+	runtimes := func(address string, name ident.Worker) worker.Runtime { return worker.NewHTTP(address, name, client) }
 	for {
 		daemon, err := entry.New(ctx, converted, entry.Dependencies{
-			Clock: source, Table: store, Traffic: connections.traffic, Control: connections.control,
+			Clock: source, Table: store, Traffic: connections.traffic, Control: connections.control, Runtimes: runtimes,
 		})
 		if err == nil || !tables.IsErrUnavailable(err) {
 			return daemon, err
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"k8s.io/klog/v2"
+
 	"hyssopjunction/clock"
 	"hyssopjunction/outcome"
 	"hyssopjunction/retry"
@@ -103,5 +105,6 @@
 	if refused.RetryAfter <= 0 {
 		refused.RetryAfter = dispatcher.settings.RetryAfter
 	}
+	klog.InfoS("Request refused", "Request", flow.ID, "Reason", refused.Reason, "Refusal", last.refusal)
 	return refused
 }
--- a/endpoint/gate.go
+++ b/endpoint/gate.go
@@ -50,6 +50,9 @@
 	failures   int
 	idle       []chan struct{}
 
+	// incarnation is the agent's, which rises when the agent was fenced.
+	incarnation atomic.Uint64
+
 	commands chan func()
 	state    atomic.Pointer[controlpb.EndpointState]
 	slowdown atomic.Int32
@@ -80,6 +83,7 @@
 		ctx:        ctx, cancel: cancel,
 		control: make(chan struct{}),
 	}
+	gate.SetIncarnation(settings.Incarnation)
 	gate.slowdown.Store(undisturbed)
 	gate.publish()
 	go func() {
@@ -147,7 +151,7 @@
 // to an earlier incarnation never runs in this one.
 func (gate *Gate) misdirected(request *controlpb.ServeRequest) string {
 	switch {
-	case ident.Incarnation(request.GetIncarnation()) != gate.settings.Incarnation:
+	case request.GetIncarnation() != gate.incarnation.Load():
 		return "ErrIncarnation"
 	case ident.Endpoint(request.GetEndpoint()) != gate.settings.Endpoint,
 		ident.Service(request.GetService()) != gate.settings.Service:
@@ -157,10 +161,15 @@
 	}
 }
 
+// SetIncarnation makes requests to earlier incarnations of the agent be refused.
+func (gate *Gate) SetIncarnation(incarnation ident.Incarnation) {
+	gate.incarnation.Store(uint64(incarnation))
+}
+
 // Query tells what became of a request. An unknown incarnation or a request that was never seen is
 // not known.
 func (gate *Gate) Query(_ context.Context, request *controlpb.QueryRequest) *controlpb.QueryReply {
-	if ident.Incarnation(request.GetIncarnation()) != gate.settings.Incarnation {
+	if request.GetIncarnation() != gate.incarnation.Load() {
 		return &controlpb.QueryReply{Reply: gate.reply(request.GetRequest(), outcome.Unknown, "ErrIncarnation")}
 	}
 	var status admission.Status
--- a/entry/announce.go
+++ b/entry/announce.go
@@ -87,6 +87,9 @@
 		return
 	}
 	reply.Accepted = true
+	if known != nil {
+		known.runtime = state.GetRuntimeAddress()
+	}
 	now := entry.time.Now()
 	if known == nil || !entry.entries.MayGrant(now) {
 		return
--- a/entry/configure.go
+++ b/entry/configure.go
@@ -3,12 +3,34 @@
 import (
 	"k8s.io/klog/v2"
 
+	"hyssopjunction/clock"
 	"hyssopjunction/config"
 	"hyssopjunction/controlpb"
 	"hyssopjunction/ident"
 	"hyssopjunction/placement"
 )
 
+// bootstrapOperator is recorded as the author of the first configuration.
+const bootstrapOperator = "hyssopjunction"
+
+// bootstrap writes the default presets into a table that has no configuration.
+func (entry *Entry) bootstrap() {
+	for {
+		ctx, cancel := entry.call(4 * clock.Second)
+		err := entry.editor.Bootstrap(ctx, bootstrapOperator)
+		cancel()
+		if err == nil {
+			return
+		}
+		klog.V(1).InfoS("Configuration was not bootstrapped", "Reason", err.Error())
+		select {
+		case <-entry.time.After(clock.Second):
+		case <-entry.quit:
+			return
+		}
+	}
+}
+
 // followConfig applies each new configuration and pushes it to the agents homed here.
 func (entry *Entry) followConfig() {
 	applied := ident.Version(0)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,6 +24,7 @@
 	"hyssopjunction/retry"
 	"hyssopjunction/routing"
 	"hyssopjunction/table"
+	"hyssopjunction/worker"
 )
 
 // Connections gives connections to other daemons by their control address.
@@ -44,6 +45,8 @@
 	// up a silent connection of one kind does not cut the calls of the other.
 	Traffic Connections
 	Control Connections
+	// Runtimes returns the runtime of a worker at the address that its agent announced.
+	Runtimes func(address string, name ident.Worker) worker.Runtime
 }
 
 // Entry is the daemon. It is safe for concurrent use.
@@ -54,6 +57,7 @@
 	time         clock.Clock
 	store        table.Store
 	connections  Connections
+	runtimes     func(address string, name ident.Worker) worker.Runtime
 	publisher    *config.Publisher
 	reader       *config.Reader
 	editor       *config.Editor
@@ -123,6 +127,7 @@
 	incarnation := entries.Self().Incarnation
 	entry := &Entry{
 		settings: settings, time: dependencies.Clock, store: dependencies.Table, connections: dependencies.Control,
+		runtimes:  dependencies.Runtimes,
 		publisher: publisher, view: membership.NewPublisher(), router: routing.New(settings.Routing),
 		control: loop.New(), lanes: newLanes(), incarnation: incarnation,
 		entries: entries, workers: membership.NewWorkers(settings.ID, settings.Membership),
@@ -157,6 +162,7 @@
 	entry.every(clock.Second, nil, entry.settleGrants)
 	entry.every(clock.Minute, entry.rescan, entry.scanJobs)
 	entry.every(10*clock.Second, nil, entry.sweep)
+	entry.running.Go(entry.bootstrap)
 	entry.running.Go(entry.followConfig)
 }
 
--- a/entry/grants.go
+++ b/entry/grants.go
@@ -57,6 +57,10 @@
 	// confirmed the change. Until then this entry makes no statement about the worker, because the
 	// previous granter may still extend its lease.
 	previous ident.Entry
+	// runtime is the address of the worker's runtime.
+	runtime string
+	// consulted counts the attempts to read the ended incarnation's tasks from the worker's runtime.
+	consulted int
 	// ending is set from the decision that the incarnation is over until the row says so.
 	ending bool
 }
@@ -220,7 +224,9 @@
 		entry.requestYield(change.worker, change.revision, change.address)
 	}
 	for _, worker := range ending {
-		entry.writeEnd(worker)
+		if entry.consultRuntime(worker) {
+			entry.writeEnd(worker)
+		}
 	}
 	entry.reviewSilent()
 }
--- a/membership/settings.go
+++ b/membership/settings.go
@@ -34,7 +34,7 @@
 // DefaultSettings returns the settings of the design page.
 func DefaultSettings() Settings {
 	return Settings{
-		RenewMillis:       5 * clock.Second,
+		RenewMillis: 5 * clock.Second,
 		// Agents of a dead entry must have a new home before they stop their tasks, 16 s after their
 		// last heartbeat: 8 s to notice, 4 s to the next heartbeat and its repetition.
 		EntryExpiryMillis: 8 * clock.Second,
--- a/standalone/deployment.go
+++ b/standalone/deployment.go
@@ -27,6 +27,7 @@
 	"hyssopjunction/standin"
 	"hyssopjunction/table"
 	"hyssopjunction/unit"
+	"hyssopjunction/worker"
 )
 
 // operatorToken is accepted by the operators' API of a deployment, which listens on loopback.
@@ -200,6 +201,7 @@
 	settings.Lease.Term, settings.Membership = deployment.layout.Term, deployment.layout.Membership
 	daemon, err := entry.New(ctx, settings, entry.Dependencies{
 		Clock: deployment.time, Table: node.store, Traffic: node.pools[0], Control: node.pools[1],
+		Runtimes: func(_ string, name ident.Worker) worker.Runtime { return deployment.Platform.Workers[name] },
 	})
 	if err != nil {
 		return err
@@ -243,6 +245,7 @@
 	settings := agent.DefaultSettings()
 	settings.Worker, settings.Region, settings.DataCentre = name, deployment.layout.Region, centre
 	settings.Rack = ident.Rack(fmt.Sprintf("%s-rack-%d", centre, index/workersPerRack))
+	settings.RuntimeAddress = "in process"
 	settings.Address, settings.Balancer = listener.Addr().String(), bootstrap
 	settings.Heartbeat, settings.Watch = deployment.layout.Heartbeat, deployment.layout.Watch
 	if deployment.layout.Term > 0 {
--- a/standalone/outcome.go
+++ b/standalone/outcome.go
@@ -67,6 +67,8 @@
 	Key      ident.Key
 	Outcome  outcome.Outcome
 	Replayed bool
+	// Refusal is the body of an error answer.
+	Refusal string
 	// Crossed is set if the answer is not to this request's body.
 	Crossed bool
 }
--- a/standalone/traffic.go
+++ b/standalone/traffic.go
@@ -71,6 +71,9 @@
 	}
 	result.Request = ident.Request(response.Header.Get("Request-Id"))
 	result.Replayed = response.Header.Get("Replayed") == "true"
+	if response.StatusCode >= http.StatusBadRequest {
+		result.Refusal = string(body)
+	}
 	if err := result.Outcome.UnmarshalText([]byte(response.Header.Get("Outcome"))); err != nil {
 		return result
 	}
