--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,156 @@
+package lease
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/ident"
+	"hyssopjunction/worker"
+)
+
+// drifting is a clock that runs fast or slow by up to 1%, in parts per ten thousand.
+type drifting struct{ offset, rate int64 }
+
+func (drift drifting) at(millis int64) int64 { return drift.offset + millis + millis*drift.rate/10_000 }
+
+// TestNoOverlap guards I2 against drifting clocks, delayed and lost heartbeats and replies: when the
+// home says that the lease lapsed, the worker must already have stopped its tasks.
+func TestNoOverlap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(name string) drifting {
+			return drifting{offset: rapid.Int64Range(0, 1_000_000).Draw(t, name+" offset"), rate: rapid.Int64Range(-50, 50).Draw(t, name+" rate")}
+		}
+		home, agent, runtime := draw("home"), draw("agent"), draw("worker")
+		granter, holder := NewGranter(Settings{}), NewHolder()
+		if err := granter.Record("w", 1, clock.Time(home.at(0))); err != nil {
+			t.Fatal(err)
+		}
+		var expiry worker.Instant
+		now := int64(0)
+		beats := rapid.IntRange(1, 12).Draw(t, "beats")
+		for beat := range beats {
+			now += rapid.Int64Range(0, 15_000).Draw(t, "gap")
+			holder.Sent(ident.Sequence(beat), clock.Time(agent.at(now)))
+			now += rapid.Int64Range(0, 10_000).Draw(t, "request")
+			if granter.Lapsed("w", 1, clock.Time(home.at(now))) {
+				break
+			}
+			term, err := granter.Grant("w", 1, clock.Time(home.at(now)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if rapid.IntRange(0, 3).Draw(t, "lost") == 0 {
+				continue
+			}
+			reply := now + rapid.Int64Range(0, 30_000).Draw(t, "reply")
+			holder.Granted(ident.Sequence(beat), term, clock.Time(agent.at(reply)))
+			sampled := reply + rapid.Int64Range(0, 2000).Draw(t, "sample")
+			received := sampled + rapid.Int64Range(0, 2000).Draw(t, "answer")
+			holder.Sampled(clock.Time(agent.at(reply)), clock.Time(agent.at(received)), worker.Instant(runtime.at(sampled)))
+			// The agent passes the expiry on only while it holds the lease.
+			if instant, ok := holder.WorkerExpiry(); ok && holder.Valid(clock.Time(agent.at(received))) {
+				expiry = max(expiry, instant)
+			}
+		}
+		// Find when the home first says so, on the true time line.
+		for !granter.Lapsed("w", 1, clock.Time(home.at(now))) {
+			now += 10
+		}
+		if expiry != 0 && worker.Instant(runtime.at(now)) < expiry {
+			t.Fatalf("home declares the lease over %d ms before the worker stops", expiry-worker.Instant(runtime.at(now)))
+		}
+		if holder.Valid(clock.Time(agent.at(now))) {
+			t.Fatal("home declares the lease over while the agent holds it")
+		}
+	})
+}
+
+// TestHolder guards against leases that a late reply, a lost request or a shorter grant changes.
+func TestHolder(t *testing.T) {
+	holder := NewHolder()
+	if holder.Valid(0) || holder.Granted(1, DefaultTerm, 10) {
+		t.Fatal("lease without a heartbeat")
+	}
+	holder.Sent(1, 1000)
+	holder.Sent(2, 2000)
+	if !holder.Granted(2, DefaultTerm, 2500) || holder.Expiry() != 22_000 {
+		t.Fatalf("expiry %d", holder.Expiry())
+	}
+	if holder.Granted(1, DefaultTerm, 2600) || holder.Expiry() != 22_000 {
+		t.Fatal("an older grant changed the lease")
+	}
+	if holder.Granted(2, DefaultTerm, 3000) {
+		t.Fatal("a copy of a reply changed the lease")
+	}
+	holder.Sent(3, 22_000)
+	if holder.Granted(3, DefaultTerm, 42_000) || holder.Valid(22_000) {
+		t.Fatal("a reply after the term revived the lease")
+	}
+}
+
+// TestGranter guards against two granters of one worker, grants after the end was declared, and
+// statements about workers that are not this entry's.
+func TestGranter(t *testing.T) {
+	granter := NewGranter(Settings{})
+	wait := DefaultTerm + Margin(DefaultTerm)
+	if _, err := granter.Grant("w", 1, 1000); !IsErrNotGranter(err) {
+		t.Fatalf("got %v", err)
+	}
+	if err := granter.Record("w", 1, 1000); err != nil {
+		t.Fatal(err)
+	}
+	if granter.Lapsed("w", 1, clock.Time(999).Add(wait)) || !granter.Lapsed("w", 1, clock.Time(1000).Add(wait)) {
+		t.Fatal("the lease lapses at another time than term plus margin")
+	}
+	granter.Lose("w")
+	if granter.Lapsed("w", 1, 900_000) || len(granter.Due(900_000)) != 0 {
+		t.Fatal("statement about a worker with another granter")
+	}
+	if err := granter.Record("w", 1, 2000); err != nil {
+		t.Fatal(err)
+	}
+	if err := granter.Over("w", 1, 2001); !IsErrNotOver(err) {
+		t.Fatalf("got %v", err)
+	}
+	if err := granter.Over("w", 1, clock.Time(2000).Add(wait)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := granter.Grant("w", 1, 50_000); !IsErrFenced(err) {
+		t.Fatalf("got %v", err)
+	}
+	if err := granter.Record("w", 2, 50_000); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := granter.Grant("w", 1, 50_001); !IsErrFenced(err) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+// TestCertain guards the four conditions of the design for placing again, at their exact times.
+func TestCertain(t *testing.T) {
+	wait := DefaultTerm + Margin(DefaultTerm)
+	grace := DefaultOutageGrace + DefaultOutageGrace*2/100
+	for name, known := range map[string]struct {
+		evidence Evidence
+		now      clock.Time
+		reason   Reason
+	}{
+		"nothing":         {Evidence{Newest: 3, HomeRenewedAt: 1}, 5000, ""},
+		"lapsed":          {Evidence{Lapsed: true}, 1, LeaseLapsed},
+		"newer":           {Evidence{Newest: 4}, 1, NewerIncarnation},
+		"left too early":  {Evidence{HomeLeft: true, HomeLeftAt: 1}, clock.Time(0).Add(wait), ""},
+		"left":            {Evidence{HomeLeft: true, HomeLeftAt: 1}, clock.Time(1).Add(wait), HomeLeft},
+		"silent early":    {Evidence{HomeRenewedAt: 1}, clock.Time(0).Add(grace + wait), ""},
+		"silent":          {Evidence{HomeRenewedAt: 1}, clock.Time(1).Add(grace + wait), HomeSilent},
+		"operator states": {Evidence{Stated: true}, 1, OperatorStatement},
+	} {
+		t.Run(name, func(t *testing.T) {
+			reason, over := Settings{}.Certain(3, known.evidence, known.now)
+			if reason != known.reason || over != (known.reason != "") {
+				t.Fatalf("got %q %t, want %q", reason, over, known.reason)
+			}
+		})
+	}
+}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -167,9 +167,9 @@
 	if spec.Kind == worker.Standing || spec.Urgent {
 		sameWorker, sameRack, sameCentre = standingSameWorker, standingSameRack, standingSameCentre
 	}
-	score += sameWorker*min(view.loads[loadWorker(candidate)], 10) +
-		sameRack*min(view.loads[loadRack(candidate)], 10) +
-		sameCentre*min(view.loads[loadCentre(candidate)], 10)
+	score += sameWorker*min(candidate.load.count(scheduler.visit), 10) +
+		sameRack*min(candidate.rack.load.count(scheduler.visit), 10) +
+		sameCentre*min(candidate.centre.load.count(scheduler.visit), 10)
 	if _, none := scheduler.dependencies.Interference.(NoInterference); none {
 		return score, true
 	}
@@ -188,30 +188,21 @@
 	return int(amount * 1000 / whole)
 }
 
-func loadWorker(candidate *workerView) string { return string(candidate.name) }
-
-func loadRack(candidate *workerView) string { return candidate.rackLoad }
-
-func loadCentre(candidate *workerView) string { return candidate.centreLoad }
-
 // countLoads counts the job's tasks per worker, rack and data centre.
 func (scheduler *Scheduler) countLoads(view *jobView) {
-	if view.loads == nil {
-		view.loads = make(map[string]int)
-	}
-	clear(view.loads)
-	for _, occupied := range view.occupied {
-		view.load(occupied, 1)
+	scheduler.visit++
+	for _, at := range view.occupied {
+		scheduler.addLoad(at, 1)
 	}
 }
 
-func (view *jobView) load(at *workerView, count int) {
+func (scheduler *Scheduler) addLoad(at *workerView, tasks int) {
 	if !at.known {
 		return
 	}
-	view.loads[loadWorker(at)] += count
-	view.loads[loadRack(at)] += count
-	view.loads[loadCentre(at)] += count
+	at.load.add(scheduler.visit, tasks)
+	at.rack.load.add(scheduler.visit, tasks)
+	at.centre.load.add(scheduler.visit, tasks)
 }
 
 // missed reports whether a size no larger than this one found no room in this pass.
@@ -328,7 +319,8 @@
 // releaseIn gives up reservations in a data centre that was closed. Claims in flight are left to
 // their condition.
 func (scheduler *Scheduler) releaseIn(name ident.DataCentre) {
-	for _, view := range scheduler.holders() {
+	for _, owner := range set.SortedKeys(scheduler.holding) {
+		view := scheduler.holding[owner]
 		for _, index := range sortedIndices(view.reserving) {
 			if held := view.reserving[index]; held.worker.state.DataCentre == name {
 				scheduler.release(held)
@@ -337,14 +329,3 @@
 		}
 	}
 }
-
-// holders returns the jobs with reservations in ascending order of name.
-func (scheduler *Scheduler) holders() []*jobView {
-	var holders []*jobView
-	for _, name := range set.SortedKeys(scheduler.jobs) {
-		if view := scheduler.jobs[name]; len(view.reserving) > 0 {
-			holders = append(holders, view)
-		}
-	}
-	return holders
-}
--- a/placement/commit.go
+++ b/placement/commit.go
@@ -129,9 +129,10 @@
 // that did not take effect are reviewed as well.
 func (scheduler *Scheduler) claimReserved() {
 	extra := make(map[ident.Team]unit.Resources)
-	for _, name := range set.SortedKeys(scheduler.jobs) {
-		view := scheduler.jobs[name]
-		if len(view.claims) == 0 && len(view.reserving) == 0 {
+	for _, name := range set.SortedKeys(scheduler.holding) {
+		view := scheduler.holding[name]
+		if scheduler.jobs[name] != view || (len(view.claims) == 0 && len(view.reserving) == 0) {
+			delete(scheduler.holding, name)
 			continue
 		}
 		scheduler.reviewClaims(view, extra)
--- a/placement/hold.go
+++ b/placement/hold.go
@@ -16,7 +16,7 @@
 		batch.holds = slices.DeleteFunc(batch.holds, func(other *hold) bool { return other == held })
 		delete(held.view.reserving, held.index)
 		scheduler.settleHold(held)
-		held.view.load(held.worker, -1)
+		scheduler.addLoad(held.worker, -1)
 		held.worker.giveBack(held.size)
 		pass.budget++
 	}
--- a/placement/place.go
+++ b/placement/place.go
@@ -259,7 +259,8 @@
 	view.stale = true
 	scheduler.noteQueue(view)
 	scheduler.occupy(view, index, worker, size)
-	view.load(worker, 1)
+	scheduler.addLoad(worker, 1)
+	scheduler.holding[view.name] = view
 	worker.free = worker.free.Sub(size)
 	worker.asked = worker.asked.Add(size)
 	scheduler.team(view.row.Spec.Team).asked = scheduler.team(view.row.Spec.Team).asked.Add(size)
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -41,6 +41,9 @@
 	parkShape uint64
 	parkedAt  clock.Time
 	centres   map[ident.DataCentre]*centreView
+	racks     map[[2]string]*rackView
+	// visit numbers the jobs whose tasks were counted per place.
+	visit uint64
 
 	jobs  map[ident.Job]*jobView
 	teams map[ident.Team]*teamView
@@ -56,7 +59,9 @@
 	// refreshes lists the jobs in the order in which their rows are read again.
 	refreshes []refresh
 
-	holds       map[capacity.Reservation]*reservation
+	holds map[capacity.Reservation]*reservation
+	// holding are the jobs that have reservations or claims that are not in the table.
+	holding     map[ident.Job]*jobView
 	held        int
 	outstanding int
 	released    []*hold
@@ -82,10 +87,12 @@
 		random:   rand.New(rand.NewPCG(hash.Sum64(), uint64(dependencies.Incarnation))),
 		workers:  make(map[ident.Worker]*workerView),
 		centres:  make(map[ident.DataCentre]*centreView),
+		racks:    make(map[[2]string]*rackView),
 		jobs:     make(map[ident.Job]*jobView),
 		teams:    make(map[ident.Team]*teamView),
 		parked:   make(map[ident.Job]*jobView),
 		open:     make(map[ident.Task]struct{}),
+		holding:  make(map[ident.Job]*jobView),
 		holds:    make(map[capacity.Reservation]*reservation),
 		reads:    make(map[table.Key]clock.Time),
 		rowLimit: settings.MaxRows,
--- a/placement/view.go
+++ b/placement/view.go
@@ -37,10 +37,32 @@
 	occupants map[ident.Task]*occupant
 	classes   []string
 	stale     bool
-	// rackLoad and centreLoad are the keys of the rack and the data centre in jobView.loads. Names of
-	// workers have no slash, so the keys cannot be mistaken for one.
-	rackLoad   string
-	centreLoad string
+	rack      *rackView
+	load      load
+}
+
+// rackView is a rack of a data centre.
+type rackView struct{ load load }
+
+// load counts the tasks of the job that is being placed; visit tells for which job it was counted.
+type load struct {
+	visit uint64
+	tasks int
+}
+
+// count returns the number of tasks, which is 0 if they were counted for another job.
+func (at *load) count(visit uint64) int {
+	if at.visit != visit {
+		return 0
+	}
+	return at.tasks
+}
+
+func (at *load) add(visit uint64, tasks int) {
+	if at.visit != visit {
+		at.visit, at.tasks = visit, 0
+	}
+	at.tasks += tasks
 }
 
 // occupant is a task that occupies a worker, or is about to.
@@ -63,6 +85,7 @@
 	rampFrom   clock.Time
 	rampPlaced unit.Resources
 	capacity   unit.Resources
+	load       load
 }
 
 type teamView struct {
@@ -91,8 +114,6 @@
 	lane *lane
 	// queued tells whether the job is in its lane.
 	queued bool
-	// loads counts the job's tasks per place while the job is being placed.
-	loads map[string]int
 	// waiting are the indices of tasks that can be placed; valid unless stale.
 	waiting   []int
 	stale     bool
@@ -270,8 +291,11 @@
 	worker.known, worker.silent, worker.state, worker.stale = true, false, state, true
 	worker.free = state.Capacity.Sub(state.Used).Sub(worker.asked)
 	worker.centre = scheduler.centre(state.DataCentre)
-	worker.rackLoad = string(state.DataCentre) + "/" + string(state.Rack)
-	worker.centreLoad = string(state.DataCentre) + "/"
+	rack := [2]string{string(state.DataCentre), string(state.Rack)}
+	if scheduler.racks[rack] == nil {
+		scheduler.racks[rack] = &rackView{}
+	}
+	worker.rack = scheduler.racks[rack]
 }
 
 func (scheduler *Scheduler) reshape(worker *workerView, centre ident.DataCentre, resources unit.Resources) {
