--- a/placement/load.go
+++ b/placement/load.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"strings"
+
 	"hyssopjunction/clock"
 	"hyssopjunction/ident"
 	"hyssopjunction/job"
@@ -16,6 +18,12 @@
 	if !stored.Exists() {
 		return
 	}
+	if known, ok := scheduler.jobs[ident.Job(strings.TrimPrefix(string(stored.Key), job.KeyPrefix))]; ok && stored.Revision <= known.revision {
+		if stored.Revision == known.revision {
+			known.seenAt = scheduler.now
+		}
+		return
+	}
 	decoded, err := job.Decode(stored.Value)
 	if err != nil {
 		scheduler.stats.BadRows++
@@ -34,12 +42,6 @@
 		scheduler.refreshes = append(scheduler.refreshes, refresh{view: view, due: scheduler.now.Add(firstRefresh)})
 		scheduler.wantTeam(decoded.Spec.Team)
 	}
-	if stored.Revision <= view.revision {
-		if stored.Revision == view.revision {
-			view.seenAt = scheduler.now
-		}
-		return
-	}
 	if scheduler.flying(view) {
 		view.later = &stored
 		return
--- a/placement/preempt.go
+++ b/placement/preempt.go
@@ -23,47 +23,65 @@
 	since    clock.Time
 }
 
-// maxPreemptions bounds the workers on which room is made for one job in one round.
-const maxPreemptions = 64
+// maxPreemptions bounds the tasks for which room is made for one job in one round.
+const maxPreemptions = 128
 
-// preempt makes room for the waiting tasks of an urgent job, a worker at a time. The worker is kept
-// free for the job until its tasks are placed.
+// plan is the room that the victims chosen so far will leave beyond what is free, less what is
+// promised to waiting tasks.
+type plan struct {
+	extra   map[*workerView]unit.Resources
+	foreign map[ident.Task]bool
+}
+
+// preempt makes room for the waiting tasks of an urgent job. The workers are kept free for the job
+// until its tasks are placed.
 func (scheduler *Scheduler) preempt(view *jobView) {
 	if !view.row.Spec.Urgent || scheduler.now.Before(view.preemptUntil) {
 		return
 	}
 	size := scheduler.size(&view.row.Spec)
-	missing := len(scheduler.waiting(view))
+	planned := plan{extra: make(map[*workerView]unit.Resources), foreign: make(map[ident.Task]bool)}
 	var stops messages
-	for attempt := 0; missing > 0 && attempt < maxPreemptions; attempt++ {
-		best, victims := scheduler.cheapest(view, size)
+	until := scheduler.now.Add(scheduler.settings.CheckpointBound + 3*scheduler.settings.Round)
+	for range min(len(scheduler.waiting(view)), maxPreemptions) {
+		best, victims := scheduler.cheapest(view, size, planned)
 		if best == nil {
 			break
 		}
-		until := scheduler.now.Add(scheduler.settings.CheckpointBound + 3*scheduler.settings.Round)
 		best.heldFor, best.heldUntil = view.name, until
 		view.preemptUntil = until
-		room := best.free
+		room := planned.extra[best].Sub(size)
 		for _, chosen := range victims {
 			room = room.Add(chosen.size)
+			if chosen.foreign != nil {
+				planned.foreign[chosen.foreign.Task] = true
+			}
 			scheduler.displace(best, chosen, &stops)
 		}
-		missing -= int(max(1, times(size, room)))
+		planned.extra[best] = room
 	}
 	scheduler.emitMessages(nil, &stops)
 }
 
-// cheapest returns the worker on which the fewest tasks must be displaced.
-func (scheduler *Scheduler) cheapest(view *jobView, size unit.Resources) (*workerView, []victim) {
+// cheapest returns the worker on which the fewest tasks must be displaced, among the first few on
+// which it is possible.
+func (scheduler *Scheduler) cheapest(view *jobView, size unit.Resources, planned plan) (*workerView, []victim) {
 	var best *workerView
 	var bestVictims []victim
-	for _, candidate := range scheduler.order {
+	possible, count := 0, len(scheduler.order)
+	offset := scheduler.random.IntN(max(1, count))
+	for step := 0; step < count && possible < scheduler.settings.Candidates; step++ {
+		candidate := scheduler.order[(offset+step)%count]
 		if !size.FitsIn(candidate.state.Capacity) || !view.row.Spec.Allows(candidate.state.DataCentre) || !scheduler.usable(candidate) ||
-			(candidate.heldFor != "" && scheduler.now.Before(candidate.heldUntil)) {
+			(candidate.heldFor != "" && candidate.heldFor != view.name && scheduler.now.Before(candidate.heldUntil)) {
 			continue
 		}
-		victims, ok := scheduler.victims(candidate, size)
-		if ok && (best == nil || len(victims) < len(bestVictims)) {
+		victims, ok := scheduler.victims(candidate, size, planned)
+		if !ok {
+			continue
+		}
+		possible++
+		if best == nil || len(victims) < len(bestVictims) {
 			best, bestVictims = candidate, victims
 			if len(victims) <= 1 {
 				break
@@ -74,10 +92,14 @@
 }
 
 // victims returns tasks whose displacement makes room for size, and false if that is impossible.
-func (scheduler *Scheduler) victims(candidate *workerView, size unit.Resources) ([]victim, bool) {
+func (scheduler *Scheduler) victims(candidate *workerView, size unit.Resources, planned plan) ([]victim, bool) {
+	room := candidate.free.Add(planned.extra[candidate])
+	if size.FitsIn(room) {
+		return nil, true
+	}
 	var possible []victim
-	sum := candidate.free
-	for name, occupant := range candidate.occupants {
+	sum := room
+	for _, occupant := range candidate.occupants {
 		view, index := occupant.view, occupant.index
 		task := &view.row.Tasks[index]
 		state, live := view.live[index]
@@ -85,12 +107,12 @@
 			view.row.Spec.Kind != worker.Batch || task.Evictions >= scheduler.settings.MaxEvictions {
 			continue
 		}
-		possible = append(possible, victim{view: view, index: name.Index, size: task.Size, priority: view.row.Spec.Priority, since: state.since})
+		possible = append(possible, victim{view: view, index: index, size: task.Size, priority: view.row.Spec.Priority, since: state.since})
 		sum = sum.Add(task.Size)
 	}
 	for index := range candidate.state.Residents {
 		resident := &candidate.state.Residents[index]
-		if resident.Preemptible {
+		if resident.Preemptible && !planned.foreign[resident.Task] {
 			possible = append(possible, victim{foreign: resident, size: resident.Size})
 			sum = sum.Add(resident.Size)
 		}
@@ -104,7 +126,6 @@
 			compareTasks(first.task(), second.task()),
 		)
 	})
-	room := candidate.free
 	var chosen []victim
 	for _, next := range possible {
 		if size.FitsIn(room) {
--- a/placement/sim_test.go
+++ b/placement/sim_test.go
@@ -31,6 +31,10 @@
 	evictions int
 	// work is the progress that counts: of finished tasks and of what was kept, in milliseconds.
 	work clock.Millis
+	// checkpointTime is how long a stop with a checkpoint takes; negative means for ever.
+	checkpointTime clock.Millis
+	delayed        []delayedStop
+	observe        func(action Action)
 	// startedAt is the first start of each job.
 	startedAt map[ident.Job]clock.Time
 }
@@ -116,6 +120,9 @@
 		next := world.pending[0]
 		world.pending = world.pending[1:]
 		for _, action := range world.scheduler.Handle(next, world.now) {
+			if world.observe != nil {
+				world.observe(action)
+			}
 			if answer := world.perform(action); answer != nil {
 				world.pending = append(world.pending, answer)
 			}
@@ -175,22 +182,41 @@
 		}
 		return answer
 	case Stop:
-		answer := Stopped{Worker: action.Worker, Incarnation: 1}
-		for _, ref := range action.Tasks {
-			result := StopResult{Task: ref.Task, Epoch: ref.Epoch, Stopped: true}
-			if action.Checkpoint {
-				world.profiles[ref.Task].saved = world.profiles[ref.Task].done
-				result.Checkpoint = worker.Checkpoint{Epoch: ref.Epoch, Name: "saved"}
+		if action.Checkpoint && world.checkpointTime != 0 {
+			if world.checkpointTime > 0 {
+				world.delayed = append(world.delayed, delayedStop{at: world.now.Add(world.checkpointTime), action: action})
 			}
-			world.leave(world.byName[action.Worker], ref.Task)
-			world.evictions++
-			answer.Results = append(answer.Results, result)
+			return nil
 		}
-		return answer
+		return world.stop(action)
 	}
 	return nil
 }
 
+// delayedStop is a stop whose checkpoint is being written.
+type delayedStop struct {
+	at     clock.Time
+	action Stop
+}
+
+func (world *sim) stop(action Stop) Event {
+	answer := Stopped{Worker: action.Worker, Incarnation: 1}
+	for _, ref := range action.Tasks {
+		result := StopResult{Task: ref.Task, Epoch: ref.Epoch, Stopped: true}
+		if _, running := world.byName[action.Worker].tasks[ref.Task]; !running {
+			continue
+		}
+		if action.Checkpoint {
+			world.profiles[ref.Task].saved = world.profiles[ref.Task].done
+			result.Checkpoint = worker.Checkpoint{Epoch: ref.Epoch, Name: "saved"}
+		}
+		world.leave(world.byName[action.Worker], ref.Task)
+		world.evictions++
+		answer.Results = append(answer.Results, result)
+	}
+	return answer
+}
+
 func (world *sim) leave(at *simWorker, task ident.Task) {
 	delete(at.tasks, task)
 	delete(at.holds, task)
@@ -199,10 +225,17 @@
 // step lets the tasks work for a while, ends those that are done or exceed the worker's memory, and
 // runs a round.
 func (world *sim) step(millis clock.Millis) {
-	world.now = world.now.Add(millis)
+	until := world.now.Add(millis)
 	for _, at := range world.workers {
 		world.stepWorker(at, millis)
 	}
+	for len(world.delayed) > 0 && !world.delayed[0].at.After(until) {
+		due := world.delayed[0]
+		world.delayed = world.delayed[1:]
+		world.now = due.at
+		world.handle(world.stop(due.action))
+	}
+	world.now = until
 	world.handle(Round{})
 }
 
--- a/placement/view.go
+++ b/placement/view.go
@@ -288,6 +288,11 @@
 			scheduler.open[task] = struct{}{}
 		}
 	}
+	// The home of an agent hears of all its tasks. Those of this scheduler's jobs are occupants.
+	state.Residents = slices.DeleteFunc(slices.Clone(state.Residents), func(resident Resident) bool {
+		_, own := scheduler.jobs[resident.Task.Job]
+		return own
+	})
 	worker.known, worker.silent, worker.state, worker.stale = true, false, state, true
 	worker.free = state.Capacity.Sub(state.Used).Sub(worker.asked)
 	worker.centre = scheduler.centre(state.DataCentre)
