Test the learned policies and correct what the tests found

The tests found that a governor evicted a task again that was placed on the same worker, that a first spike counted as the mean, and that a platform fault parked jobs before it was recognised.

--- /dev/null
+++ b/estimate/estimate_test.go
@@ -0,0 +1,176 @@
+package estimate_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/estimate"
+	"hyssopjunction/ident"
+	"hyssopjunction/unit"
+)
+
+func TestMain(main *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(main.Run())
+}
+
+func size(cpu, memory int) unit.Resources {
+	return unit.Resources{CPU: unit.MilliCPU(cpu), Memory: unit.Mebibytes(memory)}
+}
+
+// measure reports count measurements that vary by up to a tenth below peak, one every 5 s.
+func measure(model *estimate.Model, fake *clock.Fake, job ident.Job, peak unit.Resources, count int) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for range count {
+		fake.Advance(5 * clock.Second)
+		share := 90 + random.Int64N(11)
+		model.Usage(job, "render", unit.Resources{
+			CPU: peak.CPU * unit.MilliCPU(share) / 100, Memory: peak.Memory * unit.Mebibytes(share) / 100,
+		}, fake.Now())
+	}
+}
+
+// TestLearnsFarFromDeclared guards against sizes that follow the declaration although measurements
+// differ by a factor of ten, and against sizes below what was measured.
+func TestLearnsFarFromDeclared(t *testing.T) {
+	for _, scenario := range []struct {
+		name             string
+		declared, actual unit.Resources
+	}{
+		{"declared too large", size(8000, 32768), size(800, 3200)},
+		{"declared too small", size(200, 512), size(2000, 5120)},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			model, fake := estimate.New(estimate.Defaults()), clock.NewFake(clock.Time(clock.Minute))
+			if first := model.Size("nightly", "render", scenario.declared); first != scenario.declared {
+				t.Fatalf("size %s without measurements, declared %s", first, scenario.declared)
+			}
+			measure(model, fake, "nightly", scenario.actual, 10)
+			if early := model.Size("nightly", "render", scenario.declared); early.Memory < scenario.actual.Memory {
+				t.Fatalf("size %s after ten measurements of up to %s", early, scenario.actual)
+			}
+			// One hour of one task's measurements.
+			measure(model, fake, "nightly", scenario.actual, 720)
+			learned := model.Size("nightly", "render", scenario.declared)
+			if !scenario.actual.FitsIn(learned) {
+				t.Fatalf("size %s does not hold the actual %s", learned, scenario.actual)
+			}
+			// A cell is a fifth wide and the margin a tenth; the rest of half is for what the prior
+			// still weighs after an hour.
+			if learned.CPU > scenario.actual.CPU*3/2 || learned.Memory > scenario.actual.Memory*3/2 {
+				t.Fatalf("size %s is far above the actual %s", learned, scenario.actual)
+			}
+			if other := model.Size("weekly", "render", scenario.declared); !scenario.actual.FitsIn(other.Add(size(400, 640))) {
+				t.Fatalf("size %s of another job of the class ignores the class", other)
+			}
+		})
+	}
+}
+
+// TestForgets guards against one old peak inflating the size for ever.
+func TestForgets(t *testing.T) {
+	model, fake := estimate.New(estimate.Defaults()), clock.NewFake(clock.Time(clock.Minute))
+	measure(model, fake, "nightly", size(16000, 65536), 720)
+	fake.Advance(4 * clock.Day)
+	measure(model, fake, "nightly", size(1000, 4096), 720)
+	if learned := model.Size("nightly", "render", size(1000, 4096)); learned.Memory > 8192 || learned.CPU > 2000 {
+		t.Fatalf("size %s four days after the peak", learned)
+	}
+}
+
+// TestMemoryFloorSurvives guards against placing a job below the memory at which it already failed,
+// whatever is measured or dropped for space afterwards.
+func TestMemoryFloorSurvives(t *testing.T) {
+	rapid.Check(t, func(check *rapid.T) {
+		settings := estimate.Defaults()
+		settings.MaxJobs, settings.MaxClasses = 4, 2
+		model, fake := estimate.New(settings), clock.NewFake(clock.Time(clock.Minute))
+		floors := map[string]unit.Mebibytes{}
+		job := func() (ident.Job, string) {
+			index := rapid.IntRange(0, 11).Draw(check, "job")
+			return ident.Job(fmt.Sprintf("job-%d", index)), fmt.Sprintf("class-%d", index%3)
+		}
+		check.Repeat(map[string]func(*rapid.T){
+			"usage": func(check *rapid.T) {
+				name, class := job()
+				fake.Advance(clock.Minute)
+				model.Usage(name, class, size(rapid.IntRange(0, 1<<20).Draw(check, "cpu"), rapid.IntRange(0, 1<<20).Draw(check, "memory")), fake.Now())
+			},
+			"out of memory": func(check *rapid.T) {
+				name, class := job()
+				limit := model.Size(name, class, size(1000, 1024)).Memory
+				if limit > 1<<30 {
+					return
+				}
+				model.OutOfMemory(name, class, limit)
+				floors[string(name)] = max(floors[string(name)], limit+1)
+			},
+			"": func(check *rapid.T) {
+				for index := range 12 {
+					name, class := ident.Job(fmt.Sprintf("job-%d", index)), fmt.Sprintf("class-%d", index%3)
+					if have := model.Size(name, class, size(1000, 1024)).Memory; have < floors[string(name)] {
+						check.Fatalf("%s is placed with %d MiB after it ran out of memory below %d", name, have, floors[string(name)])
+					}
+				}
+			},
+		})
+	})
+}
+
+// TestRunTime guards against run times that follow a wrong declaration.
+func TestRunTime(t *testing.T) {
+	model := estimate.New(estimate.Defaults())
+	for index := range 200 {
+		model.Finished("nightly", "render", 10*clock.Minute, clock.Time(clock.Minute).Add(clock.Millis(index)*clock.Second))
+	}
+	for _, declared := range []clock.Millis{0, clock.Second, clock.Day} {
+		learned := model.RunTime("nightly", "render", declared)
+		if learned < 9*clock.Minute || learned > 20*clock.Minute {
+			t.Fatalf("run time %s with %s declared, tasks took %s", learned, declared, 10*clock.Minute)
+		}
+	}
+}
+
+// BenchmarkEstimate measures a measurement and a size at 14,100 tasks of 5,100 jobs relative to a
+// tenth of them.
+func BenchmarkEstimate(bench *testing.B) {
+	measure := func(tasks, jobs int, size bool) float64 {
+		model := estimate.New(estimate.Defaults())
+		names, classes := make([]ident.Job, tasks), make([]string, tasks)
+		random := rand.New(rand.NewPCG(1, 2))
+		for index := range tasks {
+			job := index % jobs
+			names[index], classes[index] = ident.Job(fmt.Sprintf("job-%d", job)), fmt.Sprintf("class-%d", job%60)
+		}
+		random.Shuffle(tasks, func(left, right int) {
+			names[left], names[right], classes[left], classes[right] = names[right], names[left], classes[right], classes[left]
+		})
+		used := unit.Resources{CPU: 900, Memory: 2048}
+		for index := range tasks {
+			model.Usage(names[index], classes[index], used, clock.Time(clock.Minute))
+		}
+		return float64(testing.Benchmark(func(inner *testing.B) {
+			for index := range inner.N {
+				task := index % tasks
+				if size {
+					model.Size(names[task], classes[task], used)
+				} else {
+					model.Usage(names[task], classes[task], used, clock.Time(clock.Minute).Add(clock.Millis(index/3)))
+				}
+			}
+		}).NsPerOp())
+	}
+	usage, sizes := measure(14100, 5100, false), measure(14100, 5100, true)
+	bench.ReportMetric(usage, "ns/usage")
+	bench.ReportMetric(sizes, "ns/size")
+	bench.ReportMetric(usage/measure(1410, 510, false), "usage/baseline")
+	bench.ReportMetric(sizes/measure(1410, 510, true), "size/baseline")
+}
--- a/estimate/histogram.go
+++ b/estimate/histogram.go
@@ -15,13 +15,6 @@
 	ratio float64
 }
 
-// Scales of the three quantities, in millicores, MiB and milliseconds.
-var (
-	cpuScale     = scale{first: 10, ratio: 1.2}
-	memoryScale  = scale{first: 16, ratio: 1.2}
-	runTimeScale = scale{first: 100, ratio: 1.3}
-)
-
 func (scale scale) index(value int64) int {
 	if float64(value) <= scale.first {
 		return 0
--- a/estimate/model.go
+++ b/estimate/model.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"container/list"
-	"math"
 
 	"hyssopjunction/clock"
 	"hyssopjunction/ident"
@@ -39,15 +38,15 @@
 // Usage records the measured usage of one task.
 func (model *Model) Usage(job ident.Job, class string, used unit.Resources, now clock.Time) {
 	for _, record := range model.touch(job, class) {
-		record.cpu.add(cpuScale, int64(used.CPU), now, model.settings.HalfLifeMillis)
-		record.memory.add(memoryScale, int64(used.Memory), now, model.settings.HalfLifeMillis)
+		record.cpu.add(processor.scale, int64(used.CPU), now, model.settings.HalfLifeMillis)
+		record.memory.add(memory.scale, int64(used.Memory), now, model.settings.HalfLifeMillis)
 	}
 }
 
 // Finished records the run time of a task that completed its work, in milliseconds.
-func (model *Model) Finished(job ident.Job, class string, runTime clock.Millis, now clock.Time) {
+func (model *Model) Finished(job ident.Job, class string, took clock.Millis, now clock.Time) {
 	for _, record := range model.touch(job, class) {
-		record.runTime.add(runTimeScale, int64(runTime), now, model.settings.HalfLifeMillis)
+		record.runTime.add(runTime.scale, int64(took), now, model.settings.HalfLifeMillis)
 	}
 }
 
@@ -60,15 +59,15 @@
 
 // Size returns the size to reserve for a task of the job. Accelerators are always as declared.
 func (model *Model) Size(job ident.Job, class string, declared unit.Resources) unit.Resources {
-	byJob, byClass := model.jobs.get(job), model.classes.get(class)
 	settings := model.settings
-	cpu := model.blend(int64(declared.CPU), settings.CPUPercentile, cpuScale, 0,
-		cpuOf(byClass), cpuOf(byJob))
-	memory := model.blend(int64(declared.Memory), settings.MemoryPercentile, memoryScale, settings.MemoryMarginPercent,
-		memoryOf(byClass), memoryOf(byJob))
+	byJob, byClass := model.jobs.get(job), model.classes.get(class)
+	cpu := processor.blend(settings, settings.CPUPercentile, settings.PriorWeight, int64(declared.CPU), byClass, byJob)
+	needed := memory.blend(settings, settings.MemoryPercentile, settings.MemoryPriorWeight, int64(declared.Memory), byClass, byJob)
+	// What the job itself was seen to need is never undercut by the prior.
+	seen, _ := memory.learned(byJob, settings, settings.MemoryPercentile)
 	return unit.Resources{
-		CPU:          unit.MilliCPU(cpu),
-		Memory:       max(unit.Mebibytes(memory), model.floors.of(job, class)),
+		CPU:          unit.MilliCPU(ceil(cpu)),
+		Memory:       max(unit.Mebibytes(ceil(max(needed, seen))), model.floors.of(job, class)),
 		Accelerators: declared.Accelerators,
 	}
 }
@@ -77,27 +76,8 @@
 // owner's statement, or zero if there is none.
 func (model *Model) RunTime(job ident.Job, class string, declared clock.Millis) clock.Millis {
 	byJob, byClass := model.jobs.get(job), model.classes.get(class)
-	return clock.Millis(model.blend(int64(declared), model.settings.RunTimePercentile, runTimeScale, 0,
-		runTimeOf(byClass), runTimeOf(byJob)))
-}
-
-// blend starts from the declared value and moves towards the learned percentiles, first that of
-// the class and then that of the job, in proportion to their weights against the prior's.
-func (model *Model) blend(declared int64, percentile int, scale scale, margin int, sources ...*histogram) int64 {
-	value := float64(declared)
-	for position, source := range sources {
-		if source == nil || source.total <= 0 {
-			continue
-		}
-		learned := float64(source.percentile(scale, percentile)) * float64(100+margin) / 100
-		prior := model.settings.PriorWeight
-		if declared == 0 && position == 0 {
-			prior = 0
-		}
-		share := source.total / (source.total + prior)
-		value += (learned - value) * share
-	}
-	return int64(math.Ceil(value))
+	return clock.Millis(ceil(runTime.blend(model.settings, model.settings.RunTimePercentile, model.settings.PriorWeight,
+		int64(declared), byClass, byJob)))
 }
 
 // touch returns the records of the job and its class, creating them as needed.
@@ -105,27 +85,6 @@
 	return [2]*record{model.jobs.touch(job), model.classes.touch(class)}
 }
 
-func cpuOf(record *record) *histogram {
-	if record == nil {
-		return nil
-	}
-	return &record.cpu
-}
-
-func memoryOf(record *record) *histogram {
-	if record == nil {
-		return nil
-	}
-	return &record.memory
-}
-
-func runTimeOf(record *record) *histogram {
-	if record == nil {
-		return nil
-	}
-	return &record.runTime
-}
-
 // records is a map of records bounded by dropping the least recently updated.
 type records[Key cmp.Ordered] struct {
 	limit  int
--- a/estimate/settings.go
+++ b/estimate/settings.go
@@ -16,8 +16,11 @@
 	RunTimePercentile int
 	// MemoryMarginPercent is added to the learned memory.
 	MemoryMarginPercent int
-	// PriorWeight is the number of measurements the declared size counts as.
+	// PriorWeight is the number of measurements that the declared processor time and run time count as.
 	PriorWeight float64
+	// MemoryPriorWeight is the number of measurements that the declared memory counts as when less
+	// was measured. It is larger because the memory of many tasks grows while they run.
+	MemoryPriorWeight float64
 	// OutOfMemoryPercent is the size after an out-of-memory failure in percent of the limit that
 	// was exceeded.
 	OutOfMemoryPercent int
@@ -36,6 +39,7 @@
 		RunTimePercentile:   90,
 		MemoryMarginPercent: 10,
 		PriorWeight:         8,
+		MemoryPriorWeight:   64,
 		OutOfMemoryPercent:  150,
 		MaxJobs:             4096,
 		MaxClasses:          256,
--- a/interference/governor.go
+++ b/interference/governor.go
@@ -11,63 +11,8 @@
 	"hyssopjunction/set"
 )
 
-// ActionKind names what a Governor asks of a worker.
-type ActionKind string
-
-// Actions of a Governor.
-const (
-	// Throttle sets the share of processor time of a task; 100 ends the throttling.
-	Throttle ActionKind = "Throttle"
-	// Checkpoint saves a task's progress.
-	Checkpoint ActionKind = "Checkpoint"
-	// Evict stops a task so that it is placed elsewhere.
-	Evict ActionKind = "Evict"
-)
-
-// Action is one request to a worker.
-type Action struct {
-	Kind    ActionKind
-	Worker  ident.Worker
-	Service ident.Service
-	Task    ident.Task
-	Epoch   ident.Epoch
-	// Percent is the share of processor time, for Throttle only.
-	Percent int
-	Reason  string
-}
-
-// Candidate is a task that may be acted on. Urgent work is never a candidate.
-type Candidate struct {
-	Task  ident.Task
-	Epoch ident.Epoch
-	Class string
-	// Standing tasks are evicted only when no batch task is left to act on.
-	Standing bool
-	// Throttle is the share the worker reports, in percent; 0 means not known.
-	Throttle int
-	// UnsavedMillis is the work done since the last checkpoint.
-	UnsavedMillis clock.Millis
-}
-
-// Reading is what is known of one service on one worker. It must be given for every heartbeat, as
-// the time spent above or below the target counts.
-type Reading struct {
-	Worker  ident.Worker
-	Service ident.Service
-	// Class of the service's work in the Model.
-	Class string
-	// Slowdown is measured, and Target what the service tolerates, in percent; 100 is undisturbed.
-	Slowdown int
-	Target   int
-	// Residents are the classes of all other work on the worker.
-	Residents  []string
-	Candidates []Candidate
-}
-
-// Predictor tells which slowdown residents cause; Model and Loaded implement it.
-type Predictor interface {
-	Slowdown(class string, residents []string) int
-}
+// maxBackoff bounds the doublings of the release term.
+const maxBackoff = 3
 
 // Governor keeps the state of throttling, checkpoints and evictions. It is used by one goroutine.
 type Governor struct {
@@ -76,33 +21,6 @@
 	workers   map[ident.Worker]*governed
 }
 
-type governed struct {
-	services  map[ident.Service]*watched
-	applied   map[ident.Task]request
-	evictions []clock.Time
-}
-
-// request is the last throttle asked for, to repeat it if the worker does not follow.
-type request struct {
-	percent int
-	at      clock.Time
-}
-
-// watched is the state for one service target on one worker.
-type watched struct {
-	smoothed float64
-	seen     clock.Time
-	aboveAt  clock.Time
-	belowAt  clock.Time
-	stepAt   clock.Time
-	// levels is the index of the next throttle step per chosen task.
-	levels map[ident.Task]int
-	// leaving is the task that was asked to checkpoint before its eviction.
-	leaving   ident.Task
-	leavingAt clock.Time
-	evictedAt clock.Time
-}
-
 // NewGovernor returns a Governor that has acted on nothing.
 func NewGovernor(settings GovernorSettings, predictor Predictor) *Governor {
 	return &Governor{settings: settings, predictor: predictor, workers: make(map[ident.Worker]*governed)}
@@ -136,18 +54,19 @@
 func (governor *Governor) Step(reading Reading, now clock.Time) []Action {
 	known := governor.workers[reading.Worker]
 	if known == nil {
-		known = &governed{services: make(map[ident.Service]*watched), applied: make(map[ident.Task]request)}
+		known = &governed{services: make(map[ident.Service]*watched), applied: make(map[run]request)}
 		governor.workers[reading.Worker] = known
 	}
 	state := known.services[reading.Service]
 	if state == nil {
-		state = &watched{smoothed: float64(reading.Slowdown), seen: now, levels: make(map[ident.Task]int)}
+		// A first measurement above the target may be a spike, so the mean starts at the target.
+		state = &watched{smoothed: float64(min(reading.Slowdown, reading.Target)), seen: now, levels: make(map[run]int)}
 		known.services[reading.Service] = state
 		governor.adopt(known, state, reading, now)
 	}
-	present := make(map[ident.Task]Candidate, len(reading.Candidates))
+	present := make(map[run]Candidate, len(reading.Candidates))
 	for _, candidate := range reading.Candidates {
-		present[candidate.Task] = candidate
+		present[candidate.run()] = candidate
 	}
 	for task := range state.levels {
 		if _, ok := present[task]; !ok {
@@ -157,13 +76,13 @@
 	governor.smooth(state, reading, now)
 	var actions []Action
 	switch {
-	case state.leaving != (ident.Task{}):
+	case state.leaving != (run{}):
 		actions = governor.finishEviction(known, state, reading, present, now)
 	case now.Sub(state.stepAt) < governor.settings.DwellMillis && state.stepAt != 0:
 	case state.aboveAt != 0 && now.Sub(state.aboveAt) >= governor.settings.EnterMillis:
 		actions = governor.tighten(known, state, reading, now)
-	case state.belowAt != 0 && now.Sub(state.belowAt) >= governor.settings.ReleaseMillis && len(state.levels) > 0:
-		governor.relax(state, now)
+	case state.belowAt != 0 && now.Sub(state.belowAt) >= governor.releaseTerm(state) && len(state.levels) > 0:
+		governor.relax(state, reading, now)
 	}
 	return append(governor.apply(known, reading, present, now), actions...)
 }
@@ -172,7 +91,7 @@
 // home does not release them all at once.
 func (governor *Governor) adopt(known *governed, state *watched, reading Reading, now clock.Time) {
 	for _, candidate := range reading.Candidates {
-		if _, asked := known.applied[candidate.Task]; asked || candidate.Throttle <= 0 || candidate.Throttle >= 100 {
+		if _, asked := known.applied[candidate.run()]; asked || candidate.Throttle <= 0 || candidate.Throttle >= 100 {
 			continue
 		}
 		level := 0
@@ -180,8 +99,8 @@
 			level++
 		}
 		if level > 0 {
-			state.levels[candidate.Task] = level
-			known.applied[candidate.Task] = request{percent: candidate.Throttle, at: now}
+			state.levels[candidate.run()] = level
+			known.applied[candidate.run()] = request{percent: candidate.Throttle, at: now}
 		}
 	}
 }
@@ -192,21 +111,13 @@
 	share := 1 - math.Exp(-elapsed/float64(max(governor.settings.SmoothingMillis, 1)))
 	state.smoothed += share * (float64(reading.Slowdown) - state.smoothed)
 	state.seen = now
+	if state.aboveAt == 0 {
+		state.deepAt = 0
+	}
 	state.aboveAt = since(state.aboveAt, state.smoothed > float64(reading.Target+governor.settings.EnterMargin), now)
 	state.belowAt = since(state.belowAt, state.smoothed < float64(max(reading.Target-governor.settings.ExitMargin, 101)), now)
 }
 
-func since(start clock.Time, holds bool, now clock.Time) clock.Time {
-	switch {
-	case !holds:
-		return 0
-	case start == 0:
-		return now
-	default:
-		return start
-	}
-}
-
 // tighten throttles the tasks that cause the excess by one more step, or starts an eviction once
 // they are throttled as far as allowed.
 func (governor *Governor) tighten(known *governed, state *watched, reading Reading, now clock.Time) []Action {
@@ -215,20 +126,33 @@
 		return nil
 	}
 	state.stepAt = now
+	if state.relaxedAt != 0 && now.Sub(state.relaxedAt) < 2*governor.releaseTerm(state) {
+		state.backoff = min(state.backoff+1, maxBackoff)
+	} else {
+		state.backoff = 0
+	}
+	state.relaxedAt = 0
 	deepest := len(governor.settings.ThrottlePercents)
 	excess := state.smoothed - float64(reading.Target)
 	explained, moved := 0.0, false
 	for _, candidate := range ranked {
-		if level := state.levels[candidate.Task]; level < deepest {
-			state.levels[candidate.Task] = level + 1
+		if level := state.levels[candidate.run()]; level < deepest {
+			state.levels[candidate.run()] = level + 1
 			moved = true
-			explained += governor.effect(reading, candidate)
+			explained += governor.effect(reading, candidate) * governor.step(level+1)
 			if explained >= excess {
 				break
 			}
 		}
 	}
 	if moved {
+		state.deepAt = 0
+		return nil
+	}
+	if state.deepAt == 0 {
+		state.deepAt = now
+	}
+	if now.Sub(state.deepAt) < governor.settings.EvictAfterMillis {
 		return nil
 	}
 	recent := known.evictions[:0]
@@ -242,17 +166,20 @@
 		return nil
 	}
 	chosen := ranked[0]
-	state.leaving, state.leavingAt = chosen.Task, now
+	if governor.effect(reading, chosen) < governor.settings.LeastEffect {
+		return nil
+	}
+	state.leaving, state.leavingAt = chosen.run(), now
 	return []Action{governor.action(Checkpoint, reading, state, chosen, 0)}
 }
 
 // finishEviction evicts the task whose checkpoint was asked for, unless the slowdown has gone or
 // the task has ended meanwhile.
-func (governor *Governor) finishEviction(known *governed, state *watched, reading Reading, present map[ident.Task]Candidate, now clock.Time) []Action {
+func (governor *Governor) finishEviction(known *governed, state *watched, reading Reading, present map[run]Candidate, now clock.Time) []Action {
 	candidate, ok := present[state.leaving]
 	switch {
 	case !ok || (state.aboveAt == 0 && state.evictedAt == 0):
-		state.leaving, state.evictedAt, state.stepAt = ident.Task{}, 0, now
+		state.leaving, state.evictedAt, state.stepAt = run{}, 0, now
 		return nil
 	case state.evictedAt != 0:
 		if now.Sub(state.evictedAt) < governor.settings.RetryMillis {
@@ -267,22 +194,57 @@
 	return []Action{governor.action(Evict, reading, state, candidate, 0)}
 }
 
-// relax takes every chosen task back by one throttle step.
-func (governor *Governor) relax(state *watched, now clock.Time) {
-	state.stepAt = now
+// releaseTerm is how long the slowdown must stay below before the next release.
+func (governor *Governor) releaseTerm(state *watched) clock.Millis {
+	return governor.settings.ReleaseMillis << state.backoff
+}
+
+// relax takes chosen tasks back by one throttle step, the least harmful first, as long as the
+// predicted slowdown stays below the target. At least one task is taken back.
+func (governor *Governor) relax(state *watched, reading Reading, now clock.Time) {
+	state.stepAt, state.relaxedAt = now, now
 	// The next step needs a full term below the target again.
 	state.belowAt = now
-	for task, level := range state.levels {
-		if level <= 1 {
-			delete(state.levels, task)
+	var throttled []Candidate
+	for _, candidate := range byTask(reading.Candidates) {
+		if state.levels[candidate.run()] > 0 {
+			throttled = append(throttled, candidate)
+		}
+	}
+	slices.SortStableFunc(throttled, func(left, right Candidate) int {
+		return cmp.Compare(governor.effect(reading, left), governor.effect(reading, right))
+	})
+	room := float64(reading.Target) - state.smoothed
+	for index, candidate := range throttled {
+		level := state.levels[candidate.run()]
+		room -= governor.effect(reading, candidate) * governor.step(level)
+		if index > 0 && room < 0 {
+			return
+		}
+		if level == 1 {
+			delete(state.levels, candidate.run())
 			continue
 		}
-		state.levels[task] = level - 1
+		state.levels[candidate.run()] = level - 1
+	}
+}
+
+// step is the share of processor time that the throttle step up to level takes, from 0 to 1.
+func (governor *Governor) step(level int) float64 {
+	percents := governor.settings.ThrottlePercents
+	level = min(level, len(percents))
+	switch level {
+	case 0:
+		return 0
+	case 1:
+		return float64(100-percents[0]) / 100
+	default:
+		return float64(percents[level-2]-percents[level-1]) / 100
 	}
 }
 
 // apply asks for the strictest throttle that any service on the worker wants for each task.
-func (governor *Governor) apply(known *governed, reading Reading, present map[ident.Task]Candidate, now clock.Time) []Action {
+func (governor *Governor) apply(known *governed, reading Reading, present map[run]Candidate, now clock.Time) []Action {
 	for task := range known.applied {
 		if _, ok := present[task]; !ok {
 			delete(known.applied, task)
@@ -293,29 +255,30 @@
 	for _, candidate := range byTask(reading.Candidates) {
 		want := 100
 		for _, other := range known.services {
-			if level := other.levels[candidate.Task]; level > 0 {
-				level = min(level, len(governor.settings.ThrottlePercents))
+			level := min(other.levels[candidate.run()], len(governor.settings.ThrottlePercents))
+			if level > 0 {
 				want = min(want, governor.settings.ThrottlePercents[level-1])
 			}
 		}
-		last, asked := known.applied[candidate.Task]
+		last, asked := known.applied[candidate.run()]
 		if !asked {
 			last.percent = 100
 		}
 		stale := candidate.Throttle != 0 && candidate.Throttle != want && now.Sub(last.at) >= governor.settings.RetryMillis
 		if want == last.percent && !stale {
 			if want == 100 && candidate.Throttle == 100 {
-				delete(known.applied, candidate.Task)
+				delete(known.applied, candidate.run())
 			}
 			continue
 		}
-		known.applied[candidate.Task] = request{percent: want, at: now}
+		known.applied[candidate.run()] = request{percent: want, at: now}
 		actions = append(actions, governor.action(Throttle, reading, state, candidate, want))
 	}
 	return actions
 }
 
-// rank orders the candidates by effect per cost, best first; batch before standing work.
+// rank orders the candidates by effect per cost, best first; batch before standing work. Candidates
+// with little effect are left out unless there are no others.
 func (governor *Governor) rank(reading Reading) []Candidate {
 	ranked := byTask(reading.Candidates)
 	score := func(candidate Candidate) float64 {
@@ -331,16 +294,26 @@
 		}
 		return cmp.Compare(score(right), score(left))
 	})
+	harmful := slices.DeleteFunc(slices.Clone(ranked), func(candidate Candidate) bool {
+		return governor.effect(reading, candidate) < governor.settings.LeastEffect
+	})
+	if len(harmful) > 0 {
+		return harmful
+	}
 	return ranked
 }
 
 // effect is the predicted slowdown that a candidate causes, in points. Unknown classes count as one
 // point, so that they are acted on after known causes.
 func (governor *Governor) effect(reading Reading, candidate Candidate) float64 {
-	if governor.predictor == nil {
+	predictor := governor.predictor
+	if predictor == nil {
 		return 1
 	}
-	return max(float64(governor.predictor.Slowdown(reading.Class, []string{candidate.Class})-100), 1)
+	if model, ok := predictor.(interface{ At(load int) Loaded }); ok {
+		predictor = model.At(reading.Load)
+	}
+	return max(float64(predictor.Slowdown(reading.Class, []string{candidate.Class})-100), 1)
 }
 
 func (governor *Governor) action(kind ActionKind, reading Reading, state *watched, candidate Candidate, percent int) Action {
@@ -377,9 +350,9 @@
 		return nil
 	}
 	known.services[service].levels = nil
-	present := make(map[ident.Task]Candidate, len(candidates))
+	present := make(map[run]Candidate, len(candidates))
 	for _, candidate := range candidates {
-		present[candidate.Task] = candidate
+		present[candidate.run()] = candidate
 	}
 	actions := governor.apply(known, Reading{Worker: worker, Service: service, Candidates: candidates}, present, now)
 	delete(known.services, service)
--- a/interference/model.go
+++ b/interference/model.go
@@ -1,6 +1,7 @@
 package interference
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -55,10 +56,18 @@
 	weight int64
 }
 
+// Resident is one piece of work on a worker.
+type Resident struct {
+	Class string
+	// Percent is the share of processor time it may use; 100 is unthrottled. A throttled task
+	// interferes in proportion.
+	Percent int
+}
+
 type change struct {
 	at        clock.Time
 	load      int
-	residents []string
+	residents []Resident
 }
 
 // Model holds the pair estimates of one entry daemon. It is used by one goroutine.
@@ -83,12 +92,14 @@
 	}
 }
 
-// Residents records the classes of all work on a worker, services included, from at on. Load is the
+// Residents records all work on a worker, services included, from at on. Load is the
 // processor time in use in percent of the capacity. Calls for one worker must be in order of time.
-func (model *Model) Residents(worker ident.Worker, residents []string, load int, at clock.Time) {
+func (model *Model) Residents(worker ident.Worker, residents []Resident, load int, at clock.Time) {
 	model.now = max(model.now, at)
 	sorted := slices.Clone(residents)
-	slices.Sort(sorted)
+	slices.SortFunc(sorted, func(left, right Resident) int {
+		return cmp.Or(cmp.Compare(left.Class, right.Class), cmp.Compare(left.Percent, right.Percent))
+	})
 	past := model.history[worker]
 	if last := len(past) - 1; last >= 0 && bucketOf(past[last].load) == bucketOf(load) && slices.Equal(past[last].residents, sorted) {
 		return
@@ -134,22 +145,22 @@
 
 // learn spreads the prediction error over the present pairs in proportion to their uncertainty,
 // which is the update of a Kalman filter with a diagonal covariance.
-func (model *Model) learn(class string, counts map[string]int, bucket, slowdown int, taken clock.Time) {
+func (model *Model) learn(class string, counts map[string]float64, bucket, slowdown int, taken clock.Time) {
 	measured := float64(min(max(slowdown, 100), maxSlowdown) - 100)
 	aggressors := set.SortedKeys(counts)
 	predicted, spread := 0.0, 1.0
 	for _, aggressor := range aggressors {
 		cell := model.cell(pair{victim: class, aggressor: aggressor}, bucket, taken)
-		count := float64(counts[aggressor])
+		count := counts[aggressor]
 		predicted += count * cell.excess
 		spread += count * count / (cell.weight + 1)
 	}
 	for _, aggressor := range aggressors {
 		cell := &model.pairs[pair{victim: class, aggressor: aggressor}].loads[bucket]
-		count := float64(counts[aggressor])
+		count := counts[aggressor]
 		variance := 1 / (cell.weight + 1)
 		cell.excess += variance * count / spread * (measured - predicted)
-		cell.weight = (cell.weight+1)/(1-variance*count*count/spread) - 1
+		cell.weight = min((cell.weight+1)/(1-variance*count*count/spread)-1, model.settings.MaxWeight)
 	}
 }
 
@@ -254,16 +265,18 @@
 	return (own.excess*own.weight + shared.excess*shared.weight) / (own.weight + shared.weight)
 }
 
-// others counts the residents by class without one instance of the measured class itself.
-func others(class string, residents []string) map[string]int {
-	counts := make(map[string]int)
+// others sums the shares of the residents by class, without one instance of the measured class itself.
+func others(class string, residents []Resident) map[string]float64 {
+	counts := make(map[string]float64)
 	skipped := false
 	for _, resident := range residents {
-		if resident == class && !skipped {
+		if resident.Class == class && !skipped {
 			skipped = true
 			continue
 		}
-		counts[resident]++
+		if resident.Percent > 0 {
+			counts[resident.Class] += float64(resident.Percent) / 100
+		}
 	}
 	return counts
 }
--- a/interference/settings.go
+++ b/interference/settings.go
@@ -15,6 +15,9 @@
 	// SettleMillis is how long after a change of residents a measurement is not used, because it
 	// still covers time before the change.
 	SettleMillis clock.Millis
+	// MaxWeight bounds the number of measurements an estimate counts as, so that it follows a shift
+	// of load after about as many further measurements.
+	MaxWeight float64
 	// MaxPairs bounds the number of learned pairs, and of pairs taken over from each other entry.
 	MaxPairs int
 	// ImportPercent is the weight of other entries' measurements relative to own ones.
@@ -27,6 +30,7 @@
 		HalfLifeMillis: 15 * clock.Minute,
 		HistoryMillis:  2 * clock.Minute,
 		SettleMillis:   clock.Second,
+		MaxWeight:      30,
 		MaxPairs:       1024,
 		ImportPercent:  50,
 	}
@@ -46,10 +50,17 @@
 	// DwellMillis is the shortest time between two steps on a worker for one service. It must
 	// exceed the lag of measurements, so that a step's effect is seen before the next.
 	DwellMillis clock.Millis
-	// ReleaseMillis is how long the slowdown must stay below to relax by one step.
+	// ReleaseMillis is how long the slowdown must stay below to relax by one step. It doubles, up to
+	// eightfold, each time the slowdown returns soon after a release.
 	ReleaseMillis clock.Millis
 	// ThrottlePercents are the successive shares of processor time of throttled tasks.
 	ThrottlePercents []int
+	// EvictAfterMillis is how long the slowdown must stay above, with tasks throttled as far as
+	// allowed, before one is evicted.
+	EvictAfterMillis clock.Millis
+	// LeastEffect is the predicted slowdown, in points, that a task must cause to be evicted. Tasks
+	// below it are throttled only if no task is above.
+	LeastEffect float64
 	// CheckpointMillis is how long a task has to save its progress before it is evicted.
 	CheckpointMillis clock.Millis
 	// MaxEvictions bounds the evictions per worker and hour.
@@ -73,6 +84,8 @@
 		DwellMillis:      8 * clock.Second,
 		ReleaseMillis:    45 * clock.Second,
 		ThrottlePercents: []int{50, 20},
+		EvictAfterMillis: 15 * clock.Second,
+		LeastEffect:      3,
 		CheckpointMillis: 5 * clock.Second,
 		MaxEvictions:     30,
 		LostWorkWeight:   0.1,
@@ -91,6 +104,9 @@
 		DwellMillis:      20 * clock.Second,
 		ReleaseMillis:    30 * clock.Second,
 		ThrottlePercents: []int{80, 60, 40},
+		// Waves of noise last a few minutes; throttling bridges them without repeated work.
+		EvictAfterMillis: 5 * clock.Minute,
+		LeastEffect:      10,
 		CheckpointMillis: 30 * clock.Second,
 		MaxEvictions:     3,
 		LostWorkWeight:   2,
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"hyssopjunction/clock"
 	"hyssopjunction/ident"
@@ -21,6 +22,8 @@
 	Withheld ActionKind = "Withheld"
 	// Park delays a job.
 	Park ActionKind = "Park"
+	// Unpark ends the delay of a job that proved innocent.
+	Unpark ActionKind = "Unpark"
 )
 
 // Action is one decision, for the log and for explain.
@@ -60,23 +63,60 @@
 	affected := 0
 	jobs := set.New[ident.Job]()
 	for _, record := range tracker.workers {
-		distinct, failed, ended := tracker.evidence(record, now)
-		// Half of the evidence for a quarantine suffices here, so that a wave is recognised
-		// before the first workers reach the full evidence.
-		if distinct.Len()*2 >= tracker.settings.DistinctJobs && failed*100 >= ended*tracker.settings.FailedPercent {
-			affected++
-			for job := range distinct {
-				jobs.Add(job)
+		if !record.affected || now.Sub(record.ends[len(record.ends)-1].at) >= tracker.settings.WindowMillis {
+			continue
+		}
+		affected++
+		for _, past := range record.ends {
+			if jobs.Len() >= tracker.settings.WaveJobs {
+				break
+			}
+			if past.failed && now.Sub(past.at) < tracker.settings.WindowMillis {
+				jobs.Add(past.job)
 			}
 		}
 	}
-	return affected*100 >= fleet*tracker.settings.WavePercent && jobs.Len() >= tracker.settings.DistinctJobs
+	return affected*100 >= fleet*tracker.settings.WavePercent && jobs.Len() >= tracker.settings.WaveJobs
 }
 
-// evidence returns the distinct jobs that failed on the worker within the window, not counting
+// refresh recomputes whether mostly failures happen on the worker. Failures of parked jobs count
+// here, because a platform fault parks jobs before it is recognised.
+func (tracker *Tracker) refresh(record *workerRecord, now clock.Time) {
+	failed, ended := 0, 0
+	for _, past := range record.ends {
+		if now.Sub(past.at) >= tracker.settings.WindowMillis {
+			continue
+		}
+		ended++
+		if past.failed {
+			failed++
+		}
+	}
+	record.affected = failed > 0 && failed*100 >= ended*tracker.settings.FailedPercent
+}
+
+// pardon shortens the delays of jobs that failed at the start of a platform fault.
+func (tracker *Tracker) pardon(now clock.Time) {
+	for _, name := range set.SortedKeys(tracker.jobs) {
+		job := tracker.jobs[name]
+		if job.parks > 0 && now.Sub(job.used) < tracker.settings.WindowMillis {
+			job.parks, job.term, job.failures = 0, 0, nil
+			job.until = min(job.until, now.Add(tracker.settings.BackoffMillis))
+			tracker.pending = append(tracker.pending, Action{Kind: Unpark, Job: name, TermMillis: max(job.until.Sub(now), 0), Reason: "platform fault"})
+		}
+	}
+}
+
+// suspect reports whether the worker's ends are full evidence for a quarantine.
+func (tracker *Tracker) suspect(record *workerRecord, now clock.Time) bool {
+	distinct, failed, ended := tracker.evidence(record, now)
+	return distinct >= tracker.settings.DistinctJobs && failed*100 >= ended*tracker.settings.FailedPercent
+}
+
+// evidence returns how many distinct jobs failed on the worker within the window, not counting
 // jobs that are themselves at fault, and the numbers of failures and of ends.
-func (tracker *Tracker) evidence(record *workerRecord, now clock.Time) (distinct set.Set[ident.Job], failed, ended int) {
-	distinct = set.New[ident.Job]()
+func (tracker *Tracker) evidence(record *workerRecord, now clock.Time) (distinct, failed, ended int) {
+	jobs := set.New[ident.Job]()
 	for _, past := range record.ends {
 		if now.Sub(past.at) >= tracker.settings.WindowMillis {
 			continue
@@ -85,55 +125,81 @@
 			if job := tracker.jobs[past.job]; job != nil && job.parks > 0 {
 				continue
 			}
-			distinct.Add(past.job)
+			jobs.Add(past.job)
 			failed++
 		}
 		ended++
 	}
-	return distinct, failed, ended
+	return jobs.Len(), failed, ended
 }
 
-func (tracker *Tracker) judgeWorker(task ident.Task, worker ident.Worker, record *workerRecord, reason string, now clock.Time) {
+func (tracker *Tracker) judgeWorker(task ident.Task, worker ident.Worker, record *workerRecord, reason string, wave bool, now clock.Time) {
 	_, trial := record.trials[task]
 	delete(record.trials, task)
 	if record.onProbation(now) && trial {
-		record.term = min(2*record.term, tracker.settings.MaxQuarantineMillis)
-		tracker.quarantine(worker, record, "probation failed: "+reason, now)
+		record.failures++
+		if record.failures >= tracker.settings.ProbationTasks {
+			// A platform fault fails every probation, so it does not make the term longer.
+			if !wave {
+				record.term = min(2*record.term, tracker.settings.MaxQuarantineMillis)
+			}
+			tracker.quarantine(worker, record, "probation failed: "+reason, now)
+		}
 		return
 	}
-	if record.until != 0 {
+	if record.until != 0 || !tracker.suspect(record, now) {
 		return
 	}
 	distinct, failed, ended := tracker.evidence(record, now)
-	if distinct.Len() < tracker.settings.DistinctJobs || failed*100 < ended*tracker.settings.FailedPercent {
+	why := fmt.Sprintf("%d distinct jobs failed, %d of %d ends; last: %s", distinct, failed, ended, reason)
+	out := len(tracker.Quarantined())
+	if !wave && out < tracker.Limit() {
+		record.term = tracker.settings.QuarantineMillis
+		tracker.quarantine(worker, record, why, now)
 		return
 	}
-	why := fmt.Sprintf("%d distinct jobs failed, %d of %d ends; last: %s", distinct.Len(), failed, ended, reason)
-	if out := len(tracker.Quarantined()); out >= tracker.Limit() {
-		tracker.pending = append(tracker.pending, Action{
-			Kind: Withheld, Worker: worker, Job: task.Job,
-			Reason: fmt.Sprintf("%s; %d workers already out of service", why, out),
-		})
+	if record.withheldAt != 0 && now.Sub(record.withheldAt) < tracker.settings.WindowMillis {
 		return
 	}
-	record.term = tracker.settings.QuarantineMillis
-	tracker.quarantine(worker, record, why, now)
+	record.withheldAt = now
+	why = fmt.Sprintf("%s; %d workers already out of service", why, out)
+	if wave {
+		why += "; failures on many workers point to the platform"
+	}
+	tracker.pending = append(tracker.pending, Action{Kind: Withheld, Worker: worker, Job: task.Job, Reason: why})
 }
 
 func (tracker *Tracker) quarantine(worker ident.Worker, record *workerRecord, reason string, now clock.Time) {
 	record.until = now.Add(record.term)
-	record.successes = 0
-	record.reason = reason
-	clear(record.trials)
-	// The evidence is spent: probation starts from a clean record.
-	record.ends = nil
+	record.reset()
 	tracker.pending = append(tracker.pending, Action{Kind: Quarantine, Worker: worker, TermMillis: record.term, Reason: reason})
+	tracker.acquit(worker, now)
 }
 
-func (tracker *Tracker) release(worker ident.Worker, record *workerRecord, reason string) {
-	record.until, record.term, record.successes, record.reason = 0, 0, 0, ""
-	record.ends = nil
+// reset drops the evidence, so that a probation or a full service starts from a clean record.
+func (record *workerRecord) reset() {
+	record.successes, record.failures, record.ends, record.affected, record.withheldAt = 0, 0, nil, false, 0
 	clear(record.trials)
+}
+
+// acquit drops the failures on a worker that proved faulty from the records of the jobs. Jobs that
+// were parked because of them may start again.
+func (tracker *Tracker) acquit(worker ident.Worker, now clock.Time) {
+	for _, name := range set.SortedKeys(tracker.jobs) {
+		job := tracker.jobs[name]
+		before := len(job.failures)
+		job.failures = slices.DeleteFunc(job.failures, func(failure end) bool { return failure.worker == worker })
+		if len(job.failures) == before || job.parks == 0 || tracker.jobAtFault(job, now) {
+			continue
+		}
+		job.parks, job.term, job.until = 0, 0, 0
+		tracker.pending = append(tracker.pending, Action{Kind: Unpark, Job: name, Reason: "worker " + string(worker) + " was at fault"})
+	}
+}
+
+func (tracker *Tracker) release(worker ident.Worker, record *workerRecord, reason string) {
+	record.until, record.term = 0, 0
+	record.reset()
 	tracker.pending = append(tracker.pending, Action{Kind: Release, Worker: worker, Reason: reason})
 }
 
@@ -144,20 +210,31 @@
 	}
 }
 
-// jobAtFault reports whether the job failed on enough distinct workers in service, on which
-// something else did not fail, to be the cause itself.
+// jobAtFault reports whether the job failed on enough distinct workers, or often enough, to be the
+// cause itself. Failures on workers that are out of service or suspect are no evidence against it.
 func (tracker *Tracker) jobAtFault(job *jobRecord, now clock.Time) bool {
 	workers := set.New[ident.Worker]()
+	failures := 0
+	verdicts := make(map[ident.Worker]bool)
 	for _, failure := range job.failures {
 		if now.Sub(failure.at) >= tracker.settings.WindowMillis {
 			continue
 		}
-		if record := tracker.workers[failure.worker]; record != nil && record.until != 0 {
-			continue
+		faulty, judged := verdicts[failure.worker]
+		if !judged {
+			record := tracker.workers[failure.worker]
+			faulty = record != nil && (record.until != 0 || tracker.suspect(record, now))
+			verdicts[failure.worker] = faulty
+		}
+		if !faulty {
+			workers.Add(failure.worker)
+			failures++
 		}
-		workers.Add(failure.worker)
 	}
-	return workers.Len() >= tracker.settings.DistinctWorkers
+	// A fleet smaller than the wanted number of workers can still convict a job.
+	wanted := min(tracker.settings.DistinctWorkers, max(len(tracker.workers), 1))
+	return failures >= tracker.settings.MaxFailures ||
+		(workers.Len() >= wanted && failures >= tracker.settings.DistinctWorkers)
 }
 
 func (tracker *Tracker) judgeJob(name ident.Job, job *jobRecord, reason string, wave bool, now clock.Time) {
@@ -165,6 +242,7 @@
 	case wave:
 		// A platform fault says nothing about the job; the first term without doubling keeps it
 		// from being started over and over.
+		job.failures = nil
 		job.until = now.Add(tracker.settings.BackoffMillis)
 		job.reason = "platform fault, failures on many workers: " + reason
 		return
@@ -177,12 +255,12 @@
 	job.parks++
 	job.term = min(max(2*job.term, tracker.settings.BackoffMillis), tracker.settings.MaxBackoffMillis)
 	job.until = now.Add(job.term)
-	job.reason = fmt.Sprintf("failed on %d or more distinct workers: %s", tracker.settings.DistinctWorkers, reason)
+	job.reason = fmt.Sprintf("failed %d times in a row on workers in good health: %s", len(job.failures), reason)
 	tracker.pending = append(tracker.pending, Action{Kind: Park, Job: name, TermMillis: job.term, Reason: job.reason})
 }
 
-// Check asserts that no more workers are out of service than the cap allows. A fleet that shrank
-// since the quarantine is no violation, so callers check before they call SetFleet.
+// Check asserts that no more workers are out of service than the cap allows. It fails with
+// ErrOverCap.
 func (tracker *Tracker) Check() error {
 	if out := len(tracker.Quarantined()); out > tracker.Limit() {
 		return ErrOverCap{Out: out, Limit: tracker.Limit()}
--- a/quarantine/settings.go
+++ b/quarantine/settings.go
@@ -15,18 +15,22 @@
 	FailedPercent int
 	// CapPercent is the largest share of the fleet out of full service at once, in percent.
 	CapPercent int
-	// WavePercent is the share of the fleet with failures of distinct jobs, in percent, from which
-	// the platform and not a worker or job is taken to be at fault.
+	// WavePercent and WaveJobs are the share of the fleet on which mostly failures happen, in percent,
+	// and the number of distinct failed jobs, from which the platform is taken to be at fault.
 	WavePercent int
+	WaveJobs    int
 	// QuarantineMillis is the first term of a quarantine. It doubles with each failed probation.
 	QuarantineMillis clock.Millis
 	// MaxQuarantineMillis bounds the term.
 	MaxQuarantineMillis clock.Millis
-	// ProbationTasks is the number of trial tasks that may run on a worker on probation at once,
-	// and the number that must succeed before it returns to full service.
+	// ProbationTasks is the number of trial tasks that may run on a worker on probation at once.
+	// The probation is decided once as many have succeeded or as many have failed.
 	ProbationTasks int
 	// DistinctWorkers is the number of distinct workers a job must fail on to be parked.
 	DistinctWorkers int
+	// MaxFailures is the number of failures without a success from which a job is parked even if
+	// they happened on fewer workers.
+	MaxFailures int
 	// BackoffMillis is the first term for which a job is parked. It doubles with each further failure.
 	BackoffMillis clock.Millis
 	// MaxBackoffMillis bounds the term.
@@ -43,10 +47,12 @@
 		FailedPercent:       60,
 		CapPercent:          20,
 		WavePercent:         40,
+		WaveJobs:            8,
 		QuarantineMillis:    5 * clock.Minute,
 		MaxQuarantineMillis: 2 * clock.Hour,
 		ProbationTasks:      2,
 		DistinctWorkers:     3,
+		MaxFailures:         12,
 		BackoffMillis:       30 * clock.Second,
 		MaxBackoffMillis:    clock.Hour,
 		MaxJobs:             8192,
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -1,7 +1,9 @@
 package quarantine
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 
 	"hyssopjunction/clock"
 	"hyssopjunction/ident"
@@ -18,6 +20,7 @@
 	workers  map[ident.Worker]*workerRecord
 	jobs     map[ident.Job]*jobRecord
 	pending  []Action
+	inWave   bool
 }
 
 type workerRecord struct {
@@ -27,7 +30,10 @@
 	term      clock.Millis
 	trials    map[ident.Task]clock.Time
 	successes int
-	reason    string
+	failures  int
+	// affected tells whether the ends hold half of the evidence for a quarantine, see Wave.
+	affected   bool
+	withheldAt clock.Time
 }
 
 type jobRecord struct {
@@ -56,7 +62,7 @@
 }
 
 // SetFleet names the workers that exist. Records of other workers are dropped. The cap is a share
-// of this fleet.
+// of this fleet; if the fleet shrank, workers whose quarantine ends first are released to keep it.
 func (tracker *Tracker) SetFleet(fleet []ident.Worker) {
 	known := set.New(fleet...)
 	for worker := range tracker.workers {
@@ -69,9 +75,17 @@
 			tracker.workers[worker] = &workerRecord{trials: make(map[ident.Task]clock.Time)}
 		}
 	}
+	out := tracker.Quarantined()
+	slices.SortStableFunc(out, func(left, right ident.Worker) int {
+		return cmp.Compare(tracker.workers[left].until, tracker.workers[right].until)
+	})
+	for _, worker := range out[:max(len(out)-tracker.Limit(), 0)] {
+		tracker.release(worker, tracker.workers[worker], "the cap fell with the fleet")
+	}
 }
 
-// Started records a task start. On a worker on probation it takes one of the trial places.
+// Started records a task start. On a worker on probation it takes one of the trial places, so it
+// must be called when the task is placed and before Usable is asked for the next one.
 func (tracker *Tracker) Started(task ident.Task, worker ident.Worker, now clock.Time) {
 	record := tracker.worker(worker)
 	if record.onProbation(now) {
@@ -84,6 +98,7 @@
 	record := tracker.worker(worker)
 	record.ends = appendEnd(record.ends, end{at: now, job: task.Job, worker: worker}, now, tracker.settings.WindowMillis)
 	delete(tracker.jobs, task.Job)
+	tracker.refresh(record, now)
 	if _, trial := record.trials[task]; !trial || !record.onProbation(now) {
 		return
 	}
@@ -100,11 +115,16 @@
 	record := tracker.worker(worker)
 	ended := end{at: now, job: task.Job, worker: worker, failed: true}
 	record.ends = appendEnd(record.ends, ended, now, tracker.settings.WindowMillis)
+	tracker.refresh(record, now)
 	job := tracker.job(task.Job, now)
 	job.failures = appendEnd(job.failures, ended, now, tracker.settings.WindowMillis)
 	wave := tracker.Wave(now)
+	if wave && !tracker.inWave {
+		tracker.pardon(now)
+	}
+	tracker.inWave = wave
 	if !tracker.jobAtFault(job, now) || wave {
-		tracker.judgeWorker(task, worker, record, reason, now)
+		tracker.judgeWorker(task, worker, record, reason, wave, now)
 	} else {
 		delete(record.trials, task)
 	}
