--- a/interference/governor.go
+++ b/interference/governor.go
@@ -136,13 +136,16 @@
 	excess := state.smoothed - float64(reading.Target)
 	explained, moved := 0.0, false
 	for _, candidate := range ranked {
-		if level := state.levels[candidate.run()]; level < deepest {
+		effect := governor.effect(reading, candidate)
+		// Several steps at once need a prediction that they will help.
+		most := state.levels[candidate.run()] + 1
+		if effect >= governor.settings.LeastEffect {
+			most = deepest
+		}
+		for level := state.levels[candidate.run()]; level < min(most, deepest) && explained < excess; level++ {
 			state.levels[candidate.run()] = level + 1
 			moved = true
-			explained += governor.effect(reading, candidate) * governor.step(level+1)
-			if explained >= excess {
-				break
-			}
+			explained += effect * governor.step(level+1)
 		}
 	}
 	if moved {
--- a/interference/settings.go
+++ b/interference/settings.go
@@ -83,7 +83,7 @@
 		EnterMillis:      2 * clock.Second,
 		DwellMillis:      8 * clock.Second,
 		ReleaseMillis:    45 * clock.Second,
-		ThrottlePercents: []int{50, 20},
+		ThrottlePercents: []int{75, 50, 35, 20},
 		EvictAfterMillis: 15 * clock.Second,
 		LeastEffect:      3,
 		CheckpointMillis: 5 * clock.Second,
--- a/operator/client.go
+++ b/operator/client.go
@@ -9,8 +9,8 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strings"
 	"time"
@@ -159,13 +159,17 @@
 	if request != "" {
 		call.Header.Set(RequestKey, string(request))
 	}
+	// Without a connection, including the TLS handshake, nothing was sent.
+	connected := false
+	call = call.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected = true },
+	}))
 	response, err := client.http.Do(call)
 	if err != nil {
-		var network *net.OpError
-		if errors.As(err, &network) && network.Op == "dial" {
-			return unaccepted, err
+		if connected {
+			return uncertain, err
 		}
-		return uncertain, err
+		return unaccepted, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	// Reading one byte more tells a response at the bound from one above it.
