Check settings, balance quota rounds and bound the cost of decisions

Change: Check on all settings; rounds assert that limits and grants change alike; predictions are cached for 10 s and dropped by learning; a platform fault is looked for once a second; Ledger.Spare for transfers between regions.

--- a/estimate/estimate_test.go
+++ b/estimate/estimate_test.go
@@ -140,6 +140,18 @@
 	}
 }
 
+// TestSettings guards against shipping settings that Check refuses, and against accepting unsafe ones.
+func TestSettings(t *testing.T) {
+	settings := estimate.Defaults()
+	if err := settings.Check(); err != nil {
+		t.Error(err)
+	}
+	settings.OutOfMemoryPercent = 100
+	if err := settings.Check(); !estimate.IsErrBadSettings(err) {
+		t.Errorf("error %v, want ErrBadSettings", err)
+	}
+}
+
 // timed returns the time per call in nanoseconds.
 func timed(run func(calls int)) float64 {
 	const calls = 50000
--- a/estimate/settings.go
+++ b/estimate/settings.go
@@ -2,7 +2,12 @@
 // only as a prior. The package starts no goroutine and reads no clock.
 package estimate
 
-import "hyssopjunction/clock"
+import (
+	"errors"
+	"fmt"
+
+	"hyssopjunction/clock"
+)
 
 // Settings are the limits of a Model.
 type Settings struct {
@@ -45,3 +50,38 @@
 		MaxClasses:          256,
 	}
 }
+
+// Check reports settings with which a Model cannot work. It fails with ErrBadSettings.
+func (settings Settings) Check() error {
+	lowest := min(settings.CPUPercentile, settings.MemoryPercentile, settings.RunTimePercentile)
+	highest := max(settings.CPUPercentile, settings.MemoryPercentile, settings.RunTimePercentile)
+	switch {
+	case lowest < 1 || highest > 100:
+		return ErrBadSettings{Field: "CPUPercentile", Reason: "and the other percentiles must be from 1 to 100"}
+	case settings.HalfLifeMillis <= 0:
+		return ErrBadSettings{Field: "HalfLifeMillis", Reason: "must be positive"}
+	case settings.MemoryMarginPercent < 0 || settings.PriorWeight < 0 || settings.MemoryPriorWeight < 0:
+		return ErrBadSettings{Field: "MemoryMarginPercent", Reason: "and the prior weights must not be negative"}
+	case settings.OutOfMemoryPercent <= 100:
+		return ErrBadSettings{Field: "OutOfMemoryPercent", Reason: "must be above 100, or a task fails again in the same way"}
+	case settings.MaxJobs < 1 || settings.MaxClasses < 1:
+		return ErrBadSettings{Field: "MaxJobs", Reason: "and MaxClasses must be at least 1"}
+	}
+	return nil
+}
+
+// ErrBadSettings reports a setting outside its range.
+type ErrBadSettings struct {
+	Field  string
+	Reason string
+}
+
+// Error names the setting.
+func (err ErrBadSettings) Error() string {
+	return fmt.Sprintf("setting %s %s", err.Field, err.Reason)
+}
+
+// IsErrBadSettings reports whether err is or wraps an ErrBadSettings.
+func IsErrBadSettings(err error) bool {
+	return errors.As(err, new(ErrBadSettings))
+}
--- a/interference/action.go
+++ b/interference/action.go
@@ -55,8 +55,7 @@
 	Target   int
 	// Load is the processor time in use on the worker in percent of its capacity.
 	Load int
-	// Residents are the classes of all other work on the worker.
-	Residents  []string
+	// Candidates are all tasks on the worker that may be acted on, the same for each service there.
 	Candidates []Candidate
 }
 
--- a/interference/exchange.go
+++ b/interference/exchange.go
@@ -89,6 +89,7 @@
 
 // merge recomputes the weighted mean of all entries' estimates of a pair.
 func (model *Model) merge(key pair) {
+	model.cache.drop(key.victim, key.aggressor)
 	sum := estimate{at: model.now}
 	entries := make([]ident.Entry, 0, len(model.remote))
 	for entry := range model.remote {
--- a/interference/governor_test.go
+++ b/interference/governor_test.go
@@ -244,3 +244,49 @@
 			modelwerf.evictions, modelwerf.finished, omaruru.evictions, omaruru.finished)
 	}
 }
+
+// TestSettings guards against shipping settings that Check refuses, and against presets that would
+// throttle in no order or act without a band of hysteresis.
+func TestSettings(t *testing.T) {
+	if err := interference.Defaults().Check(); err != nil {
+		t.Error(err)
+	}
+	for name, settings := range presets {
+		if err := settings.Check(); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+		unordered, band := settings, settings
+		unordered.ThrottlePercents = []int{50, 60}
+		band.EnterMargin, band.ExitMargin = 0, 0
+		for _, bad := range []interference.GovernorSettings{{}, unordered, band} {
+			if err := bad.Check(); !interference.IsErrBadSettings(err) {
+				t.Errorf("%s: settings %+v: error %v, want ErrBadSettings", name, bad, err)
+			}
+		}
+	}
+}
+
+// TestStrictestServiceWins guards against one service's release undoing the throttle that another
+// service on the same worker still needs.
+func TestStrictestServiceWins(t *testing.T) {
+	settings := interference.Omaruru()
+	post := newPost(settings, 1)
+	quiet := interference.Reading{Worker: "worker", Service: "sheets", Class: "sheets", Slowdown: 100, Target: 120}
+	disturbed := false
+	for range 600 {
+		post.step(140)
+		quiet.Candidates = nil
+		for _, candidate := range post.tasks {
+			quiet.Candidates = append(quiet.Candidates, *candidate)
+		}
+		for _, action := range post.governor.Step(quiet, post.fake.Now()) {
+			t.Fatalf("the undisturbed service caused %+v", action)
+		}
+		for _, candidate := range post.tasks {
+			disturbed = disturbed || candidate.Throttle < 100
+		}
+	}
+	if !disturbed {
+		t.Fatal("the disturbed service caused no throttle")
+	}
+}
--- a/interference/model.go
+++ b/interference/model.go
@@ -79,6 +79,7 @@
 	merged   map[pair]estimate
 	history  map[ident.Worker][]change
 	dropped  uint64
+	cache    cache
 }
 
 // New returns a Model that has learned nothing and predicts no slowdown.
@@ -89,6 +90,7 @@
 		remote:   make(map[ident.Entry]map[pair]estimate),
 		merged:   make(map[pair]estimate),
 		history:  make(map[ident.Worker][]change),
+		cache:    cache{values: make(map[string]map[string]prediction)},
 	}
 }
 
@@ -158,6 +160,7 @@
 	for _, aggressor := range aggressors {
 		cell := &model.pairs[pair{victim: class, aggressor: aggressor}].loads[bucket]
 		count := counts[aggressor]
+		model.cache.drop(class, aggressor)
 		variance := 1 / (cell.weight + 1)
 		cell.excess += variance * count / spread * (measured - predicted)
 		cell.weight = min((cell.weight+1)/(1-variance*count*count/spread)-1, model.settings.MaxWeight)
@@ -207,62 +210,7 @@
 		}
 	}
 	delete(model.pairs, lightest)
-}
-
-// Slowdown predicts the slowdown of work of class beside the residents in percent, at the mean of
-// the loads that were measured. The residents do not include the work itself.
-func (model *Model) Slowdown(class string, residents []string) int {
-	return model.predict(class, residents, -1)
-}
-
-// At returns the predictions at a load, in percent of a worker's processor capacity. They follow
-// later learning.
-func (model *Model) At(load int) Loaded {
-	return Loaded{model: model, bucket: bucketOf(load)}
-}
-
-// Loaded predicts slowdowns at one load.
-type Loaded struct {
-	model  *Model
-	bucket int
-}
-
-// Slowdown predicts the slowdown of work of class beside the residents in percent.
-func (loaded Loaded) Slowdown(class string, residents []string) int {
-	return loaded.model.predict(class, residents, loaded.bucket)
-}
-
-func (model *Model) predict(class string, residents []string, bucket int) int {
-	excess := 0.0
-	for _, resident := range residents {
-		excess += max(model.excess(pair{victim: class, aggressor: resident}, bucket), 0)
-	}
-	return min(100+int(math.Round(excess)), maxSlowdown)
-}
-
-// excess combines own and imported estimates of a pair. Bucket -1 stands for the mean of all.
-func (model *Model) excess(key pair, bucket int) float64 {
-	halfLife := model.settings.HalfLifeMillis
-	own := estimate{}
-	if known := model.pairs[key]; known != nil {
-		own = known.mean(model.now, halfLife)
-		if bucket >= 0 {
-			if cell := known.loads[bucket].decayed(model.now, halfLife); cell.weight >= 0.01 {
-				// The mean over all loads replaces the prior of no excess.
-				own = estimate{excess: cell.excess + own.excess/(cell.weight+1), weight: cell.weight + 1}
-			}
-		}
-	}
-	shared, ok := model.merged[key]
-	if !ok {
-		return own.excess
-	}
-	shared = shared.decayed(model.now, halfLife)
-	shared.weight *= float64(model.settings.ImportPercent) / 100
-	if own.weight+shared.weight == 0 {
-		return 0
-	}
-	return (own.excess*own.weight + shared.excess*shared.weight) / (own.weight + shared.weight)
+	model.cache.drop(lightest.victim, lightest.aggressor)
 }
 
 // others sums the shares of the residents by class, without one instance of the measured class itself.
--- a/interference/settings.go
+++ b/interference/settings.go
@@ -3,7 +3,12 @@
 // goroutine and reads no clock.
 package interference
 
-import "hyssopjunction/clock"
+import (
+	"errors"
+	"fmt"
+
+	"hyssopjunction/clock"
+)
 
 // Settings are the limits of a Model. Durations are in milliseconds.
 type Settings struct {
@@ -113,3 +118,56 @@
 		RetryMillis:      30 * clock.Second,
 	}
 }
+
+// Check reports settings that no preset may have. It fails with ErrBadSettings.
+func (settings GovernorSettings) Check() error {
+	percent := 100
+	for _, next := range settings.ThrottlePercents {
+		if next < 1 || next >= percent {
+			return ErrBadSettings{Field: "ThrottlePercents", Reason: "must fall from below 100 to at least 1"}
+		}
+		percent = next
+	}
+	switch {
+	case settings.EnterMargin < 0 || settings.ExitMargin < 0 || settings.EnterMargin+settings.ExitMargin == 0:
+		return ErrBadSettings{Field: "EnterMargin", Reason: "and ExitMargin must leave a band around the target"}
+	case settings.SmoothingMillis <= 0 || settings.EnterMillis < 0 || settings.ReleaseMillis <= 0 || settings.RetryMillis <= 0:
+		return ErrBadSettings{Field: "SmoothingMillis", Reason: "and the other durations must be positive"}
+	case settings.DwellMillis <= 0:
+		return ErrBadSettings{Field: "DwellMillis", Reason: "must be positive"}
+	case settings.CheckpointMillis < 0 || settings.EvictAfterMillis < 0 || settings.MaxEvictions < 0:
+		return ErrBadSettings{Field: "MaxEvictions", Reason: "and the durations before an eviction must not be negative"}
+	case settings.LostWorkWeight < 0 || settings.LeastEffect < 0:
+		return ErrBadSettings{Field: "LostWorkWeight", Reason: "and LeastEffect must not be negative"}
+	}
+	return nil
+}
+
+// Check reports settings with which a Model cannot work. It fails with ErrBadSettings.
+func (settings Settings) Check() error {
+	switch {
+	case settings.HalfLifeMillis <= 0 || settings.HistoryMillis <= 0 || settings.SettleMillis < 0:
+		return ErrBadSettings{Field: "HalfLifeMillis", Reason: "and HistoryMillis must be positive"}
+	case settings.MaxPairs < 1 || settings.MaxWeight < 1:
+		return ErrBadSettings{Field: "MaxPairs", Reason: "and MaxWeight must be at least 1"}
+	case settings.ImportPercent < 0 || settings.ImportPercent > 100:
+		return ErrBadSettings{Field: "ImportPercent", Reason: "must be from 0 to 100"}
+	}
+	return nil
+}
+
+// ErrBadSettings reports a setting outside its range.
+type ErrBadSettings struct {
+	Field  string
+	Reason string
+}
+
+// Error names the setting.
+func (err ErrBadSettings) Error() string {
+	return fmt.Sprintf("setting %s %s", err.Field, err.Reason)
+}
+
+// IsErrBadSettings reports whether err is or wraps an ErrBadSettings.
+func IsErrBadSettings(err error) bool {
+	return errors.As(err, new(ErrBadSettings))
+}
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -79,6 +79,23 @@
 	return affected*100 >= fleet*tracker.settings.WavePercent && jobs.Len() >= tracker.settings.WaveJobs
 }
 
+// waveMillis is how long an answer of Wave is used for. Counting the fleet for every failure of a
+// wave would cost more than everything else.
+const waveMillis = clock.Second
+
+// wave returns a recent answer of Wave and pardons jobs when a platform fault begins.
+func (tracker *Tracker) wave(now clock.Time) bool {
+	if tracker.waveAt != 0 && now.Sub(tracker.waveAt) < waveMillis {
+		return tracker.inWave
+	}
+	before := tracker.inWave
+	tracker.inWave, tracker.waveAt = tracker.Wave(now), now
+	if tracker.inWave && !before {
+		tracker.pardon(now)
+	}
+	return tracker.inWave
+}
+
 // refresh recomputes whether mostly failures happen on the worker. Failures of parked jobs count
 // here, because a platform fault parks jobs before it is recognised.
 func (tracker *Tracker) refresh(record *workerRecord, now clock.Time) {
@@ -152,7 +169,7 @@
 	}
 	distinct, failed, ended := tracker.evidence(record, now)
 	why := fmt.Sprintf("%d distinct jobs failed, %d of %d ends; last: %s", distinct, failed, ended, reason)
-	out := len(tracker.Quarantined())
+	out := tracker.out.Len()
 	if !wave && out < tracker.Limit() {
 		record.term = tracker.settings.QuarantineMillis
 		tracker.quarantine(worker, record, why, now)
@@ -171,6 +188,7 @@
 
 func (tracker *Tracker) quarantine(worker ident.Worker, record *workerRecord, reason string, now clock.Time) {
 	record.until = now.Add(record.term)
+	tracker.out.Add(worker)
 	record.reset()
 	tracker.pending = append(tracker.pending, Action{Kind: Quarantine, Worker: worker, TermMillis: record.term, Reason: reason})
 	tracker.acquit(worker, now)
@@ -199,6 +217,7 @@
 
 func (tracker *Tracker) release(worker ident.Worker, record *workerRecord, reason string) {
 	record.until, record.term = 0, 0
+	tracker.out.Remove(worker)
 	record.reset()
 	tracker.pending = append(tracker.pending, Action{Kind: Release, Worker: worker, Reason: reason})
 }
@@ -262,7 +281,7 @@
 // Check asserts that no more workers are out of service than the cap allows. It fails with
 // ErrOverCap.
 func (tracker *Tracker) Check() error {
-	if out := len(tracker.Quarantined()); out > tracker.Limit() {
+	if out := tracker.out.Len(); out > tracker.Limit() {
 		return ErrOverCap{Out: out, Limit: tracker.Limit()}
 	}
 	return nil
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -254,3 +255,37 @@
 		}
 	}
 }
+
+// TestSettings guards against shipping settings that Check refuses, and against accepting unsafe ones.
+func TestSettings(t *testing.T) {
+	settings := quarantine.Defaults()
+	if err := settings.Check(); err != nil {
+		t.Error(err)
+	}
+	settings.CapPercent = 80
+	if err := settings.Check(); !quarantine.IsErrBadSettings(err) {
+		t.Errorf("error %v, want ErrBadSettings", err)
+	}
+}
+
+// BenchmarkFailed measures one failure in a platform fault at 1,200 workers and 5,100 jobs relative
+// to one at a tenth of them.
+func BenchmarkFailed(bench *testing.B) {
+	measure := func(workers, jobs int) float64 {
+		rig := newRig(workers)
+		const calls = 50000
+		start := time.Now()
+		for index := range calls {
+			// 530 failures a second.
+			if index%53 == 0 {
+				rig.fake.Advance(100 * clock.Millisecond)
+			}
+			task := ident.Task{Job: rig.job(index % jobs), Index: index}
+			rig.tracker.Failed(task, rig.fleet[index*7%workers], "exit status 1", rig.fake.Now())
+		}
+		return float64(time.Since(start).Nanoseconds()) / calls
+	}
+	full := measure(1200, 5100)
+	bench.ReportMetric(full, "ns/failure")
+	bench.ReportMetric(full/measure(120, 510), "failure/baseline")
+}
--- a/quarantine/settings.go
+++ b/quarantine/settings.go
@@ -3,7 +3,12 @@
 // with exponential backoff. The package starts no goroutine and reads no clock.
 package quarantine
 
-import "hyssopjunction/clock"
+import (
+	"errors"
+	"fmt"
+
+	"hyssopjunction/clock"
+)
 
 // Settings are the limits of a Tracker. Durations are in milliseconds.
 type Settings struct {
@@ -58,3 +63,40 @@
 		MaxJobs:             8192,
 	}
 }
+
+// Check reports settings with which a Tracker cannot work. It fails with ErrBadSettings.
+func (settings Settings) Check() error {
+	switch {
+	case settings.WindowMillis <= 0 || settings.QuarantineMillis <= 0 || settings.BackoffMillis <= 0:
+		return ErrBadSettings{Field: "WindowMillis", Reason: "and the other durations must be positive"}
+	case settings.MaxQuarantineMillis < settings.QuarantineMillis:
+		return ErrBadSettings{Field: "MaxQuarantineMillis", Reason: "must not be below QuarantineMillis"}
+	case settings.MaxBackoffMillis < settings.BackoffMillis:
+		return ErrBadSettings{Field: "MaxBackoffMillis", Reason: "must not be below BackoffMillis"}
+	case settings.CapPercent < 0 || settings.CapPercent > 50:
+		return ErrBadSettings{Field: "CapPercent", Reason: "must be from 0 to 50"}
+	case settings.FailedPercent < 1 || settings.FailedPercent > 100 || settings.WavePercent < 1 || settings.WavePercent > 100:
+		return ErrBadSettings{Field: "FailedPercent", Reason: "and WavePercent must be from 1 to 100"}
+	case settings.DistinctJobs < 2 || settings.DistinctWorkers < 2 || settings.WaveJobs < 2:
+		return ErrBadSettings{Field: "DistinctJobs", Reason: "DistinctWorkers and WaveJobs must be at least 2, or one fault convicts"}
+	case settings.ProbationTasks < 1 || settings.MaxFailures < 1 || settings.MaxJobs < 1:
+		return ErrBadSettings{Field: "ProbationTasks", Reason: "MaxFailures and MaxJobs must be at least 1"}
+	}
+	return nil
+}
+
+// ErrBadSettings reports a setting outside its range.
+type ErrBadSettings struct {
+	Field  string
+	Reason string
+}
+
+// Error names the setting.
+func (err ErrBadSettings) Error() string {
+	return fmt.Sprintf("setting %s %s", err.Field, err.Reason)
+}
+
+// IsErrBadSettings reports whether err is or wraps an ErrBadSettings.
+func IsErrBadSettings(err error) bool {
+	return errors.As(err, new(ErrBadSettings))
+}
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -20,7 +20,11 @@
 	workers  map[ident.Worker]*workerRecord
 	jobs     map[ident.Job]*jobRecord
 	pending  []Action
-	inWave   bool
+	// out holds the workers out of full service.
+	out set.Set[ident.Worker]
+	// inWave is what Wave returned at waveAt.
+	inWave bool
+	waveAt clock.Time
 }
 
 type workerRecord struct {
@@ -58,6 +62,7 @@
 		settings: settings,
 		workers:  make(map[ident.Worker]*workerRecord),
 		jobs:     make(map[ident.Job]*jobRecord),
+		out:      set.New[ident.Worker](),
 	}
 }
 
@@ -68,6 +73,7 @@
 	for worker := range tracker.workers {
 		if !known.Has(worker) {
 			delete(tracker.workers, worker)
+			tracker.out.Remove(worker)
 		}
 	}
 	for _, worker := range fleet {
@@ -118,12 +124,8 @@
 	tracker.refresh(record, now)
 	job := tracker.job(task.Job, now)
 	job.failures = appendEnd(job.failures, ended, now, tracker.settings.WindowMillis)
-	wave := tracker.Wave(now)
-	if wave && !tracker.inWave {
-		tracker.pardon(now)
-	}
-	tracker.inWave = wave
-	if !tracker.jobAtFault(job, now) || wave {
+	wave := tracker.wave(now)
+	if wave || !tracker.jobAtFault(job, now) {
 		tracker.judgeWorker(task, worker, record, reason, wave, now)
 	} else {
 		delete(record.trials, task)
@@ -178,13 +180,7 @@
 
 // Quarantined returns the workers out of full service, in ascending order.
 func (tracker *Tracker) Quarantined() []ident.Worker {
-	var out []ident.Worker
-	for _, worker := range set.SortedKeys(tracker.workers) {
-		if tracker.workers[worker].until != 0 {
-			out = append(out, worker)
-		}
-	}
-	return out
+	return set.Sorted(tracker.out)
 }
 
 // Limit returns the number of workers that may be out of full service at once. It is the share of
--- a/quota/escrow.go
+++ b/quota/escrow.go
@@ -65,6 +65,13 @@
 	return row
 }
 
+// Spare returns how much of missing, which the team lacks in another region, can be sent there: what
+// it neither uses nor lends here, less the reserve.
+func (ledger *Ledger) Spare(team ident.Team, missing unit.Resources) unit.Resources {
+	row := ledger.teams[team].row
+	return ledger.lendable(row).Min(row.Target).Min(missing).Max(unit.Resources{})
+}
+
 // Update replaces a team's row within the round, as returned by SetTarget, Send, Receive or Confirm.
 // It fails with ErrOvercommitted.
 func (round *Round) Update(row Row) error {
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -23,6 +23,17 @@
 	return Settings{ReservePercent: 10, MaxLenders: 4}
 }
 
+// Check reports settings with which a Ledger cannot work. It fails with ErrBadSettings.
+func (settings Settings) Check() error {
+	switch {
+	case settings.ReservePercent < 0 || settings.ReservePercent > 100:
+		return ErrBadSettings{Field: "ReservePercent", Reason: "must be from 0 to 100"}
+	case settings.MaxLenders < 0:
+		return ErrBadSettings{Field: "MaxLenders", Reason: "must not be negative"}
+	}
+	return nil
+}
+
 // Ledger is a daemon's view of the team rows of its region. It is used by one goroutine.
 type Ledger struct {
 	settings Settings
@@ -164,8 +175,11 @@
 }
 
 // Transaction returns the conditions and operations that put the round into effect, to be merged
-// into the claim transaction. It fails with ErrOvercommitted.
+// into the claim transaction. It fails with ErrOvercommitted or ErrUnbalanced.
 func (round *Round) Transaction() ([]table.Condition, []table.Operation, error) {
+	if err := round.balanced(); err != nil {
+		return nil, nil, err
+	}
 	var conditions []table.Condition
 	var operations []table.Operation
 	for _, team := range round.Teams() {
@@ -179,6 +193,22 @@
 	return conditions, operations, nil
 }
 
+// balanced asserts that the round changes the limits of its teams together by as much as their
+// grants, so that no loan is entered in one row only. With the check of each row this keeps the
+// sum of usage within the sum of grants.
+func (round *Round) balanced() error {
+	var limits, grants unit.Resources
+	for team, row := range round.rows {
+		old := round.ledger.teams[team].row
+		limits = limits.Add(row.Limit()).Sub(old.Limit())
+		grants = grants.Add(row.Grant).Sub(old.Grant)
+	}
+	if limits != grants {
+		return ErrUnbalanced{Limits: limits, Grants: grants}
+	}
+	return nil
+}
+
 // Committed takes the round's rows over into the ledger after its transaction was committed.
 func (round *Round) Committed(result table.Result) {
 	for _, team := range round.Teams() {
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -172,10 +172,13 @@
 				if from == to {
 					to = regions[1]
 				}
+				view := quota.New(quota.Defaults())
+				must(check, view.Load(tables[from][quota.Key(team)]))
+				spare := view.Spare(team, cores(rapid.IntRange(1, 4).Draw(check, "missing")))
 				rewrite(check, tables[from], team, func(row quota.Row) quota.Row {
-					sent, err := row.Send(from, to, cores(rapid.IntRange(1, 4).Draw(check, "amount")))
-					if err != nil && !quota.IsErrOverLimit(err) {
-						check.Fatal(err)
+					sent, err := row.Send(from, to, spare)
+					if err != nil && !spare.IsZero() {
+						check.Fatalf("spare %s cannot be sent: %v", spare, err)
 					}
 					return sent
 				})
@@ -302,11 +305,28 @@
 	if _, err := quota.Decode(quota.Key("birch"), value); !quota.IsErrBadRow(err) {
 		t.Fatalf("error %v, want ErrBadRow", err)
 	}
+	round := quota.New(quota.Defaults()).Begin()
+	must(t, round.Update(quota.Row{Team: "amber", Borrowed: map[ident.Team]unit.Resources{"birch": cores(1)}}))
+	if _, _, err := round.Transaction(); !quota.IsErrUnbalanced(err) {
+		t.Fatalf("error %v for a loan in one row only, want ErrUnbalanced", err)
+	}
 	if _, err := quota.Encode(quota.Row{Team: "amber", Used: cores(1)}); !quota.IsErrOvercommitted(err) {
 		t.Fatalf("error %v, want ErrOvercommitted", err)
 	}
 }
 
+// TestSettings guards against shipping settings that Check refuses, and against accepting unsafe ones.
+func TestSettings(t *testing.T) {
+	settings := quota.Defaults()
+	if err := settings.Check(); err != nil {
+		t.Error(err)
+	}
+	settings.ReservePercent = 101
+	if err := settings.Check(); !quota.IsErrBadSettings(err) {
+		t.Errorf("error %v, want ErrBadSettings", err)
+	}
+}
+
 // timed returns the time per call in nanoseconds.
 func timed(run func(calls int)) float64 {
 	const calls = 50000
--- a/quota/row.go
+++ b/quota/row.go
@@ -5,7 +5,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 
 	"hyssopjunction/ident"
@@ -161,86 +160,3 @@
 	}
 	return sum
 }
-
-// ErrOverLimit reports a charge above what the team may still use.
-type ErrOverLimit struct {
-	Team ident.Team
-	Want unit.Resources
-	Free unit.Resources
-}
-
-// Error describes the charge.
-func (err ErrOverLimit) Error() string {
-	return fmt.Sprintf("team %s wants %s, free %s", err.Team, err.Want, err.Free)
-}
-
-// IsErrOverLimit reports whether err is or wraps an ErrOverLimit.
-func IsErrOverLimit(err error) bool {
-	return errors.As(err, new(ErrOverLimit))
-}
-
-// ErrNotCharged reports a refund of more than was charged.
-type ErrNotCharged struct {
-	Team   ident.Team
-	Amount unit.Resources
-	Used   unit.Resources
-}
-
-// Error describes the refund.
-func (err ErrNotCharged) Error() string {
-	return fmt.Sprintf("team %s: refund of %s, charged %s", err.Team, err.Amount, err.Used)
-}
-
-// IsErrNotCharged reports whether err is or wraps an ErrNotCharged.
-func IsErrNotCharged(err error) bool {
-	return errors.As(err, new(ErrNotCharged))
-}
-
-// ErrOvercommitted reports usage above the limit. It is a fault of this package or of a writer of
-// its rows.
-type ErrOvercommitted struct {
-	Team  ident.Team
-	Used  unit.Resources
-	Limit unit.Resources
-}
-
-// Error describes the amounts.
-func (err ErrOvercommitted) Error() string {
-	return fmt.Sprintf("team %q uses %s of %s", err.Team, err.Used, err.Limit)
-}
-
-// IsErrOvercommitted reports whether err is or wraps an ErrOvercommitted.
-func IsErrOvercommitted(err error) bool {
-	return errors.As(err, new(ErrOvercommitted))
-}
-
-// ErrBadRow reports a value that is no row of the team its key names.
-type ErrBadRow struct {
-	Key    table.Key
-	Reason string
-}
-
-// Error describes the row.
-func (err ErrBadRow) Error() string {
-	return fmt.Sprintf("row %s: %s", err.Key, err.Reason)
-}
-
-// IsErrBadRow reports whether err is or wraps an ErrBadRow.
-func IsErrBadRow(err error) bool {
-	return errors.As(err, new(ErrBadRow))
-}
-
-// ErrNoTeam reports a team without a row.
-type ErrNoTeam struct {
-	Team ident.Team
-}
-
-// Error names the team.
-func (err ErrNoTeam) Error() string {
-	return fmt.Sprintf("team %q has no quota", err.Team)
-}
-
-// IsErrNoTeam reports whether err is or wraps an ErrNoTeam.
-func IsErrNoTeam(err error) bool {
-	return errors.As(err, new(ErrNoTeam))
-}
