--- a/interference/model.go
+++ b/interference/model.go
@@ -1,6 +1,7 @@
 package interference
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -55,10 +56,18 @@
 	weight int64
 }
 
+// Resident is one piece of work on a worker.
+type Resident struct {
+	Class string
+	// Percent is the share of processor time it may use; 100 is unthrottled. A throttled task
+	// interferes in proportion.
+	Percent int
+}
+
 type change struct {
 	at        clock.Time
 	load      int
-	residents []string
+	residents []Resident
 }
 
 // Model holds the pair estimates of one entry daemon. It is used by one goroutine.
@@ -70,6 +79,7 @@
 	merged   map[pair]estimate
 	history  map[ident.Worker][]change
 	dropped  uint64
+	cache    cache
 }
 
 // New returns a Model that has learned nothing and predicts no slowdown.
@@ -80,15 +90,18 @@
 		remote:   make(map[ident.Entry]map[pair]estimate),
 		merged:   make(map[pair]estimate),
 		history:  make(map[ident.Worker][]change),
+		cache:    cache{values: make(map[string]map[string]prediction)},
 	}
 }
 
-// Residents records the classes of all work on a worker, services included, from at on. Load is the
+// Residents records all work on a worker, services included, from at on. Load is the
 // processor time in use in percent of the capacity. Calls for one worker must be in order of time.
-func (model *Model) Residents(worker ident.Worker, residents []string, load int, at clock.Time) {
+func (model *Model) Residents(worker ident.Worker, residents []Resident, load int, at clock.Time) {
 	model.now = max(model.now, at)
 	sorted := slices.Clone(residents)
-	slices.Sort(sorted)
+	slices.SortFunc(sorted, func(left, right Resident) int {
+		return cmp.Or(cmp.Compare(left.Class, right.Class), cmp.Compare(left.Percent, right.Percent))
+	})
 	past := model.history[worker]
 	if last := len(past) - 1; last >= 0 && bucketOf(past[last].load) == bucketOf(load) && slices.Equal(past[last].residents, sorted) {
 		return
@@ -134,22 +147,23 @@
 
 // learn spreads the prediction error over the present pairs in proportion to their uncertainty,
 // which is the update of a Kalman filter with a diagonal covariance.
-func (model *Model) learn(class string, counts map[string]int, bucket, slowdown int, taken clock.Time) {
+func (model *Model) learn(class string, counts map[string]float64, bucket, slowdown int, taken clock.Time) {
 	measured := float64(min(max(slowdown, 100), maxSlowdown) - 100)
 	aggressors := set.SortedKeys(counts)
 	predicted, spread := 0.0, 1.0
 	for _, aggressor := range aggressors {
 		cell := model.cell(pair{victim: class, aggressor: aggressor}, bucket, taken)
-		count := float64(counts[aggressor])
+		count := counts[aggressor]
 		predicted += count * cell.excess
 		spread += count * count / (cell.weight + 1)
 	}
 	for _, aggressor := range aggressors {
 		cell := &model.pairs[pair{victim: class, aggressor: aggressor}].loads[bucket]
-		count := float64(counts[aggressor])
+		count := counts[aggressor]
+		model.cache.drop(class, aggressor)
 		variance := 1 / (cell.weight + 1)
 		cell.excess += variance * count / spread * (measured - predicted)
-		cell.weight = (cell.weight+1)/(1-variance*count*count/spread) - 1
+		cell.weight = min((cell.weight+1)/(1-variance*count*count/spread)-1, model.settings.MaxWeight)
 	}
 }
 
@@ -196,74 +210,21 @@
 		}
 	}
 	delete(model.pairs, lightest)
+	model.cache.drop(lightest.victim, lightest.aggressor)
 }
 
-// Slowdown predicts the slowdown of work of class beside the residents in percent, at the mean of
-// the loads that were measured. The residents do not include the work itself.
-func (model *Model) Slowdown(class string, residents []string) int {
-	return model.predict(class, residents, -1)
-}
-
-// At returns the predictions at a load, in percent of a worker's processor capacity. They follow
-// later learning.
-func (model *Model) At(load int) Loaded {
-	return Loaded{model: model, bucket: bucketOf(load)}
-}
-
-// Loaded predicts slowdowns at one load.
-type Loaded struct {
-	model  *Model
-	bucket int
-}
-
-// Slowdown predicts the slowdown of work of class beside the residents in percent.
-func (loaded Loaded) Slowdown(class string, residents []string) int {
-	return loaded.model.predict(class, residents, loaded.bucket)
-}
-
-func (model *Model) predict(class string, residents []string, bucket int) int {
-	excess := 0.0
-	for _, resident := range residents {
-		excess += max(model.excess(pair{victim: class, aggressor: resident}, bucket), 0)
-	}
-	return min(100+int(math.Round(excess)), maxSlowdown)
-}
-
-// excess combines own and imported estimates of a pair. Bucket -1 stands for the mean of all.
-func (model *Model) excess(key pair, bucket int) float64 {
-	halfLife := model.settings.HalfLifeMillis
-	own := estimate{}
-	if known := model.pairs[key]; known != nil {
-		own = known.mean(model.now, halfLife)
-		if bucket >= 0 {
-			if cell := known.loads[bucket].decayed(model.now, halfLife); cell.weight >= 0.01 {
-				// The mean over all loads replaces the prior of no excess.
-				own = estimate{excess: cell.excess + own.excess/(cell.weight+1), weight: cell.weight + 1}
-			}
-		}
-	}
-	shared, ok := model.merged[key]
-	if !ok {
-		return own.excess
-	}
-	shared = shared.decayed(model.now, halfLife)
-	shared.weight *= float64(model.settings.ImportPercent) / 100
-	if own.weight+shared.weight == 0 {
-		return 0
-	}
-	return (own.excess*own.weight + shared.excess*shared.weight) / (own.weight + shared.weight)
-}
-
-// others counts the residents by class without one instance of the measured class itself.
-func others(class string, residents []string) map[string]int {
-	counts := make(map[string]int)
+// others sums the shares of the residents by class, without one instance of the measured class itself.
+func others(class string, residents []Resident) map[string]float64 {
+	counts := make(map[string]float64)
 	skipped := false
 	for _, resident := range residents {
-		if resident == class && !skipped {
+		if resident.Class == class && !skipped {
 			skipped = true
 			continue
 		}
-		counts[resident]++
+		if resident.Percent > 0 {
+			counts[resident.Class] += float64(resident.Percent) / 100
+		}
 	}
 	return counts
 }
--- a/quarantine/settings.go
+++ b/quarantine/settings.go
@@ -3,7 +3,12 @@
 // with exponential backoff. The package starts no goroutine and reads no clock.
 package quarantine
 
-import "hyssopjunction/clock"
+import (
+	"errors"
+	"fmt"
+
+	"hyssopjunction/clock"
+)
 
 // Settings are the limits of a Tracker. Durations are in milliseconds.
 type Settings struct {
@@ -15,18 +20,22 @@
 	FailedPercent int
 	// CapPercent is the largest share of the fleet out of full service at once, in percent.
 	CapPercent int
-	// WavePercent is the share of the fleet with failures of distinct jobs, in percent, from which
-	// the platform and not a worker or job is taken to be at fault.
+	// WavePercent and WaveJobs are the share of the fleet on which mostly failures happen, in percent,
+	// and the number of distinct failed jobs, from which the platform is taken to be at fault.
 	WavePercent int
+	WaveJobs    int
 	// QuarantineMillis is the first term of a quarantine. It doubles with each failed probation.
 	QuarantineMillis clock.Millis
 	// MaxQuarantineMillis bounds the term.
 	MaxQuarantineMillis clock.Millis
-	// ProbationTasks is the number of trial tasks that may run on a worker on probation at once,
-	// and the number that must succeed before it returns to full service.
+	// ProbationTasks is the number of trial tasks that may run on a worker on probation at once.
+	// The probation is decided once as many have succeeded or as many have failed.
 	ProbationTasks int
 	// DistinctWorkers is the number of distinct workers a job must fail on to be parked.
 	DistinctWorkers int
+	// MaxFailures is the number of failures without a success from which a job is parked even if
+	// they happened on fewer workers.
+	MaxFailures int
 	// BackoffMillis is the first term for which a job is parked. It doubles with each further failure.
 	BackoffMillis clock.Millis
 	// MaxBackoffMillis bounds the term.
@@ -43,12 +52,51 @@
 		FailedPercent:       60,
 		CapPercent:          20,
 		WavePercent:         40,
+		WaveJobs:            8,
 		QuarantineMillis:    5 * clock.Minute,
 		MaxQuarantineMillis: 2 * clock.Hour,
 		ProbationTasks:      2,
 		DistinctWorkers:     3,
+		MaxFailures:         12,
 		BackoffMillis:       30 * clock.Second,
 		MaxBackoffMillis:    clock.Hour,
 		MaxJobs:             8192,
 	}
 }
+
+// Check reports settings with which a Tracker cannot work. It fails with ErrBadSettings.
+func (settings Settings) Check() error {
+	switch {
+	case settings.WindowMillis <= 0 || settings.QuarantineMillis <= 0 || settings.BackoffMillis <= 0:
+		return ErrBadSettings{Field: "WindowMillis", Reason: "and the other durations must be positive"}
+	case settings.MaxQuarantineMillis < settings.QuarantineMillis:
+		return ErrBadSettings{Field: "MaxQuarantineMillis", Reason: "must not be below QuarantineMillis"}
+	case settings.MaxBackoffMillis < settings.BackoffMillis:
+		return ErrBadSettings{Field: "MaxBackoffMillis", Reason: "must not be below BackoffMillis"}
+	case settings.CapPercent < 0 || settings.CapPercent > 50:
+		return ErrBadSettings{Field: "CapPercent", Reason: "must be from 0 to 50"}
+	case settings.FailedPercent < 1 || settings.FailedPercent > 100 || settings.WavePercent < 1 || settings.WavePercent > 100:
+		return ErrBadSettings{Field: "FailedPercent", Reason: "and WavePercent must be from 1 to 100"}
+	case settings.DistinctJobs < 2 || settings.DistinctWorkers < 2 || settings.WaveJobs < 2:
+		return ErrBadSettings{Field: "DistinctJobs", Reason: "DistinctWorkers and WaveJobs must be at least 2, or one fault convicts"}
+	case settings.ProbationTasks < 1 || settings.MaxFailures < 1 || settings.MaxJobs < 1:
+		return ErrBadSettings{Field: "ProbationTasks", Reason: "MaxFailures and MaxJobs must be at least 1"}
+	}
+	return nil
+}
+
+// ErrBadSettings reports a setting outside its range.
+type ErrBadSettings struct {
+	Field  string
+	Reason string
+}
+
+// Error names the setting.
+func (err ErrBadSettings) Error() string {
+	return fmt.Sprintf("setting %s %s", err.Field, err.Reason)
+}
+
+// IsErrBadSettings reports whether err is or wraps an ErrBadSettings.
+func IsErrBadSettings(err error) bool {
+	return errors.As(err, new(ErrBadSettings))
+}
