table: decide read-back by a conditional commit when a row looks unchanged

Cause: TestRandomFaultsKeepHistoryLinear found a write reported as not committed that was: the read-back was answered from an old copy of the row. Change: a row that still shows the condition's revision counts as proof only after a transaction without operations confirmed that revision.

--- a/table/commit.go
+++ b/table/commit.go
@@ -77,27 +77,73 @@
 // revisions only rise; the written rows tell whether it did before.
 func (client *Client) resolve(ctx context.Context, transaction Transaction, conflict error) (Result, error) {
 	client.stats.readBacks.Add(1)
+	if len(transaction.Operations) == 0 {
+		return Result{}, conflict
+	}
+	for attempt := range client.settings.Attempts {
+		if attempt > 0 && client.pause(ctx, client.backoff(attempt)) != nil {
+			break
+		}
+		switch client.readBack(ctx, transaction) {
+		case applied:
+			return transaction.applied(), nil
+		case notApplied:
+			return Result{}, conflict
+		case overwritten:
+			client.stats.unknown.Add(1)
+			return Result{}, ErrUnknownOutcome{Write: transaction.Write, Reason: "rows were overwritten before read-back"}
+		}
+	}
+	client.stats.unknown.Add(1)
+	return Result{}, ErrUnknownOutcome{Write: transaction.Write, Reason: "rows could not be read back"}
+}
+
+// finding is what reading the written rows showed.
+type finding int
+
+const (
+	// undecided findings may change when the rows are read again.
+	undecided finding = iota
+	applied
+	notApplied
+	// overwritten rows have lost the trace of the transaction.
+	overwritten
+)
+
+// readBack reads the written rows until one of them tells the outcome.
+func (client *Client) readBack(ctx context.Context, transaction Transaction) finding {
 	conditions := transaction.conditions()
+	result := overwritten
 	for _, operation := range transaction.Operations {
 		row, err := client.Get(ctx, operation.Key)
 		if err != nil {
+			result = undecided
 			continue
 		}
 		before := conditions[operation.Key]
 		switch {
 		case row.Write == transaction.Write && row.Revision > before:
-			return transaction.applied(), nil
-		case row.Revision == before:
-			return Result{}, conflict
+			return applied
 		case row.Revision == before+1:
-			return Result{}, conflict
+			return notApplied
+		case row.Revision > before:
+		case client.unchanged(ctx, Condition{Key: operation.Key, Revision: before}):
+			return notApplied
+		default:
+			result = undecided
 		}
 	}
-	if len(transaction.Operations) == 0 {
-		return Result{}, conflict
+	return result
+}
+
+// unchanged reports whether a row certainly still has the revision. It asks with a transaction
+// without operations, because a read may be answered from an old copy of the row.
+func (client *Client) unchanged(ctx context.Context, condition Condition) bool {
+	if client.admit(ctx, client.writes) != nil {
+		return false
 	}
-	client.stats.unknown.Add(1)
-	return Result{}, ErrUnknownOutcome{Write: transaction.Write, Reason: "rows were overwritten before read-back"}
+	_, err := client.commitOnce(ctx, Transaction{Write: client.nextWrite(), Conditions: []Condition{condition}})
+	return err == nil
 }
 
 // resolveUnfenced reads the rows of a transaction that cannot be sent again. Only a positive result
--- /dev/null
+++ b/table/tabletest/memory.go
@@ -0,0 +1,262 @@
+// Package tabletest holds a table service in memory with faults, for tests of the packages that
+// keep state in the table.
+package tabletest
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"testing/synctest"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/set"
+	"hyssopjunction/table"
+)
+
+// Fault is what happens to one call.
+type Fault int
+
+// Faults of a call. Reads are refused where a fault of a commit makes no sense for them.
+const (
+	// None answers the call.
+	None Fault = iota
+	// Refuse answers that the service is unavailable. The call has no effect.
+	Refuse
+	// LoseRequest loses the call before it has an effect.
+	LoseRequest
+	// LoseAnswer loses the answer after the call took effect.
+	LoseAnswer
+	// Late loses the answer, and the commit takes effect only after the next call or Deliver.
+	Late
+	// Hang answers only when the caller's context ends. The call has no effect.
+	Hang
+	// HangApplied is Hang after the call took effect.
+	HangApplied
+	// Stale answers a read from the state before the newest write.
+	Stale
+	// Faults is the number of kinds.
+	Faults
+)
+
+// Call describes a call to the service.
+type Call struct {
+	// Number counts the calls from 1, Commits the commits among them.
+	Number  int
+	Commits int
+	Commit  bool
+}
+
+// Applied is a transaction that took effect.
+type Applied struct {
+	Transaction table.Transaction
+}
+
+// Memory is a table service in memory. It is safe for concurrent use.
+type Memory struct {
+	mu      sync.Mutex
+	rows    map[table.Key]table.Row
+	before  map[table.Key]table.Row
+	log     []Applied
+	late    []table.Transaction
+	calls   int
+	commits int
+	rowsOut int
+	fault   func(Call) Fault
+}
+
+// New returns an empty Memory without faults.
+func New() *Memory {
+	return &Memory{
+		rows:   make(map[table.Key]table.Row),
+		before: make(map[table.Key]table.Row),
+		fault:  func(Call) Fault { return None },
+	}
+}
+
+// SetFault makes fault decide what happens to each call from now on. It is called with a lock held.
+func (memory *Memory) SetFault(fault func(Call) Fault) {
+	memory.mu.Lock()
+	defer memory.mu.Unlock()
+	memory.fault = fault
+}
+
+// Log returns the transactions that took effect, in order.
+func (memory *Memory) Log() []Applied {
+	memory.mu.Lock()
+	defer memory.mu.Unlock()
+	return slices.Clone(memory.log)
+}
+
+// Calls returns the numbers of calls, of commits among them, and of rows returned.
+func (memory *Memory) Calls() (calls, commits, rows int) {
+	memory.mu.Lock()
+	defer memory.mu.Unlock()
+	return memory.calls, memory.commits, memory.rowsOut
+}
+
+// Deliver lets late commits take effect now.
+func (memory *Memory) Deliver() {
+	memory.mu.Lock()
+	defer memory.mu.Unlock()
+	memory.deliver()
+}
+
+func (memory *Memory) deliver() {
+	for _, transaction := range memory.late {
+		_, _ = memory.apply(transaction)
+	}
+	memory.late = nil
+}
+
+// Write commits a transaction without faults, as another daemon would, and is not counted as a call.
+func (memory *Memory) Write(transaction table.Transaction) error {
+	memory.mu.Lock()
+	defer memory.mu.Unlock()
+	_, err := memory.apply(transaction)
+	return err
+}
+
+// next counts a call and returns its fault.
+func (memory *Memory) next(commit bool) Fault {
+	memory.calls++
+	if commit {
+		memory.commits++
+	}
+	return memory.fault(Call{Number: memory.calls, Commits: memory.commits, Commit: commit})
+}
+
+// Get returns one row.
+func (memory *Memory) Get(ctx context.Context, key table.Key) (table.Row, error) {
+	rows, err := memory.read(ctx)
+	if err != nil {
+		return table.Row{}, err
+	}
+	memory.mu.Lock()
+	defer memory.mu.Unlock()
+	memory.rowsOut++
+	row, ok := rows[key]
+	if !ok {
+		row.Key = key
+	}
+	return row, nil
+}
+
+// Range returns existing rows in ascending order.
+func (memory *Memory) Range(ctx context.Context, prefix, after table.Key, limit int) ([]table.Row, error) {
+	rows, err := memory.read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	memory.mu.Lock()
+	defer memory.mu.Unlock()
+	var found []table.Row
+	for _, key := range set.SortedKeys(rows) {
+		if strings.HasPrefix(string(key), string(prefix)) && key > after && rows[key].Exists() && len(found) < limit {
+			found = append(found, rows[key])
+		}
+	}
+	memory.rowsOut += len(found)
+	return found, nil
+}
+
+func (memory *Memory) read(ctx context.Context) (map[table.Key]table.Row, error) {
+	memory.mu.Lock()
+	fault := memory.next(false)
+	rows := memory.rows
+	if fault == Stale {
+		rows = memory.before
+	}
+	memory.mu.Unlock()
+	switch fault {
+	case None, Stale:
+		return rows, nil
+	case Hang, HangApplied:
+		<-ctx.Done()
+		return nil, ctx.Err()
+	default:
+		return nil, table.ErrUnavailable{Reason: "fault"}
+	}
+}
+
+// Commit applies the transaction if its conditions hold.
+func (memory *Memory) Commit(ctx context.Context, transaction table.Transaction) (table.Result, error) {
+	memory.mu.Lock()
+	fault := memory.next(true)
+	var result table.Result
+	var err error
+	switch fault {
+	case None, Stale, LoseAnswer, HangApplied:
+		result, err = memory.apply(transaction)
+		memory.deliver()
+	case Late:
+		memory.deliver()
+		memory.late = append(memory.late, transaction)
+	}
+	memory.mu.Unlock()
+	switch fault {
+	case None, Stale:
+		return result, err
+	case Refuse:
+		return table.Result{}, table.ErrUnavailable{Reason: "fault"}
+	case Hang, HangApplied:
+		<-ctx.Done()
+		return table.Result{}, ctx.Err()
+	default:
+		return table.Result{}, table.ErrUnknownOutcome{Write: transaction.Write, Reason: "fault"}
+	}
+}
+
+func (memory *Memory) apply(transaction table.Transaction) (table.Result, error) {
+	for _, condition := range transaction.Conditions {
+		row := memory.rows[condition.Key]
+		if row.Revision != condition.Revision {
+			return table.Result{}, table.ErrConflict{
+				Key: condition.Key, Want: condition.Revision, Have: row.Revision, Winner: row.Write,
+			}
+		}
+	}
+	before := make(map[table.Key]table.Row, len(memory.rows))
+	for key, row := range memory.rows {
+		before[key] = row
+	}
+	memory.before = before
+	rows := make(map[table.Key]table.Row, len(memory.rows)+len(transaction.Operations))
+	for key, row := range memory.rows {
+		rows[key] = row
+	}
+	result := table.Result{Revisions: make(map[table.Key]table.Revision)}
+	for _, operation := range transaction.Operations {
+		row := table.Row{
+			Key: operation.Key, Value: slices.Clone(operation.Value), Write: transaction.Write,
+			Revision: rows[operation.Key].Revision + 1, Deleted: operation.Delete,
+		}
+		if operation.Delete {
+			row.Value = nil
+		}
+		rows[operation.Key] = row
+		result.Revisions[operation.Key] = row.Revision
+	}
+	memory.rows = rows
+	memory.log = append(memory.log, Applied{Transaction: transaction})
+	return result, nil
+}
+
+// Drive runs work in a goroutine and advances the clock by step whenever all goroutines wait, until
+// work returns. It must run inside a synctest bubble.
+func Drive(fake *clock.Fake, step clock.Millis, work func()) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		work()
+	}()
+	for {
+		synctest.Wait()
+		select {
+		case <-done:
+			return
+		default:
+			fake.Advance(step)
+		}
+	}
+}
