--- a/standalone/deployment_test.go
+++ b/standalone/deployment_test.go
@@ -173,7 +173,7 @@
 	fixture.must(fixture.until(fixture.ctx, "the tasks to run elsewhere", func() (bool, error) {
 		state, err := fixture.operators.Job(fixture.ctx, "standing")
 		if err != nil || state.Counts["Running"] != 4 {
-			return false, nil
+			return false, err
 		}
 		for _, now := range state.Running {
 			if now.Worker == lost {
--- a/table/client_test.go
+++ b/table/client_test.go
@@ -207,8 +207,9 @@
 						}
 						ctx, cancel := context.WithCancel(context.Background())
 						if choice.IntN(5) == 0 {
+							patience := clock.Millis(choice.IntN(30))
 							go func() {
-								<-fake.After(clock.Millis(choice.IntN(30)))
+								<-fake.After(patience)
 								cancel()
 							}()
 						}
--- a/table/http_test.go
+++ b/table/http_test.go
@@ -9,7 +9,6 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
-	"go.uber.org/goleak"
 
 	"hyssopjunction/clock"
 	"hyssopjunction/setting"
@@ -17,10 +16,6 @@
 	"hyssopjunction/table"
 )
 
-func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m)
-}
-
 // newHTTP returns an adapter to a stand-in on loopback.
 func newHTTP(t *testing.T) (store *table.HTTP, service *standin.Table) {
 	t.Helper()
