--- a/setting/standin.go
+++ b/setting/standin.go
@@ -48,6 +48,7 @@
 	Slots         int            `default:"8" min:"1" max:"1024" doc:"Requests at the same time above which a violation is recorded"`
 	Connections   int            `default:"64" min:"1" max:"4096" doc:"Connections above which a violation is recorded"`
 	Idempotent    bool           `default:"false" doc:"Whether requests may run more than once without a violation"`
+	StopOnClose   bool           `default:"false" doc:"Whether a request stops, and frees its slot, when its connection is closed"`
 	MedianMillis  clock.Millis   `default:"20" min:"0" max:"600000" doc:"Median service time"`
 	Spread        float64        `default:"0.4" min:"0" max:"5" doc:"Standard deviation of the logarithm of the service time"`
 	ResponseBytes int            `default:"0" min:"0" max:"16777216" doc:"Least size of a response body, in bytes"`
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -15,6 +15,7 @@
 
 	"hyssopjunction/clock"
 	"hyssopjunction/ident"
+	"hyssopjunction/set"
 )
 
 // Default limits of an endpoint. Slots and connections are those of the current deployments.
@@ -40,6 +41,9 @@
 	RequestIDs int
 	// Idempotent is true if requests of the service may run more than once.
 	Idempotent bool
+	// StopOnClose frees the slot of a request as soon as its connection is closed. Otherwise the
+	// execution continues to its end, as in a service that does not notice.
+	StopOnClose bool
 	// MedianMillis is the median service time.
 	MedianMillis clock.Millis
 	// Spread is the standard deviation of the logarithm of the service time; 0 is constant.
@@ -110,7 +114,10 @@
 // Serve accepts connections until Close is called, and then returns nil. It must be called once.
 func (endpoint *Endpoint) Serve(inner net.Listener) error {
 	endpoint.mu.Lock()
-	endpoint.listener = newListener(inner, endpoint.opened)
+	endpoint.listener = &listener{
+		Listener: inner, clock: endpoint.options.Clock, limit: endpoint.options.Connections,
+		opened: endpoint.opened, exceeded: endpoint.exceeded, open: set.New[*connection](), ended: make(chan struct{}),
+	}
 	accepting := endpoint.listener
 	endpoint.mu.Unlock()
 	klog.InfoS("Endpoint stand-in listens", "Endpoint", endpoint.options.Name, "Address", inner.Addr().String())
@@ -165,12 +172,16 @@
 	return accepting.silence()
 }
 
-func (endpoint *Endpoint) health(writer http.ResponseWriter, _ *http.Request) {
-	if endpoint.Faults().Refuse {
+func (endpoint *Endpoint) health(writer http.ResponseWriter, request *http.Request) {
+	switch faults := endpoint.Faults(); {
+	case faults.Silent:
+		<-request.Context().Done()
+		panic(http.ErrAbortHandler)
+	case faults.Refuse:
 		writer.WriteHeader(http.StatusServiceUnavailable)
-		return
+	default:
+		writer.WriteHeader(http.StatusOK)
 	}
-	writer.WriteHeader(http.StatusOK)
 }
 
 // serveRequest executes one request.
@@ -186,8 +197,11 @@
 	}
 	execution := endpoint.begin(request)
 	millis, fate := endpoint.draw()
-	// The execution continues when the caller gives up, as a real service does not notice.
-	wait(context.WithoutCancel(request.Context()), endpoint.options.Clock, millis)
+	ctx := request.Context()
+	if !endpoint.options.StopOnClose {
+		ctx = context.WithoutCancel(ctx)
+	}
+	wait(ctx, endpoint.options.Clock, millis)
 	own := endpoint.respond(execution, body)
 	answer := endpoint.finish(own, fate)
 	endpoint.answer(writer, request, answer, fate)
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -94,7 +94,7 @@
 		options := EndpointOptions{
 			Name: simulated.Name, Service: simulated.Service, Clock: platform.Clock,
 			Seed: seed + 1_000_000 + uint64(index), Slots: simulated.Slots, Connections: simulated.Connections,
-			Idempotent:   simulated.Idempotent,
+			Idempotent: simulated.Idempotent, StopOnClose: simulated.StopOnClose,
 			MedianMillis: simulated.MedianMillis, Spread: simulated.Spread, ResponseBytes: simulated.ResponseBytes,
 			StreamBytes: simulated.StreamBytes, ChunkBytes: simulated.ChunkBytes, ChunkMillis: simulated.ChunkMillis,
 		}
