Bound extra attempts, recover unhealthy endpoints, fix long requests

Cause: an unhealthy endpoint got no request whose success could show that it had recovered; the read deadline of a body cancelled requests that took longer than it; a stale announcement undid a leave; when only ejected endpoints were left, requests were refused; queued bodies were not bounded; a cancelled attempt counted as a success of its endpoint. Change: the gate probes unhealthy endpoints, the deadline is cleared, a leave is undone only by a newer announcement, ejected endpoints are the last choice, the queue is bounded in bytes, and cancelled attempts count as nothing.

--- a/admission/action.go
+++ b/admission/action.go
@@ -79,6 +79,8 @@
 	Idempotent bool
 	// Patience is the time left in which the answer is useful.
 	Patience clock.Millis
+	// Bytes is the length of the body.
+	Bytes int
 }
 
 // Priority orders requests under overload; the lowest is shed first.
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -236,6 +236,8 @@
 		panic(ErrInvariant{Rule: "requests and streams fit in the connections", Request: request})
 	case controller.queue.len() > controller.settings.Queue:
 		panic(ErrInvariant{Rule: "the queue is bounded", Request: request})
+	case controller.queue.bytes < 0 || controller.queue.bytes > controller.settings.QueueBytes:
+		panic(ErrInvariant{Rule: "the bodies in the queue are bounded", Request: request})
 	case controller.running < 0 || controller.streams < 0:
 		panic(ErrInvariant{Rule: "counts are never negative", Request: request})
 	}
--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -23,7 +23,7 @@
 }
 
 var small = admission.Settings{
-	Slots: 3, Connections: 6, Queue: 5, PriorService: 10,
+	Slots: 3, Connections: 6, Queue: 5, QueueBytes: 20, PriorService: 10,
 	AnswerRetention: 200, KeyedRetention: 500, RefusedRetention: 20_000, FencedRetention: 50_000, AnswerBytes: 64,
 }
 
@@ -92,6 +92,7 @@
 		Priority:   admission.Priority(rapid.IntRange(0, 2).Draw(t, "priority")),
 		Idempotent: rapid.Bool().Draw(t, "idempotent"),
 		Patience:   clock.Millis(rapid.IntRange(-1, 120).Draw(t, "patience")),
+		Bytes:      rapid.IntRange(0, 10).Draw(t, "bytes"),
 	}
 	machine.next++
 	machine.seen = append(machine.seen, arrival)
--- a/admission/predict.go
+++ b/admission/predict.go
@@ -85,6 +85,9 @@
 			actions = controller.refuse(actions, now, victim.Request, Shed, controller.service.whole())
 		}
 	}
+	if controller.queue.bytes+entrant.Bytes > controller.settings.QueueBytes {
+		return actions, Overload, max(1, clock.Millis(math.Ceil(wait)))
+	}
 	if controller.queue.len() < controller.settings.Queue {
 		return actions, "", 0
 	}
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -10,6 +10,8 @@
 // queue holds waiting requests in ascending order of deadline.
 type queue struct {
 	items []*item
+	// bytes is the length of all bodies.
+	bytes int
 }
 
 func (queue *queue) len() int {
@@ -29,11 +31,13 @@
 
 func (queue *queue) insert(entrant *item) {
 	queue.items = slices.Insert(queue.items, queue.position(entrant.deadline), entrant)
+	queue.bytes += entrant.Bytes
 }
 
 func (queue *queue) remove(waiting *item) {
 	index := slices.Index(queue.items, waiting)
 	queue.items = slices.Delete(queue.items, index, index+1)
+	queue.bytes -= waiting.Bytes
 }
 
 func (controller *Controller) share(team ident.Team) *share {
--- a/admission/settings.go
+++ b/admission/settings.go
@@ -13,6 +13,8 @@
 	Connections int
 	// Queue bounds the waiting requests.
 	Queue int
+	// QueueBytes bounds the bodies of the waiting requests together.
+	QueueBytes int
 	// PriorService is the assumed service time before the first measurement.
 	PriorService clock.Millis
 	// AnswerRetention is how long answers of idempotent requests are kept for lost replies.
@@ -37,6 +39,7 @@
 		Slots:       8,
 		Connections: 64,
 		Queue:       128,
+		QueueBytes:  16 << 20,
 		// A guess that only the first requests of an endpoint depend on.
 		PriorService:    10 * clock.Millisecond,
 		AnswerRetention: 30 * clock.Second,
@@ -54,6 +57,7 @@
 	fill(&settings.Slots, defaults.Slots)
 	fill(&settings.Connections, defaults.Connections)
 	fill(&settings.Queue, defaults.Queue)
+	fill(&settings.QueueBytes, defaults.QueueBytes)
 	fill(&settings.PriorService, defaults.PriorService)
 	fill(&settings.AnswerRetention, defaults.AnswerRetention)
 	fill(&settings.KeyedRetention, defaults.KeyedRetention)
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gorilla/mux"
@@ -189,6 +190,10 @@
 	if err != nil {
 		return release, bad("IncompleteBody", "the body did not arrive completely in time", http.StatusRequestTimeout)
 	}
+	// The server reads ahead to notice that the caller has gone; an old deadline would look the same.
+	if err := http.NewResponseController(writer).SetReadDeadline(time.Time{}); err != nil {
+		klog.V(1).InfoS("Read deadline kept", "Request", request.ID, "Reason", err.Error())
+	}
 	request.Body = body
 	return release, nil
 }
--- a/caller/handler_test.go
+++ b/caller/handler_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/gorilla/mux"
 	"go.uber.org/goleak"
@@ -39,10 +40,14 @@
 	block   chan struct{}
 }
 
-func (dispatcher *dispatcher) Dispatch(_ context.Context, request dispatch.Request) (dispatch.Answer, error) {
+func (dispatcher *dispatcher) Dispatch(ctx context.Context, request dispatch.Request) (dispatch.Answer, error) {
 	if dispatcher.block != nil {
 		dispatcher.entered <- struct{}{}
-		<-dispatcher.block
+		select {
+		case <-dispatcher.block:
+		case <-ctx.Done():
+			return dispatch.Answer{}, dispatch.ErrUnknown{Reason: dispatch.Cancelled}
+		}
 	}
 	dispatcher.mu.Lock()
 	defer dispatcher.mu.Unlock()
@@ -254,6 +259,18 @@
 	assertError(t, received{StatusCode: response.StatusCode, Header: response.Header}, string(text), 408, "IncompleteBody", outcome.NotRun, false)
 }
 
+// Guards against a request that is cancelled when the time for reading its body has passed.
+func TestLongRequest(t *testing.T) {
+	settings := caller.Defaults()
+	settings.ReadTimeout = 30
+	fake := &dispatcher{block: make(chan struct{}), entered: make(chan struct{}, 1)}
+	server := newServer(t, fake, settings)
+	time.AfterFunc(4*settings.ReadTimeout.Duration(), func() { close(fake.block) })
+	if response, text := post(t, server, strings.NewReader("{}")); response.StatusCode != http.StatusOK {
+		t.Fatalf("status %d, %s", response.StatusCode, text)
+	}
+}
+
 // Guards against a stream that broke off and looks complete to the caller, and against a stream
 // that does not start at the requested offset.
 func TestStream(t *testing.T) {
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -37,8 +37,9 @@
 	failed bool
 }
 
+// leaving reports whether the endpoint, or its agent's incarnation, takes no more requests.
 func (result result) leaving() bool {
-	return result.refusal == string(admission.Leaving)
+	return result.refusal == string(admission.Leaving) || result.refusal == refusalIncarnation
 }
 
 type served struct {
@@ -69,10 +70,15 @@
 		reply, err := dispatcher.agents.Serve(ctx, decision.Address, request)
 		replies <- served{reply: reply, err: err}
 	}()
-	ended := dispatcher.await(ctx, flow, targetOf(&decision), id, replies)
+	ended := dispatcher.await(ctx, flow, &decision, id, replies)
 	if ended.reply != nil {
 		decision.Observe(reportOf(dispatcher.clock.Now(), ended.reply.GetEndpoint()))
 	}
+	if ended.outcome == outcome.Unknown && !ended.failed {
+		// Cancelled or still running, which says nothing about the endpoint.
+		decision.Cancel()
+		return ended
+	}
 	decision.Done(dispatcher.clock.Now(), routing.Result{
 		Failed: ended.failed, Leaving: ended.leaving(), Answered: ended.outcome == outcome.Ran,
 		Latency: clock.Millis(ended.reply.GetServiceMillis()),
@@ -82,8 +88,11 @@
 
 // await waits for the reply. After silence or a lost reply it queries the agent, which refuses the
 // request if it never arrived, until the outcome is certain or the deadline has passed.
-func (dispatcher *Dispatcher) await(ctx context.Context, flow *flow, target dedup.Target, id ident.Request, replies <-chan served) result {
-	silence := dispatcher.clock.After(dispatcher.settings.Silence)
+func (dispatcher *Dispatcher) await(ctx context.Context, flow *flow, decision *routing.Decision, id ident.Request, replies <-chan served) result {
+	sent, target := dispatcher.clock.Now(), targetOf(decision)
+	// A slow service is not asked about every request.
+	patience := max(dispatcher.settings.Silence, 4*decision.Report.Service)
+	silence := dispatcher.clock.After(patience)
 	deadline := dispatcher.clock.After(flow.deadline.Sub(dispatcher.clock.Now()))
 	var queries <-chan queried
 	last := result{}
@@ -100,6 +109,10 @@
 		case queried := <-queries:
 			queries = nil
 			last = dispatcher.interpretQuery(id, queried)
+			if flow.service.Idempotent && dispatcher.clock.Now().Sub(sent) > dispatcher.settings.QueryTrust {
+				// This entry was paused, and the agent may have forgotten that the request ran.
+				return result{failed: last.failed}
+			}
 			if last.outcome != outcome.Unknown || last.final {
 				return last
 			}
@@ -107,13 +120,12 @@
 				// Another endpoint is a better use of the patience left than this agent.
 				return last
 			}
-			silence = dispatcher.clock.After(dispatcher.settings.Silence)
+			silence = dispatcher.clock.After(patience)
 		case <-silence:
 			silentAgents.Inc()
-			last.failed = true
 			ask = queries == nil
 		case <-deadline:
-			last.failed = last.failed || !last.pending
+			last.failed = !last.pending
 			return last
 		case <-ctx.Done():
 			return last
@@ -198,7 +210,7 @@
 		known.final = !known.pending
 		known.failed = known.final
 	case outcome.NotRun:
-		known.failed = known.refusal == string(admission.EndpointDown) || known.refusal == refusalIncarnation
+		known.failed = known.refusal == string(admission.EndpointDown)
 	case outcome.Ran:
 	default:
 		return result{failed: true}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -21,7 +21,11 @@
 // Settings of a Dispatcher.
 type Settings struct {
 	// Silence is the time without an answer after which the agent is asked over a new connection.
+	// Four times the endpoint's mean service time counts if that is longer.
 	Silence clock.Millis
+	// QueryTrust is the age of an attempt of an idempotent request up to which the agent still
+	// remembers that it ran. It must stay below the retentions of package admission together.
+	QueryTrust clock.Millis
 	// QueryTimeout bounds one query.
 	QueryTimeout clock.Millis
 	// Attempts bounds the attempts of one request, besides the retry budget.
@@ -38,6 +42,7 @@
 func Defaults() Settings {
 	return Settings{
 		Silence:      500 * clock.Millisecond,
+		QueryTrust:   2 * clock.Minute,
 		QueryTimeout: 500 * clock.Millisecond,
 		Attempts:     3,
 		Hop:          2 * clock.Millisecond,
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -116,6 +116,9 @@
 	}
 }
 
+// Probe always succeeds.
+func (*agent) Probe(context.Context) error { return nil }
+
 // Stream has 100 bytes and breaks off at random.
 func (agent *agent) Stream(_ context.Context, call endpoint.StreamCall, pass func(int64, []byte) error) (int64, error) {
 	for offset := call.Offset; offset < 100; offset++ {
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -156,6 +156,18 @@
 	return client.exchange(ctx, call, -1)
 }
 
+// probeRequest is the request id of probes.
+const probeRequest ident.Request = "probe"
+
+// Probe sends GET /health on a new connection. Any complete answer to it shows that the endpoint
+// works, whatever its status.
+func (client *Client) Probe(ctx context.Context) error {
+	_, err := client.exchange(ctx, Call{
+		Request: probeRequest, Method: http.MethodGet, Path: "/health", Suspect: client.settings.ProgressDeadline,
+	}, -1)
+	return err
+}
+
 // Connections returns the number of open connections.
 func (client *Client) Connections() int {
 	return client.pool.size()
--- a/endpoint/gate.go
+++ b/endpoint/gate.go
@@ -16,6 +16,7 @@
 type Doer interface {
 	Do(ctx context.Context, call Call) (Reply, error)
 	Stream(ctx context.Context, call StreamCall, pass func(offset int64, data []byte) error) (int64, error)
+	Probe(ctx context.Context) error
 }
 
 // GateSettings of a Gate.
@@ -29,11 +30,13 @@
 	// UnhealthyAfter is the number of consecutive failures after which the endpoint is announced
 	// as unhealthy.
 	UnhealthyAfter int
+	// ProbeInterval is the time between two probes of an unhealthy endpoint.
+	ProbeInterval clock.Millis
 }
 
 // GateDefaults returns the settings of the current deployments, without names.
 func GateDefaults() GateSettings {
-	return GateSettings{Admission: admission.Defaults(), Tick: 20 * clock.Millisecond, UnhealthyAfter: 3}
+	return GateSettings{Admission: admission.Defaults(), Tick: 20 * clock.Millisecond, UnhealthyAfter: 3, ProbeInterval: clock.Second}
 }
 
 // Gate admits requests to one endpoint. One control goroutine owns the admission controller; each
@@ -48,6 +51,7 @@
 	calls      map[ident.Request]*call
 	waiting    map[ident.Request][]chan *controlpb.ServeReply
 	failures   int
+	probed     clock.Time
 	idle       []chan struct{}
 
 	commands chan func()
@@ -91,6 +95,7 @@
 				command()
 			case <-tick:
 				gate.act(gate.controller.Tick(time.Now()))
+				gate.probe(time.Now())
 				tick = time.After(settings.Tick)
 			case <-ctx.Done():
 				return
@@ -122,7 +127,7 @@
 	id := ident.Request(request.GetRequest())
 	waiter := make(chan *controlpb.ServeReply, 1)
 	if !gate.run(func() { gate.arrive(id, request, waiter) }) {
-		return gate.reply(request.GetRequest(), outcome.Unknown, "ErrClosed")
+		return gate.reply(request.GetRequest(), outcome.NotRun, "ErrClosed")
 	}
 	select {
 	case answer := <-waiter:
--- a/endpoint/gate_test.go
+++ b/endpoint/gate_test.go
@@ -25,6 +25,7 @@
 	random  *rand.Rand
 	service time.Duration
 	failing bool
+	down    atomic.Bool
 	running atomic.Int32
 	peak    atomic.Int32
 	runs    map[ident.Request]int
@@ -37,7 +38,7 @@
 }
 
 func (doer *doer) Do(ctx context.Context, call endpoint.Call) (endpoint.Reply, error) {
-	if doer.failing && doer.draw(5) == 0 {
+	if doer.down.Load() || (doer.failing && doer.draw(5) == 0) {
 		return endpoint.Reply{}, endpoint.ErrNotSent{}
 	}
 	doer.mu.Lock()
@@ -70,6 +71,13 @@
 	return 100, nil
 }
 
+func (doer *doer) Probe(context.Context) error {
+	if doer.down.Load() {
+		return endpoint.ErrNotSent{}
+	}
+	return nil
+}
+
 func newGate(service time.Duration) (*endpoint.Gate, *doer) {
 	doer := &doer{random: rand.New(rand.NewPCG(1, 2)), service: service, runs: map[ident.Request]int{}}
 	settings := endpoint.GateDefaults()
@@ -163,6 +171,27 @@
 	})
 }
 
+// Guards against an endpoint that stays unhealthy for ever because nobody sends it requests.
+func TestGateRecovery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate, doer := newGate(time.Millisecond)
+		defer gate.Close()
+		doer.down.Store(true)
+		for index := range 3 {
+			assertReply(t, gate.Serve(t.Context(), request(fmt.Sprint("r", index), 100)), outcome.NotRun, string(admission.EndpointDown))
+		}
+		time.Sleep(5 * time.Second)
+		if gate.State().GetHealthy() {
+			t.Fatal("an unreachable endpoint is announced as healthy")
+		}
+		doer.down.Store(false)
+		time.Sleep(2 * time.Second)
+		if !gate.State().GetHealthy() {
+			t.Fatal("the endpoint is still announced as unhealthy")
+		}
+	})
+}
+
 // Guards against answers that cannot be had after a lost reply, and against a request that runs
 // after a query refused it.
 func TestGateQuery(t *testing.T) {
--- a/endpoint/traffic.go
+++ b/endpoint/traffic.go
@@ -40,7 +40,7 @@
 	}
 	gate.act(gate.controller.Arrive(now, admission.Arrival{
 		Request: id, Team: ident.Team(request.GetTeam()), Priority: admission.Priority(request.GetPriority()),
-		Idempotent: request.GetIdempotent(), Patience: clock.Millis(request.GetPatienceMillis()),
+		Idempotent: request.GetIdempotent(), Patience: clock.Millis(request.GetPatienceMillis()), Bytes: len(request.GetBody()),
 	}))
 }
 
@@ -103,6 +103,25 @@
 	}()
 }
 
+// probe checks an unhealthy endpoint now and then. Entries send it no requests whose success could
+// show that it has recovered.
+func (gate *Gate) probe(now clock.Time) {
+	if gate.failures < gate.settings.UnhealthyAfter || now.Sub(gate.probed) < gate.settings.ProbeInterval {
+		return
+	}
+	gate.probed = now
+	gate.traffic.Add(1)
+	go func() {
+		defer gate.traffic.Done()
+		if err := gate.doer.Probe(gate.ctx); err != nil {
+			klog.V(1).InfoS("Probe failed", "Endpoint", gate.settings.Endpoint, "Reason", err.Error())
+			return
+		}
+		gate.run(func() { gate.failures = 0 })
+		klog.InfoS("Endpoint recovered", "Endpoint", gate.settings.Endpoint)
+	}()
+}
+
 func (gate *Gate) finish(id ident.Request, reply Reply, err error, elapsed clock.Millis) {
 	answer := admission.Answer{
 		Outcome: outcome.Ran, Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body, Service: elapsed,
--- a/routing/candidate.go
+++ b/routing/candidate.go
@@ -57,7 +57,8 @@
 	ejections    atomic.Int64
 	ejectedUntil atomic.Int64
 	rampFrom     atomic.Int64
-	leaving      atomic.Bool
+	// leftAt is when the agent said that the endpoint leaves, 0 if it does not.
+	leftAt atomic.Int64
 }
 
 // member is a candidate of a view with its track.
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -21,6 +21,8 @@
 	Faster Why = "Faster"
 	// LocalFull means that an endpoint of another data centre is predicted to finish first.
 	LocalFull Why = "LocalFull"
+	// Ejected means that only ejected endpoints were left.
+	Ejected Why = "Ejected"
 )
 
 // Considered is a candidate of a decision.
@@ -41,8 +43,10 @@
 	Why        Why
 	considered [maxConsidered]Considered
 	count      int
-	track      *track
-	view       *View
+	// ejected allows ejected endpoints.
+	ejected bool
+	track   *track
+	view    *View
 }
 
 // Considered returns the compared candidates.
@@ -66,17 +70,15 @@
 // noWait is the predicted wait in milliseconds up to which endpoints elsewhere are not considered.
 const noWait = 0.1
 
-// Choose picks an endpoint that is not in excluded and counts the request as outstanding there.
+// Choose picks an endpoint that is not in excluded and counts the request as outstanding there. An
+// ejected endpoint is chosen only if there is no other.
 func (view *View) Choose(now clock.Time, excluded []ident.Endpoint) (Decision, error) {
 	decision := Decision{view: view}
-	best := view.draw(now, excluded, view.local, 0, nil, &decision)
-	penalty := float64(view.router.settings.RemotePenalty)
-	if best == nil || best.wait(now, view.router.settings, view.median) > noWait {
-		local := best
-		best = view.draw(now, excluded, view.remote, penalty, best, &decision)
-		if local != nil && best != local {
-			decision.Why = LocalFull
-		}
+	best := view.best(now, excluded, &decision)
+	if best == nil {
+		decision.ejected = true
+		best = view.best(now, excluded, &decision)
+		decision.Why = Ejected
 	}
 	if best == nil {
 		return Decision{}, ErrNoEndpoint{
@@ -95,6 +97,20 @@
 	return decision, nil
 }
 
+// best draws in the entry's data centre, and elsewhere if there is nothing or a wait.
+func (view *View) best(now clock.Time, excluded []ident.Endpoint, decision *Decision) *member {
+	best := view.draw(now, excluded, view.local, 0, nil, decision)
+	if best != nil && best.wait(now, view.router.settings, view.median) <= noWait {
+		return best
+	}
+	local := best
+	best = view.draw(now, excluded, view.remote, float64(view.router.settings.RemotePenalty), best, decision)
+	if local != nil && best != local {
+		decision.Why = LocalFull
+	}
+	return best
+}
+
 // draw compares up to two random members of the pool with best and returns the one predicted to
 // finish first. Unusable draws are replaced by the next usable member in order.
 func (view *View) draw(now clock.Time, excluded []ident.Endpoint, pool []int, penalty float64, best *member, decision *Decision) *member {
@@ -106,11 +122,11 @@
 		finish = best.finish(now, view.router.settings, view.median)
 	}
 	random := view.router.random()
-	first := view.usable(now, excluded, pool, int(random%uint64(len(pool))), -1)
+	first := view.usable(now, excluded, pool, int(random%uint64(len(pool))), -1, decision.ejected)
 	second := -1
 	if first >= 0 && len(pool) > 1 {
 		start := int((random >> 32) % uint64(len(pool)))
-		second = view.usable(now, excluded, pool, start, first)
+		second = view.usable(now, excluded, pool, start, first, decision.ejected)
 	}
 	for _, position := range [2]int{first, second} {
 		if position < 0 {
@@ -130,14 +146,14 @@
 }
 
 // usable returns the first position at or after start whose member may be chosen, or -1.
-func (view *View) usable(now clock.Time, excluded []ident.Endpoint, pool []int, start, except int) int {
+func (view *View) usable(now clock.Time, excluded []ident.Endpoint, pool []int, start, except int, ejected bool) int {
 	for step := range pool {
 		position := (start + step) % len(pool)
 		if position == except {
 			continue
 		}
 		candidate := &view.members[pool[position]]
-		if candidate.track.leaving.Load() || candidate.track.ejectedUntil.Load() > int64(now) {
+		if candidate.track.leftAt.Load() > 0 || (!ejected && candidate.track.ejectedUntil.Load() > int64(now)) {
 			continue
 		}
 		if len(excluded) > 0 && slices.Contains(excluded, candidate.Endpoint) {
--- a/routing/result.go
+++ b/routing/result.go
@@ -24,7 +24,7 @@
 	seen := decision.track
 	seen.outstanding.Add(-1)
 	if result.Leaving {
-		seen.leaving.Store(true)
+		seen.leftAt.Store(int64(now))
 	}
 	if result.Answered {
 		// Times below the clock's resolution count as half a millisecond.
--- a/routing/router.go
+++ b/routing/router.go
@@ -72,7 +72,10 @@
 		if seen.rampFrom.Load() < int64(candidate.Since) {
 			seen.rampFrom.Store(int64(candidate.Since))
 		}
-		seen.leaving.Store(candidate.Leaving)
+		// An announcement made before the agent said so does not bring the endpoint back.
+		if left := seen.leftAt.Load(); left > 0 && int64(candidate.Report.At) > left {
+			seen.leftAt.CompareAndSwap(left, 0)
+		}
 		seen.report(candidate.Report)
 		index := len(view.members)
 		view.members = append(view.members, member{Candidate: candidate, track: seen})
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -71,6 +71,9 @@
 				if decision.Endpoint == excluded[0] || decision.Leaving || decision.Unhealthy || decision.Closed {
 					t.Fatalf("chose %+v, excluded %v", decision.Candidate, excluded)
 				}
+				if decision.Why == routing.Ejected && view.Ejected(now) == 0 {
+					t.Fatal("chosen as ejected, but none is")
+				}
 				if len(decision.Considered()) == 0 || decision.Why == "" {
 					t.Fatalf("decision without reason: %+v", decision)
 				}
