Learn interference from heartbeats and act on it at the home entry

Cause: the interference model and the governor were not connected, and presets had no effect on placement.

Change: agents report their load, the endpoint's slowdown against its lowest latency and their task list when it changed; the home entry learns pairs and sizes, and throttles, checkpoints or evicts with the governor; the preset sets the governor's weighting, the slowdown target, the headroom and whether ordinary work starts.

Conclusion: the policies are in the path; their settings follow the preset.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -67,6 +67,11 @@
 	tasks       map[ident.Task]*task
 	ended       map[ident.Task]worker.Status
 	usage       []worker.Usage
+	load        int32
+	// listed is the digest of the task list that the home took last.
+	listed uint64
+	// announcing is the digest in the heartbeat under way.
+	announcing  uint64
 	renewed     worker.Instant
 	known       []*controlpb.EntryState
 	knownDigest uint64
@@ -76,6 +81,9 @@
 	complete bool
 	leaving  bool
 
+	// meter belongs to the watching goroutine.
+	meter slowdownMeter
+
 	kick     chan struct{}
 	reported chan struct{}
 	quit     chan struct{}
@@ -85,9 +93,10 @@
 
 // task is what the agent remembers of a reserved or running task to start it.
 type task struct {
-	spec  worker.Spec
-	team  ident.Team
-	class string
+	spec   worker.Spec
+	team   ident.Team
+	class  string
+	urgent bool
 	// starting is set while a call to the worker is in progress.
 	starting bool
 	// confirmed is set once the worker's list showed the task.
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -1,6 +1,9 @@
 package agent
 
 import (
+	"fmt"
+	"hash/fnv"
+
 	"k8s.io/klog/v2"
 
 	"hyssopjunction/capacity"
@@ -84,18 +87,22 @@
 		ConfigVersion:  uint64(agent.config.Current().Version()),
 		Classes:        agent.classes(),
 		RuntimeAddress: agent.settings.RuntimeAddress,
+		LoadPercent:    agent.load,
 	}
 	if agent.gate != nil {
 		state.Endpoint = agent.gate.State()
 		state.Endpoint.Leaving = state.Endpoint.Leaving || agent.leaving
 	}
+	digest := agent.tasksDigest()
 	request := &controlpb.AnnounceRequest{
-		State: state, Complete: agent.complete, GrantRevision: agent.granted, EntriesDigest: agent.knownDigest,
+		State: state, Complete: agent.complete || digest != agent.listed,
+		GrantRevision: agent.granted, EntriesDigest: agent.knownDigest,
 	}
+	agent.announcing = digest
 	for _, entry := range agent.ledger.Entries() {
 		if entry.Running {
 			state.Tasks++
-			if agent.complete {
+			if request.Complete {
 				request.Tasks = append(request.Tasks, agent.statusMessage(entry))
 			}
 		}
@@ -111,10 +118,21 @@
 	return request
 }
 
+// tasksDigest identifies the running tasks, so that their list is sent only when it changed.
+func (agent *Agent) tasksDigest() uint64 {
+	hash := fnv.New64a()
+	for _, entry := range agent.ledger.Entries() {
+		if entry.Running {
+			_, _ = fmt.Fprintf(hash, "%s %d\n", entry.Task, entry.Epoch)
+		}
+	}
+	return hash.Sum64()
+}
+
 func (agent *Agent) statusMessage(entry capacity.Entry) *controlpb.TaskStatus {
 	status := &controlpb.TaskStatus{Task: controlpb.FromTask(entry.Task, entry.Epoch), Resources: controlpb.FromResources(entry.Size)}
 	if known := agent.tasks[entry.Task]; known != nil {
-		status.Class = known.class
+		status.Class, status.Kind, status.Urgent = known.class, string(known.spec.Kind), known.urgent
 	}
 	return status
 }
@@ -140,6 +158,7 @@
 	}
 	agent.finder.accepted(reply.Entries)
 	agent.complete = reply.WantComplete
+	agent.listed = agent.announcing
 	if reply.LeaseTermMillis == 0 || reply.GrantRevision < agent.granted {
 		return false
 	}
--- a/agent/tasks.go
+++ b/agent/tasks.go
@@ -44,8 +44,9 @@
 			Task: name, Epoch: epoch, Kind: worker.Kind(spec.Kind), Resources: size,
 			Payload: spec.Payload, Checkpoint: controlpb.ToCheckpoint(spec.Checkpoint),
 		},
-		team:  ident.Team(spec.Team),
-		class: spec.Class,
+		team:   ident.Team(spec.Team),
+		class:  spec.Class,
+		urgent: spec.Urgent,
 	}
 	return &controlpb.TaskResult{Task: spec.Task, Ok: true}
 }
@@ -185,6 +186,24 @@
 	return reply, nil
 }
 
+// Save makes tasks write a checkpoint while they run on.
+func (agent *Agent) Save(ctx context.Context, request *controlpb.SaveRequest) (*controlpb.SaveReply, error) {
+	reply := &controlpb.SaveReply{}
+	if ident.Incarnation(request.Incarnation) != agent.Incarnation() {
+		return reply, nil
+	}
+	for _, ref := range request.Tasks {
+		name, epoch := controlpb.ToTask(ref)
+		saved, err := agent.runtime.Checkpoint(ctx, name, epoch)
+		if err != nil {
+			reply.Results = append(reply.Results, refused(ref, err))
+			continue
+		}
+		reply.Results = append(reply.Results, &controlpb.TaskResult{Task: ref, Ok: true, Checkpoint: controlpb.FromCheckpoint(saved)})
+	}
+	return reply, nil
+}
+
 func refused(ref *controlpb.TaskRef, err error) *controlpb.TaskResult {
 	return &controlpb.TaskResult{Task: ref, Refusal: refusalName(err)}
 }
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -6,6 +6,7 @@
 	"hyssopjunction/capacity"
 	"hyssopjunction/clock"
 	"hyssopjunction/ident"
+	"hyssopjunction/unit"
 	"hyssopjunction/worker"
 )
 
@@ -40,12 +41,13 @@
 	if lapsing {
 		agent.stopAll("lease is about to lapse")
 	}
-	agent.observeSlowdown(report)
+	agent.observeSlowdown()
 }
 
 // observe applies the worker's report and returns the tasks that were started but are not listed.
 func (agent *Agent) observe(report worker.Report, now clock.Time) []ident.Task {
 	agent.usage = report.Usage
+	agent.load = load(report)
 	if !agent.ledger.Ready() {
 		agent.rebuild(report, now)
 		return nil
@@ -62,6 +64,15 @@
 	return agent.unlisted(listed)
 }
 
+// load returns the processor time in use in percent of the worker's capacity.
+func load(report worker.Report) int32 {
+	used := unit.MilliCPU(0)
+	for _, usage := range report.Usage {
+		used += usage.Resources.CPU
+	}
+	return int32(used * 100 / max(report.Capacity.CPU, 1))
+}
+
 // unlisted marks the listed running tasks as confirmed and returns the others.
 func (agent *Agent) unlisted(listed map[ident.Task]ident.Epoch) []ident.Task {
 	var missing []ident.Task
@@ -137,15 +148,11 @@
 	return agent.holder.Expiry() != 0 && agent.holder.Left(now) <= agent.settings.StopMargin && len(agent.ledger.Entries()) > 0
 }
 
-// observeSlowdown tells the gate how much the endpoint's own class is slowed by its neighbours: the
-// mean slowdown that the worker reports for the tasks beside it.
-func (agent *Agent) observeSlowdown(report worker.Report) {
-	if agent.gate == nil || len(report.Usage) == 0 {
+// observeSlowdown tells the gate how much the endpoint is slowed down by its neighbours.
+func (agent *Agent) observeSlowdown() {
+	if agent.gate == nil {
 		return
 	}
-	sum := 0
-	for _, usage := range report.Usage {
-		sum += usage.Slowdown
-	}
-	agent.gate.SetSlowdown(int32(sum / len(report.Usage)))
+	latency := clock.Millis(agent.gate.State().GetLatencyMillis())
+	agent.gate.SetSlowdown(agent.meter.measure(latency, agent.time.Now()))
 }
--- a/entry/announce.go
+++ b/entry/announce.go
@@ -5,7 +5,6 @@
 
 	"k8s.io/klog/v2"
 
-	"hyssopjunction/clock"
 	"hyssopjunction/controlpb"
 	"hyssopjunction/ident"
 	"hyssopjunction/lease"
@@ -105,14 +104,6 @@
 	leaseGrants.Inc()
 }
 
-// learnUsage feeds the measurements of a heartbeat to the estimates.
-func (entry *Entry) learnUsage(request *controlpb.AnnounceRequest, now clock.Time) {
-	for _, usage := range request.GetUsage() {
-		task, _ := controlpb.ToTask(usage.GetTask())
-		entry.learned.sizes.Usage(task.Job, usage.GetClass(), controlpb.ToResources(usage.GetResources()), now)
-	}
-}
-
 // Leave takes the message that an endpoint takes no new work, or that its agent is gone.
 func (entry *Entry) Leave(_ context.Context, request *controlpb.LeaveRequest) (*controlpb.LeaveReply, error) {
 	entry.control.Call(func() {
--- a/entry/configure.go
+++ b/entry/configure.go
@@ -65,6 +65,7 @@
 			DataCentre: name, Open: centre.Open, Key: key, Revision: revision, Bound: centre.DrainMillis,
 		})
 	}
+	entry.applyPreset(view)
 	entry.refresh()
 	klog.InfoS("Configuration in force", "Entry", entry.settings.ID, "Version", view.Version())
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -89,6 +89,11 @@
 	silent         map[ident.Worker]silence
 	since          map[ident.Endpoint]presence
 	applied        *config.View
+	// residents are the tasks on the workers homed here.
+	residents map[ident.Worker][]resident
+	// slowdownTarget and headroom are those of the preset in force, in percent.
+	slowdownTarget int
+	headroom       int
 
 	// readAt is when the entries' rows were last read. It belongs to the renewing goroutine.
 	readAt clock.Time
@@ -134,12 +139,13 @@
 		granter: lease.NewGranter(settings.Lease), grants: map[ident.Worker]*grant{},
 		ended: map[ident.Worker]endedIncarnation{}, learned: newLearned(),
 		recorded: map[ident.Task]recordedEnd{}, homed: map[ident.Job]bool{},
+		residents: map[ident.Worker][]resident{}, slowdownTarget: defaultSlowdownTarget,
 		inExchange: map[ident.Entry]bool{}, silent: map[ident.Worker]silence{}, since: map[ident.Endpoint]presence{},
 		quit: make(chan struct{}), rescan: make(chan struct{}, 1),
 	}
 	entry.scheduler = placement.New(settings.Placement, placement.Dependencies{
 		Entry: settings.ID, Incarnation: incarnation,
-		Sizer: entry.learned.sizes, Interference: entry.learned, Health: entry.learned.health,
+		Sizer: entry.learned.sizes, Interference: entry.learned, Health: entry.learned.health, Quotas: entry.learned,
 	})
 	entry.services.Store(&serviceTable{})
 	polling := config.DefaultReaderSettings()
--- a/entry/learned.go
+++ b/entry/learned.go
@@ -7,6 +7,7 @@
 	"hyssopjunction/interference"
 	"hyssopjunction/placement"
 	"hyssopjunction/quarantine"
+	"hyssopjunction/unit"
 	"hyssopjunction/worker"
 )
 
@@ -17,16 +18,22 @@
 // learned holds what the entry learns about sizes, interference and faults. It belongs to the
 // control goroutine.
 type learned struct {
-	sizes  *estimate.Model
-	pairs  *interference.Model
-	health *quarantine.Tracker
+	sizes    *estimate.Model
+	pairs    *interference.Model
+	health   *quarantine.Tracker
+	governor *interference.Governor
+	// startBatch is whether the preset in force lets ordinary work start.
+	startBatch bool
 }
 
 func newLearned() *learned {
+	pairs := interference.New(interference.Defaults())
 	return &learned{
-		sizes:  estimate.New(estimate.Defaults()),
-		pairs:  interference.New(interference.Defaults()),
-		health: quarantine.New(quarantine.Defaults()),
+		sizes:      estimate.New(estimate.Defaults()),
+		pairs:      pairs,
+		health:     quarantine.New(quarantine.Defaults()),
+		governor:   interference.NewGovernor(interference.Omaruru(), pairs),
+		startBatch: true,
 	}
 }
 
@@ -35,6 +42,14 @@
 	return learned.pairs.At(plannedLoad).Slowdown(class, residents)
 }
 
+// Admit refuses ordinary work while the preset in force does not let it start.
+func (learned *learned) Admit(_ ident.Team, _ unit.Resources, urgent bool) (reason string, ok bool) {
+	if !urgent && !learned.startBatch {
+		return "the preset in force starts no ordinary work", false
+	}
+	return "", true
+}
+
 // started records confirmed starts as evidence about the worker.
 func (learned *learned) started(on ident.Worker, results []placement.StartResult, now clock.Time) {
 	for _, result := range results {
--- a/entry/silent.go
+++ b/entry/silent.go
@@ -86,12 +86,15 @@
 		return
 	}
 	delete(entry.silent, worker)
-	entry.handle(placement.WorkerChanged{State: placementState(state)})
+	entry.handle(placement.WorkerChanged{State: entry.placementState(state)})
 }
 
 // workerSilent tells the scheduler that a worker was not heard of in time.
 func (entry *Entry) workerSilent(worker ident.Worker) {
 	klog.InfoS("Worker is silent", "Worker", worker)
+	delete(entry.residents, worker)
+	entry.learned.pairs.ForgetWorker(worker)
+	entry.learned.governor.Forget(worker)
 	if _, ok := entry.silent[worker]; !ok {
 		entry.silent[worker] = silence{due: entry.time.Now().Add(silentReview)}
 	}
--- a/entry/tick.go
+++ b/entry/tick.go
@@ -12,6 +12,7 @@
 	"hyssopjunction/membership"
 	"hyssopjunction/placement"
 	"hyssopjunction/table"
+	"hyssopjunction/unit"
 )
 
 // tick expires what was not heard of, publishes the view for traffic and sends exchanges.
@@ -140,14 +141,15 @@
 	}
 }
 
-// placementState converts the state of a worker for the scheduler.
-func placementState(state *controlpb.WorkerState) placement.WorkerState {
+// placementState converts the state of a worker for the scheduler. The preset's headroom is kept
+// free on every worker.
+func (entry *Entry) placementState(state *controlpb.WorkerState) placement.WorkerState {
 	converted := placement.WorkerState{
 		Worker:      ident.Worker(state.GetWorker()),
 		Incarnation: ident.Incarnation(state.GetIncarnation()),
 		DataCentre:  ident.DataCentre(state.GetDataCentre()),
 		Rack:        ident.Rack(state.GetRack()),
-		Capacity:    controlpb.ToResources(state.GetCapacity()),
+		Capacity:    withoutHeadroom(controlpb.ToResources(state.GetCapacity()), entry.headroom),
 		Used:        controlpb.ToResources(state.GetUsed()),
 		Draining:    state.GetDraining() || state.GetEndpoint().GetLeaving(),
 	}
@@ -160,6 +162,14 @@
 	return converted
 }
 
+// withoutHeadroom returns the part of a worker's capacity that placement may use. Accelerators are
+// not held back, because they are not shared.
+func withoutHeadroom(capacity unit.Resources, percent int) unit.Resources {
+	capacity.CPU -= capacity.CPU * unit.MilliCPU(percent) / 100
+	capacity.Memory -= capacity.Memory * unit.Mebibytes(percent) / 100
+	return capacity
+}
+
 // sinceOf returns when the endpoint announced itself with its incarnation or recovered.
 func (entry *Entry) sinceOf(endpoint membership.Endpoint, now clock.Time) clock.Time {
 	known, ok := entry.since[endpoint.ID]
