Let any entry explain a job by asking the job's home

Cause: operators reach any entry through the balancer, but only the home of a job knows why its tasks wait.

Change: the Explain call between entries; the newest decisions on each job are kept for it.

Conclusion: ctl job explain gives the same answer at every entry.

--- a/entry/actions.go
+++ b/entry/actions.go
@@ -44,6 +44,7 @@
 		case placement.Park:
 			klog.InfoS("Job parked", "Job", action.Job, "Reason", action.Reason)
 		case placement.Decision:
+			entry.decisions.add(action)
 			logDecision(action)
 		}
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -80,6 +80,7 @@
 	ended     map[ident.Worker]endedIncarnation
 	scheduler *placement.Scheduler
 	learned   *learned
+	decisions *decisionLog
 	recorded  map[ident.Task]recordedEnd
 	homed     map[ident.Job]bool
 	homes     string
@@ -137,7 +138,7 @@
 		control: loop.New(), lanes: newLanes(), incarnation: incarnation,
 		entries: entries, workers: membership.NewWorkers(settings.ID, settings.Membership),
 		granter: lease.NewGranter(settings.Lease), grants: map[ident.Worker]*grant{},
-		ended: map[ident.Worker]endedIncarnation{}, learned: newLearned(),
+		ended: map[ident.Worker]endedIncarnation{}, learned: newLearned(), decisions: newDecisionLog(),
 		recorded: map[ident.Task]recordedEnd{}, homed: map[ident.Job]bool{},
 		residents: map[ident.Worker][]resident{}, slowdownTarget: defaultSlowdownTarget,
 		inExchange: map[ident.Entry]bool{}, silent: map[ident.Worker]silence{}, since: map[ident.Endpoint]presence{},
--- a/entry/operations_jobs.go
+++ b/entry/operations_jobs.go
@@ -5,10 +5,11 @@
 	"fmt"
 	"reflect"
 
+	"hyssopjunction/clock"
+	"hyssopjunction/controlpb"
 	"hyssopjunction/ident"
 	"hyssopjunction/job"
 	"hyssopjunction/operator"
-	"hyssopjunction/placement"
 	"hyssopjunction/set"
 	"hyssopjunction/table"
 )
@@ -160,21 +161,22 @@
 	if state.Reason != "" {
 		explanation.Summary += "; " + state.Reason
 	}
-	operations.entry.control.Call(func() {
-		known, ok := operations.entry.scheduler.Explain(name)
-		if !ok {
-			explanation.Decisions = append(explanation.Decisions, "another entry schedules this job; ask it for the reasons of the last round")
-			return
-		}
-		explain(&explanation, known)
-	})
+	reply := operations.entry.explainAtHome(ctx, content)
+	if !reply.GetKnown() {
+		explanation.Decisions = append(explanation.Decisions, "the entry that schedules this job did not answer")
+		return explanation, nil
+	}
+	explanation.Size = controlpb.ToResources(reply.GetSize())
+	explanation.Decisions = reply.GetDecisions()
+	if reply.GetReason() != "" {
+		explanation.Summary += "; " + reply.GetReason()
+	}
+	if reply.GetLate() {
+		explanation.Summary += fmt.Sprintf("; waited %s, longer than its patience", clock.Millis(reply.GetWaitedMillis()))
+	}
 	return explanation, nil
 }
 
-func explain(explanation *operator.Explanation, known placement.Explanation) {
-	explanation.Decisions = append(explanation.Decisions, fmt.Sprintf("%+v", known))
-}
-
 // stateOf summarises a row.
 func stateOf(row *job.Row) operator.JobState {
 	spec := row.Spec
