Keep the teams' rows behind an interface

Cause: placement wrote its own counter into Team/<id>, where package quota keeps grants, loans and transfers as well; one would have overwritten the other.

Change: interface Accounts with a round of charges and refunds per transaction; the usage counters are its default. Refunds come before charges. A refund that fails has the team's row read again first. API: Dependencies.Accounts is new.

--- a/placement/load.go
+++ b/placement/load.go
@@ -52,7 +52,7 @@
 // rebase replaces the content of the table and applies the changes that are not in it again. Those
 // that no longer apply are dropped: someone else made them, or they speak of an older placement.
 func (scheduler *Scheduler) rebase(view *jobView, base *job.Row, revision table.Revision) {
-	view.base, view.revision, view.usage = base, revision, base.Usage()
+	view.base, view.revision = base, revision
 	view.seenAt = scheduler.now
 	scheduler.rebuild(view)
 	if view.lane == nil {
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -134,7 +134,7 @@
 
 // share returns the team's dominant share of all workers, in thousandths of a percent.
 func (scheduler *Scheduler) share(team *teamView) int64 {
-	used := team.used.Add(team.asked)
+	used := scheduler.dependencies.Accounts.Used(team.name).Add(team.asked)
 	part := func(amount, whole int64) int64 {
 		if whole <= 0 {
 			return 0
--- a/placement/readback.go
+++ b/placement/readback.go
@@ -7,7 +7,6 @@
 	"hyssopjunction/job"
 	"hyssopjunction/set"
 	"hyssopjunction/table"
-	"hyssopjunction/unit"
 )
 
 // readBack reads all rows of a transaction that conflicted or whose outcome is unknown.
@@ -54,18 +53,6 @@
 	}
 }
 
-// learnTeam takes the content of a team's row unless a newer one is known.
-func (scheduler *Scheduler) learnTeam(name ident.Team, used unit.Resources, revision table.Revision) {
-	team := scheduler.team(name)
-	if team.known && revision < team.revision {
-		return
-	}
-	team.known, team.used, team.revision = true, used, revision
-	if observer, ok := scheduler.dependencies.Quotas.(UsageObserver); ok {
-		observer.Observe(name, used)
-	}
-}
-
 // rowsRead takes rows from the table. Rows of a transaction that is read back are collected until
 // all are there.
 func (scheduler *Scheduler) rowsRead(rows []table.Row) {
@@ -91,12 +78,11 @@
 	name := string(row.Key)
 	switch {
 	case strings.HasPrefix(name, TeamKeyPrefix):
-		used, err := DecodeTeamUsage(row)
-		if err != nil {
+		if err := scheduler.dependencies.Accounts.Load(row); err != nil {
 			scheduler.stats.BadRows++
 			return
 		}
-		scheduler.learnTeam(ident.Team(name[len(TeamKeyPrefix):]), used, row.Revision)
+		scheduler.team(ident.Team(name[len(TeamKeyPrefix):])).known = true
 	case strings.HasPrefix(name, job.KeyPrefix):
 		if row.Exists() {
 			scheduler.load(row)
--- a/placement/settings.go
+++ b/placement/settings.go
@@ -95,6 +95,9 @@
 	Interference Interference
 	Health       Health
 	Quotas       Quotas
+	// Accounts keeps the teams' rows. It must agree with Quotas, which is asked when a task is
+	// chosen, before the account is charged with the claim.
+	Accounts Accounts
 }
 
 func (dependencies Dependencies) withDefaults() Dependencies {
@@ -110,5 +113,8 @@
 	if dependencies.Quotas == nil {
 		dependencies.Quotas = Unlimited{}
 	}
+	if dependencies.Accounts == nil {
+		dependencies.Accounts = newCounters(dependencies.Quotas)
+	}
 	return dependencies
 }
--- a/placement/view.go
+++ b/placement/view.go
@@ -89,9 +89,10 @@
 }
 
 type teamView struct {
-	known    bool
-	used     unit.Resources
-	revision table.Revision
+	name  ident.Team
+	known bool
+	// doubted is set when a refund failed, until one succeeds or the row was read again.
+	doubted bool
 	// asked is the sum of this scheduler's holds that are not in the table yet.
 	asked unit.Resources
 }
@@ -102,7 +103,6 @@
 	// base is the content of the table at revision; row is base with changes applied.
 	base     *job.Row
 	revision table.Revision
-	usage    unit.Resources
 	row      *job.Row
 	changes  []change
 	dirty    bool
@@ -211,7 +211,7 @@
 func (scheduler *Scheduler) team(name ident.Team) *teamView {
 	view, ok := scheduler.teams[name]
 	if !ok {
-		view = &teamView{}
+		view = &teamView{name: name}
 		scheduler.teams[name] = view
 	}
 	return view
