Let homes hand over, drains, relief, silence and repeated messages happen in the runs

Cause: JobDropped, DrainWorker, Relieve, WorkerSilent and repeated messages to agents were handled and not exercised.

--- a/placement/run_test.go
+++ b/placement/run_test.go
@@ -117,7 +117,7 @@
 // fault lets something go wrong now and then.
 func (world *world) fault() {
 	agent := world.agents[world.random.IntN(len(world.agents))]
-	switch world.random.IntN(250) {
+	switch world.random.IntN(300) {
 	case 0: // the machine dies and is replaced
 		world.kill(agent, clock.Millis(1000+world.random.IntN(40_000)))
 	case 1: // the agent restarts beside its running tasks
@@ -148,6 +148,29 @@
 	case 10, 11, 12: // two operators race
 		world.operate(agent.centre, "closed")
 		world.operate(agent.centre, "open")
+	case 13, 14: // a home hands jobs over and gets some back
+		home := world.homes[world.random.IntN(len(world.homes))]
+		for _, name := range world.jobs {
+			home.handle(JobDropped{Job: name})
+			if world.random.IntN(2) == 0 {
+				home.handle(JobLoaded{Row: world.table.rows[job.Key(name)]})
+			}
+		}
+	case 15: // an operator drains a worker for a while
+		for _, home := range world.homes {
+			home.handle(DrainWorker{Worker: agent.name, Drain: true, Bound: 5 * clock.Second})
+			world.after(10*clock.Second, func() { home.handle(DrainWorker{Worker: agent.name}) })
+		}
+	case 16, 17: // tasks disturb others and are throttled and evicted
+		for _, name := range sortedTasks(agent.tasks) {
+			for _, home := range world.homes {
+				home.handle(Relieve{Task: name, Epoch: agent.tasks[name].epoch, Percent: 50, Evict: world.random.IntN(2) == 0})
+			}
+		}
+	case 18: // a worker is not heard of
+		for _, home := range world.homes {
+			home.handle(WorkerSilent{Worker: agent.name})
+		}
 	}
 	alive := 0
 	for _, home := range world.homes {
--- a/placement/world_test.go
+++ b/placement/world_test.go
@@ -264,6 +264,14 @@
 // call sends a message to an agent and its answer back.
 func (world *world) call(from *home, to ident.Worker, serve func(agent *fakeAgent) Event) {
 	agent := world.agent(to)
+	if world.chance(0.01) {
+		// The message is sent again although the first copy arrives.
+		world.later(true, func() {
+			if agent.reachable() {
+				serve(agent)
+			}
+		})
+	}
 	world.later(true, func() {
 		if !agent.reachable() {
 			return
