Tune the Omaruru preset and keep the revisions of deleted team rows

Change: Omaruru smooths over 3 s instead of 5 s and acts from 3 points above the target instead of 5; the ledger remembers revisions of deleted rows and refuses rows that are not a team's.

--- a/interference/settings.go
+++ b/interference/settings.go
@@ -82,9 +82,9 @@
 // throttles hard and evicts readily.
 func Omaruru() GovernorSettings {
 	return GovernorSettings{
-		EnterMargin:      5,
+		EnterMargin:      3,
 		ExitMargin:       10,
-		SmoothingMillis:  5 * clock.Second,
+		SmoothingMillis:  3 * clock.Second,
 		EnterMillis:      2 * clock.Second,
 		DwellMillis:      8 * clock.Second,
 		ReleaseMillis:    45 * clock.Second,
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"hyssopjunction/ident"
 	"hyssopjunction/set"
@@ -39,6 +40,8 @@
 	settings Settings
 	teams    map[ident.Team]entry
 	order    []ident.Team
+	// deleted holds the revisions of deleted rows, which a new row of the team continues.
+	deleted map[ident.Team]table.Revision
 }
 
 type entry struct {
@@ -48,17 +51,31 @@
 
 // New returns a Ledger without rows.
 func New(settings Settings) *Ledger {
-	return &Ledger{settings: settings, teams: make(map[ident.Team]entry)}
+	return &Ledger{settings: settings, teams: make(map[ident.Team]entry), deleted: make(map[ident.Team]table.Revision)}
 }
 
-// Load takes over a row read from the table. An older revision than the one known is ignored.
+// revision returns the last known revision of the team's row.
+func (ledger *Ledger) revision(team ident.Team) table.Revision {
+	if known, ok := ledger.teams[team]; ok {
+		return known.revision
+	}
+	return ledger.deleted[team]
+}
+
+// Load takes over a row read from the table. An older revision than the one known is ignored. It
+// fails with ErrBadRow or ErrOvercommitted.
 func (ledger *Ledger) Load(row table.Row) error {
-	team := ident.Team(row.Key[len(prefix):])
-	if known, ok := ledger.teams[team]; ok && known.revision >= row.Revision {
+	name, ok := strings.CutPrefix(string(row.Key), prefix)
+	if !ok {
+		return ErrBadRow{Key: row.Key, Reason: "is not a team's row"}
+	}
+	team := ident.Team(name)
+	if ledger.revision(team) >= row.Revision {
 		return nil
 	}
 	if !row.Exists() {
 		delete(ledger.teams, team)
+		ledger.deleted[team] = row.Revision
 		ledger.order = set.SortedKeys(ledger.teams)
 		return nil
 	}
@@ -73,6 +90,7 @@
 func (ledger *Ledger) put(row Row, revision table.Revision) {
 	_, known := ledger.teams[row.Team]
 	ledger.teams[row.Team] = entry{row: row, revision: revision}
+	delete(ledger.deleted, row.Team)
 	if !known {
 		ledger.order = set.SortedKeys(ledger.teams)
 	}
@@ -187,7 +205,7 @@
 		if err != nil {
 			return nil, nil, fmt.Errorf("plan round: %w", err)
 		}
-		conditions = append(conditions, table.Condition{Key: Key(team), Revision: round.ledger.teams[team].revision})
+		conditions = append(conditions, table.Condition{Key: Key(team), Revision: round.ledger.revision(team)})
 		operations = append(operations, table.Operation{Key: Key(team), Value: value})
 	}
 	return conditions, operations, nil
@@ -213,7 +231,7 @@
 func (round *Round) Committed(result table.Result) {
 	for _, team := range round.Teams() {
 		revision, ok := result.Revisions[Key(team)]
-		if ok && revision > round.ledger.teams[team].revision {
+		if ok && revision > round.ledger.revision(team) {
 			round.ledger.put(round.rows[team], revision)
 		}
 	}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -315,6 +315,31 @@
 	}
 }
 
+// TestTeamRowLifecycle guards against a new or returning team whose first write never commits, and
+// against taking other rows for teams.
+func TestTeamRowLifecycle(t *testing.T) {
+	ledger := quota.New(quota.Defaults())
+	create := func(want table.Revision) {
+		t.Helper()
+		round := ledger.Begin()
+		must(t, round.Update(quota.Row{Team: "amber"}.SetTarget(cores(1))))
+		conditions, _, err := round.Transaction()
+		must(t, err)
+		if len(conditions) != 1 || conditions[0].Revision != want {
+			t.Fatalf("conditions %+v, want revision %d", conditions, want)
+		}
+	}
+	create(0)
+	must(t, ledger.Load(table.Row{Key: quota.Key("amber"), Revision: 5, Deleted: true}))
+	create(5)
+	if reason, ok := ledger.Admit("amber", cores(1), false); ok || reason == "" {
+		t.Fatalf("deleted team admitted, reason %q", reason)
+	}
+	if err := ledger.Load(table.Row{Key: "Job/x", Revision: 1}); !quota.IsErrBadRow(err) {
+		t.Fatalf("error %v for another row, want ErrBadRow", err)
+	}
+}
+
 // TestSettings guards against shipping settings that Check refuses, and against accepting unsafe ones.
 func TestSettings(t *testing.T) {
 	settings := quota.Defaults()
