table: test group commit, outage, rate limit; measure group commit

Cause: merging, the breaker and the rate limit had no tests. Change: tests of each bound, and BenchmarkGroupCommit. Conclusion: one commit per group of independent transactions.

--- a/table/client_test.go
+++ b/table/client_test.go
@@ -43,7 +43,7 @@
 	var failure string
 	synctest.Test(t, func(*testing.T) {
 		memory, fake := tabletest.New(), clock.NewFake(1000)
-		client := table.NewClient(memory, fake, "w1", rand.New(rand.NewPCG(1, 2)), settings)
+		client := table.NewClient(memory, fake, "w1", newRandom(2), settings)
 		tabletest.Drive(fake, 4, func() { failure = work(bench{memory: memory, clock: fake, client: client}) })
 		client.Close()
 	})
@@ -207,8 +207,9 @@
 						}
 						ctx, cancel := context.WithCancel(context.Background())
 						if choice.IntN(5) == 0 {
+							patience := clock.Millis(choice.IntN(30))
 							go func() {
-								<-fake.After(clock.Millis(choice.IntN(30)))
+								<-fake.After(patience)
 								cancel()
 							}()
 						}
@@ -234,3 +235,7 @@
 	})
 	return failure
 }
+
+func newRandom(seed uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, 1))
+}
--- /dev/null
+++ b/table/group_test.go
@@ -0,0 +1,204 @@
+package table_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/table"
+	"hyssopjunction/table/tabletest"
+
+	"k8s.io/klog/v2"
+)
+
+// commitAll commits the transactions at the same time and returns their errors.
+func commitAll(store table.Store, transactions []table.Transaction) []error {
+	errors := make([]error, len(transactions))
+	var running sync.WaitGroup
+	for index, transaction := range transactions {
+		running.Go(func() { _, errors[index] = store.Commit(context.Background(), transaction) })
+	}
+	running.Wait()
+	return errors
+}
+
+// TestGroupCommit guards against a merge that is not made, and against one conflict failing the
+// transactions it was merged with.
+func TestGroupCommit(t *testing.T) {
+	failure := inBubble(t, quick(), func(bench bench) string {
+		var transactions []table.Transaction
+		for index := range 20 {
+			key := table.Key(fmt.Sprintf("Row/%02d", index))
+			transactions = append(transactions, put(key, 0, fmt.Sprint(index)))
+		}
+		for _, err := range commitAll(bench.client, transactions) {
+			if err != nil {
+				return err.Error()
+			}
+		}
+		if _, commits, _ := bench.memory.Calls(); commits != 1 {
+			return fmt.Sprintf("%d commits for 20 independent transactions, not 1", commits)
+		}
+		for index := range transactions {
+			transactions[index].Conditions[0].Revision = 1
+		}
+		transactions[7].Conditions[0].Revision = 5
+		for index, err := range commitAll(bench.client, transactions) {
+			if (index == 7) != table.IsErrConflict(err) || index != 7 && err != nil {
+				return fmt.Sprintf("transaction %d: %v", index, err)
+			}
+		}
+		// The merged one, the part in conflict alone, the others merged again.
+		if _, commits, _ := bench.memory.Calls(); commits != 4 {
+			return fmt.Sprintf("%d commits, not 4", commits)
+		}
+		return ""
+	})
+	if failure != "" {
+		t.Fatal(failure)
+	}
+}
+
+// TestOverlapIsNotMerged guards against merging transactions that depend on each other.
+func TestOverlapIsNotMerged(t *testing.T) {
+	failure := inBubble(t, quick(), func(bench bench) string {
+		first := put("Row/a", 0, "first")
+		second := table.Transaction{
+			Conditions: []table.Condition{{Key: "Row/a", Revision: 0}, {Key: "Row/b", Revision: 0}},
+			Operations: []table.Operation{{Key: "Row/b", Value: []byte("second")}},
+		}
+		named := put("Row/c", 0, "named")
+		named.Write = "caller.1"
+		errors := commitAll(bench.client, []table.Transaction{first, second, named})
+		log := bench.memory.Log()
+		for _, applied := range log {
+			if len(applied.Transaction.Operations) != 1 {
+				return fmt.Sprintf("merged: %v", applied)
+			}
+		}
+		row, err := bench.client.Get(context.Background(), "Row/c")
+		if err != nil || row.Write != "caller.1" || errors[2] != nil {
+			return fmt.Sprintf("caller's write id lost: %v %v", row, err)
+		}
+		return ""
+	})
+	if failure != "" {
+		t.Fatal(failure)
+	}
+}
+
+// TestOutage guards against calls that reach an unavailable service, more than one probe per
+// interval, a breaker that stays open, and log lines per call.
+func TestOutage(t *testing.T) {
+	var lines bytes.Buffer
+	klog.SetOutput(&lines)
+	settings := quick()
+	failure := inBubble(t, settings, func(bench bench) string {
+		bench.memory.SetFault(func(tabletest.Call) tabletest.Fault { return tabletest.Refuse })
+		for range 20 {
+			if _, err := bench.client.Get(context.Background(), "Row/a"); !table.IsErrUnavailable(err) {
+				return fmt.Sprintf("outage answered %v", err)
+			}
+		}
+		if !bench.client.Outage() {
+			return "breaker is closed"
+		}
+		before, _, _ := bench.memory.Calls()
+		start := bench.clock.Now()
+		for bench.clock.Now().Sub(start) < 10*clock.Second {
+			if _, err := bench.client.Commit(context.Background(), put("Row/a", 0, "x")); !table.IsErrUnavailable(err) {
+				return fmt.Sprintf("outage answered %v", err)
+			}
+			<-bench.clock.After(20)
+		}
+		after, _, _ := bench.memory.Calls()
+		if probes := after - before; probes < 1 || probes > 10 {
+			return fmt.Sprintf("%d probes in 10 intervals", probes)
+		}
+		bench.memory.SetFault(func(tabletest.Call) tabletest.Fault { return tabletest.None })
+		<-bench.clock.After(2 * settings.ProbeMillis)
+		if _, err := bench.client.Commit(context.Background(), put("Row/a", 0, "y")); err != nil || bench.client.Outage() {
+			return fmt.Sprintf("outage did not end: %v", err)
+		}
+		return ""
+	})
+	klog.Flush()
+	if failure != "" {
+		t.Fatal(failure)
+	}
+	if entered, left := strings.Count(lines.String(), "outage entered"), strings.Count(lines.String(), "outage left"); entered != 1 || left != 1 {
+		t.Fatalf("%d lines on entering and %d on leaving", entered, left)
+	}
+}
+
+// TestRateLimit guards against more calls than the daemon's share of the system's limits, and against
+// a share that does not follow the number of entries.
+func TestRateLimit(t *testing.T) {
+	settings := quick()
+	settings.SystemWrites, settings.SystemReads, settings.Entries = 100, 400, 10
+	settings.GroupRows = 1
+	failure := inBubble(t, settings, func(bench bench) string {
+		count := func(entries int) (int, int) {
+			bench.client.SetEntries(entries)
+			allBefore, commitsBefore, _ := bench.memory.Calls()
+			end := bench.clock.Now().Add(10 * clock.Second)
+			var running sync.WaitGroup
+			for worker := range 8 {
+				running.Go(func() {
+					for step := 0; bench.clock.Now().Before(end); step++ {
+						key := table.Key(fmt.Sprintf("Row/%d/%d/%d", entries, worker, step))
+						_, _ = bench.client.Commit(context.Background(), put(key, 0, "x"))
+						for range 4 {
+							_, _ = bench.client.Get(context.Background(), key)
+						}
+					}
+				})
+			}
+			running.Wait()
+			all, commits, _ := bench.memory.Calls()
+			return all - allBefore - (commits - commitsBefore), commits - commitsBefore
+		}
+		// Ten seconds, one second's burst and the calls that still waited at the end.
+		for _, entries := range []int{10, 5} {
+			reads, commits := count(entries)
+			if writeBound, readBound := 11*100/entries+9, 11*400/entries+33; commits > writeBound || reads > readBound {
+				return fmt.Sprintf("%d entries: %d commits and %d reads, bounds %d and %d", entries, commits, reads, writeBound, readBound)
+			}
+			if commits < 5*100/entries {
+				return fmt.Sprintf("%d entries: only %d commits", entries, commits)
+			}
+		}
+		return ""
+	})
+	if failure != "" {
+		t.Fatal(failure)
+	}
+}
+
+// BenchmarkGroupCommit measures commits of 40 concurrent writers on independent rows, each offering
+// the next transaction when the last is done, against one commit per transaction.
+func BenchmarkGroupCommit(b *testing.B) {
+	memory := tabletest.New()
+	settings := quick()
+	settings.SystemWrites, settings.SystemReads = 1_000_000, 1_000_000
+	client := table.NewClient(memory, clock.NewSystem(), "w1", newRandom(1), settings)
+	defer client.Close()
+	for b.Loop() {
+		var writers sync.WaitGroup
+		for writer := range 40 {
+			writers.Go(func() {
+				key := table.Key(fmt.Sprintf("Row/%d", writer))
+				row, _ := client.Get(context.Background(), key)
+				_, _ = client.Commit(context.Background(), put(key, row.Revision, "x"))
+			})
+		}
+		writers.Wait()
+	}
+	stats := client.Stats()
+	b.ReportMetric(float64(stats.Commits)/float64(stats.Offers), "commits/baseline")
+	b.ReportMetric(100*float64(stats.Saved)/float64(stats.Offers), "%saved")
+}
