--- a/config/build.go
+++ b/config/build.go
@@ -8,15 +8,13 @@
 	"hyssopjunction/set"
 )
 
-// build decodes the documents into their typed maps, collects the faults of single documents, and
-// returns those of documents that cannot be decoded.
-func (view *View) build() []Fault {
+// build decodes the documents into their typed maps and collects the faults of single documents.
+func (view *View) build() {
 	view.presets = make(map[ident.Preset]Preset)
 	view.dataCentres = make(map[ident.DataCentre]DataCentre)
 	view.teams = make(map[ident.Team]Team)
 	view.services = make(map[ident.Service]Service)
-	view.faults = nil
-	var unreadable []Fault
+	view.faults, view.unreadable = nil, nil
 	for _, name := range view.Names() {
 		document := view.documents[name]
 		if document.Deleted {
@@ -26,10 +24,9 @@
 		view.add(checker, name, document.Value)
 		view.faults = append(view.faults, checker.faults...)
 		if checker.unreadable {
-			unreadable = append(unreadable, checker.faults...)
+			view.unreadable = append(view.unreadable, checker.faults...)
 		}
 	}
-	return unreadable
 }
 
 func (view *View) add(checker *checker, name Name, value json.RawMessage) {
--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,209 @@
+package config_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/config"
+	"hyssopjunction/ident"
+	"hyssopjunction/logging"
+	"hyssopjunction/table"
+	"hyssopjunction/table/tabletest"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	logging.New(io.Discard, slog.LevelInfo)
+	goleak.VerifyTestMain(m)
+}
+
+func newRandom(seed uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, 1))
+}
+
+func newEditor(store table.Store, fake clock.Clock, seed uint64) (*config.Editor, *config.Publisher) {
+	publisher := config.NewPublisher()
+	return config.NewEditor(store, fake, newRandom(seed), publisher), publisher
+}
+
+func value(document any) json.RawMessage {
+	encoded, err := json.Marshal(document)
+	if err != nil {
+		panic(err)
+	}
+	return encoded
+}
+
+func dataCentre(open bool) json.RawMessage {
+	return value(config.DataCentre{Open: open, Region: "flanders", DrainMillis: 1000})
+}
+
+// edit returns a change of one document by an operator.
+func edit(operator string, name config.Name, base ident.Version, document json.RawMessage) config.Change {
+	return config.Change{Operator: operator, Edits: []config.Edit{{Document: name, Base: base, Value: document}}}
+}
+
+// prepared returns a table with the default presets and three data centres.
+func prepared() (*tabletest.Memory, ident.Version) {
+	memory := tabletest.New()
+	editor, publisher := newEditor(memory, clock.NewFake(1000), 9)
+	if err := editor.Bootstrap(context.Background(), "setup"); err != nil {
+		panic(err)
+	}
+	change := config.Change{Operator: "setup"}
+	for _, name := range []ident.DataCentre{"gent", "kortrijk", "aalst"} {
+		change.Edits = append(change.Edits, config.Edit{Document: config.DataCentreName(name), Value: dataCentre(true)})
+	}
+	if _, err := editor.Apply(context.Background(), change); err != nil {
+		panic(err)
+	}
+	return memory, publisher.Version()
+}
+
+// checkHistory compares the history with itself and with the documents: versions without a gap, and
+// each document before a change equal to what the change before it left.
+func checkHistory(memory *tabletest.Memory) ([]config.Record, string) {
+	memory.SetFault(func(tabletest.Call) tabletest.Fault { return tabletest.None })
+	records, err := config.History(context.Background(), memory, 0, 1_000_000)
+	if err != nil {
+		return nil, err.Error()
+	}
+	newest := make(map[config.Name]config.Document)
+	for index, record := range records {
+		if record.Version != ident.Version(index+1) {
+			return nil, fmt.Sprintf("change %d follows change %d", record.Version, index)
+		}
+		for position, after := range record.After {
+			before := record.Before[position]
+			if before.Version != newest[after.Name].Version || before.Change != newest[after.Name].Change {
+				return nil, fmt.Sprintf("change %d of %s is based on %d, not on %d",
+					record.Version, after.Name, before.Version, newest[after.Name].Version)
+			}
+			newest[after.Name] = after
+		}
+	}
+	for name, document := range newest {
+		row, err := memory.Get(context.Background(), name.Key())
+		if err != nil || row.Revision != document.Revision {
+			return nil, fmt.Sprintf("row of %s has revision %d, document says %d", name, row.Revision, document.Revision)
+		}
+	}
+	return records, ""
+}
+
+// TestConflictNamesWinner guards against a losing operator who overwrites or does not learn who won.
+func TestConflictNamesWinner(t *testing.T) {
+	memory, version := prepared()
+	first, _ := newEditor(memory, clock.NewFake(0), 1)
+	second, publisher := newEditor(memory, clock.NewFake(0), 2)
+	won, err := first.Apply(context.Background(), edit("anna", config.DataCentreName("gent"), version, dataCentre(false)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = second.Apply(context.Background(), edit("bram", config.DataCentreName("gent"), version, dataCentre(true)))
+	want := config.ErrConflict{Document: config.DataCentreName("gent"), Base: version, Have: won, Winner: "anna"}
+	if err != want {
+		t.Fatalf("got %v, want %v", err, want)
+	}
+	// Another document only moved the head, which is no conflict.
+	if _, err := second.Apply(context.Background(), edit("bram", config.DataCentreName("aalst"), version, dataCentre(false))); err != nil {
+		t.Fatal(err)
+	}
+	view := publisher.Current()
+	condition, open := view.DataCentreCondition("kortrijk")
+	if _, closed := view.DataCentreCondition("gent"); !open || closed || condition.Revision != 1 {
+		t.Fatalf("conditions of data centres: %v %v %v", condition, open, closed)
+	}
+	if key, revision := view.DataCentreRow("gent"); key != "Config/DataCentres/gent" || revision != 2 {
+		t.Fatalf("row of gent is %s at %d", key, revision)
+	}
+}
+
+// TestRepeatedChange guards against a change that is accepted twice when its operator sends it again.
+func TestRepeatedChange(t *testing.T) {
+	memory, version := prepared()
+	editor, _ := newEditor(memory, clock.NewFake(0), 1)
+	change := edit("anna", config.DataCentreName("gent"), version, dataCentre(false))
+	change.ID = "change-1"
+	first, err := editor.Apply(context.Background(), change)
+	if err != nil {
+		t.Fatal(err)
+	}
+	other, _ := newEditor(memory, clock.NewFake(0), 2)
+	again, err := other.Apply(context.Background(), change)
+	if err != nil || again != first {
+		t.Fatalf("second time: version %d, %v; first time %d", again, err, first)
+	}
+}
+
+// TestDeletedDocument guards against a version that starts again after a document was deleted.
+func TestDeletedDocument(t *testing.T) {
+	memory, version := prepared()
+	editor, publisher := newEditor(memory, clock.NewFake(0), 1)
+	gent := config.DataCentreName("gent")
+	deleted, err := editor.Apply(context.Background(), config.Change{
+		Operator: "anna", Edits: []config.Edit{{Document: gent, Base: version, Delete: true}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, ok := publisher.Current().DataCentre("gent"); ok {
+		t.Fatal("deleted data centre is in the view")
+	}
+	created, err := editor.Apply(context.Background(), edit("bram", gent, 0, dataCentre(true)))
+	if err != nil || created <= deleted {
+		t.Fatalf("version %d after %d: %v", created, deleted, err)
+	}
+	records, failure := checkHistory(memory)
+	if failure != "" {
+		t.Fatal(failure)
+	}
+	changes := config.Diff(records[len(records)-2])
+	if len(changes) != 3 || changes[2].Field != "Region" || changes[2].Before != `"flanders"` || changes[2].After != "" {
+		t.Fatalf("diff of the deletion: %v", changes)
+	}
+}
+
+// TestFaultsAllAtOnce guards against a validation that stops at the first fault.
+func TestFaultsAllAtOnce(t *testing.T) {
+	memory, _ := prepared()
+	editor, publisher := newEditor(memory, clock.NewFake(0), 1)
+	change := config.Change{Operator: "anna", Edits: []config.Edit{
+		{Document: "Services/checks", Value: json.RawMessage(`{"Team":"nobody","Priority":12,"patience":3,
+			"PatienceMillis":0,"Slots":9,"Connections":65,"LatencyTargetMillis":5,"Extra":{"a":1},"DataCentres":["nowhere","nowhere"]}`)},
+		{Document: "Presets/Bad", Value: json.RawMessage(`{"Other":{"TailLatency":101,"Unknown":1},"SlowdownLimitPercent":"x"}`)},
+		{Document: "Teams/t1", Value: json.RawMessage(`{"Weight":0,"Weight":0,"Quotas":{"mars":{"CPU":-1}}}`)},
+		{Document: "Nonsense/x", Value: json.RawMessage(`{}`)},
+		{Document: config.InForce, Base: 1, Value: json.RawMessage(`{"Preset":"Missing"}`)},
+	}}
+	before := publisher.Version()
+	_, err := editor.Apply(context.Background(), change)
+	invalid, ok := err.(config.ErrInvalid)
+	if !ok {
+		t.Fatalf("got %v", err)
+	}
+	if publisher.Version() != before {
+		t.Fatal("a refused change is in force")
+	}
+	fields := make(map[string]bool)
+	for _, fault := range invalid.Faults {
+		fields[string(fault.Document)+" "+fault.Field] = true
+	}
+	for _, want := range []string{
+		"Services/checks Priority", "Services/checks patience", "Services/checks PatienceMillis", "Services/checks Slots",
+		"Services/checks Connections", "Services/checks Extra", "Services/checks DataCentres", "Presets/Bad SlowdownLimitPercent",
+		"Presets/Bad Other.Unknown", "Presets/Bad Other.TailLatency", "Teams/t1 Weight", "Teams/t1 Quotas.mars.CPU", "Nonsense/x ",
+		"Services/checks Team", "Preset Preset", "Teams/t1 Quotas.mars",
+	} {
+		if !fields[want] {
+			t.Errorf("fault of %q not reported", want)
+		}
+	}
+}
--- a/config/plan.go
+++ b/config/plan.go
@@ -43,7 +43,7 @@
 	if len(faults) > 0 {
 		return plan{}, ErrInvalid{Faults: faults}
 	}
-	next, err := view.with(record.Version, record.After)
+	next, err := view.merged(record.Version, record.After)
 	if err != nil {
 		return plan{}, err
 	}
--- a/config/view.go
+++ b/config/view.go
@@ -23,7 +23,9 @@
 	dataCentres map[ident.DataCentre]DataCentre
 	teams       map[ident.Team]Team
 	services    map[ident.Service]Service
-	faults      []Fault
+	// faults are those of single documents, and unreadable those of documents that cannot be decoded.
+	faults     []Fault
+	unreadable []Fault
 }
 
 // NewView returns the empty configuration.
@@ -126,10 +128,23 @@
 	return fmt.Sprintf("%016x", digest.Sum64())
 }
 
-// with returns a View at version that also holds the documents. Documents with a version that is
+// with returns a View at version that also holds the documents, or ErrInvalid if one of them cannot
+// be decoded, see merged.
+func (view *View) with(version ident.Version, documents []Document) (*View, error) {
+	next, err := view.merged(version, documents)
+	if err != nil {
+		return nil, err
+	}
+	if len(next.unreadable) > 0 {
+		return nil, ErrInvalid{Faults: next.unreadable}
+	}
+	return next, nil
+}
+
+// merged returns a View at version that also holds the documents. Documents with a version that is
 // not higher than the held one's are left out, because they come from an old answer; one of the same
 // version with another content is an ErrRevert.
-func (view *View) with(version ident.Version, documents []Document) (*View, error) {
+func (view *View) merged(version ident.Version, documents []Document) (*View, error) {
 	if version < view.version {
 		return nil, ErrRevert{Have: view.version, Got: version}
 	}
@@ -146,9 +161,7 @@
 			next.documents[document.Name] = document
 		}
 	}
-	if unreadable := next.build(); len(unreadable) > 0 {
-		return nil, ErrInvalid{Faults: unreadable}
-	}
+	next.build()
 	return next, nil
 }
 
