--- a/config/editor.go
+++ b/config/editor.go
@@ -128,6 +128,10 @@
 		if version, done := accepted(view, change); done {
 			return version, nil
 		}
+		if attempt < editAttempts-1 && ahead(view, change) {
+			// The head was read from an old copy of the row.
+			continue
+		}
 		plan, err := newPlan(view, editor.loader.headRevision, change)
 		if err != nil {
 			return 0, err
@@ -194,6 +198,16 @@
 	}
 }
 
+// ahead reports whether the operator saw a newer version than the view.
+func ahead(view *View, change Change) bool {
+	for _, edit := range change.Edits {
+		if edit.Base > view.version {
+			return true
+		}
+	}
+	return false
+}
+
 // accepted reports whether the change with this id is already in the view.
 func accepted(view *View, change Change) (ident.Version, bool) {
 	if len(change.Edits) == 0 {
--- a/config/plan.go
+++ b/config/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 
 	"hyssopjunction/set"
 	"hyssopjunction/table"
@@ -21,6 +22,10 @@
 	faults := checkShape(change)
 	for _, edit := range change.Edits {
 		held, have := view.documents[edit.Document]
+		if edit.Base > view.version {
+			return plan{}, ErrNotReady{Reason: fmt.Sprintf(
+				"document %s was seen at version %d, the table answers version %d", edit.Document, edit.Base, view.version)}
+		}
 		if edit.Base != held.Version && (edit.Base != 0 || !held.Deleted) {
 			return plan{}, ErrConflict{Document: edit.Document, Base: edit.Base, Have: held.Version, Winner: held.Operator}
 		}
