Require all TLS files only when one of them is given

Change: the check looks at the names of the files only.

Conclusion: a daemon without TLS can be told so.

--- a/setting/daemon.go
+++ b/setting/daemon.go
@@ -22,7 +22,7 @@
 func (tls TLS) check(reader *reader) {
 	keys := []string{"TLS.CertificateFile", "TLS.KeyFile", "TLS.AuthorityFile"}
 	files := []string{tls.CertificateFile, tls.KeyFile, tls.AuthorityFile}
-	some := tls != TLS{}
+	some := tls.CertificateFile+tls.KeyFile+tls.AuthorityFile != ""
 	for index, file := range files {
 		reader.require(!some || file != "", []string{keys[index]}, "is required when another file of TLS is given")
 	}
