--- a/entry/configure.go
+++ b/entry/configure.go
@@ -44,6 +44,7 @@
 			})
 			applied = max(view.Version(), 1)
 			wakeUp(entry.rescan)
+			wakeUp(entry.settle)
 		}
 		select {
 		case <-changed:
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 	"hyssopjunction/loop"
 	"hyssopjunction/membership"
 	"hyssopjunction/placement"
+	"hyssopjunction/quota"
 	"hyssopjunction/retry"
 	"hyssopjunction/routing"
 	"hyssopjunction/table"
@@ -81,6 +82,7 @@
 	scheduler *placement.Scheduler
 	learned   *learned
 	decisions *decisionLog
+	accounts  *accounts
 	recorded  map[ident.Task]recordedEnd
 	homed     map[ident.Job]bool
 	homes     string
@@ -101,6 +103,7 @@
 
 	quit    chan struct{}
 	rescan  chan struct{}
+	settle  chan struct{}
 	closing sync.Once
 	running sync.WaitGroup
 }
@@ -142,11 +145,12 @@
 		recorded: map[ident.Task]recordedEnd{}, homed: map[ident.Job]bool{},
 		residents: map[ident.Worker][]resident{}, slowdownTarget: defaultSlowdownTarget,
 		inExchange: map[ident.Entry]bool{}, silent: map[ident.Worker]silence{}, since: map[ident.Endpoint]presence{},
-		quit: make(chan struct{}), rescan: make(chan struct{}, 1),
+		quit: make(chan struct{}), rescan: make(chan struct{}, 1), settle: make(chan struct{}, 1),
 	}
+	entry.accounts = &accounts{Ledger: quota.New(quota.Defaults()), learned: entry.learned}
 	entry.scheduler = placement.New(settings.Placement, placement.Dependencies{
 		Entry: settings.ID, Incarnation: incarnation,
-		Sizer: entry.learned.sizes, Interference: entry.learned, Health: entry.learned.health, Quotas: entry.learned,
+		Sizer: entry.learned.sizes, Interference: entry.learned, Health: entry.learned.health, Accounts: entry.accounts,
 	})
 	entry.services.Store(&serviceTable{})
 	polling := config.DefaultReaderSettings()
@@ -169,6 +173,7 @@
 	entry.every(clock.Second, nil, entry.settleGrants)
 	entry.every(clock.Minute, entry.rescan, entry.scanJobs)
 	entry.every(10*clock.Second, nil, entry.sweep)
+	entry.every(20*clock.Second, entry.settle, entry.reviewTeams)
 	entry.running.Go(entry.bootstrap)
 	entry.running.Go(entry.followConfig)
 }
--- a/entry/operations.go
+++ b/entry/operations.go
@@ -207,14 +207,32 @@
 		team, _ := view.Team(name)
 		document, _ := view.Document(config.TeamName(name))
 		for region, quota := range team.Quotas {
-			list.Teams = append(list.Teams, operator.TeamState{
-				Team: name, Region: region, Quota: quota, Granted: quota, Version: document.Version, Operator: document.Operator,
-			})
+			state := operator.TeamState{
+				Team: name, Region: region, Quota: quota, Version: document.Version, Operator: document.Operator,
+			}
+			if region == operations.entry.settings.Region {
+				operations.account(name, &state)
+			}
+			list.Teams = append(list.Teams, state)
 		}
 	}
 	return list, nil
 }
 
+// account fills in what the team's row says.
+func (operations *operations) account(team ident.Team, state *operator.TeamState) {
+	operations.entry.control.Call(func() {
+		row, _ := operations.entry.accounts.Row(team)
+		state.Granted, state.Used = row.Grant, row.Used
+		for _, amount := range row.Borrowed {
+			state.Borrowed = state.Borrowed.Add(amount)
+		}
+		for _, amount := range row.Lent {
+			state.Lent = state.Lent.Add(amount)
+		}
+	})
+}
+
 // SetTeam creates a team or replaces its quota in one region.
 func (operations *operations) SetTeam(ctx context.Context, call operator.Call, change operator.TeamChange) (operator.Accepted, error) {
 	region := change.Region
--- a/entry/operations_jobs.go
+++ b/entry/operations_jobs.go
@@ -31,6 +31,9 @@
 		Declared: submission.Resources, Urgent: submission.Urgent, Class: submission.Class,
 		Payload: submission.Payload, Region: operations.entry.settings.Region, Patience: submission.PatienceMillis,
 	}
+	if _, known := operations.view().Team(spec.Team); !known {
+		return operator.JobState{}, operator.ErrNotFound{Kind: "Team", Name: string(spec.Team)}
+	}
 	transaction, err := job.Submission(spec, operations.entry.newWrite())
 	if err != nil {
 		return operator.JobState{}, jobError(err)
