Test that a wrong key causes no second problem

Cause: a trial change that reported contradictions of keys that are wrong by themselves passed all tests.

Change: TestAllProblemsAtOnce has such a key.

Conclusion: settings errors name each fault once.

--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -71,7 +71,8 @@
 	}
 }
 
-// Guards against a reader that stops at the first fault, so that an operator needs several attempts.
+// Guards against a reader that stops at the first fault, so that an operator needs several attempts, and
+// against contradictions that only follow from another fault.
 func TestAllProblemsAtOnce(t *testing.T) {
 	_, err := Parse[Entry]("entry.toml", []byte(`
 Colour = "red"
@@ -88,6 +89,7 @@
 timeoutmillis = 3
 [Requests]
 MinPatienceMillis = 6000
+Slots = 5000
 [Tasks]
 HeartbeatMillis = 10000
 RoundMillis = 0
@@ -105,6 +107,7 @@
 		"Listen.Operator: 127.0.0.1:9 is also the address of Listen.Control",
 		"Log.Level: must be one of Debug, Info, Warn, Error, is \"Loud\"",
 		"Requests.MinPatienceMillis: must not exceed Requests.DefaultPatienceMillis (5000), is 6000",
+		"Requests.Slots: must be from 1 to 1024, is 5000",
 		"TLS.AuthorityFile: is required when another file of TLS is given",
 		"TLS.CertificateFile: is required when another file of TLS is given",
 		"Table.TimeoutMillis: must be a whole number, is the string \"fast\"",
