Give each daemon of the process test a loopback address of its own

Cause: 2 of 6 parallel runs failed because a port that was free a moment ago was taken by an outgoing connection before the daemon listened on it. Ruled out: the quota ledger, which the runs exonerated. Apart from that, an entry read a new quota up to 20 s late.

Change: addresses 127.x.y.z with a fixed port; an entry whose view of a quota is behind reads the teams' rows again after 1 s.

Conclusion: the test's verdict does not depend on free ports.

--- a/entry/accounts.go
+++ b/entry/accounts.go
@@ -64,10 +64,37 @@
 		return
 	}
 	view := entry.publisher.Current()
+	behind := false
 	for _, team := range view.Teams() {
 		if entry.mine(ident.Job(team)) {
 			entry.settleTeam(ctx, view, team)
+			continue
 		}
+		behind = behind || entry.quotaBehind(view, team)
+	}
+	if behind {
+		entry.running.Go(entry.reviewTeamsSoon)
+	}
+}
+
+// quotaBehind reports whether the team's row does not yet hold the quota of the configuration, which
+// another entry is about to write.
+func (entry *Entry) quotaBehind(view *config.View, team ident.Team) bool {
+	configured, _ := view.Team(team)
+	behind := false
+	entry.control.Call(func() {
+		row, known := entry.accounts.Row(team)
+		behind = !known || row.Target != configured.Quotas[entry.settings.Region]
+	})
+	return behind
+}
+
+// reviewTeamsSoon reads the teams' rows again without waiting for the usual interval.
+func (entry *Entry) reviewTeamsSoon() {
+	select {
+	case <-entry.time.After(clock.Second):
+		wakeUp(entry.settle)
+	case <-entry.quit:
 	}
 }
 
--- a/process_test.go
+++ b/process_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -55,6 +54,7 @@
 	caller    *standalone.Caller
 	standIn   *standin.Client
 	results   []standalone.Result
+	addresses int
 	// last is the last error met while waiting, for the message of a test that gives up.
 	last error
 }
@@ -104,12 +104,13 @@
 	}
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
+// freeAddress returns an address of its own in the loopback range. Ports of 127.0.0.1 that were free
+// a moment ago are taken now and then by outgoing connections, which use that address.
 func (system *system) freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	system.must(err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	const port = 7000
+	system.addresses++
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:%d", 1+pid>>8&0x7f, pid&0xff, system.addresses, port)
 }
 
 func (system *system) write(name, text string) {
