Keep a row that is too large from holding up others

Cause: a transaction refused with ErrTooLarge was halved for ever, and a single row that is too large would have been tried with every round; reservations of jobs that found no place in a transaction were kept after their term.

The simulated worker of the tests dropped a newer reservation when an older one was released, which let it overcommit; it now compares reservations as the ledger does.

--- a/placement/behaviour_test.go
+++ b/placement/behaviour_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 
@@ -10,6 +11,7 @@
 	"hyssopjunction/ident"
 	"hyssopjunction/job"
 	"hyssopjunction/set"
+	"hyssopjunction/table"
 	"hyssopjunction/unit"
 	"hyssopjunction/worker"
 )
@@ -320,3 +322,58 @@
 		}
 	}
 }
+
+// TestTooLarge guards against a row that the table refuses holding up the other jobs for ever.
+func TestTooLarge(t *testing.T) {
+	world := newSim(t, Settings{}, Dependencies{}, 9, host)
+	world.refuse = func(action Commit) error {
+		for _, operation := range action.Transaction.Operations {
+			if operation.Key == job.Key("huge") {
+				return table.ErrTooLarge{Key: operation.Key, Bytes: 2, Limit: 1}
+			}
+		}
+		return nil
+	}
+	world.submit(batch("huge", 4, small), small, clock.Hour)
+	for index := range 20 {
+		world.submit(batch(fmt.Sprintf("job-%02d", index), 2, small), small, clock.Hour)
+	}
+	world.run(40)
+	for index := range 20 {
+		if name := fmt.Sprintf("job-%02d", index); world.live(name) != 2 {
+			t.Fatalf("%s has %d of 2 tasks", name, world.live(name))
+		}
+	}
+}
+
+// TestForeignVictims guards against urgent work that waits because the batch tasks on the workers
+// belong to the jobs of other entries.
+func TestForeignVictims(t *testing.T) {
+	scheduler := New(Settings{}, Dependencies{Entry: "entry"})
+	scheduler.Handle(DataCentreChanged{DataCentre: "gent", Open: true, Key: "DataCentre/gent", Revision: 1}, 1000)
+	resident := Resident{Task: ident.Task{Job: "other", Index: 3}, Epoch: 7, Size: host, Preemptible: true}
+	state := WorkerState{Worker: "w", Incarnation: 1, DataCentre: "gent", Rack: "r", Capacity: host, Used: host, Residents: []Resident{resident}}
+	scheduler.Handle(WorkerChanged{State: state}, 1000)
+	urgent := batch("urgent", 1, small)
+	urgent.Urgent = true
+	row, err := job.New(urgent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	scheduler.Handle(JobLoaded{Row: table.Row{Key: job.Key("urgent"), Value: row.Encode(), Revision: 1}}, 1000)
+	scheduler.Handle(RowsRead{Rows: []table.Row{{Key: TeamKey("a")}}}, 1000)
+	ref := TaskRef{Task: resident.Task, Epoch: 7}
+	if !slices.ContainsFunc(scheduler.Handle(Round{}, 1500), func(action Action) bool {
+		stop, ok := action.(Stop)
+		return ok && stop.Checkpoint && slices.Contains(stop.Tasks, ref)
+	}) {
+		t.Fatal("the other entry's task is not stopped")
+	}
+	answer := Stopped{Worker: "w", Incarnation: 1, Results: []StopResult{{Task: ref.Task, Epoch: 7, Stopped: true}}}
+	if !slices.ContainsFunc(scheduler.Handle(answer, 1600), func(action Action) bool {
+		_, ok := action.(Reserve)
+		return ok
+	}) {
+		t.Fatal("the room is not used at once")
+	}
+}
--- a/placement/commit.go
+++ b/placement/commit.go
@@ -92,7 +92,8 @@
 	var selected []*jobView
 	chosen := make(map[*jobView]bool)
 	add := func(view *jobView, limit int) {
-		if len(selected) < limit && !chosen[view] && scheduler.jobs[view.name] == view && scheduler.team(view.row.Spec.Team).known {
+		if len(selected) < limit && !chosen[view] && scheduler.jobs[view.name] == view &&
+			scheduler.team(view.row.Spec.Team).known && !scheduler.now.Before(view.writeAt) {
 			chosen[view] = true
 			selected = append(selected, view)
 		}
--- a/placement/events.go
+++ b/placement/events.go
@@ -128,7 +128,8 @@
 	Task  ident.Task
 	Epoch ident.Epoch
 	// OK means that the epoch runs, or ran and its end will be reported. Not OK means that it never
-	// ran on this incarnation and never will.
+	// ran on this incarnation and never will. An agent that cannot tell gives no result: before its
+	// ledger is rebuilt, without a lease, or if it is of another incarnation.
 	OK      bool
 	Refusal string
 }
--- a/placement/hold.go
+++ b/placement/hold.go
@@ -7,6 +7,7 @@
 	"hyssopjunction/clock"
 	"hyssopjunction/ident"
 	"hyssopjunction/job"
+	"hyssopjunction/set"
 )
 
 // undo takes back reservations of a gang that were noted in this pass and not asked yet.
@@ -161,4 +162,14 @@
 		}
 		scheduler.reserved(Reserved{Worker: batch.worker.name, Reservation: name})
 	}
+	// Reservations that found no place in a transaction in time have expired at their agents.
+	for _, name := range set.SortedKeys(scheduler.holding) {
+		view := scheduler.holding[name]
+		for _, index := range sortedIndices(view.reserving) {
+			if held := view.reserving[index]; scheduler.now.Sub(held.asked) >= scheduler.settings.ReservationTerm {
+				delete(view.reserving, index)
+				scheduler.release(held)
+			}
+		}
+	}
 }
--- a/placement/place.go
+++ b/placement/place.go
@@ -181,6 +181,9 @@
 		scheduler.park(view, view.reason)
 		return true
 	}
+	if scheduler.now.Before(view.writeAt) {
+		return true
+	}
 	team := scheduler.team(spec.Team)
 	if !team.known {
 		view.reason = "TeamUnknown: the team's usage row was not read yet"
--- a/placement/settle.go
+++ b/placement/settle.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"hyssopjunction/clock"
 	"hyssopjunction/ident"
 	"hyssopjunction/job"
 	"hyssopjunction/set"
@@ -19,6 +20,8 @@
 // settle applies the effect of a transaction that took place. Revisions are of the written rows.
 func (scheduler *Scheduler) settle(done *flight, revisions map[table.Key]table.Revision) {
 	scheduler.flight = nil
+	// The limit recovers after a transaction was too large, by an eighth per success.
+	scheduler.rowLimit = min(scheduler.settings.MaxRows, scheduler.rowLimit+scheduler.rowLimit/8+1)
 	done.accounts.Committed(table.Result{Revisions: revisions})
 	recorded := make(map[ident.Worker][]TaskRef)
 	for index := range done.jobs {
@@ -77,6 +80,9 @@
 	scheduler.load(later)
 }
 
+// tooLargeRetry is when a row that was too large is tried again; ends of tasks make it smaller.
+const tooLargeRetry = 30 * clock.Second
+
 // commitFailed takes a transaction's failure.
 func (scheduler *Scheduler) commitFailed(event CommitFailed) {
 	failed := scheduler.flight
@@ -89,7 +95,12 @@
 		scheduler.putBack(failed, true)
 	case table.IsErrTooLarge(event.Err):
 		scheduler.rowLimit = max(1, len(failed.jobs)/2)
-		scheduler.putBack(failed, false)
+		if len(failed.jobs) == 1 {
+			// The row alone is too large. It must not hold up the others.
+			failed.jobs[0].view.reason = "TooLarge: the job's row exceeds the table's limit"
+			failed.jobs[0].view.writeAt = scheduler.now.Add(tooLargeRetry)
+		}
+		scheduler.putBack(failed, true)
 	default:
 		if table.IsErrConflict(event.Err) {
 			scheduler.stats.Conflicts++
--- a/placement/sim_test.go
+++ b/placement/sim_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"testing"
 
+	"hyssopjunction/capacity"
 	"hyssopjunction/clock"
 	"hyssopjunction/ident"
 	"hyssopjunction/job"
@@ -35,16 +36,23 @@
 	checkpointTime clock.Millis
 	delayed        []delayedStop
 	observe        func(action Action)
+	// refuse returns the error of a commit, if it is to fail.
+	refuse func(action Commit) error
 	// startedAt is the first start of each job.
 	startedAt map[ident.Job]clock.Time
 }
 
 type simWorker struct {
 	state WorkerState
-	holds map[ident.Task]unit.Resources
+	holds map[ident.Task]simHold
 	tasks map[ident.Task]*simTask
 }
 
+type simHold struct {
+	size        unit.Resources
+	reservation capacity.Reservation
+}
+
 type simTask struct {
 	epoch  ident.Epoch
 	actual unit.Resources
@@ -65,7 +73,7 @@
 		world.centre(centreNames[index], true, 0)
 	}
 	for index := range workers {
-		at := &simWorker{holds: make(map[ident.Task]unit.Resources), tasks: make(map[ident.Task]*simTask), state: WorkerState{
+		at := &simWorker{holds: make(map[ident.Task]simHold), tasks: make(map[ident.Task]*simTask), state: WorkerState{
 			Worker: ident.Worker(fmt.Sprintf("w%04d", index)), Incarnation: 1, DataCentre: centreNames[index%3],
 			Rack: ident.Rack(fmt.Sprintf("r%03d", index/9)), Capacity: capacity,
 		}}
@@ -85,8 +93,8 @@
 
 func (at *simWorker) used() unit.Resources {
 	var sum unit.Resources
-	for _, size := range at.holds {
-		sum = sum.Add(size)
+	for _, held := range at.holds {
+		sum = sum.Add(held.size)
 	}
 	return sum
 }
@@ -140,7 +148,7 @@
 			result := ReserveResult{Task: spec.Task, Epoch: spec.Epoch}
 			if used.Add(spec.Size).FitsIn(at.state.Capacity) {
 				used, result.OK = used.Add(spec.Size), true
-				at.holds[spec.Task] = spec.Size
+				at.holds[spec.Task] = simHold{size: spec.Size, reservation: action.Reservation}
 			}
 			answer.Results = append(answer.Results, result)
 		}
@@ -148,9 +156,16 @@
 		return answer
 	case Release:
 		for _, ref := range action.Tasks {
-			delete(world.byName[action.Worker].holds, ref.Task)
+			if holds := world.byName[action.Worker].holds; holds[ref.Task].reservation == action.Reservation {
+				delete(holds, ref.Task)
+			}
 		}
 	case Commit:
+		if world.refuse != nil {
+			if err := world.refuse(action); err != nil {
+				return CommitFailed{Write: action.Transaction.Write, Err: err}
+			}
+		}
 		world.commits++
 		revisions := make(map[table.Key]table.Revision)
 		for _, operation := range action.Transaction.Operations {
--- a/placement/view.go
+++ b/placement/view.go
@@ -129,6 +129,8 @@
 	// finalAt is when all tasks were first seen in a final state.
 	finalAt clock.Time
 	touched bool
+	// writeAt is when the row may be written again after it was too large.
+	writeAt clock.Time
 	// seenAt is when the table was last known to hold revision.
 	seenAt clock.Time
 }
