--- a/placement/choose.go
+++ b/placement/choose.go
@@ -137,8 +137,12 @@
 
 // note keeps the best candidates in order.
 func (decision *Decision) note(candidate Candidate) {
+	// Among equals the first one found is chosen, so it stays first.
 	position, _ := slices.BinarySearchFunc(decision.Candidates, candidate, func(other, wanted Candidate) int {
-		return other.Score - wanted.Score
+		if other.Score <= wanted.Score {
+			return -1
+		}
+		return 1
 	})
 	if position >= loggedCandidates {
 		return
