Count tasks on the move when a drain looks for room

Cause: a drain evicted tasks for room that tasks it had evicted a round before were about to take, so they stopped earlier than they could run on.

Change: the sizes of evicted tasks that are not placed again are taken from the room first.

Conclusion: tasks that find no room elsewhere run until the bound.

--- a/placement/drain.go
+++ b/placement/drain.go
@@ -97,6 +97,7 @@
 		if !forced && !room.take(occupant.size) {
 			continue
 		}
+		scheduler.moved[occupant.name()] = occupant.size
 		scheduler.evict(occupant.view, occupant.index, "Drain", reason)
 		pace--
 	}
@@ -122,6 +123,20 @@
 			rooms.rooms = append(rooms.rooms, at.free)
 		}
 	}
+	// Tasks that were moved before and are not placed again need room first.
+	moved := make([]ident.Task, 0, len(scheduler.moved))
+	for name := range scheduler.moved {
+		moved = append(moved, name)
+	}
+	sortTasks(moved)
+	for _, name := range moved {
+		view, ok := scheduler.jobs[name.Job]
+		if !ok || view.row.Tasks[name.Index].State != job.Waiting && view.row.Tasks[name.Index].State != job.Evicting {
+			delete(scheduler.moved, name)
+			continue
+		}
+		rooms.take(scheduler.moved[name])
+	}
 	return rooms
 }
 
--- a/placement/place.go
+++ b/placement/place.go
@@ -270,6 +270,7 @@
 	if centre := scheduler.centre(worker.state.DataCentre); centre.rampFrom != 0 {
 		centre.rampPlaced = centre.rampPlaced.Add(size)
 	}
+	delete(scheduler.moved, held.task())
 	scheduler.held++
 	pass.budget--
 	view.reason = ""
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -52,6 +52,8 @@
 	lanes  []*lane
 	// open are live tasks whose start is not confirmed or that are to be stopped.
 	open map[ident.Task]struct{}
+	// moved are the sizes of the tasks that drains evicted and that are not placed again.
+	moved map[ident.Task]unit.Resources
 	// dirty lists the jobs with changes that are not in the table, oldest first.
 	dirty   []*jobView
 	retired []*jobView
@@ -91,6 +93,7 @@
 		jobs:     make(map[ident.Job]*jobView),
 		teams:    make(map[ident.Team]*teamView),
 		parked:   make(map[ident.Job]*jobView),
+		moved:    make(map[ident.Task]unit.Resources),
 		open:     make(map[ident.Task]struct{}),
 		holding:  make(map[ident.Job]*jobView),
 		holds:    make(map[capacity.Reservation]*reservation),
