Add the worker's row to lease

Cause: condition (a) of safety rule 3 needs to know that no other entry granted a later lease, which the home cannot know from its own view of the membership.

Change: codec of Worker/<id> with the granter, its incarnation and the newest incarnation that is over; the writes of a takeover and of an end, each conditional on the row as read.

Conclusion: an entry that lost a worker without knowing cannot declare its incarnation over.

--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -7,6 +7,7 @@
 
 	"hyssopjunction/clock"
 	"hyssopjunction/ident"
+	"hyssopjunction/table"
 	"hyssopjunction/worker"
 )
 
@@ -154,3 +155,38 @@
 		})
 	}
 }
+
+// TestRecord guards against an entry that lost the worker to another one, without knowing, declaring
+// its incarnation over while the other one grants leases, and against leases after the end.
+func TestRecord(t *testing.T) {
+	row := table.Row{Key: Key("w")}
+	commit := func(condition table.Condition, operation table.Operation, err error) {
+		t.Helper()
+		if err != nil || condition.Revision != row.Revision || condition.Key != operation.Key {
+			t.Fatalf("%v %+v", err, condition)
+		}
+		row = table.Row{Key: operation.Key, Value: operation.Value, Revision: row.Revision + 1}
+	}
+	refused := func(is func(error) bool) func(table.Condition, table.Operation, error) {
+		return func(_ table.Condition, _ table.Operation, err error) {
+			t.Helper()
+			if !is(err) {
+				t.Fatalf("got %v", err)
+			}
+		}
+	}
+	commit(Takeover(row, "w", 1, "first"))
+	commit(Takeover(row, "w", 1, "second"))
+	refused(IsErrNotGranter)(End(row, "w", 1, "first", LeaseLapsed))
+	commit(End(row, "w", 1, "second", LeaseLapsed))
+	refused(IsErrFenced)(Takeover(row, "w", 1, "first"))
+	commit(Takeover(row, "w", 2, "first"))
+	refused(IsErrFenced)(Takeover(row, "w", 1, "second"))
+	commit(End(row, "w", 2, "third", OperatorStatement))
+	record, err := DecodeRecord(row)
+	if want := (Record{Granter: "first", Incarnation: 2, Over: 2, Reason: OperatorStatement}); err != nil || record != want {
+		t.Fatalf("%+v %v", record, err)
+	}
+	row.Value = []byte("{")
+	refused(IsErrBadRecord)(Takeover(row, "w", 3, "first"))
+}
--- /dev/null
+++ b/lease/record.go
@@ -0,0 +1,94 @@
+package lease
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"hyssopjunction/ident"
+	"hyssopjunction/table"
+)
+
+// KeyPrefix starts the keys of the workers' rows.
+const KeyPrefix = "Worker/"
+
+// Key returns the key of the worker's row.
+func Key(worker ident.Worker) table.Key {
+	return table.Key(KeyPrefix + string(worker))
+}
+
+// Record is the content of a worker's row. It is written when another entry becomes the granter,
+// when a new incarnation gets its first lease, and when an incarnation is over.
+type Record struct {
+	// Granter is the only entry that may grant leases to Incarnation.
+	Granter     ident.Entry
+	Incarnation ident.Incarnation
+	// Over is the newest incarnation that is certainly over, and Reason why.
+	Over   ident.Incarnation
+	Reason Reason `json:",omitempty"`
+}
+
+// ErrBadRecord reports a row that cannot be read.
+type ErrBadRecord struct {
+	Key    table.Key
+	Reason string
+}
+
+// Error describes the fault.
+func (err ErrBadRecord) Error() string { return fmt.Sprintf("bad row %s: %s", err.Key, err.Reason) }
+
+// IsErrBadRecord reports whether err is or wraps an ErrBadRecord.
+func IsErrBadRecord(err error) bool { return errors.As(err, new(ErrBadRecord)) }
+
+// DecodeRecord reads a row; a missing row is the zero value. The error is ErrBadRecord.
+func DecodeRecord(row table.Row) (Record, error) {
+	var record Record
+	if !row.Exists() {
+		return record, nil
+	}
+	if err := json.Unmarshal(row.Value, &record); err != nil {
+		return Record{}, ErrBadRecord{Key: row.Key, Reason: err.Error()}
+	}
+	return record, nil
+}
+
+// Takeover returns what makes entry the granter of the worker's incarnation, given the row as read.
+// Many takeovers can share a transaction. After it committed, call Granter.Record. The errors are
+// ErrBadRecord and ErrFenced.
+func Takeover(row table.Row, worker ident.Worker, incarnation ident.Incarnation, entry ident.Entry) (table.Condition, table.Operation, error) {
+	record, err := DecodeRecord(row)
+	if err != nil {
+		return table.Condition{}, table.Operation{}, err
+	}
+	if incarnation <= record.Over || incarnation < record.Incarnation {
+		return table.Condition{}, table.Operation{}, ErrFenced{Worker: worker, Incarnation: incarnation, Have: max(record.Over, record.Incarnation)}
+	}
+	record.Granter, record.Incarnation = entry, incarnation
+	return write(row, worker, record)
+}
+
+// End returns what declares the worker's incarnation over, given the row as read. A lapsed lease is
+// only a reason if entry is the recorded granter: if another entry took over meanwhile, it may have
+// granted a later lease. Call Granter.Over before committing for that reason. The errors are
+// ErrBadRecord and ErrNotGranter.
+func End(row table.Row, worker ident.Worker, incarnation ident.Incarnation, entry ident.Entry, reason Reason) (table.Condition, table.Operation, error) {
+	record, err := DecodeRecord(row)
+	if err != nil {
+		return table.Condition{}, table.Operation{}, err
+	}
+	if reason == LeaseLapsed && (record.Granter != entry || record.Incarnation != incarnation) {
+		return table.Condition{}, table.Operation{}, ErrNotGranter{Worker: worker}
+	}
+	if incarnation > record.Over {
+		record.Over, record.Reason = incarnation, reason
+	}
+	return write(row, worker, record)
+}
+
+func write(row table.Row, worker ident.Worker, record Record) (table.Condition, table.Operation, error) {
+	value, err := json.Marshal(record)
+	if err != nil {
+		return table.Condition{}, table.Operation{}, ErrBadRecord{Key: Key(worker), Reason: err.Error()}
+	}
+	return table.Condition{Key: Key(worker), Revision: row.Revision}, table.Operation{Key: Key(worker), Value: value}, nil
+}
