Carry the revision of the granter with every lease

Change: the agent refuses a grant under an older revision of the worker's row and sends the newest one with each heartbeat; a granter states that a lease lapsed only once the agent confirmed a grant of its own or every former granter has stopped. The row lists the former granters of the incarnation. API: Granter.Record takes the revision and the former granters, Granter.Grant the revision in the heartbeat, Holder.Granted the revision of the grant; Granter.Stopped, Granter.Former, Granter.Revision and Holder.Revision are new.

Conclusion: condition (a) of safety rule 3 holds with two entries that both believe to be home.

--- a/lease/granter.go
+++ b/lease/granter.go
@@ -1,9 +1,12 @@
 package lease
 
 import (
+	"slices"
+
 	"hyssopjunction/clock"
 	"hyssopjunction/ident"
 	"hyssopjunction/set"
+	"hyssopjunction/table"
 )
 
 // Reason tells why an incarnation is certainly over, see safety rule 3 of the design.
@@ -43,10 +46,14 @@
 
 type grant struct {
 	incarnation ident.Incarnation
-	// recorded is set while the table names this entry as the granter of the worker.
+	// recorded is set while the table names this entry as the granter of the worker, at revision.
 	recorded bool
+	revision table.Revision
 	last     clock.Time
-	over     bool
+	// former are the entries that may still be granting under an older revision. While there are any,
+	// the worker may hold a lease that this entry does not know of.
+	former []ident.Entry
+	over   bool
 }
 
 // Granter is the home's side of the leases. It is not safe for concurrent use.
@@ -55,6 +62,8 @@
 // views of the membership can both believe they are the home, so an entry grants only while the
 // table names it as the granter of the worker: it records itself with a compare-and-set write before
 // the first grant (Record), and the write that ends an incarnation must hold on the same revision.
+// The revision travels with every grant and heartbeat, so that neither the agent nor a former granter
+// continues a lease that the table gave to someone else.
 type Granter struct {
 	settings Settings
 	grants   map[ident.Worker]*grant
@@ -65,19 +74,40 @@
 	return &Granter{settings: settings.withDefaults(), grants: make(map[ident.Worker]*grant)}
 }
 
-// Record notes that the table names this entry as granter of the worker's incarnation. The previous
-// granter may have granted until now, so the grant is taken to be as young as possible.
-func (granter *Granter) Record(worker ident.Worker, incarnation ident.Incarnation, now clock.Time) error {
+// Record notes that the table names this entry as granter of the worker's incarnation since
+// revision. The previous granter may have granted until now, so the grant is taken to be as young as
+// possible. Former is that of the row: until the agent has confirmed a grant of this entry, or each
+// of them has stopped, this entry cannot tell when the last lease ends. The error is ErrFenced.
+func (granter *Granter) Record(worker ident.Worker, incarnation ident.Incarnation, revision table.Revision, former []ident.Entry, now clock.Time) error {
 	have, ok := granter.grants[worker]
 	if ok && (incarnation < have.incarnation || (incarnation == have.incarnation && have.over)) {
 		return ErrFenced{Worker: worker, Incarnation: incarnation, Have: have.incarnation}
 	}
 	if ok && incarnation == have.incarnation {
-		have.recorded = true
+		have.recorded, have.revision, have.former = true, revision, slices.Clone(former)
 		have.last = max(have.last, now)
 		return nil
 	}
-	granter.grants[worker] = &grant{incarnation: incarnation, recorded: true, last: now}
+	granter.grants[worker] = &grant{incarnation: incarnation, recorded: true, revision: revision, former: slices.Clone(former), last: now}
+	return nil
+}
+
+// Stopped notes that a former granter is known to grant no more leases to the worker: it answered
+// that it called Lose, or its row says Left. Its last grant may be as young as now.
+func (granter *Granter) Stopped(worker ident.Worker, former ident.Entry, now clock.Time) {
+	have, ok := granter.grants[worker]
+	if !ok || !slices.Contains(have.former, former) {
+		return
+	}
+	have.former = slices.DeleteFunc(have.former, func(other ident.Entry) bool { return other == former })
+	have.last = max(have.last, now)
+}
+
+// Former returns the former granters that may still be granting to the worker.
+func (granter *Granter) Former(worker ident.Worker) []ident.Entry {
+	if have, ok := granter.grants[worker]; ok {
+		return slices.Clone(have.former)
+	}
 	return nil
 }
 
@@ -89,24 +119,41 @@
 	}
 }
 
-// Grant returns the term to put in the reply to a heartbeat. It must be called right before the
-// reply is sent, because the home counts from then. Errors are ErrFenced and ErrNotGranter.
-func (granter *Granter) Grant(worker ident.Worker, incarnation ident.Incarnation, now clock.Time) (clock.Millis, error) {
+// Grant returns the term to put in the reply to a heartbeat, together with Revision. It must be
+// called right before the reply is sent, because the home counts from then. Seen is the revision in
+// the heartbeat; a newer one than that of Record shows that another entry took the worker over.
+// Errors are ErrFenced and ErrNotGranter.
+func (granter *Granter) Grant(worker ident.Worker, incarnation ident.Incarnation, seen table.Revision, now clock.Time) (clock.Millis, error) {
 	have, ok := granter.grants[worker]
 	if ok && (incarnation < have.incarnation || (incarnation == have.incarnation && have.over)) {
 		return 0, ErrFenced{Worker: worker, Incarnation: incarnation, Have: have.incarnation}
 	}
+	if ok && seen > have.revision {
+		have.recorded = false
+	}
 	if !ok || !have.recorded || incarnation > have.incarnation {
 		return 0, ErrNotGranter{Worker: worker}
 	}
+	if seen == have.revision {
+		// The agent took a grant of this entry and refuses those of former ones.
+		have.former = nil
+	}
 	have.last = max(have.last, now)
 	return granter.settings.Term, nil
 }
 
+// Revision returns the revision of the worker's row at which this entry became its granter.
+func (granter *Granter) Revision(worker ident.Worker) table.Revision {
+	if have, ok := granter.grants[worker]; ok {
+		return have.revision
+	}
+	return 0
+}
+
 // Lapsed reports condition (a) for the worker's incarnation.
 func (granter *Granter) Lapsed(worker ident.Worker, incarnation ident.Incarnation, now clock.Time) bool {
 	have, ok := granter.grants[worker]
-	if !ok || !have.recorded || incarnation != have.incarnation {
+	if !ok || !have.recorded || incarnation != have.incarnation || len(have.former) > 0 {
 		return false
 	}
 	term := granter.settings.Term
@@ -154,12 +201,12 @@
 	Lapsed bool
 	// Newest is the newest incarnation that announced itself with its complete list, 0 for none.
 	Newest ident.Incarnation
-	// HomeLeft is set if the granting entry's row says Left. HomeLeftAt is when this entry first
-	// read that, on its own clock.
+	// HomeLeft is set if the rows of the granting entry and of all former ones say Left. HomeLeftAt is
+	// when this entry first read that of the last one, on its own clock.
 	HomeLeft   bool
 	HomeLeftAt clock.Time
-	// HomeRenewedAt is when this entry last saw the revision of the granting entry's row change, or
-	// first read the row, on its own clock; 0 if it never read it.
+	// HomeRenewedAt is when this entry last saw the revision of the row of the granting entry or a
+	// former one change, or first read one, on its own clock; 0 if it read none.
 	HomeRenewedAt clock.Time
 	// Stated is set if an operator stated that the worker or its data centre is lost.
 	Stated bool
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -5,6 +5,7 @@
 import (
 	"hyssopjunction/clock"
 	"hyssopjunction/ident"
+	"hyssopjunction/table"
 	"hyssopjunction/worker"
 )
 
@@ -27,8 +28,10 @@
 // Holder is the agent's side of its lease. It counts from when a heartbeat was sent, so a delayed
 // reply never extends the lease. It is not safe for concurrent use.
 type Holder struct {
-	sent     map[ident.Sequence]clock.Time
-	expiry   clock.Time
+	sent   map[ident.Sequence]clock.Time
+	expiry clock.Time
+	// revision is the newest revision of the worker's row under which a lease was granted.
+	revision table.Revision
 	sampled  bool
 	sampleAt clock.Time
 	sample   worker.Instant
@@ -57,14 +60,21 @@
 	delete(holder.sent, oldest)
 }
 
-// Granted applies the reply to a heartbeat and reports whether it extended the lease. A term of 0
-// grants nothing. A reply whose term has already passed does not revive the lease.
-func (holder *Holder) Granted(sequence ident.Sequence, term clock.Millis, now clock.Time) bool {
+// Granted applies the reply to a heartbeat and reports whether it extended the lease. Revision is
+// that of the worker's row that names the granter. A grant under an older revision than a known one
+// is refused: its granter lost the worker without knowing, and the new one may already have declared
+// the incarnation over. A term of 0 grants nothing. A reply whose term has already passed does not
+// revive the lease.
+func (holder *Holder) Granted(sequence ident.Sequence, term clock.Millis, revision table.Revision, now clock.Time) bool {
 	sent, ok := holder.sent[sequence]
 	if !ok {
 		return false
 	}
 	delete(holder.sent, sequence)
+	if revision < holder.revision {
+		return false
+	}
+	holder.revision = revision
 	expiry := sent.Add(term)
 	if term <= 0 || !expiry.After(holder.expiry) || !now.Before(expiry) {
 		return false
@@ -81,6 +91,10 @@
 // Expiry returns when the lease ends on the agent's clock; 0 means it was never granted.
 func (holder *Holder) Expiry() clock.Time { return holder.expiry }
 
+// Revision returns the newest revision of the worker's row under which a lease was granted. Every
+// heartbeat carries it, so that a former granter learns that it is one.
+func (holder *Holder) Revision() table.Revision { return holder.revision }
+
 // Left returns how long the lease still holds, 0 if it does not.
 func (holder *Holder) Left(now clock.Time) clock.Millis {
 	return max(0, holder.expiry.Sub(now))
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -1,6 +1,8 @@
 package lease
 
 import (
+	"math/rand/v2"
+	"reflect"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -25,7 +27,7 @@
 		}
 		home, agent, runtime := draw("home"), draw("agent"), draw("worker")
 		granter, holder := NewGranter(Settings{}), NewHolder()
-		if err := granter.Record("w", 1, clock.Time(home.at(0))); err != nil {
+		if err := granter.Record("w", 1, 1, nil, clock.Time(home.at(0))); err != nil {
 			t.Fatal(err)
 		}
 		var expiry worker.Instant
@@ -38,7 +40,7 @@
 			if granter.Lapsed("w", 1, clock.Time(home.at(now))) {
 				break
 			}
-			term, err := granter.Grant("w", 1, clock.Time(home.at(now)))
+			term, err := granter.Grant("w", 1, 0, clock.Time(home.at(now)))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -46,7 +48,7 @@
 				continue
 			}
 			reply := now + rapid.Int64Range(0, 30_000).Draw(t, "reply")
-			holder.Granted(ident.Sequence(beat), term, clock.Time(agent.at(reply)))
+			holder.Granted(ident.Sequence(beat), term, 1, clock.Time(agent.at(reply)))
 			sampled := reply + rapid.Int64Range(0, 2000).Draw(t, "sample")
 			received := sampled + rapid.Int64Range(0, 2000).Draw(t, "answer")
 			holder.Sampled(clock.Time(agent.at(reply)), clock.Time(agent.at(received)), worker.Instant(runtime.at(sampled)))
@@ -71,22 +73,22 @@
 // TestHolder guards against leases that a late reply, a lost request or a shorter grant changes.
 func TestHolder(t *testing.T) {
 	holder := NewHolder()
-	if holder.Valid(0) || holder.Granted(1, DefaultTerm, 10) {
+	if holder.Valid(0) || holder.Granted(1, DefaultTerm, 1, 10) {
 		t.Fatal("lease without a heartbeat")
 	}
 	holder.Sent(1, 1000)
 	holder.Sent(2, 2000)
-	if !holder.Granted(2, DefaultTerm, 2500) || holder.Expiry() != 22_000 {
+	if !holder.Granted(2, DefaultTerm, 1, 2500) || holder.Expiry() != 22_000 {
 		t.Fatalf("expiry %d", holder.Expiry())
 	}
-	if holder.Granted(1, DefaultTerm, 2600) || holder.Expiry() != 22_000 {
+	if holder.Granted(1, DefaultTerm, 1, 2600) || holder.Expiry() != 22_000 {
 		t.Fatal("an older grant changed the lease")
 	}
-	if holder.Granted(2, DefaultTerm, 3000) {
+	if holder.Granted(2, DefaultTerm, 1, 3000) {
 		t.Fatal("a copy of a reply changed the lease")
 	}
 	holder.Sent(3, 22_000)
-	if holder.Granted(3, DefaultTerm, 42_000) || holder.Valid(22_000) {
+	if holder.Granted(3, DefaultTerm, 1, 42_000) || holder.Valid(22_000) {
 		t.Fatal("a reply after the term revived the lease")
 	}
 }
@@ -96,10 +98,10 @@
 func TestGranter(t *testing.T) {
 	granter := NewGranter(Settings{})
 	wait := DefaultTerm + Margin(DefaultTerm)
-	if _, err := granter.Grant("w", 1, 1000); !IsErrNotGranter(err) {
+	if _, err := granter.Grant("w", 1, 0, 1000); !IsErrNotGranter(err) {
 		t.Fatalf("got %v", err)
 	}
-	if err := granter.Record("w", 1, 1000); err != nil {
+	if err := granter.Record("w", 1, 1, nil, 1000); err != nil {
 		t.Fatal(err)
 	}
 	if granter.Lapsed("w", 1, clock.Time(999).Add(wait)) || !granter.Lapsed("w", 1, clock.Time(1000).Add(wait)) {
@@ -109,7 +111,7 @@
 	if granter.Lapsed("w", 1, 900_000) || len(granter.Due(900_000)) != 0 {
 		t.Fatal("statement about a worker with another granter")
 	}
-	if err := granter.Record("w", 1, 2000); err != nil {
+	if err := granter.Record("w", 1, 1, nil, 2000); err != nil {
 		t.Fatal(err)
 	}
 	if err := granter.Over("w", 1, 2001); !IsErrNotOver(err) {
@@ -118,13 +120,13 @@
 	if err := granter.Over("w", 1, clock.Time(2000).Add(wait)); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := granter.Grant("w", 1, 50_000); !IsErrFenced(err) {
+	if _, err := granter.Grant("w", 1, 0, 50_000); !IsErrFenced(err) {
 		t.Fatalf("got %v", err)
 	}
-	if err := granter.Record("w", 2, 50_000); err != nil {
+	if err := granter.Record("w", 2, 1, nil, 50_000); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := granter.Grant("w", 1, 50_001); !IsErrFenced(err) {
+	if _, err := granter.Grant("w", 1, 0, 50_001); !IsErrFenced(err) {
 		t.Fatalf("got %v", err)
 	}
 }
@@ -184,9 +186,83 @@
 	refused(IsErrFenced)(Takeover(row, "w", 1, "second"))
 	commit(End(row, "w", 2, "third", OperatorStatement))
 	record, err := DecodeRecord(row)
-	if want := (Record{Granter: "first", Incarnation: 2, Over: 2, Reason: OperatorStatement}); err != nil || record != want {
+	if want := (Record{Granter: "first", Incarnation: 2, Over: 2, Reason: OperatorStatement}); err != nil || !reflect.DeepEqual(record, want) {
 		t.Fatalf("%+v %v", record, err)
 	}
 	row.Value = []byte("{")
 	refused(IsErrBadRecord)(Takeover(row, "w", 3, "first"))
 }
+
+// entry is one of several that may believe to be home of the worker.
+type entry struct {
+	name    ident.Entry
+	granter *Granter
+	// known is the row as this entry last read it.
+	known table.Row
+}
+
+// TestTwoGranters guards I2 against entries that both believe to be the home of an agent which moves
+// between them, while each reaches the agent and the table only at times: once the table says that
+// the incarnation is over, the agent must hold no lease.
+func TestTwoGranters(t *testing.T) {
+	ends := 0
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		row := table.Row{Key: Key("w")}
+		entries := []*entry{{name: "a", granter: NewGranter(Settings{})}, {name: "b", granter: NewGranter(Settings{})}}
+		holder := NewHolder()
+		write := func(by *entry, condition table.Condition, operation table.Operation, err error) bool {
+			if err != nil || condition.Revision != row.Revision {
+				by.known = row
+				return false
+			}
+			row = table.Row{Key: row.Key, Value: operation.Value, Revision: row.Revision + 1}
+			by.known = row
+			return true
+		}
+		now := clock.Time(1000)
+		for sequence := range ident.Sequence(150) {
+			now = now.Add(clock.Millis(random.IntN(4000)))
+			by := entries[random.IntN(2)]
+			if random.IntN(6) != 0 {
+				holder.Sent(sequence, now)
+				term, err := by.granter.Grant("w", 1, holder.Revision(), now)
+				if IsErrNotGranter(err) && random.IntN(2) == 0 {
+					condition, operation, err := Takeover(by.known, "w", 1, by.name)
+					if write(by, condition, operation, err) {
+						record, err := DecodeRecord(row)
+						if err == nil {
+							err = by.granter.Record("w", 1, row.Revision, record.Former, now)
+						}
+						if err != nil {
+							t.Fatal(err)
+						}
+					}
+				}
+				if err == nil {
+					holder.Granted(sequence, term, by.granter.Revision("w"), now)
+				}
+			}
+			for index, other := range entries {
+				if former := entries[1-index]; random.IntN(20) == 0 && len(other.granter.Former("w")) > 0 {
+					former.granter.Lose("w")
+					other.granter.Stopped("w", former.name, now)
+				}
+				if !other.granter.Lapsed("w", 1, now) || random.IntN(3) == 0 {
+					continue
+				}
+				condition, operation, err := End(other.known, "w", 1, other.name, LeaseLapsed)
+				if other.granter.Over("w", 1, now) == nil && write(other, condition, operation, err) {
+					ends++
+					if holder.Valid(now) {
+						t.Fatalf("%s ends the incarnation, the agent holds a lease until %d at %d", other.name, holder.Expiry(), now)
+					}
+					return
+				}
+			}
+		}
+	})
+	if ends == 0 {
+		t.Fatal("no incarnation ended, so the test checks nothing")
+	}
+}
--- a/lease/record.go
+++ b/lease/record.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 
 	"hyssopjunction/ident"
 	"hyssopjunction/table"
@@ -23,6 +24,9 @@
 	// Granter is the only entry that may grant leases to Incarnation.
 	Granter     ident.Entry
 	Incarnation ident.Incarnation
+	// Former are the entries that granted leases to Incarnation before and may not know that they no
+	// longer may.
+	Former []ident.Entry `json:",omitempty"`
 	// Over is the newest incarnation that is certainly over, and Reason why.
 	Over   ident.Incarnation
 	Reason Reason `json:",omitempty"`
@@ -53,8 +57,8 @@
 }
 
 // Takeover returns what makes entry the granter of the worker's incarnation, given the row as read.
-// Many takeovers can share a transaction. After it committed, call Granter.Record. The errors are
-// ErrBadRecord and ErrFenced.
+// Many takeovers can share a transaction. After it committed, call Granter.Record with the new
+// revision and Record.Former. The errors are ErrBadRecord and ErrFenced.
 func Takeover(row table.Row, worker ident.Worker, incarnation ident.Incarnation, entry ident.Entry) (table.Condition, table.Operation, error) {
 	record, err := DecodeRecord(row)
 	if err != nil {
@@ -63,6 +67,15 @@
 	if incarnation <= record.Over || incarnation < record.Incarnation {
 		return table.Condition{}, table.Operation{}, ErrFenced{Worker: worker, Incarnation: incarnation, Have: max(record.Over, record.Incarnation)}
 	}
+	if incarnation != record.Incarnation {
+		// An entry grants only to the incarnation it recorded, so none of the former ones matters.
+		record.Former = nil
+	} else if record.Granter != "" {
+		record.Former = append(record.Former, record.Granter)
+	}
+	record.Former = slices.DeleteFunc(record.Former, func(former ident.Entry) bool { return former == entry })
+	slices.Sort(record.Former)
+	record.Former = slices.Compact(record.Former)
 	record.Granter, record.Incarnation = entry, incarnation
 	return write(row, worker, record)
 }
--- a/placement/agent_test.go
+++ b/placement/agent_test.go
@@ -154,14 +154,14 @@
 	if agent.cut {
 		return
 	}
-	term, err := world.granter.Grant(agent.name, incarnation, world.now)
+	term, err := world.granter.Grant(agent.name, incarnation, 0, world.now)
 	if lease.IsErrNotGranter(err) {
 		if world.table.down {
 			return // the home cannot record itself as granter
 		}
-		if err = world.granter.Record(agent.name, incarnation, world.now); err == nil {
+		if err = world.granter.Record(agent.name, incarnation, 1, nil, world.now); err == nil {
 			agent.granted = incarnation
-			term, err = world.granter.Grant(agent.name, incarnation, world.now)
+			term, err = world.granter.Grant(agent.name, incarnation, 0, world.now)
 		}
 	}
 	world.later(true, func() {
@@ -172,7 +172,7 @@
 			agent.fenced = true
 			return
 		}
-		if err == nil && agent.holder.Granted(sequence, term, world.now) {
+		if err == nil && agent.holder.Granted(sequence, term, 1, world.now) {
 			sent := world.now
 			agent.holder.Sampled(sent, world.now, agent.clock())
 			if expiry, ok := agent.holder.WorkerExpiry(); ok {
