Count the wait double in routing and keep a margin when a run starts

Cause: fast endpoints were filled until they were as slow as slowed-down ones, and with a patience of three service times the goodput at 5 times the capacity was 0.950 of the peak. The benchmarks drew arrivals from the same random sequence as service times, so that policies did not see the same arrivals. Change: routing counts the wait double, a queued request starts only if a usual service time is left, arrivals have their own sequence.

--- a/admission/predict.go
+++ b/admission/predict.go
@@ -37,6 +37,13 @@
 // of the goodput was lost at 5 times the capacity to requests that ran and were late.
 const marginDeviations = 3
 
+// usual is a service time in milliseconds that three of four exponential ones stay below. Starting
+// requests with less time left costs goodput: with the mean alone it was 0.950 instead of 0.993 of
+// the peak at 5 times the capacity and a patience of three mean service times.
+func (service *estimate) usual() float64 {
+	return service.mean + service.deviation
+}
+
 // longest is a service time in milliseconds that is rarely exceeded.
 func (service *estimate) longest() float64 {
 	return service.mean + marginDeviations*service.deviation
@@ -64,9 +71,9 @@
 }
 
 // allowedWait returns how many milliseconds a request may wait: its patience less the longest
-// service time, or if that leaves little, half of its patience beyond the mean.
+// service time, or if that leaves little, half of its patience beyond the usual one.
 func (controller *Controller) allowedWait(patience clock.Millis) float64 {
-	return math.Max(float64(patience)-controller.service.longest(), (float64(patience)-controller.service.mean)/2)
+	return math.Max(float64(patience)-controller.service.longest(), (float64(patience)-controller.service.usual())/2)
 }
 
 // makeRoom decides whether entrant can be queued. It sheds less important requests where that
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -116,5 +116,5 @@
 }
 
 func (controller *Controller) late(now clock.Time, waiting *item) bool {
-	return float64(waiting.deadline.Sub(now)) < controller.service.mean
+	return float64(waiting.deadline.Sub(now)) < controller.service.usual()
 }
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -28,8 +28,8 @@
 // Considered is a candidate of a decision.
 type Considered struct {
 	Endpoint ident.Endpoint
-	// Finish is the predicted time to the answer in milliseconds.
-	Finish float64
+	// Cost is the predicted time to the answer in milliseconds, with the wait counted double.
+	Cost float64
 	// Outstanding is the number of requests this entry has open at the endpoint.
 	Outstanding int
 }
@@ -54,7 +54,7 @@
 	return decision.considered[:decision.count]
 }
 
-// String lists the compared candidates with their predicted finish times in milliseconds, as in
+// String lists the compared candidates with their costs, as in
 // "a=1.50 b=3.25".
 func (decision *Decision) String() string {
 	var text strings.Builder
@@ -62,7 +62,7 @@
 		if index > 0 {
 			text.WriteByte(' ')
 		}
-		fmt.Fprintf(&text, "%s=%.2f", candidate.Endpoint, candidate.Finish)
+		fmt.Fprintf(&text, "%s=%.2f", candidate.Endpoint, candidate.Cost)
 	}
 	return text.String()
 }
@@ -117,9 +117,9 @@
 	if len(pool) == 0 {
 		return best
 	}
-	finish := math.Inf(1)
+	least := math.Inf(1)
 	if best != nil {
-		finish = best.finish(now, view.router.settings, view.median)
+		least = best.cost(now, view.router.settings, view.median)
 	}
 	random := view.router.random()
 	first := view.usable(now, excluded, pool, int(random%uint64(len(pool))), -1, decision.ejected)
@@ -133,13 +133,13 @@
 			continue
 		}
 		candidate := &view.members[pool[position]]
-		predicted := candidate.finish(now, view.router.settings, view.median) + penalty
+		predicted := candidate.cost(now, view.router.settings, view.median) + penalty
 		decision.considered[decision.count] = Considered{
-			Endpoint: candidate.Endpoint, Finish: predicted, Outstanding: int(candidate.track.outstanding.Load()),
+			Endpoint: candidate.Endpoint, Cost: predicted, Outstanding: int(candidate.track.outstanding.Load()),
 		}
 		decision.count++
-		if predicted < finish {
-			best, finish = candidate, predicted
+		if predicted < least {
+			best, least = candidate, predicted
 		}
 	}
 	return best
--- a/routing/predict.go
+++ b/routing/predict.go
@@ -105,14 +105,20 @@
 	return excess * candidate.service(median) / slots
 }
 
-// finish is the predicted time to the answer in milliseconds. Among endpoints with free slots the
-// less occupied one gets a slight preference.
-func (candidate *member) finish(now clock.Time, settings Settings, median float64) float64 {
+// cost is the predicted time to the answer in milliseconds, with the wait counted waitWeight times.
+// Among endpoints with free slots the less occupied one gets a slight preference.
+func (candidate *member) cost(now clock.Time, settings Settings, median float64) float64 {
 	service := candidate.service(median)
 	occupancy := candidate.load(now, settings) / candidate.slots(now, settings)
-	return candidate.wait(now, settings, median) + service*(1+math.Min(occupancy, 1)*occupancyWeight)
+	return waitWeight*candidate.wait(now, settings, median) + service*(1+math.Min(occupancy, 1)*occupancyWeight)
 }
 
+// waitWeight accounts for the wait that a queued request adds to those after it. Without it (1) fast
+// endpoints were filled until they were as slow as slowed-down ones: in a noisy wave at 70% load the
+// median was 1.6 times that of least outstanding, with 2 it is 1.2 times and p99 is lower too. With
+// 4 the median is equal, but p999 rises by a tenth.
+const waitWeight = 2
+
 // occupancyWeight spreads requests over endpoints with free slots; without it equal endpoints would
 // fill up one after the other between two reports.
 const occupancyWeight = 0.25
--- a/routing/simulation_test.go
+++ b/routing/simulation_test.go
@@ -74,14 +74,15 @@
 // simulation runs requests of three entries through a routing policy and ten admission controllers.
 type simulation struct {
 	scenario
-	policy      string
-	random      *rand.Rand
-	queue       events
-	now         clock.Time
-	number      int
-	controllers []*admission.Controller
-	routers     []*routing.Router
-	views       []*routing.View
+	policy string
+	// arrivals is separate, so that all policies get the same arrivals.
+	random, arrivals *rand.Rand
+	queue            events
+	now              clock.Time
+	number           int
+	controllers      []*admission.Controller
+	routers          []*routing.Router
+	views            []*routing.View
 	// outstanding counts per entry and endpoint, for the least-outstanding baseline.
 	outstanding [entries][endpoints]int
 	flights     map[ident.Request]*flight
@@ -101,7 +102,7 @@
 
 func newSimulation(scenario scenario, policy string) *simulation {
 	simulation := &simulation{
-		scenario: scenario, policy: policy, random: rand.New(rand.NewPCG(11, 13)), now: 1, next: 1, flights: map[ident.Request]*flight{},
+		scenario: scenario, policy: policy, random: rand.New(rand.NewPCG(11, 13)), arrivals: rand.New(rand.NewPCG(17, 19)), now: 1, next: 1, flights: map[ident.Request]*flight{},
 	}
 	limits := admission.Settings{Queue: 1 << 20, AnswerRetention: 1, KeyedRetention: 1, RefusedRetention: 1000, PriorService: service}
 	if scenario.admitted {
@@ -160,11 +161,11 @@
 
 func (simulation *simulation) arrive() {
 	id := ident.Request(fmt.Sprint(simulation.number))
-	arrived := &flight{entry: simulation.random.IntN(entries), arrived: simulation.now}
+	arrived := &flight{entry: simulation.arrivals.IntN(entries), arrived: simulation.now}
 	simulation.flights[id] = arrived
 	simulation.send(id, arrived)
 	// Summed unrounded: rounding down each interval would raise the load by a third.
-	simulation.next += simulation.random.ExpFloat64() * service / (simulation.load * endpoints * slots)
+	simulation.next += simulation.arrivals.ExpFloat64() * service / (simulation.load * endpoints * slots)
 	simulation.after(clock.Time(simulation.next).Sub(simulation.now), simulation.arrive)
 }
 
