End streams on a planned stop and bound the timers of a request

Change: a leaving endpoint ends its streams with ErrLeaving and the entry resumes them elsewhere; a stopping entry ends them for the caller to resume; no timer of a request outlives it by more than a second.

--- a/admission/predict.go
+++ b/admission/predict.go
@@ -37,7 +37,7 @@
 // of the goodput was lost at 5 times the capacity to requests that ran and were late.
 const marginDeviations = 3
 
-// usual is a service time in milliseconds that three of four exponential ones stay below. Starting
+// usual is a service time in milliseconds that four of five exponential ones stay below. Starting
 // requests with less time left costs goodput: with the mean alone it was 0.950 instead of 0.993 of
 // the peak at 5 times the capacity and a patience of three mean service times.
 func (service *estimate) usual() float64 {
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -93,7 +93,7 @@
 	// A slow service is not asked about every request.
 	patience := max(dispatcher.settings.Silence, 4*decision.Report.Service)
 	silence := dispatcher.clock.After(patience)
-	deadline := dispatcher.clock.After(flow.deadline.Sub(dispatcher.clock.Now()))
+	deadline := dispatcher.alarm(flow.deadline)
 	var queries <-chan queried
 	last := result{}
 	for {
@@ -125,6 +125,10 @@
 			silentAgents.Inc()
 			ask = queries == nil
 		case <-deadline:
+			if !dispatcher.passed(flow.deadline) {
+				deadline = dispatcher.alarm(flow.deadline)
+				continue
+			}
 			last.failed = !last.pending
 			return last
 		case <-ctx.Done():
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -67,6 +67,8 @@
 	stopping bool
 	inFlight int
 	idle     chan struct{}
+	// stopped is closed by Stop and ends the streams.
+	stopped chan struct{}
 }
 
 // New returns a dispatcher. The function requests returns a new request id with each call; it names
@@ -76,7 +78,7 @@
 ) *Dispatcher {
 	return &Dispatcher{
 		settings: settings, clock: time, agents: agents, view: view, ledger: ledger, budget: budget,
-		limiter: limiter, requests: requests,
+		limiter: limiter, requests: requests, stopped: make(chan struct{}),
 	}
 }
 
@@ -165,10 +167,14 @@
 	return dispatcher.keyed(ctx, flow)
 }
 
-// Stop refuses new requests and waits until those in flight have ended, or ctx ends.
+// Stop refuses new requests and waits until those in flight have ended, or ctx ends. Streams, which
+// may stay open for a day, are ended at once; callers resume them at another entry.
 func (dispatcher *Dispatcher) Stop(ctx context.Context) error {
 	dispatcher.mu.Lock()
-	dispatcher.stopping = true
+	if !dispatcher.stopping {
+		dispatcher.stopping = true
+		close(dispatcher.stopped)
+	}
 	if dispatcher.idle == nil {
 		dispatcher.idle = make(chan struct{})
 		if dispatcher.inFlight == 0 {
@@ -204,6 +210,20 @@
 	}
 }
 
+// longestTimer bounds the timers of a request. Timers of package clock cannot be stopped, so those of
+// a request with a patience of an hour would outlive it by that time.
+const longestTimer = clock.Second
+
+// alarm fires at the deadline or after longestTimer, whichever is first.
+func (dispatcher *Dispatcher) alarm(deadline clock.Time) <-chan clock.Time {
+	return dispatcher.clock.After(min(longestTimer, deadline.Sub(dispatcher.clock.Now())))
+}
+
+// passed reports whether the deadline has been reached.
+func (dispatcher *Dispatcher) passed(deadline clock.Time) bool {
+	return !dispatcher.clock.Now().Before(deadline)
+}
+
 // choose draws an endpoint and logs the decision.
 func (dispatcher *Dispatcher) choose(flow *flow) (routing.Decision, error) {
 	decision, err := flow.candidates.Choose(dispatcher.clock.Now(), flow.excluded)
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -236,6 +236,7 @@
 		world.faults = 20
 		entry := world.entry(1, dispatch.Defaults())
 		var got []byte
+		time.AfterFunc(30*time.Millisecond, world.agents[0].gate.Leave)
 		err := entry.Follow(t.Context(), dispatch.StreamRequest{ID: "f", Service: "s", Stream: "x", Offset: 10}, func(data []byte) error {
 			got = append(got, data...)
 			return nil
--- a/dispatch/follow.go
+++ b/dispatch/follow.go
@@ -6,6 +6,7 @@
 
 	"k8s.io/klog/v2"
 
+	"hyssopjunction/admission"
 	"hyssopjunction/controlpb"
 	"hyssopjunction/ident"
 	"hyssopjunction/routing"
@@ -43,8 +44,8 @@
 const streamAttempts = 5
 
 // Follow passes the stream's data on in order and without gaps. If an endpoint or a connection
-// fails, it resumes at another endpoint from the offset reached. Errors are ErrNotRun if no data
-// could be had at all, ErrUnknown if the stream broke off, and the error of pass.
+// fails or leaves, it resumes at another endpoint from the offset reached. Errors are ErrNotRun if no
+// data could be had at all, ErrUnknown if the stream broke off, and the error of pass.
 func (dispatcher *Dispatcher) Follow(ctx context.Context, request StreamRequest, pass func(data []byte) error) error {
 	_, candidates, ok := dispatcher.view.Service(request.Service)
 	if !ok {
@@ -54,6 +55,15 @@
 		return ErrNotRun{Request: request.ID, Reason: Stopping, RetryAfter: dispatcher.settings.RetryAfter}
 	}
 	defer dispatcher.leave()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-dispatcher.stopped:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	offset := request.Offset
 	for failures := 0; failures < streamAttempts; failures++ {
 		reached, endpoint, err := dispatcher.followOnce(ctx, request, candidates, offset, pass)
@@ -64,7 +74,7 @@
 		case errors.As(err, &caller):
 			return caller.cause
 		case ctx.Err() != nil:
-			return ErrUnknown{Request: request.ID, Reason: Cancelled}
+			return ErrUnknown{Request: request.ID, Reason: Stopping, RetryAfter: 1}
 		}
 		klog.InfoS("Stream interrupted", "Request", request.ID, "Stream", request.Stream, "Endpoint", endpoint,
 			"Offset", reached, "Reason", err.Error())
@@ -74,7 +84,7 @@
 		select {
 		case <-dispatcher.clock.After(pollInterval << failures):
 		case <-ctx.Done():
-			return ErrUnknown{Request: request.ID, Reason: Cancelled}
+			return ErrUnknown{Request: request.ID, Reason: Stopping, RetryAfter: 1}
 		}
 		if _, current, ok := dispatcher.view.Service(request.Service); ok {
 			candidates = current
@@ -119,8 +129,9 @@
 	if err == nil {
 		err = errChunk{reason: "stream broke off"}
 	}
-	ended := errors.As(err, new(errStreamEnd)) || errors.As(err, new(errCaller)) || ctx.Err() != nil
-	decision.Done(dispatcher.clock.Now(), routing.Result{Failed: !ended && offset == start})
+	leaving := errors.Is(err, errChunk{reason: string(admission.Leaving)})
+	ended := leaving || errors.As(err, new(errStreamEnd)) || errors.As(err, new(errCaller)) || ctx.Err() != nil
+	decision.Done(dispatcher.clock.Now(), routing.Result{Failed: !ended && offset == start, Leaving: leaving})
 	return offset, decision.Endpoint, err
 }
 
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -24,7 +24,7 @@
 	if flow.service.Hedge > 0 && retry.MayHedge(flow.service.Idempotent) {
 		hedge = dispatcher.clock.After(flow.service.Hedge)
 	}
-	deadline := dispatcher.clock.After(flow.deadline.Sub(dispatcher.clock.Now()))
+	deadline := dispatcher.alarm(flow.deadline)
 	for open > 0 {
 		again := false
 		select {
@@ -40,6 +40,10 @@
 			hedge = nil
 			again = dispatcher.mayTry(flow, result{})
 		case <-deadline:
+			if !dispatcher.passed(flow.deadline) {
+				deadline = dispatcher.alarm(flow.deadline)
+				continue
+			}
 			return Answer{Attempts: flow.attempts}, ErrUnknown{Request: flow.ID, Reason: Patience, RetryAfter: dispatcher.settings.RetryAfter}
 		case <-ctx.Done():
 			return Answer{Attempts: flow.attempts}, ErrUnknown{Request: flow.ID, Reason: Cancelled}
--- a/dispatch/takeover.go
+++ b/dispatch/takeover.go
@@ -16,16 +16,11 @@
 	if ticket.Record.Digest != digest(flow) {
 		return Answer{}, ErrNotRun{Request: flow.ID, Reason: KeyReused}
 	}
-	deadline := dispatcher.clock.After(flow.deadline.Sub(dispatcher.clock.Now()))
 	stillRunning := ErrUnknown{Request: flow.ID, Reason: StillRunning, RetryAfter: dispatcher.settings.RetryAfter}
 	for {
-		var known result
-		select {
-		case queried := <-dispatcher.query(ctx, ticket.Record.Target, ticket.Record.Request):
-			known = dispatcher.interpretQuery(ticket.Record.Request, queried)
-		case <-deadline:
-			return Answer{}, stillRunning
-		}
+		// A query ends within QueryTimeout.
+		queried := <-dispatcher.query(ctx, ticket.Record.Target, ticket.Record.Request)
+		known := dispatcher.interpretQuery(ticket.Record.Request, queried)
 		switch {
 		case known.outcome == outcome.Ran:
 			dispatcher.complete(ctx, ticket, known)
@@ -38,10 +33,11 @@
 		case known.final:
 			return dispatcher.unresolved(ctx, flow, ticket, known)
 		}
+		if dispatcher.passed(flow.deadline.Add(-pollInterval)) {
+			return Answer{}, stillRunning
+		}
 		select {
 		case <-dispatcher.clock.After(pollInterval):
-		case <-deadline:
-			return Answer{}, stillRunning
 		case <-ctx.Done():
 			return Answer{}, ErrUnknown{Request: flow.ID, Reason: Cancelled}
 		}
--- a/endpoint/gate.go
+++ b/endpoint/gate.go
@@ -59,8 +59,11 @@
 	slowdown atomic.Int32
 	ctx      context.Context
 	cancel   context.CancelFunc
-	control  chan struct{}
-	traffic  sync.WaitGroup
+	// streams ends on Leave.
+	streams    context.Context
+	endStreams context.CancelFunc
+	control    chan struct{}
+	traffic    sync.WaitGroup
 }
 
 // call is a queued or running request.
@@ -75,13 +78,14 @@
 // NewGate returns a gate and starts its control goroutine, which Close ends.
 func NewGate(time clock.Clock, doer Doer, settings GateSettings) *Gate {
 	ctx, cancel := context.WithCancel(context.Background())
+	streams, endStreams := context.WithCancel(ctx)
 	gate := &Gate{
 		settings: settings, clock: time, doer: doer,
 		controller: admission.New(settings.Admission),
 		calls:      map[ident.Request]*call{},
 		waiting:    map[ident.Request][]chan *controlpb.ServeReply{},
 		commands:   make(chan func()),
-		ctx:        ctx, cancel: cancel,
+		ctx:        ctx, cancel: cancel, streams: streams, endStreams: endStreams,
 		control: make(chan struct{}),
 	}
 	gate.slowdown.Store(undisturbed)
@@ -201,13 +205,16 @@
 	gate.run(func() {})
 }
 
-// Leave refuses new and queued requests as not run. Running requests and streams go on.
+// Leave refuses new and queued requests as not run. Running requests go on. Streams, which may stay
+// open for a day, end with the refusal ErrLeaving, so that entries resume them elsewhere.
 func (gate *Gate) Leave() {
+	gate.endStreams()
 	gate.run(func() { gate.act(gate.controller.Leave(gate.clock.Now())) })
 }
 
 // Drain calls Leave and returns once nothing runs or streams, or with ctx's error.
 func (gate *Gate) Drain(ctx context.Context) error {
+	gate.endStreams()
 	idle := make(chan struct{})
 	gate.run(func() {
 		gate.act(gate.controller.Leave(gate.clock.Now()))
--- a/endpoint/traffic.go
+++ b/endpoint/traffic.go
@@ -211,16 +211,20 @@
 	})
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer context.AfterFunc(gate.ctx, cancel)()
+	defer context.AfterFunc(gate.streams, cancel)()
 	offset, err := gate.doer.Stream(ctx, StreamCall{
 		Request: ident.Request(request.GetRequest()), Team: ident.Team(request.GetTeam()),
 		Stream: request.GetStream(), Offset: request.GetOffset(),
 	}, func(offset int64, data []byte) error {
 		return pass(&controlpb.FollowChunk{Request: request.GetRequest(), Offset: offset, Data: slices.Clone(data)})
 	})
+	last.Offset = offset
+	if err != nil && gate.streams.Err() != nil && gate.ctx.Err() == nil {
+		last.Refusal = string(admission.Leaving)
+		return pass(last)
+	}
 	if err != nil {
 		return err
 	}
-	last.Offset = offset
 	return pass(last)
 }
