Keep large answers of keyed submissions in an object store

Cause: an answer above 16 KiB was not kept, so a repeated key did not get it; answers waiting for the table were bounded in number only. Change: a ledger with Bodies stores the body before the row names it; the sweeper deletes it; waiting answers are bounded in bytes; unanswered requests are counted by reason. Conclusion: without Bodies the behaviour is as before.

--- a/caller/errors.go
+++ b/caller/errors.go
@@ -66,6 +66,7 @@
 	var bad ErrBadRequest
 	var notRun dispatch.ErrNotRun
 	var unknown dispatch.ErrUnknown
+	var unkept dispatch.ErrRanUnkept
 	switch {
 	case errors.As(err, &bad):
 		return bad.Status, ErrorBody{Error: ErrorDetail{Type: bad.Type, Reason: bad.Reason}, Outcome: outcome.NotRun}
@@ -77,7 +78,9 @@
 			status = http.StatusGatewayTimeout
 		}
 		return status, body(string(unknown.Reason), err, unknown.RetryAfter, outcome.Unknown)
-	case dispatch.IsErrRanUnkept(err):
+	case errors.As(err, &unkept) && unkept.RetryAfter > 0:
+		return http.StatusServiceUnavailable, body(string(dispatch.NotKept), err, unkept.RetryAfter, outcome.Ran)
+	case errors.As(err, &unkept):
 		return http.StatusGone, body(string(dispatch.NotKept), err, 0, outcome.Ran)
 	default:
 		return http.StatusInternalServerError, body("Internal", err, 0, outcome.Unknown)
--- a/dedup/ledger.go
+++ b/dedup/ledger.go
@@ -34,6 +34,7 @@
 	settings Settings
 	table    Table
 	writes   func() ident.Write
+	bodies   Bodies
 }
 
 // New returns a ledger on store. The function writes returns a new write id with each call.
@@ -100,16 +101,17 @@
 	}
 }
 
-// Complete records the answer, also over a claim that was given up for lost. ErrSuperseded means
+// Complete records the answer, also over a claim that was given up for lost. ErrUnavailable means
+// that the table or the object store could not be used; the call can be repeated. ErrSuperseded means
 // that the claim is no longer the ticket's; it is no error if another entry recorded the same
 // request's answer first.
 func (ledger *Ledger) Complete(ctx context.Context, ticket Ticket, answer Answer) error {
 	if answer.Outcome != outcome.Ran {
 		panic(ErrInvariant{Rule: "only a request that ran is completed", Request: ticket.Record.Request})
 	}
-	answer.Bytes = len(answer.Body)
-	if answer.Bytes > ledger.settings.InlineBytes {
-		answer.Body, answer.Omitted = nil, true
+	answer, err := ledger.store(ctx, ticket, answer)
+	if err != nil {
+		return err
 	}
 	next := ticket
 	next.Record.State, next.Record.Answer = Completed, &answer
--- a/dedup/ledger_test.go
+++ b/dedup/ledger_test.go
@@ -293,6 +293,55 @@
 	}
 }
 
+// objects is an object store whose next call fails if fail is set.
+type objects struct {
+	bodies map[string][]byte
+	fail   bool
+}
+
+func (objects *objects) Put(_ context.Context, name string, body []byte) error {
+	if objects.fail {
+		return errCrashed
+	}
+	objects.bodies[name] = body
+	return nil
+}
+
+func (objects *objects) Get(_ context.Context, name string) ([]byte, error) {
+	return objects.bodies[name], nil
+}
+
+func (objects *objects) Delete(_ context.Context, name string) error {
+	delete(objects.bodies, name)
+	return nil
+}
+
+// Guards against a large answer that is recorded without its body, replaced by another body, or
+// never deleted.
+func TestLargeAnswer(t *testing.T) {
+	store, kept := newStore(), &objects{bodies: map[string][]byte{}, fail: true}
+	ledger := newLedger(store).WithBodies(kept)
+	ticket, _, _ := claim(t, ledger, "r1", "d")
+	large := dedup.Answer{Outcome: outcome.Ran, Body: []byte(strings.Repeat("x", 1<<20))}
+	assertError(t, ledger.Complete(t.Context(), ticket, large), dedup.IsErrUnavailable)
+	_, _, err := claim(t, ledger, "r2", "d")
+	assertError(t, err, dedup.IsErrStillRunning)
+	kept.fail = false
+	assertError(t, ledger.Complete(t.Context(), ticket, large), func(err error) bool { return err == nil })
+	_, answer, _ := claim(t, ledger, "r2", "d")
+	loaded, err := ledger.Load(t.Context(), *answer)
+	if err != nil || string(loaded.Body) != string(large.Body) {
+		t.Fatalf("%d bytes, %v", len(loaded.Body), err)
+	}
+	kept.bodies[answer.Object] = []byte("short")
+	_, err = ledger.Load(t.Context(), *answer)
+	assertError(t, err, dedup.IsErrBody)
+	sweeper := dedup.NewSweeper(store, func() ident.Write { return "sweep" }, func(ident.Service) clock.Millis { return 0 }).WithBodies(kept)
+	if deleted, err := sweeper.Step(t.Context(), 1, 10); deleted != 1 || err != nil || len(kept.bodies) != 0 {
+		t.Fatalf("%d rows deleted, %d bodies left, %v", deleted, len(kept.bodies), err)
+	}
+}
+
 // Guards against a claim that moves although its request may have run.
 func TestReassignNeedsNotRun(t *testing.T) {
 	ledger := newLedger(newStore())
--- a/dedup/record.go
+++ b/dedup/record.go
@@ -42,6 +42,8 @@
 	Body        []byte
 	// Bytes is the length of the answer, also when Body was too large to keep.
 	Bytes int
+	// Object names the body in the object store if it was too large for the row.
+	Object string `json:",omitempty"`
 	// Omitted marks an answer whose body was too large to keep.
 	Omitted bool `json:",omitempty"`
 }
--- a/dedup/sweep.go
+++ b/dedup/sweep.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
 
 	"hyssopjunction/clock"
 	"hyssopjunction/ident"
@@ -20,6 +21,7 @@
 	seen      map[uint64]sighting
 	next      map[uint64]sighting
 	after     table.Key
+	bodies    Bodies
 }
 
 type sighting struct {
@@ -64,6 +66,7 @@
 			continue
 		}
 		deleted++
+		sweeper.deleteBody(ctx, row)
 	}
 	if len(rows) < limit {
 		sweeper.after = ""
@@ -72,6 +75,17 @@
 	return deleted, nil
 }
 
+// deleteBody deletes the body of a deleted row. If that fails, the body stays in the object store.
+func (sweeper *Sweeper) deleteBody(ctx context.Context, row table.Row) {
+	record, err := decode(row)
+	if err != nil || sweeper.bodies == nil || record.Answer == nil || record.Answer.Object == "" {
+		return
+	}
+	if err := sweeper.bodies.Delete(ctx, record.Answer.Object); err != nil {
+		klog.InfoS("Kept answer not deleted", "Object", record.Answer.Object, "Reason", err.Error())
+	}
+}
+
 func serviceOf(key table.Key) ident.Service {
 	rest := key[len(prefix):]
 	for index := range rest {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -112,6 +112,7 @@
 	answer.Request = request.ID
 	answer.Outcome = outcomeOf(err)
 	outcomeCounters[answer.Outcome].Inc()
+	countReason(err)
 	latencies.Update(float64(dispatcher.clock.Now().Sub(started)))
 	if err != nil && klog.V(1).Enabled() {
 		klog.InfoS("Request without answer", "Request", request.ID, "Service", request.Service, "Team", request.Team,
@@ -120,6 +121,22 @@
 	return answer, err
 }
 
+// countReason counts requests without an answer by reason.
+func countReason(err error) {
+	var notRun ErrNotRun
+	var unknown ErrUnknown
+	reason := NotKept
+	switch {
+	case err == nil:
+		return
+	case errors.As(err, &notRun):
+		reason = notRun.Reason
+	case errors.As(err, &unknown):
+		reason = unknown.Reason
+	}
+	metrics.GetOrCreateCounter(`hyssopjunction_dispatch_unanswered_total{reason="` + string(reason) + `"}`).Inc()
+}
+
 func outcomeOf(err error) outcome.Outcome {
 	switch {
 	case err == nil, IsErrRanUnkept(err):
--- a/dispatch/errors.go
+++ b/dispatch/errors.go
@@ -63,15 +63,16 @@
 }
 
 // ErrRanUnkept reports that the request of a repeated key ran and that its answer was too large to
-// keep.
+// keep, or with a RetryAfter, that it cannot be read now.
 type ErrRanUnkept struct {
-	Request ident.Request
-	Bytes   int
+	Request    ident.Request
+	Bytes      int
+	RetryAfter clock.Millis
 }
 
 // Error describes the answer.
 func (err ErrRanUnkept) Error() string {
-	return fmt.Sprintf("request %s ran; its answer of %d bytes was not kept", err.Request, err.Bytes)
+	return fmt.Sprintf("request %s ran; its answer of %d bytes is not available", err.Request, err.Bytes)
 }
 
 // IsErrRanUnkept reports whether err is or wraps an ErrRanUnkept.
--- a/dispatch/keyed.go
+++ b/dispatch/keyed.go
@@ -35,7 +35,7 @@
 	}
 	decision.Cancel()
 	if answer != nil {
-		return replay(flow, answer)
+		return dispatcher.replay(ctx, flow, answer)
 	}
 	return dispatcher.claimed(ctx, flow, err)
 }
@@ -70,7 +70,7 @@
 	case ticket.Record.Digest != digest(flow):
 		return Answer{}, ErrNotRun{Request: flow.ID, Reason: KeyReused}
 	case ticket.Record.State == dedup.Completed:
-		return replay(flow, ticket.Record.Answer)
+		return dispatcher.replay(ctx, flow, ticket.Record.Answer)
 	case ticket.Record.State == dedup.Lost:
 		return Answer{}, ErrUnknown{Request: flow.ID, Reason: Lost}
 	default:
@@ -188,11 +188,20 @@
 	}
 }
 
-func replay(flow *flow, answer *dedup.Answer) (Answer, error) {
+// replay returns the first answer of a repeated key. The request ran, whether or not its answer can
+// be read now.
+func (dispatcher *Dispatcher) replay(ctx context.Context, flow *flow, answer *dedup.Answer) (Answer, error) {
 	if answer.Omitted {
 		return Answer{Replayed: true}, ErrRanUnkept{Request: flow.ID, Bytes: answer.Bytes}
 	}
-	return Answer{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body, Replayed: true}, nil
+	tableCtx, cancel := dispatcher.tableContext(ctx)
+	defer cancel()
+	kept, err := dispatcher.ledger.Load(tableCtx, *answer)
+	if err != nil {
+		klog.InfoS("Kept answer not available", "Request", flow.ID, "Service", flow.Service, "Reason", err.Error())
+		return Answer{Replayed: true}, ErrRanUnkept{Request: flow.ID, Bytes: answer.Bytes, RetryAfter: dispatcher.settings.RetryAfter}
+	}
+	return Answer{Status: kept.Status, ContentType: kept.ContentType, Body: kept.Body, Replayed: true}, nil
 }
 
 func digest(flow *flow) string {
--- a/dispatch/takeover.go
+++ b/dispatch/takeover.go
@@ -82,7 +82,7 @@
 	case err != nil || !ok:
 		return Answer{Attempts: flow.attempts}, unknown
 	case ticket.Record.State == dedup.Completed:
-		return replay(flow, ticket.Record.Answer)
+		return dispatcher.replay(ctx, flow, ticket.Record.Answer)
 	case ticket.Record.State == dedup.Lost:
 		unknown.Reason = Lost
 		return Answer{Attempts: flow.attempts}, unknown
@@ -93,13 +93,18 @@
 	}
 }
 
-// unrecordedLimit bounds the answers that wait for the table; each is at most a few kilobytes.
-const unrecordedLimit = 1024
+// Answers that wait for the table or the object store are bounded in number and in bytes. One that
+// finds no room is still kept by its agent for the retention of package admission.
+const (
+	unrecordedLimit = 1024
+	unrecordedBytes = 16 << 20
+)
 
 // unrecorded holds answers that could not be recorded during a table outage.
 type unrecorded struct {
 	mu      sync.Mutex
 	answers []unrecordedAnswer
+	bytes   int
 }
 
 type unrecordedAnswer struct {
@@ -110,7 +115,8 @@
 func (unrecorded *unrecorded) add(ticket dedup.Ticket, answer dedup.Answer) {
 	unrecorded.mu.Lock()
 	defer unrecorded.mu.Unlock()
-	if len(unrecorded.answers) < unrecordedLimit {
+	if len(unrecorded.answers) < unrecordedLimit && unrecorded.bytes+len(answer.Body) <= unrecordedBytes {
+		unrecorded.bytes += len(answer.Body)
 		unrecorded.answers = append(unrecorded.answers, unrecordedAnswer{ticket: ticket, answer: answer})
 	}
 }
@@ -119,7 +125,7 @@
 	unrecorded.mu.Lock()
 	defer unrecorded.mu.Unlock()
 	answers := unrecorded.answers
-	unrecorded.answers = nil
+	unrecorded.answers, unrecorded.bytes = nil, 0
 	return answers
 }
 
