Let callers of one key not refuse each other's requests in turn

Cause: a dispatcher that found a key claimed had the agent refuse the other request at once, also while it was on its way; six callers of one key could all end without an answer. The key was also not bound to the team. Change: the first query does not refuse; the body's digest includes the team.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -136,13 +136,14 @@
 		}
 		if ask {
 			klog.InfoS("Query of agent", "Request", id, "Endpoint", target.Endpoint, "Worker", target.Worker)
-			queries = dispatcher.query(ctx, target, id)
+			queries = dispatcher.query(ctx, target, id, true)
 		}
 	}
 }
 
-// query asks the agent on another goroutine, bounded by QueryTimeout.
-func (dispatcher *Dispatcher) query(ctx context.Context, target dedup.Target, id ident.Request) <-chan queried {
+// query asks the agent on another goroutine, bounded by QueryTimeout. With refuse the agent refuses
+// the request from now on if it has not arrived.
+func (dispatcher *Dispatcher) query(ctx context.Context, target dedup.Target, id ident.Request, refuse bool) <-chan queried {
 	queryCounter.Inc()
 	results := make(chan queried, 1)
 	ctx, cancel := context.WithCancel(ctx)
@@ -150,7 +151,7 @@
 	answers := make(chan queried, 1)
 	go func() {
 		reply, err := dispatcher.agents.Query(ctx, target.Address, &controlpb.QueryRequest{
-			Request: string(id), Incarnation: uint64(target.Incarnation), RefuseIfAbsent: true,
+			Request: string(id), Incarnation: uint64(target.Incarnation), RefuseIfAbsent: refuse,
 		})
 		answers <- queried{reply: reply, err: err}
 	}()
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -178,6 +178,30 @@
 	})
 }
 
+// Guards against callers of the same key who refuse each other's requests in turn, so that none is
+// answered, or whose request runs more than once.
+func TestRaceForKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		world := newWorld(t, 3, 8)
+		first, second := world.entry(1, dispatch.Defaults()), world.entry(2, dispatch.Defaults())
+		var callers sync.WaitGroup
+		for index := range 60 {
+			key := fmt.Sprint("k", index/6)
+			callers.Go(func() {
+				time.Sleep(time.Duration(world.draw(4)) * time.Millisecond)
+				answer, err := []*entry{first, second}[index%2].send(t.Context(), key)
+				assertAnswer(t, answer, err, key)
+			})
+		}
+		callers.Wait()
+		for key, runs := range world.runs {
+			if runs != 1 {
+				t.Errorf("%s ran %d times", key, runs)
+			}
+		}
+	})
+}
+
 // Guards against a stop that interrupts requests in flight or accepts new ones.
 func TestStop(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/dispatch/keyed.go
+++ b/dispatch/keyed.go
@@ -204,8 +204,9 @@
 	return Answer{Status: kept.Status, ContentType: kept.ContentType, Body: kept.Body, Replayed: true}, nil
 }
 
+// digest identifies team and body, so that a team never gets the answer to another team's key.
 func digest(flow *flow) string {
-	sum := sha256.Sum256(flow.Body)
+	sum := sha256.Sum256(append([]byte(flow.Team+"\x00"), flow.Body...))
 	return hex.EncodeToString(sum[:16])
 }
 
--- a/dispatch/takeover.go
+++ b/dispatch/takeover.go
@@ -9,17 +9,18 @@
 	"hyssopjunction/outcome"
 )
 
-// takeOver resolves a claim that another request holds: it asks the agent, which refuses the other
-// request if it has not arrived. The first answer is recorded and returned; after a confirmed not
+// takeOver resolves a claim that another request holds: it asks the agent, which from the second
+// query on refuses the other request if it has not arrived. Refusing at once would let two
+// dispatchers refuse each other's requests in turn while these are on their way. The first answer is recorded and returned; after a confirmed not
 // run this request takes the claim.
 func (dispatcher *Dispatcher) takeOver(ctx context.Context, flow *flow, ticket dedup.Ticket) (Answer, error) {
 	if ticket.Record.Digest != digest(flow) {
 		return Answer{}, ErrNotRun{Request: flow.ID, Reason: KeyReused}
 	}
 	stillRunning := ErrUnknown{Request: flow.ID, Reason: StillRunning, RetryAfter: dispatcher.settings.RetryAfter}
-	for {
+	for refuse := false; ; refuse = true {
 		// A query ends within QueryTimeout.
-		queried := <-dispatcher.query(ctx, ticket.Record.Target, ticket.Record.Request)
+		queried := <-dispatcher.query(ctx, ticket.Record.Target, ticket.Record.Request, refuse)
 		known := dispatcher.interpretQuery(ticket.Record.Request, queried)
 		switch {
 		case known.outcome == outcome.Ran:
@@ -81,6 +82,8 @@
 	switch {
 	case err != nil || !ok:
 		return Answer{Attempts: flow.attempts}, unknown
+	case ticket.Record.Digest != digest(flow):
+		return Answer{Attempts: flow.attempts}, ErrNotRun{Request: flow.ID, Reason: KeyReused}
 	case ticket.Record.State == dedup.Completed:
 		return dispatcher.replay(ctx, flow, ticket.Record.Answer)
 	case ticket.Record.State == dedup.Lost:
--- a/routing/simulation_test.go
+++ b/routing/simulation_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -51,24 +50,8 @@
 )
 
 type event struct {
-	at     clock.Time
-	number int
-	do     func()
-}
-
-type events []event
-
-func (events events) Len() int { return len(events) }
-func (events events) Less(left, right int) bool {
-	return cmp.Or(cmp.Compare(events[left].at, events[right].at), cmp.Compare(events[left].number, events[right].number)) < 0
-}
-
-func (events events) Swap(left, right int) { events[left], events[right] = events[right], events[left] }
-func (events *events) Push(value any)      { *events = append(*events, value.(event)) }
-func (events *events) Pop() any {
-	last := (*events)[len(*events)-1]
-	*events = (*events)[:len(*events)-1]
-	return last
+	at clock.Time
+	do func()
 }
 
 // simulation runs requests of three entries through a routing policy and ten admission controllers.
@@ -77,7 +60,7 @@
 	policy string
 	// arrivals is separate, so that all policies get the same arrivals.
 	random, arrivals *rand.Rand
-	queue            events
+	queue            []event
 	now              clock.Time
 	number           int
 	controllers      []*admission.Controller
@@ -126,7 +109,10 @@
 
 func (simulation *simulation) after(delay clock.Millis, do func()) {
 	simulation.number++
-	heap.Push(&simulation.queue, event{at: simulation.now.Add(delay), number: simulation.number, do: do})
+	at := simulation.now.Add(delay)
+	// The queue is in descending order of time; of equal times the earlier event runs first.
+	position, _ := slices.BinarySearchFunc(simulation.queue, at, func(queued event, at clock.Time) int { return cmp.Compare(at, queued.at) })
+	simulation.queue = slices.Insert(simulation.queue, position, event{at: at, do: do})
 }
 
 // exponential draws an exponentially distributed time.
@@ -273,7 +259,9 @@
 		})
 	}
 	for simulation.now < simulation.until {
-		next := heap.Pop(&simulation.queue).(event)
+		last := len(simulation.queue) - 1
+		next := simulation.queue[last]
+		simulation.queue = simulation.queue[:last]
 		simulation.now = next.at
 		next.do()
 	}
