--- a/dispatch/takeover.go
+++ b/dispatch/takeover.go
@@ -9,23 +9,19 @@
 	"hyssopjunction/outcome"
 )
 
-// takeOver resolves a claim that another request holds: it asks the agent, which refuses the other
-// request if it has not arrived. The first answer is recorded and returned; after a confirmed not
+// takeOver resolves a claim that another request holds: it asks the agent, which from the second
+// query on refuses the other request if it has not arrived. Refusing at once would let two
+// dispatchers refuse each other's requests in turn while these are on their way. The first answer is recorded and returned; after a confirmed not
 // run this request takes the claim.
 func (dispatcher *Dispatcher) takeOver(ctx context.Context, flow *flow, ticket dedup.Ticket) (Answer, error) {
 	if ticket.Record.Digest != digest(flow) {
 		return Answer{}, ErrNotRun{Request: flow.ID, Reason: KeyReused}
 	}
-	deadline := dispatcher.clock.After(flow.deadline.Sub(dispatcher.clock.Now()))
 	stillRunning := ErrUnknown{Request: flow.ID, Reason: StillRunning, RetryAfter: dispatcher.settings.RetryAfter}
-	for {
-		var known result
-		select {
-		case queried := <-dispatcher.query(ctx, ticket.Record.Target, ticket.Record.Request):
-			known = dispatcher.interpretQuery(ticket.Record.Request, queried)
-		case <-deadline:
-			return Answer{}, stillRunning
-		}
+	for refuse := false; ; refuse = true {
+		// A query ends within QueryTimeout.
+		queried := <-dispatcher.query(ctx, ticket.Record.Target, ticket.Record.Request, refuse)
+		known := dispatcher.interpretQuery(ticket.Record.Request, queried)
 		switch {
 		case known.outcome == outcome.Ran:
 			dispatcher.complete(ctx, ticket, known)
@@ -38,10 +34,11 @@
 		case known.final:
 			return dispatcher.unresolved(ctx, flow, ticket, known)
 		}
+		if dispatcher.passed(flow.deadline.Add(-pollInterval)) {
+			return Answer{}, stillRunning
+		}
 		select {
 		case <-dispatcher.clock.After(pollInterval):
-		case <-deadline:
-			return Answer{}, stillRunning
 		case <-ctx.Done():
 			return Answer{}, ErrUnknown{Request: flow.ID, Reason: Cancelled}
 		}
@@ -85,8 +82,10 @@
 	switch {
 	case err != nil || !ok:
 		return Answer{Attempts: flow.attempts}, unknown
+	case ticket.Record.Digest != digest(flow):
+		return Answer{Attempts: flow.attempts}, ErrNotRun{Request: flow.ID, Reason: KeyReused}
 	case ticket.Record.State == dedup.Completed:
-		return replay(flow, ticket.Record.Answer)
+		return dispatcher.replay(ctx, flow, ticket.Record.Answer)
 	case ticket.Record.State == dedup.Lost:
 		unknown.Reason = Lost
 		return Answer{Attempts: flow.attempts}, unknown
@@ -97,13 +96,18 @@
 	}
 }
 
-// unrecordedLimit bounds the answers that wait for the table; each is at most a few kilobytes.
-const unrecordedLimit = 1024
+// Answers that wait for the table or the object store are bounded in number and in bytes. One that
+// finds no room is still kept by its agent for the retention of package admission.
+const (
+	unrecordedLimit = 1024
+	unrecordedBytes = 16 << 20
+)
 
 // unrecorded holds answers that could not be recorded during a table outage.
 type unrecorded struct {
 	mu      sync.Mutex
 	answers []unrecordedAnswer
+	bytes   int
 }
 
 type unrecordedAnswer struct {
@@ -114,7 +118,8 @@
 func (unrecorded *unrecorded) add(ticket dedup.Ticket, answer dedup.Answer) {
 	unrecorded.mu.Lock()
 	defer unrecorded.mu.Unlock()
-	if len(unrecorded.answers) < unrecordedLimit {
+	if len(unrecorded.answers) < unrecordedLimit && unrecorded.bytes+len(answer.Body) <= unrecordedBytes {
+		unrecorded.bytes += len(answer.Body)
 		unrecorded.answers = append(unrecorded.answers, unrecordedAnswer{ticket: ticket, answer: answer})
 	}
 }
@@ -123,7 +128,7 @@
 	unrecorded.mu.Lock()
 	defer unrecorded.mu.Unlock()
 	answers := unrecorded.answers
-	unrecorded.answers = nil
+	unrecorded.answers, unrecorded.bytes = nil, 0
 	return answers
 }
 
--- a/routing/simulation_test.go
+++ b/routing/simulation_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -51,37 +50,22 @@
 )
 
 type event struct {
-	at     clock.Time
-	number int
-	do     func()
-}
-
-type events []event
-
-func (events events) Len() int { return len(events) }
-func (events events) Less(left, right int) bool {
-	return cmp.Or(cmp.Compare(events[left].at, events[right].at), cmp.Compare(events[left].number, events[right].number)) < 0
-}
-
-func (events events) Swap(left, right int) { events[left], events[right] = events[right], events[left] }
-func (events *events) Push(value any)      { *events = append(*events, value.(event)) }
-func (events *events) Pop() any {
-	last := (*events)[len(*events)-1]
-	*events = (*events)[:len(*events)-1]
-	return last
+	at clock.Time
+	do func()
 }
 
 // simulation runs requests of three entries through a routing policy and ten admission controllers.
 type simulation struct {
 	scenario
-	policy      string
-	random      *rand.Rand
-	queue       events
-	now         clock.Time
-	number      int
-	controllers []*admission.Controller
-	routers     []*routing.Router
-	views       []*routing.View
+	policy string
+	// arrivals is separate, so that all policies get the same arrivals.
+	random, arrivals *rand.Rand
+	queue            []event
+	now              clock.Time
+	number           int
+	controllers      []*admission.Controller
+	routers          []*routing.Router
+	views            []*routing.View
 	// outstanding counts per entry and endpoint, for the least-outstanding baseline.
 	outstanding [entries][endpoints]int
 	flights     map[ident.Request]*flight
@@ -101,7 +85,7 @@
 
 func newSimulation(scenario scenario, policy string) *simulation {
 	simulation := &simulation{
-		scenario: scenario, policy: policy, random: rand.New(rand.NewPCG(11, 13)), now: 1, next: 1, flights: map[ident.Request]*flight{},
+		scenario: scenario, policy: policy, random: rand.New(rand.NewPCG(11, 13)), arrivals: rand.New(rand.NewPCG(17, 19)), now: 1, next: 1, flights: map[ident.Request]*flight{},
 	}
 	limits := admission.Settings{Queue: 1 << 20, AnswerRetention: 1, KeyedRetention: 1, RefusedRetention: 1000, PriorService: service}
 	if scenario.admitted {
@@ -125,7 +109,10 @@
 
 func (simulation *simulation) after(delay clock.Millis, do func()) {
 	simulation.number++
-	heap.Push(&simulation.queue, event{at: simulation.now.Add(delay), number: simulation.number, do: do})
+	at := simulation.now.Add(delay)
+	// The queue is in descending order of time; of equal times the earlier event runs first.
+	position, _ := slices.BinarySearchFunc(simulation.queue, at, func(queued event, at clock.Time) int { return cmp.Compare(at, queued.at) })
+	simulation.queue = slices.Insert(simulation.queue, position, event{at: at, do: do})
 }
 
 // exponential draws an exponentially distributed time.
@@ -160,11 +147,11 @@
 
 func (simulation *simulation) arrive() {
 	id := ident.Request(fmt.Sprint(simulation.number))
-	arrived := &flight{entry: simulation.random.IntN(entries), arrived: simulation.now}
+	arrived := &flight{entry: simulation.arrivals.IntN(entries), arrived: simulation.now}
 	simulation.flights[id] = arrived
 	simulation.send(id, arrived)
 	// Summed unrounded: rounding down each interval would raise the load by a third.
-	simulation.next += simulation.random.ExpFloat64() * service / (simulation.load * endpoints * slots)
+	simulation.next += simulation.arrivals.ExpFloat64() * service / (simulation.load * endpoints * slots)
 	simulation.after(clock.Time(simulation.next).Sub(simulation.now), simulation.arrive)
 }
 
@@ -272,7 +259,9 @@
 		})
 	}
 	for simulation.now < simulation.until {
-		next := heap.Pop(&simulation.queue).(event)
+		last := len(simulation.queue) - 1
+		next := simulation.queue[last]
+		simulation.queue = simulation.queue[:last]
 		simulation.now = next.at
 		next.do()
 	}
