--- a/membership/entries.go
+++ b/membership/entries.go
@@ -242,9 +242,9 @@
 }
 
 // MayGrant reports whether this entry may grant leases: it has not ended and renewed its row within
-// the outage grace. Gone of other entries relies on this limit.
+// 98% of the outage grace. Gone of other entries relies on this limit.
 func (entries *Entries) MayGrant(now clock.Time) bool {
-	return !entries.ended && entries.renewed != 0 && now.Sub(entries.renewed) < entries.settings.OutageGraceMillis
+	return !entries.ended && entries.renewed != 0 && now.Sub(entries.renewed) < entries.settings.grantMillis()
 }
 
 // Gone reports whether an incarnation of an entry can certainly not have a lease in force that it
--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -29,6 +29,9 @@
 	from     ident.Incarnation
 	received ident.Sequence
 	heard    clock.Time
+	// lapsed is set if workers of the peer expired because it was silent, so that only a full exchange
+	// restores them.
+	lapsed bool
 }
 
 func (workers *Workers) peer(id ident.Entry) *peer {
@@ -40,12 +43,14 @@
 	return known
 }
 
-// vouched returns when the peer last vouched for its workers, zero if never.
-func (workers *Workers) vouched(id ident.Entry) clock.Time {
-	if known, have := workers.peers[id]; have {
+// vouched returns when the worker's home last vouched for it. A home that restarted vouches only for
+// the workers that announced themselves to it since.
+func (workers *Workers) vouched(known *record) clock.Time {
+	home, have := workers.peers[known.home]
+	if !have || home.from != known.homeIncarnation {
 		return known.heard
 	}
-	return 0
+	return max(known.heard, home.heard)
 }
 
 // Due reports whether an exchange to the peer is due: the interval has passed, or an endpoint's
@@ -179,31 +184,44 @@
 	case incarnation == known.from && sequence <= known.received:
 		// Overtaken by a newer exchange, which carried all that this one does.
 		return &controlpb.ExchangeReply{}
-	case incarnation != known.from && !request.GetFull():
+	case (incarnation != known.from || known.lapsed) && !request.GetFull():
 		return &controlpb.ExchangeReply{WantFull: true}
 	}
+	if known.from != incarnation {
+		for _, held := range workers.records {
+			if held.home == sender {
+				held.heard = workers.vouched(held)
+			}
+		}
+	}
 	known.from, known.received, known.heard = incarnation, sequence, now
+	known.lapsed = false
 	listed := set.New[ident.Worker]()
 	for _, state := range request.GetWorkers() {
-		listed.Add(ident.Worker(state.GetWorker()))
-		workers.take(state, sender, now)
+		worker := ident.Worker(state.GetWorker())
+		listed.Add(worker)
+		workers.take(state, sender, incarnation, now)
+		if held, have := workers.records[worker]; have && held.home == sender {
+			held.homeIncarnation = incarnation
+		}
 	}
 	for _, worker := range request.GetGoneWorkers() {
-		workers.lose(ident.Worker(worker), sender)
+		workers.lose(ident.Worker(worker), sender, incarnation, now)
 	}
 	if request.GetFull() {
 		for _, worker := range set.SortedKeys(workers.records) {
 			if !listed.Has(worker) {
-				workers.lose(worker, sender)
+				workers.lose(worker, sender, incarnation, now)
 			}
 		}
 	}
 	return &controlpb.ExchangeReply{}
 }
 
-// lose removes a worker that its home says is gone. Others cannot say so.
-func (workers *Workers) lose(worker ident.Worker, home ident.Entry) {
-	if known, have := workers.records[worker]; have && known.home == home {
-		workers.remove(worker)
+// lose removes a worker that its home says is gone. Others cannot say so, and neither can a home
+// that restarted and does not know the worker yet.
+func (workers *Workers) lose(worker ident.Worker, home ident.Entry, incarnation ident.Incarnation, now clock.Time) {
+	if known, have := workers.records[worker]; have && known.home == home && known.homeIncarnation == incarnation {
+		workers.remove(worker, now)
 	}
 }
--- a/membership/settings.go
+++ b/membership/settings.go
@@ -29,6 +29,15 @@
 	UrgentMillis clock.Millis
 	// FullMillis is the interval of exchanges that carry all workers although nothing was missed.
 	FullMillis clock.Millis
+	// MarkMillis is how long the incarnation and sequence of a removed worker are remembered. No
+	// message is delayed longer.
+	MarkMillis clock.Millis
+}
+
+// grantMillis is how long an entry grants leases without renewing its row. It is 2% less than the
+// outage grace, because the entry counts on another clock than those that wait for its end.
+func (settings Settings) grantMillis() clock.Millis {
+	return settings.OutageGraceMillis / 100 * 98
 }
 
 // DefaultSettings returns the settings of the design page.
@@ -45,5 +54,6 @@
 		ExchangeMillis:     2 * clock.Second,
 		UrgentMillis:       500,
 		FullMillis:         10 * clock.Minute,
+		MarkMillis:         10 * clock.Minute,
 	}
 }
--- a/membership/workers.go
+++ b/membership/workers.go
@@ -20,6 +20,9 @@
 	change ident.Sequence
 	// gone holds the change at which an own worker disappeared, until all peers know.
 	gone map[ident.Worker]ident.Sequence
+	// past holds what must not be forgotten of removed workers for a while, so that a late message
+	// does not bring an old state back.
+	past map[ident.Worker]mark
 	// urgent is the newest change that marks an endpoint as leaving.
 	urgent ident.Sequence
 	dirty  bool
@@ -30,6 +33,8 @@
 	state *controlpb.WorkerState
 	// home is the entry that the state came from; the own id if the agent announced itself here.
 	home ident.Entry
+	// homeIncarnation is that of the home when it sent the state, 0 if the agent announced itself here.
+	homeIncarnation ident.Incarnation
 	// at is when the worker was in that state and endpointAt when its endpoint was, both on this
 	// process's clock.
 	at         clock.Time
@@ -43,6 +48,16 @@
 	change ident.Sequence
 }
 
+// mark is what is kept of a removed worker.
+type mark struct {
+	incarnation uint64
+	sequence    uint64
+	leaving     string
+	// over marks an incarnation whose agent said that it is gone.
+	over bool
+	at   clock.Time
+}
+
 // NewWorkers returns the empty view of the entry self.
 func NewWorkers(self ident.Entry, settings Settings) *Workers {
 	return &Workers{
@@ -51,6 +66,7 @@
 		records:  make(map[ident.Worker]*record),
 		peers:    make(map[ident.Entry]*peer),
 		gone:     make(map[ident.Worker]ident.Sequence),
+		past:     make(map[ident.Worker]mark),
 	}
 }
 
@@ -69,7 +85,7 @@
 
 // Announce takes the state that an agent announced to this entry as its home.
 func (workers *Workers) Announce(state *controlpb.WorkerState, now clock.Time) Freshness {
-	freshness := workers.take(state, workers.self, now)
+	freshness := workers.take(state, workers.self, 0, now)
 	known := workers.records[ident.Worker(state.GetWorker())]
 	if freshness != Stale {
 		workers.note(known)
@@ -78,23 +94,30 @@
 }
 
 // take replaces the known state of a worker by a newer one.
-func (workers *Workers) take(state *controlpb.WorkerState, home ident.Entry, now clock.Time) Freshness {
+func (workers *Workers) take(
+	state *controlpb.WorkerState, home ident.Entry, homeIncarnation ident.Incarnation, now clock.Time,
+) Freshness {
 	id := ident.Worker(state.GetWorker())
 	known, have := workers.records[id]
+	before, past := workers.past[id]
 	if have {
-		held := known.state
-		if state.GetIncarnation() < held.GetIncarnation() ||
-			state.GetIncarnation() == held.GetIncarnation() && state.GetSequence() <= held.GetSequence() {
-			return Stale
-		}
+		before, past = known.mark(), true
+		// The held state itself is no news.
+		before.sequence++
 	}
-	freshness := Newer
-	next := &record{state: proto.CloneOf(state), home: home, heard: now}
-	if !have || state.GetIncarnation() > known.state.GetIncarnation() {
-		freshness = Restarted
-	} else {
-		next.leaving = known.leaving
+	incarnation := state.GetIncarnation()
+	if id == "" || past && (incarnation < before.incarnation ||
+		incarnation == before.incarnation && (before.over || state.GetSequence() < before.sequence)) {
+		workers.keepLeaving(state)
+		return Stale
 	}
+	freshness := Restarted
+	next := &record{state: proto.CloneOf(state), home: home, homeIncarnation: homeIncarnation, heard: now}
+	if past && incarnation == before.incarnation {
+		freshness = Newer
+		next.leaving = before.leaving
+	}
+	delete(workers.past, id)
 	delete(workers.gone, id)
 	switch {
 	case have && known.home == workers.self && home != workers.self:
@@ -125,17 +148,38 @@
 		return false
 	}
 	known.heard = now
-	if request.GetEndpoint() != "" && known.leaving != request.GetEndpoint() {
-		known.leaving = request.GetEndpoint()
-		workers.dirty = true
+	workers.markLeaving(known, request.GetEndpoint())
+	if request.GetAgentGone() {
+		workers.remove(id, now)
+		last := workers.past[id]
+		last.over = true
+		workers.past[id] = last
+	}
+	return true
+}
+
+// keepLeaving takes the leaving mark of a state that is otherwise no news. A Leave message marks an
+// endpoint without a new sequence number.
+func (workers *Workers) keepLeaving(state *controlpb.WorkerState) {
+	known, have := workers.records[ident.Worker(state.GetWorker())]
+	if have && state.GetEndpoint().GetLeaving() && state.GetIncarnation() == known.state.GetIncarnation() {
+		workers.markLeaving(known, state.GetEndpoint().GetEndpoint())
+	}
+}
+
+func (workers *Workers) markLeaving(known *record, endpoint string) {
+	if endpoint == "" || known.leaving == endpoint {
+		return
 	}
+	known.leaving = endpoint
+	workers.dirty = true
 	if known.home == workers.self {
 		workers.note(known)
 	}
-	if request.GetAgentGone() {
-		workers.remove(id)
-	}
-	return true
+}
+
+func (known *record) mark() mark {
+	return mark{incarnation: known.state.GetIncarnation(), sequence: known.state.GetSequence(), leaving: known.leaving}
 }
 
 // note gives the worker a change number if its summary differs from what the exchanges carry.
@@ -153,8 +197,11 @@
 }
 
 // remove drops a worker; other entries are told if it was an own one.
-func (workers *Workers) remove(id ident.Worker) {
+func (workers *Workers) remove(id ident.Worker, now clock.Time) {
 	known := workers.records[id]
+	last := known.mark()
+	last.at = now
+	workers.past[id] = last
 	if known.home == workers.self {
 		workers.change++
 		workers.gone[id] = workers.change
@@ -168,16 +215,27 @@
 	var expired []ident.Worker
 	for _, id := range set.SortedKeys(workers.records) {
 		known := workers.records[id]
-		if known.home == workers.self {
+		switch {
+		case known.home == workers.self:
 			if now.Sub(known.heard) < workers.settings.WorkerExpiryMillis {
 				continue
 			}
-		} else if now.Sub(max(known.heard, workers.vouched(known.home))) < workers.settings.PeerExpiryMillis {
+		case now.Sub(workers.vouched(known)) < workers.settings.PeerExpiryMillis:
 			continue
+		default:
+			// The home takes its workers for known here, so it must send all of them again.
+			if home, have := workers.peers[known.home]; have {
+				home.lapsed = true
+			}
 		}
-		workers.remove(id)
+		workers.remove(id, now)
 		expired = append(expired, id)
 	}
+	for _, id := range set.SortedKeys(workers.past) {
+		if now.Sub(workers.past[id].at) >= workers.settings.MarkMillis {
+			delete(workers.past, id)
+		}
+	}
 	return expired
 }
 
