membership: tell peers loads alone, at a bounded rate

Change: a changed load is sent without the fields that the peer knows, and at most as often as LoadBytes allows; the interval of exchanges grows with the number of peers, up to 5 s. Leaving endpoints are still told at once.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -109,7 +110,7 @@
 	}
 	_, err = second.Apply(context.Background(), edit("bram", config.DataCentreName("gent"), version, dataCentre(true)))
 	want := config.ErrConflict{Document: config.DataCentreName("gent"), Base: version, Have: won, Winner: "anna"}
-	if err != want {
+	if !errors.Is(err, want) {
 		t.Fatalf("got %v, want %v", err, want)
 	}
 	// Another document only moved the head, which is no conflict.
--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -60,7 +60,7 @@
 	if !have || known.sent == 0 {
 		return true
 	}
-	interval := workers.settings.ExchangeMillis
+	interval := workers.settings.exchangeMillis(len(workers.peers))
 	if known.acked < workers.urgent {
 		interval = workers.settings.UrgentMillis
 		if !known.carried(workers.urgent) {
@@ -82,8 +82,8 @@
 }
 
 // Delta returns the exchange for a peer: the own workers that changed since the peer's last
-// acknowledged exchange, or all of them if the peer holds none or a full one is due. The caller sets
-// the sender and the pairs.
+// acknowledged exchange, or all of them if the peer holds none or a full one is due. Of a worker
+// whose load alone changed it carries the load. The caller sets the sender and the pairs.
 func (workers *Workers) Delta(id ident.Entry, now clock.Time) *controlpb.ExchangeRequest {
 	known := workers.peer(id)
 	known.sequence++
@@ -97,9 +97,12 @@
 			continue
 		}
 		state := proto.CloneOf(held.told)
-		state.AgeMillis = int64(now.Sub(held.at))
+		if !known.full && held.structure <= known.acked {
+			state = loadOf(held.told)
+		}
+		state.AgeMillis = int64(now.Sub(held.toldAt))
 		if endpoint := state.GetEndpoint(); endpoint != nil {
-			endpoint.AgeMillis = int64(held.at.Sub(held.endpointAt))
+			endpoint.AgeMillis = int64(held.toldAt.Sub(held.toldEndpointAt))
 		}
 		request.Workers = append(request.Workers, state)
 	}
@@ -197,9 +200,18 @@
 	known.from, known.received, known.heard = incarnation, sequence, now
 	known.lapsed = false
 	listed := set.New[ident.Worker]()
+	missing := false
 	for _, state := range request.GetWorkers() {
 		worker := ident.Worker(state.GetWorker())
 		listed.Add(worker)
+		if isLoad(state) {
+			held, have := workers.records[worker]
+			if !have || held.state.GetIncarnation() != state.GetIncarnation() {
+				missing = missing || !have || held.state.GetIncarnation() < state.GetIncarnation()
+				continue
+			}
+			state = withLoad(held.state, state)
+		}
 		workers.take(state, sender, incarnation, now)
 		if held, have := workers.records[worker]; have && held.home == sender {
 			held.homeIncarnation = incarnation
@@ -215,7 +227,7 @@
 			}
 		}
 	}
-	return &controlpb.ExchangeReply{}
+	return &controlpb.ExchangeReply{WantFull: missing}
 }
 
 // lose removes a worker that its home says is gone. Others cannot say so, and neither can a home
--- a/membership/settings.go
+++ b/membership/settings.go
@@ -21,8 +21,15 @@
 	// PeerExpiryMillis is how long the workers of another home stay in the view without an exchange
 	// from that home.
 	PeerExpiryMillis clock.Millis
-	// ExchangeMillis is the interval of exchanges between two entries.
-	ExchangeMillis clock.Millis
+	// ExchangeMillis is the interval of exchanges between two entries that have up to PeersAtOnce
+	// peers. With more peers it grows in proportion, up to ExchangeMaxMillis, so that the exchanges of
+	// a large system do not take the whole of a daemon's bandwidth.
+	ExchangeMillis    clock.Millis
+	ExchangeMaxMillis clock.Millis
+	PeersAtOnce       int
+	// LoadBytes is the number of bytes a second that an entry spends on telling its peers of changed
+	// loads. Other changes are told at once.
+	LoadBytes int64
 	// UrgentMillis is the shortest interval of exchanges while an endpoint's leaving is not
 	// acknowledged. It allows one lost message within the 3 s after which a leaving endpoint must
 	// get no new work.
@@ -34,6 +41,21 @@
 	MarkMillis clock.Millis
 }
 
+// exchangeMillis is the interval of exchanges with each of the given number of peers.
+func (settings Settings) exchangeMillis(peers int) clock.Millis {
+	interval := settings.ExchangeMillis * clock.Millis(max(peers, 1)) / clock.Millis(max(settings.PeersAtOnce, 1))
+	return min(max(interval, settings.ExchangeMillis), max(settings.ExchangeMaxMillis, settings.ExchangeMillis))
+}
+
+// loadStateBytes is the approximate size of a changed load in an exchange.
+const loadStateBytes = 45
+
+// loadMillis is the shortest interval at which the load of one of the own workers is told to the
+// peers.
+func (settings Settings) loadMillis(own, peers int) clock.Millis {
+	return clock.Millis(int64(own) * int64(peers) * loadStateBytes * 1000 / max(settings.LoadBytes, 1))
+}
+
 // grantMillis is how long an entry grants leases without renewing its row. It is 2% less than the
 // outage grace, because the entry counts on another clock than those that wait for its end.
 func (settings Settings) grantMillis() clock.Millis {
@@ -52,6 +74,9 @@
 		WorkerExpiryMillis: 10 * clock.Second,
 		PeerExpiryMillis:   15 * clock.Second,
 		ExchangeMillis:     2 * clock.Second,
+		ExchangeMaxMillis:  5 * clock.Second,
+		PeersAtOnce:        8,
+		LoadBytes:          1500,
 		UrgentMillis:       500,
 		FullMillis:         10 * clock.Minute,
 		MarkMillis:         10 * clock.Minute,
--- a/membership/summary.go
+++ b/membership/summary.go
@@ -51,10 +51,49 @@
 	return 1 << bits.Len32(uint32(value-1))
 }
 
-// same reports whether two summaries differ in nothing but the sequence number.
-func same(told, summary *controlpb.WorkerState) bool {
-	sequence := told.Sequence
-	defer func() { told.Sequence = sequence }()
-	told.Sequence = summary.GetSequence()
-	return proto.Equal(told, summary)
+// sameStructure reports whether two summaries differ in nothing but the load and the sequence
+// number.
+func sameStructure(told, summary *controlpb.WorkerState) bool {
+	return proto.Equal(withLoad(told, summary), summary)
+}
+
+// sameLoad reports whether two summaries have the same load.
+func sameLoad(told, summary *controlpb.WorkerState) bool {
+	left, right := loadOf(told), loadOf(summary)
+	left.Sequence = right.Sequence
+	return proto.Equal(left, right)
+}
+
+// loadOf returns the state without the fields that a receiver of the same incarnation knows. Having
+// no agent address marks it.
+func loadOf(state *controlpb.WorkerState) *controlpb.WorkerState {
+	load := &controlpb.WorkerState{
+		Worker: state.GetWorker(), Incarnation: state.GetIncarnation(), Sequence: state.GetSequence(),
+		Used: state.GetUsed(), ConfigVersion: state.GetConfigVersion(), Tasks: state.GetTasks(),
+	}
+	if endpoint := state.GetEndpoint(); endpoint != nil {
+		load.Endpoint = &controlpb.EndpointState{
+			SlotsUsed: endpoint.GetSlotsUsed(), ConnectionsUsed: endpoint.GetConnectionsUsed(), Queue: endpoint.GetQueue(),
+			LatencyMillis: endpoint.GetLatencyMillis(), SlowdownPercent: endpoint.GetSlowdownPercent(),
+		}
+	}
+	return load
+}
+
+// isLoad reports whether a state holds only the load.
+func isLoad(state *controlpb.WorkerState) bool {
+	return state.GetAgentAddress() == ""
+}
+
+// withLoad returns the state with the load, sequence number and ages of another one.
+func withLoad(state, load *controlpb.WorkerState) *controlpb.WorkerState {
+	merged := proto.CloneOf(state)
+	merged.Sequence, merged.AgeMillis = load.GetSequence(), load.GetAgeMillis()
+	merged.Used, merged.ConfigVersion, merged.Tasks = load.GetUsed(), load.GetConfigVersion(), load.GetTasks()
+	if endpoint, from := merged.GetEndpoint(), load.GetEndpoint(); endpoint != nil && from != nil {
+		endpoint.SlotsUsed, endpoint.ConnectionsUsed, endpoint.Queue = from.GetSlotsUsed(), from.GetConnectionsUsed(), from.GetQueue()
+		endpoint.LatencyMillis, endpoint.SlowdownPercent = from.GetLatencyMillis(), from.GetSlowdownPercent()
+		endpoint.AgeMillis = from.GetAgeMillis()
+	}
+	return merged
 }
--- a/membership/workers.go
+++ b/membership/workers.go
@@ -25,7 +25,9 @@
 	past map[ident.Worker]mark
 	// urgent is the newest change that marks an endpoint as leaving.
 	urgent ident.Sequence
-	dirty  bool
+	// own is the number of workers that announce themselves here.
+	own   int
+	dirty bool
 }
 
 // record is what is known of one worker.
@@ -43,9 +45,16 @@
 	heard clock.Time
 	// leaving is the endpoint that leaves in the state's incarnation, empty if none.
 	leaving string
-	// told is the summary in the newest change, and change its number.
-	told   *controlpb.WorkerState
-	change ident.Sequence
+	// told is the summary in the newest change, and change its number. Structure is the number of the
+	// newest change that altered more than the load.
+	told      *controlpb.WorkerState
+	change    ident.Sequence
+	structure ident.Sequence
+	// toldAt and toldEndpointAt are when the worker and its endpoint were in the told state, and
+	// loadAt is when the told load was last changed.
+	toldAt         clock.Time
+	toldEndpointAt clock.Time
+	loadAt         clock.Time
 }
 
 // mark is what is kept of a removed worker.
@@ -88,7 +97,7 @@
 	freshness := workers.take(state, workers.self, 0, now)
 	known := workers.records[ident.Worker(state.GetWorker())]
 	if freshness != Stale {
-		workers.note(known)
+		workers.note(known, now)
 	}
 	return freshness
 }
@@ -108,7 +117,7 @@
 	incarnation := state.GetIncarnation()
 	if id == "" || past && (incarnation < before.incarnation ||
 		incarnation == before.incarnation && (before.over || state.GetSequence() < before.sequence)) {
-		workers.keepLeaving(state)
+		workers.keepLeaving(state, now)
 		return Stale
 	}
 	freshness := Restarted
@@ -126,13 +135,20 @@
 		workers.change++
 		workers.gone[id] = workers.change
 	case have:
-		next.told, next.change = known.told, known.change
+		next.told, next.change, next.structure = known.told, known.change, known.structure
+		next.toldAt, next.toldEndpointAt, next.loadAt = known.toldAt, known.toldEndpointAt, known.loadAt
 	}
 	next.at = now.Add(-clock.Millis(max(state.GetAgeMillis(), 0)))
 	next.endpointAt = next.at.Add(-clock.Millis(max(state.GetEndpoint().GetAgeMillis(), 0)))
 	if state.GetEndpoint().GetLeaving() {
 		next.leaving = state.GetEndpoint().GetEndpoint()
 	}
+	if have && known.home == workers.self {
+		workers.own--
+	}
+	if home == workers.self {
+		workers.own++
+	}
 	workers.records[id] = next
 	workers.dirty = true
 	return freshness
@@ -148,7 +164,7 @@
 		return false
 	}
 	known.heard = now
-	workers.markLeaving(known, request.GetEndpoint())
+	workers.markLeaving(known, request.GetEndpoint(), now)
 	if request.GetAgentGone() {
 		workers.remove(id, now)
 		last := workers.past[id]
@@ -160,21 +176,21 @@
 
 // keepLeaving takes the leaving mark of a state that is otherwise no news. A Leave message marks an
 // endpoint without a new sequence number.
-func (workers *Workers) keepLeaving(state *controlpb.WorkerState) {
+func (workers *Workers) keepLeaving(state *controlpb.WorkerState, now clock.Time) {
 	known, have := workers.records[ident.Worker(state.GetWorker())]
 	if have && state.GetEndpoint().GetLeaving() && state.GetIncarnation() == known.state.GetIncarnation() {
-		workers.markLeaving(known, state.GetEndpoint().GetEndpoint())
+		workers.markLeaving(known, state.GetEndpoint().GetEndpoint(), now)
 	}
 }
 
-func (workers *Workers) markLeaving(known *record, endpoint string) {
+func (workers *Workers) markLeaving(known *record, endpoint string, now clock.Time) {
 	if endpoint == "" || known.leaving == endpoint {
 		return
 	}
 	known.leaving = endpoint
 	workers.dirty = true
 	if known.home == workers.self {
-		workers.note(known)
+		workers.note(known, now)
 	}
 }
 
@@ -182,18 +198,27 @@
 	return mark{incarnation: known.state.GetIncarnation(), sequence: known.state.GetSequence(), leaving: known.leaving}
 }
 
-// note gives the worker a change number if its summary differs from what the exchanges carry.
-func (workers *Workers) note(known *record) {
+// note gives the worker a change number if its summary differs from what the exchanges carry. A
+// change of the load alone waits until the interval for loads has passed.
+func (workers *Workers) note(known *record, now clock.Time) {
 	summary := summarise(known)
-	if known.told != nil && same(known.told, summary) {
+	structural := known.told == nil || !sameStructure(known.told, summary)
+	switch {
+	case !structural && sameLoad(known.told, summary):
+		known.toldAt, known.toldEndpointAt = known.at, known.endpointAt
+		return
+	case !structural && now.Sub(known.loadAt) < workers.settings.loadMillis(workers.own, len(workers.peers)):
 		return
 	}
-	left := summary.GetEndpoint().GetLeaving() && !known.told.GetEndpoint().GetLeaving()
 	workers.change++
-	known.told, known.change = summary, workers.change
-	if left {
+	if structural {
+		known.structure = workers.change
+	}
+	if summary.GetEndpoint().GetLeaving() && !known.told.GetEndpoint().GetLeaving() {
 		workers.urgent = workers.change
 	}
+	known.told, known.change = summary, workers.change
+	known.toldAt, known.toldEndpointAt, known.loadAt = known.at, known.endpointAt, now
 }
 
 // remove drops a worker; other entries are told if it was an own one.
@@ -203,6 +228,7 @@
 	last.at = now
 	workers.past[id] = last
 	if known.home == workers.self {
+		workers.own--
 		workers.change++
 		workers.gone[id] = workers.change
 	}
