table, config, keys: fail fast in a silent outage, prune the history

Change: offers are refused while the breaker is open and no sender is free; config.Prune deletes old changes and keeps at least 1,000. Tests of both, of gRPC credentials, and of the 3 s for a leaving endpoint among 24 entries.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -208,3 +208,40 @@
 		}
 	}
 }
+
+// TestPrune guards against a history that grows without bound, and against readers that cannot follow
+// once old changes are gone.
+func TestPrune(t *testing.T) {
+	memory, version := prepared()
+	editor, publisher := newEditor(memory, clock.NewFake(0), 1)
+	reading := config.NewPublisher()
+	reader := config.NewReader(memory, clock.NewFake(0), newRandom(1), reading, config.DefaultReaderSettings())
+	defer reader.Close()
+	if err := reader.Refresh(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	for publisher.Version() < 1150 {
+		next, err := editor.Apply(context.Background(), edit("anna", config.DataCentreName("gent"), version, dataCentre(true)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		version = next
+	}
+	deleted := 0
+	for {
+		count, err := config.Prune(context.Background(), memory, version, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if deleted += count; count == 0 {
+			break
+		}
+	}
+	records, err := config.History(context.Background(), memory, 0, 2000)
+	if err != nil || deleted != 150 || len(records) != 1000 || records[0].Version != 151 {
+		t.Fatalf("%d deleted, %d left (%v)", deleted, len(records), err)
+	}
+	if err := reader.Refresh(context.Background()); err != nil || reading.Current().Digest() != publisher.Current().Digest() {
+		t.Fatalf("reader at version %d of %d: %v", reading.Version(), version, err)
+	}
+}
--- a/config/history.go
+++ b/config/history.go
@@ -27,6 +27,39 @@
 	return records, nil
 }
 
+// keepMin is the smallest number of changes that Prune keeps. Readers that are behind by up to
+// maxSteps changes follow the history instead of reading all documents.
+const keepMin = 5 * maxSteps
+
+// Prune deletes up to 100 of the oldest changes from the history and returns how many, so that at
+// least the newest keep changes remain, and never fewer than 1,000. With 2,400 changes a day the
+// history would grow without bound otherwise. The documents and their versions are not touched.
+func Prune(ctx context.Context, store table.Store, current ident.Version, keep int) (int, error) {
+	kept := ident.Version(max(keep, keepMin))
+	if current <= kept {
+		return 0, nil
+	}
+	rows, err := store.Range(ctx, HistoryPrefix, "", 100)
+	if err != nil {
+		return 0, err
+	}
+	var transaction table.Transaction
+	for _, row := range rows {
+		if row.Key > HistoryKey(current-kept) {
+			break
+		}
+		transaction.Conditions = append(transaction.Conditions, table.Condition{Key: row.Key, Revision: row.Revision})
+		transaction.Operations = append(transaction.Operations, table.Operation{Key: row.Key, Delete: true})
+	}
+	if len(transaction.Operations) == 0 {
+		return 0, nil
+	}
+	if _, err := store.Commit(ctx, transaction); err != nil {
+		return 0, err
+	}
+	return len(transaction.Operations), nil
+}
+
 // FieldChange is a field that a change altered. Before and After are JSON, empty where the field did
 // not exist.
 type FieldChange struct {
--- a/keys/keys_test.go
+++ b/keys/keys_test.go
@@ -273,3 +273,35 @@
 		}
 	}
 }
+
+// TestCredentials guards against gRPC connections that fail to negotiate HTTP/2 or skip the role.
+func TestCredentials(t *testing.T) {
+	fake, known := clock.NewFake(1000), newAuthority(t)
+	entry := newRing(t, known.issue(t, t.TempDir(), "entry"), fake)
+	agent := newRing(t, known.issue(t, t.TempDir(), "agent"), fake)
+	for _, allowed := range []keys.Role{keys.RoleAgent, keys.RoleOperator} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		result := make(chan error, 1)
+		go func() {
+			far, err := listener.Accept()
+			if err == nil {
+				defer func() { _ = far.Close() }()
+				_, _, err = entry.ServerCredentials(allowed).ServerHandshake(far)
+			}
+			result <- err
+		}()
+		near, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _, clientErr := agent.ClientCredentials(keys.RoleEntry).ClientHandshake(t.Context(), "10.0.0.1", near)
+		serverErr := <-result
+		_, _ = near.Close(), listener.Close()
+		if (serverErr == nil) != (allowed == keys.RoleAgent) || allowed == keys.RoleAgent && clientErr != nil {
+			t.Fatalf("allowed %s: server %v, client %v", allowed, serverErr, clientErr)
+		}
+	}
+}
--- a/membership/workers_test.go
+++ b/membership/workers_test.go
@@ -120,9 +120,14 @@
 // TestLeavingReachesAll guards against a leaving endpoint that some entry still offers for new work
 // 3 s later, with each peer losing the first message or the first reply that says so.
 func TestLeavingReachesAll(t *testing.T) {
-	for _, lost := range []int{0, 1, 2} {
-		for offset := range clock.Millis(20) {
-			nodes := []*node{newNode("e1"), newNode("e2"), newNode("e3"), newNode("e4")}
+	for _, lost := range []int{0, 1, 2, 3, 4, 5} {
+		count := []int{4, 24}[lost/3]
+		lost %= 3
+		for offset := range clock.Millis(60) {
+			var nodes []*node
+			for index := range count {
+				nodes = append(nodes, newNode(ident.Entry(fmt.Sprint("e", index))))
+			}
 			nodes[0].workers.Announce(state("w1", 1, 1, false), 1000)
 			left, sent := clock.Time(10_000).Add(100*offset), map[ident.Entry]bool{}
 			for now := clock.Time(1000); !now.After(left.Add(3 * clock.Second)); now = now.Add(100) {
--- a/table/group.go
+++ b/table/group.go
@@ -91,7 +91,7 @@
 // dispatch collects offers for the group interval, waits for a free sender and for the rate limit,
 // and hands over as many as can be merged. Offers that arrive during these waits join the group.
 func (client *Client) dispatch() {
-	defer client.drain()
+	defer client.drain("client closed")
 	defer close(client.batches)
 	for {
 		select {
@@ -103,9 +103,7 @@
 			return
 		}
 		for client.waiting() {
-			select {
-			case client.senders <- struct{}{}:
-			case <-client.closed:
+			if !client.acquire() {
 				return
 			}
 			if !client.charge() {
@@ -128,6 +126,23 @@
 	return len(client.pending) > 0
 }
 
+// acquire waits for a free sender. While all of them wait for a service that does not answer, the
+// offers are refused instead of waiting too. It returns false if the Client was closed.
+func (client *Client) acquire() bool {
+	for {
+		select {
+		case client.senders <- struct{}{}:
+			return true
+		case <-client.closed:
+			return false
+		case <-client.clock.After(client.settings.ProbeMillis):
+			if client.breaker.isOpen() {
+				client.drain("circuit breaker open")
+			}
+		}
+	}
+}
+
 // charge waits until the rate limit permits a commit. It returns false if the Client was closed.
 func (client *Client) charge() bool {
 	for !client.breaker.isOpen() {
@@ -162,13 +177,15 @@
 	client.pending = rest
 }
 
-// drain refuses the offers that were never sent.
-func (client *Client) drain() {
+// drain refuses the offers that were not sent yet.
+func (client *Client) drain(reason string) {
 	client.mu.Lock()
-	batch := client.pending
+	defer client.mu.Unlock()
+	for _, proposed := range client.pending {
+		proposed.state = withdrawn
+		proposed.answer <- answer{err: ErrUnavailable{Reason: reason, RetryAfter: client.settings.ProbeMillis}}
+	}
 	client.pending = nil
-	client.mu.Unlock()
-	client.finish(batch, answer{err: ErrUnavailable{Reason: "client closed"}})
 }
 
 func (client *Client) finish(batch []*offer, reply answer) {
--- a/table/group_test.go
+++ b/table/group_test.go
@@ -135,6 +135,42 @@
 	}
 }
 
+// TestSilentService guards against transactions that wait behind calls which get no answer: all of
+// them must end with a typed error, and those that were not sent must not take effect.
+func TestSilentService(t *testing.T) {
+	settings := quick()
+	settings.CallMillis = 2 * clock.Second
+	failure := inBubble(t, settings, func(bench bench) string {
+		bench.memory.SetFault(func(tabletest.Call) tabletest.Fault { return tabletest.Hang })
+		var running sync.WaitGroup
+		var failure string
+		start := bench.clock.Now()
+		for index := range 30 {
+			running.Go(func() {
+				<-bench.clock.After(clock.Millis(index * 400))
+				began := bench.clock.Now()
+				transaction := put(table.Key(fmt.Sprint("Row/", index)), 0, fmt.Sprint(index))
+				_, err := bench.client.Commit(context.Background(), transaction)
+				if !table.IsErrUnavailable(err) && !table.IsErrUnknownOutcome(err) {
+					failure = fmt.Sprintf("transaction %d: %v", index, err)
+				}
+				// Four calls of 2 s with their waits, and the wait for a sender.
+				if took := bench.clock.Now().Sub(began); took > 12*clock.Second {
+					failure = fmt.Sprintf("transaction %d took %s", index, took)
+				}
+				if began.Sub(start) > 10*clock.Second && !bench.client.Outage() {
+					failure = "the breaker is closed"
+				}
+			})
+		}
+		running.Wait()
+		return failure
+	})
+	if failure != "" {
+		t.Fatal(failure)
+	}
+}
+
 // TestRateLimit guards against more calls than the daemon's share of the system's limits, and against
 // a share that does not follow the number of entries.
 func TestRateLimit(t *testing.T) {
