Keep former granters in the worker's row

Cause: with two changes of granter in a row, the second one did not know of the first granter, which might still have granted; package lease now requires the list, and an entry with the same id but a newer process answered for the older one.

Change: the row carries the former granters with their incarnations; each is asked to yield or known to be gone before this entry states that a lease lapsed; the agent's holder refuses older revisions itself.

Conclusion: a change of granter loses no earlier one.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -75,11 +75,8 @@
 	renewed     worker.Instant
 	known       []*controlpb.EntryState
 	knownDigest uint64
-	// granted is the highest revision of the worker's row under which a lease was accepted. A grant
-	// under a lower one comes from an entry that was replaced as granter and is ignored.
-	granted  uint64
-	complete bool
-	leaving  bool
+	complete    bool
+	leaving     bool
 
 	// meter belongs to the watching goroutine.
 	meter slowdownMeter
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -11,6 +11,7 @@
 	"hyssopjunction/controlpb"
 	"hyssopjunction/ident"
 	"hyssopjunction/lease"
+	"hyssopjunction/table"
 )
 
 // announce sends a heartbeat to the home entry and applies the reply.
@@ -96,7 +97,7 @@
 	digest := agent.tasksDigest()
 	request := &controlpb.AnnounceRequest{
 		State: state, Complete: agent.complete || digest != agent.listed,
-		GrantRevision: agent.granted, EntriesDigest: agent.knownDigest,
+		GrantRevision: uint64(agent.holder.Revision()), EntriesDigest: agent.knownDigest,
 	}
 	agent.announcing = digest
 	for _, entry := range agent.ledger.Entries() {
@@ -159,11 +160,7 @@
 	agent.finder.accepted(reply.Entries)
 	agent.complete = reply.WantComplete
 	agent.listed = agent.announcing
-	if reply.LeaseTermMillis == 0 || reply.GrantRevision < agent.granted {
-		return false
-	}
-	agent.granted = reply.GrantRevision
-	agent.holder.Granted(sequence, clock.Millis(reply.LeaseTermMillis), agent.time.Now())
+	agent.holder.Granted(sequence, clock.Millis(reply.LeaseTermMillis), table.Revision(reply.GrantRevision), agent.time.Now())
 	return false
 }
 
--- a/entry/announce.go
+++ b/entry/announce.go
@@ -9,6 +9,7 @@
 	"hyssopjunction/ident"
 	"hyssopjunction/lease"
 	"hyssopjunction/membership"
+	"hyssopjunction/table"
 )
 
 // Announce takes an agent's heartbeat. The home entry grants the agent's lease in the reply; any
@@ -93,7 +94,7 @@
 	if known == nil || !entry.entries.MayGrant(now) {
 		return
 	}
-	term, err := entry.granter.Grant(worker, incarnation, now)
+	term, err := entry.granter.Grant(worker, incarnation, table.Revision(request.GrantRevision), now)
 	if err != nil {
 		reply.Fenced = lease.IsErrFenced(err)
 		reply.Accepted = !reply.Fenced
--- a/entry/consult.go
+++ b/entry/consult.go
@@ -22,11 +22,10 @@
 // reports the ends in the agent's place. Without this, a task that finished while its agent was
 // paused or dead would run again. It returns true once the incarnation may be declared over.
 func (entry *Entry) consultRuntime(name ident.Worker) bool {
-	var known grant
-	entry.control.Call(func() {
-		entry.grants[name].consulted++
-		known = *entry.grants[name]
-	})
+	known, ok := entry.grantOf(name)
+	if !ok {
+		return false
+	}
 	if known.runtime == "" || entry.runtimes == nil || known.consulted > maxConsultations {
 		return true
 	}
@@ -46,6 +45,20 @@
 	return entry.reportFor(ctx, name, known.incarnation, report.Tasks)
 }
 
+// grantOf returns a copy of the grant and counts the consultation. It returns false if the worker has
+// another granter now.
+func (entry *Entry) grantOf(name ident.Worker) (grant, bool) {
+	var copied grant
+	found := false
+	entry.control.Call(func() {
+		if known := entry.grants[name]; known != nil {
+			known.consulted++
+			copied, found = *known, true
+		}
+	})
+	return copied, found
+}
+
 // reportFor reports ended tasks to the homes of their jobs and returns true if all have them.
 func (entry *Entry) reportFor(ctx context.Context, name ident.Worker, incarnation ident.Incarnation, ended []worker.Status) bool {
 	remote := map[string][]*controlpb.TaskStatus{}
--- a/entry/grants.go
+++ b/entry/grants.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"reflect"
+	"slices"
 
 	"k8s.io/klog/v2"
 
@@ -32,11 +34,20 @@
 	Incarnation        ident.Incarnation
 	Granter            ident.Entry
 	GranterIncarnation ident.Incarnation
+	// Former are the granters before, which may still grant until the agent has confirmed a grant of
+	// this one. The list is kept in the row, so that no change of granter loses one.
+	Former []formerGranter `json:",omitempty"`
 	// Over is set once the incarnation and all earlier ones are certainly over.
 	Over   bool
 	Reason string `json:",omitempty"`
 }
 
+// formerGranter is a process that granted leases to a worker.
+type formerGranter struct {
+	Entry       ident.Entry
+	Incarnation ident.Incarnation
+}
+
 // errBadWorkerRow reports a worker row that cannot be read.
 type errBadWorkerRow struct {
 	key   table.Key
@@ -53,10 +64,8 @@
 	incarnation ident.Incarnation
 	// revision is that of the worker's row that names this entry as granter.
 	revision table.Revision
-	// previous is the granter that this entry replaced, until the agent or the previous granter has
-	// confirmed the change. Until then this entry makes no statement about the worker, because the
-	// previous granter may still extend its lease.
-	previous ident.Entry
+	// former are the granters before this entry, with their incarnations.
+	former []formerGranter
 	// runtime is the address of the worker's runtime.
 	runtime string
 	// consulted counts the attempts to read the ended incarnation's tasks from the worker's runtime.
@@ -114,9 +123,6 @@
 		delete(entry.grants, worker)
 		return false, true
 	}
-	if acknowledged == uint64(known.revision) {
-		known.previous = ""
-	}
 	return false, false
 }
 
@@ -150,8 +156,11 @@
 
 func (entry *Entry) writeGrant(ctx context.Context, worker ident.Worker, incarnation ident.Incarnation, row table.Row, have workerRow) error {
 	mine := workerRow{Incarnation: incarnation, Granter: entry.settings.ID, GranterIncarnation: entry.incarnation}
+	if have.Incarnation == incarnation {
+		mine.Former = entry.formerOf(have)
+	}
 	revision := row.Revision
-	if have != mine {
+	if !reflect.DeepEqual(have, mine) {
 		result, err := entry.store.Commit(ctx, entry.workerWrite(worker, row.Revision, mine))
 		if err != nil {
 			klog.V(1).InfoS("Granter was not recorded", "Worker", worker, "Reason", err.Error())
@@ -159,21 +168,33 @@
 		}
 		revision = result.Revisions[workerKey(worker)]
 	}
-	previous := have.Granter
-	if have.Incarnation != incarnation || have.Over || previous == entry.settings.ID {
-		previous = ""
-	}
 	entry.control.Call(func() {
-		if err := entry.granter.Record(worker, incarnation, entry.time.Now()); err != nil {
+		names := make([]ident.Entry, 0, len(mine.Former))
+		for _, former := range mine.Former {
+			names = append(names, former.Entry)
+		}
+		if err := entry.granter.Record(worker, incarnation, revision, names, entry.time.Now()); err != nil {
 			klog.ErrorS(err, "Granter was recorded for an ended incarnation", "Worker", worker)
 			return
 		}
-		entry.grants[worker] = &grant{incarnation: incarnation, revision: revision, previous: previous}
-		klog.InfoS("Recorded as granter", "Worker", worker, "Incarnation", incarnation, "Previous", previous)
+		entry.grants[worker] = &grant{incarnation: incarnation, revision: revision, former: mine.Former}
+		klog.InfoS("Recorded as granter", "Worker", worker, "Incarnation", incarnation, "Former", len(mine.Former))
 	})
 	return nil
 }
 
+// formerOf returns the granters before this process according to the row.
+func (entry *Entry) formerOf(have workerRow) []formerGranter {
+	self := formerGranter{Entry: entry.settings.ID, Incarnation: entry.incarnation}
+	var former []formerGranter
+	for _, known := range append(slices.Clone(have.Former), formerGranter{Entry: have.Granter, Incarnation: have.GranterIncarnation}) {
+		if known != self && known.Entry != "" && !slices.Contains(former, known) {
+			former = append(former, known)
+		}
+	}
+	return former
+}
+
 // workerWrite returns the transaction that replaces the worker's row. It keeps an id of its own, so
 // that it is not merged with others and its revision is known.
 func (entry *Entry) workerWrite(worker ident.Worker, revision table.Revision, content workerRow) table.Transaction {
@@ -197,31 +218,49 @@
 	}
 }
 
+// handover is a former granter to be asked to grant no more.
+type handover struct {
+	worker   ident.Worker
+	revision table.Revision
+	former   formerGranter
+	address  string
+}
+
+// openHandovers returns the former granters that may still grant, after noting those that certainly
+// cannot any more.
+func (entry *Entry) openHandovers(now clock.Time) []handover {
+	var open []handover
+	for _, worker := range set.SortedKeys(entry.grants) {
+		known := entry.grants[worker]
+		waiting := entry.granter.Former(worker)
+		for _, former := range known.former {
+			if !slices.Contains(waiting, former.Entry) {
+				continue
+			}
+			if entry.entries.Gone(former.Entry, former.Incarnation, now) {
+				entry.granter.Stopped(worker, former.Entry, now)
+				continue
+			}
+			if peer, ok := entry.entries.Get(former.Entry); ok {
+				open = append(open, handover{worker, known.revision, former, peer.ControlAddress})
+			}
+		}
+	}
+	return open
+}
+
 // settleGrants asks previous granters to yield, and declares incarnations over whose lease lapsed.
 func (entry *Entry) settleGrants() {
-	type handover struct {
-		worker   ident.Worker
-		revision table.Revision
-		address  string
-	}
 	var handovers []handover
 	var ending []ident.Worker
 	entry.control.Call(func() {
 		now := entry.time.Now()
-		for _, worker := range set.SortedKeys(entry.grants) {
-			known := entry.grants[worker]
-			if known.previous == "" {
-				continue
-			}
-			if previous, ok := entry.entries.Get(known.previous); ok {
-				handovers = append(handovers, handover{worker, known.revision, previous.ControlAddress})
-			}
-		}
+		handovers = entry.openHandovers(now)
 		ending = entry.endLapsed(now)
 		entry.forgetOld(now)
 	})
 	for _, change := range handovers {
-		entry.requestYield(change.worker, change.revision, change.address)
+		entry.requestYield(change)
 	}
 	for _, worker := range ending {
 		if entry.consultRuntime(worker) {
@@ -236,7 +275,7 @@
 func (entry *Entry) endLapsed(now clock.Time) []ident.Worker {
 	for _, worker := range entry.granter.Due(now) {
 		known := entry.grants[worker]
-		if known == nil || known.previous != "" || known.ending {
+		if known == nil || known.ending {
 			continue
 		}
 		if err := entry.granter.Over(worker, known.incarnation, now); err == nil {
@@ -255,8 +294,10 @@
 
 // writeEnd writes that the incarnation is over and tells the scheduler.
 func (entry *Entry) writeEnd(worker ident.Worker) {
-	var known grant
-	entry.control.Call(func() { known = *entry.grants[worker] })
+	known, ok := entry.grantOf(worker)
+	if !ok {
+		return
+	}
 	ctx, cancel := entry.call(entry.settings.CallTimeout)
 	defer cancel()
 	content := workerRow{
@@ -267,7 +308,9 @@
 	switch {
 	case err == nil:
 		entry.control.Call(func() {
-			entry.grants[worker].revision = 0
+			if written := entry.grants[worker]; written != nil && written.revision == known.revision {
+				written.revision = 0
+			}
 			entry.incarnationEnded(worker, known.incarnation, lease.LeaseLapsed)
 		})
 	case table.IsErrConflict(err):
@@ -305,27 +348,28 @@
 	}
 }
 
-// requestYield asks the previous granter to grant no more.
-func (entry *Entry) requestYield(worker ident.Worker, revision table.Revision, address string) {
-	client, err := entry.connections.Entry(address)
+// requestYield asks a former granter to grant no more.
+func (entry *Entry) requestYield(change handover) {
+	client, err := entry.connections.Entry(change.address)
 	if err != nil {
 		return
 	}
 	ctx, cancel := entry.call(entry.settings.CallTimeout)
 	defer cancel()
-	if _, err := client.Yield(ctx, &controlpb.YieldRequest{Worker: string(worker), GrantRevision: uint64(revision)}); err != nil {
-		klog.V(1).InfoS("Previous granter did not yield", "Worker", worker, "Entry", address, "Reason", err.Error())
+	reply, err := client.Yield(ctx, &controlpb.YieldRequest{
+		Worker: string(change.worker), GrantRevision: uint64(change.revision), Incarnation: uint64(change.former.Incarnation),
+	})
+	if err != nil || !reply.Yielded {
+		klog.V(1).InfoS("Former granter did not yield", "Worker", change.worker, "Entry", change.former.Entry)
 		return
 	}
-	entry.control.Call(func() {
-		if known := entry.grants[worker]; known != nil && known.revision == revision {
-			known.previous = ""
-		}
-	})
+	entry.control.Call(func() { entry.granter.Stopped(change.worker, change.former.Entry, entry.time.Now()) })
 }
 
-// Yield stops granting leases to an agent whose granter another entry has become.
+// Yield stops granting leases to an agent whose granter another entry has become. It answers for
+// this process only: an older one with the same id may still run somewhere.
 func (entry *Entry) Yield(_ context.Context, request *controlpb.YieldRequest) (*controlpb.YieldReply, error) {
+	reply := &controlpb.YieldReply{}
 	entry.control.Call(func() {
 		worker := ident.Worker(request.Worker)
 		known := entry.grants[worker]
@@ -333,8 +377,9 @@
 			entry.granter.Lose(worker)
 			delete(entry.grants, worker)
 		}
+		reply.Yielded = ident.Incarnation(request.Incarnation) == entry.incarnation
 	})
-	return &controlpb.YieldReply{}, nil
+	return reply, nil
 }
 
 // incarnationEndedElsewhere takes the statement of another entry, which the table already holds.
--- a/entry/silent.go
+++ b/entry/silent.go
@@ -61,7 +61,7 @@
 	}
 	gone := false
 	entry.control.Call(func() {
-		gone = have.Granter != "" && entry.entries.Gone(have.Granter, have.GranterIncarnation, entry.time.Now())
+		gone = entry.allGone(have, entry.time.Now())
 	})
 	if !gone {
 		return
@@ -79,6 +79,19 @@
 	})
 }
 
+// allGone reports whether neither the granter in the row nor a former one can have a lease in force.
+func (entry *Entry) allGone(have workerRow, now clock.Time) bool {
+	if have.Granter == "" || !entry.entries.Gone(have.Granter, have.GranterIncarnation, now) {
+		return false
+	}
+	for _, former := range have.Former {
+		if !entry.entries.Gone(former.Entry, former.Incarnation, now) {
+			return false
+		}
+	}
+	return true
+}
+
 // workerSeen tells the scheduler the newest state of a worker.
 func (entry *Entry) workerSeen(worker ident.Worker) {
 	state, ok := entry.workers.Get(worker)
