--- a/dispatch/takeover.go
+++ b/dispatch/takeover.go
@@ -22,6 +22,11 @@
 		// A query ends within QueryTimeout.
 		queried := <-dispatcher.query(ctx, ticket.Record.Target, ticket.Record.Request, refuse)
 		known := dispatcher.interpretQuery(ticket.Record.Request, queried)
+		if known.outcome == outcome.Unknown && !known.pending {
+			// An agent on a replaced machine cannot be reached at its old address any more.
+			current, ok := flow.candidates.Find(ticket.Record.Target.Endpoint)
+			known.final = known.final || (ok && current.Incarnation > ticket.Record.Target.Incarnation)
+		}
 		switch {
 		case known.outcome == outcome.Ran:
 			dispatcher.complete(ctx, ticket, known)
