--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -1,6 +1,7 @@
 package routing_test
 
 import (
+	"flag"
 	"fmt"
 	"sync"
 	"testing"
@@ -101,6 +102,12 @@
 				if ejected := view.Ejected(now); 3*ejected > view.Len() {
 					t.Fatalf("%d of %d ejected", ejected, view.Len())
 				}
+				for index, explained := range view.Explain(now) {
+					unusable := known[index].Leaving || known[index].Unhealthy || explained.EjectedMillis > 0
+					if explained.Usable == unusable || (explained.Reason == "") == unusable {
+						t.Fatalf("%+v is explained as %+v", known[index], explained)
+					}
+				}
 			},
 		})
 	})
@@ -181,3 +188,12 @@
 		}
 	}
 }
+
+// The seed is fixed; -rapid.seed overrides it.
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "20261203", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
