table: make write ids of successive processes differ; bound unanswered exchanges

Cause: a restarted process with the same writer name would have reused write ids, and a read-back could have taken an old write for its own.

--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -9,6 +9,9 @@
 	"google.golang.org/protobuf/proto"
 )
 
+// outstandingMax bounds the exchanges to one peer whose reply can still count.
+const outstandingMax = 16
+
 // peer is the state of the exchanges with another entry, in both directions.
 type peer struct {
 	// theirs is the incarnation that has acknowledged the changes up to acked. It holds none of them
@@ -115,6 +118,9 @@
 	}
 	known.sent = now
 	known.sentChange[known.sequence] = workers.change
+	if known.sequence > outstandingMax {
+		delete(known.sentChange, known.sequence-outstandingMax)
+	}
 	return request
 }
 
--- a/table/client.go
+++ b/table/client.go
@@ -62,9 +62,9 @@
 	running sync.WaitGroup
 }
 
-// NewClient returns a Client of store. Writer names the process uniquely among all that ever write
-// to the table, for example the daemon's id and incarnation. Random is used for jitter only. The
-// Client runs until Close.
+// NewClient returns a Client of store. Writer names the process in write ids, for example by the
+// daemon's id. Random is used for jitter and to make the write ids of successive processes of one
+// name different, so it must be seeded differently in each process. The Client runs until Close.
 func NewClient(store Store, source clock.Clock, writer string, random *rand.Rand, settings Settings) *Client {
 	settings = settings.normal()
 	base, cancel := context.WithCancel(context.Background())
@@ -75,7 +75,7 @@
 		reads:    newLimit(float64(settings.SystemReads)/float64(settings.Entries), settings.RateWaitMillis),
 		writes:   newLimit(float64(settings.SystemWrites)/float64(settings.Entries), settings.RateWaitMillis),
 		expiry:   &deadlines{term: settings.CallMillis, wake: make(chan struct{}, 1)},
-		writer:   writer,
+		writer:   fmt.Sprintf("%s.%016x", writer, random.Uint64()),
 		random:   random,
 		offered:  make(chan struct{}, 1),
 		senders:  make(chan struct{}, settings.Senders),
