Add the HTTP adapter of the object store

Cause: package objectstore had no adapter, and the stand-in matched an earlier shape of its interface with errors of its own.

Change: objectstore.HTTP implements Store; standin.Objects implements Store with the errors of package objectstore, and the client in package standin is gone.

Conclusion: daemons can use the object store over HTTP.

--- a/standin/server.go
+++ b/standin/server.go
@@ -15,8 +15,8 @@
 // Server offers a Platform's table, object store, worker runtimes, faults and records over HTTP:
 //
 //	POST /table/{get,range,commit}     see table.HTTP
-//	GET, PUT, DELETE /objects/{Name}   see HTTPObjects
-//	GET /objects?Prefix=P
+//	GET, PUT, DELETE /objects/{Name}   see objectstore.HTTP
+//	GET /objects?Prefix=P&After=A&Limit=N
 //	POST /workers/{Worker}/{Call}      see worker.HTTP
 //	GET, POST /faults                  see FaultState and FaultChange
 //	GET /records                       see Report
