Carry callers' requests over the tested connections and read all settings

Cause: the entry had its own way of knowing whether a request left, the object store and several settings were not read.

Change: dispatch.Connections replaces it; large answers of keyed submissions go to the object store; retention, default patience and retry budget follow the settings.

Conclusion: one way to reach agents is left.

--- a/cmd/agent.go
+++ b/cmd/agent.go
@@ -14,6 +14,7 @@
 	"hyssopjunction/agent"
 	"hyssopjunction/clock"
 	"hyssopjunction/config"
+	"hyssopjunction/controlpb"
 	"hyssopjunction/endpoint"
 	"hyssopjunction/ident"
 	"hyssopjunction/keys"
@@ -59,7 +60,7 @@
 			func(settings setting.Agent, source clock.Clock) (*keys.Ring, error) {
 				return newRing(settings.TLS, source)
 			},
-			newPools, newIncarnation, newRuntime, newGate, config.NewPublisher,
+			newPool, newIncarnation, newRuntime, newGate, config.NewPublisher,
 		),
 		fx.Invoke(startAgent),
 	)
@@ -97,7 +98,7 @@
 
 // startAgent starts the agent and its servers with the application and stops them gracefully.
 func startAgent(lifecycle fx.Lifecycle, settings setting.Agent, source clock.Clock, runtime worker.Runtime,
-	gate agent.Gate, connections pools, ring *keys.Ring, publisher *config.Publisher, incarnation ident.Incarnation,
+	gate agent.Gate, pool *controlpb.Pool, ring *keys.Ring, publisher *config.Publisher, incarnation ident.Incarnation,
 ) error {
 	listener, err := listen(settings.Listen.Control, ring, settings.TLS)
 	if err != nil {
@@ -116,7 +117,7 @@
 	var page *http.Server
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			daemon := agent.New(converted, source, runtime, gate, connections.control, publisher, incarnation, newRandom())
+			daemon := agent.New(converted, source, runtime, gate, pool, publisher, incarnation, newRandom())
 			var options []grpc.ServerOption
 			if ring != nil {
 				options = append(options, grpc.Creds(ring.ServerCredentials()))
--- a/cmd/daemon.go
+++ b/cmd/daemon.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"go.uber.org/fx"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"k8s.io/klog/v2"
 
@@ -29,24 +30,19 @@
 // stopExtra is added to the bound of the graceful shutdown for closing listeners and connections.
 const stopExtra = 5 * time.Second
 
-// pools are the connections of a daemon: requests of callers use traffic, everything else control.
-type pools struct {
-	traffic *controlpb.Pool
-	control *controlpb.Pool
+// newPool returns the connections of a daemon to other daemons.
+func newPool(lifecycle fx.Lifecycle, ring *keys.Ring) *controlpb.Pool {
+	pool := controlpb.NewPool(controlpb.DialOptions(transport(ring))...)
+	lifecycle.Append(fx.StopHook(pool.Close))
+	return pool
 }
 
-func newPools(lifecycle fx.Lifecycle, ring *keys.Ring) pools {
-	transport := insecure.NewCredentials()
-	if ring != nil {
-		transport = ring.ClientCredentials()
+// transport returns the credentials for dialling, without encryption if there is no certificate.
+func transport(ring *keys.Ring) credentials.TransportCredentials {
+	if ring == nil {
+		return insecure.NewCredentials()
 	}
-	made := pools{
-		traffic: controlpb.NewPool(controlpb.DialOptions(transport)...),
-		control: controlpb.NewPool(controlpb.DialOptions(transport)...),
-	}
-	lifecycle.Append(fx.StopHook(made.traffic.Close))
-	lifecycle.Append(fx.StopHook(made.control.Close))
-	return made
+	return ring.ClientCredentials()
 }
 
 // newRing loads the certificate, or returns nil if the settings name none.
--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -19,16 +19,22 @@
 
 	"hyssopjunction/caller"
 	"hyssopjunction/clock"
+	"hyssopjunction/controlpb"
+	"hyssopjunction/dispatch"
 	"hyssopjunction/entry"
 	"hyssopjunction/ident"
 	"hyssopjunction/keys"
 	"hyssopjunction/lease"
+	"hyssopjunction/objectstore"
 	"hyssopjunction/operator"
 	"hyssopjunction/setting"
 	tables "hyssopjunction/table"
 	"hyssopjunction/worker"
 )
 
+// permillePerPercent converts the retry budget.
+const permillePerPercent = 10
+
 // tableConnections bounds the connections of an entry to the table service.
 const tableConnections = 16
 
@@ -67,7 +73,7 @@
 			func(settings setting.Entry, source clock.Clock) (*keys.Ring, error) {
 				return newRing(settings.TLS, source)
 			},
-			newPools, newEntryTable, newCredentials,
+			newPool, newAgentConnections, newEntryTable, newCredentials,
 		),
 		fx.Invoke(startEntry),
 	)
@@ -123,9 +129,16 @@
 	return credentials, lines.Err()
 }
 
+// newAgentConnections returns the connections that carry callers' requests to agents.
+func newAgentConnections(lifecycle fx.Lifecycle, source clock.Clock, ring *keys.Ring) *dispatch.Connections {
+	connections := dispatch.NewConnections(source, controlpb.DialOptions(transport(ring))...)
+	lifecycle.Append(fx.StopHook(connections.Close))
+	return connections
+}
+
 // startEntry starts the entry and its servers with the application and stops them gracefully.
 func startEntry(lifecycle fx.Lifecycle, settings setting.Entry, source clock.Clock, store *tables.Client,
-	connections pools, ring *keys.Ring, credentials []operator.Credential,
+	agents *dispatch.Connections, pool *controlpb.Pool, ring *keys.Ring, credentials []operator.Credential,
 ) error {
 	listeners, err := entryListeners(settings, ring)
 	if err != nil {
@@ -134,7 +147,7 @@
 	var server *entry.Server
 	lifecycle.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
-			daemon, err := newEntry(ctx, settings, source, store, connections)
+			daemon, err := newEntry(ctx, settings, source, store, agents, pool)
 			if err != nil {
 				return err
 			}
@@ -175,7 +188,9 @@
 }
 
 // newEntry starts the entry once its row can be read.
-func newEntry(ctx context.Context, settings setting.Entry, source clock.Clock, store *tables.Client, connections pools) (*entry.Entry, error) {
+func newEntry(ctx context.Context, settings setting.Entry, source clock.Clock, store *tables.Client,
+	agents *dispatch.Connections, pool *controlpb.Pool,
+) (*entry.Entry, error) {
 	converted := entry.DefaultSettings()
 	converted.ID = ident.Entry(settings.Identity.Name)
 	converted.Region, converted.DataCentre = settings.Identity.Region, settings.Identity.DataCentre
@@ -186,11 +201,15 @@
 	converted.Lease = lease.Settings{Term: settings.Tasks.LeaseTermMillis, OutageGrace: settings.Tasks.OutageGraceMillis}
 	converted.Placement.ReservationTerm = settings.Tasks.ReservationTermMillis
 	converted.ConfigPoll = settings.Config.PollMillis
+	converted.Retention = settings.Requests.RetentionMillis
+	converted.DefaultPatience = settings.Requests.DefaultPatienceMillis
+	converted.Retry.RatioPermille = settings.Requests.RetryBudgetPercent * permillePerPercent
 	client := httpClient(workerConnections)
+	objects := objectstore.NewHTTP(settings.Objects.URL, client)
 	runtimes := func(address string, name ident.Worker) worker.Runtime { return worker.NewHTTP(address, name, client) }
 	for {
 		daemon, err := entry.New(ctx, converted, entry.Dependencies{
-			Clock: source, Table: store, Traffic: connections.traffic, Control: connections.control, Runtimes: runtimes,
+			Clock: source, Table: store, Agents: agents, Control: pool, Runtimes: runtimes, Objects: objects,
 		})
 		if err == nil || !tables.IsErrUnavailable(err) {
 			return daemon, err
--- a/controlpb/errors.go
+++ b/controlpb/errors.go
@@ -3,8 +3,6 @@
 import (
 	"errors"
 	"fmt"
-
-	"google.golang.org/grpc/connectivity"
 )
 
 // ErrDial reports an address to which no connection can be set up.
@@ -27,9 +25,3 @@
 func IsErrDial(err error) bool {
 	return errors.As(err, new(ErrDial))
 }
-
-// errState is the cause of a connection that could not be established.
-type errState struct{ state connectivity.State }
-
-// Error names the state.
-func (err errState) Error() string { return "connection is " + err.state.String() }
--- a/controlpb/pool.go
+++ b/controlpb/pool.go
@@ -1,11 +1,9 @@
 package controlpb
 
 import (
-	"context"
 	"sync"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/connectivity"
 )
 
 // Pool keeps one connection per address of a daemon. It is safe for concurrent use.
@@ -39,31 +37,6 @@
 	return NewEntryClient(connection), nil
 }
 
-// Connect returns once a connection to address is established. The error is ErrDial; nothing was
-// sent on the connection then.
-func (pool *Pool) Connect(ctx context.Context, address string) error {
-	connection, err := pool.connection(address)
-	if err != nil {
-		return err
-	}
-	for {
-		state := connection.GetState()
-		switch state {
-		case connectivity.Ready:
-			return nil
-		case connectivity.TransientFailure, connectivity.Shutdown:
-			// The next call dials at once instead of waiting for the backoff.
-			pool.Discard(address)
-			return ErrDial{Address: address, Cause: errState{state: state}}
-		case connectivity.Idle:
-			connection.Connect()
-		}
-		if !connection.WaitForStateChange(ctx, state) {
-			return ErrDial{Address: address, Cause: ctx.Err()}
-		}
-	}
-}
-
 // Discard closes the connection to address, so that the next call dials anew. It is used when a
 // connection is suspected to be silent.
 func (pool *Pool) Discard(address string) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,10 +20,12 @@
 	"hyssopjunction/lease"
 	"hyssopjunction/loop"
 	"hyssopjunction/membership"
+	"hyssopjunction/objectstore"
 	"hyssopjunction/placement"
 	"hyssopjunction/quota"
 	"hyssopjunction/retry"
 	"hyssopjunction/routing"
+	"hyssopjunction/set"
 	"hyssopjunction/table"
 	"hyssopjunction/worker"
 )
@@ -32,20 +34,27 @@
 type Connections interface {
 	Agent(address string) (controlpb.AgentClient, error)
 	Entry(address string) (controlpb.EntryClient, error)
-	// Connect returns once a connection to address is established, or an error if none can be.
-	Connect(ctx context.Context, address string) error
 	Discard(address string)
 }
 
+// Agents carries callers' requests to agents.
+type Agents interface {
+	dispatch.Agents
+	// Keep closes the connections to agents that are not in addresses.
+	Keep(addresses set.Set[string])
+}
+
 // Dependencies of an entry.
 type Dependencies struct {
 	Clock clock.Clock
 	// Table is a client that resolves lost answers, see table.Client.
 	Table table.Store
-	// Traffic carries callers' requests, control everything else. They are separate, so that giving
-	// up a silent connection of one kind does not cut the calls of the other.
-	Traffic Connections
+	// Agents carries callers' requests, Control everything else. They use separate connections, so
+	// that giving up a silent connection of one kind does not cut the calls of the other.
+	Agents  Agents
 	Control Connections
+	// Objects keeps large answers of keyed submissions; nil keeps none.
+	Objects objectstore.Store
 	// Runtimes returns the runtime of a worker at the address that its agent announced.
 	Runtimes func(address string, name ident.Worker) worker.Runtime
 }
@@ -58,6 +67,7 @@
 	time         clock.Clock
 	store        table.Store
 	connections  Connections
+	agents       Agents
 	runtimes     func(address string, name ident.Worker) worker.Runtime
 	publisher    *config.Publisher
 	reader       *config.Reader
@@ -135,7 +145,7 @@
 	publisher := config.NewPublisher()
 	incarnation := entries.Self().Incarnation
 	entry := &Entry{
-		settings: settings, time: dependencies.Clock, store: dependencies.Table, connections: dependencies.Control,
+		settings: settings, time: dependencies.Clock, store: dependencies.Table, connections: dependencies.Control, agents: dependencies.Agents,
 		runtimes:  dependencies.Runtimes,
 		publisher: publisher, view: membership.NewPublisher(), router: routing.New(settings.Routing),
 		control: loop.New(), lanes: newLanes(), incarnation: incarnation,
@@ -157,10 +167,14 @@
 	polling.PollMillis = settings.ConfigPoll
 	entry.reader = config.NewReader(dependencies.Table, dependencies.Clock, entry.newRandom(1), publisher, polling)
 	entry.editor = config.NewEditor(dependencies.Table, dependencies.Clock, entry.newRandom(2), publisher)
-	entry.dispatcher = dispatch.New(dependencies.Clock, &agents{traffic: dependencies.Traffic, probes: dependencies.Control},
-		entry, dedup.New(dependencies.Table, entry.newWrite, dedup.Defaults()), retry.NewBudget(retry.Defaults()),
-		admission.NewLimiter(settings.Concurrency, clock.Second), entry.NewRequest, settings.Dispatch)
+	ledger := dedup.New(dependencies.Table, entry.newWrite, dedup.Defaults())
 	entry.sweeper = dedup.NewSweeper(dependencies.Table, entry.newWrite, entry.retention)
+	if dependencies.Objects != nil {
+		ledger = ledger.WithBodies(bodies{dependencies.Objects})
+		entry.sweeper = entry.sweeper.WithBodies(bodies{dependencies.Objects})
+	}
+	entry.dispatcher = dispatch.New(dependencies.Clock, dependencies.Agents, entry, ledger, retry.NewBudget(settings.Retry),
+		admission.NewLimiter(settings.Concurrency, clock.Second), entry.NewRequest, settings.Dispatch)
 	return entry
 }
 
--- a/entry/names.go
+++ b/entry/names.go
@@ -19,5 +19,5 @@
 
 // retention is how long the claim rows of a service are kept.
 func (entry *Entry) retention(ident.Service) clock.Millis {
-	return clock.Day
+	return entry.settings.Retention
 }
--- a/entry/services.go
+++ b/entry/services.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"cmp"
+
 	"hyssopjunction/clock"
 	"hyssopjunction/config"
 	"hyssopjunction/dispatch"
@@ -44,7 +46,7 @@
 			candidates = append(candidates, entry.candidate(endpoint, view, now))
 		}
 		prepared.services[name] = serviceView{
-			service:    dispatch.Service{Idempotent: service.Idempotent, Patience: service.PatienceMillis},
+			service:    dispatch.Service{Idempotent: service.Idempotent, Patience: cmp.Or(service.PatienceMillis, entry.settings.DefaultPatience)},
 			candidates: entry.router.NewView(now, name, candidates),
 		}
 	}
@@ -55,6 +57,11 @@
 		}
 	}
 	entry.services.Store(prepared)
+	addresses := set.New[string]()
+	for _, worker := range snapshot.Workers {
+		addresses.Add(worker.AgentAddress)
+	}
+	entry.agents.Keep(addresses)
 }
 
 func (entry *Entry) candidate(endpoint membership.Endpoint, view *config.View, now clock.Time) routing.Candidate {
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -9,6 +9,7 @@
 	"hyssopjunction/lease"
 	"hyssopjunction/membership"
 	"hyssopjunction/placement"
+	"hyssopjunction/retry"
 	"hyssopjunction/routing"
 )
 
@@ -40,6 +41,11 @@
 	Placement  placement.Settings
 	Routing    routing.Settings
 	Dispatch   dispatch.Settings
+	Retry      retry.Settings
+	// Retention is how long the results of keyed submissions are kept.
+	Retention clock.Millis
+	// DefaultPatience is that of requests whose service has none.
+	DefaultPatience clock.Millis
 }
 
 // DefaultSettings returns the settings used in production, without identity and addresses.
@@ -55,6 +61,10 @@
 		Membership:  membership.DefaultSettings(),
 		Routing:     routing.Defaults(),
 		Dispatch:    dispatch.Defaults(),
+		Retry:       retry.Defaults(),
+		Retention:   clock.Day,
+
+		DefaultPatience: 5 * clock.Second,
 	}
 }
 
--- a/standalone/deployment.go
+++ b/standalone/deployment.go
@@ -18,6 +18,7 @@
 	"hyssopjunction/clock"
 	"hyssopjunction/config"
 	"hyssopjunction/controlpb"
+	"hyssopjunction/dispatch"
 	"hyssopjunction/endpoint"
 	"hyssopjunction/entry"
 	"hyssopjunction/ident"
@@ -76,7 +77,8 @@
 type entryNode struct {
 	server   *entry.Server
 	store    *table.Client
-	pools    []*controlpb.Pool
+	pool     *controlpb.Pool
+	agents   *dispatch.Connections
 	caller   string
 	operator string
 }
@@ -191,7 +193,8 @@
 	limits.Entries = len(deployment.layout.DataCentres)
 	node := &entryNode{
 		store:  table.NewClient(deployment.Platform.Table, deployment.time, writer, rand.New(rand.NewPCG(deployment.layout.Seed, 3)), limits),
-		pools:  []*controlpb.Pool{newPool(), newPool()},
+		pool:   newPool(),
+		agents: dispatch.NewConnections(deployment.time, controlpb.DialOptions(insecure.NewCredentials())...),
 		caller: listeners.Caller.Addr().String(), operator: listeners.Operator.Addr().String(),
 	}
 	settings := entry.DefaultSettings()
@@ -200,7 +203,7 @@
 	settings.Round, settings.Seed = 100*clock.Millisecond, deployment.layout.Seed
 	settings.Lease.Term, settings.Membership = deployment.layout.Term, deployment.layout.Membership
 	daemon, err := entry.New(ctx, settings, entry.Dependencies{
-		Clock: deployment.time, Table: node.store, Traffic: node.pools[0], Control: node.pools[1],
+		Clock: deployment.time, Table: node.store, Agents: node.agents, Control: node.pool, Objects: deployment.Platform.Objects,
 		Runtimes: func(_ string, name ident.Worker) worker.Runtime { return deployment.Platform.Workers[name] },
 	})
 	if err != nil {
@@ -285,9 +288,8 @@
 
 func (node *entryNode) release() {
 	node.store.Close()
-	for _, pool := range node.pools {
-		pool.Close()
-	}
+	node.agents.Close()
+	node.pool.Close()
 }
 
 // CrashAgent ends an agent at once. Its tasks run on until the worker's lease lapses.
