Test the order of the queue

Cause: no test covered priority and patience.

Change: a job with patience goes before one with priority 4, which goes before a plain one submitted earlier; a job past its patience is shown as late.

Conclusion: the order is as documented at priorityCredit.

--- a/placement/behaviour_test.go
+++ b/placement/behaviour_test.go
@@ -348,3 +348,24 @@
 		t.Fatal("the room is not used at once")
 	}
 }
+
+// TestOrder guards against a queue that ignores priority or the caller's patience, and against a late
+// job that is not shown as such.
+func TestOrder(t *testing.T) {
+	world := newSim(t, Settings{}, Dependencies{}, 1, host)
+	world.submit(batch("filler", 16, small), small, 20*clock.Second)
+	world.run(1)
+	patient, ranked := batch("patient", 16, small), batch("ranked", 16, small)
+	patient.Patience, ranked.Priority = 5*clock.Second, 4
+	for _, spec := range []job.Spec{batch("plain", 16, small), ranked, patient} {
+		world.submit(spec, small, 20*clock.Second)
+	}
+	world.run(30)
+	if explanation, _ := world.scheduler.Explain("patient"); !explanation.Late || explanation.Reason == "" {
+		t.Fatalf("%+v", explanation)
+	}
+	world.run(120)
+	if first, second, third := world.startedAt["patient"], world.startedAt["ranked"], world.startedAt["plain"]; first >= second || second >= third {
+		t.Fatalf("started at %d, %d and %d", first, second, third)
+	}
+}
