Use the lease package's record of workers and name granters by process

Cause: entry and lease had a row format each for the same row, and a former granter was named without its incarnation, so that a newer process of the same entry could answer for an older one.

Change: lease.Record names processes; entry uses lease.Takeover and lease.End; its own row type is removed.

Conclusion: the rule for the worker's row stands once and is tested as a random run.

--- a/entry/grants.go
+++ b/entry/grants.go
@@ -2,10 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
-	"reflect"
-	"slices"
 
 	"k8s.io/klog/v2"
 
@@ -18,9 +14,6 @@
 	"hyssopjunction/table"
 )
 
-// workerPrefix starts the keys of the rows that name the granter of each worker.
-const workerPrefix = "Worker/"
-
 // endedKept is how long an ended incarnation is repeated in exchanges. Entries that miss all of
 // them read the worker's row.
 const endedKept = clock.Minute
@@ -28,44 +21,11 @@
 // maxGrantWriteTries bounds the attempts to record a granter in one heartbeat.
 const maxGrantWriteTries = 3
 
-// workerRow is the value of a worker's row. It is written when the granter or the incarnation
-// changes and when the incarnation ends.
-type workerRow struct {
-	Incarnation        ident.Incarnation
-	Granter            ident.Entry
-	GranterIncarnation ident.Incarnation
-	// Former are the granters before, which may still grant until the agent has confirmed a grant of
-	// this one. The list is kept in the row, so that no change of granter loses one.
-	Former []formerGranter `json:",omitempty"`
-	// Over is set once the incarnation and all earlier ones are certainly over.
-	Over   bool
-	Reason string `json:",omitempty"`
-}
-
-// formerGranter is a process that granted leases to a worker.
-type formerGranter struct {
-	Entry       ident.Entry
-	Incarnation ident.Incarnation
-}
-
-// errBadWorkerRow reports a worker row that cannot be read.
-type errBadWorkerRow struct {
-	key   table.Key
-	cause error
-}
-
-// Error describes the row.
-func (err errBadWorkerRow) Error() string {
-	return fmt.Sprintf("bad row %s: %v", err.key, err.cause)
-}
-
 // grant is what this entry knows of its right to grant a worker's lease.
 type grant struct {
 	incarnation ident.Incarnation
 	// revision is that of the worker's row that names this entry as granter.
 	revision table.Revision
-	// former are the granters before this entry, with their incarnations.
-	former []formerGranter
 	// runtime is the address of the worker's runtime.
 	runtime string
 	// consulted counts the attempts to read the ended incarnation's tasks from the worker's runtime.
@@ -79,27 +39,9 @@
 	at          clock.Time
 }
 
-func workerKey(worker ident.Worker) table.Key {
-	return table.Key(workerPrefix + string(worker))
-}
-
-func decodeWorkerRow(row table.Row) (workerRow, error) {
-	var content workerRow
-	if !row.Exists() {
-		return content, nil
-	}
-	if err := json.Unmarshal(row.Value, &content); err != nil {
-		return content, errBadWorkerRow{key: row.Key, cause: err}
-	}
-	return content, nil
-}
-
-func encodeWorkerRow(content workerRow) []byte {
-	value, err := json.Marshal(content)
-	if err != nil {
-		panic(err) // strings and integers always have a JSON form
-	}
-	return value
+// process names this process as a granter.
+func (entry *Entry) process() lease.Process {
+	return lease.Process{Entry: entry.settings.ID, Incarnation: entry.incarnation}
 }
 
 // grantState reports whether the incarnation is fenced, and whether this entry has to record itself
@@ -132,89 +74,80 @@
 	ctx, cancel := entry.call(entry.settings.CallTimeout)
 	defer cancel()
 	for range maxGrantWriteTries {
-		row, err := entry.store.Get(ctx, workerKey(worker))
+		row, err := entry.store.Get(ctx, lease.Key(worker))
 		if err != nil {
 			klog.V(1).InfoS("Worker's row was not read", "Worker", worker, "Reason", err.Error())
 			return false
 		}
-		have, err := decodeWorkerRow(row)
-		if err != nil {
-			klog.ErrorS(err, "Worker cannot be granted a lease", "Worker", worker)
-			return false
-		}
-		if incarnation < have.Incarnation || (incarnation == have.Incarnation && have.Over) {
-			entry.control.Call(func() { entry.noteFence(worker, have) })
+		err = entry.takeOver(ctx, worker, incarnation, row)
+		switch {
+		case lease.IsErrFenced(err):
+			entry.control.Call(func() { entry.noteFence(worker, row) })
 			return true
-		}
-		err = entry.writeGrant(ctx, worker, incarnation, row, have)
-		if err == nil || !table.IsErrConflict(err) {
+		case err == nil || !table.IsErrConflict(err):
 			return false
 		}
 	}
 	return false
 }
 
-func (entry *Entry) writeGrant(ctx context.Context, worker ident.Worker, incarnation ident.Incarnation, row table.Row, have workerRow) error {
-	mine := workerRow{Incarnation: incarnation, Granter: entry.settings.ID, GranterIncarnation: entry.incarnation}
-	if have.Incarnation == incarnation {
-		mine.Former = entry.formerOf(have)
+// takeOver makes this process the granter in the worker's row, unless it is already.
+func (entry *Entry) takeOver(ctx context.Context, worker ident.Worker, incarnation ident.Incarnation, row table.Row) error {
+	record, err := lease.DecodeRecord(row)
+	if err != nil {
+		klog.ErrorS(err, "Worker cannot be granted a lease", "Worker", worker)
+		return err
 	}
 	revision := row.Revision
-	if !reflect.DeepEqual(have, mine) {
-		result, err := entry.store.Commit(ctx, entry.workerWrite(worker, row.Revision, mine))
+	if record.Granter != entry.process() || record.Incarnation != incarnation || record.Fenced(incarnation) {
+		condition, operation, err := lease.Takeover(row, worker, incarnation, entry.process())
 		if err != nil {
-			klog.V(1).InfoS("Granter was not recorded", "Worker", worker, "Reason", err.Error())
 			return err
 		}
-		revision = result.Revisions[workerKey(worker)]
-	}
-	entry.control.Call(func() {
-		names := make([]ident.Entry, 0, len(mine.Former))
-		for _, former := range mine.Former {
-			names = append(names, former.Entry)
+		if revision, err = entry.writeRecord(ctx, condition, operation); err != nil {
+			klog.V(1).InfoS("Granter was not recorded", "Worker", worker, "Reason", err.Error())
+			return err
 		}
-		if err := entry.granter.Record(worker, incarnation, revision, names, entry.time.Now()); err != nil {
-			klog.ErrorS(err, "Granter was recorded for an ended incarnation", "Worker", worker)
-			return
+		if record, err = lease.DecodeRecord(table.Row{Key: operation.Key, Value: operation.Value, Revision: revision}); err != nil {
+			return err
 		}
-		entry.grants[worker] = &grant{incarnation: incarnation, revision: revision, former: mine.Former}
-		klog.InfoS("Recorded as granter", "Worker", worker, "Incarnation", incarnation, "Former", len(mine.Former))
-	})
+	}
+	entry.control.Call(func() { entry.becameGranter(worker, incarnation, revision, record.Former) })
 	return nil
 }
 
-// formerOf returns the granters before this process according to the row.
-func (entry *Entry) formerOf(have workerRow) []formerGranter {
-	self := formerGranter{Entry: entry.settings.ID, Incarnation: entry.incarnation}
-	var former []formerGranter
-	for _, known := range append(slices.Clone(have.Former), formerGranter{Entry: have.Granter, Incarnation: have.GranterIncarnation}) {
-		if known != self && known.Entry != "" && !slices.Contains(former, known) {
-			former = append(former, known)
-		}
+// becameGranter notes that the table names this process as granter.
+func (entry *Entry) becameGranter(worker ident.Worker, incarnation ident.Incarnation, revision table.Revision, former []lease.Process) {
+	if err := entry.granter.Record(worker, incarnation, revision, former, entry.time.Now()); err != nil {
+		klog.ErrorS(err, "Granter was recorded for an ended incarnation", "Worker", worker)
+		return
 	}
-	return former
+	entry.grants[worker] = &grant{incarnation: incarnation, revision: revision}
+	klog.InfoS("Recorded as granter", "Worker", worker, "Incarnation", incarnation, "Former", len(former))
 }
 
-// workerWrite returns the transaction that replaces the worker's row. It keeps an id of its own, so
-// that it is not merged with others and its revision is known.
-func (entry *Entry) workerWrite(worker ident.Worker, revision table.Revision, content workerRow) table.Transaction {
-	key := workerKey(worker)
-	return table.Transaction{
-		Write:      entry.newWrite(),
-		Conditions: []table.Condition{{Key: key, Revision: revision}},
-		Operations: []table.Operation{{Key: key, Value: encodeWorkerRow(content)}},
-	}
+// writeRecord commits a worker's row with a write id of its own, so that it is not merged with others
+// and its revision is known.
+func (entry *Entry) writeRecord(ctx context.Context, condition table.Condition, operation table.Operation) (table.Revision, error) {
+	result, err := entry.store.Commit(ctx, table.Transaction{
+		Write: entry.newWrite(), Conditions: []table.Condition{condition}, Operations: []table.Operation{operation},
+	})
+	return result.Revisions[operation.Key], err
 }
 
 // noteFence remembers what the table says about the worker, so that the agent learns which
 // incarnation to exceed.
-func (entry *Entry) noteFence(worker ident.Worker, have workerRow) {
-	known := entry.grants[worker]
-	if known == nil || known.incarnation < have.Incarnation {
-		entry.grants[worker] = &grant{incarnation: have.Incarnation, ending: true}
+func (entry *Entry) noteFence(worker ident.Worker, row table.Row) {
+	record, err := lease.DecodeRecord(row)
+	if err != nil {
+		return
+	}
+	highest := max(record.Incarnation, record.Over)
+	if known := entry.grants[worker]; known == nil || known.incarnation < highest {
+		entry.grants[worker] = &grant{incarnation: highest, ending: true}
 	}
-	if have.Over {
-		entry.granter.Declare(worker, have.Incarnation)
+	if record.Over > 0 {
+		entry.granter.Declare(worker, record.Over)
 	}
 }
 
@@ -222,7 +155,7 @@
 type handover struct {
 	worker   ident.Worker
 	revision table.Revision
-	former   formerGranter
+	former   lease.Process
 	address  string
 }
 
@@ -232,13 +165,9 @@
 	var open []handover
 	for _, worker := range set.SortedKeys(entry.grants) {
 		known := entry.grants[worker]
-		waiting := entry.granter.Former(worker)
-		for _, former := range known.former {
-			if !slices.Contains(waiting, former.Entry) {
-				continue
-			}
+		for _, former := range entry.granter.Former(worker) {
 			if entry.entries.Gone(former.Entry, former.Incarnation, now) {
-				entry.granter.Stopped(worker, former.Entry, now)
+				entry.granter.Stopped(worker, former, now)
 				continue
 			}
 			if peer, ok := entry.entries.Get(former.Entry); ok {
@@ -300,11 +229,10 @@
 	}
 	ctx, cancel := entry.call(entry.settings.CallTimeout)
 	defer cancel()
-	content := workerRow{
-		Incarnation: known.incarnation, Granter: entry.settings.ID, GranterIncarnation: entry.incarnation,
-		Over: true, Reason: string(lease.LeaseLapsed),
+	row, err := entry.store.Get(ctx, lease.Key(worker))
+	if err == nil {
+		err = entry.endIncarnation(ctx, row, worker, known.incarnation, lease.LeaseLapsed)
 	}
-	_, err := entry.store.Commit(ctx, entry.workerWrite(worker, known.revision, content))
 	switch {
 	case err == nil:
 		entry.control.Call(func() {
@@ -313,8 +241,8 @@
 			}
 			entry.incarnationEnded(worker, known.incarnation, lease.LeaseLapsed)
 		})
-	case table.IsErrConflict(err):
-		// Another entry is the granter now, or the end was written by an attempt without an answer.
+	case table.IsErrConflict(err), lease.IsErrNotGranter(err):
+		// Another entry is the granter now.
 		entry.control.Call(func() {
 			entry.granter.Lose(worker)
 			delete(entry.grants, worker)
@@ -335,6 +263,16 @@
 	entry.handle(placement.WorkerGone{Worker: worker, Incarnation: incarnation})
 }
 
+// endIncarnation writes into the worker's row, as it was read, that the incarnation is over.
+func (entry *Entry) endIncarnation(ctx context.Context, row table.Row, worker ident.Worker, incarnation ident.Incarnation, reason lease.Reason) error {
+	condition, operation, err := lease.End(row, worker, incarnation, entry.process(), reason)
+	if err != nil {
+		return err
+	}
+	_, err = entry.writeRecord(ctx, condition, operation)
+	return err
+}
+
 func (entry *Entry) forgetOld(now clock.Time) {
 	for worker, known := range entry.ended {
 		if now.Sub(known.at) > endedKept {
@@ -363,7 +301,7 @@
 		klog.V(1).InfoS("Former granter did not yield", "Worker", change.worker, "Entry", change.former.Entry)
 		return
 	}
-	entry.control.Call(func() { entry.granter.Stopped(change.worker, change.former.Entry, entry.time.Now()) })
+	entry.control.Call(func() { entry.granter.Stopped(change.worker, change.former, entry.time.Now()) })
 }
 
 // Yield stops granting leases to an agent whose granter another entry has become. It answers for
--- a/entry/operations_view.go
+++ b/entry/operations_view.go
@@ -62,27 +62,26 @@
 // DeclareLost states that an incarnation of a worker is over.
 func (operations *operations) DeclareLost(ctx context.Context, call operator.Call, loss operator.WorkerLoss) (operator.Accepted, error) {
 	entry := operations.entry
-	row, err := entry.store.Get(ctx, workerKey(loss.Worker))
+	row, err := entry.store.Get(ctx, lease.Key(loss.Worker))
 	if err != nil {
 		return operator.Accepted{}, operatorError(err, call.Request)
 	}
-	have, err := decodeWorkerRow(row)
+	record, err := lease.DecodeRecord(row)
 	if err != nil {
 		return operator.Accepted{}, err
 	}
-	document := string(workerKey(loss.Worker))
+	accepted := operator.Accepted{Document: string(lease.Key(loss.Worker)), Version: ident.Version(row.Revision)}
 	switch {
 	case !row.Exists():
 		return operator.Accepted{}, operator.ErrNotFound{Kind: "Worker", Name: string(loss.Worker)}
-	case have.Incarnation != loss.Incarnation:
-		return operator.Accepted{}, operator.ErrConflict{Document: document, Winner: string(have.Granter), Version: ident.Version(row.Revision)}
-	case have.Over:
-		return operator.Accepted{Document: document, Version: ident.Version(row.Revision)}, nil
+	case record.Over >= loss.Incarnation:
+		return accepted, nil
+	case record.Incarnation != loss.Incarnation:
+		return operator.Accepted{}, operator.ErrConflict{Document: accepted.Document, Winner: string(record.Granter.Entry), Version: accepted.Version}
 	}
-	have.Over, have.Reason = true, string(lease.OperatorStatement)
-	result, err := entry.store.Commit(ctx, entry.workerWrite(loss.Worker, row.Revision, have))
+	err = entry.endIncarnation(ctx, row, loss.Worker, loss.Incarnation, lease.OperatorStatement)
 	if table.IsErrConflict(err) {
-		return operator.Accepted{}, operator.ErrConflict{Document: document, Winner: string(have.Granter)}
+		return operator.Accepted{}, operator.ErrConflict{Document: accepted.Document, Winner: string(record.Granter.Entry)}
 	}
 	if err != nil {
 		return operator.Accepted{}, operatorError(err, call.Request)
@@ -91,7 +90,8 @@
 		entry.granter.Declare(loss.Worker, loss.Incarnation)
 		entry.incarnationEnded(loss.Worker, loss.Incarnation, lease.OperatorStatement)
 	})
-	return operator.Accepted{Document: document, Version: ident.Version(result.Revisions[workerKey(loss.Worker)])}, nil
+	accepted.Version++
+	return accepted, nil
 }
 
 // History returns configuration changes, newest first.
--- a/entry/silent.go
+++ b/entry/silent.go
@@ -8,7 +8,6 @@
 	"hyssopjunction/lease"
 	"hyssopjunction/placement"
 	"hyssopjunction/set"
-	"hyssopjunction/table"
 )
 
 // silentReview is how often the row of a silent worker is read. It is the way to learn of an ended
@@ -43,49 +42,43 @@
 func (entry *Entry) reviewWorker(worker ident.Worker) {
 	ctx, cancel := entry.call(entry.settings.CallTimeout)
 	defer cancel()
-	row, err := entry.store.Get(ctx, workerKey(worker))
+	row, err := entry.store.Get(ctx, lease.Key(worker))
 	if err != nil {
 		return
 	}
-	have, err := decodeWorkerRow(row)
+	record, err := lease.DecodeRecord(row)
 	if err != nil {
 		klog.ErrorS(err, "Silent worker cannot be reviewed", "Worker", worker)
 		return
 	}
-	if have.Over {
-		entry.control.Call(func() {
-			delete(entry.silent, worker)
-			entry.incarnationEnded(worker, have.Incarnation, lease.Reason(have.Reason))
-		})
+	if record.Over >= record.Incarnation {
+		entry.control.Call(func() { entry.silentEnded(worker, record.Over, record.Reason) })
 		return
 	}
 	gone := false
-	entry.control.Call(func() {
-		gone = entry.allGone(have, entry.time.Now())
-	})
+	entry.control.Call(func() { gone = entry.allGone(record, entry.time.Now()) })
 	if !gone {
 		return
 	}
-	have.Over, have.Reason = true, string(lease.HomeSilent)
-	if _, err := entry.store.Commit(ctx, entry.workerWrite(worker, row.Revision, have)); err != nil {
-		if !table.IsErrConflict(err) {
-			klog.V(1).InfoS("End of incarnation was not written", "Worker", worker, "Reason", err.Error())
-		}
+	if err := entry.endIncarnation(ctx, row, worker, record.Incarnation, lease.HomeSilent); err != nil {
+		klog.V(1).InfoS("End of incarnation was not written", "Worker", worker, "Reason", err.Error())
 		return
 	}
-	entry.control.Call(func() {
-		delete(entry.silent, worker)
-		entry.incarnationEnded(worker, have.Incarnation, lease.HomeSilent)
-	})
+	entry.control.Call(func() { entry.silentEnded(worker, record.Incarnation, lease.HomeSilent) })
+}
+
+func (entry *Entry) silentEnded(worker ident.Worker, incarnation ident.Incarnation, reason lease.Reason) {
+	delete(entry.silent, worker)
+	entry.incarnationEnded(worker, incarnation, reason)
 }
 
 // allGone reports whether neither the granter in the row nor a former one can have a lease in force.
-func (entry *Entry) allGone(have workerRow, now clock.Time) bool {
-	if have.Granter == "" || !entry.entries.Gone(have.Granter, have.GranterIncarnation, now) {
+func (entry *Entry) allGone(record lease.Record, now clock.Time) bool {
+	if record.Granter.Entry == "" {
 		return false
 	}
-	for _, former := range have.Former {
-		if !entry.entries.Gone(former.Entry, former.Incarnation, now) {
+	for _, process := range append([]lease.Process{record.Granter}, record.Former...) {
+		if !entry.entries.Gone(process.Entry, process.Incarnation, now) {
 			return false
 		}
 	}
--- a/lease/granter.go
+++ b/lease/granter.go
@@ -52,7 +52,7 @@
 	last     clock.Time
 	// former are the entries that may still be granting under an older revision. While there are any,
 	// the worker may hold a lease that this entry does not know of.
-	former []ident.Entry
+	former []Process
 	over   bool
 }
 
@@ -78,7 +78,7 @@
 // revision. The previous granter may have granted until now, so the grant is taken to be as young as
 // possible. Former is that of the row: until the agent has confirmed a grant of this entry, or each
 // of them has stopped, this entry cannot tell when the last lease ends. The error is ErrFenced.
-func (granter *Granter) Record(worker ident.Worker, incarnation ident.Incarnation, revision table.Revision, former []ident.Entry, now clock.Time) error {
+func (granter *Granter) Record(worker ident.Worker, incarnation ident.Incarnation, revision table.Revision, former []Process, now clock.Time) error {
 	have, ok := granter.grants[worker]
 	if ok && (incarnation < have.incarnation || (incarnation == have.incarnation && have.over)) {
 		return ErrFenced{Worker: worker, Incarnation: incarnation, Have: have.incarnation}
@@ -94,17 +94,17 @@
 
 // Stopped notes that a former granter is known to grant no more leases to the worker: it answered
 // that it called Lose, or its row says Left. Its last grant may be as young as now.
-func (granter *Granter) Stopped(worker ident.Worker, former ident.Entry, now clock.Time) {
+func (granter *Granter) Stopped(worker ident.Worker, former Process, now clock.Time) {
 	have, ok := granter.grants[worker]
 	if !ok || !slices.Contains(have.former, former) {
 		return
 	}
-	have.former = slices.DeleteFunc(have.former, func(other ident.Entry) bool { return other == former })
+	have.former = slices.DeleteFunc(have.former, func(other Process) bool { return other == former })
 	have.last = max(have.last, now)
 }
 
 // Former returns the former granters that may still be granting to the worker.
-func (granter *Granter) Former(worker ident.Worker) []ident.Entry {
+func (granter *Granter) Former(worker ident.Worker) []Process {
 	if have, ok := granter.grants[worker]; ok {
 		return slices.Clone(have.former)
 	}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -177,25 +177,25 @@
 			}
 		}
 	}
-	commit(Takeover(row, "w", 1, "first"))
-	commit(Takeover(row, "w", 1, "second"))
-	refused(IsErrNotGranter)(End(row, "w", 1, "first", LeaseLapsed))
-	commit(End(row, "w", 1, "second", LeaseLapsed))
-	refused(IsErrFenced)(Takeover(row, "w", 1, "first"))
-	commit(Takeover(row, "w", 2, "first"))
-	refused(IsErrFenced)(Takeover(row, "w", 1, "second"))
-	commit(End(row, "w", 2, "third", OperatorStatement))
+	commit(Takeover(row, "w", 1, Process{Entry: "first"}))
+	commit(Takeover(row, "w", 1, Process{Entry: "second"}))
+	refused(IsErrNotGranter)(End(row, "w", 1, Process{Entry: "first"}, LeaseLapsed))
+	commit(End(row, "w", 1, Process{Entry: "second"}, LeaseLapsed))
+	refused(IsErrFenced)(Takeover(row, "w", 1, Process{Entry: "first"}))
+	commit(Takeover(row, "w", 2, Process{Entry: "first"}))
+	refused(IsErrFenced)(Takeover(row, "w", 1, Process{Entry: "second"}))
+	commit(End(row, "w", 2, Process{Entry: "third"}, OperatorStatement))
 	record, err := DecodeRecord(row)
-	if want := (Record{Granter: "first", Incarnation: 2, Over: 2, Reason: OperatorStatement}); err != nil || !reflect.DeepEqual(record, want) {
+	if want := (Record{Granter: Process{Entry: "first"}, Incarnation: 2, Over: 2, Reason: OperatorStatement}); err != nil || !reflect.DeepEqual(record, want) {
 		t.Fatalf("%+v %v", record, err)
 	}
 	row.Value = []byte("{")
-	refused(IsErrBadRecord)(Takeover(row, "w", 3, "first"))
+	refused(IsErrBadRecord)(Takeover(row, "w", 3, Process{Entry: "first"}))
 }
 
 // entry is one of several that may believe to be home of the worker.
 type entry struct {
-	name    ident.Entry
+	name    Process
 	granter *Granter
 	// known is the row as this entry last read it.
 	known table.Row
@@ -209,7 +209,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		row := table.Row{Key: Key("w")}
-		entries := []*entry{{name: "a", granter: NewGranter(Settings{})}, {name: "b", granter: NewGranter(Settings{})}}
+		entries := []*entry{{name: Process{Entry: "a"}, granter: NewGranter(Settings{})}, {name: Process{Entry: "b"}, granter: NewGranter(Settings{})}}
 		holder := NewHolder()
 		write := func(by *entry, condition table.Condition, operation table.Operation, err error) bool {
 			if err != nil || condition.Revision != row.Revision {
@@ -255,7 +255,7 @@
 				if other.granter.Over("w", 1, now) == nil && write(other, condition, operation, err) {
 					ends++
 					if holder.Valid(now) {
-						t.Fatalf("%s ends the incarnation, the agent holds a lease until %d at %d", other.name, holder.Expiry(), now)
+						t.Fatalf("%v ends the incarnation, the agent holds a lease until %d at %d", other.name, holder.Expiry(), now)
 					}
 					return
 				}
--- a/lease/record.go
+++ b/lease/record.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -18,15 +19,26 @@
 	return table.Key(KeyPrefix + string(worker))
 }
 
+// Process is one process of an entry. A newer process of the same entry knows nothing of the leases
+// that an older one granted, and the older one may still run somewhere.
+type Process struct {
+	Entry       ident.Entry
+	Incarnation ident.Incarnation
+}
+
+func compareProcesses(first, second Process) int {
+	return cmp.Or(cmp.Compare(first.Entry, second.Entry), cmp.Compare(first.Incarnation, second.Incarnation))
+}
+
 // Record is the content of a worker's row. It is written when another entry becomes the granter,
 // when a new incarnation gets its first lease, and when an incarnation is over.
 type Record struct {
-	// Granter is the only entry that may grant leases to Incarnation.
-	Granter     ident.Entry
+	// Granter is the only process that may grant leases to Incarnation.
+	Granter     Process
 	Incarnation ident.Incarnation
-	// Former are the entries that granted leases to Incarnation before and may not know that they no
+	// Former are the processes that granted leases to Incarnation before and may not know that they no
 	// longer may.
-	Former []ident.Entry `json:",omitempty"`
+	Former []Process `json:",omitempty"`
 	// Over is the newest incarnation that is certainly over, and Reason why.
 	Over   ident.Incarnation
 	Reason Reason `json:",omitempty"`
@@ -56,35 +68,40 @@
 	return record, nil
 }
 
-// Takeover returns what makes entry the granter of the worker's incarnation, given the row as read.
+// Takeover returns what makes the process entry the granter of the worker's incarnation, given the row as read.
 // Many takeovers can share a transaction. After it committed, call Granter.Record with the new
 // revision and Record.Former. The errors are ErrBadRecord and ErrFenced.
-func Takeover(row table.Row, worker ident.Worker, incarnation ident.Incarnation, entry ident.Entry) (table.Condition, table.Operation, error) {
+func Takeover(row table.Row, worker ident.Worker, incarnation ident.Incarnation, entry Process) (table.Condition, table.Operation, error) {
 	record, err := DecodeRecord(row)
 	if err != nil {
 		return table.Condition{}, table.Operation{}, err
 	}
-	if incarnation <= record.Over || incarnation < record.Incarnation {
+	if record.Fenced(incarnation) {
 		return table.Condition{}, table.Operation{}, ErrFenced{Worker: worker, Incarnation: incarnation, Have: max(record.Over, record.Incarnation)}
 	}
 	if incarnation != record.Incarnation {
 		// An entry grants only to the incarnation it recorded, so none of the former ones matters.
 		record.Former = nil
-	} else if record.Granter != "" {
+	} else if record.Granter.Entry != "" {
 		record.Former = append(record.Former, record.Granter)
 	}
-	record.Former = slices.DeleteFunc(record.Former, func(former ident.Entry) bool { return former == entry })
-	slices.Sort(record.Former)
+	record.Former = slices.DeleteFunc(record.Former, func(former Process) bool { return former == entry })
+	slices.SortFunc(record.Former, compareProcesses)
 	record.Former = slices.Compact(record.Former)
 	record.Granter, record.Incarnation = entry, incarnation
 	return write(row, worker, record)
 }
 
+// Fenced reports whether the row says that the incarnation is over or that a newer one exists.
+func (record Record) Fenced(incarnation ident.Incarnation) bool {
+	return incarnation <= record.Over || incarnation < record.Incarnation
+}
+
 // End returns what declares the worker's incarnation over, given the row as read. A lapsed lease is
 // only a reason if entry is the recorded granter: if another entry took over meanwhile, it may have
 // granted a later lease. Call Granter.Over before committing for that reason. The errors are
 // ErrBadRecord and ErrNotGranter.
-func End(row table.Row, worker ident.Worker, incarnation ident.Incarnation, entry ident.Entry, reason Reason) (table.Condition, table.Operation, error) {
+func End(row table.Row, worker ident.Worker, incarnation ident.Incarnation, entry Process, reason Reason) (table.Condition, table.Operation, error) {
 	record, err := DecodeRecord(row)
 	if err != nil {
 		return table.Condition{}, table.Operation{}, err
