Say that a keyed submission was not run only after reading its key

Cause: a repeated key that was refused in a table outage or by overload was reported as not run, although an earlier request with the same key may have run. TestTableOutage showed it: key k had run once and its repetition got ErrNotRun.

Change: a refusal before the key's state was read reads it first: an answer is replayed, an absent key is not run, and without a reading the outcome is unknown, with the time to come back.

Conclusion: the outcome holds for the key, not only for one request; callers repeat the key safely.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -109,6 +109,10 @@
 func (dispatcher *Dispatcher) Dispatch(ctx context.Context, request Request) (Answer, error) {
 	started := dispatcher.clock.Now()
 	answer, err := dispatcher.admit(ctx, request, started)
+	var refused ErrNotRun
+	if errors.As(err, &refused) && refused.unread {
+		answer, err = dispatcher.settleKey(ctx, request, refused)
+	}
 	answer.Request = request.ID
 	answer.Outcome = outcomeOf(err)
 	outcomeCounters[answer.Outcome].Inc()
@@ -150,7 +154,8 @@
 
 func (dispatcher *Dispatcher) admit(ctx context.Context, request Request, started clock.Time) (Answer, error) {
 	refuse := func(reason Reason, after clock.Millis) (Answer, error) {
-		return Answer{}, ErrNotRun{Request: request.ID, Reason: reason, RetryAfter: after}
+		unread := request.Key != "" && (reason == Stopping || reason == Overload)
+		return Answer{}, ErrNotRun{Request: request.ID, Reason: reason, RetryAfter: after, unread: unread}
 	}
 	service, candidates, ok := dispatcher.view.Service(request.Service)
 	switch {
--- a/dispatch/errors.go
+++ b/dispatch/errors.go
@@ -33,6 +33,8 @@
 	Request    ident.Request
 	Reason     Reason
 	RetryAfter clock.Millis
+	// unread is set while the state of the request's key has not been read, see settleKey.
+	unread bool
 }
 
 // Error describes the refusal.
--- a/dispatch/keyed.go
+++ b/dispatch/keyed.go
@@ -53,31 +53,43 @@
 	default:
 		klog.InfoS("Submission refused", "Request", flow.ID, "Service", flow.Service, "Reason", err.Error())
 		return Answer{}, ErrNotRun{
-			Request: flow.ID, Reason: Outage, RetryAfter: tableRetryAfter(err, dispatcher.settings.RetryAfter),
+			Request: flow.ID, Reason: Outage, RetryAfter: tableRetryAfter(err, dispatcher.settings.RetryAfter), unread: true,
 		}
 	}
 }
 
-// replayOnly answers a repeated key while no endpoint can be chosen.
-func (dispatcher *Dispatcher) replayOnly(ctx context.Context, flow *flow) (Answer, error) {
+// settleKey decides what may be said of a keyed submission that was refused before its key's state
+// was read. An earlier request with the key may have run, so "not run" is said only if the table
+// shows that none did. Otherwise the caller is told to come back with the same key, which is safe.
+func (dispatcher *Dispatcher) settleKey(ctx context.Context, request Request, refused ErrNotRun) (Answer, error) {
+	refused.unread = false
 	tableCtx, cancel := dispatcher.tableContext(ctx)
 	defer cancel()
-	after := dispatcher.settings.RetryAfter
-	ticket, ok, err := dispatcher.ledger.Read(tableCtx, flow.Service, flow.Key)
+	ticket, ok, err := dispatcher.ledger.Read(tableCtx, request.Service, request.Key)
 	switch {
-	case err != nil || !ok || ticket.Record.State == dedup.Released:
-		return Answer{}, ErrNotRun{Request: flow.ID, Reason: NoEndpoint, RetryAfter: after}
-	case ticket.Record.Digest != digest(flow):
-		return Answer{}, ErrNotRun{Request: flow.ID, Reason: KeyReused}
+	case err != nil:
+		return Answer{}, ErrUnknown{Request: request.ID, Reason: refused.Reason, RetryAfter: refused.RetryAfter}
+	case !ok || ticket.Record.State == dedup.Released:
+		return Answer{}, refused
+	case ticket.Record.Digest != digest(&flow{Request: request}):
+		refused.Reason = KeyReused
+		return Answer{}, refused
 	case ticket.Record.State == dedup.Completed:
-		return dispatcher.replay(ctx, flow, ticket.Record.Answer)
+		return dispatcher.replay(ctx, &flow{Request: request}, ticket.Record.Answer)
 	case ticket.Record.State == dedup.Lost:
-		return Answer{}, ErrUnknown{Request: flow.ID, Reason: Lost}
+		return Answer{}, ErrUnknown{Request: request.ID, Reason: Lost}
 	default:
-		return Answer{}, ErrUnknown{Request: flow.ID, Reason: StillRunning, RetryAfter: after}
+		return Answer{}, ErrUnknown{Request: request.ID, Reason: StillRunning, RetryAfter: refused.RetryAfter}
 	}
 }
 
+// replayOnly answers a repeated key while no endpoint can be chosen.
+func (dispatcher *Dispatcher) replayOnly(ctx context.Context, flow *flow) (Answer, error) {
+	return dispatcher.settleKey(ctx, flow.Request, ErrNotRun{
+		Request: flow.ID, Reason: NoEndpoint, RetryAfter: dispatcher.settings.RetryAfter,
+	})
+}
+
 // run sends the request of a claim that this dispatcher holds, and reassigns it after refusals.
 func (dispatcher *Dispatcher) run(ctx context.Context, flow *flow, ticket dedup.Ticket, decision routing.Decision) (Answer, error) {
 	for {
