config: home regions of documents, import from another region; old faults do not block

Change: a document carries its home region and its version there, is changed only there, and Editor.Import copies newer ones; a change is refused only for faults that it adds.

--- a/config/editor.go
+++ b/config/editor.go
@@ -38,6 +38,8 @@
 	Base   ident.Version
 	Value  json.RawMessage
 	Delete bool
+	// imported is the document of another region that the edit copies.
+	imported *Document
 }
 
 // Change is an operator's change of one or more documents, which are accepted together or not at
@@ -56,6 +58,7 @@
 type Editor struct {
 	clock     clock.Clock
 	publisher *Publisher
+	region    ident.Region
 
 	mu     sync.Mutex
 	loader *loader
@@ -68,8 +71,14 @@
 	return &Editor{clock: source, publisher: publisher, loader: newLoader(store), random: random}
 }
 
-// Apply makes the change and returns its version. Its errors are ErrConflict, ErrInvalid, ErrBusy,
-// ErrUnknownOutcome, table.ErrUnavailable, and ErrNotReady if the configuration cannot be read. All
+// SetRegion makes the Editor's region the home of the documents that it creates. It must be called
+// before other methods, and only in systems with several regions.
+func (editor *Editor) SetRegion(region ident.Region) {
+	editor.region = region
+}
+
+// Apply makes the change and returns its version. Its errors are ErrConflict, ErrInvalid, ErrElsewhere,
+// ErrBusy, ErrUnknownOutcome, table.ErrUnavailable, and ErrNotReady if the configuration cannot be read. All
 // but ErrUnknownOutcome mean that nothing was changed.
 func (editor *Editor) Apply(ctx context.Context, change Change) (ident.Version, error) {
 	editor.mu.Lock()
@@ -132,7 +141,7 @@
 			// The head was read from an old copy of the row.
 			continue
 		}
-		plan, err := newPlan(view, editor.loader.headRevision, change)
+		plan, err := newPlan(view, editor.loader.headRevision, change, editor.region)
 		if err != nil {
 			return 0, err
 		}
--- a/config/errors.go
+++ b/config/errors.go
@@ -162,3 +162,19 @@
 func IsErrBusy(err error) bool {
 	return errors.As(err, new(ErrBusy))
 }
+
+// ErrElsewhere reports a change of a document that is accepted only in its home region.
+type ErrElsewhere struct {
+	Document Name
+	Region   ident.Region
+}
+
+// Error names the home region.
+func (err ErrElsewhere) Error() string {
+	return fmt.Sprintf("document %s is changed in region %s only", err.Document, err.Region)
+}
+
+// IsErrElsewhere reports whether err is or wraps an ErrElsewhere.
+func IsErrElsewhere(err error) bool {
+	return errors.As(err, new(ErrElsewhere))
+}
--- a/config/plan.go
+++ b/config/plan.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 
+	"hyssopjunction/ident"
 	"hyssopjunction/set"
 	"hyssopjunction/table"
 )
@@ -16,34 +18,26 @@
 	transaction  table.Transaction
 }
 
-// newPlan checks the change against the view and validates the whole configuration after it.
-func newPlan(view *View, headRevision table.Revision, change Change) (plan, error) {
+// newPlan checks the change against the view and validates the whole configuration after it. Faults
+// that the view already has are no reason to refuse a change of something else: operators must be
+// able to close a data centre whatever is wrong with another document.
+func newPlan(view *View, headRevision table.Revision, change Change, region ident.Region) (plan, error) {
 	record := Record{Version: view.version + 1, Operator: change.Operator, Change: change.ID, Time: change.Time}
 	faults := checkShape(change)
 	for _, edit := range change.Edits {
 		held, have := view.documents[edit.Document]
-		if edit.Base > view.version {
-			return plan{}, ErrNotReady{Reason: fmt.Sprintf(
-				"document %s was seen at version %d, the table answers version %d", edit.Document, edit.Base, view.version)}
+		if err := checkBase(view, edit, held); err != nil {
+			return plan{}, err
 		}
-		if edit.Base != held.Version && (edit.Base != 0 || !held.Deleted) {
-			return plan{}, ErrConflict{Document: edit.Document, Base: edit.Base, Have: held.Version, Winner: held.Operator}
+		if edit.imported == nil && held.Region != "" && held.Region != region {
+			return plan{}, ErrElsewhere{Document: edit.Document, Region: held.Region}
 		}
-		if edit.Delete && (!have || held.Deleted) {
+		if edit.Delete && edit.imported == nil && (!have || held.Deleted) {
 			faults = append(faults, Fault{Document: edit.Document, Reason: "does not exist"})
 		}
-		if !have {
-			held.Name = edit.Document
-		}
-		after := Document{
-			Name: edit.Document, Version: record.Version, Revision: held.Revision + 1,
-			Operator: change.Operator, Change: change.ID, Deleted: edit.Delete,
-		}
-		if !edit.Delete {
-			after.Value = compact(edit.Value)
-		}
+		held.Name = edit.Document
 		record.Before = append(record.Before, held)
-		record.After = append(record.After, after)
+		record.After = append(record.After, after(record, edit, held, region))
 	}
 	if len(faults) > 0 {
 		return plan{}, ErrInvalid{Faults: faults}
@@ -52,13 +46,48 @@
 	if err != nil {
 		return plan{}, err
 	}
-	if faults := next.Faults(); len(faults) > 0 {
+	before := view.Faults()
+	faults = slices.DeleteFunc(next.Faults(), func(fault Fault) bool { return slices.Contains(before, fault) })
+	if len(faults) > 0 && !change.imported() {
 		return plan{}, ErrInvalid{Faults: faults}
 	}
+	if len(next.unreadable) > 0 {
+		return plan{}, ErrInvalid{Faults: next.unreadable}
+	}
 	transaction, err := transactionOf(record, next, headRevision)
 	return plan{record: record, next: next, headRevision: headRevision + 1, transaction: transaction}, err
 }
 
+// checkBase reports an edit that is not based on the held document.
+func checkBase(view *View, edit Edit, held Document) error {
+	if edit.Base > view.version {
+		return ErrNotReady{Reason: fmt.Sprintf(
+			"document %s was seen at version %d, the table answers version %d", edit.Document, edit.Base, view.version)}
+	}
+	if edit.Base != held.Version && (edit.Base != 0 || !held.Deleted) {
+		return ErrConflict{Document: edit.Document, Base: edit.Base, Have: held.Version, Winner: held.Operator}
+	}
+	return nil
+}
+
+// after returns the document as the edit leaves it.
+func after(record Record, edit Edit, held Document, region ident.Region) Document {
+	document := Document{
+		Name: edit.Document, Version: record.Version, Revision: held.Revision + 1,
+		Operator: record.Operator, Change: record.Change, Deleted: edit.Delete, Region: held.Region, Origin: record.Version,
+	}
+	if document.Region == "" {
+		document.Region = region
+	}
+	if edit.imported != nil {
+		document.Operator, document.Region, document.Origin = edit.imported.Operator, edit.imported.Region, edit.imported.Origin
+	}
+	if !edit.Delete {
+		document.Value = compact(edit.Value)
+	}
+	return document
+}
+
 // checkShape returns the faults of a change that do not depend on the configuration.
 func checkShape(change Change) []Fault {
 	var faults []Fault
--- /dev/null
+++ b/config/region.go
@@ -0,0 +1,89 @@
+package config
+
+import (
+	"context"
+
+	"hyssopjunction/controlpb"
+	"hyssopjunction/ident"
+
+	"github.com/VictoriaMetrics/metrics"
+	"k8s.io/klog/v2"
+)
+
+var importsRefused = metrics.NewCounter("hyssopjunction_config_imports_refused_total")
+
+// imported reports whether the change copies documents of another region.
+func (change Change) imported() bool {
+	return len(change.Edits) > 0 && change.Edits[0].imported != nil
+}
+
+// Import copies the documents of another region that are newer there than here into this region's
+// table, and returns how many it tried to copy. A document that another entry imported or changed at
+// the same time is left to the next Import. Each region's table numbers its changes itself, so a delta of another
+// region must never be passed to Publisher.Apply. Documents whose home is this region, or that this
+// region knows with a third region as their home, are left alone.
+func (editor *Editor) Import(ctx context.Context, delta *controlpb.ConfigDelta) (int, error) {
+	editor.mu.Lock()
+	defer editor.mu.Unlock()
+	if err := editor.loader.refresh(ctx); err != nil {
+		return 0, err
+	}
+	count := 0
+	change := Change{Operator: "import"}
+	for _, message := range delta.GetDocuments() {
+		document, err := fromMessage(message)
+		if err != nil {
+			return count, err
+		}
+		held, have := editor.loader.view.documents[document.Name]
+		if !editor.wanted(document, held, have) {
+			continue
+		}
+		change.Edits = append(change.Edits, Edit{
+			Document: document.Name, Base: held.Version, Value: document.Value, Delete: document.Deleted, imported: &document,
+		})
+		if len(change.Edits) == maxEdits/4 {
+			if err := editor.importChange(ctx, change); err != nil {
+				return count, err
+			}
+			count, change.Edits = count+len(change.Edits), nil
+		}
+	}
+	if len(change.Edits) > 0 {
+		if err := editor.importChange(ctx, change); err != nil {
+			return count, err
+		}
+	}
+	return count + len(change.Edits), nil
+}
+
+// wanted reports whether a document of another region replaces the held one.
+func (editor *Editor) wanted(document, held Document, have bool) bool {
+	if document.Region == "" || document.Region == editor.region {
+		return false
+	}
+	if have && held.Region != document.Region {
+		importsRefused.Inc()
+		klog.V(2).InfoS("document not imported, two regions are its home",
+			"Document", string(document.Name), "Region", string(document.Region), "Held", string(held.Region))
+		return false
+	}
+	return !have || document.Origin > held.Origin
+}
+
+// importChange accepts a change whose id tells what it copies, so that entries which import the same
+// documents at the same time make it once. Another entry that was first is no error: the next import
+// finds what is still missing.
+func (editor *Editor) importChange(ctx context.Context, change Change) error {
+	first := change.Edits[0].imported
+	change.ID = "import." + string(first.Region) + "." + string(first.Name) + "." + versionText(first.Origin)
+	if _, err := editor.apply(ctx, change); err != nil && !IsErrConflict(err) {
+		return err
+	}
+	changesAccepted.Inc()
+	return editor.publisher.Publish(editor.loader.view)
+}
+
+func versionText(version ident.Version) string {
+	return string(HistoryKey(version))[len(HistoryPrefix):]
+}
--- /dev/null
+++ b/config/region_test.go
@@ -0,0 +1,126 @@
+package config_test
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/config"
+	"hyssopjunction/ident"
+	"hyssopjunction/table/tabletest"
+)
+
+// region is one region with its own table.
+type region struct {
+	memory    *tabletest.Memory
+	editor    *config.Editor
+	publisher *config.Publisher
+}
+
+func newRegion(name ident.Region) *region {
+	memory := tabletest.New()
+	editor, publisher := newEditor(memory, clock.NewFake(0), uint64(len(name)))
+	editor.SetRegion(name)
+	return &region{memory: memory, editor: editor, publisher: publisher}
+}
+
+// put changes a data centre of the region.
+func (region *region) put(t *testing.T, name ident.DataCentre, open bool) error {
+	t.Helper()
+	document, _ := region.publisher.Current().Document(config.DataCentreName(name))
+	_, err := region.editor.Apply(context.Background(), edit("anna", config.DataCentreName(name), document.Version, dataCentre(open)))
+	return err
+}
+
+// copyTo imports everything that the region has into another one.
+func (region *region) copyTo(t *testing.T, other *region) int {
+	t.Helper()
+	delta, err := region.publisher.Current().Delta(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	count, err := other.editor.Import(context.Background(), delta)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return count
+}
+
+// TestRegions guards against a document that two regions change, and against an import that reverts,
+// repeats or overwrites.
+func TestRegions(t *testing.T) {
+	north, south := newRegion("north"), newRegion("south")
+	if err := north.editor.Bootstrap(context.Background(), "setup"); err != nil {
+		t.Fatal(err)
+	}
+	if err := north.put(t, "gent", true); err != nil {
+		t.Fatal(err)
+	}
+	if count := north.copyTo(t, south); count != 5 {
+		t.Fatalf("%d documents imported, not 5", count)
+	}
+	if err := south.put(t, "gent", false); !config.IsErrElsewhere(err) {
+		t.Fatalf("changed outside the home region: %v", err)
+	}
+	// The link is down: both regions change their own documents.
+	for range 3 {
+		if err := south.put(t, "khomas", false); err != nil {
+			t.Fatal(err)
+		}
+	}
+	old, _ := north.publisher.Current().Delta(0)
+	if err := north.put(t, "gent", false); err != nil {
+		t.Fatal(err)
+	}
+	if there, back := north.copyTo(t, south), south.copyTo(t, north); there != 1 || back != 1 {
+		t.Fatalf("%d and %d documents imported, not 1 each", there, back)
+	}
+	if count, err := south.editor.Import(context.Background(), old); count != 0 || err != nil {
+		t.Fatalf("an old delta changed %d documents: %v", count, err)
+	}
+	for _, region := range []*region{north, south} {
+		view := region.publisher.Current()
+		gent, _ := view.DataCentre("gent")
+		khomas, known := view.DataCentre("khomas")
+		if preset, _ := view.InForce(); gent.Open || khomas.Open || !known || preset != config.Ordinary || len(view.Faults()) > 0 {
+			t.Fatalf("gent %v, khomas %v, preset %s, faults %v", gent, khomas, preset, view.Faults())
+		}
+		if _, failure := checkHistory(region.memory); failure != "" {
+			t.Fatal(failure)
+		}
+	}
+}
+
+// TestOldFaultsDoNotBlock guards against a document of another program version that keeps operators
+// from closing a data centre.
+func TestOldFaultsDoNotBlock(t *testing.T) {
+	north, south := newRegion("north"), newRegion("south")
+	if err := north.editor.Bootstrap(context.Background(), "setup"); err != nil {
+		t.Fatal(err)
+	}
+	if err := north.put(t, "gent", true); err != nil {
+		t.Fatal(err)
+	}
+	delta, _ := north.publisher.Current().Delta(0)
+	for _, message := range delta.GetDocuments() {
+		var document config.Document
+		if err := json.Unmarshal(message.GetValue(), &document); err != nil {
+			t.Fatal(err)
+		}
+		if document.Name == config.PresetName(config.Peak) {
+			// A field that this version does not know.
+			document.Value = json.RawMessage(`{"NewField":1,"Other":{"TailLatency":1},"SlowdownLimitPercent":120}`)
+			message.Value = value(document)
+		}
+	}
+	if _, err := south.editor.Import(context.Background(), delta); err != nil {
+		t.Fatal(err)
+	}
+	if len(south.publisher.Current().Faults()) == 0 {
+		t.Fatal("the unknown field is no fault")
+	}
+	if err := south.put(t, "khomas", false); err != nil {
+		t.Fatalf("another document's fault refused the change: %v", err)
+	}
+}
--- a/config/rows.go
+++ b/config/rows.go
@@ -39,8 +39,12 @@
 	// Operator made the change, Change is its id.
 	Operator string
 	Change   string
-	Deleted  bool            `json:",omitempty"`
-	Value    json.RawMessage `json:",omitempty"`
+	Deleted  bool `json:",omitempty"`
+	// Region is the home region, in which changes of the document are accepted; empty means that the
+	// system has one region. Origin is the document's version there.
+	Region ident.Region `json:",omitempty"`
+	Origin ident.Version
+	Value  json.RawMessage `json:",omitempty"`
 }
 
 // Head is the value of the head row.
