table: answer ruled-out parts of a merged transaction at once; halve too large ones

Cause: after a data centre closes, each claim of a merged transaction was committed alone only to meet the same conflict, and a merged transaction above the service's limit fell apart into single commits. Change: parts that require an older revision than the conflict shows end with that conflict; too large transactions are split in halves. Figures: 30 transactions of which 20 require a changed row take 2 commits (TestSharedCondition); 32 at a limit of 8 rows take 7 (TestTooLarge).

--- a/table/client.go
+++ b/table/client.go
@@ -90,7 +90,7 @@
 	for range settings.Senders {
 		client.running.Go(func() {
 			for batch := range client.batches {
-				client.send(batch)
+				client.send(batch, true)
 				<-client.senders
 			}
 		})
--- a/table/commit.go
+++ b/table/commit.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 )
 
 // commit commits one transaction and resolves a lost answer before it returns. Conflict,
@@ -206,12 +205,3 @@
 	}
 	return result
 }
-
-// conflictKey returns the row that caused a conflict.
-func conflictKey(err error) Key {
-	var conflict ErrConflict
-	if errors.As(err, &conflict) {
-		return conflict.Key
-	}
-	return ""
-}
--- a/table/group.go
+++ b/table/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"hyssopjunction/clock"
 	"hyssopjunction/ident"
@@ -216,10 +217,11 @@
 	return batch
 }
 
-// send commits a batch, whose first commit is charged already. A merged transaction that conflicts is split: the parts that depend on the
-// row in conflict are committed separately, the others are merged again.
-func (client *Client) send(batch []*offer) {
-	charged := true
+// send commits a batch. A merged transaction that conflicts is split: the parts that the conflict
+// rules out are answered with it, others that depend on the row in conflict are committed
+// separately, and the rest is merged again. One that is too large is split in halves. Charged tells
+// that the first commit is charged against the rate limit already.
+func (client *Client) send(batch []*offer, charged bool) {
 	for len(batch) > 1 {
 		write := client.nextWrite()
 		batch = client.named(batch, write)
@@ -230,41 +232,60 @@
 		merged.Write = write
 		result, err := client.commit(client.base, merged, charged)
 		charged = false
-		if err == nil {
+		switch {
+		case err == nil:
 			client.stats.merged.Add(uint64(len(batch)))
 			client.stats.saved.Add(uint64(len(batch) - 1))
 			for _, proposed := range batch {
 				proposed.answer <- answer{result: proposed.part(result)}
 			}
 			return
-		}
-		if !IsErrConflict(err) && !IsErrTooLarge(err) {
+		case IsErrTooLarge(err):
+			client.stats.splits.Add(1)
+			client.send(batch[:len(batch)/2], false)
+			batch = batch[len(batch)/2:]
+		case IsErrConflict(err):
+			client.stats.splits.Add(1)
+			batch = client.split(batch, err)
+		default:
 			client.finish(batch, answer{err: err})
 			return
 		}
-		client.stats.splits.Add(1)
-		key := conflictKey(err)
-		var apart, rest []*offer
-		for _, proposed := range batch {
-			if IsErrConflict(err) && !proposed.depends(key) {
-				rest = append(rest, proposed)
-			} else {
-				apart = append(apart, proposed)
-			}
-		}
-		if len(apart) == 0 {
-			apart, rest = rest, nil
-		}
-		for _, proposed := range apart {
-			client.sendAlone(proposed, false)
-		}
-		batch = rest
 	}
 	for _, proposed := range batch {
 		client.sendAlone(proposed, charged)
 	}
 }
 
+// split ends the parts of a merged transaction that depend on the row in conflict and returns the
+// others.
+func (client *Client) split(batch []*offer, err error) []*offer {
+	var conflict ErrConflict
+	errors.As(err, &conflict)
+	var rest, apart []*offer
+	for _, proposed := range batch {
+		required, depends := proposed.requires(conflict.Key)
+		switch {
+		case depends && required < conflict.Have:
+			// Revisions only rise, so this part can never commit.
+			conflict.Want = required
+			proposed.answer <- answer{err: conflict}
+		case depends:
+			apart = append(apart, proposed)
+		default:
+			rest = append(rest, proposed)
+		}
+	}
+	if len(rest) == len(batch) {
+		// The error names no row of the batch, so nothing tells the parts from each other.
+		apart, rest = rest, nil
+	}
+	for _, proposed := range apart {
+		client.sendAlone(proposed, false)
+	}
+	return rest
+}
+
 func (client *Client) sendAlone(proposed *offer, charged bool) {
 	transaction := proposed.transaction
 	if transaction.Write == "" {
--- a/table/group_test.go
+++ b/table/group_test.go
@@ -63,6 +63,60 @@
 	}
 }
 
+// TestSharedCondition guards against one commit for each of many transactions that require a row
+// which has changed, for example the claims in a data centre that was just closed.
+func TestSharedCondition(t *testing.T) {
+	failure := inBubble(t, quick(), func(bench bench) string {
+		if err := bench.memory.Write(put("Shared", 0, "closed")); err != nil {
+			return err.Error()
+		}
+		var transactions []table.Transaction
+		for index := range 30 {
+			transaction := put(table.Key(fmt.Sprint("Row/", index)), 0, "x")
+			if index%3 > 0 {
+				transaction.Conditions = append(transaction.Conditions, table.Condition{Key: "Shared"})
+			}
+			transactions = append(transactions, transaction)
+		}
+		for index, err := range commitAll(bench.client, transactions) {
+			if (index%3 > 0) != table.IsErrConflict(err) || index%3 == 0 && err != nil {
+				return fmt.Sprintf("transaction %d: %v", index, err)
+			}
+		}
+		if _, commits, _ := bench.memory.Calls(); commits != 2 {
+			return fmt.Sprintf("%d commits, not 2", commits)
+		}
+		return ""
+	})
+	if failure != "" {
+		t.Fatal(failure)
+	}
+}
+
+// TestTooLarge guards against one commit for each part of a merged transaction that is too large.
+func TestTooLarge(t *testing.T) {
+	failure := inBubble(t, quick(), func(bench bench) string {
+		bench.memory.SetLimit(8)
+		var transactions []table.Transaction
+		for index := range 32 {
+			transactions = append(transactions, put(table.Key(fmt.Sprint("Row/", index)), 0, "x"))
+		}
+		for _, err := range commitAll(bench.client, transactions) {
+			if err != nil {
+				return err.Error()
+			}
+		}
+		// One of 32, two of 16 and four of 8 rows.
+		if _, commits, _ := bench.memory.Calls(); commits != 7 {
+			return fmt.Sprintf("%d commits, not 7", commits)
+		}
+		return ""
+	})
+	if failure != "" {
+		t.Fatal(failure)
+	}
+}
+
 // TestOverlapIsNotMerged guards against merging transactions that depend on each other.
 func TestOverlapIsNotMerged(t *testing.T) {
 	failure := inBubble(t, quick(), func(bench bench) string {
--- a/table/merge.go
+++ b/table/merge.go
@@ -74,19 +74,14 @@
 	return merged
 }
 
-// depends reports whether the offer requires or writes the row.
-func (proposed *offer) depends(key Key) bool {
+// requires returns the revision that the offer requires of the row, and whether it requires one.
+func (proposed *offer) requires(key Key) (Revision, bool) {
 	for _, condition := range proposed.transaction.Conditions {
 		if condition.Key == key {
-			return true
+			return condition.Revision, true
 		}
 	}
-	for _, operation := range proposed.transaction.Operations {
-		if operation.Key == key {
-			return true
-		}
-	}
-	return false
+	return 0, false
 }
 
 // part returns the offer's share of the result of a merged transaction.
--- a/table/tabletest/memory.go
+++ b/table/tabletest/memory.go
@@ -62,6 +62,7 @@
 	calls   int
 	commits int
 	rowsOut int
+	limit   int
 	fault   func(Call) Fault
 }
 
@@ -81,6 +82,13 @@
 	memory.fault = fault
 }
 
+// SetLimit sets the number of rows that a transaction may write; 0 means no limit.
+func (memory *Memory) SetLimit(rows int) {
+	memory.mu.Lock()
+	defer memory.mu.Unlock()
+	memory.limit = rows
+}
+
 // Log returns the transactions that took effect, in order.
 func (memory *Memory) Log() []Applied {
 	memory.mu.Lock()
@@ -208,6 +216,9 @@
 }
 
 func (memory *Memory) apply(transaction table.Transaction) (table.Result, error) {
+	if rows := len(transaction.Operations); memory.limit > 0 && rows > memory.limit {
+		return table.Result{}, table.ErrTooLarge{Key: transaction.Operations[0].Key, Bytes: rows, Limit: memory.limit}
+	}
 	for _, condition := range transaction.Conditions {
 		row := memory.rows[condition.Key]
 		if row.Revision != condition.Revision {
