Save learned estimates, delete old job rows and report what is in force by home

Cause: a replaced entry forgot the learned interference; rows of ended jobs were never deleted; states of single agents reach other entries up to 35 s late, so that ctl config wait named agents that had the version.

Conclusion: a restart keeps what was learned, and the table does not grow with the number of past jobs.

--- a/entry/configure.go
+++ b/entry/configure.go
@@ -86,9 +86,12 @@
 		entry.running.Go(func() {
 			ctx, cancel := entry.call(entry.settings.CallTimeout)
 			defer cancel()
-			if _, err := client.Configure(ctx, &controlpb.ConfigureRequest{Config: delta}); err != nil {
+			reply, err := client.Configure(ctx, &controlpb.ConfigureRequest{Config: delta})
+			if err != nil {
 				klog.V(1).InfoS("Configuration was not pushed", "Worker", worker, "Reason", err.Error())
+				return
 			}
+			entry.control.Post(func() { entry.inForce.agentApplied(worker, ident.Version(reply.GetConfigVersion())) })
 		})
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -68,6 +68,7 @@
 	store        table.Store
 	connections  Connections
 	agents       Agents
+	objects      objectstore.Store
 	runtimes     func(address string, name ident.Worker) worker.Runtime
 	publisher    *config.Publisher
 	reader       *config.Reader
@@ -94,8 +95,11 @@
 	decisions *decisionLog
 	accounts  *accounts
 	recorded  map[ident.Task]recordedEnd
+	inForce   *inForce
 	homed     map[ident.Job]bool
-	homes     string
+	// finalSince is when this entry first saw that a job homed here had ended.
+	finalSince map[ident.Job]clock.Time
+	homes      string
 	// publishedHomes are the live entries of the published view.
 	publishedHomes string
 	inExchange     map[ident.Entry]bool
@@ -145,14 +149,14 @@
 	publisher := config.NewPublisher()
 	incarnation := entries.Self().Incarnation
 	entry := &Entry{
-		settings: settings, time: dependencies.Clock, store: dependencies.Table, connections: dependencies.Control, agents: dependencies.Agents,
+		settings: settings, time: dependencies.Clock, store: dependencies.Table, connections: dependencies.Control, agents: dependencies.Agents, objects: dependencies.Objects,
 		runtimes:  dependencies.Runtimes,
 		publisher: publisher, view: membership.NewPublisher(), router: routing.New(settings.Routing),
 		control: loop.New(), lanes: newLanes(), incarnation: incarnation,
 		entries: entries, workers: membership.NewWorkers(settings.ID, settings.Membership),
 		granter: lease.NewGranter(settings.Lease), grants: map[ident.Worker]*grant{},
 		ended: map[ident.Worker]endedIncarnation{}, learned: newLearned(), decisions: newDecisionLog(),
-		recorded: map[ident.Task]recordedEnd{}, homed: map[ident.Job]bool{},
+		recorded: map[ident.Task]recordedEnd{}, inForce: newInForce(), homed: map[ident.Job]bool{}, finalSince: map[ident.Job]clock.Time{},
 		residents: map[ident.Worker][]resident{}, slowdownTarget: defaultSlowdownTarget,
 		inExchange: map[ident.Entry]bool{}, silent: map[ident.Worker]silence{}, since: map[ident.Endpoint]presence{},
 		quit: make(chan struct{}), rescan: make(chan struct{}, 1), settle: make(chan struct{}, 1),
@@ -188,6 +192,8 @@
 	entry.every(clock.Minute, entry.rescan, entry.scanJobs)
 	entry.every(10*clock.Second, nil, entry.sweep)
 	entry.every(20*clock.Second, entry.settle, entry.reviewTeams)
+	entry.running.Go(entry.loadLearned)
+	entry.every(learnedInterval, nil, entry.saveLearned)
 	entry.running.Go(entry.bootstrap)
 	entry.running.Go(entry.followConfig)
 }
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -35,7 +35,7 @@
 				pairs = entry.learned.pairs.Export(maxPairs, false)
 			}
 			request := entry.workers.Delta(peer.ID, now)
-			request.Sender = entry.entries.Self().Message()
+			request.Sender = entry.selfMessage()
 			request.Pairs = pairs
 			for _, worker := range set.SortedKeys(entry.ended) {
 				request.Ended = append(request.Ended, &controlpb.EndedIncarnation{
@@ -97,6 +97,7 @@
 		return
 	}
 	entry.entries.Heartbeat(membership.FromMessage(message), entry.time.Now())
+	entry.inForce.homes[ident.Entry(message.GetEntry())] = ident.Version(message.GetAgentsVersion())
 }
 
 // Exchange takes the heartbeat of another entry.
@@ -106,7 +107,7 @@
 		now := entry.time.Now()
 		entry.heard(request.GetSender())
 		reply = entry.workers.Exchange(request, now)
-		reply.Receiver = entry.entries.Self().Message()
+		reply.Receiver = entry.selfMessage()
 		for _, state := range request.GetWorkers() {
 			entry.workerSeen(ident.Worker(state.GetWorker()))
 		}
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -104,11 +104,16 @@
 			klog.V(1).InfoS("Job rows were not read", "Reason", err.Error())
 			return
 		}
+		var expired []table.Row
 		entry.control.Call(func() {
 			for _, row := range rows {
 				entry.sortJob(row)
+				if entry.jobExpired(row) {
+					expired = append(expired, row)
+				}
 			}
 		})
+		entry.deleteJobs(expired)
 		if len(rows) < jobPage {
 			return
 		}
@@ -116,6 +121,50 @@
 	}
 }
 
+// jobExpired reports whether a job homed here ended so long ago that its row is deleted. The time
+// counts from when this process first saw the end, because clocks of processes cannot be compared.
+func (entry *Entry) jobExpired(row table.Row) bool {
+	name := ident.Job(row.Key[len(job.KeyPrefix):])
+	if !entry.homed[name] {
+		delete(entry.finalSince, name)
+		return false
+	}
+	content, err := job.Decode(row.Value)
+	if err != nil || !content.Final() {
+		return false
+	}
+	now := entry.time.Now()
+	since, known := entry.finalSince[name]
+	if !known {
+		entry.finalSince[name] = now
+		return false
+	}
+	return now.Sub(since) >= entry.settings.JobRetention
+}
+
+// deleteJobs deletes rows of ended jobs that did not change since they were read. Their names stay
+// used, because a deleted row keeps its revision.
+func (entry *Entry) deleteJobs(rows []table.Row) {
+	for _, row := range rows {
+		ctx, cancel := entry.call(entry.settings.CallTimeout)
+		_, err := entry.store.Commit(ctx, table.Transaction{
+			Conditions: []table.Condition{{Key: row.Key, Revision: row.Revision}},
+			Operations: []table.Operation{{Key: row.Key, Delete: true}},
+		})
+		cancel()
+		if err != nil {
+			klog.V(1).InfoS("Row of an ended job was not deleted", "Key", row.Key, "Reason", err.Error())
+			continue
+		}
+		name := ident.Job(row.Key[len(job.KeyPrefix):])
+		entry.control.Call(func() {
+			delete(entry.finalSince, name)
+			delete(entry.homed, name)
+			entry.handle(placement.JobDropped{Job: name})
+		})
+	}
+}
+
 // sortJob takes the job if this entry is its home and drops it otherwise.
 func (entry *Entry) sortJob(row table.Row) {
 	name := ident.Job(row.Key[len(job.KeyPrefix):])
--- a/entry/operations_view.go
+++ b/entry/operations_view.go
@@ -174,7 +174,7 @@
 func (operations *operations) Wait(ctx context.Context, version ident.Version, patience clock.Millis) (operator.InForce, error) {
 	deadline := operations.entry.time.Now().Add(patience)
 	for {
-		lagging := operations.lagging(version)
+		lagging := operations.entry.lagging(version)
 		result := operator.InForce{Version: version, Everywhere: len(lagging) == 0, Lagging: lagging[:min(len(lagging), maxLagging)]}
 		if result.Everywhere || !operations.entry.time.Now().Before(deadline) {
 			return result, nil
@@ -187,27 +187,6 @@
 	}
 }
 
-// lagging names the live daemons that have not told that they applied the version.
-func (operations *operations) lagging(version ident.Version) []string {
-	var names []string
-	snapshot := operations.entry.view.Current()
-	for _, known := range snapshot.Entries {
-		applied := known.ConfigVersion
-		if known.ID == operations.entry.settings.ID {
-			applied = operations.view().Version()
-		}
-		if applied < version {
-			names = append(names, string(known.ID))
-		}
-	}
-	for _, worker := range snapshot.Workers {
-		if worker.ConfigVersion < version {
-			names = append(names, string(worker.ID))
-		}
-	}
-	return names
-}
-
 // Status returns a summary of the system as this entry sees it.
 func (operations *operations) Status(context.Context) (operator.Status, error) {
 	entry, view, snapshot := operations.entry, operations.view(), operations.entry.view.Current()
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -44,6 +44,8 @@
 	Retry      retry.Settings
 	// Retention is how long the results of keyed submissions are kept.
 	Retention clock.Millis
+	// JobRetention is how long the rows of ended jobs are kept for operators.
+	JobRetention clock.Millis
 	// DefaultPatience is that of requests whose service has none.
 	DefaultPatience clock.Millis
 }
@@ -64,6 +66,8 @@
 		Retry:       retry.Defaults(),
 		Retention:   clock.Day,
 
+		JobRetention: clock.Day,
+
 		DefaultPatience: 5 * clock.Second,
 	}
 }
--- a/entry/silent.go
+++ b/entry/silent.go
@@ -99,6 +99,7 @@
 func (entry *Entry) workerSilent(worker ident.Worker) {
 	klog.InfoS("Worker is silent", "Worker", worker)
 	delete(entry.residents, worker)
+	delete(entry.inForce.applied, worker)
 	entry.learned.pairs.ForgetWorker(worker)
 	entry.learned.governor.Forget(worker)
 	if _, ok := entry.silent[worker]; !ok {
