--- a/entry/entry.go
+++ b/entry/entry.go
@@ -189,7 +189,7 @@
 	entry.every(clock.Second, nil, entry.renew)
 	entry.every(clock.Second, nil, entry.adopt)
 	entry.every(clock.Second, nil, entry.settleGrants)
-	entry.every(clock.Minute, entry.rescan, entry.scanJobs)
+	entry.every(scanInterval, entry.rescan, entry.scanJobs)
 	entry.every(10*clock.Second, nil, entry.sweep)
 	entry.every(20*clock.Second, entry.settle, entry.reviewTeams)
 	entry.running.Go(entry.loadLearned)
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -18,6 +18,9 @@
 	// pendingPrefix starts the keys of rows that tell the home of a job to read its row. They exist
 	// from a change by another entry until the home has read it, so a range read of them is small.
 	pendingPrefix = "Pending/"
+	// scanInterval is how often all job rows are read although the live entries did not change. A
+	// scan reads some 100 KB at the design size, so it must be rare to stay below 7 KB/s.
+	scanInterval = 15 * clock.Minute
 	// jobPage is the number of rows read at once.
 	jobPage = 100
 )
--- a/entry/server.go
+++ b/entry/server.go
@@ -4,15 +4,19 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
+	"strings"
 
 	"github.com/gorilla/mux"
 	"google.golang.org/grpc"
 	"k8s.io/klog/v2"
 
 	"hyssopjunction/caller"
+	"hyssopjunction/clock"
 	"hyssopjunction/controlpb"
+	"hyssopjunction/outcome"
 	"hyssopjunction/probe"
 )
 
@@ -49,6 +53,7 @@
 		}
 	}()
 	router := mux.NewRouter()
+	router.Use(entry.refuseUntilReady)
 	probe.Register(router, entry.Ready)
 	caller.New(entry.Dispatcher(), entry.NewRequest, settings).Register(router)
 	server.caller = caller.NewServer(router, settings)
@@ -64,6 +69,31 @@
 	return server
 }
 
+// notReadyRetry is told to callers that reach an entry before it knows the configuration.
+const notReadyRetry = clock.Second
+
+// refuseUntilReady answers callers' requests with 503 until the configuration in force is known. A
+// keyed submission may have run before, so its outcome is unknown.
+func (entry *Entry) refuseUntilReady(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if entry.publisher.Ready() || !strings.HasPrefix(request.URL.Path, "/v1/") {
+			next.ServeHTTP(writer, request)
+			return
+		}
+		known := outcome.NotRun
+		if request.Header.Get("Request-Key") != "" {
+			known = outcome.Unknown
+		}
+		header := writer.Header()
+		header.Set("Content-Type", "application/json")
+		header.Set("Outcome", known.String())
+		header.Set("Retry-After", "1")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = fmt.Fprintf(writer, `{"Error":{"Type":"NotReady","Reason":"the configuration is not loaded","RetryAfterMillis":%d},"Outcome":%q}`,
+			notReadyRetry, known)
+	})
+}
+
 func serveHTTP(server *http.Server, listener net.Listener, secure *tls.Config) {
 	if secure != nil {
 		listener = tls.NewListener(listener, secure)
