Divide the table's limits among the live entries

Cause: the default of 12 writes a second per entry, meant for 24 entries, let today's three entries accept only about 6 keyed submissions a second each. The heartbeat default of 1 s is above the budget of 7 KB/s with 50 agents.

Figures: writes a second per entry with three entries: before 12, after 66; with 24 entries: before 12, after 8.

Conclusion: current deployments are served and the design size stays within the table's limits.

--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -86,7 +86,6 @@
 	limits.GroupMillis = settings.Table.GroupMillis
 	limits.BreakerFailures = settings.Table.BreakerFailures
 	limits.ProbeMillis = settings.Table.BreakerMillis
-	limits.Entries = 1
 	limits.SystemReads = int(settings.Table.ReadsPerSecond)
 	limits.SystemWrites = int(settings.Table.WritesPerSecond)
 	writer := fmt.Sprintf("%s-%d", settings.Identity.Name, newIncarnation())
--- a/entry/tick.go
+++ b/entry/tick.go
@@ -35,6 +35,9 @@
 	if homes != entry.homes {
 		entry.homes = homes
 		klog.InfoS("Live entries changed", "Entries", homes)
+		if shared, ok := entry.store.(interface{ SetEntries(entries int) }); ok {
+			shared.SetEntries(max(len(live), 1))
+		}
 		wakeUp(entry.rescan)
 	}
 	if !entry.workers.Changed() && entry.applied == view && homes == entry.publishedHomes {
--- a/setting/platform.go
+++ b/setting/platform.go
@@ -9,8 +9,8 @@
 type Table struct {
 	URL             string       `kind:"url" default:"http://127.0.0.1:7000" doc:"Address of the table service"`
 	TimeoutMillis   clock.Millis `default:"2000" min:"10" max:"60000" doc:"Time after which a call counts as failed"`
-	ReadsPerSecond  float64      `default:"60" min:"0.1" max:"2000" doc:"Most reads a second of this daemon"`
-	WritesPerSecond float64      `default:"12" min:"0.1" max:"500" doc:"Most writes a second of this daemon"`
+	ReadsPerSecond  float64      `default:"900" min:"0.1" max:"2000" doc:"Most reads a second of all entries together, divided among the live ones"`
+	WritesPerSecond float64      `default:"200" min:"0.1" max:"500" doc:"Most writes a second of all entries together, divided among the live ones"`
 	GroupMillis     clock.Millis `default:"20" min:"0" max:"1000" doc:"Longest wait to commit several changes together"`
 	BreakerFailures int          `default:"5" min:"1" max:"1000" doc:"Consecutive failures after which calls are refused at once"`
 	BreakerMillis   clock.Millis `default:"2000" min:"10" max:"600000" doc:"Time between two probes while calls are refused"`
--- a/setting/tasks.go
+++ b/setting/tasks.go
@@ -7,7 +7,7 @@
 type Tasks struct {
 	RoundMillis           clock.Millis `default:"200" min:"10" max:"10000" doc:"Time between two scheduling rounds"`
 	ReservationTermMillis clock.Millis `default:"2000" min:"100" max:"10000" doc:"Time after which an agent drops a reservation that was not started"`
-	HeartbeatMillis       clock.Millis `default:"1000" min:"100" max:"60000" doc:"Time between two heartbeats of an agent"`
+	HeartbeatMillis       clock.Millis `default:"4000" min:"100" max:"60000" doc:"Time between two heartbeats of an agent"`
 	LeaseTermMillis       clock.Millis `default:"20000" min:"1000" max:"600000" doc:"Term of the lease that a heartbeat grants to an agent"`
 	OutageGraceMillis     clock.Millis `default:"3700000" min:"1000" max:"86400000" doc:"Time after the last renewal of an entry's row during which it may still grant leases"`
 }
