Let urgent work displace batch tasks whose home is another entry

Ruled out: the quotas, which admitted the work.

Change: while urgent work waits, its home asks a few drawn agents for their tasks every 300 ms and gives them to the scheduler; agents list tasks with kind and size; submissions that fit on no worker are refused.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -173,13 +173,6 @@
 	return ready
 }
 
-// Tasks returns the tasks in the ledger in ascending order.
-func (agent *Agent) Tasks() []capacity.Entry {
-	var entries []capacity.Entry
-	agent.control.Call(func() { entries = agent.ledger.Entries() })
-	return entries
-}
-
 // Close ends the agent at once without draining, as a crash would. Running tasks stay on the
 // worker until their lease lapses.
 func (agent *Agent) Close() {
--- a/agent/server.go
+++ b/agent/server.go
@@ -40,6 +40,20 @@
 	return agent.gate.Follow(stream.Context(), request, stream.Send)
 }
 
+// Tasks lists the running tasks with their sizes, classes and kinds.
+func (agent *Agent) Tasks(context.Context, *controlpb.TasksRequest) (*controlpb.TasksReply, error) {
+	reply := &controlpb.TasksReply{}
+	agent.control.Call(func() {
+		reply.Incarnation = uint64(agent.incarnation)
+		for _, held := range agent.ledger.Entries() {
+			if held.Running {
+				reply.Tasks = append(reply.Tasks, agent.statusMessage(held))
+			}
+		}
+	})
+	return reply, nil
+}
+
 // Configure applies configuration that the home sends between heartbeats.
 func (agent *Agent) Configure(_ context.Context, request *controlpb.ConfigureRequest) (*controlpb.ConfigureReply, error) {
 	var err error
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -108,6 +108,11 @@
 	applied        *config.View
 	// residents are the tasks on the workers homed here.
 	residents map[ident.Worker][]resident
+	// listed are the tasks of workers homed elsewhere, urgent the urgent jobs homed here.
+	listed map[ident.Worker]listedResidents
+	urgent map[ident.Job]bool
+	// random draws candidates for urgent work.
+	random *rand.Rand
 	// slowdownTarget and headroom are those of the preset in force, in percent.
 	slowdownTarget int
 	headroom       int
@@ -157,7 +162,8 @@
 		granter: lease.NewGranter(settings.Lease), grants: map[ident.Worker]*grant{},
 		ended: map[ident.Worker]endedIncarnation{}, learned: newLearned(), decisions: newDecisionLog(),
 		recorded: map[ident.Task]recordedEnd{}, inForce: newInForce(), homed: map[ident.Job]bool{}, finalSince: map[ident.Job]clock.Time{},
-		residents: map[ident.Worker][]resident{}, slowdownTarget: defaultSlowdownTarget,
+		residents: map[ident.Worker][]resident{}, listed: map[ident.Worker]listedResidents{}, urgent: map[ident.Job]bool{},
+		random: rand.New(rand.NewPCG(settings.Seed, 3)), slowdownTarget: defaultSlowdownTarget,
 		inExchange: map[ident.Entry]bool{}, silent: map[ident.Worker]silence{}, since: map[ident.Endpoint]presence{},
 		quit: make(chan struct{}), rescan: make(chan struct{}, 1), settle: make(chan struct{}, 1),
 	}
@@ -186,6 +192,7 @@
 func (entry *Entry) start() {
 	entry.every(entry.settings.Tick, nil, entry.tick)
 	entry.every(entry.settings.Round, nil, entry.round)
+	entry.every(urgentInterval, nil, entry.assistUrgent)
 	entry.every(clock.Second, nil, entry.renew)
 	entry.every(clock.Second, nil, entry.adopt)
 	entry.every(clock.Second, nil, entry.settleGrants)
--- a/entry/govern.go
+++ b/entry/govern.go
@@ -9,6 +9,7 @@
 	"hyssopjunction/ident"
 	"hyssopjunction/interference"
 	"hyssopjunction/placement"
+	"hyssopjunction/unit"
 	"hyssopjunction/worker"
 )
 
@@ -19,9 +20,12 @@
 type resident struct {
 	task     ident.Task
 	epoch    ident.Epoch
+	size     unit.Resources
 	class    string
 	standing bool
 	urgent   bool
+	// batch is set if the task is known to be batch work, which urgent work may displace.
+	batch bool
 }
 
 // learnUsage feeds the measurements of a heartbeat to the estimates and lets the governor act on the
@@ -49,8 +53,9 @@
 	for _, message := range tasks {
 		task, epoch := controlpb.ToTask(message.GetTask())
 		residents = append(residents, resident{
-			task: task, epoch: epoch, class: message.GetClass(),
+			task: task, epoch: epoch, class: message.GetClass(), size: controlpb.ToResources(message.GetResources()),
 			standing: message.GetKind() == string(worker.Standing), urgent: message.GetUrgent(),
+			batch: message.GetKind() == string(worker.Batch),
 		})
 	}
 	return residents
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -89,6 +89,9 @@
 		adoptedJobs.Inc()
 		klog.InfoS("Home of job", "Job", name, "Revision", row.Revision)
 	}
+	if content, err := job.Decode(row.Value); err == nil && content.Spec.Urgent && !content.Final() {
+		entry.urgent[name] = true
+	}
 	entry.handle(placement.JobLoaded{Row: row})
 }
 
--- a/entry/operations_jobs.go
+++ b/entry/operations_jobs.go
@@ -38,6 +38,9 @@
 	if err != nil {
 		return operator.JobState{}, jobError(err)
 	}
+	if err := operations.fits(spec); err != nil {
+		return operator.JobState{}, err
+	}
 	_, err = operations.entry.store.Commit(ctx, withPending(transaction, spec.Job))
 	if table.IsErrConflict(err) {
 		return operations.repeated(ctx, spec)
@@ -49,6 +52,16 @@
 	return operations.Job(ctx, spec.Job)
 }
 
+// fits refuses a job that no known worker could ever hold.
+func (operations *operations) fits(spec job.Spec) error {
+	reason, ok := "", true
+	operations.entry.control.Call(func() { reason, ok = operations.entry.scheduler.Fits(spec) })
+	if ok {
+		return nil
+	}
+	return operator.ErrBadRequest{Field: "Resources", Reason: reason}
+}
+
 // repeated answers a submission whose job name is taken.
 func (operations *operations) repeated(ctx context.Context, spec job.Spec) (operator.JobState, error) {
 	content, _, err := operations.row(ctx, spec.Job)
--- a/entry/tick.go
+++ b/entry/tick.go
@@ -159,6 +159,10 @@
 	if service := state.GetEndpoint().GetService(); service != "" {
 		converted.Classes = append(converted.Classes, service)
 	}
+	converted.Residents = entry.residentsFor(converted.Worker)
+	if len(converted.Residents) > 0 {
+		return converted
+	}
 	for _, count := range state.GetClasses() {
 		converted.Classes = append(converted.Classes, slices.Repeat([]string{count.GetClass()}, int(count.GetTasks()))...)
 	}
--- a/standalone/deployment_test.go
+++ b/standalone/deployment_test.go
@@ -31,11 +31,11 @@
 // fixture is a configured deployment with a caller and an operator.
 type fixture struct {
 	*sampleRun
-	test *testing.T
+	test testing.TB
 	ctx  context.Context
 }
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t testing.TB) *fixture {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), bound)
 	t.Cleanup(cancel)
@@ -236,6 +236,28 @@
 	fixture.assertClean()
 }
 
+// Guards against urgent work that waits for ever because the batch tasks that fill the workers have
+// another home, and against displaced tasks that are lost or run twice.
+func TestUrgentDisplacesBatchOfOtherHomes(t *testing.T) {
+	t.Parallel()
+	fixture := newFixture(t)
+	fixture.submit("filling", 90, worker.Batch, 3000)
+	fixture.must(fixture.until(fixture.ctx, "the workers to be full", func() (bool, error) {
+		return fixture.deployment.Platform.Records.Counts().Running >= 50, nil
+	}))
+	for _, name := range []ident.Job{"urgent-a", "urgent-b", "urgent-c", "urgent-d"} {
+		submission := operator.JobSubmission{
+			Job: name, Team: contest, Class: "layout", Kind: worker.Standing, Tasks: 1, Urgent: true,
+			Resources: unit.Resources{CPU: 4000, Memory: 4096}, Payload: standin.Payload{Class: "layout"}.String(),
+		}
+		_, err := fixture.operators.SubmitJob(fixture.ctx, submission)
+		fixture.must(err)
+		fixture.running(name)
+	}
+	fixture.must(fixture.awaitJobs(fixture.ctx))
+	fixture.assertClean()
+}
+
 // Guards against requests that are cut by the planned stop of an entry or an agent.
 func TestGracefulStopsCutNothing(t *testing.T) {
 	t.Parallel()
