agent: keep ends of tasks, stop all tasks when fenced, pace announcements

Each fault has a test in agent/agent_test.go. "Before" is a run of these tests against the former sources, with go test ./agent.

Task in two places. Cause: a fenced agent began its next incarnation although stops were not confirmed, or a checkpoint that hung used up the time for the stop. The new incarnation announced and renewed the tasks, which may have been placed elsewhere. Before: TestFencedAgentKeepsNoTask saw incarnation 2 announce the task. After: it announces none.

False failure. Cause: ErrLeaseLapsed of the worker counted as a failure of the task, also when an earlier start without an answer had run. Change: it is treated as no answer. Before: TestStartWithoutAnswer saw a report of Failed beside a running task. After: one start and no report.

Task stuck for ever. Cause: a confirmed task that the worker has no record of stayed in the ledger. Change: it is stopped, which fences the epoch, and reported. Before: TestVanishedTaskEnds saw no report.

Announcement storm. Cause: each refused heartbeat was repeated at once, also to the same entry or between entries that name each other as home. Change: at most two redirects in a row are followed at once. Before: TestRedirectsArePaced counted more than 1,000 announcements in 10 heartbeats (its own stop). After: at most 12.

Cause: unconfirmed stops were not repeated, a fence during the shutdown opened the ledger again, and a start could call WaitGroup.Go beside Wait. Change: stops are repeated within the bound, the new ledger drains too, and goroutines start only before Close. Before: TestShutdown and TestLeavingSurvivesFence saw no report and an accepted reservation.

Conclusion: all tests of the agent pass, also with -race -count=3. The other tests in agent_test.go cover crash points that held before.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -85,6 +85,7 @@
 	reported chan struct{}
 	quit     chan struct{}
 	closing  sync.Once
+	spawning sync.Mutex
 	running  sync.WaitGroup
 }
 
@@ -96,8 +97,10 @@
 	urgent bool
 	// starting is set while a call to the worker is in progress.
 	starting bool
-	// confirmed is set once the worker's list showed the task.
+	// confirmed is set once the worker's list showed the task, or the worker confirmed the start.
 	confirmed bool
+	// confirmedAt is when confirmed was set.
+	confirmedAt clock.Time
 }
 
 // New returns a running agent. Its incarnation must be higher than that of every earlier process
@@ -146,6 +149,18 @@
 	}
 }
 
+// spawn runs step on a goroutine that Close waits for, unless the agent closes. WaitGroup.Go must not
+// race with Wait.
+func (agent *Agent) spawn(step func()) {
+	agent.spawning.Lock()
+	defer agent.spawning.Unlock()
+	select {
+	case <-agent.quit:
+	default:
+		agent.running.Go(step)
+	}
+}
+
 // wake makes a loop take its next step without waiting for its interval.
 func wake(signal chan struct{}) {
 	select {
@@ -183,7 +198,9 @@
 // Close ends the agent at once without draining, as a crash would. Running tasks stay on the
 // worker until their lease lapses.
 func (agent *Agent) Close() {
+	agent.spawning.Lock()
 	agent.closing.Do(func() { close(agent.quit) })
+	agent.spawning.Unlock()
 	agent.running.Wait()
 	agent.control.Close()
 }
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -152,9 +152,10 @@
 		return true
 	}
 	if !reply.Accepted {
-		agent.finder.redirected(reply.Home, reply.Entries)
 		agent.complete = true
-		wake(agent.kick)
+		if agent.finder.redirected(reply.Home, reply.Entries) {
+			wake(agent.kick)
+		}
 		return false
 	}
 	agent.finder.accepted(reply.Entries)
@@ -165,14 +166,19 @@
 }
 
 // restart begins a new incarnation: all tasks are stopped and the ledger is rebuilt from the
-// worker's list, because the tasks of the old incarnation may have been placed elsewhere.
+// worker's list, because the tasks of the old incarnation may have been placed elsewhere. While a
+// stop is not confirmed the old incarnation stays, without a lease; its next heartbeat is fenced
+// again. A new incarnation would take over the tasks that still run and renew their lease.
 func (agent *Agent) restart(highest ident.Incarnation) {
 	klog.InfoS("Incarnation was declared over", "Worker", agent.settings.Worker, "Highest", highest)
-	agent.stopAll("incarnation was declared over")
+	agent.control.Call(func() { agent.holder = lease.NewHolder() })
+	if !agent.stopAll("incarnation was declared over") {
+		return
+	}
 	agent.control.Call(func() {
 		agent.incarnation = max(agent.incarnation, highest) + 1
 		agent.ledger = capacity.New(capacity.Settings{})
-		agent.holder = lease.NewHolder()
+		agent.ledger.Drain(agent.leaving)
 		agent.renewed = 0
 		agent.tasks = map[ident.Task]*task{}
 		agent.complete = true
@@ -184,9 +190,10 @@
 
 // stopRefs stops tasks whose epoch is over.
 func (agent *Agent) stopRefs(refs []*controlpb.TaskRef) {
-	for _, ref := range refs {
-		ctx, cancel := agent.call()
-		agent.stop(ctx, ref, false, "epoch is over")
-		cancel()
+	if len(refs) == 0 {
+		return
 	}
+	ctx, cancel := agent.call()
+	defer cancel()
+	agent.stop(ctx, refs, false, "epoch is over")
 }
--- a/agent/home.go
+++ b/agent/home.go
@@ -10,6 +10,10 @@
 // entry. One failure can be a single lost message.
 const failuresBeforeMove = 2
 
+// maxRedirects is how many redirects in a row are followed at once. Entries that disagree about the
+// home, or a leaving entry without a successor, would otherwise receive announcements without pause.
+const maxRedirects = 2
+
 // homeFinder chooses the entry that the agent announces itself to.
 type homeFinder struct {
 	bootstrap []string
@@ -17,6 +21,8 @@
 	entries   []*controlpb.EntryState
 	current   string
 	failures  int
+	// redirects counts the announcements in a row that were not accepted.
+	redirects int
 }
 
 func newHomeFinder(bootstrap []string, random *rand.Rand) *homeFinder {
@@ -33,23 +39,24 @@
 
 // accepted records that the current target is the home and which entries exist.
 func (finder *homeFinder) accepted(entries []*controlpb.EntryState) {
-	finder.failures = 0
+	finder.failures, finder.redirects = 0, 0
 	if len(entries) > 0 {
 		finder.entries = entries
 	}
 }
 
-// redirected makes home the next target.
-func (finder *homeFinder) redirected(home *controlpb.EntryState, entries []*controlpb.EntryState) {
+// redirected makes home the next target and reports whether to announce there at once.
+func (finder *homeFinder) redirected(home *controlpb.EntryState, entries []*controlpb.EntryState) bool {
 	finder.failures = 0
+	finder.redirects++
 	if len(entries) > 0 {
 		finder.entries = entries
 	}
-	if address := home.GetControlAddress(); address != "" {
-		finder.current = address
-		return
+	former := finder.current
+	if finder.current = home.GetControlAddress(); finder.current == "" {
+		finder.current = finder.another(former)
 	}
-	finder.current = finder.another(finder.current)
+	return finder.current != former && finder.redirects <= maxRedirects
 }
 
 // failed records an announcement without answer and reports whether the target changed.
--- a/agent/shutdown.go
+++ b/agent/shutdown.go
@@ -27,7 +27,6 @@
 	if agent.gate != nil {
 		err = agent.gate.Drain(ctx)
 	}
-	agent.stopAll("agent is leaving")
 	if waitErr := agent.waitReported(ctx); err == nil {
 		err = waitErr
 	}
@@ -65,12 +64,14 @@
 	}
 }
 
-// waitReported waits until every end is recorded in the table or ctx ends.
+// waitReported stops all tasks and waits until every end is recorded in the table or ctx ends. Stops
+// that the worker did not confirm are repeated.
 func (agent *Agent) waitReported(ctx context.Context) error {
 	for {
+		empty := agent.stopAll("agent is leaving")
 		pending := 0
 		agent.control.Call(func() { pending = len(agent.ended) })
-		if pending == 0 {
+		if empty && pending == 0 {
 			return nil
 		}
 		select {
--- a/agent/tasks.go
+++ b/agent/tasks.go
@@ -85,7 +85,7 @@
 		}
 	})
 	for _, name := range launches {
-		agent.running.Go(func() { agent.launch(name) })
+		agent.spawn(func() { agent.launch(name) })
 	}
 	return reply, ctx.Err()
 }
@@ -143,12 +143,15 @@
 func (agent *Agent) launched(spec worker.Spec, err error) {
 	if known := agent.tasks[spec.Task]; known != nil && known.spec.Epoch == spec.Epoch {
 		known.starting = false
-		known.confirmed = known.confirmed || err == nil
+		if err == nil {
+			known.confirm(agent.time.Now())
+		}
 	}
 	switch {
 	case err == nil:
 		klog.InfoS("Task started", "Worker", agent.settings.Worker, "Task", spec.Task.String(), "Epoch", spec.Epoch)
-	case worker.IsErrUnavailable(err):
+	case worker.IsErrUnavailable(err), worker.IsErrLeaseLapsed(err):
+		// A lapsed lease is no failure of the task, and an earlier start without an answer may have run.
 		klog.ErrorS(err, "Start has no answer", "Worker", agent.settings.Worker, "Task", spec.Task.String(), "Epoch", spec.Epoch)
 	default:
 		agent.taskEnded(worker.Status{
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -23,11 +23,12 @@
 	}
 	received := agent.time.Now()
 	var repeat []ident.Task
+	var vanished []*stopping
 	var expiry worker.Instant
 	var renew, lapsing bool
 	agent.control.Call(func() {
 		agent.holder.Sampled(sent, received, report.Now)
-		repeat = agent.observe(report, received)
+		repeat, vanished = agent.observe(report, sent, received)
 		expiry, renew = agent.holder.WorkerExpiry()
 		renew = renew && expiry > agent.renewed && agent.holder.Valid(agent.time.Now())
 		lapsing = agent.lapsing(agent.time.Now())
@@ -38,19 +39,21 @@
 	for _, name := range repeat {
 		agent.launch(name)
 	}
+	agent.end(ctx, vanished, false, "worker has no record of the task")
 	if lapsing {
 		agent.stopAll("lease is about to lapse")
 	}
 	agent.observeSlowdown()
 }
 
-// observe applies the worker's report and returns the tasks that were started but are not listed.
-func (agent *Agent) observe(report worker.Report, now clock.Time) []ident.Task {
+// observe applies the worker's report, which was requested at sent. It returns the tasks whose start
+// has to be repeated and those that the worker ran and lost its record of.
+func (agent *Agent) observe(report worker.Report, sent, now clock.Time) (missing []ident.Task, vanished []*stopping) {
 	agent.usage = report.Usage
 	agent.load = load(report)
 	if !agent.ledger.Ready() {
 		agent.rebuild(report, now)
-		return nil
+		return nil, nil
 	}
 	agent.ledger.Resize(report.Capacity)
 	agent.ledger.Expire(now)
@@ -61,7 +64,7 @@
 			agent.taskEnded(status, now)
 		}
 	}
-	return agent.unlisted(listed)
+	return agent.unlisted(listed, sent, now)
 }
 
 // load returns the processor time in use in percent of the worker's capacity.
@@ -73,9 +76,16 @@
 	return int32(used * 100 / max(report.Capacity.CPU, 1))
 }
 
-// unlisted marks the listed running tasks as confirmed and returns the others.
-func (agent *Agent) unlisted(listed map[ident.Task]ident.Epoch) []ident.Task {
-	var missing []ident.Task
+// confirm notes that the worker ran the task.
+func (known *task) confirm(now clock.Time) {
+	if !known.confirmed {
+		known.confirmed, known.confirmedAt = true, now
+	}
+}
+
+// unlisted marks the listed running tasks as confirmed and returns the others: those to start again,
+// and those that were confirmed before the list was requested.
+func (agent *Agent) unlisted(listed map[ident.Task]ident.Epoch, sent, now clock.Time) (missing []ident.Task, vanished []*stopping) {
 	held := map[ident.Task]bool{}
 	for _, entry := range agent.ledger.Entries() {
 		held[entry.Task] = true
@@ -84,10 +94,13 @@
 			continue
 		}
 		if listed[entry.Task] == entry.Epoch {
-			known.confirmed = true
+			known.confirm(now)
 			continue
 		}
-		if !known.starting && !known.confirmed {
+		switch {
+		case known.confirmed && sent.After(known.confirmedAt):
+			vanished = append(vanished, &stopping{name: entry.Task, epoch: entry.Epoch})
+		case !known.starting && !known.confirmed:
 			missing = append(missing, entry.Task)
 		}
 	}
@@ -96,7 +109,7 @@
 			delete(agent.tasks, name)
 		}
 	}
-	return missing
+	return missing, vanished
 }
 
 // rebuild opens the ledger with what the worker says it runs.
@@ -106,7 +119,7 @@
 		entry := capacity.Entry{Task: status.Task, Epoch: status.Epoch, Size: status.Resources}
 		if status.State == worker.Running {
 			running = append(running, entry)
-			agent.tasks[status.Task] = &task{confirmed: true}
+			agent.tasks[status.Task] = &task{confirmed: true, confirmedAt: now}
 			continue
 		}
 		ended = append(ended, entry)
