entry: settle ends of incarnations safely and together, grant to returning workers

Task in two places, lost end. Cause: every consultation of a silent worker's runtime counted towards the bound of 3, also those answered "runs a task" and those whose ends no home had recorded.

Lease after a yield. Cause: the table's answer to this entry's own takeover could arrive after it had yielded to a later granter, which then counted on no grant. Change: the revision of the yield is kept and older answers are ignored.

Tasks of an ended incarnation. Cause: a restarted agent announced tasks of an incarnation that was declared over, got a lease and renewed them. Change: it is fenced until it runs none.

Agent without a lease for ever. Cause: the decision that an incarnation is over, which cannot be taken back, came before the row was read; if another entry was the granter by then, this entry never granted to the incarnation again and never fenced it. Change: the row is read first, and a takeover after a decision fences.

Cause: an older incarnation fenced by the row marked the newer one as ending. Change: only an incarnation that the row declares over is ending.

Slow settlement. Change: up to 64 at once.

False quarantine. Cause: each repetition of a report counted as a failure. Change: an epoch counts once.

Cause: the control goroutine called WaitGroup.Go beside Wait. Change: goroutines start only before Close.

--- a/entry/accounts.go
+++ b/entry/accounts.go
@@ -73,7 +73,7 @@
 		behind = behind || entry.quotaBehind(view, team)
 	}
 	if behind {
-		entry.running.Go(entry.reviewTeamsSoon)
+		entry.spawn(entry.reviewTeamsSoon)
 	}
 }
 
--- a/entry/actions.go
+++ b/entry/actions.go
@@ -34,9 +34,9 @@
 		case placement.Throttle:
 			entry.throttle(action)
 		case placement.Commit:
-			entry.running.Go(func() { entry.commit(action) })
+			entry.spawn(func() { entry.commit(action) })
 		case placement.Read:
-			entry.running.Go(func() { entry.read(action) })
+			entry.spawn(func() { entry.read(action) })
 		case placement.Recorded:
 			for _, ref := range action.Tasks {
 				entry.recorded[ref.Task] = recordedEnd{epoch: ref.Epoch, at: entry.time.Now()}
@@ -115,7 +115,7 @@
 	}
 	answer := placement.Reserved{Worker: action.Worker, Reservation: action.Reservation}
 	if !ok {
-		entry.running.Go(func() { entry.post(answer) })
+		entry.spawn(func() { entry.post(answer) })
 		return
 	}
 	entry.lanes.do(action.Worker, func() {
@@ -138,7 +138,7 @@
 	client, ok := entry.agentOf(action.Worker)
 	answer := placement.Started{Worker: action.Worker, Incarnation: action.Incarnation}
 	if !ok {
-		entry.running.Go(func() { entry.post(answer) })
+		entry.spawn(func() { entry.post(answer) })
 		return
 	}
 	request := &controlpb.StartRequest{
@@ -180,7 +180,7 @@
 	client, ok := entry.agentOf(action.Worker)
 	answer := placement.Stopped{Worker: action.Worker, Incarnation: action.Incarnation}
 	if !ok {
-		entry.running.Go(func() { entry.post(answer) })
+		entry.spawn(func() { entry.post(answer) })
 		return
 	}
 	request := &controlpb.StopRequest{
--- a/entry/announce.go
+++ b/entry/announce.go
@@ -32,7 +32,7 @@
 		return reply, nil
 	}
 	if record {
-		fenced = entry.recordGrant(worker, incarnation)
+		fenced = entry.recordGrant(worker, incarnation, state.GetTasks())
 	}
 	entry.control.Call(func() { entry.answerHeartbeat(request, reply, fenced) })
 	return reply, nil
--- a/entry/configure.go
+++ b/entry/configure.go
@@ -83,7 +83,7 @@
 		if !ok {
 			continue
 		}
-		entry.running.Go(func() {
+		entry.spawn(func() {
 			ctx, cancel := entry.call(entry.settings.CallTimeout)
 			defer cancel()
 			if _, err := client.Configure(ctx, &controlpb.ConfigureRequest{Config: delta}); err != nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -84,18 +84,24 @@
 	shuttingDown atomic.Bool
 
 	// The fields below belong to the control goroutine.
-	entries   *membership.Entries
-	workers   *membership.Workers
-	granter   *lease.Granter
-	grants    map[ident.Worker]*grant
+	entries *membership.Entries
+	workers *membership.Workers
+	granter *lease.Granter
+	grants  map[ident.Worker]*grant
+	// yielded holds the revision of each worker's row at which another process asked this one to grant
+	// no more. Answers of the table about an earlier revision make this process granter no more.
+	yielded   map[ident.Worker]table.Revision
 	ended     map[ident.Worker]endedIncarnation
 	scheduler *placement.Scheduler
 	learned   *learned
 	decisions *decisionLog
 	accounts  *accounts
 	recorded  map[ident.Task]recordedEnd
-	homed     map[ident.Job]bool
-	homes     string
+	// counted are the reported ends that are evidence about workers and jobs already. An agent repeats a
+	// report each second while the table is unavailable.
+	counted map[ident.Task]recordedEnd
+	homed   map[ident.Job]bool
+	homes   string
 	// publishedHomes are the live entries of the published view.
 	publishedHomes string
 	inExchange     map[ident.Entry]bool
@@ -111,11 +117,12 @@
 	// readAt is when the entries' rows were last read. It belongs to the renewing goroutine.
 	readAt clock.Time
 
-	quit    chan struct{}
-	rescan  chan struct{}
-	settle  chan struct{}
-	closing sync.Once
-	running sync.WaitGroup
+	quit     chan struct{}
+	rescan   chan struct{}
+	settle   chan struct{}
+	closing  sync.Once
+	spawning sync.Mutex
+	running  sync.WaitGroup
 }
 
 // New returns a running entry that is not ready until it has read the configuration in force. It
@@ -150,9 +157,9 @@
 		publisher: publisher, view: membership.NewPublisher(), router: routing.New(settings.Routing),
 		control: loop.New(), lanes: newLanes(), incarnation: incarnation,
 		entries: entries, workers: membership.NewWorkers(settings.ID, settings.Membership),
-		granter: lease.NewGranter(settings.Lease), grants: map[ident.Worker]*grant{},
+		granter: lease.NewGranter(settings.Lease), grants: map[ident.Worker]*grant{}, yielded: map[ident.Worker]table.Revision{},
 		ended: map[ident.Worker]endedIncarnation{}, learned: newLearned(), decisions: newDecisionLog(),
-		recorded: map[ident.Task]recordedEnd{}, homed: map[ident.Job]bool{},
+		recorded: map[ident.Task]recordedEnd{}, counted: map[ident.Task]recordedEnd{}, homed: map[ident.Job]bool{},
 		residents: map[ident.Worker][]resident{}, slowdownTarget: defaultSlowdownTarget,
 		inExchange: map[ident.Entry]bool{}, silent: map[ident.Worker]silence{}, since: map[ident.Endpoint]presence{},
 		quit: make(chan struct{}), rescan: make(chan struct{}, 1), settle: make(chan struct{}, 1),
@@ -207,6 +214,18 @@
 	})
 }
 
+// spawn runs step on a goroutine that Close waits for, unless the entry closes. WaitGroup.Go must not
+// race with Wait.
+func (entry *Entry) spawn(step func()) {
+	entry.spawning.Lock()
+	defer entry.spawning.Unlock()
+	select {
+	case <-entry.quit:
+	default:
+		entry.running.Go(step)
+	}
+}
+
 // newRandom returns a source of its own for each purpose, so that goroutines share none.
 func (entry *Entry) newRandom(purpose uint64) *rand.Rand {
 	return rand.New(rand.NewPCG(entry.settings.Seed, purpose))
@@ -255,7 +274,9 @@
 
 // Close ends the entry at once without handing anything over, as a crash would.
 func (entry *Entry) Close() {
+	entry.spawning.Lock()
 	entry.closing.Do(func() { close(entry.quit) })
+	entry.spawning.Unlock()
 	entry.running.Wait()
 	entry.reader.Close()
 	entry.control.Close()
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -47,7 +47,7 @@
 		}
 	})
 	for _, message := range due {
-		entry.running.Go(func() { entry.sendExchange(message) })
+		entry.spawn(func() { entry.sendExchange(message) })
 	}
 }
 
--- a/entry/grants.go
+++ b/entry/grants.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"sync"
 
 	"k8s.io/klog/v2"
 
 	"hyssopjunction/clock"
-	"hyssopjunction/controlpb"
 	"hyssopjunction/ident"
 	"hyssopjunction/lease"
 	"hyssopjunction/placement"
@@ -28,8 +28,10 @@
 	revision table.Revision
 	// runtime is the address of the worker's runtime.
 	runtime string
-	// consulted counts the attempts to read the ended incarnation's tasks from the worker's runtime.
-	consulted int
+	// unanswered counts the attempts to read the ended incarnation's tasks from the worker's runtime
+	// that had no answer, and reports the attempts to have their ends recorded.
+	unanswered int
+	reports    int
 	// ending is set from the decision that the incarnation is over until the row says so.
 	ending bool
 }
@@ -58,6 +60,9 @@
 		return false, true
 	case known.ending:
 		return true, false
+	case known.revision == 0:
+		// Known only from a row that fenced an older incarnation.
+		return false, true
 	}
 	if acknowledged > uint64(known.revision) {
 		// Another entry was recorded as granter in between.
@@ -68,9 +73,10 @@
 	return false, false
 }
 
-// recordGrant writes this entry as granter into the worker's row. It reports whether the
-// incarnation is fenced. Without an answer of the table nothing is granted.
-func (entry *Entry) recordGrant(worker ident.Worker, incarnation ident.Incarnation) (fenced bool) {
+// recordGrant writes this entry as granter into the worker's row, given the number of tasks that the
+// incarnation runs. It reports whether the incarnation is fenced. Without an answer of the table
+// nothing is granted.
+func (entry *Entry) recordGrant(worker ident.Worker, incarnation ident.Incarnation, tasks int32) (fenced bool) {
 	ctx, cancel := entry.call(entry.settings.CallTimeout)
 	defer cancel()
 	for range maxGrantWriteTries {
@@ -79,7 +85,9 @@
 			klog.V(1).InfoS("Worker's row was not read", "Worker", worker, "Reason", err.Error())
 			return false
 		}
-		err = entry.takeOver(ctx, worker, incarnation, row)
+		if err = inheritsEnded(row, worker, incarnation, tasks); err == nil {
+			err = entry.takeOver(ctx, worker, incarnation, row)
+		}
 		switch {
 		case lease.IsErrFenced(err):
 			entry.control.Call(func() { entry.noteFence(worker, row) })
@@ -91,6 +99,16 @@
 	return false
 }
 
+// inheritsEnded returns ErrFenced if a new incarnation runs tasks of one that was declared over. They
+// may have been placed elsewhere, so the agent has to stop them and begin another incarnation.
+func inheritsEnded(row table.Row, worker ident.Worker, incarnation ident.Incarnation, tasks int32) error {
+	record, err := lease.DecodeRecord(row)
+	if err == nil && tasks > 0 && record.Over > 0 && record.Over >= record.Incarnation && incarnation > record.Incarnation {
+		return lease.ErrFenced{Worker: worker, Incarnation: incarnation, Have: record.Over}
+	}
+	return nil
+}
+
 // takeOver makes this process the granter in the worker's row, unless it is already.
 func (entry *Entry) takeOver(ctx context.Context, worker ident.Worker, incarnation ident.Incarnation, row table.Row) error {
 	record, err := lease.DecodeRecord(row)
@@ -112,18 +130,24 @@
 			return err
 		}
 	}
-	entry.control.Call(func() { entry.becameGranter(worker, incarnation, revision, record.Former) })
-	return nil
+	entry.control.Call(func() { err = entry.becameGranter(worker, incarnation, revision, record.Former) })
+	return err
 }
 
-// becameGranter notes that the table names this process as granter.
-func (entry *Entry) becameGranter(worker ident.Worker, incarnation ident.Incarnation, revision table.Revision, former []lease.Process) {
+// becameGranter notes that the table named this process as granter at revision. The error is
+// ErrNotGranter if this process yielded to a later granter while the table's answer was on its way,
+// and ErrFenced if it decided before that the incarnation is over.
+func (entry *Entry) becameGranter(worker ident.Worker, incarnation ident.Incarnation, revision table.Revision, former []lease.Process) error {
+	if revision < entry.yielded[worker] {
+		return lease.ErrNotGranter{Worker: worker}
+	}
 	if err := entry.granter.Record(worker, incarnation, revision, former, entry.time.Now()); err != nil {
 		klog.ErrorS(err, "Granter was recorded for an ended incarnation", "Worker", worker)
-		return
+		return err
 	}
 	entry.grants[worker] = &grant{incarnation: incarnation, revision: revision}
 	klog.InfoS("Recorded as granter", "Worker", worker, "Incarnation", incarnation, "Former", len(former))
+	return nil
 }
 
 // writeRecord commits a worker's row with a write id of its own, so that it is not merged with others
@@ -144,40 +168,13 @@
 	}
 	highest := max(record.Incarnation, record.Over)
 	if known := entry.grants[worker]; known == nil || known.incarnation < highest {
-		entry.grants[worker] = &grant{incarnation: highest, ending: true}
+		entry.grants[worker] = &grant{incarnation: highest, ending: record.Over >= highest}
 	}
 	if record.Over > 0 {
 		entry.granter.Declare(worker, record.Over)
 	}
 }
 
-// handover is a former granter to be asked to grant no more.
-type handover struct {
-	worker   ident.Worker
-	revision table.Revision
-	former   lease.Process
-	address  string
-}
-
-// openHandovers returns the former granters that may still grant, after noting those that certainly
-// cannot any more.
-func (entry *Entry) openHandovers(now clock.Time) []handover {
-	var open []handover
-	for _, worker := range set.SortedKeys(entry.grants) {
-		known := entry.grants[worker]
-		for _, former := range entry.granter.Former(worker) {
-			if entry.entries.Gone(former.Entry, former.Incarnation, now) {
-				entry.granter.Stopped(worker, former, now)
-				continue
-			}
-			if peer, ok := entry.entries.Get(former.Entry); ok {
-				open = append(open, handover{worker, known.revision, former, peer.ControlAddress})
-			}
-		}
-	}
-	return open
-}
-
 // settleGrants asks previous granters to yield, and declares incarnations over whose lease lapsed.
 func (entry *Entry) settleGrants() {
 	var handovers []handover
@@ -185,40 +182,83 @@
 	entry.control.Call(func() {
 		now := entry.time.Now()
 		handovers = entry.openHandovers(now)
-		ending = entry.endLapsed(now)
+		ending = entry.lapsed(now)
 		entry.forgetOld(now)
 	})
-	for _, change := range handovers {
-		entry.requestYield(change)
-	}
-	for _, worker := range ending {
-		if entry.consultRuntime(worker) {
+	inParallel(handovers, entry.requestYield)
+	inParallel(ending, func(worker ident.Worker) {
+		if entry.decideEnd(worker) && entry.consultRuntime(worker) {
 			entry.writeEnd(worker)
 		}
-	}
+	})
 	entry.reviewSilent()
 }
 
-// endLapsed decides which incarnations are over and returns them with those decided before whose
-// row does not say so yet.
-func (entry *Entry) endLapsed(now clock.Time) []ident.Worker {
-	for _, worker := range entry.granter.Due(now) {
-		known := entry.grants[worker]
-		if known == nil || known.ending {
-			continue
-		}
-		if err := entry.granter.Over(worker, known.incarnation, now); err == nil {
-			known.ending = true
-		}
+// settledAtOnce bounds the calls under way in one pass of settleGrants. It covers the 50 agents of an
+// entry: one after the other, their timeouts after the loss of a data centre or of a former granter
+// take more than a minute.
+const settledAtOnce = 64
+
+// inParallel carries out step for each item and returns when all are done.
+func inParallel[Item any](items []Item, step func(Item)) {
+	var running sync.WaitGroup
+	slots := make(chan struct{}, settledAtOnce)
+	for _, item := range items {
+		slots <- struct{}{}
+		running.Go(func() {
+			defer func() { <-slots }()
+			step(item)
+		})
 	}
-	var ending []ident.Worker
-	for _, worker := range set.SortedKeys(entry.grants) {
-		known := entry.grants[worker]
+	running.Wait()
+}
+
+// lapsed returns the workers whose lease has lapsed and those whose row does not say yet that their
+// incarnation is over, in ascending order.
+func (entry *Entry) lapsed(now clock.Time) []ident.Worker {
+	ending := set.New(entry.granter.Due(now)...)
+	for worker, known := range entry.grants {
 		if known.ending && known.revision != 0 {
-			ending = append(ending, worker)
+			ending.Add(worker)
 		}
 	}
-	return ending
+	return set.Sorted(ending)
+}
+
+// decideEnd decides that the worker's incarnation is over, and reports whether it is. The row is read
+// before, because the decision cannot be taken back: if another entry is the granter by now, the
+// worker may return to this entry with the same incarnation.
+func (entry *Entry) decideEnd(worker ident.Worker) bool {
+	known, ok := entry.grantOf(worker)
+	if !ok {
+		return false
+	}
+	ctx, cancel := entry.call(entry.settings.CallTimeout)
+	defer cancel()
+	row, err := entry.store.Get(ctx, lease.Key(worker))
+	if err != nil {
+		return false
+	}
+	record, err := lease.DecodeRecord(row)
+	if err != nil {
+		klog.ErrorS(err, "End of incarnation was not decided", "Worker", worker)
+		return false
+	}
+	entry.control.Call(func() {
+		current := entry.grants[worker]
+		switch {
+		case current == nil || current.incarnation != known.incarnation || current.revision != known.revision:
+			return
+		case record.Granter != entry.process() || record.Incarnation != current.incarnation:
+			entry.granter.Lose(worker)
+			delete(entry.grants, worker)
+			return
+		case !current.ending:
+			current.ending = entry.granter.Over(worker, current.incarnation, entry.time.Now()) == nil
+		}
+		ok = current.ending
+	})
+	return ok
 }
 
 // writeEnd writes that the incarnation is over and tells the scheduler.
@@ -241,8 +281,8 @@
 			}
 			entry.incarnationEnded(worker, known.incarnation, lease.LeaseLapsed)
 		})
-	case table.IsErrConflict(err), lease.IsErrNotGranter(err):
-		// Another entry is the granter now.
+	case lease.IsErrNotGranter(err):
+		// Another entry is the granter now. After a conflict the next pass reads the row again.
 		entry.control.Call(func() {
 			entry.granter.Lose(worker)
 			delete(entry.grants, worker)
@@ -277,49 +317,20 @@
 	for worker, known := range entry.ended {
 		if now.Sub(known.at) > endedKept {
 			delete(entry.ended, worker)
+			if left := entry.grants[worker]; left != nil && left.ending && left.revision == 0 && left.incarnation <= known.incarnation {
+				delete(entry.grants, worker)
+			}
 		}
 	}
-	for task, known := range entry.recorded {
-		if now.Sub(known.at) > recordedKept {
-			delete(entry.recorded, task)
+	for _, ends := range []map[ident.Task]recordedEnd{entry.recorded, entry.counted} {
+		for task, known := range ends {
+			if now.Sub(known.at) > recordedKept {
+				delete(ends, task)
+			}
 		}
 	}
 }
 
-// requestYield asks a former granter to grant no more.
-func (entry *Entry) requestYield(change handover) {
-	client, err := entry.connections.Entry(change.address)
-	if err != nil {
-		return
-	}
-	ctx, cancel := entry.call(entry.settings.CallTimeout)
-	defer cancel()
-	reply, err := client.Yield(ctx, &controlpb.YieldRequest{
-		Worker: string(change.worker), GrantRevision: uint64(change.revision), Incarnation: uint64(change.former.Incarnation),
-	})
-	if err != nil || !reply.Yielded {
-		klog.V(1).InfoS("Former granter did not yield", "Worker", change.worker, "Entry", change.former.Entry)
-		return
-	}
-	entry.control.Call(func() { entry.granter.Stopped(change.worker, change.former, entry.time.Now()) })
-}
-
-// Yield stops granting leases to an agent whose granter another entry has become. It answers for
-// this process only: an older one with the same id may still run somewhere.
-func (entry *Entry) Yield(_ context.Context, request *controlpb.YieldRequest) (*controlpb.YieldReply, error) {
-	reply := &controlpb.YieldReply{}
-	entry.control.Call(func() {
-		worker := ident.Worker(request.Worker)
-		known := entry.grants[worker]
-		if known == nil || uint64(known.revision) < request.GrantRevision {
-			entry.granter.Lose(worker)
-			delete(entry.grants, worker)
-		}
-		reply.Yielded = ident.Incarnation(request.Incarnation) == entry.incarnation
-	})
-	return reply, nil
-}
-
 // incarnationEndedElsewhere takes the statement of another entry, which the table already holds.
 func (entry *Entry) incarnationEndedElsewhere(worker ident.Worker, incarnation ident.Incarnation) {
 	if have, ok := entry.ended[worker]; ok && have.incarnation >= incarnation {
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -186,7 +186,10 @@
 				continue
 			}
 			worker := ident.Worker(request.GetWorker())
-			entry.learned.taskEnded(worker, status, now)
+			if entry.counted[status.Task].epoch < status.Epoch {
+				entry.learned.taskEnded(worker, status, now)
+			}
+			entry.counted[status.Task] = recordedEnd{epoch: status.Epoch, at: now}
 			entry.handle(placement.TaskEnded{Worker: worker, Status: status})
 		}
 	})
--- a/entry/silent.go
+++ b/entry/silent.go
@@ -34,9 +34,7 @@
 			}
 		}
 	})
-	for _, worker := range due {
-		entry.reviewWorker(worker)
-	}
+	inParallel(due, entry.reviewWorker)
 }
 
 func (entry *Entry) reviewWorker(worker ident.Worker) {
