Check the role of each gRPC caller and read tokens again when they change

Cause: any certificate of the authority could call every gRPC method, so an agent's certificate could call Exchange or Yield on entries, and one agent could call another. Listening addresses without a certificate were refused with exit code 1 and one at a time. With certificates, the metrics page, which is not encrypted, could listen anywhere. The tokens file was read once; a misspelt ReadOnly granted changes.

Change: keys.Authorize denies methods by the role of the peer's certificate, controlpb lists the roles per method, and clients accept only servers of the role they dial. The process tests take a shape, and a system with certificates is tested.

Seen: without Authorize TestProcessesWithTLS reports Announce and Leave with an entry's certificate and Exchange, Notify, Explain and Yield with an agent's certificate as OK; with it all are PermissionDenied. go test -count=1 ./... passed.

--- a/cmd/agent.go
+++ b/cmd/agent.go
@@ -8,7 +8,6 @@
 
 	"github.com/jessevdk/go-flags"
 	"go.uber.org/fx"
-	"google.golang.org/grpc"
 	"k8s.io/klog/v2"
 
 	"hyssopjunction/agent"
@@ -46,6 +45,9 @@
 	if err != nil {
 		return ErrExit{Code: ExitUsage, Reason: err.Error()}
 	}
+	if err := checkFiles(settings.TLS); err != nil {
+		return err
+	}
 	if command.Check {
 		_, err := fmt.Fprintf(command.std.out, "%s: settings are valid\n", command.Config)
 		return err
@@ -60,7 +62,10 @@
 			func(settings setting.Agent, source clock.Clock) (*keys.Ring, error) {
 				return newRing(settings.TLS, source)
 			},
-			newPool, newIncarnation, newRuntime, newGate, config.NewPublisher,
+			func(lifecycle fx.Lifecycle, ring *keys.Ring) *controlpb.Pool {
+				return newPool(lifecycle, ring, keys.RoleEntry)
+			},
+			newIncarnation, newRuntime, newGate, config.NewPublisher,
 		),
 		fx.Invoke(startAgent),
 	)
@@ -118,11 +123,7 @@
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			daemon := agent.New(converted, source, runtime, gate, pool, publisher, incarnation, newRandom())
-			var options []grpc.ServerOption
-			if ring != nil {
-				options = append(options, grpc.Creds(ring.ServerCredentials()))
-			}
-			server = agent.NewServer(daemon, listener, options...)
+			server = agent.NewServer(daemon, listener, controlOptions(ring, controlpb.AgentCallers())...)
 			page = serveMetrics(settings.Metrics.Listen, daemon.Ready)
 			return nil
 		},
--- a/cmd/daemon.go
+++ b/cmd/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -10,7 +11,9 @@
 	"syscall"
 	"time"
 
+	"go.uber.org/dig"
 	"go.uber.org/fx"
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"k8s.io/klog/v2"
@@ -20,6 +23,7 @@
 	"hyssopjunction/ident"
 	"hyssopjunction/keys"
 	"hyssopjunction/logging"
+	"hyssopjunction/operator"
 	"hyssopjunction/setting"
 )
 
@@ -30,19 +34,34 @@
 // stopExtra is added to the bound of the graceful shutdown for closing listeners and connections.
 const stopExtra = 5 * time.Second
 
-// newPool returns the connections of a daemon to other daemons.
-func newPool(lifecycle fx.Lifecycle, ring *keys.Ring) *controlpb.Pool {
-	pool := controlpb.NewPool(controlpb.DialOptions(transport(ring))...)
+// newPool returns the connections of a daemon to other daemons, which must have one of the roles.
+func newPool(lifecycle fx.Lifecycle, ring *keys.Ring, roles ...keys.Role) *controlpb.Pool {
+	pool := controlpb.NewPool(controlpb.DialOptions(transport(ring, roles...))...)
 	lifecycle.Append(fx.StopHook(pool.Close))
 	return pool
 }
 
-// transport returns the credentials for dialling, without encryption if there is no certificate.
-func transport(ring *keys.Ring) credentials.TransportCredentials {
+// transport returns the credentials for dialling servers of the roles, without encryption if there is
+// no certificate.
+func transport(ring *keys.Ring, roles ...keys.Role) credentials.TransportCredentials {
 	if ring == nil {
 		return insecure.NewCredentials()
 	}
-	return ring.ClientCredentials()
+	return ring.ClientCredentials(roles...)
+}
+
+// controlOptions returns the options of a gRPC server whose methods are open to the roles in callers.
+// Without a certificate there are no roles, and the server listens on loopback or where
+// AllowPlaintext permits it.
+func controlOptions(ring *keys.Ring, callers map[string][]keys.Role) []grpc.ServerOption {
+	if ring == nil {
+		return nil
+	}
+	var roles []keys.Role
+	for _, allowed := range callers {
+		roles = append(roles, allowed...)
+	}
+	return append(keys.Authorize(callers), grpc.Creds(ring.ServerCredentials(roles...)))
 }
 
 // newRing loads the certificate, or returns nil if the settings name none.
@@ -91,16 +110,31 @@
 	return nil
 }
 
+// refusal gives faults of the settings that show only at the start their exit code, without the
+// text that fx adds.
+func refusal(err error) error {
+	cause := dig.RootCause(err)
+	if keys.IsErrPlaintext(cause) || keys.IsErrBadAddress(cause) || keys.IsErrBadFiles(cause) || operator.IsErrBadTokens(cause) {
+		return ErrExit{Code: ExitUsage, Reason: cause.Error()}
+	}
+	return cause
+}
+
 // runDaemon runs a daemon until SIGINT or SIGTERM and then stops it within bound.
 func runDaemon(bound clock.Millis, options ...fx.Option) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
 	app := fx.New(fx.NopLogger, fx.StartTimeout(startTimeout), fx.StopTimeout(bound.Duration()+stopExtra), fx.Options(options...))
 	if err := app.Err(); err != nil {
-		return err
+		return refusal(err)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
 	if err := app.Start(ctx); err != nil {
-		return err
+		if ctx.Err() != nil {
+			// Nothing was served yet, so a signal while the daemon waits for the table is a planned stop.
+			klog.InfoS("Stopped before the start was complete", "Reason", err.Error())
+			return nil
+		}
+		return refusal(err)
 	}
 	<-ctx.Done()
 	klog.InfoS("Stopping")
@@ -108,3 +142,16 @@
 	defer cancel()
 	return app.Stop(bounded)
 }
+
+// checkFiles loads the files that the settings name and reports all that cannot be used at once.
+func checkFiles(settings setting.TLS, others ...func() error) error {
+	_, err := newRing(settings, clock.NewSystem())
+	faults := []error{err}
+	for _, load := range others {
+		faults = append(faults, load())
+	}
+	if err := errors.Join(faults...); err != nil {
+		return ErrExit{Code: ExitUsage, Reason: err.Error()}
+	}
+	return nil
+}
--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -1,20 +1,16 @@
 package cmd
 
 import (
-	"bufio"
 	"context"
 	"crypto/tls"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
-	"strings"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/jessevdk/go-flags"
 	"go.uber.org/fx"
-	"google.golang.org/grpc"
 	"k8s.io/klog/v2"
 
 	"hyssopjunction/caller"
@@ -58,6 +54,9 @@
 	if err != nil {
 		return ErrExit{Code: ExitUsage, Reason: err.Error()}
 	}
+	if err := checkFiles(settings.TLS, func() error { _, err := newTokens(settings, clock.NewSystem()); return err }); err != nil {
+		return err
+	}
 	if command.Check {
 		_, err := fmt.Fprintf(command.std.out, "%s: settings are valid\n", command.Config)
 		return err
@@ -73,7 +72,10 @@
 			func(settings setting.Entry, source clock.Clock) (*keys.Ring, error) {
 				return newRing(settings.TLS, source)
 			},
-			newPool, newAgentConnections, newEntryTable, newCredentials,
+			func(lifecycle fx.Lifecycle, ring *keys.Ring) *controlpb.Pool {
+				return newPool(lifecycle, ring, keys.RoleEntry, keys.RoleAgent)
+			},
+			newAgentConnections, newEntryTable, newTokens,
 		),
 		fx.Invoke(startEntry),
 	)
@@ -95,50 +97,28 @@
 	return client
 }
 
-// loopbackToken is accepted from operators when no tokens file is set. The operators' API then
-// listens on loopback only.
-const loopbackToken = "loopback-operators-need-no-secret"
-
-// newCredentials reads the operators' tokens: a name, a token and optionally ReadOnly on each line.
-func newCredentials(settings setting.Entry) ([]operator.Credential, error) {
+// newTokens returns the operators' credentials: those of the tokens file or, without one, a token that
+// needs no secret because the operators' API then listens on loopback only.
+func newTokens(settings setting.Entry, source clock.Clock) (*operator.Tokens, error) {
 	if settings.Operators.TokensFile == "" {
 		if err := keys.CheckListen(settings.Listen.Operator, false, false); err != nil {
 			return nil, err
 		}
-		return []operator.Credential{{Operator: "loopback", Token: loopbackToken}}, nil
-	}
-	file, err := os.Open(settings.Operators.TokensFile)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = file.Close() }()
-	var credentials []operator.Credential
-	lines := bufio.NewScanner(file)
-	for lines.Scan() {
-		fields := strings.Fields(lines.Text())
-		if len(fields) == 0 || strings.HasPrefix(fields[0], "#") {
-			continue
-		}
-		if len(fields) < 2 {
-			return nil, operator.ErrBadRequest{Field: settings.Operators.TokensFile, Reason: "each line needs a name and a token"}
-		}
-		credentials = append(credentials, operator.Credential{
-			Operator: fields[0], Token: fields[1], ReadOnly: len(fields) > 2 && fields[2] == "ReadOnly",
-		})
+		return operator.FixedTokens([]operator.Credential{{Operator: "loopback", Token: operator.LoopbackToken}})
 	}
-	return credentials, lines.Err()
+	return operator.NewTokens(settings.Operators.TokensFile, source)
 }
 
 // newAgentConnections returns the connections that carry callers' requests to agents.
 func newAgentConnections(lifecycle fx.Lifecycle, source clock.Clock, ring *keys.Ring) *dispatch.Connections {
-	connections := dispatch.NewConnections(source, controlpb.DialOptions(transport(ring))...)
+	connections := dispatch.NewConnections(source, controlpb.DialOptions(transport(ring, keys.RoleAgent))...)
 	lifecycle.Append(fx.StopHook(connections.Close))
 	return connections
 }
 
 // startEntry starts the entry and its servers with the application and stops them gracefully.
 func startEntry(lifecycle fx.Lifecycle, settings setting.Entry, source clock.Clock, store *tables.Client,
-	agents *dispatch.Connections, pool *controlpb.Pool, ring *keys.Ring, credentials []operator.Credential,
+	agents *dispatch.Connections, pool *controlpb.Pool, ring *keys.Ring, tokens *operator.Tokens,
 ) error {
 	listeners, err := entryListeners(settings, ring)
 	if err != nil {
@@ -151,17 +131,17 @@
 			if err != nil {
 				return err
 			}
-			operators, err := newOperators(daemon, credentials)
+			operators, err := newOperators(daemon, tokens)
 			if err != nil {
 				return err
 			}
 			var secure *tls.Config
-			var options []grpc.ServerOption
 			if ring != nil {
+				// Callers and operators have no certificates; operators are known by their tokens.
 				secure = ring.OpenConfig()
-				options = append(options, grpc.Creds(ring.ServerCredentials()))
 			}
-			server = entry.NewServer(daemon, listeners, operators, callerSettings(settings.Requests), secure, options...)
+			server = entry.NewServer(daemon, listeners, operators, callerSettings(settings.Requests), secure,
+				controlOptions(ring, controlpb.EntryCallers())...)
 			return nil
 		},
 		OnStop: func(ctx context.Context) error { return server.Shutdown(ctx) },
@@ -178,7 +158,11 @@
 		if address == "" {
 			continue
 		}
-		opened, err := listen(address, ring, settings.TLS)
+		certificate := ring
+		if listener == &listeners.Metrics {
+			certificate = nil // The metrics page is never encrypted.
+		}
+		opened, err := listen(address, certificate, settings.TLS)
 		if err != nil {
 			return listeners, err
 		}
@@ -223,9 +207,9 @@
 	}
 }
 
-func newOperators(daemon *entry.Entry, credentials []operator.Credential) (http.Handler, error) {
+func newOperators(daemon *entry.Entry, tokens *operator.Tokens) (http.Handler, error) {
 	settings := operator.Defaults()
-	settings.Credentials = credentials
+	settings.Tokens = tokens
 	return operator.New(settings, daemon.Operations(), metrics.GetDefaultSet())
 }
 
--- /dev/null
+++ b/controlpb/roles.go
@@ -0,0 +1,29 @@
+package controlpb
+
+import "hyssopjunction/keys"
+
+// EntryCallers returns the roles that may call each method of service Entry. Report comes from agents
+// and, for the tasks of silent workers, from the entries that asked the runtime.
+func EntryCallers() map[string][]keys.Role {
+	return map[string][]keys.Role{
+		Entry_Announce_FullMethodName: {keys.RoleAgent},
+		Entry_Leave_FullMethodName:    {keys.RoleAgent},
+		Entry_Report_FullMethodName:   {keys.RoleAgent, keys.RoleEntry},
+		Entry_Exchange_FullMethodName: {keys.RoleEntry},
+		Entry_Notify_FullMethodName:   {keys.RoleEntry},
+		Entry_Explain_FullMethodName:  {keys.RoleEntry},
+		Entry_Yield_FullMethodName:    {keys.RoleEntry},
+	}
+}
+
+// AgentCallers returns the roles that may call each method of service Agent, which is entries only.
+func AgentCallers() map[string][]keys.Role {
+	callers := map[string][]keys.Role{}
+	for _, method := range Agent_ServiceDesc.Methods {
+		callers["/"+Agent_ServiceDesc.ServiceName+"/"+method.MethodName] = []keys.Role{keys.RoleEntry}
+	}
+	for _, stream := range Agent_ServiceDesc.Streams {
+		callers["/"+Agent_ServiceDesc.ServiceName+"/"+stream.StreamName] = []keys.Role{keys.RoleEntry}
+	}
+	return callers
+}
--- a/operator/routes.go
+++ b/operator/routes.go
@@ -43,7 +43,7 @@
 
 // refuse answers calls without a route. Only authenticated callers learn which paths exist.
 func (server *Server) refuse(writer http.ResponseWriter, request *http.Request, err error) {
-	if _, denied := server.known.identify(request); denied != nil {
+	if _, denied := server.tokens.current().identify(request); denied != nil {
 		err = denied
 	}
 	status, body := failure(err)
--- a/operator/server.go
+++ b/operator/server.go
@@ -25,7 +25,10 @@
 
 // Settings are the limits of a Server.
 type Settings struct {
+	// Credentials are used if Tokens is nil.
 	Credentials []Credential
+	// Tokens holds credentials that can change while the server runs.
+	Tokens *Tokens
 	// MaxBodyBytes bounds request bodies.
 	MaxBodyBytes int64
 	// TimeoutMillis bounds the time of one call, other than Wait.
@@ -50,7 +53,7 @@
 type Server struct {
 	settings Settings
 	control  Control
-	known    authenticator
+	tokens   *Tokens
 	set      *metrics.Set
 	router   *mux.Router
 }
@@ -58,11 +61,14 @@
 // New returns a Server for control. Metrics are added to set. It fails with ErrBadRequest if the
 // credentials are incomplete.
 func New(settings Settings, control Control, set *metrics.Set) (*Server, error) {
-	known, err := newAuthenticator(settings.Credentials)
-	if err != nil {
-		return nil, err
+	tokens := settings.Tokens
+	if tokens == nil {
+		var err error
+		if tokens, err = FixedTokens(settings.Credentials); err != nil {
+			return nil, err
+		}
 	}
-	server := &Server{settings: settings, control: control, known: known, set: set, router: mux.NewRouter()}
+	server := &Server{settings: settings, control: control, tokens: tokens, set: set, router: mux.NewRouter()}
 	server.routes()
 	return server, nil
 }
@@ -99,7 +105,7 @@
 
 // admit authenticates the request and reads its request key.
 func (server *Server) admit(request *http.Request, changes bool) (Call, error) {
-	who, err := server.known.identify(request)
+	who, err := server.tokens.current().identify(request)
 	if err != nil {
 		return Call{}, err
 	}
--- a/setting/agent.go
+++ b/setting/agent.go
@@ -19,6 +19,8 @@
 	agent.Requests.check(reader)
 	agent.Tasks.check(reader)
 	agent.TLS.check(reader)
+	agent.TLS.checkListen(reader, "Listen.Control", agent.Listen.Control, false)
+	agent.TLS.checkListen(reader, "Metrics.Listen", agent.Metrics.Listen, true)
 	reader.require(len(agent.Peers.Entries) > 0, []string{"Peers.Entries"}, "must name at least one entry")
 	some := agent.Endpoint.Name != "" || agent.Endpoint.Service != "" || agent.Endpoint.URL != ""
 	for key, value := range map[string]string{
--- a/setting/daemon.go
+++ b/setting/daemon.go
@@ -1,6 +1,9 @@
 package setting
 
-import "hyssopjunction/clock"
+import (
+	"hyssopjunction/clock"
+	"hyssopjunction/keys"
+)
 
 // Config configures how a daemon learns of changes of the operators' configuration.
 type Config struct {
@@ -21,17 +24,27 @@
 }
 
 func (tls TLS) check(reader *reader) {
-	keys := []string{"TLS.CertificateFile", "TLS.KeyFile", "TLS.AuthorityFile"}
+	names := []string{"TLS.CertificateFile", "TLS.KeyFile", "TLS.AuthorityFile"}
 	files := []string{tls.CertificateFile, tls.KeyFile, tls.AuthorityFile}
 	some := tls.CertificateFile+tls.KeyFile+tls.AuthorityFile != ""
 	for index, file := range files {
-		reader.require(!some || file != "", []string{keys[index]}, "is required when another file of TLS is given")
+		reader.require(!some || file != "", []string{names[index]}, "is required when another file of TLS is given")
+	}
+}
+
+// checkListen reports addresses, by key, on which the daemon must not listen without a certificate.
+// Empty and malformed addresses are left to other checks. With plain set the address never uses the
+// certificate.
+func (tls TLS) checkListen(reader *reader, key, address string, plain bool) {
+	err := keys.CheckListen(address, tls.CertificateFile != "" && !plain, tls.AllowPlaintext)
+	if keys.IsErrPlaintext(err) {
+		reader.add(key, "%s", err)
 	}
 }
 
 // Operators configures the access of operators.
 type Operators struct {
-	TokensFile string `kind:"file" optional:"true" doc:"File with one line per operator, a name and a token; empty allows operators on loopback only"`
+	TokensFile string `kind:"file" optional:"true" doc:"File with one line per operator, a name and a token; a third word ReadOnly denies changes; read again when it changes; empty allows operators on loopback only, with the token loopback-operators-need-no-secret, which a file must not hold"`
 }
 
 // Log configures the log.
@@ -42,5 +55,5 @@
 
 // Metrics configures the metrics page.
 type Metrics struct {
-	Listen string `kind:"address" optional:"true" doc:"Address of the metrics page; empty offers none"`
+	Listen string `kind:"address" optional:"true" doc:"Address of the metrics page, which is never encrypted; empty offers none"`
 }
--- /dev/null
+++ b/tls_test.go
@@ -0,0 +1,228 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/status"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/controlpb"
+	"hyssopjunction/keys"
+)
+
+// peer returns the credentials of a daemon with a certificate of the role.
+func (authority *authority) peer(t *testing.T, role string) credentials.TransportCredentials {
+	t.Helper()
+	ring, err := keys.New(authority.issue(t, t.TempDir(), role, role), clock.NewSystem())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ring.ClientCredentials()
+}
+
+// invoke calls a method with an empty request over a new connection and returns the gRPC code.
+func (system *system) invoke(t *testing.T, address, method string, transport credentials.TransportCredentials) codes.Code {
+	t.Helper()
+	connection, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(transport))
+	system.must(err)
+	defer func() { _ = connection.Close() }()
+	// All messages are empty on the wire, so any type serves as request and reply.
+	err = connection.Invoke(system.ctx, method, &controlpb.NotifyRequest{}, &controlpb.NotifyReply{})
+	return status.Code(err)
+}
+
+// post sends one request that a service answers, and returns the status.
+func (system *system) post(config *tls.Config, url string) (int, error) {
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: config, DisableKeepAlives: true}}
+	request, err := http.NewRequestWithContext(system.ctx, http.MethodPost, url+"/v1/services/checks/requests", strings.NewReader("body"))
+	system.must(err)
+	request.Header.Set("Team", "contest")
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	return response.StatusCode, response.Body.Close()
+}
+
+// Guards against daemons, callers or operators that reach each other without the certificate and role
+// that the call needs, and against old certificates that stay in use.
+func TestProcessesWithTLS(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts four processes")
+	}
+	authority, stranger := newAuthority(t), newAuthority(t)
+	system := newSystem(t, shape{entries: 1, agents: 2, authority: authority})
+	entry, agent := system.controls[0], system.agentControls[0]
+
+	t.Run("roles of gRPC calls", func(t *testing.T) {
+		system.t = t
+		methods := func(service grpc.ServiceDesc) []string {
+			var names []string
+			for _, method := range service.Methods {
+				names = append(names, "/"+service.ServiceName+"/"+method.MethodName)
+			}
+			for _, stream := range service.Streams {
+				names = append(names, "/"+service.ServiceName+"/"+stream.StreamName)
+			}
+			return names
+		}
+		allowed := map[string]string{
+			controlpb.Entry_Announce_FullMethodName: "agent", controlpb.Entry_Leave_FullMethodName: "agent",
+			controlpb.Entry_Report_FullMethodName: "agent entry", controlpb.Entry_Exchange_FullMethodName: "entry",
+			controlpb.Entry_Notify_FullMethodName: "entry", controlpb.Entry_Explain_FullMethodName: "entry",
+			controlpb.Entry_Yield_FullMethodName: "entry",
+		}
+		for _, role := range []string{"entry", "agent"} {
+			transport := authority.peer(t, role)
+			for _, method := range methods(controlpb.Entry_ServiceDesc) {
+				if strings.Contains(allowed[method], role) {
+					continue
+				}
+				if code := system.invoke(t, entry, method, transport); code != codes.PermissionDenied {
+					t.Errorf("%s with an %s's certificate: %s", method, role, code)
+				}
+			}
+		}
+		for name, transport := range map[string]credentials.TransportCredentials{
+			"agent": authority.peer(t, "agent"), "operator": authority.peer(t, "operator"), "stranger's entry": stranger.peer(t, "entry"),
+			"no": credentials.NewTLS(&tls.Config{InsecureSkipVerify: true}),
+		} {
+			for _, method := range methods(controlpb.Agent_ServiceDesc) {
+				if code := system.invoke(t, agent, method, transport); code != codes.Unavailable {
+					t.Errorf("%s with %s certificate: %s", method, name, code)
+				}
+			}
+			if name == "agent" {
+				continue
+			}
+			if code := system.invoke(t, entry, controlpb.Entry_Notify_FullMethodName, transport); code != codes.Unavailable {
+				t.Errorf("Notify with %s certificate: %s", name, code)
+			}
+		}
+		// Without these two, a server that refuses everything would pass.
+		if code := system.invoke(t, entry, controlpb.Entry_Notify_FullMethodName, authority.peer(t, "entry")); code != codes.OK {
+			t.Errorf("Notify with an entry's certificate: %s", code)
+		}
+		if code := system.invoke(t, agent, controlpb.Agent_Query_FullMethodName, authority.peer(t, "entry")); code != codes.OK {
+			t.Errorf("Query with an entry's certificate: %s", code)
+		}
+	})
+
+	t.Run("callers and operators", func(t *testing.T) {
+		system.t = t
+		system.await("an answer over HTTPS", func() bool {
+			code, err := system.post(authority.clientConfig(), "https://"+system.callers[0])
+			system.last = err
+			return err == nil && code == http.StatusOK
+		})
+		if code, err := system.post(nil, "http://"+system.callers[0]); err == nil && code != http.StatusBadRequest {
+			t.Errorf("plaintext request: status %d", code)
+		}
+		if _, err := system.post(stranger.clientConfig(), "https://"+system.callers[0]); err == nil {
+			t.Error("a client accepts the certificate of a strange authority")
+		}
+		config := authority.clientConfig()
+		certificate, err := tls.LoadX509KeyPair(strangerFiles(t, stranger))
+		system.must(err)
+		// GetClientCertificate sends the certificate although the server names no authority for it.
+		config.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &certificate, nil }
+		for _, address := range []string{system.callers[0], system.operators[0]} {
+			if code, err := system.post(config, "https://"+address); err == nil {
+				t.Errorf("a client with a certificate of a strange authority is served with status %d", code)
+			}
+		}
+		trusted, strange := filepath.Join(system.dir, "entry-0.ca.pem"), stranger.issue(t, t.TempDir(), "x", "entry").Authority
+		for file, want := range map[string]int{trusted: 0, strange: 5} {
+			if _, log, code := system.run("ctl", "--entry", system.operators[0], "--token", token, "--ca", file, "--json", "status"); code != want {
+				t.Errorf("ctl with %s: exit code %d: %s", file, code, log)
+			}
+		}
+	})
+
+	t.Run("certificate replaced", func(t *testing.T) {
+		system.t = t
+		authority.issue(t, system.dir, "entry-0", "entry")
+		want := authority.serial.Load()
+		for _, address := range []string{system.callers[0], system.operators[0], entry} {
+			system.await("the new certificate at "+address, func() bool {
+				connection, err := tls.Dial("tcp", address, &tls.Config{InsecureSkipVerify: true})
+				if err != nil {
+					system.last = err
+					return false
+				}
+				defer func() { _ = connection.Close() }()
+				return connection.ConnectionState().PeerCertificates[0].SerialNumber.Int64() == want
+			})
+		}
+		// A new agent process connects to the entry's new certificate.
+		system.must(system.terminate("agent-1"))
+		system.start("agent-1", "agent")
+		system.await("the agent to return", func() bool {
+			status, err := system.client.Status(system.ctx)
+			return err == nil && status.Workers == 2 && status.WorkersDown == 0
+		})
+		if code, err := system.post(authority.clientConfig(), "https://"+system.callers[0]); err != nil || code != http.StatusOK {
+			t.Errorf("status %d (%v) after the replacement", code, err)
+		}
+	})
+}
+
+func strangerFiles(t *testing.T, stranger *authority) (certificate, key string) {
+	t.Helper()
+	settings := stranger.issue(t, t.TempDir(), "stranger", "entry")
+	return settings.Certificate, settings.Key
+}
+
+// Guards against daemons that serve other machines without encryption or operators without secret
+// tokens unless the settings say so.
+func TestPlaintextRefused(t *testing.T) {
+	directory := t.TempDir()
+	identity := "[Identity]\nName = \"one\"\nRegion = \"khomas\"\nDataCentre = \"khomas-1\"\n"
+	worker := "[Peers]\nEntries = [\"127.0.0.1:7012\"]\n[Worker]\nName = \"w\"\n"
+	allow := "[TLS]\nAllowPlaintext = true\n"
+	for index, scenario := range []struct {
+		name, daemon, settings string
+		code                   int
+		problems               []string
+	}{
+		{
+			"entry", "entry", "[Listen]\nCaller = \"0.0.0.0:7010\"\nOperator = \"10.0.0.1:7011\"\nControl = \"[::]:7012\"\n[Metrics]\nListen = \"10.0.0.1:7013\"\n", 2,
+			[]string{"Listen.Caller: ", "Listen.Operator: ", "Listen.Control: ", "Metrics.Listen: ", "AllowPlaintext"},
+		},
+		{"entry, allowed", "entry", allow + "[Listen]\nCaller = \"0.0.0.0:7010\"\n", 0, nil},
+		{"entry, operators without tokens", "entry", allow + "[Listen]\nOperator = \"0.0.0.0:7011\"\n", 2, []string{"Operators.TokensFile: "}},
+		{"agent", "agent", worker + "[Listen]\nControl = \"0.0.0.0:7020\"\n", 2, []string{"Listen.Control: "}},
+		{"agent, allowed", "agent", worker + allow + "[Listen]\nControl = \"0.0.0.0:7020\"\n", 0, nil},
+		{"missing files", "agent", worker + "[TLS]\nCertificateFile = \"/x\"\nKeyFile = \"/x\"\nAuthorityFile = \"/x\"\n", 2, []string{"\"/x\" is unusable"}},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			file := filepath.Join(directory, fmt.Sprintf("%d.toml", index))
+			write(t, file, identity+scenario.settings)
+			runs := [][]string{{scenario.daemon, "--check", "--config", file}}
+			if scenario.code != 0 {
+				// Started for real only where it must refuse, since tests use loopback only.
+				runs = append(runs, []string{scenario.daemon, "--config", file})
+			}
+			for _, args := range runs {
+				_, log, code := runProgram(context.Background(), t, args...)
+				if code != scenario.code {
+					t.Fatalf("%v: exit code %d: %s", args, code, log)
+				}
+				for _, problem := range scenario.problems {
+					if !strings.Contains(log, problem) {
+						t.Errorf("%v: %q lacks %q", args, log, problem)
+					}
+				}
+			}
+		})
+	}
+}
