Test operators' access and the command line with processes; answer odd paths with typed errors

Cause: the operators' and callers' routers cleaned paths and answered with a redirect, so ctl datacentre in ../x ended with exit code 1 and an unknown outcome. Nothing tested tokens, exit codes, JSON, help and settings checks of real processes, or a signal at the start.

Change: both routers match the encoded path without cleaning.

Seen: before, ctl datacentre in ../x: exit code 1, not 2, status 301.

--- a/entry/server.go
+++ b/entry/server.go
@@ -48,7 +48,8 @@
 			klog.ErrorS(err, "Control server ended")
 		}
 	}()
-	router := mux.NewRouter()
+	// Cleaning a path would answer with a redirect instead of a typed error.
+	router := mux.NewRouter().UseEncodedPath().SkipClean(true)
 	probe.Register(router, entry.Ready)
 	caller.New(entry.Dispatcher(), entry.NewRequest, settings).Register(router)
 	server.caller = caller.NewServer(router, settings)
--- a/operator/server.go
+++ b/operator/server.go
@@ -68,7 +68,8 @@
 			return nil, err
 		}
 	}
-	server := &Server{settings: settings, control: control, tokens: tokens, set: set, router: mux.NewRouter()}
+	// Cleaning a path would answer with a redirect, which clients take for an unknown outcome.
+	server := &Server{settings: settings, control: control, tokens: tokens, set: set, router: mux.NewRouter().UseEncodedPath().SkipClean(true)}
 	server.routes()
 	return server, nil
 }
--- a/settings_test.go
+++ b/settings_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -115,3 +116,69 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against faults of settings that show only one at a time, on the wrong stream, with another
+// exit code, or after a part of the daemon has started.
+func TestSettingsChecked(t *testing.T) {
+	directory := t.TempDir()
+	tokens, misspelt := filepath.Join(directory, "tokens"), filepath.Join(directory, "misspelt")
+	write(t, tokens, "ada writer-token-with-32-bytes-length\n")
+	write(t, misspelt, "ada writer-token-with-32-bytes-length Readonly\n")
+	sample := func(name string) string {
+		text, err := os.ReadFile(filepath.Join("custom", name+".toml"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(text)
+	}
+	identity := "[Identity]\nName = \"one\"\nRegion = \"khomas\"\nDataCentre = \"khomas-1\"\n"
+	for index, scenario := range []struct {
+		name, command, settings string
+		problems                []string
+	}{
+		{"entry", "entry --check", sample("entry"), nil},
+		{"entry with tokens", "entry --check", identity + "[Operators]\nTokensFile = \"" + tokens + "\"\n", nil},
+		{"agent", "agent --check", sample("agent"), nil},
+		{
+			"bad entry", "entry", "Unknown = 1\n[Listen]\nCaller = \"localhost:1\"\n[Tasks]\nRoundMillis = \"soon\"\n[Requests]\nSlots = 100\n",
+			[]string{"Unknown: ", "Identity.Name: ", "Identity.Region: ", "Listen.Caller: ", "Tasks.RoundMillis: ", "Requests.Slots: "},
+		},
+		{
+			"bad files of an entry", "entry", identity + "[TLS]\nCertificateFile = \"/none\"\nKeyFile = \"/none\"\nAuthorityFile = \"/none\"\n[Operators]\nTokensFile = \"" + misspelt + "\"\n",
+			[]string{"/none", misspelt, "line 1"},
+		},
+		{
+			"bad agent", "agent", identity + "[Peers]\nEntries = []\n[Worker]\nURL = \"ftp://x\"\n[Endpoint]\nName = \"e\"\n",
+			[]string{"Peers.Entries: ", "Worker.Name: ", "Worker.URL: ", "Endpoint.Service: ", "Endpoint.URL: "},
+		},
+		{
+			"bad stand-in", "standin serve", "[Listen]\nPlatform = \"x\"\n[[Workers]]\nName = \"w\"\nCPU = 0\n[[Workers]]\nName = \"w\"\n[Log]\nLevel = \"Loud\"\n",
+			[]string{"Listen.Platform: ", "Workers[0].CPU: ", "Workers[1].Name: ", "Log.Level: "},
+		},
+		{"no TOML", "entry", "[", []string{"line 1"}},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			file := filepath.Join(directory, fmt.Sprintf("%d.toml", index))
+			write(t, file, scenario.settings)
+			args := append(strings.Fields(scenario.command), "--config", file)
+			out, log, code := runProgram(context.Background(), t, args...)
+			if scenario.problems == nil {
+				if code != 0 || log != "" || !strings.Contains(out, file+": settings are valid") {
+					t.Errorf("exit code %d: %s%s", code, out, log)
+				}
+				return
+			}
+			if code != 2 || out != "" {
+				t.Errorf("exit code %d with output %q", code, out)
+			}
+			for _, problem := range scenario.problems {
+				if strings.Count(log, problem) != 1 && problem != "/none" {
+					t.Errorf("%q is not reported once: %s", problem, log)
+				}
+			}
+			if strings.Contains(log, "writer-token") {
+				t.Errorf("a token is printed: %s", log)
+			}
+		})
+	}
+}
--- a/system_test.go
+++ b/system_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -312,3 +313,30 @@
 		}
 	}
 }
+
+// get returns the status of a GET request with a bearer token.
+func (system *system) get(t *testing.T, url, token string) int {
+	t.Helper()
+	request, err := http.NewRequestWithContext(system.ctx, http.MethodGet, url, nil)
+	system.must(err)
+	request.Header.Set("Authorization", "Bearer "+token)
+	client := &http.Client{
+		Transport:     &http.Transport{DisableKeepAlives: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	response, err := client.Do(request)
+	system.must(err)
+	system.must(response.Body.Close())
+	return response.StatusCode
+}
+
+// listens reports whether a server accepts connections at address.
+func (system *system) listens(address string) bool {
+	connection, err := net.Dial("tcp", address)
+	if err != nil {
+		system.last = err
+		return false
+	}
+	system.must(connection.Close())
+	return true
+}
