--- a/entry/server.go
+++ b/entry/server.go
@@ -52,7 +52,8 @@
 			klog.ErrorS(err, "Control server ended")
 		}
 	}()
-	router := mux.NewRouter()
+	// Cleaning a path would answer with a redirect instead of a typed error.
+	router := mux.NewRouter().UseEncodedPath().SkipClean(true)
 	router.Use(entry.refuseUntilReady)
 	probe.Register(router, entry.Ready)
 	caller.New(entry.Dispatcher(), entry.NewRequest, settings).Register(router)
