--- a/recorded/recorded_test.go
+++ b/recorded/recorded_test.go
@@ -34,7 +34,7 @@
 // TestSessions guards against decisions that change unnoticed and against every violation of an
 // invariant in a whole session with all incidents. Run with -update after a wanted change.
 func TestSessions(t *testing.T) {
-	for _, session := range []Session{short(ContestDay())} {
+	for _, session := range []Session{short(ContestDay()), ContestDay(), CastingWeek()} {
 		t.Run(session.Name, func(t *testing.T) {
 			began := time.Now()
 			result := Run(session, Policy{})
