--- a/recorded/deployment.go
+++ b/recorded/deployment.go
@@ -15,9 +15,21 @@
 
 // Policy is what decides in a run. The zero value is the project's own.
 type Policy struct {
-	// Baseline places first fit on declared sizes without an interference model, a governor or a
-	// drain, and routes at random.
-	Baseline bool
+	// FirstFit places on the first worker that fits in order of name.
+	FirstFit bool
+	// DeclaredSizes reserves what callers declare.
+	DeclaredSizes bool
+	// NoInterference places without an interference model and runs no governor.
+	NoInterference bool
+	// NoDrain leaves tasks in a closed data centre until the bound and stops them without a checkpoint.
+	NoDrain bool
+	// RandomRouting sends each request to any usable endpoint.
+	RandomRouting bool
+}
+
+// Baseline is the policy that the measures are compared with.
+func Baseline() Policy {
+	return Policy{FirstFit: true, DeclaredSizes: true, NoInterference: true, NoDrain: true, RandomRouting: true}
 }
 
 // Result is what a run recorded.
--- a/recorded/entry.go
+++ b/recorded/entry.go
@@ -90,12 +90,14 @@
 	entry.homes, entry.version, entry.startBatch, entry.target, entry.headroom = "", 0, true, 130, 0
 	entry.view = entry.router.NewView(deployment.now(), deployment.session.Traffic.Service, nil)
 	dependencies := placement.Dependencies{Entry: entry.id, Incarnation: incarnation, Sizer: entry.sizes, Interference: entry, Health: entry.health, Quotas: entry}
-	placing := placement.Settings{}
-	if deployment.policy.Baseline {
-		dependencies.Sizer, dependencies.Interference = nil, nil
-		placing.FirstFit, placing.NoDrain = true, true
+	policy := deployment.policy
+	if policy.DeclaredSizes {
+		dependencies.Sizer = nil
 	}
-	entry.scheduler = placement.New(placing, dependencies)
+	if policy.NoInterference {
+		dependencies.Interference = nil
+	}
+	entry.scheduler = placement.New(placement.Settings{FirstFit: policy.FirstFit, NoDrain: policy.NoDrain}, dependencies)
 	fleet := make([]ident.Worker, 0, len(deployment.agents))
 	for _, agent := range deployment.agents {
 		fleet = append(fleet, agent.name)
--- a/recorded/heartbeat.go
+++ b/recorded/heartbeat.go
@@ -244,7 +244,7 @@
 		}
 	}
 	entry.pairs.Observe(state.worker, service, state.slowdown, usageLag, now)
-	if entry.deployment.policy.Baseline {
+	if entry.deployment.policy.NoInterference {
 		return
 	}
 	for _, action := range entry.governor.Step(reading, now) {
--- a/recorded/incidents.go
+++ b/recorded/incidents.go
@@ -128,21 +128,27 @@
 			}
 			// Someone waits for each tenth job.
 			spec.Urgent = number%10 == 0
-			deployment.newJob(spec, deployment.batchProfile)
+			deployment.newJob(spec, deployment.batchProfile())
 			next()
 		})
 	}
 	deployment.after(6*clock.Second, next)
 }
 
-func (deployment *deployment) batchProfile() profile {
+// batchProfile draws what a job really needs, and returns what each of its tasks does: tasks of one
+// job are alike, to a tenth.
+func (deployment *deployment) batchProfile() func() profile {
 	batch := deployment.session.Batch
-	return profile{
-		actual: unit.Resources{
-			CPU:    unit.MilliCPU(deployment.work.between(int(batch.Least.CPU), int(batch.Most.CPU))),
-			Memory: unit.Mebibytes(deployment.work.between(int(batch.Least.Memory), int(batch.Most.Memory))),
-		},
-		work: deployment.work.millis(batch.LeastWork, batch.MostWork),
+	alike := unit.Resources{
+		CPU:    unit.MilliCPU(deployment.work.between(int(batch.Least.CPU), int(batch.Most.CPU))),
+		Memory: unit.Mebibytes(deployment.work.between(int(batch.Least.Memory), int(batch.Most.Memory))),
+	}
+	return func() profile {
+		percent := deployment.work.between(90, 110)
+		return profile{
+			actual: unit.Resources{CPU: alike.CPU * unit.MilliCPU(percent) / 100, Memory: alike.Memory * unit.Mebibytes(percent) / 100},
+			work:   deployment.work.millis(batch.LeastWork, batch.MostWork),
+		}
 	}
 }
 
--- a/recorded/requests.go
+++ b/recorded/requests.go
@@ -119,7 +119,7 @@
 func (entry *entry) choose(sent *try) *attempt {
 	deployment := entry.deployment
 	next := &attempt{try: sent, id: ident.Request(fmt.Sprintf("r%d-%d", sent.request.number, len(sent.request.attempts)+1))}
-	if deployment.policy.Baseline {
+	if deployment.policy.RandomRouting {
 		if !entry.chooseAny(next) {
 			sent.answer(outcome.NotRun, "ErrNoEndpoint")
 			return nil
