--- a/setting/entry.go
+++ b/setting/entry.go
@@ -9,6 +9,7 @@
 	Requests  Requests
 	Tasks     Tasks
 	Config    Config
+	Regions   Regions
 	Shutdown  Shutdown
 	TLS       TLS
 	Operators Operators
@@ -20,6 +21,7 @@
 	entry.Requests.check(reader)
 	entry.Tasks.check(reader)
 	entry.TLS.check(reader)
+	entry.Regions.check(reader, entry.Listen)
 	checkDistinct(reader, map[string]string{
 		"Listen.Caller": entry.Listen.Caller, "Listen.Operator": entry.Listen.Operator,
 		"Listen.Control": entry.Listen.Control, "Metrics.Listen": entry.Metrics.Listen,
