--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -101,7 +101,7 @@
 		if state := world.entry.reported(run); state != worker.Stopped {
 			world.Fatalf("reported as %q, want Stopped", state)
 		}
-		if entries := world.agent.Tasks(); len(entries) > 0 {
+		if entries := world.held(); len(entries) > 0 {
 			world.Fatalf("ledger still has %v", entries)
 		}
 	})
@@ -207,7 +207,7 @@
 					if got := world.entry.reported(run); got != worker.Finished {
 						world.Fatalf("reported as %q", got)
 					}
-				} else if entries := world.agent.Tasks(); len(entries) != 1 || !entries[0].Running {
+				} else if entries := world.held(); len(entries) != 1 || !entries[0].Running {
 					world.Fatalf("ledger has %v", entries)
 				}
 			})
--- a/agent/world_test.go
+++ b/agent/world_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/goleak"
 	"google.golang.org/grpc"
 
+	"hyssopjunction/capacity"
 	"hyssopjunction/clock"
 	"hyssopjunction/config"
 	"hyssopjunction/controlpb"
@@ -341,3 +342,10 @@
 		return nil
 	}
 }
+
+// held returns the tasks in the agent's ledger.
+func (world *world) held() []capacity.Entry {
+	var entries []capacity.Entry
+	world.agent.control.Call(func() { entries = world.agent.ledger.Entries() })
+	return entries
+}
--- a/bench/fleet_test.go
+++ b/bench/fleet_test.go
@@ -10,12 +10,14 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
 
 	"hyssopjunction/agent"
 	"hyssopjunction/caller"
 	"hyssopjunction/clock"
 	"hyssopjunction/config"
 	"hyssopjunction/controlpb"
+	"hyssopjunction/dispatch"
 	"hyssopjunction/endpoint"
 	"hyssopjunction/entry"
 	"hyssopjunction/ident"
@@ -132,9 +134,11 @@
 	settings.ID, settings.Region, settings.DataCentre = ident.Entry(fmt.Sprintf("entry-%02d", index)), region, centres[index%len(centres)]
 	settings.ControlAddress, settings.CallerAddress = node.address, listeners.Caller.Addr().String()
 	settings.Seed = uint64(index + 1)
-	traffic, control, runtimes := new(meter).pool(), node.control.pool(), new(meter).client()
+	control, runtimes := node.control.pool(), new(meter).client()
+	agents := dispatch.NewConnections(fleet.time, controlpb.DialOptions(insecure.NewCredentials())...)
+	fleet.b.Cleanup(agents.Close)
 	daemon, err := entry.New(context.Background(), settings, entry.Dependencies{
-		Clock: fleet.time, Table: node.store, Traffic: traffic, Control: control,
+		Clock: fleet.time, Table: node.store, Agents: agents, Control: control,
 		Runtimes: func(address string, name ident.Worker) worker.Runtime { return worker.NewHTTP(address, name, runtimes) },
 	})
 	fleet.check(err)
@@ -147,7 +151,6 @@
 	fleet.stop = append(fleet.stop, func() {
 		server.Close()
 		node.store.Close()
-		traffic.Close()
 		control.Close()
 	})
 }
@@ -279,11 +282,14 @@
 func (fleet *fleet) tasks() int {
 	count := 0
 	for _, node := range fleet.agents {
-		for _, held := range node.daemon.Tasks() {
-			if held.Running {
-				count++
-			}
-		}
+		count += len(fleet.listed(node))
 	}
 	return count
 }
+
+// listed returns the running tasks of an agent.
+func (fleet *fleet) listed(node *agentNode) []*controlpb.TaskStatus {
+	reply, err := node.daemon.Tasks(context.Background(), &controlpb.TasksRequest{})
+	fleet.check(err)
+	return reply.GetTasks()
+}
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -89,12 +89,31 @@
 		adoptedJobs.Inc()
 		klog.InfoS("Home of job", "Job", name, "Revision", row.Revision)
 	}
-	if content, err := job.Decode(row.Value); err == nil && content.Spec.Urgent && !content.Final() {
-		entry.urgent[name] = true
+	if content, err := job.Decode(row.Value); err == nil {
+		if content.Spec.Urgent && !content.Final() {
+			entry.urgent[name] = true
+		}
+		entry.reviewPlacements(content)
 	}
 	entry.handle(placement.JobLoaded{Row: row})
 }
 
+// reviewPlacements has the rows of workers read that hold tasks of the job and are not in the view.
+// Their incarnations may have ended before this entry started, and nobody would tell it.
+func (entry *Entry) reviewPlacements(content *job.Row) {
+	for index := range content.Tasks {
+		worker := content.Tasks[index].Placement.Worker
+		if worker == "" {
+			continue
+		}
+		_, seen := entry.workers.Get(worker)
+		_, silent := entry.silent[worker]
+		if !seen && !silent {
+			entry.silent[worker] = silence{due: entry.time.Now()}
+		}
+	}
+}
+
 // scanJobs reads all job rows. It runs when the live entries change, because jobs then change their
 // home, and now and then as a safeguard.
 func (entry *Entry) scanJobs() {
--- a/recorded/heartbeat.go
+++ b/recorded/heartbeat.go
@@ -91,7 +91,7 @@
 	if err != nil {
 		return err
 	}
-	condition, operation, err := lease.Takeover(row, state.worker, state.incarnation, entry.id)
+	condition, operation, err := lease.Takeover(row, state.worker, state.incarnation, entry.process())
 	if err != nil {
 		return err
 	}
@@ -111,7 +111,7 @@
 	if err != nil {
 		return err
 	}
-	entry.deployment.log.write("%s Granter Worker=%s Incarnation=%d Former=%v", entry.id, state.worker, state.incarnation, record.Former)
+	entry.deployment.log.write("%s Granter Worker=%s Incarnation=%d Former=%v", entry.id, state.worker, state.incarnation, names(record.Former))
 	return entry.granter.Record(state.worker, state.incarnation, row.Revision, record.Former, entry.deployment.now())
 }
 
@@ -122,7 +122,7 @@
 	if err != nil {
 		return
 	}
-	if _, _, err = lease.End(row, name, incarnation, entry.id, lease.LeaseLapsed); err != nil {
+	if _, _, err = lease.End(row, name, incarnation, entry.process(), lease.LeaseLapsed); err != nil {
 		entry.granter.Lose(name)
 		return
 	}
@@ -160,7 +160,7 @@
 		return
 	}
 	if record.Over < incarnation {
-		condition, operation, err := lease.End(row, name, incarnation, entry.id, lease.LeaseLapsed)
+		condition, operation, err := lease.End(row, name, incarnation, entry.process(), lease.LeaseLapsed)
 		if err != nil {
 			delete(entry.ending, name)
 			return
@@ -269,3 +269,17 @@
 		return nil
 	})
 }
+
+// process names this process of the entry as a granter.
+func (entry *entry) process() lease.Process {
+	return lease.Process{Entry: entry.id, Incarnation: entry.incarnation}
+}
+
+// names returns the entries of processes, for the log.
+func names(processes []lease.Process) []ident.Entry {
+	entries := make([]ident.Entry, 0, len(processes))
+	for _, process := range processes {
+		entries = append(entries, process.Entry)
+	}
+	return entries
+}
--- a/setting/entry.go
+++ b/setting/entry.go
@@ -11,6 +11,7 @@
 	Requests  Requests
 	Tasks     Tasks
 	Config    Config
+	Regions   Regions
 	Shutdown  Shutdown
 	TLS       TLS
 	Operators Operators
@@ -28,6 +29,7 @@
 	entry.TLS.checkListen(reader, "Metrics.Listen", entry.Metrics.Listen, true)
 	reader.require(entry.Operators.TokensFile != "" || !keys.IsErrPlaintext(keys.CheckListen(entry.Listen.Operator, false, false)),
 		[]string{"Operators.TokensFile"}, "is required when operators are served on other addresses than loopback")
+	entry.Regions.check(reader, entry.Listen)
 	checkDistinct(reader, map[string]string{
 		"Listen.Caller": entry.Listen.Caller, "Listen.Operator": entry.Listen.Operator,
 		"Listen.Control": entry.Listen.Control, "Metrics.Listen": entry.Metrics.Listen,
