--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -12,6 +12,7 @@
 	"hyssopjunction/membership"
 	"hyssopjunction/placement"
 	"hyssopjunction/table"
+	"hyssopjunction/worker"
 )
 
 const (
@@ -241,6 +242,32 @@
 	}
 }
 
+// knowJob reads the row of a job that a reported end names and that this entry has not read. The
+// scheduler drops ends of unknown jobs, and the report is repeated. If the row was deleted, there is
+// nothing to record.
+func (entry *Entry) knowJob(status worker.Status) {
+	name := status.Task.Job
+	if entry.homed[name] {
+		return
+	}
+	entry.spawn(func() {
+		ctx, cancel := entry.call(entry.settings.CallTimeout)
+		defer cancel()
+		row, err := entry.store.Get(ctx, job.Key(name))
+		if err != nil {
+			return
+		}
+		row.Key = job.Key(name)
+		entry.control.Call(func() {
+			if row.Exists() {
+				entry.takeJob(name, row)
+				return
+			}
+			entry.recorded[status.Task] = recordedEnd{epoch: status.Epoch, at: entry.time.Now()}
+		})
+	})
+}
+
 // Report takes the ends of tasks that an agent reports until they are recorded in the table.
 func (entry *Entry) Report(_ context.Context, request *controlpb.ReportRequest) (*controlpb.ReportReply, error) {
 	if err := entry.notReady(); err != nil {
@@ -259,12 +286,13 @@
 				reply.Misdirected = append(reply.Misdirected, message.Task)
 				continue
 			}
-			worker := ident.Worker(request.GetWorker())
+			name := ident.Worker(request.GetWorker())
 			if entry.counted[status.Task].epoch < status.Epoch {
-				entry.learned.taskEnded(worker, status, now)
+				entry.learned.taskEnded(name, status, now)
 			}
 			entry.counted[status.Task] = recordedEnd{epoch: status.Epoch, at: now}
-			entry.handle(placement.TaskEnded{Worker: worker, Status: status})
+			entry.knowJob(status)
+			entry.handle(placement.TaskEnded{Worker: name, Status: status})
 		}
 	})
 	return reply, nil
--- a/entry/urgent.go
+++ b/entry/urgent.go
@@ -43,7 +43,7 @@
 		if err != nil {
 			continue
 		}
-		entry.running.Go(func() { entry.listResidents(candidate.ID, client) })
+		entry.spawn(func() { entry.listResidents(candidate.ID, client) })
 	}
 }
 
