Place ordinary work after a bounded wait for undisturbed workers

Cause: 4 of 28 sample runs on a loaded machine timed out: the learned slowdown of a class was above the limit on every worker, so two evicted tasks were never placed again, and without running tasks nothing corrected the estimate. The rule for starved work did not lift the limit either.

Change: after DisturbanceWait, 1 minute by default, a job takes the best worker that has room; TestDisturbanceWait; the sample run waits 2 s.

Conclusion: an estimate can delay ordinary work by a minute at most.

--- a/placement/behaviour_test.go
+++ b/placement/behaviour_test.go
@@ -274,6 +274,26 @@
 	return 100
 }
 
+// disturbed predicts that every pair slows each other down fivefold.
+type disturbed struct{}
+
+func (disturbed) Slowdown(string, []string) int { return 500 }
+
+// TestDisturbanceWait guards against ordinary work that waits for ever because an estimate keeps it
+// away from every worker, where nothing could ever correct the estimate.
+func TestDisturbanceWait(t *testing.T) {
+	world := newSim(t, Settings{DisturbanceWait: 20 * clock.Second}, Dependencies{Interference: disturbed{}}, 3, host)
+	world.submit(batch("disturbing", 6, small), small, clock.Hour)
+	world.run(30)
+	if live := world.live("disturbing"); live != 0 {
+		t.Fatalf("%d tasks run before the wait is over", live)
+	}
+	world.run(20)
+	if live := world.live("disturbing"); live != 6 {
+		t.Fatalf("%d of 6 tasks run after the wait", live)
+	}
+}
+
 // TestInterference guards against tasks placed beside work that the model says they disturb.
 func TestInterference(t *testing.T) {
 	world := newSim(t, Settings{}, Dependencies{Interference: pairs{}}, 6, host)
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -106,7 +106,7 @@
 			return candidate
 		}
 		score, tolerable := scheduler.score(view, candidate, size)
-		if !tolerable && !spec.Urgent {
+		if !tolerable && !spec.Urgent && scheduler.waited(view) < scheduler.settings.DisturbanceWait {
 			disturbed = true
 			continue
 		}
--- a/placement/settings.go
+++ b/placement/settings.go
@@ -23,6 +23,10 @@
 	// MaxSlowdown is the highest predicted slowdown in percent a placement may cause or suffer,
 	// default 200. Urgent work ignores it.
 	MaxSlowdown int
+	// DisturbanceWait is how long ordinary work waits for a worker below MaxSlowdown, default 1 minute.
+	// Afterwards it takes the best worker that has room: an estimate that keeps a class of work from
+	// starting anywhere would get no new measurements and hold for ever.
+	DisturbanceWait clock.Millis
 	// Starvation is how long ordinary work waits before it goes ahead of team fairness and holds
 	// workers free, default 10 minutes.
 	Starvation clock.Millis
@@ -74,6 +78,7 @@
 	count(&settings.Candidates, 32)
 	count(&settings.MaxSlowdown, 200)
 	millis(&settings.Starvation, 10*clock.Minute)
+	millis(&settings.DisturbanceWait, clock.Minute)
 	count(&settings.StarvedShare, 20)
 	count(&settings.MaxEvictions, 3)
 	count(&settings.MaxFailures, 10)
--- a/standalone/deployment.go
+++ b/standalone/deployment.go
@@ -55,6 +55,8 @@
 	Heartbeat clock.Millis
 	Watch     clock.Millis
 	Term      clock.Millis
+	// DisturbanceWait is how long batch tasks wait for a worker without predicted interference.
+	DisturbanceWait clock.Millis
 	// Membership are the times of failure detection between daemons.
 	Membership membership.Settings
 }
@@ -201,6 +203,7 @@
 	settings.ID, settings.Region, settings.DataCentre = id, deployment.layout.Region, centre
 	settings.ControlAddress, settings.CallerAddress = listeners.Control.Addr().String(), node.caller
 	settings.Round, settings.Seed = 100*clock.Millisecond, deployment.layout.Seed
+	settings.Placement.DisturbanceWait = deployment.layout.DisturbanceWait
 	settings.Lease.Term, settings.Membership = deployment.layout.Term, deployment.layout.Membership
 	daemon, err := entry.New(ctx, settings, entry.Dependencies{
 		Clock: deployment.time, Table: node.store, Agents: node.agents, Control: node.pool, Objects: deployment.Platform.Objects,
--- a/standalone/outcome.go
+++ b/standalone/outcome.go
@@ -37,7 +37,9 @@
 	// LimitsExceeded counts starts above a worker's capacity and requests above an endpoint's slots
 	// or connections.
 	LimitsExceeded int
-	ElapsedMillis  clock.Millis
+	// Details describes the first violations that the workers recorded.
+	Details       []string `json:",omitempty"`
+	ElapsedMillis clock.Millis
 }
 
 // Clean reports whether nothing was lost, duplicated or above a limit.
@@ -160,4 +162,5 @@
 	counted.Lost += violations.BehindCheckpoint
 	counted.Duplicated += violations.TwoPlaces + violations.EpochReused + violations.AfterFinish
 	counted.LimitsExceeded += violations.OverCapacity
+	counted.Details = violations.Details
 }
--- a/standalone/run.go
+++ b/standalone/run.go
@@ -46,7 +46,7 @@
 		Workers: 3, Services: []ident.Service{checks, entries}, CPU: 16_000, Memory: 60 << 10,
 		Interference: []setting.Interference{{Victim: string(checks), Aggressor: "layout", Percent: 10}},
 		Seed:         1, Heartbeat: 300 * clock.Millisecond, Watch: 100 * clock.Millisecond, Term: 5 * clock.Second,
-		Membership: shortMembership(),
+		Membership: shortMembership(), DisturbanceWait: 2 * clock.Second,
 	}
 }
 
