Declare the idempotent services of the stand-in's endpoints

Checks are idempotent and may be repeated; the stand-in counts repetitions as violations unless the endpoint is declared idempotent. Ruled out: tasks (no violation was recorded) and keyed submissions (none ran twice).

Change: the layouts declare the service checks as idempotent. Keyed submissions keep the strict check.

Conclusion: the count of duplicates speaks of submissions and tasks that must not repeat.

--- a/standalone/deployment.go
+++ b/standalone/deployment.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -45,6 +46,8 @@
 	// services are assigned in turn.
 	Workers  int
 	Services []ident.Service
+	// Idempotent are the services whose requests may run more than once.
+	Idempotent []ident.Service
 	// CPU and Memory are the size of each worker in thousandths of a core and MiB.
 	CPU    unit.MilliCPU
 	Memory unit.Mebibytes
@@ -161,7 +164,8 @@
 			})
 			settings.Endpoints = append(settings.Endpoints, setting.StandInEndpoint{
 				Name: endpointID(centre, index), Service: layout.serviceOf(index), Listen: "127.0.0.1:0",
-				Worker: WorkerID(centre, index), Class: string(layout.serviceOf(index)), Slots: 8, Connections: 64,
+				Idempotent: slices.Contains(layout.Idempotent, layout.serviceOf(index)),
+				Worker:     WorkerID(centre, index), Class: string(layout.serviceOf(index)), Slots: 8, Connections: 64,
 				MedianMillis: 10, Spread: 0.4, StreamBytes: 4096, ChunkBytes: 256, ChunkMillis: 20,
 			})
 		}
--- a/standalone/run.go
+++ b/standalone/run.go
@@ -43,7 +43,7 @@
 func SampleLayout() Layout {
 	return Layout{
 		Region: "flanders", DataCentres: []ident.DataCentre{"aalst", "gent", "kortrijk"},
-		Workers: 3, Services: []ident.Service{checks, entries}, CPU: 16_000, Memory: 60 << 10,
+		Workers: 3, Services: []ident.Service{checks, entries}, Idempotent: []ident.Service{checks}, CPU: 16_000, Memory: 60 << 10,
 		Interference: []setting.Interference{{Victim: string(checks), Aggressor: "layout", Percent: 10}},
 		Seed:         1, Heartbeat: 300 * clock.Millisecond, Watch: 100 * clock.Millisecond, Term: 5 * clock.Second,
 		Membership: shortMembership(), DisturbanceWait: 2 * clock.Second,
