--- a/entry/actions.go
+++ b/entry/actions.go
@@ -19,6 +19,13 @@
 	at    clock.Time
 }
 
+// reportedEnd is the newest report of a task's end: its epoch, and when it first and last came.
+type reportedEnd struct {
+	epoch ident.Epoch
+	first clock.Time
+	last  clock.Time
+}
+
 // execute carries out the scheduler's actions. It runs on the control goroutine and must not block.
 func (entry *Entry) execute(actions []placement.Action) {
 	for _, action := range actions {
@@ -104,6 +111,19 @@
 	entry.post(placement.RowsRead{Rows: rows})
 }
 
+// ask queues a call to the worker's agent. If too many calls wait for the agent already, the scheduler
+// gets the answer without results that it also gets after a timeout.
+func (entry *Entry) ask(worker ident.Worker, answer placement.Event, call func()) {
+	if !entry.lanes.do(worker, call) {
+		entry.unanswered(answer)
+	}
+}
+
+// unanswered passes an answer without results to the scheduler, from the control goroutine.
+func (entry *Entry) unanswered(answer placement.Event) {
+	entry.spawn(func() { entry.post(answer) })
+}
+
 func (entry *Entry) reserve(action placement.Reserve) {
 	client, ok := entry.agentOf(action.Worker)
 	request := &controlpb.ReserveRequest{
@@ -115,10 +135,10 @@
 	}
 	answer := placement.Reserved{Worker: action.Worker, Reservation: action.Reservation}
 	if !ok {
-		entry.spawn(func() { entry.post(answer) })
+		entry.unanswered(answer)
 		return
 	}
-	entry.lanes.do(action.Worker, func() {
+	entry.ask(action.Worker, answer, func() {
 		ctx, cancel := entry.call(entry.settings.CallTimeout)
 		defer cancel()
 		reply, err := client.Reserve(ctx, request)
@@ -138,13 +158,13 @@
 	client, ok := entry.agentOf(action.Worker)
 	answer := placement.Started{Worker: action.Worker, Incarnation: action.Incarnation}
 	if !ok {
-		entry.spawn(func() { entry.post(answer) })
+		entry.unanswered(answer)
 		return
 	}
 	request := &controlpb.StartRequest{
 		Reservation: string(action.Reservation), Incarnation: uint64(action.Incarnation), Tasks: refMessages(action.Tasks),
 	}
-	entry.lanes.do(action.Worker, func() {
+	entry.ask(action.Worker, answer, func() {
 		ctx, cancel := entry.call(entry.settings.CallTimeout)
 		defer cancel()
 		reply, err := client.Start(ctx, request)
@@ -180,14 +200,14 @@
 	client, ok := entry.agentOf(action.Worker)
 	answer := placement.Stopped{Worker: action.Worker, Incarnation: action.Incarnation}
 	if !ok {
-		entry.spawn(func() { entry.post(answer) })
+		entry.unanswered(answer)
 		return
 	}
 	request := &controlpb.StopRequest{
 		Incarnation: uint64(action.Incarnation), Tasks: refMessages(action.Tasks),
 		Checkpoint: action.Checkpoint, Reason: action.Reason,
 	}
-	entry.lanes.do(action.Worker, func() {
+	entry.ask(action.Worker, answer, func() {
 		ctx, cancel := entry.call(entry.settings.StopTimeout)
 		defer cancel()
 		reply, err := client.Stop(ctx, request)
--- a/entry/grants.go
+++ b/entry/grants.go
@@ -322,11 +322,14 @@
 			}
 		}
 	}
-	for _, ends := range []map[ident.Task]recordedEnd{entry.recorded, entry.counted} {
-		for task, known := range ends {
-			if now.Sub(known.at) > recordedKept {
-				delete(ends, task)
-			}
+	for task, known := range entry.recorded {
+		if now.Sub(known.at) > recordedKept {
+			delete(entry.recorded, task)
+		}
+	}
+	for task, known := range entry.reported {
+		if now.Sub(known.last) > recordedKept {
+			delete(entry.reported, task)
 		}
 	}
 }
--- a/entry/lanes.go
+++ b/entry/lanes.go
@@ -19,18 +19,26 @@
 	return &lanes{waiting: map[ident.Worker][]func(){}}
 }
 
-// do queues a call to the worker's agent.
-func (lanes *lanes) do(worker ident.Worker, call func()) {
+// maxWaiting bounds the calls that wait for one agent. The scheduler repeats unanswered calls each
+// second, so the calls to an agent that hangs until their timeouts would add up.
+const maxWaiting = 32
+
+// do queues a call to the worker's agent. It returns false if too many calls wait already.
+func (lanes *lanes) do(worker ident.Worker, call func()) bool {
 	lanes.mu.Lock()
 	defer lanes.mu.Unlock()
 	if lanes.closed {
-		return
+		return true
 	}
 	queue, active := lanes.waiting[worker]
+	if len(queue) >= maxWaiting {
+		return false
+	}
 	lanes.waiting[worker] = append(queue, call)
 	if !active {
 		lanes.running.Go(func() { lanes.drain(worker) })
 	}
+	return true
 }
 
 func (lanes *lanes) drain(worker ident.Worker) {
--- a/entry/operations.go
+++ b/entry/operations.go
@@ -10,6 +10,7 @@
 	"hyssopjunction/config"
 	"hyssopjunction/ident"
 	"hyssopjunction/operator"
+	"hyssopjunction/set"
 	"hyssopjunction/table"
 	"hyssopjunction/unit"
 )
@@ -153,11 +154,9 @@
 	if err != nil || change.State != operator.Lost {
 		return accepted, err
 	}
-	for _, worker := range operations.entry.view.Current().Workers {
-		if worker.Place.DataCentre != change.DataCentre {
-			continue
-		}
-		loss := operator.WorkerLoss{Worker: worker.ID, Incarnation: worker.Incarnation, Reason: change.Reason}
+	incarnations := operations.entry.incarnationsIn(change.DataCentre)
+	for _, worker := range set.SortedKeys(incarnations) {
+		loss := operator.WorkerLoss{Worker: worker, Incarnation: incarnations[worker], Reason: change.Reason}
 		if _, err := operations.DeclareLost(ctx, call, loss); err != nil && !operator.IsErrConflict(err) {
 			return accepted, err
 		}
--- a/entry/silent.go
+++ b/entry/silent.go
@@ -17,6 +17,9 @@
 // silence is a worker that was not heard of in time.
 type silence struct {
 	due clock.Time
+	// dataCentre and incarnation are those that the worker announced last.
+	dataCentre  ident.DataCentre
+	incarnation ident.Incarnation
 }
 
 // reviewSilent reads the rows of silent workers and ends the incarnations whose granter can
@@ -100,7 +103,32 @@
 	entry.learned.pairs.ForgetWorker(worker)
 	entry.learned.governor.Forget(worker)
 	if _, ok := entry.silent[worker]; !ok {
-		entry.silent[worker] = silence{due: entry.time.Now().Add(silentReview)}
+		silent := silence{due: entry.time.Now().Add(silentReview)}
+		for _, known := range entry.view.Current().Workers {
+			// The worker is in the published view until the next refresh.
+			if known.ID == worker {
+				silent.dataCentre, silent.incarnation = known.Place.DataCentre, known.Incarnation
+			}
+		}
+		entry.silent[worker] = silent
 	}
 	entry.handle(placement.WorkerSilent{Worker: worker})
 }
+
+// incarnationsIn returns the incarnations of the workers in a data centre, silent ones included.
+func (entry *Entry) incarnationsIn(name ident.DataCentre) map[ident.Worker]ident.Incarnation {
+	incarnations := map[ident.Worker]ident.Incarnation{}
+	entry.control.Call(func() {
+		for worker, known := range entry.silent {
+			if known.dataCentre == name {
+				incarnations[worker] = known.incarnation
+			}
+		}
+	})
+	for _, known := range entry.view.Current().Workers {
+		if known.Place.DataCentre == name {
+			incarnations[known.ID] = known.Incarnation
+		}
+	}
+	return incarnations
+}
