agent, entry: renew and report while the worker hangs, read all entries

"Before" is a run of the new tests against the former sources, with go test ./agent ./entry.

Lapsed lease on the worker. Cause: one pass of the agent's watch repeated unanswered starts one after the other, 2 s each, before the next renewal. Change: each start has its own goroutine. Before: TestHangingStartsDelayNoRenewal saw the worker's lease end 20 s after the grant, with 20 hanging starts and accepted heartbeats. After: the lease stays ahead for 60 s.

Late reports. Cause: the agent waited for each recorded task that the worker did not forget. Change: the first one without confirmation ends the pass; the others are answered again. Before: TestHangingForgetDelaysNoReport saw no report of a new end with 50 such tasks. After: Finished.

Unknown entries. Cause: only the first 256 rows of entries were read, and rows of entries that left stay. Change: all pages are read. Before: TestEntryBeyondFirstPage did not see the live entry behind 256 Left rows. After: both are live.

Conclusion: tests of agent and entry pass with -race -count=5; standalone and the process test pass.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -8,6 +8,7 @@
 	"hyssopjunction/clock"
 	"hyssopjunction/controlpb"
 	"hyssopjunction/ident"
+	"hyssopjunction/unit"
 	"hyssopjunction/worker"
 )
 
@@ -307,6 +308,67 @@
 	})
 }
 
+// Guards against tasks whose lease on the worker lapses because other starts hang, one timeout after
+// the other.
+func TestHangingStartsDelayNoRenewal(t *testing.T) {
+	inWorld(t, func(world *world) {
+		world.launch(1)
+		world.runtime.faults(func(ctx context.Context, call string) error {
+			if call == "Start" {
+				<-ctx.Done()
+				return worker.ErrUnavailable{Reason: "test"}
+			}
+			return nil
+		}, nil)
+		world.agent.control.Call(func() {
+			for index := range 20 {
+				name := ident.Task{Job: "hanging", Index: index}
+				_ = world.agent.ledger.Reserve("r", name, 1, unit.Resources{CPU: 1}, 0, world.runtime.time.Now())
+				_, _ = world.agent.ledger.Start("r", name, 1, world.runtime.time.Now())
+				world.agent.tasks[name] = &task{spec: worker.Spec{Task: name, Epoch: 1}}
+			}
+		})
+		for range 60 {
+			world.pass(time.Second)
+			world.runtime.mu.Lock()
+			expiry, now := world.runtime.expiry, worker.Instant(world.runtime.time.Now())
+			world.runtime.mu.Unlock()
+			if expiry <= now {
+				world.Fatalf("lease on the worker ended at %d, now %d", expiry, now)
+			}
+		}
+	})
+}
+
+// Guards against ends that are not reported while the worker hangs on forgetting others.
+func TestHangingForgetDelaysNoReport(t *testing.T) {
+	inWorld(t, func(world *world) {
+		world.entry.record = true
+		world.runtime.faults(func(ctx context.Context, call string) error {
+			if call == "Forget" {
+				<-ctx.Done()
+				return worker.ErrUnavailable{Reason: "test"}
+			}
+			return nil
+		}, nil)
+		world.runtime.mu.Lock()
+		for index := range 50 {
+			name := ident.Task{Job: "old", Index: index}
+			world.runtime.tasks[name] = worker.Status{Task: name, Epoch: 1, State: worker.Finished}
+		}
+		world.runtime.mu.Unlock()
+		world.agent.Close()
+		world.begin(2)
+		world.pass(4 * time.Second)
+		world.launch(1)
+		world.runtime.finish(run, worker.Finished)
+		world.pass(4 * clock.Second.Duration())
+		if state := world.entry.reported(run); state != worker.Finished {
+			world.Fatalf("reported as %q, want Finished", state)
+		}
+	})
+}
+
 // Guards against a graceful shutdown that ends while tasks run because a stop was not confirmed, and
 // against a goroutine that starts after Close.
 func TestShutdown(t *testing.T) {
--- a/agent/report.go
+++ b/agent/report.go
@@ -48,17 +48,21 @@
 	}
 	for _, ref := range reply.Recorded {
 		name, epoch := controlpb.ToTask(ref)
-		agent.forget(name, epoch)
+		if !agent.forget(name, epoch) {
+			// The others are answered again. Waiting for each of them would hold up the next reports.
+			return
+		}
 	}
 }
 
-// forget drops an ended task from the worker's records and from the ledger.
-func (agent *Agent) forget(name ident.Task, epoch ident.Epoch) {
+// forget drops an ended task from the worker's records and from the ledger. It returns false if the
+// worker did not confirm it.
+func (agent *Agent) forget(name ident.Task, epoch ident.Epoch) bool {
 	ctx, cancel := agent.call()
 	defer cancel()
 	if err := agent.runtime.Forget(ctx, name, epoch); err != nil && !worker.IsErrNoSuchTask(err) && !worker.IsErrStaleEpoch(err) {
 		klog.ErrorS(err, "Worker did not forget an ended task", "Task", name.String(), "Epoch", epoch)
-		return
+		return false
 	}
 	agent.control.Call(func() {
 		agent.ledger.Forget(name, epoch)
@@ -66,4 +70,5 @@
 			delete(agent.ended, name)
 		}
 	})
+	return true
 }
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -37,7 +37,8 @@
 		agent.renew(expiry)
 	}
 	for _, name := range repeat {
-		agent.launch(name)
+		// Starts that hang must not delay the next renewal of the worker's lease.
+		agent.spawn(func() { agent.launch(name) })
 	}
 	agent.end(ctx, vanished, false, "worker has no record of the task")
 	if lapsing {
--- a/entry/jobs_test.go
+++ b/entry/jobs_test.go
@@ -134,6 +134,28 @@
 	})
 }
 
+// Guards against entries that never learn of each other because the rows of replaced ones fill the
+// first page.
+func TestEntryBeyondFirstPage(t *testing.T) {
+	inWorld(t, func(world *world) {
+		for index := range entryPage + 1 {
+			known := membership.Entry{ID: ident.Entry(fmt.Sprintf("d%04d", index)), State: membership.Left, Incarnation: 1, Region: "north"}
+			if index == entryPage {
+				known.State, known.ID = membership.Live, "z"
+			}
+			value, err := membership.EncodeEntry(known)
+			key := membership.EntryKey(known.ID)
+			world.write(table.Condition{Key: key}, table.Operation{Key: key, Value: value}, err)
+		}
+		world.pass(6 * time.Second)
+		world.entry.control.Call(func() {
+			if live := world.entry.entries.Live(world.entry.time.Now()); len(live) != 2 {
+				world.Errorf("live entries are %v, want e1 and z", live)
+			}
+		})
+	})
+}
+
 // Guards against a cancellation that loses a claim committed meanwhile: the claimed task must stay
 // live until it is stopped, and nothing is claimed after the cancellation.
 func TestCancellationRacesClaim(t *testing.T) {
--- a/entry/tick.go
+++ b/entry/tick.go
@@ -113,9 +113,15 @@
 func (entry *Entry) readEntries() {
 	ctx, cancel := entry.call(entry.settings.CallTimeout)
 	defer cancel()
-	rows, err := entry.store.Range(ctx, membership.EntryPrefix, "", maxEntries)
-	if err != nil {
-		return
+	var rows []table.Row
+	for after := table.Key(""); ; after = rows[len(rows)-1].Key {
+		page, err := entry.store.Range(ctx, membership.EntryPrefix, after, entryPage)
+		if err != nil {
+			return
+		}
+		if rows = append(rows, page...); len(page) < entryPage {
+			break
+		}
 	}
 	var burials []table.Transaction
 	entry.control.Call(func() {
@@ -131,8 +137,9 @@
 	}
 }
 
-// maxEntries bounds the rows of entries that are read at once.
-const maxEntries = 256
+// entryPage is the number of rows of entries that are read at once. Rows of entries that left stay, so
+// there can be more than one page.
+const entryPage = 256
 
 func (entry *Entry) observeEntry(row table.Row) {
 	if err := entry.entries.Observe(row, entry.time.Now()); membership.IsErrSuperseded(err) {
