--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -43,16 +43,24 @@
 	}
 	ctx, cancel := entry.call(4 * clock.Second)
 	defer cancel()
-	rows, err := entry.store.Range(ctx, pendingPrefix, "", jobPage)
-	if err != nil {
-		return
-	}
-	for _, row := range rows {
-		name := ident.Job(row.Key[len(pendingPrefix):])
-		if !entry.mine(name) || entry.loadJob(ctx, name) != nil {
-			continue
+	after := table.Key("")
+	for {
+		rows, err := entry.store.Range(ctx, pendingPrefix, after, jobPage)
+		if err != nil {
+			return
+		}
+		for _, row := range rows {
+			after = row.Key
+			name := ident.Job(row.Key[len(pendingPrefix):])
+			if !entry.mine(name) || entry.loadJob(ctx, name) != nil {
+				continue
+			}
+			entry.clearPending(ctx, row)
+		}
+		// Rows of jobs whose home is another entry, which may be slow or gone, must not hide the others.
+		if len(rows) < jobPage {
+			return
 		}
-		entry.clearPending(ctx, row)
 	}
 }
 
