Bound what slow and malformed callers can hold, and answer them with typed errors

Cause: a request refused before its body was read kept its connection for ever when the caller sent nothing more, because net/http reads on after the answer and no deadline was set. The announced length of a body counted against the bound of all bodies at once, so 32 callers who sent nothing had all others refused as Overload for 10 s. Unknown paths, other methods and oversized headers were answered in plain text. The operators' server had no bound on the time in which a body arrives.

TestBadInput sends 15 kinds of bad requests, 320 slow and 1000 idle callers to a real entry.

Headers above 64 KiB and input that is not HTTP are still answered in plain text by net/http. The operators' read timeout has no test.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gorilla/mux"
@@ -56,6 +53,12 @@
 func (handler *Handler) Register(router *mux.Router) {
 	router.HandleFunc("/v1/services/{Service}/requests", handler.serveRequest).Methods(http.MethodPost)
 	router.HandleFunc("/v1/services/{Service}/streams/{Stream}", handler.serveStream).Methods(http.MethodGet)
+	router.NotFoundHandler = http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		handler.refuse(writer, bad("UnknownPath", "there is nothing at this path", http.StatusNotFound))
+	})
+	router.MethodNotAllowedHandler = http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		handler.refuse(writer, bad("MethodNotAllowed", "the path has another method", http.StatusMethodNotAllowed))
+	})
 }
 
 var badRequests = metrics.NewCounter(`hyssopjunction_caller_bad_requests_total`)
@@ -86,9 +89,13 @@
 }
 
 // refuse sends an error of the request itself. The rest of the body is not read, so the connection
-// is closed.
+// is closed. Before it closes, net/http reads on for a while; without a deadline a caller who sends
+// nothing more would hold the connection for ever.
 func (handler *Handler) refuse(writer http.ResponseWriter, err error) {
 	badRequests.Inc()
+	if err := http.NewResponseController(writer).SetReadDeadline(deadline(handler.settings.HeaderTimeout)); err != nil {
+		klog.V(1).InfoS("No read deadline", "Reason", err.Error())
+	}
 	writer.Header().Set("Connection", "close")
 	writeError(writer, err)
 }
@@ -127,6 +134,9 @@
 		ContentType: header.Get("Content-Type"),
 		Priority:    admission.Normal,
 	}
+	if headerBytes(header) > settings.HeaderBytes {
+		return request, bad("HeaderTooLarge", "the header exceeds "+strconv.Itoa(settings.HeaderBytes)+" bytes", http.StatusRequestHeaderFieldsTooLarge)
+	}
 	if !ident.Valid(request.Service) {
 		return request, bad("UnknownService", "the service name is malformed", http.StatusNotFound)
 	}
@@ -147,6 +157,18 @@
 	return request, parsePriority(header.Get(priorityHeader), &request)
 }
 
+// headerBytes returns the size of the header as sent, with separators and line ends.
+func headerBytes(header http.Header) int {
+	const separators = len(": \r\n")
+	size := 0
+	for name, values := range header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return size
+}
+
 func parsePriority(text string, request *dispatch.Request) error {
 	switch text {
 	case "", "Normal":
@@ -163,37 +185,3 @@
 func bad(kind, reason string, status int) error {
 	return ErrBadRequest{Type: kind, Reason: reason, Status: status}
 }
-
-// readBody reads the body within the limits of size, time and total memory. The returned function
-// gives the memory back and is never nil.
-func (handler *Handler) readBody(writer http.ResponseWriter, incoming *http.Request, request *dispatch.Request) (func(), error) {
-	limit := handler.settings.BodyBytes
-	tooLarge := bad("TooLarge", "the body exceeds "+strconv.FormatInt(limit, 10)+" bytes", http.StatusRequestEntityTooLarge)
-	if incoming.ContentLength > limit {
-		return func() {}, tooLarge
-	}
-	reserved := incoming.ContentLength
-	if reserved < 0 {
-		reserved = limit
-	}
-	release := func() { handler.bytes.Add(-reserved) }
-	if handler.bytes.Add(reserved) > handler.settings.TotalBytes {
-		return release, dispatch.ErrNotRun{Request: request.ID, Reason: dispatch.Overload, RetryAfter: handler.settings.RetryAfter}
-	}
-	if err := http.NewResponseController(writer).SetReadDeadline(deadline(handler.settings.ReadTimeout)); err != nil {
-		klog.V(1).InfoS("No read deadline", "Request", request.ID, "Reason", err.Error())
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(writer, incoming.Body, limit))
-	if errors.As(err, new(*http.MaxBytesError)) {
-		return release, tooLarge
-	}
-	if err != nil {
-		return release, bad("IncompleteBody", "the body did not arrive completely in time", http.StatusRequestTimeout)
-	}
-	// The server reads ahead to notice that the caller has gone; an old deadline would look the same.
-	if err := http.NewResponseController(writer).SetReadDeadline(time.Time{}); err != nil {
-		klog.V(1).InfoS("Read deadline kept", "Request", request.ID, "Reason", err.Error())
-	}
-	request.Body = body
-	return release, nil
-}
--- a/caller/settings.go
+++ b/caller/settings.go
@@ -50,8 +50,10 @@
 // NewServer returns an HTTP server with the timeouts of settings. The caller sets its listener.
 func NewServer(handler http.Handler, settings Settings) *http.Server {
 	return &http.Server{
-		Handler:           handler,
-		MaxHeaderBytes:    settings.HeaderBytes,
+		Handler: handler,
+		// The handler answers headers above the bound with a typed error; net/http, which sends plain
+		// text, refuses only those far above it.
+		MaxHeaderBytes:    4 * settings.HeaderBytes,
 		ReadHeaderTimeout: settings.HeaderTimeout.Duration(),
 		IdleTimeout:       settings.IdleTimeout.Duration(),
 		// The handlers set the deadlines of reading the body and writing the answer, because a
--- a/entry/server.go
+++ b/entry/server.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/gorilla/mux"
 	"google.golang.org/grpc"
@@ -29,6 +30,10 @@
 	Metrics net.Listener
 }
 
+// operatorReadTimeout bounds the time in which an operator's request must arrive. It exceeds the
+// longest wait of 30 s plus 10 s, because net/http takes the end of the time for a caller that has gone.
+const operatorReadTimeout = 45 * time.Second
+
 // Server serves an entry's APIs.
 type Server struct {
 	entry    *Entry
@@ -56,6 +61,7 @@
 	serveHTTP(server.caller, listeners.Caller, secure)
 	if listeners.Operator != nil {
 		server.operator = caller.NewServer(operators, settings)
+		server.operator.ReadTimeout = operatorReadTimeout
 		serveHTTP(server.operator, listeners.Operator, secure)
 	}
 	if listeners.Metrics != nil {
--- /dev/null
+++ b/input_test.go
@@ -0,0 +1,179 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"hyssopjunction/caller"
+	"hyssopjunction/outcome"
+)
+
+const (
+	// slowCallers is above what would reserve all memory for bodies at once, 32 bodies of 1 MiB.
+	slowCallers = 64
+	idleCallers = 1000
+	// memoryBound is the memory of a daemon in docs/design.md, in KiB.
+	memoryBound = 128 << 10
+)
+
+// badInput is a request that a caller must not send, and the answer to it.
+type badInput struct {
+	name, method, path, headers string
+	body                        string
+	status                      int
+	kind                        string
+}
+
+// exchange sends text over a new connection and reads the answer. It returns the connection open.
+func (system *system) exchange(t *testing.T, text string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	connection, err := (&net.Dialer{}).DialContext(system.ctx, "tcp", system.callers[0])
+	system.must(err)
+	if deadline, ok := system.ctx.Deadline(); ok {
+		system.must(connection.SetDeadline(deadline))
+	}
+	// The server may answer and close before it has read everything.
+	_, _ = io.WriteString(connection, text)
+	return connection, bufio.NewReader(connection)
+}
+
+// answer reads one answer and expects a typed error that says that nothing was run.
+func (system *system) answer(t *testing.T, name string, reader *bufio.Reader, status int, kind string) {
+	t.Helper()
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Errorf("%s: no answer: %v", name, err)
+		return
+	}
+	text, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	var body caller.ErrorBody
+	if err == nil {
+		err = json.Unmarshal(text, &body)
+	}
+	if err != nil || response.StatusCode != status || body.Error.Type != kind || body.Error.Reason == "" ||
+		body.Outcome != outcome.NotRun || response.Header.Get("Content-Type") != "application/json" {
+		t.Errorf("%s: status %d (%v): %s, want %d %s", name, response.StatusCode, err, text, status, kind)
+	}
+}
+
+// good expects that the entry serves a good request now.
+func (system *system) good(t *testing.T, after string) {
+	t.Helper()
+	if code, err := system.post(nil, "http://"+system.callers[0]); err != nil || code != http.StatusOK {
+		t.Errorf("a good request after %s: status %d, %v", after, code, err)
+	}
+}
+
+// Guards against callers whose input costs other callers their service or the entry its memory, and
+// against answers to bad input that a program cannot read.
+func TestBadInput(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts four processes")
+	}
+	system := newSystem(t, shape{entries: 1, agents: 2})
+	system.await("a first answer", func() bool {
+		code, err := system.post(nil, "http://"+system.callers[0])
+		return err == nil && code == http.StatusOK
+	})
+	const requests = "/v1/services/checks/requests"
+	large := strings.Repeat("x", 2<<20)
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(large), large)
+	t.Run("requests", func(t *testing.T) {
+		for _, input := range []badInput{
+			{"oversized body", "POST", requests, "Content-Length: 2097152\r\n", large, 413, "TooLarge"},
+			{"oversized body in chunks", "POST", requests, "Transfer-Encoding: chunked\r\n", chunk, 413, "TooLarge"},
+			{"oversized header", "POST", requests, "Filler: " + strings.Repeat("x", 18<<10) + "\r\nContent-Length: 1\r\n", "x", 431, "HeaderTooLarge"},
+			{"many headers", "POST", requests, strings.Repeat("Filler: x\r\n", 2000) + "Content-Length: 1\r\n", "x", 431, "HeaderTooLarge"},
+			{"unknown service", "POST", "/v1/services/absent/requests", "Content-Length: 1\r\n", "x", 404, "UnknownService"},
+			{"malformed service", "POST", "/v1/services/%2e%2e/requests", "Content-Length: 1\r\n", "x", 404, "UnknownService"},
+			{"unknown path", "POST", "/v1/else", "Content-Length: 1\r\n", "x", 404, "UnknownPath"},
+			{"path above", "GET", "/v1/../readyz", "", "", 404, "UnknownPath"},
+			{"other method", "PUT", requests, "Content-Length: 1\r\n", "x", 405, "MethodNotAllowed"},
+			{"missing key", "POST", "/v1/services/entries/requests", "Content-Length: 1\r\n", "x", 400, "MissingKey"},
+			{"malformed key", "POST", "/v1/services/entries/requests", "Request-Key: a/b\r\nContent-Length: 1\r\n", "x", 400, "MalformedKey"},
+			{"empty key", "POST", "/v1/services/entries/requests", "Request-Key:\r\nContent-Length: 1\r\n", "x", 400, "MalformedKey"},
+			{"negative patience", "POST", requests, "Patience-Millis: -5\r\nContent-Length: 1\r\n", "x", 400, "MalformedPatience"},
+			{"patience above the bound", "POST", requests, "Patience-Millis: 9223372036854775808\r\nContent-Length: 1\r\n", "x", 400, "MalformedPatience"},
+			{"unknown priority", "POST", requests, "Priority: Urgent\r\nContent-Length: 1\r\n", "x", 400, "MalformedPriority"},
+		} {
+			connection, reader := system.exchange(t, input.method+" "+input.path+" HTTP/1.1\r\nHost: x\r\nTeam: contest\r\n"+input.headers+"\r\n"+input.body)
+			system.answer(t, input.name, reader, input.status, input.kind)
+			_ = connection.Close()
+			system.good(t, input.name)
+		}
+	})
+
+	t.Run("slow and idle", func(t *testing.T) {
+		start := "POST " + requests + " HTTP/1.1\r\nHost: x\r\nTeam: contest\r\n"
+		var waiting sync.WaitGroup
+		closed := func(name, text string, read func(reader *bufio.Reader)) {
+			connection, reader := system.exchange(t, text)
+			waiting.Go(func() {
+				defer func() { _ = connection.Close() }()
+				if read != nil {
+					read(reader)
+				}
+				if _, err := reader.ReadByte(); err == nil || system.ctx.Err() != nil || os.IsTimeout(err) {
+					t.Errorf("%s: the connection stays open (%v)", name, err)
+				}
+			})
+		}
+		for range slowCallers {
+			closed("slow header", start+"Slow: ", nil)
+			closed("nothing sent", "", nil)
+			closed("slow body", start+"Content-Length: 1048576\r\n\r\nabc", func(reader *bufio.Reader) {
+				system.answer(t, "slow body", reader, 408, "IncompleteBody")
+			})
+			closed("slow chunks", start+"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", func(reader *bufio.Reader) {
+				system.answer(t, "slow chunks", reader, 408, "IncompleteBody")
+			})
+			closed("slow body of a refused request", start+"Priority: Urgent\r\nContent-Length: 100\r\n\r\nabc", func(reader *bufio.Reader) {
+				system.answer(t, "slow body of a refused request", reader, 400, "MalformedPriority")
+			})
+		}
+		var idle []net.Conn
+		for range idleCallers {
+			connection, reader := system.exchange(t, "GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n")
+			if line, err := reader.ReadString('\n'); err != nil || !strings.Contains(line, " 200 ") {
+				t.Errorf("an idle caller's first request: %q, %v", line, err)
+			}
+			idle = append(idle, connection)
+		}
+		system.good(t, "slow and idle callers")
+		waiting.Wait()
+		for _, connection := range idle {
+			_ = connection.Close()
+		}
+	})
+	system.good(t, "everything")
+	if peak := peakMemory(t, system.processes["entry-0"].Process.Pid); peak > memoryBound && !raceDetector {
+		t.Errorf("the entry used %d KiB of memory, more than %d", peak, memoryBound)
+	}
+	system.assertClean()
+}
+
+// peakMemory returns the largest resident memory of a process, in KiB.
+func peakMemory(t *testing.T, pid int) int {
+	t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(text), "VmHWM:")
+	peak, err := strconv.Atoi(strings.Fields(rest)[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("largest resident memory %d KiB", peak)
+	return peak
+}
