recorded: run the sessions with further seeds

Cause: the golden files hold one seed of each session.

Change: TestSeeds asserts the invariants with -recorded.seeds further seeds from -recorded.seed.

--- a/recorded/recorded_test.go
+++ b/recorded/recorded_test.go
@@ -1,6 +1,8 @@
 package recorded
 
 import (
+	"flag"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -13,6 +15,11 @@
 	"hyssopjunction/clock"
 )
 
+var (
+	seeds     = flag.Int("recorded.seeds", 2, "number of seeds of each whole session without a golden file")
+	firstSeed = flag.Uint64("recorded.seed", 1, "first of these seeds")
+)
+
 func TestMain(main *testing.M) {
 	klog.LogToStderr(false)
 	klog.SetOutput(io.Discard)
@@ -53,3 +60,18 @@
 		})
 	}
 }
+
+// TestSeeds guards against violations of invariants that the two recorded seeds do not meet.
+func TestSeeds(t *testing.T) {
+	for _, session := range []Session{ContestDay(), CastingWeek()} {
+		for offset := range uint64(*seeds) {
+			session.Seed = *firstSeed + offset
+			t.Run(fmt.Sprintf("%s/seed-%d", session.Name, session.Seed), func(t *testing.T) {
+				t.Parallel()
+				for _, fault := range Run(session, Policy{}).Broken {
+					t.Errorf("seed %d: %s", session.Seed, fault)
+				}
+			})
+		}
+	}
+}
