recorded: recount endpoints' limits, keys, standing tasks and the configuration

Cause: the limits of an endpoint were asserted only by the controller whose decisions they bound, and the final state was not compared with the table.

Change: the fake endpoint counts what it runs; the recount checks that each answered key ran once, that standing tasks run in one place at the end, and that all entries have the table's configuration.

--- a/recorded/agent.go
+++ b/recorded/agent.go
@@ -46,6 +46,8 @@
 	// leftAt is when the endpoint began to leave, 0 while it serves.
 	leftAt  clock.Time
 	waiting map[ident.Request]*attempt
+	// running counts the requests that the endpoint itself runs, apart from the controller.
+	running int
 	runtime runtime
 	// measuredSlowdown and measuredLoad are the values of the previous heartbeat, because usage lags.
 	measuredSlowdown, measuredLoad int
--- a/recorded/check.go
+++ b/recorded/check.go
@@ -1,13 +1,17 @@
 package recorded
 
 import (
+	"encoding/json"
 	"fmt"
 
+	"hyssopjunction/admission"
 	"hyssopjunction/clock"
+	"hyssopjunction/config"
 	"hyssopjunction/ident"
 	"hyssopjunction/job"
 	"hyssopjunction/outcome"
 	"hyssopjunction/placement"
+	"hyssopjunction/set"
 	"hyssopjunction/unit"
 	"hyssopjunction/worker"
 )
@@ -34,12 +38,15 @@
 	// ran holds the attempts that an endpoint executed, keyRuns how often each key was.
 	ran     map[ident.Request]bool
 	keyRuns map[ident.Key]int
+	// keyAnswers are the keys whose callers were told that the submission ran.
+	keyAnswers map[ident.Key]bool
 	// notRun holds the attempts that were reported as not run.
 	notRun map[ident.Request]bool
 
 	rows, arrivals, forced, conflicts       int
 	reportedRan, reportedNot, reportedDoubt int
 	resumed, cancelledAfter, openEvictions  int
+	mostRunning                             int
 	latestClosed                            clock.Millis
 	latestLeaving                           clock.Millis
 }
@@ -53,7 +60,7 @@
 func newChecks(deployment *deployment) *checks {
 	return &checks{
 		deployment: deployment, starts: make(map[ident.Task][]placed), ends: make(map[ident.Task][]worker.Status),
-		occupancy: make(map[ident.Worker][]unit.Resources), ran: make(map[ident.Request]bool), keyRuns: make(map[ident.Key]int), notRun: make(map[ident.Request]bool),
+		occupancy: make(map[ident.Worker][]unit.Resources), ran: make(map[ident.Request]bool), keyRuns: make(map[ident.Key]int), notRun: make(map[ident.Request]bool), keyAnswers: make(map[ident.Key]bool),
 	}
 }
 
@@ -121,6 +128,18 @@
 	}
 }
 
+// occupied asserts the limits of an endpoint by what it runs itself.
+func (checks *checks) occupied(agent *agent) {
+	limits := admission.Defaults()
+	checks.mostRunning = max(checks.mostRunning, agent.running)
+	if agent.running > limits.Slots {
+		checks.broken("endpoint %s runs %d requests on %d slots", agent.endpoint, agent.running, limits.Slots)
+	}
+	if used := agent.running + checks.deployment.session.Traffic.Streams; used > limits.Connections {
+		checks.broken("endpoint %s uses %d of %d connections", agent.endpoint, used, limits.Connections)
+	}
+}
+
 // executed asserts I6 and I7 when an endpoint runs an attempt.
 func (checks *checks) executed(next *attempt) {
 	if checks.notRun[next.id] {
@@ -151,6 +170,9 @@
 	switch result {
 	case outcome.Ran:
 		checks.reportedRan++
+		if key := sent.request.key; key != "" {
+			checks.keyAnswers[key] = true
+		}
 		ran := false
 		for _, id := range sent.request.attempts {
 			ran = ran || checks.ran[id]
@@ -214,6 +236,7 @@
 			checks.broken("task %s is Finished in the table and not on a worker", name)
 		}
 	}
+	checks.recountState()
 	for _, agent := range checks.deployment.agents {
 		var sum unit.Resources
 		for _, change := range checks.occupancy[agent.name] {
@@ -224,3 +247,27 @@
 		}
 	}
 }
+
+// recountState checks at the end that each answered key ran once, that standing tasks run, and that
+// all entries have the newest configuration of the table.
+func (checks *checks) recountState() {
+	deployment := checks.deployment
+	for _, key := range set.SortedKeys(checks.keyAnswers) {
+		if checks.keyRuns[key] != 1 {
+			checks.broken("I7: key %s was answered and ran %d times", key, checks.keyRuns[key])
+		}
+	}
+	for _, name := range deployment.jobs {
+		task := ident.Task{Job: name}
+		stored, row := deployment.store.task(task)
+		if row.Spec.Kind == worker.Standing && (stored.State != job.Running || deployment.places[task] == nil) {
+			checks.broken("standing task %s is %s at the end", task, stored.State)
+		}
+	}
+	for _, entry := range deployment.entries {
+		var head config.Head
+		if err := json.Unmarshal(deployment.store.rows[config.HeadKey].Value, &head); err != nil || entry.publisher.Version() != head.Version {
+			checks.broken("I10: %s has version %d, the table %d (%v)", entry.id, entry.publisher.Version(), head.Version, err)
+		}
+	}
+}
--- a/recorded/check_test.go
+++ b/recorded/check_test.go
@@ -122,6 +122,15 @@
 		deployment.checks.reported(keyed("r1-1").try, outcome.Ran)
 		assertBroken(t, deployment, "is reported as run")
 	})
+	t.Run("too many at an endpoint", func(t *testing.T) {
+		deployment, at, _ := newChecked(t)
+		at.running = 8
+		deployment.checks.occupied(at)
+		assertBroken(t, deployment, "")
+		at.running++
+		deployment.checks.occupied(at)
+		assertBroken(t, deployment, "on 8 slots")
+	})
 	t.Run("leaving endpoint", func(t *testing.T) {
 		deployment, at, _ := newChecked(t)
 		at.leftAt = deployment.now().Add(-leavingBound)
--- a/recorded/measure.go
+++ b/recorded/measure.go
@@ -111,7 +111,7 @@
 		fmt.Sprintf("I3 EvictionsResumed=%d CancelledAfterEviction=%d EvictionsOpen=%d", checks.resumed, checks.cancelledAfter, checks.openEvictions),
 		fmt.Sprintf("I4 LatestStartInClosedDataCentre=%s Bound=%s", checks.latestClosed, closedBound),
 		fmt.Sprintf("I6 ReportedRan=%d ReportedNotRun=%d ReportedUnknown=%d", checks.reportedRan, checks.reportedNot, checks.reportedDoubt),
-		fmt.Sprintf("I7 KeysRun=%d AttemptsRun=%d", len(checks.keyRuns), len(checks.ran)),
+		fmt.Sprintf("I7 KeysRun=%d KeysAnswered=%d AttemptsRun=%d MostAtOnceAtEndpoint=%d", len(checks.keyRuns), len(checks.keyAnswers), len(checks.ran), checks.mostRunning),
 		fmt.Sprintf("I8 Arrivals=%d LatestAtLeavingEndpoint=%s Bound=%s", checks.arrivals, checks.latestLeaving, leavingBound),
 		fmt.Sprintf("I10 Changes=%d Conflicts=%d VersionsChecked=%d", len(deployment.accepted), checks.conflicts, checks.forced),
 		fmt.Sprintf("Table Commits=%d AnswersLost=%d Refused=%d", deployment.store.commits, deployment.store.lost, deployment.store.refused),
--- a/recorded/requests.go
+++ b/recorded/requests.go
@@ -251,10 +251,13 @@
 func (agent *agent) execute(next *attempt) {
 	deployment := agent.deployment
 	deployment.checks.executed(next)
+	agent.running++
+	deployment.checks.occupied(agent)
 	micros := max(agent.draws.exponential(next.request.service), 1000) * int64(agent.runtime.slowdown(nil)) / 100
 	took := clock.Millis(max(micros/1000, 1))
 	controller := agent.controller
 	deployment.after(took, func() {
+		agent.running--
 		if agent.alive && agent.controller == controller {
 			agent.answer(controller.Finish(deployment.now(), next.id, admission.Answer{Outcome: outcome.Ran, Status: 200, Service: took}))
 		}
