recorded: choose the governor's settings as package entry does

Cause: the sessions took the weights of the session's own team, whereas package entry starts from those of other teams and only raises them. With the default presets Modelwerf's services then get the settings made for Omaruru.

Change: the fake entry follows package entry.

--- a/recorded/entry.go
+++ b/recorded/entry.go
@@ -225,8 +225,13 @@
 	}
 	entry.version = view.Version()
 	_, preset := view.InForce()
+	// As package entry does, the highest weight of tail latency counts, and that of other teams too.
+	weights := preset.Other
+	if own := preset.WeightsOf(entry.deployment.session.Team); own.TailLatency > weights.TailLatency {
+		weights = own
+	}
 	settings := interference.Modelwerf()
-	if weights := preset.WeightsOf(entry.deployment.session.Team); weights.TailLatency >= weights.Evictions {
+	if weights.TailLatency >= weights.Evictions {
 		settings = interference.Omaruru()
 	}
 	settings.MaxEvictions = min(settings.MaxEvictions, preset.EvictionsPerHour)
