--- a/config/region.go
+++ b/config/region.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 
 	"hyssopjunction/controlpb"
 	"hyssopjunction/ident"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 )
 
@@ -28,7 +30,7 @@
 	if err := editor.loader.refresh(ctx); err != nil {
 		return 0, err
 	}
-	count := 0
+	count, bytes := 0, 0
 	change := Change{Operator: "import"}
 	for _, message := range delta.GetDocuments() {
 		document, err := fromMessage(message)
@@ -39,6 +41,12 @@
 		if !editor.wanted(document, held, have) {
 			continue
 		}
+		if bytes += len(document.Value); bytes > maxChangeBytes && len(change.Edits) > 0 {
+			if err := editor.importChange(ctx, change); err != nil {
+				return count, err
+			}
+			count, change.Edits, bytes = count+len(change.Edits), nil, len(document.Value)
+		}
 		change.Edits = append(change.Edits, Edit{
 			Document: document.Name, Base: held.Version, Value: document.Value, Delete: document.Deleted, imported: &document,
 		})
@@ -46,7 +54,7 @@
 			if err := editor.importChange(ctx, change); err != nil {
 				return count, err
 			}
-			count, change.Edits = count+len(change.Edits), nil
+			count, change.Edits, bytes = count+len(change.Edits), nil, 0
 		}
 	}
 	if len(change.Edits) > 0 {
@@ -71,12 +79,23 @@
 	return !have || document.Origin > held.Origin
 }
 
+// importID returns an id of everything that the change copies. Imports that share only their first
+// document need different ids: the one whose answer is lost would else take the other's row of the
+// history for its own and believe that all its documents were written.
+func importID(change Change) string {
+	digest := xxhash.New()
+	for _, edit := range change.Edits {
+		_, _ = fmt.Fprintf(digest, "%s\x00%d\n", edit.Document, edit.imported.Origin)
+	}
+	first := change.Edits[0].imported
+	return fmt.Sprintf("import.%s.%s.%s.%016x", first.Region, first.Name, versionText(first.Origin), digest.Sum64())
+}
+
 // importChange accepts a change whose id tells what it copies, so that entries which import the same
 // documents at the same time make it once. Another entry that was first is no error: the next import
 // finds what is still missing.
 func (editor *Editor) importChange(ctx context.Context, change Change) error {
-	first := change.Edits[0].imported
-	change.ID = "import." + string(first.Region) + "." + string(first.Name) + "." + versionText(first.Origin)
+	change.ID = importID(change)
 	if _, err := editor.apply(ctx, change); err != nil && !IsErrConflict(err) {
 		return err
 	}
--- a/quota/escrow.go
+++ b/quota/escrow.go
@@ -29,6 +29,7 @@
 	row = row.clone()
 	row.Sent[to]++
 	row.Grant = row.Grant.Sub(amount)
+	row.Moved = row.Moved.Sub(amount)
 	row.Target = row.Target.Sub(amount).Max(unit.Resources{})
 	row.Outgoing = append(row.Outgoing, Transfer{From: from, To: to, Number: row.Sent[to], Amount: amount})
 	return row, nil
@@ -47,10 +48,52 @@
 	row = row.clone()
 	row.Received[transfer.From] = transfer.Number
 	row.Grant = row.Grant.Add(transfer.Amount)
+	row.Moved = row.Moved.Add(transfer.Amount)
 	row.Target = row.Target.Add(transfer.Amount)
 	return row, true, nil
 }
 
+// Entitled returns the team's target when operators granted it configured in this region. Without
+// Moved, putting the configuration in force again would restore what was sent to another region,
+// and the team could use it twice.
+func (row Row) Entitled(configured unit.Resources) unit.Resources {
+	return configured.Add(row.Moved).Max(unit.Resources{})
+}
+
+// Missing returns how much quota the team lacks in this region: what it sent away beyond a quota that
+// operators lowered since, and what raises its free part to its margin once less than half of the
+// margin is free.
+func (row Row) Missing(configured unit.Resources, marginPercent int) unit.Resources {
+	overdrawn := unit.Resources{}.Sub(configured.Add(row.Moved)).Max(unit.Resources{})
+	short := row.margin(configured, marginPercent).Sub(row.Free()).Max(unit.Resources{})
+	if row.margin(configured, marginPercent/2).FitsIn(row.Free()) {
+		short = unit.Resources{}
+	}
+	return overdrawn.Add(short)
+}
+
+// Surplus returns what the team has free above its margin. A region that sends no more than that does
+// not lack quota afterwards, so that quota does not move back and forth.
+func (row Row) Surplus(configured unit.Resources, marginPercent int) unit.Resources {
+	return row.Free().Sub(row.margin(configured, marginPercent)).Max(unit.Resources{})
+}
+
+// margin is a part of the larger of the grant and the configured quota. With a part of the grant
+// alone, a team that had sent nearly all of its quota away would never count as short of it.
+func (row Row) margin(configured unit.Resources, percent int) unit.Resources {
+	return percentOf(row.Grant.Max(configured), percent)
+}
+
+// percentOf returns a part of the resources, with whole accelerators rounded up.
+func percentOf(amount unit.Resources, percent int) unit.Resources {
+	share := int64(percent)
+	return unit.Resources{
+		CPU:          amount.CPU * unit.MilliCPU(share) / 100,
+		Memory:       amount.Memory * unit.Mebibytes(share) / 100,
+		Accelerators: (amount.Accelerators*unit.Accelerators(share) + 99) / 100,
+	}
+}
+
 // Confirm returns the row without the outgoing transfers that the other region has received, as its
 // row's Received shows.
 func (row Row) Confirm(to ident.Region, received uint64) Row {
--- a/quota/loan.go
+++ b/quota/loan.go
@@ -24,12 +24,7 @@
 
 // lendable returns what a team can lend: what is free, less its reserve.
 func (ledger *Ledger) lendable(row Row) unit.Resources {
-	percent := int64(ledger.settings.ReservePercent)
-	reserve := unit.Resources{
-		CPU:          row.Grant.CPU * unit.MilliCPU(percent) / 100,
-		Memory:       row.Grant.Memory * unit.Mebibytes(percent) / 100,
-		Accelerators: (row.Grant.Accelerators*unit.Accelerators(percent) + 99) / 100,
-	}
+	reserve := percentOf(row.Grant, ledger.settings.ReservePercent)
 	// A grant above its target is about to fall, so the difference is not lent.
 	falling := row.Grant.Sub(row.Target).Max(unit.Resources{})
 	free := row.Free().Sub(reserve).Sub(falling).Max(unit.Resources{})
--- a/quota/row.go
+++ b/quota/row.go
@@ -20,7 +20,7 @@
 // because a loan is entered in the lender's and the borrower's row by one transaction.
 type Row struct {
 	Team ident.Team
-	// Target is what operators granted the team in this region.
+	// Target is what operators granted the team in this region, changed by what was moved.
 	Target unit.Resources
 	// Grant is the part of Target, or more after Target was lowered, that is in force. It falls to
 	// a lowered Target as usage and loans are given back.
@@ -36,6 +36,9 @@
 	// Sent and Received hold the number of the last transfer per other region.
 	Sent     map[ident.Region]uint64 `json:",omitempty"`
 	Received map[ident.Region]uint64 `json:",omitempty"`
+	// Moved is what the team received from other regions less what it sent to them. Target is what
+	// operators granted plus Moved.
+	Moved unit.Resources `json:",omitzero"`
 }
 
 // Key returns the key of a team's row.
