entry: import configuration and move quota between two regions

Change: one entry per region, chosen by rendezvous hashing, pulls from the other region once a second, imports its documents through Editor.Import and receives, confirms and sends quota transfers, each with one conditional transaction on the team's row. Two empty regions are bootstrapped by the one with the lower name.

--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -196,6 +196,7 @@
 	converted.Region, converted.DataCentre = settings.Identity.Region, settings.Identity.DataCentre
 	converted.ControlAddress = advertised(settings.Listen.AdvertiseControl, settings.Listen.Control)
 	converted.CallerAddress = advertised(settings.Listen.AdvertiseCaller, settings.Listen.Caller)
+	converted.Regions = settings.Regions.Entries
 	converted.Round = settings.Tasks.RoundMillis
 	converted.Seed = rand.Uint64()
 	converted.Lease = lease.Settings{Term: settings.Tasks.LeaseTermMillis, OutageGrace: settings.Tasks.OutageGraceMillis}
--- a/entry/accounts.go
+++ b/entry/accounts.go
@@ -84,7 +84,7 @@
 	behind := false
 	entry.control.Call(func() {
 		row, known := entry.accounts.Row(team)
-		behind = !known || row.Target != configured.Quotas[entry.settings.Region]
+		behind = !known || row.Target != row.Entitled(configured.Quotas[entry.settings.Region])
 	})
 	return behind
 }
@@ -135,6 +135,7 @@
 		if !known {
 			row.Team = team
 		}
+		target = row.Entitled(target)
 		if !known || row.Target != target {
 			if err := round.Update(row.SetTarget(target)); err != nil {
 				klog.ErrorS(err, "Quota was not put in force", "Team", team)
--- a/entry/configure.go
+++ b/entry/configure.go
@@ -13,8 +13,12 @@
 // bootstrapOperator is recorded as the author of the first configuration.
 const bootstrapOperator = "hyssopjunction"
 
-// bootstrap writes the default presets into a table that has no configuration.
+// bootstrap writes the default presets into a table that has no configuration. With two regions the
+// link does so.
 func (entry *Entry) bootstrap() {
+	if entry.link != nil {
+		return
+	}
 	for {
 		ctx, cancel := entry.call(4 * clock.Second)
 		err := entry.editor.Bootstrap(ctx, bootstrapOperator)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -72,6 +72,7 @@
 	publisher    *config.Publisher
 	reader       *config.Reader
 	editor       *config.Editor
+	link         *regionLink
 	view         *membership.Publisher
 	services     atomic.Pointer[serviceTable]
 	router       *routing.Router
@@ -167,6 +168,7 @@
 	polling.PollMillis = settings.ConfigPoll
 	entry.reader = config.NewReader(dependencies.Table, dependencies.Clock, entry.newRandom(1), publisher, polling)
 	entry.editor = config.NewEditor(dependencies.Table, dependencies.Clock, entry.newRandom(2), publisher)
+	entry.linkRegions()
 	ledger := dedup.New(dependencies.Table, entry.newWrite, dedup.Defaults())
 	entry.sweeper = dedup.NewSweeper(dependencies.Table, entry.newWrite, entry.retention)
 	if dependencies.Objects != nil {
@@ -190,6 +192,9 @@
 	entry.every(20*clock.Second, entry.settle, entry.reviewTeams)
 	entry.running.Go(entry.bootstrap)
 	entry.running.Go(entry.followConfig)
+	if entry.link != nil {
+		entry.running.Go(func() { entry.link.run(entry.quit) })
+	}
 }
 
 // every calls step at each interval or when woken, until the entry closes.
--- a/entry/operations.go
+++ b/entry/operations.go
@@ -67,12 +67,15 @@
 	var conflict config.ErrConflict
 	var invalid config.ErrInvalid
 	var unknown config.ErrUnknownOutcome
+	var elsewhere config.ErrElsewhere
 	var tableUnknown table.ErrUnknownOutcome
 	switch {
 	case errors.As(err, &conflict):
 		return operator.ErrConflict{Document: string(conflict.Document), Winner: conflict.Winner, Version: conflict.Have}
 	case errors.As(err, &invalid):
 		return operator.ErrBadRequest{Field: string(invalid.Faults[0].Document), Reason: invalid.Error()}
+	case errors.As(err, &elsewhere):
+		return operator.ErrElsewhere{Document: string(elsewhere.Document), Region: elsewhere.Region}
 	case errors.As(err, &unknown):
 		return operator.ErrUnknownOutcome{Request: request, Reason: unknown.Error()}
 	case errors.As(err, &tableUnknown):
--- /dev/null
+++ b/entry/region_test.go
@@ -0,0 +1,314 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/config"
+	"hyssopjunction/controlpb"
+	"hyssopjunction/ident"
+	"hyssopjunction/quota"
+	"hyssopjunction/table"
+	"hyssopjunction/table/tabletest"
+	"hyssopjunction/unit"
+)
+
+const testTeam ident.Team = "omaruru"
+
+// testGrant is what the team is granted in each region.
+var testGrant = unit.Resources{CPU: 10000, Memory: 4096}
+
+// pair is two regions in one process, each with its own table and two entries that all pull, as two
+// entries do for a moment when the home moves.
+type pair struct {
+	t     testing.TB
+	clock *clock.Fake
+	// mu guards bytes and due.
+	mu  sync.Mutex
+	cut bool
+	// unchecked runs do not assert the sum of the grants, because operators change it.
+	unchecked bool
+	bytes     int
+	memory    map[ident.Region]*tabletest.Memory
+	links     map[string]*regionLink
+	order     []string
+	readers   []*config.Reader
+	due       map[string]clock.Time
+	seen      map[string]map[config.Name]config.Document
+}
+
+func newPair(t testing.TB, seed uint64) *pair {
+	pair := &pair{
+		t: t, clock: clock.NewFake(clock.Time(clock.Minute)), memory: map[ident.Region]*tabletest.Memory{}, links: map[string]*regionLink{},
+		due: map[string]clock.Time{}, seen: map[string]map[config.Name]config.Document{},
+	}
+	for _, region := range []ident.Region{"north", "south"} {
+		pair.memory[region] = tabletest.New()
+		for index := range 2 {
+			pair.add(region, index, seed)
+		}
+	}
+	return pair
+}
+
+func (pair *pair) add(region ident.Region, index int, seed uint64) {
+	name := fmt.Sprintf("%s-%d", region, index)
+	memory, publisher, writes := pair.memory[region], config.NewPublisher(), 0
+	random := func(purpose uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, purpose+uint64(len(pair.links)))) }
+	editor := config.NewEditor(memory, pair.clock, random(10), publisher)
+	editor.SetRegion(region)
+	reader := config.NewReader(memory, pair.clock, random(20), publisher, config.DefaultReaderSettings())
+	pair.readers = append(pair.readers, reader)
+	peers := map[ident.Region][]string{"north": {"south-0", "south-1"}, "south": {"north-0", "north-1"}}
+	pair.links[name] = newRegionLink(regionDependencies{
+		region: region, peers: peers[region], time: pair.clock, store: memory, connections: pair, editor: editor, publisher: publisher,
+		newWrite: func() ident.Write { writes++; return ident.Write(fmt.Sprintf("%s-%d", name, writes)) },
+		rows:     func() []quota.Row { row, known := pair.row(region); return []quota.Row{row}[:min(1, btoi(known))] },
+		load:     func(table.Row) {},
+		home:     func() bool { return publisher.Ready() },
+	})
+	pair.order = append(pair.order, name)
+	pair.seen[name] = map[config.Name]config.Document{}
+}
+
+func btoi(truth bool) int {
+	if truth {
+		return 1
+	}
+	return 0
+}
+
+// peerClient calls another link over the wire's encoding.
+type peerClient struct {
+	controlpb.EntryClient
+	pair *pair
+	link *regionLink
+}
+
+// Pull answers unless the link is cut.
+func (client peerClient) Pull(ctx context.Context, request *controlpb.PullRequest, _ ...grpc.CallOption) (*controlpb.PullReply, error) {
+	if client.pair.cut {
+		return nil, status.Error(codes.Unavailable, "cut")
+	}
+	if !client.link.publisher.Ready() {
+		return nil, status.Error(codes.Unavailable, "not ready")
+	}
+	reply, err := client.link.serve(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	sent, err := proto.Marshal(reply)
+	if err != nil {
+		return nil, err
+	}
+	if len(sent) > maxReplyBytes {
+		client.pair.t.Errorf("reply of %d bytes", len(sent))
+	}
+	client.pair.mu.Lock()
+	client.pair.bytes += proto.Size(request) + len(sent)
+	client.pair.mu.Unlock()
+	received := &controlpb.PullReply{}
+	return received, proto.Unmarshal(sent, received)
+}
+
+func (pair *pair) Agent(string) (controlpb.AgentClient, error) { return nil, nil }
+func (pair *pair) Discard(string)                              {}
+func (pair *pair) Entry(address string) (controlpb.EntryClient, error) {
+	return peerClient{pair: pair, link: pair.links[address]}, nil
+}
+
+// row reads the team's row as it is, whatever faults the table has.
+func (pair *pair) row(region ident.Region) (quota.Row, bool) {
+	value, ok := pair.value(region)
+	if !ok {
+		return quota.Row{}, false
+	}
+	row, err := quota.Decode(quota.Key(testTeam), value.Value)
+	if err != nil {
+		pair.t.Error(err)
+	}
+	return row, true
+}
+
+// value finds the last write of the team's row in the table's log.
+func (pair *pair) value(region ident.Region) (table.Row, bool) {
+	found := table.Row{Key: quota.Key(testTeam)}
+	for _, applied := range pair.memory[region].Log() {
+		for _, operation := range applied.Transaction.Operations {
+			if operation.Key == found.Key {
+				found.Value, found.Revision = operation.Value, found.Revision+1
+			}
+		}
+	}
+	return found, found.Revision > 0
+}
+
+// change writes the team's row as another daemon would.
+func (pair *pair) change(region ident.Region, change func(quota.Row) (quota.Row, error)) error {
+	held, known := pair.value(region)
+	row := quota.Row{Team: testTeam}
+	if known {
+		row, _ = pair.row(region)
+	}
+	next, err := change(row)
+	if err != nil {
+		return err
+	}
+	value, err := quota.Encode(next)
+	if err != nil {
+		return err
+	}
+	return pair.memory[region].Write(table.Transaction{
+		Write: "test", Conditions: []table.Condition{{Key: held.Key, Revision: held.Revision}},
+		Operations: []table.Operation{{Key: held.Key, Value: value}},
+	})
+}
+
+// settle puts the configured quota in force, as reviewTeams does.
+func (pair *pair) settle(region ident.Region, configured unit.Resources) {
+	if err := pair.change(region, func(row quota.Row) (quota.Row, error) {
+		return row.SetTarget(row.Entitled(configured)), nil
+	}); err != nil {
+		pair.t.Fatal(err)
+	}
+}
+
+// run passes the time second by second. All links that are due pull at the same time.
+func (pair *pair) run(seconds int, each func(second int)) {
+	for second := range seconds {
+		tabletest.Drive(pair.clock, 10*clock.Millisecond, func() {
+			var running sync.WaitGroup
+			now, due := pair.clock.Now(), maps.Clone(pair.due)
+			for _, name := range pair.order {
+				if due[name].After(now) {
+					continue
+				}
+				running.Go(func() {
+					wait := pair.links[name].step()
+					pair.mu.Lock()
+					pair.due[name] = pair.clock.Now().Add(wait)
+					pair.mu.Unlock()
+				})
+			}
+			running.Wait()
+		})
+		pair.clock.Advance(clock.Second)
+		synctest.Wait()
+		pair.check()
+		if each != nil {
+			each(second)
+		}
+	}
+}
+
+// check asserts that no version falls and that the grants and what is on its way keep their sum.
+func (pair *pair) check() {
+	pair.t.Helper()
+	for _, name := range pair.order {
+		view := pair.links[name].publisher.Current()
+		for document, before := range pair.seen[name] {
+			now, ok := view.Document(document)
+			if !ok || now.Version < before.Version || now.Origin < before.Origin || now.Region != before.Region {
+				pair.t.Fatalf("%s: %s went from %d (%d) to %d (%d)", name, document, before.Version, before.Origin, now.Version, now.Origin)
+			}
+		}
+		for _, document := range view.Names() {
+			pair.seen[name][document], _ = view.Document(document)
+		}
+	}
+	if sum, ok := pair.sum(); ok && !pair.unchecked && sum != testGrant.Times(2) {
+		pair.t.Fatalf("grants are %s together, not %s", sum, testGrant.Times(2))
+	}
+}
+
+// sum returns the grants of both regions and what is on its way.
+func (pair *pair) sum() (unit.Resources, bool) {
+	north, first := pair.row("north")
+	south, second := pair.row("south")
+	sum := north.Grant.Add(south.Grant)
+	for _, end := range [][2]quota.Row{{north, south}, {south, north}} {
+		for _, transfer := range end[0].Outgoing {
+			if transfer.Number > end[1].Received[transfer.From] {
+				sum = sum.Add(transfer.Amount)
+			}
+		}
+	}
+	return sum, first && second
+}
+
+// put changes a document in a region.
+func (pair *pair) put(entry string, name config.Name, value any) error {
+	text, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	tabletest.Drive(pair.clock, 10*clock.Millisecond, func() {
+		for range 5 {
+			link := pair.links[entry]
+			held, _ := link.publisher.Current().Document(name)
+			_, err = link.editor.Apply(context.Background(), config.Change{
+				Operator: "anna", Edits: []config.Edit{{Document: name, Base: held.Version, Value: text}},
+			})
+			if !config.IsErrConflict(err) {
+				return
+			}
+			// The other entry of the region changed the document, and this one has not read it yet.
+			<-pair.clock.After(2 * clock.Second)
+		}
+	})
+	return err
+}
+
+func (pair *pair) close() {
+	for _, reader := range pair.readers {
+		reader.Close()
+	}
+}
+
+// same reports whether all entries hold the same documents.
+func (pair *pair) same() bool {
+	want := ""
+	for _, name := range pair.order {
+		view, text := pair.links[name].publisher.Current(), ""
+		for _, document := range view.Names() {
+			held, _ := view.Document(document)
+			text += fmt.Sprintf("%s %s %d %v %s\n", document, held.Region, held.Origin, held.Deleted, held.Value)
+		}
+		if want == "" {
+			want = text
+		}
+		if text != want || view.Version() == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// converge passes the time until all entries hold the same documents, no transfer is open and north
+// has what south can spare, and returns the seconds.
+func (pair *pair) converge(limit int) int {
+	pair.t.Helper()
+	for second := range limit {
+		north, _ := pair.row("north")
+		south, _ := pair.row("south")
+		wanted := north.Missing(testGrant, marginPercent).Min(south.Surplus(testGrant, marginPercent))
+		if pair.same() && wanted.IsZero() && len(north.Outgoing)+len(south.Outgoing) == 0 {
+			return second
+		}
+		pair.run(1, nil)
+	}
+	pair.t.Fatalf("not the same after %d s", limit)
+	return limit
+}
--- /dev/null
+++ b/entry/regionquota.go
@@ -0,0 +1,135 @@
+package entry
+
+import (
+	"context"
+
+	"k8s.io/klog/v2"
+
+	"hyssopjunction/controlpb"
+	"hyssopjunction/ident"
+	"hyssopjunction/quota"
+	"hyssopjunction/table"
+)
+
+// openTeams returns the teams with transfers to the region that are not confirmed.
+func openTeams(rows []quota.Row, region ident.Region) []string {
+	var teams []string
+	for _, row := range rows {
+		for _, transfer := range row.Outgoing {
+			if transfer.To == region && len(teams) < maxPulledTeams {
+				teams = append(teams, string(row.Team))
+				break
+			}
+		}
+	}
+	return teams
+}
+
+// readRow reads a team's row.
+func (link *regionLink) readRow(ctx context.Context, team ident.Team) (quota.Row, bool, error) {
+	ledger, err := link.readTeam(ctx, team)
+	if err != nil {
+		return quota.Row{}, false, err
+	}
+	row, known := ledger.Row(team)
+	return row, known, nil
+}
+
+// readTeam returns a Ledger with the team's row as it is in the table now.
+func (link *regionLink) readTeam(ctx context.Context, team ident.Team) (*quota.Ledger, error) {
+	row, err := link.store.Get(ctx, quota.Key(team))
+	if err != nil {
+		return nil, err
+	}
+	ledger := quota.New(quota.Defaults())
+	return ledger, ledger.Load(row)
+}
+
+// move receives, confirms and sends quota of a team as the other region's message and the team's row
+// require. One transaction changes the row on the condition that it is as it was read, and the row
+// counts the transfers, so a transfer whose answer is lost or which two entries carry out at once
+// takes effect once.
+func (link *regionLink) move(ctx context.Context, message *controlpb.TeamTransfers) error {
+	team := ident.Team(message.GetTeam())
+	if !ident.Valid(team) {
+		return quota.ErrNoTeam{Team: team}
+	}
+	ledger, err := link.readTeam(ctx, team)
+	if err != nil {
+		return err
+	}
+	row, known := ledger.Row(team)
+	if !known {
+		row.Team = team
+	}
+	next, err := link.moved(ledger, row, message)
+	if err != nil || next == nil {
+		return err
+	}
+	round := ledger.Begin()
+	if err := round.Update(*next); err != nil {
+		return err
+	}
+	transaction := table.Transaction{Write: link.newWrite()}
+	if transaction.Conditions, transaction.Operations, err = round.Transaction(); err != nil {
+		return err
+	}
+	result, err := link.store.Commit(ctx, transaction)
+	if err != nil {
+		return err
+	}
+	written := transaction.Operations[0]
+	link.load(table.Row{
+		Key: written.Key, Value: written.Value, Revision: result.Revisions[written.Key], Write: transaction.Write,
+	})
+	klog.InfoS("Quota moved between regions", "Team", team, "Region", link.peer,
+		"Grant", next.Grant.String(), "Sent", next.Sent[link.peer], "Received", next.Received[link.peer], "Open", len(next.Outgoing))
+	return nil
+}
+
+// moved returns the team's row after the other region's message, or nil if nothing changes. A new
+// transfer is sent only when all earlier ones are confirmed, because the message's missing quota
+// does not yet count those on their way.
+func (link *regionLink) moved(ledger *quota.Ledger, row quota.Row, message *controlpb.TeamTransfers) (*quota.Row, error) {
+	if message.GetReceived() > row.Sent[link.peer] {
+		return nil, quota.ErrTransferOrder{
+			Team: row.Team, Last: row.Sent[link.peer],
+			Transfer: quota.Transfer{From: link.region, To: link.peer, Number: message.GetReceived()},
+		}
+	}
+	next, changed := row, false
+	for _, outgoing := range message.GetOutgoing() {
+		received, fresh, err := next.Receive(quota.Transfer{
+			From: link.peer, To: link.region, Number: outgoing.GetNumber(), Amount: controlpb.ToResources(outgoing.GetAmount()),
+		})
+		if err != nil {
+			return nil, err
+		}
+		if fresh {
+			next, changed = received, true
+			transfersReceived.Inc()
+		}
+	}
+	open := len(next.Outgoing)
+	if next = next.Confirm(link.peer, message.GetReceived()); len(next.Outgoing) < open {
+		changed = true
+		transfersConfirmed.Add(open - len(next.Outgoing))
+	}
+	if changed {
+		return &next, nil
+	}
+	missing := controlpb.ToResources(message.GetMissing())
+	if missing.IsZero() || message.GetReceived() != row.Sent[link.peer] || len(row.Outgoing) > 0 {
+		return nil, nil
+	}
+	spare := ledger.Spare(row.Team, missing).Min(row.Surplus(link.configured(row.Team), marginPercent))
+	if spare.IsZero() {
+		return nil, nil
+	}
+	sent, err := row.Send(link.region, link.peer, spare)
+	if err != nil {
+		return nil, err
+	}
+	transfersSent.Inc()
+	return &sent, nil
+}
--- /dev/null
+++ b/entry/regions_test.go
@@ -0,0 +1,228 @@
+package entry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/config"
+	"hyssopjunction/ident"
+	"hyssopjunction/quota"
+	"hyssopjunction/table/tabletest"
+	"hyssopjunction/unit"
+)
+
+// convergeSeconds bounds the time to converge: the 7 s in which configuration is in force everywhere
+// and one round of transfers in each direction.
+const convergeSeconds = 7 + 3*2
+
+func centre(region ident.Region, index int, drain clock.Millis) (config.Name, config.DataCentre) {
+	return config.DataCentreName(ident.DataCentre(fmt.Sprintf("%s-%d", region, index))), config.DataCentre{Open: true, Region: region, DrainMillis: drain}
+}
+
+// start configures both regions and waits until they agree.
+func start(pair *pair) {
+	pair.converge(30)
+	for index := range 4 {
+		for _, region := range []ident.Region{"north", "south"} {
+			name, value := centre(region, index, 1000)
+			if err := pair.put(string(region)+"-0", name, value); err != nil {
+				pair.t.Fatal(err)
+			}
+		}
+	}
+	// A quota needs a data centre in its region, so the team comes after the import.
+	pair.converge(30)
+	if err := pair.put("north-0", config.TeamName(testTeam), config.Team{
+		Quotas: map[ident.Region]unit.Resources{"north": testGrant, "south": testGrant}, Weight: 1,
+	}); err != nil {
+		pair.t.Fatal(err)
+	}
+	for _, region := range []ident.Region{"north", "south"} {
+		pair.settle(region, testGrant)
+	}
+	pair.converge(60)
+}
+
+// spend charges or refunds work of random size, mostly charges in the busy region and mostly refunds
+// in the other one, and reports whether the team had no quota for it.
+func spend(pair *pair, region, busy ident.Region, random *rand.Rand) bool {
+	amount := unit.Resources{CPU: unit.MilliCPU(random.IntN(1500)), Memory: unit.Mebibytes(random.IntN(400))}
+	refund := (random.IntN(4) == 0) == (region == busy)
+	return pair.change(region, func(row quota.Row) (quota.Row, error) {
+		if refund {
+			return row.Refund(amount.Min(row.Used), false)
+		}
+		return row.Charge(amount, false)
+	}) != nil
+}
+
+// exhaust charges everything that is free in north and refunds everything in south.
+func exhaust(pair *pair) {
+	for region, change := range map[ident.Region]func(quota.Row) (quota.Row, error){
+		"north": func(row quota.Row) (quota.Row, error) { return row.Charge(row.Free(), false) },
+		"south": func(row quota.Row) (quota.Row, error) { return row.Refund(row.Used, false) },
+	} {
+		if err := pair.change(region, change); err != nil {
+			pair.t.Fatal(err)
+		}
+	}
+}
+
+// flap spends in both regions, mostly in each in turn, while the link fails and returns at random.
+func flap(pair *pair, random *rand.Rand) {
+	pair.run(600, func(second int) {
+		pair.cut = random.IntN(3) == 0
+		busy := ident.Region("north")
+		if second/150%2 == 1 {
+			busy = "south"
+		}
+		for _, region := range []ident.Region{"north", "south"} {
+			spend(pair, region, busy, random)
+		}
+		if second%20 == 0 {
+			pair.settle(busy, testGrant)
+		}
+	})
+	pair.cut = false
+	pair.converge(60)
+}
+
+// TestHourApart guards against a version that falls, a document that stays different, quota that
+// appears or disappears, and a region that spends the other's, when the link is cut for an hour while
+// both regions change configuration and spend quota. In half of the runs the answer of every write
+// is lost. Both entries of each region import at the same time.
+func TestHourApart(t *testing.T) {
+	seeds := uint64(4)
+	if testing.Short() {
+		seeds = 2
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprintf("Seed%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { hourApart(t, seed) })
+		})
+	}
+}
+
+func hourApart(t *testing.T, seed uint64) {
+	random, pair := rand.New(rand.NewPCG(seed, 1)), newPair(t, seed)
+	defer pair.close()
+	if seed%2 == 1 {
+		for _, memory := range pair.memory {
+			memory.SetFault(func(call tabletest.Call) tabletest.Fault {
+				if call.Commit {
+					return tabletest.LoseAnswer
+				}
+				return tabletest.None
+			})
+		}
+	}
+	start(pair)
+	flap(pair, random)
+	pair.cut = true
+	before := map[ident.Region]quota.Row{}
+	for _, region := range []ident.Region{"north", "south"} {
+		before[region], _ = pair.row(region)
+	}
+	refused := 0
+	pair.run(int(clock.Hour/clock.Second), func(second int) {
+		region, other := ident.Region("north"), ident.Region("south")
+		if random.IntN(2) == 0 {
+			region, other = other, region
+		}
+		entry := fmt.Sprintf("%s-%d", region, random.IntN(2))
+		if second%40 == 0 {
+			name, value := centre(region, random.IntN(4), clock.Millis(2000+second))
+			if err := pair.put(entry, name, value); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if second%600 == 0 {
+			name, value := centre(other, 0, 1)
+			if err := pair.put(entry, name, value); !config.IsErrElsewhere(err) {
+				t.Fatalf("changed outside the home region: %v", err)
+			}
+		}
+		if second%20 == 0 && spend(pair, region, "north", random) {
+			refused++
+		}
+		if second%300 == 0 {
+			pair.settle(region, testGrant)
+		}
+	})
+	for region, held := range before {
+		if row, _ := pair.row(region); row.Grant != held.Grant || row.Sent["north"]+row.Sent["south"] != held.Sent["north"]+held.Sent["south"] {
+			t.Errorf("%s: grant went from %s to %s while the regions were apart", region, held.Grant, row.Grant)
+		}
+	}
+	if refused == 0 {
+		t.Error("the team was never short of quota")
+	}
+	exhaust(pair)
+	pair.cut = false
+	seconds := pair.converge(60)
+	if seconds > convergeSeconds {
+		t.Errorf("converged after %d s", seconds)
+	}
+	pair.settle("north", testGrant)
+	pair.settle("south", testGrant)
+	pair.check()
+	north, _ := pair.row("north")
+	south, _ := pair.row("south")
+	if north.Sent["south"] == 0 || south.Sent["north"] <= before["south"].Sent["north"] {
+		t.Error("no quota was moved in both directions and after the hour")
+	}
+	t.Logf("%d s to converge, transfers %d and %d, %d charges refused", seconds, north.Sent["south"], south.Sent["north"], refused)
+}
+
+// TestLoweredQuota guards against quota that outlives its grant: operators lower the quota of a region
+// below what it has sent away, and the other region must give back the difference.
+func TestLoweredQuota(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pair := newPair(t, 7)
+		defer pair.close()
+		start(pair)
+		exhaust(pair)
+		pair.converge(60)
+		if err := pair.change("north", func(row quota.Row) (quota.Row, error) { return row.Refund(row.Used, false) }); err != nil {
+			t.Fatal(err)
+		}
+		south, _ := pair.row("south")
+		if !south.Moved.Negative() {
+			t.Fatalf("south moved %s", south.Moved)
+		}
+		lowered := unit.Resources{}
+		if err := pair.put("north-1", config.TeamName(testTeam), config.Team{
+			Quotas: map[ident.Region]unit.Resources{"north": testGrant, "south": lowered}, Weight: 1,
+		}); err != nil {
+			t.Fatal(err)
+		}
+		for range 30 {
+			pair.settle("south", lowered)
+			pair.unchecked = true
+			pair.run(1, nil)
+		}
+		pair.settle("south", lowered)
+		pair.settle("north", testGrant)
+		if sum, _ := pair.sum(); sum != testGrant {
+			t.Errorf("grants are %s together, not %s", sum, testGrant)
+		}
+	})
+}
+
+// TestSameRegion guards against settings that name an entry of the own region: nothing may be imported
+// from it, and the link counts as lost.
+func TestSameRegion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pair := newPair(t, 8)
+		defer pair.close()
+		pair.links["north-0"].peers = []string{"north-1"}
+		pair.run(5, nil)
+		link := pair.links["north-0"]
+		if _, err := link.pull(); !IsErrSameRegion(err) || !link.lost || link.imported != 0 {
+			t.Errorf("pull from the own region: %v, lost %v, imported %d", err, link.lost, link.imported)
+		}
+	})
+}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -22,6 +22,8 @@
 	// them.
 	ControlAddress string
 	CallerAddress  string
+	// Regions are control addresses of entries of the other region; none in systems with one region.
+	Regions []string
 	// CallTimeout bounds one call to another daemon.
 	CallTimeout clock.Millis
 	// StopTimeout bounds a call that checkpoints and stops tasks.
--- a/operator/control.go
+++ b/operator/control.go
@@ -17,7 +17,7 @@
 }
 
 // Control is what the entry daemon does for operators. Its errors are ErrBadRequest, ErrConflict,
-// ErrNotFound, ErrRetryLater, ErrUnknownOutcome and the errors of package table; any other error is
+// ErrElsewhere, ErrNotFound, ErrRetryLater, ErrUnknownOutcome and the errors of package table; any other error is
 // reported as internal. A call that fails with ErrRetryLater had no effect.
 type Control interface {
 	// Presets returns the presets and the one in force.
--- a/operator/errors.go
+++ b/operator/errors.go
@@ -81,6 +81,23 @@
 	return errors.As(err, new(ErrConflict))
 }
 
+// ErrElsewhere reports a change of a document that is accepted only in its home region. The call had
+// no effect.
+type ErrElsewhere struct {
+	Document string
+	Region   ident.Region
+}
+
+// Error names the home region.
+func (err ErrElsewhere) Error() string {
+	return fmt.Sprintf("%s is changed in region %s only", err.Document, err.Region)
+}
+
+// IsErrElsewhere reports whether err is or wraps an ErrElsewhere.
+func IsErrElsewhere(err error) bool {
+	return errors.As(err, new(ErrElsewhere))
+}
+
 // ErrRetryLater reports a call that had no effect and may succeed later.
 type ErrRetryLater struct {
 	Reason     string
@@ -155,7 +172,7 @@
 	Reason           string
 	RetryAfterMillis clock.Millis
 	// Document, Winner and Version are set for ErrConflict, Kind and Name for ErrNotFound, Field for
-	// ErrBadRequest and Request for ErrUnknownOutcome.
+	// ErrBadRequest, Request for ErrUnknownOutcome, and Document and Region for ErrElsewhere.
 	Document string        `json:",omitempty"`
 	Winner   string        `json:",omitempty"`
 	Version  ident.Version `json:",omitempty"`
@@ -163,6 +180,7 @@
 	Name     string        `json:",omitempty"`
 	Field    string        `json:",omitempty"`
 	Request  ident.Request `json:",omitempty"`
+	Region   ident.Region  `json:",omitempty"`
 }
 
 // translate turns errors of the table and of contexts into those of this package. Request is empty
@@ -199,6 +217,7 @@
 	var denied ErrDenied
 	var bad ErrBadRequest
 	var missing ErrNotFound
+	var elsewhere ErrElsewhere
 	described := FailureError{Type: "ErrInternal", Reason: err.Error()}
 	status := http.StatusInternalServerError
 	switch {
@@ -217,6 +236,9 @@
 	case errors.As(err, &conflict):
 		described.Type, status = "ErrConflict", http.StatusConflict
 		described.Document, described.Winner, described.Version = conflict.Document, conflict.Winner, conflict.Version
+	case errors.As(err, &elsewhere):
+		described.Type, status = "ErrElsewhere", http.StatusMisdirectedRequest
+		described.Document, described.Region = elsewhere.Document, elsewhere.Region
 	case IsErrTooLarge(err):
 		described.Type, status = "ErrTooLarge", http.StatusRequestEntityTooLarge
 	case errors.As(err, &later):
@@ -240,6 +262,8 @@
 		return ErrNotFound{Kind: described.Kind, Name: described.Name}
 	case "ErrConflict":
 		return ErrConflict{Document: described.Document, Winner: described.Winner, Version: described.Version}
+	case "ErrElsewhere":
+		return ErrElsewhere{Document: described.Document, Region: described.Region}
 	case "ErrRetryLater":
 		return ErrRetryLater{Reason: described.Reason, RetryAfter: described.RetryAfterMillis}
 	case "ErrUnknownOutcome":
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -219,6 +219,7 @@
 	conflict := operator.ErrConflict{Document: "Preset", Winner: "ben", Version: 9}
 	for _, scenario := range []struct{ given, want error }{
 		{conflict, conflict},
+		{operator.ErrElsewhere{Document: "Preset", Region: "gent"}, operator.ErrElsewhere{Document: "Preset", Region: "gent"}},
 		{operator.ErrNotFound{Kind: "preset", Name: "Peak"}, operator.ErrNotFound{Kind: "preset", Name: "Peak"}},
 		{operator.ErrRetryLater{Reason: "starting", RetryAfter: 1500}, operator.ErrRetryLater{Reason: "starting", RetryAfter: 1500}},
 		{operator.ErrBadRequest{Field: "Preset", Reason: "no such"}, operator.ErrBadRequest{Field: "Preset", Reason: "no such"}},
