Wire or remove the settings that nothing read

Cause: Log.Sampling, Worker.TimeoutMillis and Requests.MinPatienceMillis were accepted and had no effect, Endpoint.HealthMillis has nothing to configure because the agent judges the endpoint by its requests, and Requests.MaxPatienceMillis said that longer patiences are lowered while they are refused.

Change: entries log one of Sampling routing decisions and count the others in hyssopjunction_dispatch_unlogged_decisions_total; agents and the stand-in, which choose no endpoints, lose the key. Calls of the agent to its worker, other than those that checkpoint or stop tasks, are bounded by Worker.TimeoutMillis, at most 2 s as before so that a start cannot reach the worker later than until now. Shorter patiences are raised to MinPatienceMillis.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -159,6 +159,11 @@
 	return context.WithTimeout(context.Background(), agent.settings.CallTimeout.Duration())
 }
 
+// workerCall bounds one call to the worker's runtime that needs no checkpoint.
+func (agent *Agent) workerCall() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), agent.settings.WorkerTimeout.Duration())
+}
+
 // Incarnation returns the number of this process, which rises when the agent was fenced.
 func (agent *Agent) Incarnation() ident.Incarnation {
 	var incarnation ident.Incarnation
--- a/agent/report.go
+++ b/agent/report.go
@@ -54,7 +54,7 @@
 
 // forget drops an ended task from the worker's records and from the ledger.
 func (agent *Agent) forget(name ident.Task, epoch ident.Epoch) {
-	ctx, cancel := agent.call()
+	ctx, cancel := agent.workerCall()
 	defer cancel()
 	if err := agent.runtime.Forget(ctx, name, epoch); err != nil && !worker.IsErrNoSuchTask(err) && !worker.IsErrStaleEpoch(err) {
 		klog.ErrorS(err, "Worker did not forget an ended task", "Task", name.String(), "Epoch", epoch)
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -23,8 +23,11 @@
 	Heartbeat clock.Millis
 	// Watch is the interval at which the worker's own list of tasks is read.
 	Watch clock.Millis
-	// CallTimeout bounds each call to an entry or to the worker.
+	// CallTimeout bounds each call to an entry, and the stop of all tasks.
 	CallTimeout clock.Millis
+	// WorkerTimeout bounds each call to the worker's runtime, other than those that checkpoint or stop
+	// tasks for an entry, which that call's deadline bounds.
+	WorkerTimeout clock.Millis
 	// StopMargin is how long before the lease lapses the agent checkpoints and stops its tasks.
 	StopMargin clock.Millis
 	// Shutdown bounds the graceful shutdown.
@@ -35,10 +38,11 @@
 // 50 agents below 7 KB/s of control traffic and lets 4 heartbeats fail before a 20 s lease lapses.
 func DefaultSettings() Settings {
 	return Settings{
-		Heartbeat:   4 * clock.Second,
-		Watch:       500 * clock.Millisecond,
-		CallTimeout: 2 * clock.Second,
-		StopMargin:  4 * clock.Second,
-		Shutdown:    30 * clock.Second,
+		Heartbeat:     4 * clock.Second,
+		Watch:         500 * clock.Millisecond,
+		CallTimeout:   2 * clock.Second,
+		WorkerTimeout: 2 * clock.Second,
+		StopMargin:    4 * clock.Second,
+		Shutdown:      30 * clock.Second,
 	}
 }
--- a/agent/tasks.go
+++ b/agent/tasks.go
@@ -134,7 +134,7 @@
 	if !start {
 		return
 	}
-	ctx, cancel := agent.call()
+	ctx, cancel := agent.workerCall()
 	err := agent.runtime.Start(ctx, spec, expiry)
 	cancel()
 	agent.control.Call(func() { agent.launched(spec, err) })
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -13,7 +13,7 @@
 // watch reads the worker's own list, takes over what ended, renews the worker's lease, repeats
 // starts without an answer, and stops the tasks when the agent's lease is about to lapse.
 func (agent *Agent) watch() {
-	ctx, cancel := agent.call()
+	ctx, cancel := agent.workerCall()
 	defer cancel()
 	sent := agent.time.Now()
 	report, err := agent.runtime.List(ctx)
@@ -134,7 +134,7 @@
 // renew passes the agent's lease on to the worker as an instant of the worker's own clock, so that a
 // delayed call cannot extend it.
 func (agent *Agent) renew(expiry worker.Instant) {
-	ctx, cancel := agent.call()
+	ctx, cancel := agent.workerCall()
 	defer cancel()
 	if _, err := agent.runtime.Renew(ctx, expiry); err != nil {
 		klog.ErrorS(err, "Worker's lease was not renewed", "Worker", agent.settings.Worker)
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -152,7 +152,7 @@
 			return request, bad("MalformedPatience", "the header Patience-Millis must be between 1 and "+
 				strconv.FormatInt(int64(settings.MaxPatience), 10), http.StatusBadRequest)
 		}
-		request.Patience = clock.Millis(patience)
+		request.Patience = max(clock.Millis(patience), settings.MinPatience)
 	}
 	return request, parsePriority(header.Get(priorityHeader), &request)
 }
--- a/caller/handler_test.go
+++ b/caller/handler_test.go
@@ -207,7 +207,12 @@
 // Guards against headers that are not passed on and answers that are changed on the way.
 func TestAnswer(t *testing.T) {
 	fake := &dispatcher{answer: dispatch.Answer{Status: 201, Body: []byte("ok"), ContentType: "text/x", Replayed: true}}
-	server := newServer(t, fake, caller.Defaults())
+	settings := caller.Defaults()
+	settings.MinPatience = 20
+	server := newServer(t, fake, settings)
+	if post(t, server, strings.NewReader("{}"), "Patience-Millis", "3"); fake.last.Patience != settings.MinPatience {
+		t.Fatalf("patience below the least is dispatched as %d", fake.last.Patience)
+	}
 	response, text := post(t, server, strings.NewReader("{}"), "Request-Key", "k1", "Patience-Millis", "250", "Priority", "High")
 	if response.StatusCode != 201 || text != "ok" || response.Header.Get("Content-Type") != "text/x" ||
 		response.Header.Get("Outcome") != "Ran" || response.Header.Get("Replayed") != "true" {
--- a/caller/settings.go
+++ b/caller/settings.go
@@ -23,6 +23,8 @@
 	IdleTimeout   clock.Millis
 	// WriteTimeout bounds the time in which a caller must take each part of the answer.
 	WriteTimeout clock.Millis
+	// MinPatience raises shorter patiences that callers ask for.
+	MinPatience clock.Millis
 	// MaxPatience bounds the patience a caller may ask for.
 	MaxPatience clock.Millis
 	// Streams bounds the open streams.
--- a/cmd/agent.go
+++ b/cmd/agent.go
@@ -52,7 +52,7 @@
 		_, err := fmt.Fprintf(command.std.out, "%s: settings are valid\n", command.Config)
 		return err
 	}
-	if err := setLog(command.std, settings.Log); err != nil {
+	if err := setLog(command.std, settings.Log.Level); err != nil {
 		return err
 	}
 	return runDaemon(settings.Shutdown.BoundMillis,
@@ -117,6 +117,7 @@
 	converted.RuntimeAddress = settings.Worker.URL
 	converted.Heartbeat = settings.Tasks.HeartbeatMillis
 	converted.Watch = settings.Worker.PollMillis
+	converted.WorkerTimeout = settings.Worker.TimeoutMillis
 	converted.Shutdown = settings.Shutdown.BoundMillis
 	var server *agent.Server
 	var page *http.Server
--- a/cmd/daemon.go
+++ b/cmd/daemon.go
@@ -101,9 +101,9 @@
 }
 
 // setLog directs the log of a daemon.
-func setLog(std streams, settings setting.Log) error {
+func setLog(std streams, name string) error {
 	var level slog.Level
-	if err := level.UnmarshalText([]byte(settings.Level)); err != nil {
+	if err := level.UnmarshalText([]byte(name)); err != nil {
 		return ErrExit{Code: ExitUsage, Reason: err.Error()}
 	}
 	logging.New(std.log, level)
--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -61,7 +61,7 @@
 		_, err := fmt.Fprintf(command.std.out, "%s: settings are valid\n", command.Config)
 		return err
 	}
-	if err := setLog(command.std, settings.Log); err != nil {
+	if err := setLog(command.std, settings.Log.Level); err != nil {
 		return err
 	}
 	return runDaemon(settings.Shutdown.BoundMillis,
@@ -188,6 +188,7 @@
 	converted.Retention = settings.Requests.RetentionMillis
 	converted.DefaultPatience = settings.Requests.DefaultPatienceMillis
 	converted.Retry.RatioPermille = settings.Requests.RetryBudgetPercent * permillePerPercent
+	converted.Dispatch.LogSampling = uint64(settings.Log.Sampling)
 	client := httpClient(workerConnections)
 	objects := objectstore.NewHTTP(settings.Objects.URL, client)
 	runtimes := func(address string, name ident.Worker) worker.Runtime { return worker.NewHTTP(address, name, client) }
@@ -216,6 +217,7 @@
 func callerSettings(requests setting.Requests) caller.Settings {
 	converted := caller.Defaults()
 	converted.BodyBytes = requests.BodyBytes
+	converted.MinPatience = requests.MinPatienceMillis
 	converted.MaxPatience = requests.MaxPatienceMillis
 	return converted
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
 	"k8s.io/klog/v2"
@@ -36,6 +37,8 @@
 	RetryAfter clock.Millis
 	// TableTimeout bounds one use of the table.
 	TableTimeout clock.Millis
+	// LogSampling is the number of routing decisions of which one is logged; 0 and 1 log all.
+	LogSampling uint64
 }
 
 // Defaults returns the settings of the current deployments.
@@ -62,6 +65,8 @@
 	limiter    *admission.Limiter
 	requests   func() ident.Request
 	unrecorded unrecorded
+	// decisions counts the routing decisions, for sampling.
+	decisions atomic.Uint64
 
 	mu       sync.Mutex
 	stopping bool
@@ -88,8 +93,9 @@
 		outcome.NotRun:  metrics.NewCounter(`hyssopjunction_dispatch_requests_total{outcome="NotRun"}`),
 		outcome.Unknown: metrics.NewCounter(`hyssopjunction_dispatch_requests_total{outcome="Unknown"}`),
 	}
-	attemptCounter = metrics.NewCounter(`hyssopjunction_dispatch_attempts_total`)
-	latencies      = metrics.NewHistogram(`hyssopjunction_dispatch_millis`)
+	attemptCounter    = metrics.NewCounter(`hyssopjunction_dispatch_attempts_total`)
+	unloggedDecisions = metrics.NewCounter(`hyssopjunction_dispatch_unlogged_decisions_total`)
+	latencies         = metrics.NewHistogram(`hyssopjunction_dispatch_millis`)
 )
 
 // flow is the state of one request on its way.
@@ -253,11 +259,23 @@
 		klog.InfoS("No endpoint", "Request", flow.ID, "Service", flow.Service, "Reason", err.Error())
 		return decision, err
 	}
+	if !dispatcher.sampled() {
+		return decision, nil
+	}
 	klog.InfoS("Endpoint chosen", "Request", flow.ID, "Service", flow.Service, "Endpoint", decision.Endpoint,
 		"Why", decision.Why, "Candidates", decision.String(), "Attempt", flow.attempts+1)
 	return decision, nil
 }
 
+// sampled reports whether the next routing decision is logged.
+func (dispatcher *Dispatcher) sampled() bool {
+	if every := dispatcher.settings.LogSampling; every > 1 && dispatcher.decisions.Add(1)%every != 1 {
+		unloggedDecisions.Inc()
+		return false
+	}
+	return true
+}
+
 func targetOf(decision *routing.Decision) dedup.Target {
 	return dedup.Target{
 		Endpoint: decision.Endpoint, Worker: decision.Worker,
--- a/dispatch/follow.go
+++ b/dispatch/follow.go
@@ -104,8 +104,10 @@
 	if err != nil {
 		return offset, "", err
 	}
-	klog.InfoS("Endpoint chosen", "Request", request.ID, "Service", request.Service, "Stream", request.Stream,
-		"Endpoint", decision.Endpoint, "Why", decision.Why, "Candidates", decision.String())
+	if dispatcher.sampled() {
+		klog.InfoS("Endpoint chosen", "Request", request.ID, "Service", request.Service, "Stream", request.Stream,
+			"Endpoint", decision.Endpoint, "Why", decision.Why, "Candidates", decision.String())
+	}
 	start := offset
 	err = dispatcher.agents.Follow(ctx, decision.Address, &controlpb.FollowRequest{
 		Request: string(request.ID), Service: string(request.Service), Endpoint: string(decision.Endpoint),
--- a/input_test.go
+++ b/input_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -80,7 +81,14 @@
 	if testing.Short() {
 		t.Skip("starts four processes")
 	}
-	system := newSystem(t, shape{entries: 1, agents: 2})
+	metricsAddress := ""
+	system := newSystem(t, shape{entries: 1, agents: 2, section: func(name string) string {
+		if name != "entry-0" {
+			return ""
+		}
+		metricsAddress = fmt.Sprintf("127.0.%d.%d:7000", os.Getpid()>>8&0x7f, os.Getpid()&0xff)
+		return fmt.Sprintf("[Log]\nSampling = 10\n[Metrics]\nListen = %q\n", metricsAddress)
+	}})
 	system.await("a first answer", func() bool {
 		code, err := system.post(nil, "http://"+system.callers[0])
 		return err == nil && code == http.StatusOK
@@ -159,9 +167,30 @@
 	if peak := peakMemory(t, system.processes["entry-0"].Process.Pid); peak > memoryBound && !raceDetector {
 		t.Errorf("the entry used %d KiB of memory, more than %d", peak, memoryBound)
 	}
+	system.checkSampling(t, "http://"+metricsAddress+"/metrics")
 	system.assertClean()
 }
 
+// checkSampling expects that one of ten routing decisions was logged and the others counted.
+func (system *system) checkSampling(t *testing.T, url string) {
+	t.Helper()
+	response, err := http.Get(url)
+	system.must(err)
+	page, err := io.ReadAll(response.Body)
+	system.must(err)
+	system.must(response.Body.Close())
+	_, value, _ := strings.Cut(string(page), "\nhyssopjunction_dispatch_unlogged_decisions_total ")
+	value, _, _ = strings.Cut(value, "\n")
+	dropped, err := strconv.Atoi(value)
+	system.must(err)
+	log, err := os.ReadFile(filepath.Join(system.dir, "entry-0.log"))
+	system.must(err)
+	logged := strings.Count(string(log), "\"Endpoint chosen\"")
+	if total := logged + dropped; dropped == 0 || logged != (total+9)/10 {
+		t.Errorf("%d routing decisions logged, %d counted as not logged", logged, dropped)
+	}
+}
+
 // peakMemory returns the largest resident memory of a process, in KiB.
 func peakMemory(t *testing.T, pid int) int {
 	t.Helper()
--- a/setting/daemon.go
+++ b/setting/daemon.go
@@ -49,8 +49,13 @@
 
 // Log configures the log.
 type Log struct {
+	Level string `kind:"level" default:"Info" doc:"Lowest level that is logged: Debug, Info, Warn or Error"`
+}
+
+// EntryLog configures the log of an entry, which also logs routing decisions.
+type EntryLog struct {
 	Level    string `kind:"level" default:"Info" doc:"Lowest level that is logged: Debug, Info, Warn or Error"`
-	Sampling int    `default:"1" min:"1" max:"1000000" doc:"One of this many routing decisions is logged"`
+	Sampling int    `default:"1" min:"1" max:"1000000" doc:"One of this many routing decisions is logged; the others are counted in hyssopjunction_dispatch_unlogged_decisions_total"`
 }
 
 // Metrics configures the metrics page.
--- a/setting/entry.go
+++ b/setting/entry.go
@@ -14,7 +14,7 @@
 	Shutdown  Shutdown
 	TLS       TLS
 	Operators Operators
-	Log       Log
+	Log       EntryLog
 	Metrics   Metrics
 }
 
--- a/setting/platform.go
+++ b/setting/platform.go
@@ -25,9 +25,10 @@
 
 // Worker configures the client of the platform's runtime on the agent's worker.
 type Worker struct {
-	Name          ident.Worker `kind:"name" doc:"Name of the worker"`
-	URL           string       `kind:"url" default:"http://127.0.0.1:7000" doc:"Address of the worker runtime"`
-	TimeoutMillis clock.Millis `default:"2000" min:"10" max:"60000" doc:"Time after which a call counts as failed"`
+	Name ident.Worker `kind:"name" doc:"Name of the worker"`
+	URL  string       `kind:"url" default:"http://127.0.0.1:7000" doc:"Address of the worker runtime"`
+	// A start must not reach the worker long after its reservation, so the time is at most 2 s.
+	TimeoutMillis clock.Millis `default:"2000" min:"10" max:"2000" doc:"Time after which a call counts as failed, other than one that checkpoints or stops tasks"`
 	PollMillis    clock.Millis `default:"1000" min:"10" max:"60000" doc:"Time between two reads of the worker's tasks and usage"`
 }
 
@@ -37,5 +38,4 @@
 	Service        ident.Service  `kind:"name" optional:"true" doc:"Service of the endpoint"`
 	URL            string         `kind:"url" optional:"true" doc:"Address of the endpoint"`
 	ProgressMillis clock.Millis   `default:"2000" min:"10" max:"600000" doc:"Time without progress after which a connection is suspected to be silent"`
-	HealthMillis   clock.Millis   `default:"1000" min:"10" max:"60000" doc:"Time between two health checks"`
 }
--- a/setting/requests.go
+++ b/setting/requests.go
@@ -9,7 +9,7 @@
 	Queue                 int          `default:"256" min:"0" max:"100000" doc:"Most requests that wait for a slot"`
 	MinPatienceMillis     clock.Millis `default:"10" min:"1" max:"3600000" doc:"Least patience; shorter ones are raised to it"`
 	DefaultPatienceMillis clock.Millis `default:"5000" min:"1" max:"3600000" doc:"Patience of a request that gives none"`
-	MaxPatienceMillis     clock.Millis `default:"120000" min:"1" max:"3600000" doc:"Most patience; longer ones are lowered to it"`
+	MaxPatienceMillis     clock.Millis `default:"120000" min:"1" max:"3600000" doc:"Most patience; longer ones are refused"`
 	BodyBytes             int64        `default:"1048576" min:"1" max:"67108864" doc:"Largest body of a request or response, in bytes"`
 	RetryBudgetPercent    int          `default:"10" min:"0" max:"100" doc:"Most retries relative to requests"`
 	RetentionMillis       clock.Millis `default:"86400000" min:"1000" max:"604800000" doc:"Time for which the result of a keyed submission is kept"`
