entry: do not end an incarnation that returned while its row was read

The end of an incarnation with a fresh lease was then written, and its tasks could be placed twice.

Change: without a decision the result is false.

--- a/entry/grants.go
+++ b/entry/grants.go
@@ -244,6 +244,7 @@
 		klog.ErrorS(err, "End of incarnation was not decided", "Worker", worker)
 		return false
 	}
+	decided := false
 	entry.control.Call(func() {
 		current := entry.grants[worker]
 		switch {
@@ -256,9 +257,9 @@
 		case !current.ending:
 			current.ending = entry.granter.Over(worker, current.incarnation, entry.time.Now()) == nil
 		}
-		ok = current.ending
+		decided = current.ending
 	})
-	return ok
+	return decided
 }
 
 // writeEnd writes that the incarnation is over and tells the scheduler.
--- a/entry/grants_test.go
+++ b/entry/grants_test.go
@@ -31,6 +31,29 @@
 	})
 }
 
+// Guards against the end of an incarnation whose agent returned and got a new lease while the row was
+// read to decide the end.
+func TestReturnDuringDecision(t *testing.T) {
+	inWorld(t, func(world *world) {
+		world.wantGrant(world.announce("w1", 1, 0, 0))
+		// The silent worker's row is also read, up to half a second before the lease lapses.
+		world.pass((lease.DefaultTerm + lease.Margin(lease.DefaultTerm)).Duration() - 400*time.Millisecond)
+		returned := false
+		world.store.hook(func(call string, key table.Key) {
+			if call != "Get" || key != lease.Key("w1") {
+				return
+			}
+			world.store.hook(nil)
+			world.wantGrant(world.announce("w1", 1, world.takeOver("w1", 1), 0))
+			returned = true
+		})
+		world.pass(5 * time.Second)
+		if record, _ := world.record("w1"); record.Over != 0 || !returned {
+			world.Fatalf("row is %+v while the agent has a lease, returned %t", record, returned)
+		}
+	})
+}
+
 // Guards against an agent that is neither fenced nor granted a lease when another entry takes over
 // between the decision that its incarnation is over and the write of the end.
 func TestTakeoverDuringEnd(t *testing.T) {
