--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -60,10 +60,10 @@
 	return result, err
 }
 
-// noAgents carries no callers' requests.
-type noAgents struct{ dispatch.Agents }
+// noRequests carries no callers' requests.
+type noRequests struct{ dispatch.Agents }
 
-func (noAgents) Keep(set.Set[string]) {}
+func (noRequests) Keep(set.Set[string]) {}
 
 // noConnections reaches no other daemon.
 type noConnections struct{}
@@ -99,7 +99,7 @@
 		settings := DefaultSettings()
 		settings.ID, settings.Region, settings.DataCentre, settings.ControlAddress = "e1", "north", "dc1", "e1"
 		entry, err := New(t.Context(), settings, Dependencies{
-			Clock: clock.NewSystem(), Table: world.store, Agents: noAgents{}, Control: noConnections{},
+			Clock: clock.NewSystem(), Table: world.store, Agents: noRequests{}, Control: noConnections{},
 			Runtimes: func(string, ident.Worker) worker.Runtime {
 				return fakeRuntime{list: func(ctx context.Context) (worker.Report, error) {
 					world.mu.Lock()
