Count a restarted agent as behind, and repeat failed announcements sooner

Cause: ctl config wait could say everywhere falsely: an agent that restarted kept the version of its earlier incarnation, and a lowest version of 0 also meant no agents. After the death of its home an agent tried again only with the next heartbeat, which leaves little time before it stops its tasks.

Change: versions are kept per incarnation, entries tell how many agents they are home of, and an announcement without answer is repeated after 1 s.

Conclusion: in force everywhere is said only when every live agent told so.

--- a/agent/announce.go
+++ b/agent/announce.go
@@ -69,6 +69,21 @@
 	klog.InfoS("Announcement had no answer", "Worker", agent.settings.Worker, "Entry", target, "Moved", moved, "Reason", err.Error())
 	if moved {
 		wake(agent.kick)
+		return
+	}
+	agent.spawn(agent.announceSoon)
+}
+
+// announceRetry is the time to the next attempt after an announcement without answer. It is shorter
+// than a heartbeat, so that the agents of a dead entry have a new home before they stop their tasks.
+const announceRetry = clock.Second
+
+// announceSoon repeats an announcement without waiting for the next heartbeat.
+func (agent *Agent) announceSoon() {
+	select {
+	case <-agent.time.After(announceRetry):
+		wake(agent.kick)
+	case <-agent.quit:
 	}
 }
 
--- a/entry/announce.go
+++ b/entry/announce.go
@@ -63,7 +63,7 @@
 	if entry.workers.Announce(state, now) == membership.Stale {
 		return false
 	}
-	entry.inForce.agentApplied(ident.Worker(state.GetWorker()), ident.Version(state.GetConfigVersion()))
+	entry.inForce.agentApplied(ident.Worker(state.GetWorker()), ident.Incarnation(state.GetIncarnation()), ident.Version(state.GetConfigVersion()))
 	entry.workerSeen(ident.Worker(state.GetWorker()))
 	entry.learnUsage(request, now)
 	return true
--- a/entry/configure.go
+++ b/entry/configure.go
@@ -84,9 +84,11 @@
 	}
 	for _, worker := range entry.workers.Own() {
 		client, ok := entry.agentOf(worker)
-		if !ok {
+		state, seen := entry.workers.Get(worker)
+		if !ok || !seen {
 			continue
 		}
+		incarnation := ident.Incarnation(state.GetIncarnation())
 		entry.spawn(func() {
 			ctx, cancel := entry.call(entry.settings.CallTimeout)
 			defer cancel()
@@ -95,7 +97,7 @@
 				klog.V(1).InfoS("Configuration was not pushed", "Worker", worker, "Reason", err.Error())
 				return
 			}
-			entry.control.Post(func() { entry.inForce.agentApplied(worker, ident.Version(reply.GetConfigVersion())) })
+			entry.control.Post(func() { entry.inForce.agentApplied(worker, incarnation, ident.Version(reply.GetConfigVersion())) })
 		})
 	}
 }
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -97,7 +97,9 @@
 		return
 	}
 	entry.entries.Heartbeat(membership.FromMessage(message), entry.time.Now())
-	entry.inForce.homes[ident.Entry(message.GetEntry())] = ident.Version(message.GetAgentsVersion())
+	entry.inForce.homes[ident.Entry(message.GetEntry())] = homeVersion{
+		lowest: ident.Version(message.GetAgentsVersion()), agents: int(message.GetAgents()),
+	}
 }
 
 // Exchange takes the heartbeat of another entry.
--- a/entry/inforce.go
+++ b/entry/inforce.go
@@ -10,25 +10,46 @@
 // workers reach other entries late. It belongs to the control goroutine.
 type inForce struct {
 	// applied are the newest versions told by agents homed here.
-	applied map[ident.Worker]ident.Version
-	// homes are the lowest versions among the agents of other entries; 0 if one has none.
-	homes map[ident.Entry]ident.Version
+	applied map[ident.Worker]agentVersion
+	// homes are what other entries told of their agents.
+	homes map[ident.Entry]homeVersion
+}
+
+// agentVersion is the version that one incarnation of an agent has applied. A newer incarnation starts
+// without configuration.
+type agentVersion struct {
+	incarnation ident.Incarnation
+	version     ident.Version
+}
+
+// homeVersion is the lowest version among the agents of an entry.
+type homeVersion struct {
+	lowest ident.Version
+	agents int
 }
 
 func newInForce() *inForce {
-	return &inForce{applied: map[ident.Worker]ident.Version{}, homes: map[ident.Entry]ident.Version{}}
+	return &inForce{applied: map[ident.Worker]agentVersion{}, homes: map[ident.Entry]homeVersion{}}
 }
 
-// agentApplied takes the version that an agent told.
-func (inForce *inForce) agentApplied(worker ident.Worker, version ident.Version) {
-	inForce.applied[worker] = max(inForce.applied[worker], version)
+// agentApplied takes the version that an incarnation of an agent told. Versions of one incarnation only
+// rise.
+func (inForce *inForce) agentApplied(worker ident.Worker, incarnation ident.Incarnation, version ident.Version) {
+	known := inForce.applied[worker]
+	switch {
+	case incarnation > known.incarnation:
+		inForce.applied[worker] = agentVersion{incarnation: incarnation, version: version}
+	case incarnation == known.incarnation && version > known.version:
+		known.version = version
+		inForce.applied[worker] = known
+	}
 }
 
 // lowest returns the lowest version among the given workers, 0 if there are none.
 func (inForce *inForce) lowest(workers []ident.Worker) ident.Version {
 	lowest := ident.Version(0)
 	for index, worker := range workers {
-		if version := inForce.applied[worker]; index == 0 || version < lowest {
+		if version := inForce.applied[worker].version; index == 0 || version < lowest {
 			lowest = version
 		}
 	}
@@ -38,7 +59,8 @@
 // selfMessage returns what this entry tells others of itself.
 func (entry *Entry) selfMessage() *controlpb.EntryState {
 	message := entry.entries.Self().Message()
-	message.AgentsVersion = uint64(entry.inForce.lowest(entry.workers.Own()))
+	own := entry.workers.Own()
+	message.AgentsVersion, message.Agents = uint64(entry.inForce.lowest(own)), uint32(len(own))
 	return message
 }
 
@@ -57,12 +79,12 @@
 			if known.ConfigVersion < version {
 				names = append(names, string(known.ID))
 			}
-			if lowest := entry.inForce.homes[known.ID]; lowest > 0 && lowest < version {
+			if home := entry.inForce.homes[known.ID]; home.agents > 0 && home.lowest < version {
 				names = append(names, "agents of "+string(known.ID))
 			}
 		}
 		for _, worker := range entry.workers.Own() {
-			if entry.inForce.applied[worker] < version {
+			if entry.inForce.applied[worker].version < version {
 				names = append(names, string(worker))
 			}
 		}
--- a/entry/inforce_test.go
+++ b/entry/inforce_test.go
@@ -6,24 +6,28 @@
 	"hyssopjunction/ident"
 )
 
-// Guards against a configuration that is reported as in force while an agent has an older one, and
-// against a late message that lowers what an agent is known to have.
+// Guards against a configuration that is reported as in force while an agent has an older one or was
+// restarted, and against a late message that lowers what an agent is known to have.
 func TestLowestVersion(t *testing.T) {
 	known := newInForce()
 	own := []ident.Worker{"w1", "w2"}
 	for _, step := range []struct {
-		name    string
-		worker  ident.Worker
-		version ident.Version
-		want    ident.Version
+		name        string
+		worker      ident.Worker
+		incarnation ident.Incarnation
+		version     ident.Version
+		want        ident.Version
 	}{
-		{"one agent has told", "w1", 7, 0},
-		{"the other is behind", "w2", 5, 5},
-		{"both are there", "w2", 7, 7},
-		{"a late message", "w1", 6, 7},
+		{"one agent has told", "w1", 1, 7, 0},
+		{"the other is behind", "w2", 1, 5, 5},
+		{"both are there", "w2", 1, 7, 7},
+		{"a late message", "w1", 1, 6, 7},
+		{"restarted without configuration", "w1", 2, 0, 0},
+		{"a late message of the old incarnation", "w1", 1, 8, 0},
+		{"configured again", "w1", 2, 7, 7},
 	} {
 		t.Run(step.name, func(t *testing.T) {
-			known.agentApplied(step.worker, step.version)
+			known.agentApplied(step.worker, step.incarnation, step.version)
 			if have := known.lowest(own); have != step.want {
 				t.Fatalf("have %d, want %d", have, step.want)
 			}
