--- a/entry/entry.go
+++ b/entry/entry.go
@@ -109,6 +109,7 @@
 	homes      string
 	// publishedHomes are the live entries of the published view.
 	publishedHomes string
+	refreshedAt    clock.Time
 	inExchange     map[ident.Entry]bool
 	silent         map[ident.Worker]silence
 	since          map[ident.Endpoint]presence
--- a/entry/tick.go
+++ b/entry/tick.go
@@ -21,15 +21,22 @@
 		for _, worker := range entry.workers.Expire(entry.time.Now()) {
 			entry.workerSilent(worker)
 		}
-		entry.refresh()
+		if entry.time.Now().Sub(entry.refreshedAt) >= refreshInterval {
+			entry.refresh()
+		}
 	})
 	entry.exchange()
 }
 
+// refreshInterval is how often the view is published although only loads may have changed. Publishing
+// copies all workers. A leaving endpoint and a new configuration are published at once.
+const refreshInterval = clock.Second
+
 // refresh publishes the current view if it changed.
 func (entry *Entry) refresh() {
 	view := entry.publisher.Current()
 	now := entry.time.Now()
+	entry.refreshedAt = now
 	live := entry.entries.Live(now)
 	homes := homesOf(live)
 	if homes != entry.homes {
