Let the owner of a service decide how the governor acts

Cause: found by the recorded sessions: the weights of other teams decided, so that Modelwerf's services were governed with Omaruru's settings, and the rule stood twice.

--- a/entry/govern.go
+++ b/entry/govern.go
@@ -155,12 +155,7 @@
 			}
 		}
 	}
-	settings := interference.Modelwerf()
-	if weights.TailLatency >= weights.Evictions {
-		settings = interference.Omaruru()
-	}
-	settings.MaxEvictions = min(settings.MaxEvictions, max(preset.EvictionsPerHour, 0))
-	entry.learned.governor.SetSettings(settings)
+	entry.learned.governor.SetSettings(interference.Weighted(weights.TailLatency, weights.Evictions, preset.EvictionsPerHour))
 	entry.slowdownTarget = defaultSlowdownTarget
 	if preset.SlowdownLimitPercent > 0 {
 		entry.slowdownTarget = preset.SlowdownLimitPercent
--- a/interference/settings.go
+++ b/interference/settings.go
@@ -171,3 +171,15 @@
 func IsErrBadSettings(err error) bool {
 	return errors.As(err, new(ErrBadSettings))
 }
+
+// Weighted returns the settings for the weights of the owner of a service, in percent: Omaruru's if the
+// tail latency counts at least as much as evictions, and Modelwerf's otherwise. Evictions are bounded by
+// evictionsPerHour as well.
+func Weighted(tailLatency, evictions, evictionsPerHour int) GovernorSettings {
+	settings := Modelwerf()
+	if tailLatency >= evictions {
+		settings = Omaruru()
+	}
+	settings.MaxEvictions = min(settings.MaxEvictions, max(evictionsPerHour, 0))
+	return settings
+}
--- a/recorded/entry.go
+++ b/recorded/entry.go
@@ -225,17 +225,9 @@
 	}
 	entry.version = view.Version()
 	_, preset := view.InForce()
-	// As package entry does, the highest weight of tail latency counts, and that of other teams too.
-	weights := preset.Other
-	if own := preset.WeightsOf(entry.deployment.session.Team); own.TailLatency > weights.TailLatency {
-		weights = own
-	}
-	settings := interference.Modelwerf()
-	if weights.TailLatency >= weights.Evictions {
-		settings = interference.Omaruru()
-	}
-	settings.MaxEvictions = min(settings.MaxEvictions, preset.EvictionsPerHour)
-	entry.governor.SetSettings(settings)
+	// As in package entry, the owner of the service decides.
+	weights := preset.WeightsOf(entry.deployment.session.Team)
+	entry.governor.SetSettings(interference.Weighted(weights.TailLatency, weights.Evictions, preset.EvictionsPerHour))
 	entry.target, entry.headroom, entry.startBatch = preset.SlowdownLimitPercent, preset.HeadroomPercent, preset.StartBatch
 	for _, name := range view.DataCentres() {
 		centre, _ := view.DataCentre(name)
