--- a/routing/predict.go
+++ b/routing/predict.go
@@ -53,12 +53,12 @@
 	if mean == 0 {
 		mean = float64(candidate.track.latency.Load()) / 1000
 	}
+	if math.Abs(mean-median) <= sameService*median || mean == 0 {
+		mean = median
+	}
 	if slowdown := candidate.track.slowdown.Load(); slowdown > undisturbed {
 		return math.Max(mean, median*float64(slowdown)/undisturbed)
 	}
-	if math.Abs(mean-median) <= sameService*median || mean == 0 {
-		return median
-	}
 	return mean
 }
 
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -163,6 +163,22 @@
 	}
 }
 
+// Guards against an endpoint whose noisy mean is never measured again, because a slowdown of 1% made
+// it look slower than it is and it gets no requests.
+func TestNoisyMeanKeepsShare(t *testing.T) {
+	known := candidates(6)
+	for index := range known {
+		known[index].DataCentre = "dc0"
+		known[index].Report.SlowdownPercent = 101
+	}
+	known[0].Report.Service = 13
+	view := routing.New(settings()).NewView(1, "s", known)
+	noisy := func(candidate routing.Candidate) bool { return candidate.Endpoint == "e0" }
+	if got := share(t, view, 1, 600, noisy); got < 0.1 {
+		t.Fatalf("the endpoint gets %.2f of the requests, an equal share is 0.17", got)
+	}
+}
+
 // Guards against a data race or a lost count between traffic goroutines and new views.
 func TestConcurrentUse(t *testing.T) {
 	router := routing.New(settings())
