Load the settings of both daemons in one place

Change: daemonOptions and loadDaemon in cmd/daemon.go; no behaviour changes.

Conclusion: a new daemon option has one place.

--- a/cmd/agent.go
+++ b/cmd/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"net/url"
 
@@ -35,25 +34,15 @@
 }
 
 type agentCommand struct {
-	std    streams
-	Config string `long:"config" required:"true" value-name:"FILE" description:"Settings of the agent"`
-	Check  bool   `long:"check" description:"Check the settings and exit"`
+	daemonOptions
+	std streams
 }
 
 // Execute runs the agent until SIGINT or SIGTERM.
 func (command *agentCommand) Execute([]string) error {
-	settings, err := setting.Load[setting.Agent](command.Config)
-	if err != nil {
-		return ErrExit{Code: ExitUsage, Reason: err.Error()}
-	}
-	if err := checkFiles(settings.TLS); err != nil {
-		return err
-	}
-	if command.Check {
-		_, err := fmt.Fprintf(command.std.out, "%s: settings are valid\n", command.Config)
-		return err
-	}
-	if err := setLog(command.std, settings.Log.Level); err != nil {
+	settings, checked, err := loadDaemon(command.std, command.daemonOptions, func(settings setting.Agent) error { return checkFiles(settings.TLS) },
+		func(settings setting.Agent) string { return settings.Log.Level })
+	if err != nil || checked {
 		return err
 	}
 	return runDaemon(settings.Shutdown.BoundMillis,
--- a/cmd/daemon.go
+++ b/cmd/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -155,3 +156,28 @@
 	}
 	return nil
 }
+
+// daemonOptions are the options of the subcommands that run a daemon.
+type daemonOptions struct {
+	Config string `long:"config" required:"true" value-name:"FILE" description:"Settings of the daemon"`
+	Check  bool   `long:"check" description:"Check the settings and exit"`
+}
+
+// loadDaemon reads the settings of a daemon and checks the files that they name. It returns true if
+// only the check was asked for, and otherwise directs the log. Settings that cannot be used end the
+// program with ExitUsage.
+func loadDaemon[Root setting.Entry | setting.Agent](std streams, options daemonOptions,
+	check func(settings Root) error, level func(settings Root) string,
+) (settings Root, checked bool, err error) {
+	if settings, err = setting.Load[Root](options.Config); err != nil {
+		return settings, false, ErrExit{Code: ExitUsage, Reason: err.Error()}
+	}
+	if err = check(settings); err != nil {
+		return settings, false, err
+	}
+	if options.Check {
+		_, err = fmt.Fprintf(std.out, "%s: settings are valid\n", options.Config)
+		return settings, true, err
+	}
+	return settings, false, setLog(std, level(settings))
+}
--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -43,25 +43,17 @@
 }
 
 type entryCommand struct {
-	std    streams
-	Config string `long:"config" required:"true" value-name:"FILE" description:"Settings of the entry"`
-	Check  bool   `long:"check" description:"Check the settings and exit"`
+	daemonOptions
+	std streams
 }
 
 // Execute runs the entry until SIGINT or SIGTERM.
 func (command *entryCommand) Execute([]string) error {
-	settings, err := setting.Load[setting.Entry](command.Config)
-	if err != nil {
-		return ErrExit{Code: ExitUsage, Reason: err.Error()}
-	}
-	if err := checkFiles(settings.TLS, func() error { _, err := newTokens(settings, clock.NewSystem()); return err }); err != nil {
-		return err
-	}
-	if command.Check {
-		_, err := fmt.Fprintf(command.std.out, "%s: settings are valid\n", command.Config)
-		return err
-	}
-	if err := setLog(command.std, settings.Log.Level); err != nil {
+	settings, checked, err := loadDaemon(command.std, command.daemonOptions, func(settings setting.Entry) error {
+		return checkFiles(settings.TLS, func() error { _, err := newTokens(settings, clock.NewSystem()); return err })
+	},
+		func(settings setting.Entry) string { return settings.Log.Level })
+	if err != nil || checked {
 		return err
 	}
 	return runDaemon(settings.Shutdown.BoundMillis,
