Guard the map of entries in the test of two regions

Cause: entries call each other while the test still adds entries to a plain map.

Change: the map has a mutex, and an address without an entry answers Unavailable as a closed port would.

Ruled out: the entry's own code, all frames of the conflict are in the test.

Conclusion: the failure was in the test; no check changed.

--- a/entry/regionentries_test.go
+++ b/entry/regionentries_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -32,12 +33,30 @@
 
 func (noAgents) Keep(set.Set[string]) {}
 
-// direct passes calls between the entries of one process.
+// direct passes calls between the entries of one process. Entries that already run call others while
+// the test still adds some, so the map has a mutex.
 type direct struct {
+	mutex   sync.Mutex
 	entries map[string]*Entry
 	cut     atomic.Bool
 }
 
+func (direct *direct) add(address string, entry *Entry) {
+	direct.mutex.Lock()
+	defer direct.mutex.Unlock()
+	direct.entries[address] = entry
+}
+
+// entry returns the entry at an address, or Unavailable before it was added.
+func (direct *direct) entry(address string) (*Entry, error) {
+	direct.mutex.Lock()
+	defer direct.mutex.Unlock()
+	if entry, ok := direct.entries[address]; ok {
+		return entry, nil
+	}
+	return nil, status.Error(codes.Unavailable, "not started")
+}
+
 func (direct *direct) Agent(string) (controlpb.AgentClient, error) { return nil, nil }
 func (direct *direct) Discard(string)                              {}
 func (direct *direct) Entry(address string) (controlpb.EntryClient, error) {
@@ -54,11 +73,19 @@
 	if client.direct.cut.Load() {
 		return nil, status.Error(codes.Unavailable, "cut")
 	}
-	return client.direct.entries[client.address].Pull(ctx, request)
+	entry, err := client.direct.entry(client.address)
+	if err != nil {
+		return nil, err
+	}
+	return entry.Pull(ctx, request)
 }
 
 func (client directClient) Exchange(ctx context.Context, request *controlpb.ExchangeRequest, _ ...grpc.CallOption) (*controlpb.ExchangeReply, error) {
-	return client.direct.entries[client.address].Exchange(ctx, request)
+	entry, err := client.direct.entry(client.address)
+	if err != nil {
+		return nil, err
+	}
+	return entry.Exchange(ctx, request)
 }
 
 // TestEntriesOfTwoRegions guards against wiring that leaves two regions with two sets of presets, that
@@ -82,7 +109,7 @@
 				t.Fatal(err)
 			}
 			defer entry.Close()
-			network.entries[name] = entry
+			network.add(name, entry)
 		}
 		network.cut.Store(false)
 		time.Sleep(30 * time.Second)
