Bind certificates to names and open Pull to entries

Cause: a certificate proved a role only, so any agent could announce, report or leave for any worker, and any entry could speak for another. While checking the list of callers, Pull turned out to be missing in it: with certificates the link between regions was denied to everyone, and the TLS test had the same gap in its expectation.

Change: the remainder of the common name after the role is the name the daemon may act for. The server compares it with the sender that the message states. A common name without a name stays valid for all daemons of a role. Pull is open to entries, and a test checks every method of the service.

Before: with the comparison removed the TLS test fails on five calls, and without the line for Pull the test of callers fails. After: both pass; the daemons of the process test run with named certificates.

Conclusion: the expectation for Pull was wrong and is now that entries may call it. The called side checks names; the calling side checks roles only.

--- a/controlpb/roles.go
+++ b/controlpb/roles.go
@@ -13,6 +13,7 @@
 		Entry_Notify_FullMethodName:   {keys.RoleEntry},
 		Entry_Explain_FullMethodName:  {keys.RoleEntry},
 		Entry_Yield_FullMethodName:    {keys.RoleEntry},
+		Entry_Pull_FullMethodName:     {keys.RoleEntry},
 	}
 }
 
@@ -27,3 +28,21 @@
 	}
 	return callers
 }
+
+// Claimed returns the role and name that a request states of its sender, keys.RoleNone if it states none.
+func Claimed(request any) keys.Claim {
+	switch message := request.(type) {
+	case *AnnounceRequest:
+		return keys.Claim{Role: keys.RoleAgent, Name: message.GetState().GetWorker()}
+	case *LeaveRequest:
+		return keys.Claim{Role: keys.RoleAgent, Name: message.GetWorker()}
+	case *ReportRequest:
+		return keys.Claim{Role: keys.RoleAgent, Name: message.GetWorker()}
+	case *ExchangeRequest:
+		return keys.Claim{Role: keys.RoleEntry, Name: message.GetSender().GetEntry()}
+	case *ReserveRequest:
+		return keys.Claim{Role: keys.RoleEntry, Name: message.GetEntry()}
+	default:
+		return keys.Claim{}
+	}
+}
--- /dev/null
+++ b/controlpb/roles_test.go
@@ -0,0 +1,33 @@
+package controlpb
+
+import (
+	"testing"
+
+	"hyssopjunction/keys"
+)
+
+// Guards against a method that works without certificates and is denied to everyone with them, as Pull was.
+func TestEveryMethodHasCallers(t *testing.T) {
+	callers := EntryCallers()
+	for _, method := range Entry_ServiceDesc.Methods {
+		if len(callers["/"+Entry_ServiceDesc.ServiceName+"/"+method.MethodName]) == 0 {
+			t.Errorf("no role may call %s", method.MethodName)
+		}
+	}
+}
+
+// Guards against a message whose sender is not compared with the name in its certificate.
+func TestClaimed(t *testing.T) {
+	for want, message := range map[keys.Claim]any{
+		{Role: keys.RoleAgent, Name: "w1"}: &AnnounceRequest{State: &WorkerState{Worker: "w1"}},
+		{Role: keys.RoleAgent, Name: "w2"}: &LeaveRequest{Worker: "w2"},
+		{Role: keys.RoleAgent, Name: "w3"}: &ReportRequest{Worker: "w3"},
+		{Role: keys.RoleEntry, Name: "e1"}: &ExchangeRequest{Sender: &EntryState{Entry: "e1"}},
+		{Role: keys.RoleEntry, Name: "e2"}: &ReserveRequest{Entry: "e2"},
+		{}:                                 &NotifyRequest{},
+	} {
+		if claim := Claimed(message); claim != want {
+			t.Errorf("%T: %+v", message, claim)
+		}
+	}
+}
--- a/keys/errors.go
+++ b/keys/errors.go
@@ -52,15 +52,17 @@
 	return errors.As(err, new(ErrBadAddress))
 }
 
-// ErrDenied reports a peer whose certificate is missing, untrusted or of another role.
+// ErrDenied reports a peer whose certificate is missing, untrusted, of another role or of another name.
 type ErrDenied struct {
-	Role   Role
+	Role Role
+	// Name is empty if the certificate has none.
+	Name   string
 	Reason string
 }
 
 // Error describes the refusal.
 func (err ErrDenied) Error() string {
-	return fmt.Sprintf("peer with role %q denied: %s", err.Role, err.Reason)
+	return fmt.Sprintf("peer with role %q and name %q denied: %s", err.Role, err.Name, err.Reason)
 }
 
 // IsErrDenied reports whether err is or wraps an ErrDenied.
--- a/keys/keys_test.go
+++ b/keys/keys_test.go
@@ -305,3 +305,23 @@
 		}
 	}
 }
+
+// TestIdentityOf guards against a name that is taken from a certificate without the role before it.
+func TestIdentityOf(t *testing.T) {
+	for _, test := range []struct {
+		common string
+		dns    []string
+		want   keys.Identity
+	}{
+		{"agent", nil, keys.Identity{Role: keys.RoleAgent}},
+		{"agent.gent-1", nil, keys.Identity{Role: keys.RoleAgent, Name: "gent-1"}},
+		{"Agent.gent-1.rack-2", nil, keys.Identity{Role: keys.RoleAgent, Name: "gent-1.rack-2"}},
+		{"host.gent-1", []string{"entry.gent.example"}, keys.Identity{Role: keys.RoleEntry}},
+		{"host.gent-1", nil, keys.Identity{}},
+	} {
+		certificate := &x509.Certificate{Subject: pkix.Name{CommonName: test.common}, DNSNames: test.dns}
+		if identity := keys.IdentityOf(certificate); identity != test.want {
+			t.Errorf("%s %v: %+v", test.common, test.dns, identity)
+		}
+	}
+}
--- a/settings_test.go
+++ b/settings_test.go
@@ -106,11 +106,19 @@
 	if system.authority == nil {
 		return text
 	}
-	role, _, _ := strings.Cut(name, "-")
-	files := system.authority.issue(system.t, system.dir, name, role)
+	files := system.authority.issue(system.t, system.dir, name, commonName(name))
 	return text + fmt.Sprintf("\n[TLS]\nCertificateFile = %q\nKeyFile = %q\nAuthorityFile = %q\n", files.Certificate, files.Key, files.Authority)
 }
 
+// commonName returns the common name of a daemon's certificate: the role and the name of the entry or of
+// the agent's worker.
+func commonName(daemon string) string {
+	if index, ok := strings.CutPrefix(daemon, "agent-"); ok {
+		return "agent.worker-" + index
+	}
+	return "entry." + daemon
+}
+
 func write(t *testing.T, file, text string) {
 	t.Helper()
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
--- a/tls_test.go
+++ b/tls_test.go
@@ -31,12 +31,18 @@
 
 // invoke calls a method with an empty request over a new connection and returns the gRPC code.
 func (system *system) invoke(t *testing.T, address, method string, transport credentials.TransportCredentials) codes.Code {
+	t.Helper()
+	// All messages are empty on the wire, so any type serves as request.
+	return system.call(t, address, method, &controlpb.NotifyRequest{}, transport)
+}
+
+// call calls a method over a new connection and returns the gRPC code.
+func (system *system) call(t *testing.T, address, method string, request any, transport credentials.TransportCredentials) codes.Code {
 	t.Helper()
 	connection, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(transport))
 	system.must(err)
 	defer func() { _ = connection.Close() }()
-	// All messages are empty on the wire, so any type serves as request and reply.
-	err = connection.Invoke(system.ctx, method, &controlpb.NotifyRequest{}, &controlpb.NotifyReply{})
+	err = connection.Invoke(system.ctx, method, request, &controlpb.NotifyReply{})
 	return status.Code(err)
 }
 
@@ -54,7 +60,8 @@
 }
 
 // Guards against daemons, callers or operators that reach each other without the certificate and role
-// that the call needs, and against old certificates that stay in use.
+// that the call needs, against daemons that speak for others, and against old certificates that stay in
+// use.
 func TestProcessesWithTLS(t *testing.T) {
 	if testing.Short() {
 		t.Skip("starts four processes")
@@ -79,7 +86,7 @@
 			controlpb.Entry_Announce_FullMethodName: "agent", controlpb.Entry_Leave_FullMethodName: "agent",
 			controlpb.Entry_Report_FullMethodName: "agent entry", controlpb.Entry_Exchange_FullMethodName: "entry",
 			controlpb.Entry_Notify_FullMethodName: "entry", controlpb.Entry_Explain_FullMethodName: "entry",
-			controlpb.Entry_Yield_FullMethodName: "entry",
+			controlpb.Entry_Yield_FullMethodName: "entry", controlpb.Entry_Pull_FullMethodName: "entry",
 		}
 		for _, role := range []string{"entry", "agent"} {
 			transport := authority.peer(t, role)
@@ -117,6 +124,32 @@
 		}
 	})
 
+	t.Run("names in messages", func(t *testing.T) {
+		system.t = t
+		report := &controlpb.ReportRequest{Worker: "worker-9"}
+		reserve := &controlpb.ReserveRequest{Entry: "entry-9", Reservation: "r"}
+		for _, test := range []struct {
+			certificate, address, method string
+			request                      any
+			denied                       bool
+		}{
+			{"agent.worker-9", entry, controlpb.Entry_Report_FullMethodName, report, false},
+			{"agent", entry, controlpb.Entry_Report_FullMethodName, report, false},
+			{"agent.worker-8", entry, controlpb.Entry_Report_FullMethodName, report, true},
+			{"entry.entry-9", entry, controlpb.Entry_Report_FullMethodName, report, false},
+			{"entry.entry-9", agent, controlpb.Agent_Reserve_FullMethodName, reserve, false},
+			{"entry.entry-8", agent, controlpb.Agent_Reserve_FullMethodName, reserve, true},
+			{"agent.worker-8", entry, controlpb.Entry_Announce_FullMethodName, &controlpb.AnnounceRequest{}, true},
+			{"agent.worker-8", entry, controlpb.Entry_Leave_FullMethodName, &controlpb.LeaveRequest{Worker: "worker-0"}, true},
+			{"entry.entry-8", entry, controlpb.Entry_Exchange_FullMethodName, &controlpb.ExchangeRequest{Sender: &controlpb.EntryState{Entry: "entry-0"}}, true},
+		} {
+			code := system.call(t, test.address, test.method, test.request, authority.peer(t, test.certificate))
+			if (code == codes.PermissionDenied) != test.denied {
+				t.Errorf("%s with the certificate of %s: %s", test.method, test.certificate, code)
+			}
+		}
+	})
+
 	t.Run("callers and operators", func(t *testing.T) {
 		system.t = t
 		system.await("an answer over HTTPS", func() bool {
@@ -150,7 +183,7 @@
 
 	t.Run("certificate replaced", func(t *testing.T) {
 		system.t = t
-		authority.issue(t, system.dir, "entry-0", "entry")
+		authority.issue(t, system.dir, "entry-0", commonName("entry-0"))
 		want := authority.serial.Load()
 		for _, address := range []string{system.callers[0], system.operators[0], entry} {
 			system.await("the new certificate at "+address, func() bool {
