Answer from an entry that waits for the table

Cause: the listeners of an entry were open before it had read its row, but nothing served them until then. Seen by hand with an entry started without a table: ctl status ended with a deadline, /healthz, /readyz and /metrics gave no answer, and a caller would have waited out its patience.

Change: the servers run from the start. Probes and metrics work, callers get 503 NotReady with Retry-After, operators get a typed error that says what the entry waits for, and connections of other daemons are closed at once so that they turn to another entry. When the entry exists, the handlers are exchanged and gRPC takes over its listener.

A keyed submission keeps the outcome Unknown there, as an earlier attempt may have run. The not-ready answer is now spread in time like other refusals and closes the connection, because the body is not read.

Conclusion: an entry that starts in an outage refuses truthfully instead of holding connections.

--- a/caller/errors.go
+++ b/caller/errors.go
@@ -32,6 +32,23 @@
 	return errors.As(err, new(ErrBadRequest))
 }
 
+// ErrNotReady reports an entry that does not know the configuration yet. This attempt was not run.
+type ErrNotReady struct {
+	Reason string
+	// Keyed is true for a submission with a key, of which an earlier attempt may have run.
+	Keyed bool
+}
+
+// Error describes what the entry waits for.
+func (err ErrNotReady) Error() string {
+	return err.Reason
+}
+
+// IsErrNotReady reports whether err is or wraps an ErrNotReady.
+func IsErrNotReady(err error) bool {
+	return errors.As(err, new(ErrNotReady))
+}
+
 // ErrorBody is the JSON body of an error.
 type ErrorBody struct {
 	Error   ErrorDetail
@@ -67,7 +84,10 @@
 	var notRun dispatch.ErrNotRun
 	var unknown dispatch.ErrUnknown
 	var unkept dispatch.ErrRanUnkept
+	var waiting ErrNotReady
 	switch {
+	case errors.As(err, &waiting):
+		return http.StatusServiceUnavailable, describeNotReady(waiting)
 	case errors.As(err, &bad):
 		return bad.Status, ErrorBody{Error: ErrorDetail{Type: bad.Type, Reason: bad.Reason}, Outcome: outcome.NotRun}
 	case errors.As(err, &notRun):
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -88,16 +88,21 @@
 	handler.writeAnswer(writer, id, answer)
 }
 
-// refuse sends an error of the request itself. The rest of the body is not read, so the connection
-// is closed. Before it closes, net/http reads on for a while; without a deadline a caller who sends
-// nothing more would hold the connection for ever.
+// refuse sends an error of the request itself.
 func (handler *Handler) refuse(writer http.ResponseWriter, err error) {
 	badRequests.Inc()
-	if err := http.NewResponseController(writer).SetReadDeadline(deadline(handler.settings.HeaderTimeout)); err != nil {
+	closeAfter(writer, handler.settings)
+	writeError(writer, err)
+}
+
+// closeAfter closes the connection after an answer that does not read the rest of the body. Before it
+// closes, net/http reads on for a while; without a deadline a caller who sends nothing more would hold
+// the connection for ever.
+func closeAfter(writer http.ResponseWriter, settings Settings) {
+	if err := http.NewResponseController(writer).SetReadDeadline(deadline(settings.HeaderTimeout)); err != nil {
 		klog.V(1).InfoS("No read deadline", "Reason", err.Error())
 	}
 	writer.Header().Set("Connection", "close")
-	writeError(writer, err)
 }
 
 func (handler *Handler) writeDeadline(writer http.ResponseWriter) error {
--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -115,7 +115,12 @@
 	if err != nil {
 		return err
 	}
-	var server *entry.Server
+	var secure *tls.Config
+	if ring != nil {
+		// Callers and operators have no certificates; operators are known by their tokens.
+		secure = ring.OpenConfig()
+	}
+	server := entry.Listen(listeners, callerSettings(settings.Requests), secure, controlOptions(ring, controlpb.EntryCallers())...)
 	lifecycle.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
 			daemon, err := newEntry(ctx, settings, source, store, agents, pool)
@@ -126,13 +131,7 @@
 			if err != nil {
 				return err
 			}
-			var secure *tls.Config
-			if ring != nil {
-				// Callers and operators have no certificates; operators are known by their tokens.
-				secure = ring.OpenConfig()
-			}
-			server = entry.NewServer(daemon, listeners, operators, callerSettings(settings.Requests), secure,
-				controlOptions(ring, controlpb.EntryCallers())...)
+			server.Serve(daemon, operators)
 			return nil
 		},
 		OnStop: func(ctx context.Context) error { return server.Shutdown(ctx) },
--- a/entry/server.go
+++ b/entry/server.go
@@ -4,10 +4,9 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
-	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -15,9 +14,8 @@
 	"k8s.io/klog/v2"
 
 	"hyssopjunction/caller"
-	"hyssopjunction/clock"
 	"hyssopjunction/controlpb"
-	"hyssopjunction/outcome"
+	"hyssopjunction/operator"
 	"hyssopjunction/probe"
 )
 
@@ -34,70 +32,105 @@
 	Metrics net.Listener
 }
 
+// startingReason is told to callers and operators before the entry has read its row.
+const startingReason = "the entry is starting and waits for the table service"
+
 // operatorReadTimeout bounds the time in which an operator's request must arrive. It exceeds the
 // longest wait of 30 s plus 10 s, because net/http takes the end of the time for a caller that has gone.
 const operatorReadTimeout = 45 * time.Second
 
-// Server serves an entry's APIs.
+// Server serves an entry's APIs. From the start on it answers probes and tells callers and operators to
+// come back; once it has an entry, it serves all of it.
 type Server struct {
-	entry    *Entry
-	control  *grpc.Server
-	caller   *http.Server
-	operator *http.Server
-	metrics  *http.Server
+	settings  caller.Settings
+	listeners Listeners
+	options   []grpc.ServerOption
+	entry     atomic.Pointer[Entry]
+	control   *grpc.Server
+	gate      *gate
+	caller    *http.Server
+	operator  *http.Server
+	metrics   *http.Server
+	// callers and operators are the handlers in use.
+	callers   atomic.Pointer[http.Handler]
+	operators atomic.Pointer[http.Handler]
 }
 
 // NewServer serves the entry on the listeners. HTTP is encrypted if secure is not nil, gRPC as the
 // options say.
 func NewServer(entry *Entry, listeners Listeners, operators http.Handler, settings caller.Settings, secure *tls.Config, options ...grpc.ServerOption) *Server {
-	server := &Server{entry: entry, control: grpc.NewServer(append(controlpb.ServerOptions(), options...)...)}
-	controlpb.RegisterEntryServer(server.control, entry)
-	go func() {
-		if err := server.control.Serve(listeners.Control); err != nil {
-			klog.ErrorS(err, "Control server ended")
-		}
-	}()
-	// Cleaning a path would answer with a redirect instead of a typed error.
-	router := mux.NewRouter().UseEncodedPath().SkipClean(true)
-	router.Use(entry.refuseUntilReady)
-	probe.Register(router, entry.Ready)
-	caller.New(entry.Dispatcher(), entry.NewRequest, settings).Register(router)
-	server.caller = caller.NewServer(router, settings)
+	server := Listen(listeners, settings, secure, options...)
+	server.Serve(entry, operators)
+	return server
+}
+
+// Listen answers on the listeners for an entry that does not exist yet, for example because it waits
+// for the table. Connections of other daemons are closed, so that these turn to another entry at once.
+func Listen(listeners Listeners, settings caller.Settings, secure *tls.Config, options ...grpc.ServerOption) *Server {
+	server := &Server{settings: settings, listeners: listeners, options: options, gate: newGate(listeners.Control)}
+	server.setCallers(caller.NotReady(settings, startingReason, probe.Router(server.Ready)))
+	server.setOperators(operator.NotReady(startingReason))
+	server.caller = caller.NewServer(current(&server.callers), settings)
 	serveHTTP(server.caller, listeners.Caller, secure)
 	if listeners.Operator != nil {
-		server.operator = caller.NewServer(operators, settings)
+		server.operator = caller.NewServer(current(&server.operators), settings)
 		server.operator.ReadTimeout = operatorReadTimeout
 		serveHTTP(server.operator, listeners.Operator, secure)
 	}
 	if listeners.Metrics != nil {
-		server.metrics = caller.NewServer(probe.New(entry.Ready), settings)
+		server.metrics = caller.NewServer(probe.New(server.Ready), settings)
 		serveHTTP(server.metrics, listeners.Metrics, nil)
 	}
 	return server
 }
 
-// notReadyRetry is told to callers that reach an entry before it knows the configuration.
-const notReadyRetry = clock.Second
+// Serve serves the entry from now on. It is called once.
+func (server *Server) Serve(entry *Entry, operators http.Handler) {
+	server.entry.Store(entry)
+	server.setOperators(operators)
+	server.setCallers(server.callersOf(entry))
+	server.control = grpc.NewServer(append(controlpb.ServerOptions(), server.options...)...)
+	controlpb.RegisterEntryServer(server.control, entry)
+	server.gate.release()
+	go func() {
+		if err := server.control.Serve(server.listeners.Control); err != nil {
+			klog.ErrorS(err, "Control server ended")
+		}
+	}()
+}
+
+// Ready reports whether there is an entry and it serves callers.
+func (server *Server) Ready() bool {
+	entry := server.entry.Load()
+	return entry != nil && entry.Ready()
+}
+
+// callersOf returns the callers' API, which needs the configuration in force.
+func (server *Server) callersOf(entry *Entry) http.Handler {
+	// Cleaning a path would answer with a redirect instead of a typed error.
+	router := mux.NewRouter().UseEncodedPath().SkipClean(true)
+	router.Use(func(next http.Handler) http.Handler {
+		waiting := caller.NotReady(server.settings, "the configuration is not loaded", next)
+		return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			if entry.publisher.Ready() {
+				next.ServeHTTP(writer, request)
+				return
+			}
+			waiting.ServeHTTP(writer, request)
+		})
+	})
+	probe.Register(router, entry.Ready)
+	caller.New(entry.Dispatcher(), entry.NewRequest, server.settings).Register(router)
+	return router
+}
 
-// refuseUntilReady answers callers' requests with 503 until the configuration in force is known. A
-// keyed submission may have run before, so its outcome is unknown.
-func (entry *Entry) refuseUntilReady(next http.Handler) http.Handler {
+func (server *Server) setCallers(handler http.Handler)   { server.callers.Store(&handler) }
+func (server *Server) setOperators(handler http.Handler) { server.operators.Store(&handler) }
+
+// current returns a handler that passes each request to the handler in use.
+func current(inUse *atomic.Pointer[http.Handler]) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		if entry.publisher.Ready() || !strings.HasPrefix(request.URL.Path, "/v1/") {
-			next.ServeHTTP(writer, request)
-			return
-		}
-		known := outcome.NotRun
-		if request.Header.Get("Request-Key") != "" {
-			known = outcome.Unknown
-		}
-		header := writer.Header()
-		header.Set("Content-Type", "application/json")
-		header.Set("Outcome", known.String())
-		header.Set("Retry-After", "1")
-		writer.WriteHeader(http.StatusServiceUnavailable)
-		_, _ = fmt.Fprintf(writer, `{"Error":{"Type":"NotReady","Reason":"the configuration is not loaded","RetryAfterMillis":%d},"Outcome":%q}`,
-			notReadyRetry, known)
+		(*inUse.Load()).ServeHTTP(writer, request)
 	})
 }
 
@@ -114,7 +147,10 @@
 
 // Shutdown ends the entry gracefully within ctx and then its servers.
 func (server *Server) Shutdown(ctx context.Context) error {
-	err := server.entry.Shutdown(ctx)
+	var err error
+	if entry := server.entry.Load(); entry != nil {
+		err = entry.Shutdown(ctx)
+	}
 	for _, part := range []*http.Server{server.caller, server.operator, server.metrics} {
 		if part == nil {
 			continue
@@ -123,17 +159,27 @@
 			err = shutdownErr
 		}
 	}
-	server.control.Stop()
+	server.stopControl()
 	return err
 }
 
 // Close ends the servers and the entry at once, as a crash would.
 func (server *Server) Close() {
-	server.control.Stop()
+	server.stopControl()
 	for _, part := range []*http.Server{server.caller, server.operator, server.metrics} {
 		if part != nil {
 			_ = part.Close()
 		}
 	}
-	server.entry.Close()
+	if entry := server.entry.Load(); entry != nil {
+		entry.Close()
+	}
+}
+
+func (server *Server) stopControl() {
+	if server.control != nil {
+		server.control.Stop()
+		return
+	}
+	_ = server.listeners.Control.Close()
 }
--- a/operator/server.go
+++ b/operator/server.go
@@ -79,6 +79,15 @@
 	server.router.ServeHTTP(writer, request)
 }
 
+// NotReady returns a handler that refuses every call with ErrRetryLater. Credentials are not looked at,
+// because nothing but the reason is told.
+func NotReady(reason string) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		status, body := failure(ErrRetryLater{Reason: reason, RetryAfter: clock.Second})
+		reply(writer, status, body)
+	})
+}
+
 // handle registers a call. Changing calls need a request key and a credential that is not read-only.
 func handle[Result any](server *Server, method, path string, changes bool, serve func(request *http.Request, call Call) (Result, error)) {
 	route := server.router.Path(Prefix + path).Methods(method)
--- a/probe/probe.go
+++ b/probe/probe.go
@@ -23,10 +23,16 @@
 	}).Methods(http.MethodGet)
 }
 
-// New returns a handler of /healthz, /readyz and /metrics.
-func New(ready func() bool) http.Handler {
+// Router returns a handler of /healthz and /readyz.
+func Router(ready func() bool) *mux.Router {
 	router := mux.NewRouter()
 	Register(router, ready)
+	return router
+}
+
+// New returns a handler of /healthz, /readyz and /metrics.
+func New(ready func() bool) http.Handler {
+	router := Router(ready)
 	router.HandleFunc("/metrics", func(writer http.ResponseWriter, _ *http.Request) {
 		metrics.WritePrometheus(writer, true)
 	}).Methods(http.MethodGet)
