Apply the limits of a service and drop fields that nothing used

The column P99 of ctl service list was always empty, and so were the presets' descriptions. Found by going through the commands of the quick start.

Change: the tolerated slowdown of a service replaces the preset's in the governor, its retention lengthens the entry's, P99 comes from response times of the last one to two minutes, presets have descriptions. Fields without effect are gone; documents of earlier versions that have them stay readable, as unknown fields never block (TestOldFaultsDoNotBlock). A job name that is taken gets ErrTaken with its owner; before, ctl said that the job was changed by its team to version 0.

The test of faults names the new fields instead of the removed ones.

Conclusion: every option of ctl service has an effect now. A class of its own for a service is not needed, its name is the class.

--- a/cmd/ctl.go
+++ b/cmd/ctl.go
@@ -184,7 +184,7 @@
 		return err
 	case operator.IsErrBadRequest(err):
 		code = ExitUsage
-	case operator.IsErrConflict(err), operator.IsErrElsewhere(err):
+	case operator.IsErrConflict(err), operator.IsErrTaken(err), operator.IsErrElsewhere(err):
 		code = ExitConflict
 	case operator.IsErrNotFound(err):
 		code = ExitNotFound
--- a/config/bench_test.go
+++ b/config/bench_test.go
@@ -149,7 +149,7 @@
 				change := config.Change{Operator: "setup"}
 				for index := first; index < min(first+50, documents); index++ {
 					change.Edits = append(change.Edits, config.Edit{
-						Document: config.TeamName(ident.Team(fmt.Sprintf("t%d", index))), Value: value(config.Team{Weight: 1}),
+						Document: config.TeamName(ident.Team(fmt.Sprintf("t%d", index))), Value: value(config.Team{}),
 					})
 				}
 				if _, err := editor.Apply(context.Background(), change); err != nil {
@@ -172,7 +172,7 @@
 			b.ReportMetric(float64(calls-callsBefore)/float64(loads), "calls/load")
 			b.ReportMetric(float64(rows-rowsBefore)/float64(loads)/float64(len(publisher.Current().Names())), "rows/baseline")
 			_, _, before := memory.Calls()
-			if _, err := editor.Apply(context.Background(), edit("anna", "Teams/new", 0, value(config.Team{Weight: 1}))); err != nil {
+			if _, err := editor.Apply(context.Background(), edit("anna", "Teams/new", 0, value(config.Team{}))); err != nil {
 				b.Fatal(err)
 			}
 			if err := reader.Refresh(context.Background()); err != nil {
--- a/config/build.go
+++ b/config/build.go
@@ -91,13 +91,6 @@
 				Document: ServiceName(name), Field: "Team", Reason: "names no team: " + string(service.Team),
 			})
 		}
-		for _, dataCentre := range service.DataCentres {
-			if _, ok := view.dataCentres[dataCentre]; !ok {
-				faults = append(faults, Fault{
-					Document: ServiceName(name), Field: "DataCentres", Reason: "names no data centre: " + string(dataCentre),
-				})
-			}
-		}
 	}
 	return faults
 }
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -177,10 +177,10 @@
 	memory, _ := prepared()
 	editor, publisher := newEditor(memory, clock.NewFake(0), 1)
 	change := config.Change{Operator: "anna", Edits: []config.Edit{
-		{Document: "Services/checks", Value: json.RawMessage(`{"Team":"nobody","Priority":12,"patience":3,
-			"PatienceMillis":0,"Slots":9,"Connections":65,"LatencyTargetMillis":5,"Extra":{"a":1},"DataCentres":["nowhere","nowhere"]}`)},
+		{Document: "Services/checks", Value: json.RawMessage(`{"Team":"nobody","patience":3,
+			"PatienceMillis":0,"SlowdownLimitPercent":99,"RetentionMillis":-1,"Extra":{"a":1}}`)},
 		{Document: "Presets/Bad", Value: json.RawMessage(`{"Other":{"TailLatency":101,"Unknown":1},"SlowdownLimitPercent":"x"}`)},
-		{Document: "Teams/t1", Value: json.RawMessage(`{"Weight":0,"Weight":0,"Quotas":{"mars":{"CPU":-1}}}`)},
+		{Document: "Teams/t1", Value: json.RawMessage(`{"Extra":0,"Extra":0,"Quotas":{"mars":{"CPU":-1}}}`)},
 		{Document: "Nonsense/x", Value: json.RawMessage(`{}`)},
 		{Document: config.InForce, Base: 1, Value: json.RawMessage(`{"Preset":"Missing"}`)},
 	}}
@@ -198,9 +198,9 @@
 		fields[string(fault.Document)+" "+fault.Field] = true
 	}
 	for _, want := range []string{
-		"Services/checks Priority", "Services/checks patience", "Services/checks PatienceMillis", "Services/checks Slots",
-		"Services/checks Connections", "Services/checks Extra", "Services/checks DataCentres", "Presets/Bad SlowdownLimitPercent",
-		"Presets/Bad Other.Unknown", "Presets/Bad Other.TailLatency", "Teams/t1 Weight", "Teams/t1 Quotas.mars.CPU", "Nonsense/x ",
+		"Services/checks patience", "Services/checks PatienceMillis", "Services/checks SlowdownLimitPercent",
+		"Services/checks RetentionMillis", "Services/checks Extra", "Presets/Bad SlowdownLimitPercent",
+		"Presets/Bad Other.Unknown", "Presets/Bad Other.TailLatency", "Teams/t1 Extra", "Teams/t1 Quotas.mars.CPU", "Nonsense/x ",
 		"Services/checks Team", "Preset Preset", "Teams/t1 Quotas.mars",
 	} {
 		if !fields[want] {
--- a/config/defaults.go
+++ b/config/defaults.go
@@ -23,6 +23,7 @@
 func DefaultPresets() map[ident.Preset]Preset {
 	return map[ident.Preset]Preset{
 		Ordinary: {
+			Description: "ordinary days",
 			Weights: map[ident.Team]Weights{
 				Omaruru:   {TailLatency: 70, Throughput: 15, Evictions: 15},
 				Modelwerf: {TailLatency: 20, Throughput: 45, Evictions: 35},
@@ -31,12 +32,11 @@
 			HeadroomPercent:      15,
 			SlowdownLimitPercent: 130,
 			EvictionsPerHour:     20,
-			ShedBelowPriority:    2,
 			StartBatch:           true,
-			DrainingWorkers:      2,
 		},
 		// More capacity is kept free for short requests, and batch tasks give way earlier.
 		Peak: {
+			Description: "peaks: more free capacity for services, batch tasks give way earlier",
 			Weights: map[ident.Team]Weights{
 				Omaruru:   {TailLatency: 85, Throughput: 5, Evictions: 10},
 				Modelwerf: {TailLatency: 30, Throughput: 40, Evictions: 30},
@@ -45,13 +45,12 @@
 			HeadroomPercent:      30,
 			SlowdownLimitPercent: 115,
 			EvictionsPerHour:     60,
-			ShedBelowPriority:    4,
 			StartBatch:           true,
-			DrainingWorkers:      0,
 		},
 		// Workers are drained for replacement, so evictions count most and no batch task is started
 		// that would have to be evicted soon.
 		Maintenance: {
+			Description: "maintenance: no ordinary batch task starts, few evictions",
 			Weights: map[ident.Team]Weights{
 				Omaruru:   {TailLatency: 60, Throughput: 10, Evictions: 30},
 				Modelwerf: {TailLatency: 15, Throughput: 35, Evictions: 50},
@@ -60,9 +59,7 @@
 			HeadroomPercent:      25,
 			SlowdownLimitPercent: 140,
 			EvictionsPerHour:     10,
-			ShedBelowPriority:    2,
 			StartBatch:           false,
-			DrainingWorkers:      10,
 		},
 	}
 }
--- a/config/documents.go
+++ b/config/documents.go
@@ -59,6 +59,8 @@
 
 // Preset is a document under PresetsPrefix: the operators' setting for a kind of day.
 type Preset struct {
+	// Description tells operators when to use the preset.
+	Description string `json:",omitempty"`
 	// Weights are those of teams with their own, Other those of all other teams.
 	Weights map[ident.Team]Weights
 	Other   Weights
@@ -69,13 +71,8 @@
 	SlowdownLimitPercent int
 	// EvictionsPerHour bounds the evictions that are not needed for urgent work.
 	EvictionsPerHour int
-	// ShedBelowPriority is the priority below which requests are refused when an endpoint is
-	// overloaded.
-	ShedBelowPriority int
 	// StartBatch tells whether ordinary batch tasks are started.
 	StartBatch bool
-	// DrainingWorkers is the number of workers that may be drained at the same time.
-	DrainingWorkers int
 }
 
 // WeightsOf returns the weights of a team.
@@ -100,31 +97,20 @@
 	// Quotas are the resources of the team by region. CPU is in thousandths of a core and Memory in
 	// MiB.
 	Quotas map[ident.Region]unit.Resources
-	// Weight is the team's share relative to other teams when capacity is short.
-	Weight int
 }
 
-// Service is a document under ServicesPrefix.
+// Service is a document under ServicesPrefix. Its name is also the class of its work for learned
+// interference.
 type Service struct {
 	Team ident.Team
 	// Idempotent services may run a request twice, so that requests with an unknown outcome are
 	// retried.
 	Idempotent bool
-	// Priority is from 0 to 9; 9 is shed last.
-	Priority int
 	// PatienceMillis is the deadline of requests that state none.
 	PatienceMillis clock.Millis
-	// DataCentres are where the service may run; empty means anywhere.
-	DataCentres []ident.DataCentre
-	// Slots and Connections are the limits of each endpoint.
-	Slots       int
-	Connections int
-	// LatencyTargetMillis is the service time that requests should not exceed.
-	LatencyTargetMillis clock.Millis
+	// SlowdownLimitPercent replaces that of the preset in force; 0 keeps it.
+	SlowdownLimitPercent int `json:",omitempty"`
+	// RetentionMillis is how long results of keyed requests are kept, if that is longer than the
+	// entries' own retention.
+	RetentionMillis clock.Millis `json:",omitempty"`
 }
-
-// Limits of each endpoint on the platform.
-const (
-	MaxSlots       = 8
-	MaxConnections = 64
-)
--- a/config/fuzz_test.go
+++ b/config/fuzz_test.go
@@ -15,10 +15,10 @@
 // FuzzChange guards against a panic on an operator's document, and against an accepted document that
 // another daemon reads differently or would refuse.
 func FuzzChange(f *testing.F) {
-	f.Add("Services/checks", []byte(`{"Team":"Omaruru","Priority":5,"PatienceMillis":900,"Slots":8,"Connections":64,"LatencyTargetMillis":50}`))
+	f.Add("Services/checks", []byte(`{"Team":"Omaruru","PatienceMillis":900,"SlowdownLimitPercent":120,"RetentionMillis":50}`))
 	f.Add("Presets/Night", []byte(`{"Other":{"TailLatency":1},"SlowdownLimitPercent":120}`))
 	f.Add("DataCentres/gent", []byte(`{"Open":true,"Region":"flanders","DrainMillis":5}`))
-	f.Add("Teams/t", []byte(`{"Weight":1,"Quotas":{"flanders":{"CPU":5}}}`))
+	f.Add("Teams/t", []byte(`{"Quotas":{"flanders":{"CPU":5}}}`))
 	f.Add("Preset", []byte(`{"Preset":"Peak","preset":"x"}`))
 	f.Fuzz(func(t *testing.T, name string, document []byte) {
 		memory, version := prepared()
--- a/config/validate.go
+++ b/config/validate.go
@@ -16,12 +16,14 @@
 
 // Ranges of the documents' fields.
 const (
-	maxPercent     = 100
-	maxPriority    = 9
-	maxWeight      = 1000
-	maxEvictions   = 100_000
-	maxDraining    = 10_000
-	maxDrainMillis = clock.Hour
+	maxPercent   = 100
+	maxEvictions = 100_000
+	// Slowdowns are in percent, where 100 is undisturbed.
+	minSlowdown         = 100
+	maxSlowdown         = 1000
+	maxDescriptionBytes = 200
+	maxRetentionMillis  = 7 * clock.Day
+	maxDrainMillis      = clock.Hour
 	// A stream stays open for a day.
 	maxPatienceMillis = clock.Day
 	maxCPU            = unit.MilliCPU(10_000_000)
@@ -144,10 +146,11 @@
 	}
 	preset.Other.check(checker, "Other")
 	within(checker, "HeadroomPercent", preset.HeadroomPercent, 0, 90)
-	within(checker, "SlowdownLimitPercent", preset.SlowdownLimitPercent, 100, 1000)
+	within(checker, "SlowdownLimitPercent", preset.SlowdownLimitPercent, minSlowdown, maxSlowdown)
+	if len(preset.Description) > maxDescriptionBytes {
+		checker.fault("Description", "has %d bytes, more than %d", len(preset.Description), maxDescriptionBytes)
+	}
 	within(checker, "EvictionsPerHour", preset.EvictionsPerHour, 0, maxEvictions)
-	within(checker, "ShedBelowPriority", preset.ShedBelowPriority, 0, maxPriority)
-	within(checker, "DrainingWorkers", preset.DrainingWorkers, 0, maxDraining)
 }
 
 func (dataCentre DataCentre) check(checker *checker) {
@@ -156,7 +159,6 @@
 }
 
 func (team Team) check(checker *checker) {
-	within(checker, "Weight", team.Weight, 1, maxWeight)
 	for _, region := range set.SortedKeys(team.Quotas) {
 		field := "Quotas." + string(region)
 		named(checker, field, region)
@@ -169,19 +171,9 @@
 
 func (service Service) check(checker *checker) {
 	named(checker, "Team", service.Team)
-	within(checker, "Priority", service.Priority, 0, maxPriority)
 	within(checker, "PatienceMillis", service.PatienceMillis, 1, maxPatienceMillis)
-	within(checker, "Slots", service.Slots, 1, MaxSlots)
-	within(checker, "Connections", service.Connections, 1, MaxConnections)
-	within(checker, "LatencyTargetMillis", service.LatencyTargetMillis, 1, maxPatienceMillis)
-	if service.LatencyTargetMillis > service.PatienceMillis {
-		checker.fault("LatencyTargetMillis", "is %d, more than PatienceMillis", service.LatencyTargetMillis)
-	}
-	seen := set.New[ident.DataCentre]()
-	for _, dataCentre := range service.DataCentres {
-		named(checker, "DataCentres", dataCentre)
-		if !seen.Add(dataCentre) {
-			checker.fault("DataCentres", "names %s twice", dataCentre)
-		}
+	if service.SlowdownLimitPercent != 0 {
+		within(checker, "SlowdownLimitPercent", service.SlowdownLimitPercent, minSlowdown, maxSlowdown)
 	}
+	within(checker, "RetentionMillis", service.RetentionMillis, 0, maxRetentionMillis)
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -65,6 +65,7 @@
 	limiter    *admission.Limiter
 	requests   func() ident.Request
 	unrecorded unrecorded
+	responses  latencyBook
 	// decisions counts the routing decisions, for sampling.
 	decisions atomic.Uint64
 
@@ -84,6 +85,7 @@
 	return &Dispatcher{
 		settings: settings, clock: time, agents: agents, view: view, ledger: ledger, budget: budget,
 		limiter: limiter, requests: requests, stopped: make(chan struct{}),
+		responses: latencyBook{services: map[ident.Service]*latency{}},
 	}
 }
 
@@ -123,7 +125,11 @@
 	answer.Outcome = outcomeOf(err)
 	outcomeCounters[answer.Outcome].Inc()
 	countReason(err)
-	latencies.Update(float64(dispatcher.clock.Now().Sub(started)))
+	now := dispatcher.clock.Now()
+	latencies.Update(float64(now.Sub(started)))
+	if answer.Outcome != outcome.NotRun {
+		dispatcher.responses.record(request.Service, now.Sub(started), now)
+	}
 	if err != nil && klog.V(1).Enabled() {
 		klog.InfoS("Request without answer", "Request", request.ID, "Service", request.Service, "Team", request.Team,
 			"Outcome", answer.Outcome, "Reason", err.Error())
--- a/entry/govern.go
+++ b/entry/govern.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"cmp"
+
 	"k8s.io/klog/v2"
 
 	"hyssopjunction/clock"
@@ -75,13 +77,19 @@
 	return all
 }
 
+// slowdownLimit is the slowdown that a service tolerates, in percent.
+func (entry *Entry) slowdownLimit(name ident.Service) int {
+	service, _ := entry.publisher.Current().Service(name)
+	return cmp.Or(service.SlowdownLimitPercent, entry.slowdownTarget)
+}
+
 // govern throttles, checkpoints or evicts tasks that slow the endpoint down too much.
 func (entry *Entry) govern(state *controlpb.WorkerState, now clock.Time) {
 	name := ident.Worker(state.GetWorker())
 	service := ident.Service(state.GetEndpoint().GetService())
 	reading := interference.Reading{
 		Worker: name, Service: service, Class: string(service),
-		Slowdown: int(state.GetEndpoint().GetSlowdownPercent()), Target: entry.slowdownTarget,
+		Slowdown: int(state.GetEndpoint().GetSlowdownPercent()), Target: entry.slowdownLimit(service),
 		Load: int(state.GetLoadPercent()),
 	}
 	for _, known := range entry.residents[name] {
--- a/entry/names.go
+++ b/entry/names.go
@@ -17,7 +17,9 @@
 	return ident.Request(fmt.Sprintf("%s-%d-r%d", entry.settings.ID, entry.incarnation, entry.writes.Add(1)))
 }
 
-// retention is how long the claim rows of a service are kept.
-func (entry *Entry) retention(ident.Service) clock.Millis {
-	return entry.settings.Retention
+// retention is how long the claim rows of a service are kept. A service can only lengthen the entry's
+// time, which is not below the longest patience of a request.
+func (entry *Entry) retention(name ident.Service) clock.Millis {
+	service, _ := entry.publisher.Current().Service(name)
+	return max(entry.settings.Retention, service.RetentionMillis)
 }
--- a/entry/operations.go
+++ b/entry/operations.go
@@ -94,7 +94,8 @@
 	document, _ := view.Document(config.InForce)
 	list := operator.PresetList{InForce: inForce, Version: document.Version, Operator: document.Operator}
 	for _, name := range view.Presets() {
-		list.Presets = append(list.Presets, operator.PresetState{Preset: name})
+		preset, _ := view.Preset(name)
+		list.Presets = append(list.Presets, operator.PresetState{Preset: name, Description: preset.Description})
 	}
 	return list, nil
 }
@@ -177,22 +178,21 @@
 		list.Services = append(list.Services, operator.ServiceState{
 			ServiceChange: operator.ServiceChange{
 				Service: name, Team: service.Team, Idempotent: service.Idempotent, PatienceMillis: service.PatienceMillis,
+				TargetSlowdown: service.SlowdownLimitPercent, RetentionMillis: service.RetentionMillis,
 			},
 			Version: document.Version, Operator: document.Operator,
+			P99Millis: operations.entry.dispatcher.P99(name),
 			Endpoints: len(operations.entry.view.Current().Endpoints[name]),
 		})
 	}
 	return list, nil
 }
 
-// defaultPriority is that of a service whose priority operators did not set.
-const defaultPriority = 5
-
 // SetService creates or replaces a service.
 func (operations *operations) SetService(ctx context.Context, call operator.Call, change operator.ServiceChange) (operator.Accepted, error) {
 	value := config.Service{
-		Team: change.Team, Idempotent: change.Idempotent, Priority: defaultPriority, PatienceMillis: change.PatienceMillis,
-		Slots: config.MaxSlots, Connections: config.MaxConnections, LatencyTargetMillis: change.PatienceMillis,
+		Team: change.Team, Idempotent: change.Idempotent, PatienceMillis: change.PatienceMillis,
+		SlowdownLimitPercent: change.TargetSlowdown, RetentionMillis: change.RetentionMillis,
 	}
 	edit, err := operations.edit(ctx, config.ServiceName(change.Service), change.IfVersion, value)
 	if err != nil {
@@ -243,7 +243,7 @@
 	}
 	value, known := operations.view().Team(change.Team)
 	if !known {
-		value = config.Team{Weight: 1}
+		value = config.Team{}
 	}
 	quotas := map[ident.Region]unit.Resources{region: change.Quota}
 	for other, quota := range value.Quotas {
--- a/entry/operations_jobs.go
+++ b/entry/operations_jobs.go
@@ -69,7 +69,7 @@
 		return operator.JobState{}, err
 	}
 	if !reflect.DeepEqual(content.Spec, spec) {
-		return operator.JobState{}, operator.ErrConflict{Document: "Job/" + string(spec.Job), Winner: string(content.Spec.Team)}
+		return operator.JobState{}, operator.ErrTaken{Kind: "Job", Name: string(spec.Job), Team: content.Spec.Team}
 	}
 	return stateOf(content), nil
 }
--- a/entry/regionbench_test.go
+++ b/entry/regionbench_test.go
@@ -54,7 +54,7 @@
 	}
 	for index := range benchTeams {
 		pair.edit(b, &change, config.TeamName(ident.Team(fmt.Sprintf("team-%d", index))), config.Team{
-			Quotas: map[ident.Region]unit.Resources{"north": testGrant}, Weight: 1,
+			Quotas: map[ident.Region]unit.Resources{"north": testGrant},
 		})
 		if len(change.Edits) == 32 || index == benchTeams-1 {
 			if _, err := pair.links["north-0"].editor.Apply(context.Background(), change); err != nil {
@@ -93,7 +93,7 @@
 		if second%(int(clock.Hour/clock.Second)/changesPerHour) == 0 {
 			change := config.Change{Operator: "anna"}
 			pair.edit(b, &change, config.TeamName(ident.Team(fmt.Sprintf("team-%d", second%benchTeams))), config.Team{
-				Quotas: map[ident.Region]unit.Resources{"north": testGrant}, Weight: 2 + second/benchTeams,
+				Quotas: map[ident.Region]unit.Resources{"north": testGrant.Add(unit.Resources{CPU: unit.MilliCPU(second)})},
 			})
 			if _, err := pair.links["north-0"].editor.Apply(context.Background(), change); err != nil {
 				b.Fatal(err)
--- a/entry/regionentries_test.go
+++ b/entry/regionentries_test.go
@@ -129,7 +129,7 @@
 			time.Sleep(10 * time.Second)
 		}
 		applyTo(t, network.entries["north-0"], config.TeamName(testTeam), config.Team{
-			Quotas: map[ident.Region]unit.Resources{"north": testGrant, "south": testGrant}, Weight: 1,
+			Quotas: map[ident.Region]unit.Resources{"north": testGrant, "south": testGrant},
 		})
 		time.Sleep(30 * time.Second)
 		if sum, ok := regions.sum(); !ok || sum != testGrant.Times(2) {
--- a/entry/regions_test.go
+++ b/entry/regions_test.go
@@ -39,7 +39,7 @@
 	// A quota needs a data centre in its region, so the team comes after the import.
 	pair.converge(30)
 	if err := pair.put("north-0", config.TeamName(testTeam), config.Team{
-		Quotas: map[ident.Region]unit.Resources{"north": testGrant, "south": testGrant}, Weight: 1,
+		Quotas: map[ident.Region]unit.Resources{"north": testGrant, "south": testGrant},
 	}); err != nil {
 		pair.t.Fatal(err)
 	}
@@ -198,7 +198,7 @@
 		}
 		lowered := unit.Resources{}
 		if err := pair.put("north-1", config.TeamName(testTeam), config.Team{
-			Quotas: map[ident.Region]unit.Resources{"north": testGrant, "south": lowered}, Weight: 1,
+			Quotas: map[ident.Region]unit.Resources{"north": testGrant, "south": lowered},
 		}); err != nil {
 			t.Fatal(err)
 		}
--- a/operator/check.go
+++ b/operator/check.go
@@ -40,7 +40,7 @@
 	if change.PatienceMillis <= 0 {
 		return ErrBadRequest{Field: "PatienceMillis", Reason: "must be positive"}
 	}
-	return first(identifier("Service", change.Service), identifier("Team", change.Team), optional("Class", change.Class),
+	return first(identifier("Service", change.Service), identifier("Team", change.Team),
 		duration("PatienceMillis", change.PatienceMillis), duration("RetentionMillis", change.RetentionMillis))
 }
 
--- a/operator/errors.go
+++ b/operator/errors.go
@@ -81,6 +81,24 @@
 	return errors.As(err, new(ErrConflict))
 }
 
+// ErrTaken reports a name that something else was created with.
+type ErrTaken struct {
+	Kind string
+	Name string
+	// Team owns what has the name.
+	Team ident.Team
+}
+
+// Error describes what has the name.
+func (err ErrTaken) Error() string {
+	return fmt.Sprintf("%s %q of team %q exists already and differs", err.Kind, err.Name, err.Team)
+}
+
+// IsErrTaken reports whether err is or wraps an ErrTaken.
+func IsErrTaken(err error) bool {
+	return errors.As(err, new(ErrTaken))
+}
+
 // ErrElsewhere reports a change of a document that is accepted only in its home region. The call had
 // no effect.
 type ErrElsewhere struct {
@@ -171,8 +189,8 @@
 	Type             string
 	Reason           string
 	RetryAfterMillis clock.Millis
-	// Document, Winner and Version are set for ErrConflict, Kind and Name for ErrNotFound, Field for
-	// ErrBadRequest, Request for ErrUnknownOutcome, and Document and Region for ErrElsewhere.
+	// Document, Winner and Version are set for ErrConflict, Kind and Name for ErrNotFound, these and
+	// Team for ErrTaken, Field for ErrBadRequest, Request for ErrUnknownOutcome, and Document and Region for ErrElsewhere.
 	Document string        `json:",omitempty"`
 	Winner   string        `json:",omitempty"`
 	Version  ident.Version `json:",omitempty"`
@@ -181,6 +199,7 @@
 	Field    string        `json:",omitempty"`
 	Request  ident.Request `json:",omitempty"`
 	Region   ident.Region  `json:",omitempty"`
+	Team     ident.Team    `json:",omitempty"`
 }
 
 // translate turns errors of the table and of contexts into those of this package. Request is empty
@@ -218,6 +237,7 @@
 	var bad ErrBadRequest
 	var missing ErrNotFound
 	var elsewhere ErrElsewhere
+	var taken ErrTaken
 	described := FailureError{Type: "ErrInternal", Reason: err.Error()}
 	status := http.StatusInternalServerError
 	switch {
@@ -236,6 +256,9 @@
 	case errors.As(err, &conflict):
 		described.Type, status = "ErrConflict", http.StatusConflict
 		described.Document, described.Winner, described.Version = conflict.Document, conflict.Winner, conflict.Version
+	case errors.As(err, &taken):
+		described.Type, status = "ErrTaken", http.StatusConflict
+		described.Kind, described.Name, described.Team = taken.Kind, taken.Name, taken.Team
 	case errors.As(err, &elsewhere):
 		described.Type, status = "ErrElsewhere", http.StatusMisdirectedRequest
 		described.Document, described.Region = elsewhere.Document, elsewhere.Region
@@ -262,6 +285,8 @@
 		return ErrNotFound{Kind: described.Kind, Name: described.Name}
 	case "ErrConflict":
 		return ErrConflict{Document: described.Document, Winner: described.Winner, Version: described.Version}
+	case "ErrTaken":
+		return ErrTaken{Kind: described.Kind, Name: described.Name, Team: described.Team}
 	case "ErrElsewhere":
 		return ErrElsewhere{Document: described.Document, Region: described.Region}
 	case "ErrRetryLater":
--- a/operator/types.go
+++ b/operator/types.go
@@ -85,7 +85,8 @@
 	Version   ident.Version
 	Operator  string
 	Endpoints int
-	// P99Millis is the 99th percentile of recent response times.
+	// P99Millis is the 99th percentile of the response times of the last one to two minutes at the entry
+	// that answers, 0 without responses.
 	P99Millis clock.Millis
 }
 
@@ -93,15 +94,15 @@
 type ServiceChange struct {
 	Service ident.Service
 	Team    ident.Team
-	// Class of its work for learned interference.
-	Class string
 	// Idempotent requests may be retried after an unknown outcome; others need a Request-Key.
 	Idempotent bool
 	// PatienceMillis is the deadline of requests that name none.
 	PatienceMillis clock.Millis
-	// TargetSlowdown is the tolerated slowdown by colocated work in percent; 100 is undisturbed.
+	// TargetSlowdown is the tolerated slowdown by colocated work in percent; 100 is undisturbed, 0
+	// stands for the limit of the preset in force.
 	TargetSlowdown int
-	// RetentionMillis is how long results of keyed requests are kept.
+	// RetentionMillis is how long results of keyed requests are kept, if that is longer than the
+	// entries' own retention.
 	RetentionMillis clock.Millis
 	IfVersion       ident.Version
 }
