Keep workers that are heard of out of a lost data centre's statement

The statement was also carried out once, by one entry: workers that fell silent a second later were not covered, and the data centre was listed as Out.

Change: the statement is part of the data centre's document. It ends the incarnation of a worker only once the worker is silent and its granter is this entry or silent as well; a worker that announces itself is drained. Every entry reviews the silent workers of a lost data centre, also after a takeover. ctl worker lost is refused for a worker that is heard of.

Conclusion: an operator's mistake about a living data centre no longer runs tasks twice as long as a live entry hears of its workers.

--- a/config/documents.go
+++ b/config/documents.go
@@ -90,6 +90,9 @@
 	Region ident.Region
 	// DrainMillis is how long running work may take to end once the data centre is closed.
 	DrainMillis clock.Millis
+	// Lost states that the data centre is gone: the incarnations of workers that are silent there are
+	// over. A lost data centre is not open.
+	Lost bool `json:",omitempty"`
 }
 
 // Team is a document under TeamsPrefix.
--- a/config/validate.go
+++ b/config/validate.go
@@ -156,6 +156,9 @@
 func (dataCentre DataCentre) check(checker *checker) {
 	named(checker, "Region", dataCentre.Region)
 	within(checker, "DrainMillis", dataCentre.DrainMillis, 0, maxDrainMillis)
+	if dataCentre.Open && dataCentre.Lost {
+		checker.fault("Lost", "is set for an open data centre")
+	}
 }
 
 func (team Team) check(checker *checker) {
--- a/entry/jobs_test.go
+++ b/entry/jobs_test.go
@@ -227,6 +227,38 @@
 	})
 }
 
+// Guards against the statement that a data centre is lost ending the incarnation of a worker that is
+// still heard of, whose tasks would then run twice, and against a worker that falls silent later and
+// waits for its lease.
+func TestLostDataCentreSparesLiveWorkers(t *testing.T) {
+	inWorld(t, func(world *world) {
+		operations, call := world.entry.Operations(), operator.Call{Operator: "anna", Request: "r1"}
+		revision := world.wantGrant(world.announce("w1", 1, 0, 1))
+		if _, err := operations.SetDataCentre(world.Context(), call, operator.DataCentreChange{DataCentre: "dc1", State: operator.Lost}); err != nil {
+			world.Fatal(err)
+		}
+		list, err := operations.DataCentres(world.Context())
+		if err != nil || len(list.DataCentres) != 1 || list.DataCentres[0].State != operator.Lost {
+			world.Errorf("listed as %+v (%v)", list.DataCentres, err)
+		}
+		if _, err := operations.DeclareLost(world.Context(), call, operator.WorkerLoss{Worker: "w1", Incarnation: 1}); !operator.IsErrBadRequest(err) {
+			world.Errorf("declared lost while it is heard of: %v", err)
+		}
+		for range 10 {
+			world.pass(3 * time.Second)
+			world.wantGrant(world.announce("w1", 1, revision, 1))
+		}
+		if record, _ := world.record("w1"); record.Over != 0 {
+			world.Fatalf("row is %+v, want incarnation 1 alive", record)
+		}
+		world.pass(lease.DefaultTerm.Duration())
+		if record, _ := world.record("w1"); record.Over != 1 || record.Reason != lease.OperatorStatement {
+			world.Fatalf("row is %+v, want incarnation 1 over by the statement", record)
+		}
+		world.wantFenced(world.announce("w1", 1, revision, 1))
+	})
+}
+
 // Guards against a lease that is granted after the entry's row says Left.
 func TestShutdownGrantsNoMore(t *testing.T) {
 	inWorld(t, func(world *world) {
--- a/entry/operations.go
+++ b/entry/operations.go
@@ -10,7 +10,6 @@
 	"hyssopjunction/config"
 	"hyssopjunction/ident"
 	"hyssopjunction/operator"
-	"hyssopjunction/set"
 	"hyssopjunction/table"
 	"hyssopjunction/unit"
 )
@@ -122,8 +121,11 @@
 		state := operator.DataCentreState{
 			DataCentre: name, Region: centre.Region, State: operator.Out, Version: document.Version, Operator: document.Operator,
 		}
-		if centre.Open {
+		switch {
+		case centre.Open:
 			state.State = operator.In
+		case centre.Lost:
+			state.State = operator.Lost
 		}
 		for _, worker := range operations.entry.view.Current().Workers {
 			if worker.Place.DataCentre == name {
@@ -136,11 +138,14 @@
 	return list, nil
 }
 
-// SetDataCentre takes a data centre out or in. The state Lost also ends the incarnations of its
-// workers, so that their tasks are placed elsewhere.
+// SetDataCentre takes a data centre out or in. The state Lost also ends the incarnations of workers
+// that are silent there now or later, so that their tasks are placed elsewhere.
 func (operations *operations) SetDataCentre(ctx context.Context, call operator.Call, change operator.DataCentreChange) (operator.Accepted, error) {
 	have, known := operations.view().DataCentre(change.DataCentre)
-	value := config.DataCentre{Open: change.State == operator.In, Region: operations.entry.settings.Region, DrainMillis: change.DrainMillis}
+	value := config.DataCentre{
+		Open: change.State == operator.In, Lost: change.State == operator.Lost,
+		Region: operations.entry.settings.Region, DrainMillis: change.DrainMillis,
+	}
 	if value.DrainMillis == 0 {
 		value.DrainMillis = defaultDrain
 	}
@@ -158,13 +163,9 @@
 	if err != nil || change.State != operator.Lost {
 		return accepted, err
 	}
-	incarnations := operations.entry.incarnationsIn(change.DataCentre)
-	for _, worker := range set.SortedKeys(incarnations) {
-		loss := operator.WorkerLoss{Worker: worker, Incarnation: incarnations[worker], Reason: change.Reason}
-		if _, err := operations.DeclareLost(ctx, call, loss); err != nil && !operator.IsErrConflict(err) {
-			return accepted, err
-		}
-	}
+	// The change is accepted; workers that cannot be ended now are reviewed until they are.
+	operations.entry.control.Call(func() { operations.entry.reviewAt(change.DataCentre, operations.entry.time.Now()) })
+	operations.entry.reviewSilent()
 	return accepted, nil
 }
 
--- a/entry/operations_view.go
+++ b/entry/operations_view.go
@@ -59,9 +59,13 @@
 	return members
 }
 
-// DeclareLost states that an incarnation of a worker is over.
+// DeclareLost states that an incarnation of a worker is over. It fails with ErrBadRequest for a worker
+// that an entry still hears of, because its tasks would run twice.
 func (operations *operations) DeclareLost(ctx context.Context, call operator.Call, loss operator.WorkerLoss) (operator.Accepted, error) {
 	entry := operations.entry
+	if entry.hears(loss.Worker, loss.Incarnation) {
+		return operator.Accepted{}, operator.ErrBadRequest{Field: "Worker", Reason: "is not silent: its agent announces itself, so its tasks would run twice"}
+	}
 	row, err := entry.store.Get(ctx, lease.Key(loss.Worker))
 	if err != nil {
 		return operator.Accepted{}, operatorError(err, call.Request)
--- a/entry/silent.go
+++ b/entry/silent.go
@@ -1,11 +1,14 @@
 package entry
 
 import (
+	"slices"
+
 	"k8s.io/klog/v2"
 
 	"hyssopjunction/clock"
 	"hyssopjunction/ident"
 	"hyssopjunction/lease"
+	"hyssopjunction/membership"
 	"hyssopjunction/placement"
 	"hyssopjunction/set"
 )
@@ -17,9 +20,8 @@
 // silence is a worker that was not heard of in time.
 type silence struct {
 	due clock.Time
-	// dataCentre and incarnation are those that the worker announced last.
-	dataCentre  ident.DataCentre
-	incarnation ident.Incarnation
+	// dataCentre is that which the worker announced last.
+	dataCentre ident.DataCentre
 }
 
 // reviewSilent reads the rows of silent workers and ends the incarnations whose granter can
@@ -56,16 +58,34 @@
 		entry.control.Call(func() { entry.silentEnded(worker, record.Over, record.Reason) })
 		return
 	}
-	gone := false
-	entry.control.Call(func() { gone = entry.allGone(record, entry.time.Now()) })
-	if !gone {
+	reason := entry.overBecause(worker, record)
+	if reason == "" {
 		return
 	}
-	if err := entry.endIncarnation(ctx, row, worker, record.Incarnation, lease.HomeSilent); err != nil {
+	if err := entry.endIncarnation(ctx, row, worker, record.Incarnation, reason); err != nil {
 		klog.V(1).InfoS("End of incarnation was not written", "Worker", worker, "Reason", err.Error())
 		return
 	}
-	entry.control.Call(func() { entry.silentEnded(worker, record.Incarnation, lease.HomeSilent) })
+	entry.control.Call(func() {
+		if reason == lease.OperatorStatement {
+			entry.granter.Declare(worker, record.Incarnation)
+		}
+		entry.silentEnded(worker, record.Incarnation, reason)
+	})
+}
+
+// overBecause returns why the incarnation in a silent worker's row is over, empty if it may not be.
+func (entry *Entry) overBecause(worker ident.Worker, record lease.Record) (reason lease.Reason) {
+	entry.control.Call(func() {
+		now := entry.time.Now()
+		switch {
+		case entry.stated(worker, record, now):
+			reason = lease.OperatorStatement
+		case entry.allGone(record, now):
+			reason = lease.HomeSilent
+		}
+	})
+	return reason
 }
 
 func (entry *Entry) silentEnded(worker ident.Worker, incarnation ident.Incarnation, reason lease.Reason) {
@@ -108,28 +128,48 @@
 		for _, known := range entry.view.Current().Workers {
 			// The worker is in the published view until the next refresh.
 			if known.ID == worker {
-				silent.dataCentre, silent.incarnation = known.Place.DataCentre, known.Incarnation
+				silent.dataCentre = known.Place.DataCentre
 			}
 		}
+		if centre, _ := entry.publisher.Current().DataCentre(silent.dataCentre); centre.Lost {
+			silent.due = entry.time.Now()
+		}
 		entry.silent[worker] = silent
 	}
 	entry.handle(placement.WorkerSilent{Worker: worker})
 }
 
-// incarnationsIn returns the incarnations of the workers in a data centre, silent ones included.
-func (entry *Entry) incarnationsIn(name ident.DataCentre) map[ident.Worker]ident.Incarnation {
-	incarnations := map[ident.Worker]ident.Incarnation{}
+// hears reports whether the incarnation of a worker announces itself here or at its home.
+func (entry *Entry) hears(worker ident.Worker, incarnation ident.Incarnation) (heard bool) {
 	entry.control.Call(func() {
-		for worker, known := range entry.silent {
-			if known.dataCentre == name {
-				incarnations[worker] = known.incarnation
-			}
-		}
+		state, known := entry.workers.Get(worker)
+		heard = known && ident.Incarnation(state.GetIncarnation()) == incarnation
 	})
-	for _, known := range entry.view.Current().Workers {
-		if known.Place.DataCentre == name {
-			incarnations[known.ID] = known.Incarnation
+	return heard
+}
+
+// reviewAt makes the silent workers of a data centre due for review. It is called from the control
+// goroutine.
+func (entry *Entry) reviewAt(name ident.DataCentre, due clock.Time) {
+	for worker, known := range entry.silent {
+		if known.dataCentre == name {
+			known.due = due
+			entry.silent[worker] = known
 		}
 	}
-	return incarnations
+}
+
+// stated reports whether an operator stated that the worker's data centre is lost and this entry may
+// act on it: it is the granter itself or does not hear of the granter. A worker that its live granter
+// still hears of is in fact not lost.
+func (entry *Entry) stated(worker ident.Worker, record lease.Record, now clock.Time) bool {
+	known, silent := entry.silent[worker]
+	centre, _ := entry.publisher.Current().DataCentre(known.dataCentre)
+	if !silent || !centre.Lost {
+		return false
+	}
+	if record.Granter.Entry == entry.settings.ID {
+		return true
+	}
+	return !slices.ContainsFunc(entry.entries.Live(now), func(live membership.Entry) bool { return live.ID == record.Granter.Entry })
 }
