Tell operators when TLS does not match

Cause: ctl without --ca against an entry with TLS, and with --ca against one without, ended with exit code 5, retry later, although a repeat does not help.

Change: both cases are ErrTLS, exit code 2, with the option to give or to leave out. Other entries are still tried first. An unknown authority keeps exit code 5, because entries may be in the middle of a change of authority.

Test: TestTLSMismatch, which failed before with ErrRetryLater.

Conclusion: the two mistakes that a repeat cannot mend are named.

--- a/cmd/ctl.go
+++ b/cmd/ctl.go
@@ -182,7 +182,7 @@
 	switch {
 	case IsErrExit(err):
 		return err
-	case operator.IsErrBadRequest(err):
+	case operator.IsErrBadRequest(err), operator.IsErrTLS(err):
 		code = ExitUsage
 	case operator.IsErrConflict(err), operator.IsErrTaken(err), operator.IsErrElsewhere(err):
 		code = ExitConflict
--- a/operator/client.go
+++ b/operator/client.go
@@ -84,6 +84,9 @@
 	return strings.TrimSuffix(parsed.Scheme+"://"+parsed.Host+parsed.Path, "/"), nil
 }
 
+// plaintextRefusal starts the answer of net/http's server to plaintext on a port with TLS.
+const plaintextRefusal = "Client sent an HTTP request to an HTTPS server"
+
 // certainty tells what is known of an attempt that returned no result.
 type certainty int
 
@@ -126,6 +129,9 @@
 			break
 		}
 	}
+	if !maybe && IsErrTLS(last) {
+		return last
+	}
 	if maybe && request != "" {
 		return ErrUnknownOutcome{Request: request, Reason: last.Error()}
 	}
@@ -166,10 +172,14 @@
 	}))
 	response, err := client.http.Do(call)
 	if err != nil {
-		if connected {
+		switch {
+		case errors.Is(err, http.ErrSchemeMismatch):
+			return unaccepted, ErrTLS{Address: call.URL.Host, Reason: "the entry does not use TLS; leave out --ca and --tls"}
+		case connected:
 			return uncertain, err
+		default:
+			return unaccepted, err
 		}
-		return unaccepted, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	// Reading one byte more tells a response at the bound from one above it.
@@ -183,6 +193,9 @@
 		}
 		return refused, nil
 	}
+	if response.StatusCode == http.StatusBadRequest && strings.HasPrefix(string(answer), plaintextRefusal) {
+		return unaccepted, ErrTLS{Address: call.URL.Host, Reason: "the entry uses TLS; give --ca or --tls"}
+	}
 	var failed Failure
 	if err := json.Unmarshal(answer, &failed); err != nil || failed.Error.Type == "" {
 		// A balancer or another server answered, so nothing is known of the call.
--- a/operator/errors.go
+++ b/operator/errors.go
@@ -81,6 +81,23 @@
 	return errors.As(err, new(ErrConflict))
 }
 
+// ErrTLS reports an entry of which the client expects TLS and it has none, or the other way round. The
+// call was not accepted, and a repeat does not help.
+type ErrTLS struct {
+	Address string
+	Reason  string
+}
+
+// Error describes the mismatch.
+func (err ErrTLS) Error() string {
+	return err.Address + ": " + err.Reason
+}
+
+// IsErrTLS reports whether err is or wraps an ErrTLS.
+func IsErrTLS(err error) bool {
+	return errors.As(err, new(ErrTLS))
+}
+
 // ErrTaken reports a name that something else was created with.
 type ErrTaken struct {
 	Kind string
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -289,6 +289,30 @@
 	}
 }
 
+// TestTLSMismatch guards against a client that is told to come back later by an entry that it can never
+// reach with its TLS settings, and against one that gives up while another entry would answer.
+func TestTLSMismatch(t *testing.T) {
+	plain, secure := httptest.NewServer(newServer(t, &control{})), httptest.NewTLSServer(newServer(t, &control{}))
+	defer plain.Close()
+	defer secure.Close()
+	mismatched := []string{
+		strings.Replace(secure.URL, "https://", "http://", 1),
+		strings.Replace(plain.URL, "http://", "https://", 1),
+	}
+	for _, address := range mismatched {
+		client := dial(t, writerToken, address)
+		if _, err := client.Status(t.Context()); !operator.IsErrTLS(err) {
+			t.Errorf("%s: %v, want ErrTLS", address, err)
+		}
+		if _, err := client.SetPreset(t.Context(), operator.PresetChange{Preset: "Peak"}); !operator.IsErrTLS(err) {
+			t.Errorf("%s: %v for a change, want ErrTLS", address, err)
+		}
+		if _, err := dial(t, writerToken, address, plain.URL).Status(t.Context()); err != nil {
+			t.Errorf("%s first: %v", address, err)
+		}
+	}
+}
+
 // FuzzBodies guards against bodies that crash the server, that are answered without a typed error,
 // or that reach Control although they are not valid.
 func FuzzBodies(fuzz *testing.F) {
