Run two regions over real connections

Cause: the link between regions had only run within one process, with calls passed directly between the entries.

Change: standalone runs two regions (NewRegions), each with its own stand-in, entries and agents, and relays the connections between their entries over loopback.

--- a/standalone/deployment.go
+++ b/standalone/deployment.go
@@ -42,6 +42,8 @@
 type Layout struct {
 	Region      ident.Region
 	DataCentres []ident.DataCentre
+	// Peers are control addresses of entries of the other region, set by NewRegions.
+	Peers []string
 	// Workers is the number of workers per data centre, each with an endpoint of a service. The
 	// services are assigned in turn.
 	Workers  int
@@ -84,6 +86,7 @@
 	store    *table.Client
 	pool     *controlpb.Pool
 	agents   *dispatch.Connections
+	control  string
 	caller   string
 	operator string
 }
@@ -98,7 +101,10 @@
 
 // New starts one entry in each data centre, and an agent on each worker.
 func New(ctx context.Context, layout Layout) (*Deployment, error) {
-	source := clock.NewSystem()
+	return newDeployment(ctx, layout, clock.NewSystem())
+}
+
+func newDeployment(ctx context.Context, layout Layout, source clock.Clock) (*Deployment, error) {
 	deployment := &Deployment{
 		layout: layout, time: source, Platform: standin.New(layout.standIn(), source),
 		entries: map[ident.Entry]*entryNode{}, agents: map[ident.Worker]*agentNode{},
@@ -112,9 +118,12 @@
 }
 
 func (deployment *Deployment) startAll(ctx context.Context) error {
-	bootstrap := config.NewEditor(deployment.Platform.Table, deployment.time, rand.New(rand.NewPCG(deployment.layout.Seed, 9)), config.NewPublisher())
-	if err := bootstrap.Bootstrap(ctx, "standalone"); err != nil {
-		return err
+	// With two regions the link decides which one writes the default presets.
+	if len(deployment.layout.Peers) == 0 {
+		bootstrap := config.NewEditor(deployment.Platform.Table, deployment.time, rand.New(rand.NewPCG(deployment.layout.Seed, 9)), config.NewPublisher())
+		if err := bootstrap.Bootstrap(ctx, "standalone"); err != nil {
+			return err
+		}
 	}
 	for _, centre := range deployment.layout.DataCentres {
 		if err := deployment.StartEntry(ctx, EntryID(centre), centre); err != nil {
@@ -198,14 +207,14 @@
 	limits := table.DefaultSettings()
 	limits.Entries = len(deployment.layout.DataCentres)
 	node := &entryNode{
-		store:  table.NewClient(deployment.Platform.Table, deployment.time, writer, rand.New(rand.NewPCG(deployment.layout.Seed, 3)), limits),
-		pool:   newPool(),
-		agents: dispatch.NewConnections(deployment.time, controlpb.DialOptions(insecure.NewCredentials())...),
-		caller: listeners.Caller.Addr().String(), operator: listeners.Operator.Addr().String(),
+		store:   table.NewClient(deployment.Platform.Table, deployment.time, writer, rand.New(rand.NewPCG(deployment.layout.Seed, 3)), limits),
+		pool:    newPool(),
+		agents:  dispatch.NewConnections(deployment.time, controlpb.DialOptions(insecure.NewCredentials())...),
+		control: listeners.Control.Addr().String(), caller: listeners.Caller.Addr().String(), operator: listeners.Operator.Addr().String(),
 	}
 	settings := entry.DefaultSettings()
 	settings.ID, settings.Region, settings.DataCentre = id, deployment.layout.Region, centre
-	settings.ControlAddress, settings.CallerAddress = listeners.Control.Addr().String(), node.caller
+	settings.ControlAddress, settings.CallerAddress, settings.Regions = node.control, node.caller, deployment.layout.Peers
 	settings.Round, settings.Seed = 100*clock.Millisecond, deployment.layout.Seed
 	settings.Placement.DisturbanceWait = deployment.layout.DisturbanceWait
 	settings.Lease.Term, settings.Membership = deployment.layout.Term, deployment.layout.Membership
