Delete rows of entries that left, and jitter the entries' loops

Cause: rows of entries marked as left stayed in the table for ever, and the loops, renewals and exchanges of entries had no jitter.

Change: one entry of the region deletes rows that said Left for twice OutageGrace plus term plus margin (7,442 s), by compare-and-set. The first incarnation after a deletion is one higher than the revision of the deleted row. An entry becomes a granter only after it wrote its own row, and a granter whose row is missing for OutageGrace plus term plus margin is gone. Peers that left are forgotten, so that they no longer lengthen the exchange interval. Renewals, exchanges and loops use clock.Jittered; the sources of entries with the same seed differ.

Conclusion: the number of rows is bounded by the entries of the last two hours and no incarnation is used twice.

--- a/entry/announce.go
+++ b/entry/announce.go
@@ -26,6 +26,8 @@
 	entry.control.Call(func() {
 		if home = entry.takeHeartbeat(request, reply); home {
 			fenced, record = entry.grantState(worker, incarnation, request.GrantRevision)
+			// A granter whose row is missing is taken for one that left long ago, so the row is written first.
+			record = record && entry.entries.MayGrant(entry.time.Now())
 		}
 	})
 	if !home {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -125,6 +126,8 @@
 	slowdownTarget int
 	headroom       int
 
+	// loops counts the loops that every started. It belongs to the goroutine that starts the entry.
+	loops uint64
 	// readAt is when the entries' rows were last read. It belongs to the renewing goroutine.
 	readAt clock.Time
 
@@ -201,17 +204,25 @@
 
 // start runs the entry's loops.
 func (entry *Entry) start() {
-	entry.every(entry.settings.Tick, nil, entry.tick)
-	entry.every(entry.settings.Round, nil, entry.round)
-	entry.every(urgentInterval, nil, entry.assistUrgent)
-	entry.every(clock.Second, nil, entry.renew)
-	entry.every(clock.Second, nil, entry.adopt)
-	entry.every(clock.Second, nil, entry.settleGrants)
-	entry.every(scanInterval, entry.rescan, entry.scanJobs)
-	entry.every(10*clock.Second, nil, entry.sweep)
-	entry.every(20*clock.Second, entry.settle, entry.reviewTeams)
+	for _, loop := range []struct {
+		interval clock.Millis
+		wake     <-chan struct{}
+		step     func()
+	}{
+		{entry.settings.Tick, nil, entry.tick},
+		{entry.settings.Round, nil, entry.round},
+		{urgentInterval, nil, entry.assistUrgent},
+		{clock.Second, nil, entry.renew},
+		{clock.Second, nil, entry.adopt},
+		{clock.Second, nil, entry.settleGrants},
+		{scanInterval, entry.rescan, entry.scanJobs},
+		{10 * clock.Second, nil, entry.sweep},
+		{20 * clock.Second, entry.settle, entry.reviewTeams},
+		{learnedInterval, nil, entry.saveLearned},
+	} {
+		entry.every(loop.interval, loop.wake, loop.step)
+	}
 	entry.running.Go(entry.loadLearned)
-	entry.every(learnedInterval, nil, entry.saveLearned)
 	entry.running.Go(entry.bootstrap)
 	entry.running.Go(entry.followConfig)
 	if entry.link != nil {
@@ -219,13 +230,15 @@
 	}
 }
 
-// every calls step at each interval or when woken, until the entry closes.
+// every calls step at each interval, with jitter, or when woken, until the entry closes.
 func (entry *Entry) every(interval clock.Millis, wake <-chan struct{}, step func()) {
+	entry.loops++
+	jitter := entry.newRandom(loopRandom + entry.loops)
 	entry.running.Go(func() {
 		for {
 			step()
 			select {
-			case <-entry.time.After(interval):
+			case <-entry.time.After(clock.Jittered(interval, jitter)):
 			case <-wake:
 			case <-entry.quit:
 				return
@@ -246,9 +259,15 @@
 	}
 }
 
-// newRandom returns a source of its own for each purpose, so that goroutines share none.
+// loopRandom is the first purpose of newRandom that loops use.
+const loopRandom = 16
+
+// newRandom returns a source of its own for each purpose, so that goroutines share none. Entries with
+// the same seed have different ones.
 func (entry *Entry) newRandom(purpose uint64) *rand.Rand {
-	return rand.New(rand.NewPCG(entry.settings.Seed, purpose))
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(entry.settings.ID))
+	return rand.New(rand.NewPCG(entry.settings.Seed, hash.Sum64()+purpose))
 }
 
 // call bounds one call to another daemon or to the table.
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -85,6 +85,7 @@
 	settings.Membership.LeaseTermMillis = settings.Lease.Term
 	settings.Membership.LeaseMarginMillis = lease.Margin(settings.Lease.Term)
 	settings.Membership.OutageGraceMillis = settings.Lease.OutageGrace
+	settings.Membership.Seed = settings.Seed
 	settings.Placement.Round = settings.Round
 	settings.Routing.DataCentre = settings.DataCentre
 	settings.Routing.Seed = settings.Seed
--- a/entry/tick.go
+++ b/entry/tick.go
@@ -119,11 +119,13 @@
 	}
 }
 
-// readEntries reads the rows of all entries and marks those that are certainly gone.
+// readEntries reads the rows of all entries, marks those that are certainly gone, and deletes those
+// that left long ago if this entry is the one that does so.
 func (entry *Entry) readEntries() {
 	ctx, cancel := entry.call(entry.settings.CallTimeout)
 	defer cancel()
 	var rows []table.Row
+	sent := entry.time.Now()
 	for after := table.Key(""); ; after = rows[len(rows)-1].Key {
 		page, err := entry.store.Range(ctx, membership.EntryPrefix, after, entryPage)
 		if err != nil {
@@ -133,22 +135,32 @@
 			break
 		}
 	}
-	var burials []table.Transaction
+	var changes []table.Transaction
 	entry.control.Call(func() {
 		for _, row := range rows {
 			entry.observeEntry(row)
 		}
-		burials = entry.entries.Bury(entry.time.Now())
+		for _, id := range entry.entries.Complete(rows, sent) {
+			entry.workers.Forget(id)
+		}
+		now := entry.time.Now()
+		changes = entry.entries.Bury(now)
+		if discard, ok := entry.entries.Discard(now).Get(); ok && entry.isHome(discardHome) {
+			changes = append(changes, discard)
+		}
 	})
-	for _, burial := range burials {
-		if _, err := entry.store.Commit(ctx, burial); err != nil {
-			klog.V(1).InfoS("Row of a gone entry was not marked", "Reason", err.Error())
+	for _, change := range changes {
+		if _, err := entry.store.Commit(ctx, change); err != nil {
+			klog.V(1).InfoS("Rows of gone entries were not changed", "Reason", err.Error())
 		}
 	}
 }
 
-// entryPage is the number of rows of entries that are read at once. Rows of entries that left stay, so
-// there can be more than one page.
+// discardHome is hashed to choose the entry of a region that deletes the rows of entries that left.
+const discardHome ident.Job = "Entries/left"
+
+// entryPage is the number of rows of entries that are read at once. Rows of entries that left stay for
+// hours, so there can be more than one page.
 const entryPage = 256
 
 func (entry *Entry) observeEntry(row table.Row) {
--- a/membership/entries.go
+++ b/membership/entries.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"math/rand/v2"
 	"slices"
 	"strings"
 
@@ -21,6 +22,11 @@
 	renewed clock.Time
 	ended   bool
 	seen    map[ident.Entry]sighting
+	random  *rand.Rand
+	// readAt is when the last complete read of the rows was sent. Missing holds the processes that
+	// were asked for and have no row.
+	readAt  clock.Time
+	missing map[process]absence
 }
 
 // sighting is what is known of one entry.
@@ -34,10 +40,11 @@
 }
 
 // NewEntries returns the view of the entry self. Row is its own row as read at start; the
-// incarnation becomes one higher than the row's, which fences an older process of the same id.
+// incarnation becomes one higher than the row's, which fences an older process of the same id. Each
+// incarnation writes its row at least once, so the revision of a deleted row is above all of them.
 func NewEntries(self Entry, row table.Row, settings Settings, now clock.Time) (*Entries, error) {
 	self.State = Live
-	self.Incarnation = 1
+	self.Incarnation = ident.Incarnation(row.Revision) + 1
 	if row.Exists() {
 		before, err := DecodeEntry(row)
 		if err != nil {
@@ -51,6 +58,8 @@
 		revision: row.Revision,
 		due:      now,
 		seen:     make(map[ident.Entry]sighting),
+		random:   settings.newRandom(self.ID, 1),
+		missing:  make(map[process]absence),
 	}, nil
 }
 
@@ -110,12 +119,15 @@
 	entries.revision = result.Revisions[EntryKey(entries.self.ID)]
 	entries.self.Renewal++
 	entries.renewed = sent
-	entries.due = sent.Add(entries.settings.RenewMillis)
+	entries.due = sent.Add(clock.Jittered(entries.settings.RenewMillis, entries.random))
 }
 
 // Observe takes a row of the table into the view. For the own row it returns ErrSuperseded if
-// another process has taken the id over or somebody marked it as Left.
+// another process has taken the id over, or somebody marked it as Left or deleted it.
 func (entries *Entries) Observe(row table.Row, now clock.Time) error {
+	if row.Deleted && row.Key == EntryKey(entries.self.ID) {
+		return entries.observeDeletion(row)
+	}
 	if !strings.HasPrefix(string(row.Key), string(EntryPrefix)) || !row.Exists() {
 		return nil
 	}
@@ -254,40 +266,19 @@
 // counted from when this process learned of it, which is never earlier than the event.
 func (entries *Entries) Gone(id ident.Entry, incarnation ident.Incarnation, now clock.Time) bool {
 	known, have := entries.seen[id]
+	if !have && id != entries.self.ID {
+		return entries.goneWithoutRow(process{id, incarnation}, now)
+	}
 	if !have || id == entries.self.ID || known.entry.Incarnation < incarnation {
 		return false
 	}
 	term := entries.settings.LeaseTermMillis + entries.settings.LeaseMarginMillis
 	switch {
 	case known.entry.Incarnation > incarnation:
-		return now.Sub(known.since) >= entries.settings.OutageGraceMillis+term
+		return now.Sub(known.since) >= entries.settings.silenceMillis()
 	case known.entry.State == Left:
 		return now.Sub(known.alive) >= term
 	default:
-		return now.Sub(known.alive) >= entries.settings.OutageGraceMillis+term
-	}
-}
-
-// Bury returns transactions that mark the rows of silent entries as Left once they are Gone. Such an
-// entry that wakes later finds its row changed and ends. Without this, the rows of failed VMs would
-// count as live for EntryExpiryMillis in each newly started entry.
-func (entries *Entries) Bury(now clock.Time) []table.Transaction {
-	var burials []table.Transaction
-	for _, id := range set.SortedKeys(entries.seen) {
-		known := entries.seen[id]
-		if known.entry.State == Left || known.revision == 0 || !entries.Gone(id, known.entry.Incarnation, now) {
-			continue
-		}
-		dead := known.entry
-		dead.State = Left
-		value, err := EncodeEntry(dead)
-		if err != nil {
-			panic(err)
-		}
-		burials = append(burials, table.Transaction{
-			Conditions: []table.Condition{{Key: EntryKey(id), Revision: known.revision}},
-			Operations: []table.Operation{{Key: EntryKey(id), Value: value}},
-		})
+		return now.Sub(known.alive) >= entries.settings.silenceMillis()
 	}
-	return burials
 }
--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -22,6 +22,8 @@
 	// sent is when the last exchange was sent to the peer, fullAt when the last full one was.
 	sent   clock.Time
 	fullAt clock.Time
+	// due is when the next exchange is due unless an endpoint's leaving is to be told.
+	due clock.Time
 	// sequence numbers the exchanges sent to the peer, and sentChange is the change each carried up
 	// to, for those not yet acknowledged.
 	sequence   ident.Sequence
@@ -63,15 +65,11 @@
 	if !have || known.sent == 0 {
 		return true
 	}
-	interval := workers.settings.exchangeMillis(len(workers.peers))
 	if known.acked < workers.urgent {
-		interval = workers.settings.UrgentMillis
-		if !known.carried(workers.urgent) {
-			// Not sent yet, so nothing is gained by waiting.
-			interval = 0
-		}
+		// If it was not sent yet, nothing is gained by waiting.
+		return !known.carried(workers.urgent) || now.Sub(known.sent) >= workers.settings.UrgentMillis
 	}
-	return now.Sub(known.sent) >= interval
+	return !now.Before(known.due)
 }
 
 // carried reports whether an unacknowledged exchange carried the change.
@@ -117,6 +115,7 @@
 		}
 	}
 	known.sent = now
+	known.due = now.Add(clock.Jittered(workers.settings.exchangeMillis(len(workers.peers)), workers.random))
 	known.sentChange[known.sequence] = workers.change
 	if known.sequence > outstandingMax {
 		delete(known.sentChange, known.sequence-outstandingMax)
--- /dev/null
+++ b/membership/gone_test.go
@@ -0,0 +1,206 @@
+package membership_test
+
+import (
+	"context"
+	"testing"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/ident"
+	"hyssopjunction/membership"
+	"hyssopjunction/table"
+	"hyssopjunction/table/tabletest"
+)
+
+// bounds are the times after which an entry without a sign of life is gone, and after which its row is
+// deleted.
+const (
+	silentBound = clock.Time(3_700_000 + 20_900)
+	keptBound   = 2 * silentBound
+)
+
+// complete passes all rows to the view as one complete read.
+func complete(t *testing.T, memory *tabletest.Memory, entries *membership.Entries, now clock.Time) []ident.Entry {
+	t.Helper()
+	observe(t, memory, entries, now)
+	rows, err := memory.Range(context.Background(), membership.EntryPrefix, "", 100)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return entries.Complete(rows, now)
+}
+
+// leave writes the row of a new process of the entry and then marks it as left.
+func leave(t *testing.T, memory *tabletest.Memory, id ident.Entry, now clock.Time) *membership.Entries {
+	t.Helper()
+	leaver := newEntries(t, memory, id, now)
+	if err := renew(memory, leaver, now); err != nil {
+		t.Fatal(err)
+	}
+	if err := memory.Write(leaver.Leave()); err != nil {
+		t.Fatal(err)
+	}
+	return leaver
+}
+
+func row(t *testing.T, memory *tabletest.Memory, id ident.Entry) table.Row {
+	t.Helper()
+	held, err := memory.Get(context.Background(), membership.EntryKey(id))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return held
+}
+
+// TestRowsOfLeftEntries guards against rows of entries that left which stay for ever, are deleted while
+// somebody may wait for their end, or are deleted although the entry returned.
+func TestRowsOfLeftEntries(t *testing.T) {
+	memory := tabletest.New()
+	observer := newEntries(t, memory, "e9", 1000)
+	leave(t, memory, "e1", 1000)
+	leave(t, memory, "e2", 1000)
+	complete(t, memory, observer, 1000)
+	if _, due := observer.Discard(1000 + keptBound - 1).Get(); due {
+		t.Fatal("a row is deleted too early")
+	}
+	discard, due := observer.Discard(1000 + keptBound).Get()
+	if !due || len(discard.Operations) != 2 {
+		t.Fatalf("deletes %v", discard.Operations)
+	}
+	returned := newEntries(t, memory, "e1", 1000+keptBound)
+	if err := renew(memory, returned, 1000+keptBound); err != nil {
+		t.Fatal(err)
+	}
+	if err := memory.Write(discard); !table.IsErrConflict(err) || !row(t, memory, "e1").Exists() {
+		t.Fatalf("the row of an entry that returned was deleted: %v", err)
+	}
+	complete(t, memory, observer, 2000+keptBound)
+	if discard, due = observer.Discard(2000 + keptBound).Get(); !due || len(discard.Operations) != 1 {
+		t.Fatalf("deletes %v", discard.Operations)
+	}
+	if err := memory.Write(discard); err != nil {
+		t.Fatal(err)
+	}
+	if forgotten := complete(t, memory, observer, 3000+keptBound); len(forgotten) != 1 || forgotten[0] != "e2" {
+		t.Fatalf("forgot %v", forgotten)
+	}
+	if _, due := observer.Discard(2 * keptBound).Get(); due {
+		t.Fatal("a deleted row is deleted again")
+	}
+}
+
+// TestIncarnationAfterDeletion guards against a process that gets the incarnation of an earlier one
+// whose row was deleted, and against the earlier one continuing when it wakes.
+func TestIncarnationAfterDeletion(t *testing.T) {
+	memory := tabletest.New()
+	sleeper := newEntries(t, memory, "e1", 1000)
+	if err := renew(memory, sleeper, 1000); err != nil {
+		t.Fatal(err)
+	}
+	observer, now := newEntries(t, memory, "e9", 1000), 1000+silentBound
+	complete(t, memory, observer, 1000)
+	for _, burial := range observer.Bury(now) {
+		if err := memory.Write(burial); err != nil {
+			t.Fatal(err)
+		}
+	}
+	complete(t, memory, observer, now)
+	now += keptBound
+	discard, _ := observer.Discard(now).Get()
+	if err := memory.Write(discard); err != nil {
+		t.Fatal(err)
+	}
+	if err := renew(memory, sleeper, now); !membership.IsErrSuperseded(err) || !sleeper.Ended() {
+		t.Fatalf("the process continues without its row: %v", err)
+	}
+	next := newEntries(t, memory, "e1", now)
+	if err := renew(memory, next, now); err != nil || next.Self().Incarnation <= sleeper.Self().Incarnation {
+		t.Fatalf("incarnation %d after %d: %v", next.Self().Incarnation, sleeper.Self().Incarnation, err)
+	}
+}
+
+// TestDeletionDuringStart guards against an entry that can never write its row because the row of its
+// former process was deleted between its read and its first renewal.
+func TestDeletionDuringStart(t *testing.T) {
+	memory := tabletest.New()
+	former := leave(t, memory, "e1", 1000)
+	next := newEntries(t, memory, "e1", 2000)
+	held := row(t, memory, "e1")
+	if err := memory.Write(table.Transaction{
+		Conditions: []table.Condition{{Key: held.Key, Revision: held.Revision}}, Operations: []table.Operation{{Key: held.Key, Delete: true}},
+	}); err != nil {
+		t.Fatal(err)
+	}
+	for now := clock.Time(2000); now <= 4000; now += 1000 {
+		if err := renew(memory, next, now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	written, err := membership.DecodeEntry(row(t, memory, "e1"))
+	if err != nil || written.Incarnation <= former.Self().Incarnation || written.State != membership.Live {
+		t.Fatalf("row is %+v: %v", written, err)
+	}
+}
+
+// TestGoneWithoutRow guards against tasks that are never placed again because the row of their granter
+// was deleted before this process started, and against an entry that is taken for gone because one
+// read missed its row.
+func TestGoneWithoutRow(t *testing.T) {
+	memory := tabletest.New()
+	observer := newEntries(t, memory, "e9", 1000)
+	step := clock.Time(5000)
+	for now := clock.Time(1000); now < 1000+silentBound; now += step {
+		complete(t, memory, observer, now)
+		if observer.Gone("e1", 3, now) {
+			t.Fatalf("gone after %d ms", now-1000)
+		}
+	}
+	now := 1000 + silentBound
+	if observer.Gone("e1", 3, now) {
+		t.Fatal("gone without a read that late")
+	}
+	complete(t, memory, observer, now)
+	if !observer.Gone("e1", 3, now) || observer.Gone("e2", 1, now) {
+		t.Fatal("an entry without a row is gone after it was missing for the outage grace")
+	}
+	returned := newEntries(t, memory, "e1", now)
+	if err := renew(memory, returned, now); err != nil {
+		t.Fatal(err)
+	}
+	complete(t, memory, observer, now+step)
+	if observer.Gone("e1", 1, now+step) {
+		t.Fatal("an entry that wrote its row is gone")
+	}
+}
+
+// TestRenewalJitter guards against entries that were started together and renew their rows together
+// from then on, and against renewals later than RenewMillis.
+func TestRenewalJitter(t *testing.T) {
+	memory, interval := tabletest.New(), membership.DefaultSettings().RenewMillis
+	renewals := map[ident.Entry][]clock.Time{}
+	for _, id := range []ident.Entry{"e1", "e2"} {
+		entries := newEntries(t, memory, id, 1000)
+		for now := clock.Time(1000); now < 300_000; now++ {
+			if _, due := entries.Renewal(now).Get(); due {
+				renewals[id] = append(renewals[id], now)
+				if err := renew(memory, entries, now); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+	}
+	together := 0
+	for index, at := range renewals["e1"] {
+		if index > 0 {
+			if pause := at.Sub(renewals["e1"][index-1]); pause > interval || pause < interval*9/10 {
+				t.Errorf("renewed after %d ms", pause)
+			}
+		}
+		if index < len(renewals["e2"]) && at == renewals["e2"][index] {
+			together++
+		}
+	}
+	// The first one is at the start.
+	if together > len(renewals["e1"])/10 {
+		t.Errorf("%d of %d renewals at the same time", together, len(renewals["e1"]))
+	}
+}
--- a/membership/settings.go
+++ b/membership/settings.go
@@ -2,7 +2,13 @@
 // state without goroutines or sockets: callers pass in rows, messages and the time.
 package membership
 
-import "hyssopjunction/clock"
+import (
+	"hash/fnv"
+	"math/rand/v2"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/ident"
+)
 
 // Settings are the intervals of the view, in milliseconds.
 type Settings struct {
@@ -39,6 +45,28 @@
 	// MarkMillis is how long the incarnation and sequence of a removed worker are remembered. No
 	// message is delayed longer.
 	MarkMillis clock.Millis
+	// Seed is that of the jitter of renewals and exchanges.
+	Seed uint64
+}
+
+// newRandom returns a source of jitter for one purpose. Entries with the same seed have different ones.
+func (settings Settings) newRandom(id ident.Entry, purpose uint64) *rand.Rand {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(id))
+	return rand.New(rand.NewPCG(settings.Seed, hash.Sum64()+purpose))
+}
+
+// silenceMillis is how long an entry without a sign of life may have a lease in force that it
+// granted.
+func (settings Settings) silenceMillis() clock.Millis {
+	return settings.OutageGraceMillis + settings.LeaseTermMillis + settings.LeaseMarginMillis
+}
+
+// retentionMillis is how long the row of an entry that left is kept: twice the longest time for which
+// an entry may grant or a successor waits, 7,442 s by default. When a row is deleted, everyone that
+// waits for the end of its entry has seen it.
+func (settings Settings) retentionMillis() clock.Millis {
+	return 2 * settings.silenceMillis()
 }
 
 // exchangeMillis is the interval of exchanges with each of the given number of peers.
--- a/membership/workers.go
+++ b/membership/workers.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"math/rand/v2"
+
 	"hyssopjunction/clock"
 	"hyssopjunction/controlpb"
 	"hyssopjunction/ident"
@@ -13,6 +15,7 @@
 // themselves here are its own; others are known through their home's exchanges.
 type Workers struct {
 	settings Settings
+	random   *rand.Rand
 	self     ident.Entry
 	records  map[ident.Worker]*record
 	peers    map[ident.Entry]*peer
@@ -72,6 +75,7 @@
 	return &Workers{
 		settings: settings,
 		self:     self,
+		random:   settings.newRandom(self, 2),
 		records:  make(map[ident.Worker]*record),
 		peers:    make(map[ident.Entry]*peer),
 		gone:     make(map[ident.Worker]ident.Sequence),
