Find a new home before tasks stop when an entry dies

A renewal of the dead entry that was read up to 5 s after it counted as a sign of life from then, and agents followed redirects to the dead entry until their announcements timed out.

Change: while heartbeats of an entry came until 18 s ago, only they make it count as live for the choice of homes; the time after which it is certainly gone is counted as before.

--- a/agent/announce.go
+++ b/agent/announce.go
@@ -167,8 +167,12 @@
 	}
 	if !reply.Accepted {
 		agent.complete = true
-		if agent.finder.redirected(reply.Home, reply.Entries) {
+		switch agent.finder.redirected(reply.Home, reply.Entries) {
+		case atOnce:
 			wake(agent.kick)
+		case soon:
+			agent.spawn(agent.announceSoon)
+		case atHeartbeat:
 		}
 		return false
 	}
--- a/membership/entries.go
+++ b/membership/entries.go
@@ -37,6 +37,10 @@
 	// of the incarnation.
 	alive clock.Time
 	since clock.Time
+	// heard is when the last heartbeat of the incarnation came, and present the last sign of life that
+	// counts for the choice of homes. Both may be earlier than alive.
+	heard   clock.Time
+	present clock.Time
 }
 
 // NewEntries returns the view of the entry self. Row is its own row as read at start; the
@@ -147,12 +151,24 @@
 	return nil
 }
 
-// sight records that the entry was alive, or that its row says Left.
+// sight records that the entry was alive, or that its row says Left. Revision is 0 for a heartbeat. A
+// row tells of a renewal that may be as old as the last read of the rows, so while heartbeats came
+// until lately it does not make the entry count as live for longer: a dead one would be taken for live
+// for up to RenewMillis more, and its agents would stop their tasks.
 func (entries *Entries) sight(entry Entry, revision table.Revision, now clock.Time) {
 	known, have := entries.seen[entry.ID]
-	next := sighting{entry: entry, revision: max(revision, known.revision), alive: now, since: now}
+	next := sighting{entry: entry, revision: max(revision, known.revision), alive: now, since: now, present: now}
+	if revision == 0 {
+		next.heard = now
+	}
 	if have && known.entry.Incarnation == entry.Incarnation {
 		next.since = known.since
+		if revision != 0 {
+			next.heard = known.heard
+			if known.heard != 0 && now.Sub(known.heard) < entries.settings.rowsMillis() {
+				next.present = known.present
+			}
+		}
 		next.entry.ConfigVersion = max(entry.ConfigVersion, known.entry.ConfigVersion)
 		if rank(known.entry.State) > rank(entry.State) {
 			// An entry that leaves never returns within its incarnation.
@@ -226,7 +242,7 @@
 	}
 	for _, id := range set.SortedKeys(entries.seen) {
 		known := entries.seen[id]
-		if wanted(known.entry) && now.Sub(known.alive) < entries.settings.EntryExpiryMillis {
+		if wanted(known.entry) && now.Sub(known.present) < entries.settings.EntryExpiryMillis {
 			present = append(present, known.entry)
 		}
 	}
--- a/membership/entries_test.go
+++ b/membership/entries_test.go
@@ -217,3 +217,29 @@
 		t.Fatal(err)
 	}
 }
+
+// TestLateRowIsNoSignOfLife guards against an entry that is a home for seconds after its death because
+// a row that it wrote before is read then, and against one that others never take for live again
+// because only its heartbeats are lost.
+func TestLateRowIsNoSignOfLife(t *testing.T) {
+	memory := tabletest.New()
+	entry, observer := newEntries(t, memory, "e1", 1000), newEntries(t, memory, "e2", 1000)
+	_ = renew(memory, entry, 1000)
+	observe(t, memory, observer, 1000)
+	observer.Heartbeat(entry.Self(), 5000)
+	_ = renew(memory, entry, 6000)
+	observe(t, memory, observer, 11_000)
+	if live := observer.Live(13_000); len(live) != 1 {
+		t.Fatalf("live 8 s after the last heartbeat: %v", live)
+	}
+	if observer.Gone("e1", 1, 11_000+3_720_899) {
+		t.Fatal("gone earlier than the row allows")
+	}
+	for now := clock.Time(11_000); now <= 30_000; now += 5000 {
+		_ = renew(memory, entry, now)
+		observe(t, memory, observer, now)
+	}
+	if live := observer.Live(31_000); len(live) != 2 {
+		t.Fatalf("an entry that renews its row is not live: %v", live)
+	}
+}
--- a/membership/settings.go
+++ b/membership/settings.go
@@ -56,6 +56,12 @@
 	return rand.New(rand.NewPCG(settings.Seed, hash.Sum64()+purpose))
 }
 
+// rowsMillis is for how long after its last heartbeat an entry is not taken for live because of its
+// row. By then two renewals after the entry was taken for dead show that only its heartbeats are lost.
+func (settings Settings) rowsMillis() clock.Millis {
+	return settings.EntryExpiryMillis + 2*settings.RenewMillis
+}
+
 // silenceMillis is how long an entry without a sign of life may have a lease in force that it
 // granted.
 func (settings Settings) silenceMillis() clock.Millis {
