Let entries share the evidence against workers

Cause: each entry judged workers by the failures of its own jobs. MaxFailures parked five innocent jobs for failures that were all on that worker.

Change: exchanges carry per worker the newest decision, which is numbered, and the sender's counts of ends, failures and trial tasks; the distinct jobs of all entries count together. Entries take turns with trial tasks. When more workers are out than the cap allows, all entries keep the same ones out. MaxFailures is gone: a job is parked for failures on distinct workers that are not suspect. The recorded sessions share the same way; the random delays of other messages are unchanged. Fault decisions are logged; the list of them grew without bound.

Conclusion: a faulty worker is out at all entries within one exchange. The cap can be exceeded until entries that decide at the same time have exchanged.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -111,9 +111,11 @@
 	publishedHomes string
 	refreshedAt    clock.Time
 	inExchange     map[ident.Entry]bool
-	silent         map[ident.Worker]silence
-	since          map[ident.Endpoint]presence
-	applied        *config.View
+	// healthTold is the change up to which each peer knows the health of workers.
+	healthTold map[ident.Entry]uint64
+	silent     map[ident.Worker]silence
+	since      map[ident.Endpoint]presence
+	applied    *config.View
 	// residents are the tasks on the workers homed here.
 	residents map[ident.Worker][]resident
 	// listed are the tasks of workers homed elsewhere, urgent the urgent jobs homed here.
@@ -174,7 +176,7 @@
 		inForce: newInForce(), homed: map[ident.Job]bool{}, finalSince: map[ident.Job]clock.Time{},
 		residents: map[ident.Worker][]resident{}, listed: map[ident.Worker]listedResidents{}, urgent: map[ident.Job]bool{},
 		random: rand.New(rand.NewPCG(settings.Seed, 3)), slowdownTarget: defaultSlowdownTarget,
-		inExchange: map[ident.Entry]bool{}, silent: map[ident.Worker]silence{}, since: map[ident.Endpoint]presence{},
+		inExchange: map[ident.Entry]bool{}, healthTold: map[ident.Entry]uint64{}, silent: map[ident.Worker]silence{}, since: map[ident.Endpoint]presence{},
 		quit: make(chan struct{}), rescan: make(chan struct{}, 1), settle: make(chan struct{}, 1),
 	}
 	entry.accounts = &accounts{Ledger: quota.New(quota.Defaults()), learned: entry.learned}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -11,14 +11,21 @@
 	"hyssopjunction/set"
 )
 
-// maxPairs bounds the interference estimates in one exchange.
-const maxPairs = 32
+const (
+	// maxPairs bounds the interference estimates in one exchange.
+	maxPairs = 32
+	// maxSuspects bounds the workers with failures but without a decision in one exchange. Each takes
+	// about 50 bytes.
+	maxSuspects = 16
+)
 
 // outgoing is one exchange to send.
 type outgoing struct {
 	peer     membership.Entry
 	sequence ident.Sequence
 	request  *controlpb.ExchangeRequest
+	// healthTo is the change up to which the request tells of the health of workers.
+	healthTo uint64
 }
 
 // exchange sends what changed to the peers that are due.
@@ -26,6 +33,7 @@
 	var due []outgoing
 	entry.control.Call(func() {
 		now := entry.time.Now()
+		fault := entry.learned.health.PlatformFault(now)
 		var pairs []*controlpb.PairEstimate
 		for _, peer := range entry.entries.Peers(now) {
 			if entry.inExchange[peer.ID] || !entry.workers.Due(peer.ID, now) {
@@ -42,8 +50,14 @@
 					Worker: string(worker), Incarnation: uint64(entry.ended[worker].incarnation),
 				})
 			}
+			if request.Full {
+				delete(entry.healthTold, peer.ID)
+			}
+			message := outgoing{peer: peer, sequence: ident.Sequence(request.Sequence), request: request}
+			request.Health, message.healthTo = entry.learned.health.Export(entry.healthTold[peer.ID], maxSuspects, now)
+			request.PlatformFault = fault
 			entry.inExchange[peer.ID] = true
-			due = append(due, outgoing{peer: peer, sequence: ident.Sequence(request.Sequence), request: request})
+			due = append(due, message)
 		}
 	})
 	for _, message := range due {
@@ -61,6 +75,9 @@
 			return
 		}
 		entry.workers.Acknowledge(message.peer.ID, message.sequence, reply, now)
+		if !reply.GetWantFull() {
+			entry.healthTold[message.peer.ID] = message.healthTo
+		}
 		entry.heard(reply.GetReceiver())
 	})
 	if err != nil {
@@ -113,7 +130,9 @@
 		for _, state := range request.GetWorkers() {
 			entry.workerSeen(ident.Worker(state.GetWorker()))
 		}
-		entry.learned.pairs.Import(ident.Entry(request.GetSender().GetEntry()), request.GetPairs())
+		sender := ident.Entry(request.GetSender().GetEntry())
+		entry.learned.pairs.Import(sender, request.GetPairs())
+		entry.learned.health.Import(sender, request.GetHealth(), request.GetPlatformFault(), now)
 		for _, over := range request.GetEnded() {
 			entry.incarnationEndedElsewhere(ident.Worker(over.GetWorker()), ident.Incarnation(over.GetIncarnation()))
 		}
--- a/entry/tick.go
+++ b/entry/tick.go
@@ -24,6 +24,7 @@
 		if entry.time.Now().Sub(entry.refreshedAt) >= refreshInterval {
 			entry.refresh()
 		}
+		entry.logHealth()
 	})
 	entry.exchange()
 }
@@ -42,6 +43,7 @@
 	if homes != entry.homes {
 		entry.homes = homes
 		klog.InfoS("Live entries changed", "Entries", homes)
+		entry.learned.health.SetEntries(entry.settings.ID, idsOf(live))
 		if shared, ok := entry.store.(interface{ SetEntries(entries int) }); ok {
 			shared.SetEntries(max(len(live), 1))
 		}
@@ -70,6 +72,22 @@
 	return homes
 }
 
+func idsOf(live []membership.Entry) []ident.Entry {
+	ids := make([]ident.Entry, 0, len(live))
+	for _, known := range live {
+		ids = append(ids, known.ID)
+	}
+	return ids
+}
+
+// logHealth logs the decisions about faults.
+func (entry *Entry) logHealth() {
+	for _, action := range entry.learned.health.Actions() {
+		klog.InfoS("Fault decision", "Kind", action.Kind, "Worker", action.Worker, "Job", action.Job,
+			"TermMillis", action.TermMillis, "Reason", action.Reason)
+	}
+}
+
 // entriesDigest returns a checksum of the entries as agents know them.
 func entriesDigest(live []membership.Entry) uint64 {
 	hash := fnv.New64a()
--- a/quarantine/settings.go
+++ b/quarantine/settings.go
@@ -31,11 +31,14 @@
 	// ProbationTasks is the number of trial tasks that may run on a worker on probation at once.
 	// The probation is decided once as many have succeeded or as many have failed.
 	ProbationTasks int
+	// TurnMillis is how long one entry may start the trial tasks of a probation before it is the next
+	// entry's turn. Any of them may have no work to try.
+	TurnMillis clock.Millis
+	// TurnGuardMillis is the part at the start of a turn in which no trial is started, because the
+	// trials of the entry before may not be known yet. It covers one lost exchange.
+	TurnGuardMillis clock.Millis
 	// DistinctWorkers is the number of distinct workers a job must fail on to be parked.
 	DistinctWorkers int
-	// MaxFailures is the number of failures without a success from which a job is parked even if
-	// they happened on fewer workers.
-	MaxFailures int
 	// BackoffMillis is the first term for which a job is parked. It doubles with each further failure.
 	BackoffMillis clock.Millis
 	// MaxBackoffMillis bounds the term.
@@ -56,8 +59,9 @@
 		QuarantineMillis:    5 * clock.Minute,
 		MaxQuarantineMillis: 2 * clock.Hour,
 		ProbationTasks:      2,
+		TurnMillis:          clock.Minute,
+		TurnGuardMillis:     10 * clock.Second,
 		DistinctWorkers:     3,
-		MaxFailures:         12,
 		BackoffMillis:       30 * clock.Second,
 		MaxBackoffMillis:    clock.Hour,
 		MaxJobs:             8192,
@@ -79,8 +83,10 @@
 		return ErrBadSettings{Field: "FailedPercent", Reason: "and WavePercent must be from 1 to 100"}
 	case settings.DistinctJobs < 2 || settings.DistinctWorkers < 2 || settings.WaveJobs < 2:
 		return ErrBadSettings{Field: "DistinctJobs", Reason: "DistinctWorkers and WaveJobs must be at least 2, or one fault convicts"}
-	case settings.ProbationTasks < 1 || settings.MaxFailures < 1 || settings.MaxJobs < 1:
-		return ErrBadSettings{Field: "ProbationTasks", Reason: "MaxFailures and MaxJobs must be at least 1"}
+	case settings.ProbationTasks < 1 || settings.MaxJobs < 1:
+		return ErrBadSettings{Field: "ProbationTasks", Reason: "and MaxJobs must be at least 1"}
+	case settings.TurnGuardMillis < 0 || settings.TurnMillis <= settings.TurnGuardMillis:
+		return ErrBadSettings{Field: "TurnMillis", Reason: "must be above TurnGuardMillis"}
 	}
 	return nil
 }
--- a/recorded/entry.go
+++ b/recorded/entry.go
@@ -44,7 +44,9 @@
 	sizes     *estimate.Model
 	pairs     *interference.Model
 	health    *quarantine.Tracker
-	governor  *interference.Governor
+	// healthTold is what the other entries know of it.
+	healthTold map[ident.Entry]healthTold
+	governor   *interference.Governor
 	// known holds the newest announcement of each worker.
 	known map[ident.Worker]announcement
 	// silent are workers that were reported silent and not heard of since.
@@ -122,6 +124,7 @@
 		}
 		return running()
 	})
+	entry.everyExchange(running)
 }
 
 // die ends the process. Its answers and messages are lost from now on.
@@ -344,12 +347,7 @@
 		case worker.Stopped:
 			entry.health.Stopped(status.Task, from.name)
 		}
-		for _, action := range entry.health.Actions() {
-			entry.deployment.log.write("%s Quarantine Kind=%s Worker=%s Job=%s Term=%s Reason=%q", entry.id, action.Kind, action.Worker, action.Job, action.TermMillis, action.Reason)
-		}
-		if err := entry.health.Check(); err != nil {
-			entry.deployment.checks.broken("quarantine: %v", err)
-		}
+		entry.logHealth()
 	}
 	entry.handle(placement.TaskEnded{Worker: from.name, Status: status})
 }
