Raise the size of a task that ran out of memory

Cause: estimate.OutOfMemory and estimate.Finished were never called by the entry, and neither the worker's status nor the report had the kind of an end. A task was placed again with the size at which it had run out, and its end counted as evidence against the worker and the job.

Change: a status carries the kind of the end, the peak memory and the run time; the agent fills in what the runtime does not tell from its own measurements. The job's home learns from them and asks for half as much again, at most for the largest worker until a task ran out there. Above that the job is parked with NeverFits. Such ends are no evidence against worker or job, and do not count towards the failures after which a batch task is given up. The margin on measured memory no longer parks a job that fits the largest worker. Explain gives the size and the memory floor of the job's home instead of those of the entry that was asked. The stand-in has PeakMemory.

Conclusion: a task that ran out of memory finishes where a worker can hold it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -15,6 +15,7 @@
 	"hyssopjunction/lease"
 	"hyssopjunction/loop"
 	"hyssopjunction/set"
+	"hyssopjunction/unit"
 	"hyssopjunction/worker"
 )
 
@@ -102,6 +103,8 @@
 	confirmed bool
 	// confirmedAt is when confirmed was set.
 	confirmedAt clock.Time
+	// peak is the most memory that was measured.
+	peak unit.Mebibytes
 }
 
 // New returns a running agent. Its incarnation must be higher than that of every earlier process
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -52,6 +52,11 @@
 func (agent *Agent) observe(report worker.Report, sent, now clock.Time) (missing []ident.Task, vanished []*stopping) {
 	agent.usage = report.Usage
 	agent.load = load(report)
+	for _, usage := range report.Usage {
+		if known := agent.tasks[usage.Task]; known != nil {
+			known.peak = max(known.peak, usage.Resources.Memory)
+		}
+	}
 	if !agent.ledger.Ready() {
 		agent.rebuild(report, now)
 		return nil, nil
@@ -139,12 +144,24 @@
 	if !agent.ledger.Ended(status.Task, status.Epoch, now) && !agent.ledger.EndedUnrecorded(status.Task, status.Epoch) {
 		return
 	}
+	if known := agent.tasks[status.Task]; known != nil && known.spec.Epoch == status.Epoch {
+		status = known.complete(status, now)
+	}
 	agent.ended[status.Task] = status
 	klog.InfoS("Task ended", "Worker", agent.settings.Worker, "Task", status.Task.String(), "Epoch", status.Epoch,
 		"State", status.State, "Reason", status.Reason)
 	wake(agent.reported)
 }
 
+// complete fills in what the worker did not tell about an end from the agent's own measurements.
+func (known *task) complete(status worker.Status, now clock.Time) worker.Status {
+	status.Peak = max(status.Peak, known.peak)
+	if status.Ran == 0 && known.confirmed {
+		status.Ran = now.Sub(known.confirmedAt)
+	}
+	return status
+}
+
 // renew passes the agent's lease on to the worker as an instant of the worker's own clock, so that a
 // delayed call cannot extend it.
 func (agent *Agent) renew(expiry worker.Instant) {
--- a/controlpb/convert.go
+++ b/controlpb/convert.go
@@ -1,6 +1,7 @@
 package controlpb
 
 import (
+	"hyssopjunction/clock"
 	"hyssopjunction/ident"
 	"hyssopjunction/unit"
 	"hyssopjunction/worker"
@@ -57,6 +58,9 @@
 		Checkpoint:      FromCheckpoint(status.Checkpoint),
 		ThrottlePercent: int32(status.Throttle),
 		Reason:          status.Reason,
+		End:             string(status.End),
+		PeakMemoryMib:   int64(status.Peak),
+		RanMillis:       int64(status.Ran),
 	}
 }
 
@@ -71,6 +75,9 @@
 		Checkpoint: ToCheckpoint(message.GetCheckpoint()),
 		Throttle:   int(message.GetThrottlePercent()),
 		Reason:     message.GetReason(),
+		End:        worker.End(message.GetEnd()),
+		Peak:       unit.Mebibytes(message.GetPeakMemoryMib()),
+		Ran:        clock.Millis(message.GetRanMillis()),
 	}
 }
 
--- a/controlpb/convert_test.go
+++ b/controlpb/convert_test.go
@@ -20,6 +20,9 @@
 		Checkpoint: worker.Checkpoint{Epoch: 6, Name: "layout/3/6"},
 		Throttle:   50,
 		Reason:     "exit 1",
+		End:        worker.OutOfMemory,
+		Peak:       2048,
+		Ran:        9000,
 	}
 	if diff := cmp.Diff(status, ToStatus(FromStatus(status))); diff != "" {
 		t.Fatal(diff)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -182,7 +182,7 @@
 	entry.accounts = &accounts{Ledger: quota.New(quota.Defaults()), learned: entry.learned}
 	entry.scheduler = placement.New(settings.Placement, placement.Dependencies{
 		Entry: settings.ID, Incarnation: incarnation,
-		Sizer: entry.learned.sizes, Interference: entry.learned, Health: entry.learned.health, Accounts: entry.accounts,
+		Sizer: entry.learned, Interference: entry.learned, Health: entry.learned.health, Accounts: entry.accounts,
 	})
 	entry.services.Store(&serviceTable{})
 	polling := config.DefaultReaderSettings()
--- a/entry/explain.go
+++ b/entry/explain.go
@@ -56,6 +56,12 @@
 		reply.Known = true
 		reply.Reason, reply.WaitedMillis, reply.Late = known.Reason, int64(known.Waited), known.Late
 		reply.Decisions = entry.decisions.lines[name]
+		spec, _, _ := entry.scheduler.Spec(ident.Task{Job: name})
+		reply.Size = controlpb.FromResources(entry.learned.Size(name, spec.Class, spec.Declared))
+		if floor := entry.learned.sizes.Floor(name, spec.Class); floor > 0 {
+			line := fmt.Sprintf("a task ran out of memory; the next ones are placed with at least %d MiB", floor)
+			reply.Decisions = append([]string{line}, reply.Decisions...)
+		}
 	})
 	return reply, nil
 }
@@ -79,8 +85,5 @@
 		}
 		reply = answered
 	}
-	entry.control.Call(func() {
-		reply.Size = controlpb.FromResources(entry.learned.sizes.Size(spec.Job, spec.Class, spec.Declared))
-	})
 	return reply
 }
--- a/entry/health_test.go
+++ b/entry/health_test.go
@@ -15,8 +15,10 @@
 	"hyssopjunction/clock"
 	"hyssopjunction/controlpb"
 	"hyssopjunction/ident"
+	"hyssopjunction/job"
 	"hyssopjunction/membership"
 	"hyssopjunction/table/tabletest"
+	"hyssopjunction/unit"
 	"hyssopjunction/worker"
 )
 
@@ -107,7 +109,19 @@
 		if home.ID != entry.settings.ID {
 			continue
 		}
-		_, err := entry.Report(world.Context(), &controlpb.ReportRequest{Worker: on, Incarnation: 1, Ended: []*controlpb.TaskStatus{{
+		submission, err := job.Submission(job.Spec{
+			Job: name, Team: "team", Kind: worker.Batch, Count: 1, Region: "north", Declared: unit.Resources{CPU: 100, Memory: 100},
+		}, "")
+		if err == nil {
+			err = world.memory.Write(submission)
+		}
+		if err == nil {
+			err = entry.loadJob(world.Context(), name)
+		}
+		if err != nil {
+			world.Fatal(err)
+		}
+		_, err = entry.Report(world.Context(), &controlpb.ReportRequest{Worker: on, Incarnation: 1, Ended: []*controlpb.TaskStatus{{
 			Task: controlpb.FromTask(ident.Task{Job: name}, 1), State: string(worker.Failed), Reason: "exit status 1",
 		}}})
 		if err != nil {
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -276,6 +276,19 @@
 	})
 }
 
+// countEnd takes an end as evidence once. The end of a job whose row was not read yet is counted when
+// its report is repeated, because the job's class is not known before.
+func (entry *Entry) countEnd(on ident.Worker, status worker.Status, now clock.Time) {
+	spec, resumed, known := entry.scheduler.Spec(status.Task)
+	if !known {
+		return
+	}
+	if entry.counted[status.Task].epoch < status.Epoch {
+		entry.learned.taskEnded(on, status, ending{class: spec.Class, resumed: resumed, largest: entry.learned.largest}, now)
+	}
+	entry.counted[status.Task] = recordedEnd{epoch: status.Epoch, at: now}
+}
+
 // Report takes the ends of tasks that an agent reports until they are recorded in the table.
 func (entry *Entry) Report(_ context.Context, request *controlpb.ReportRequest) (*controlpb.ReportReply, error) {
 	if err := entry.notReady(); err != nil {
@@ -295,10 +308,7 @@
 				continue
 			}
 			name := ident.Worker(request.GetWorker())
-			if entry.counted[status.Task].epoch < status.Epoch {
-				entry.learned.taskEnded(name, status, now)
-			}
-			entry.counted[status.Task] = recordedEnd{epoch: status.Epoch, at: now}
+			entry.countEnd(name, status, now)
 			entry.knowJob(status)
 			entry.handle(placement.TaskEnded{Worker: name, Status: status})
 		}
--- a/entry/learned.go
+++ b/entry/learned.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"k8s.io/klog/v2"
+
 	"hyssopjunction/clock"
 	"hyssopjunction/estimate"
 	"hyssopjunction/ident"
@@ -24,6 +26,8 @@
 	governor *interference.Governor
 	// startBatch is whether the preset in force lets ordinary work start.
 	startBatch bool
+	// largest is the most memory that a worker has for tasks.
+	largest unit.Mebibytes
 }
 
 func newLearned() *learned {
@@ -59,14 +63,47 @@
 	}
 }
 
-// taskEnded records an end as evidence about the worker and the job.
-func (learned *learned) taskEnded(on ident.Worker, status worker.Status, now clock.Time) {
-	switch status.State {
-	case worker.Finished:
+// ending is what the entry knows of the job of an ended task.
+type ending struct {
+	class string
+	// resumed tasks ran only for a part of their run time.
+	resumed bool
+	// largest is the most memory that a worker has for tasks.
+	largest unit.Mebibytes
+}
+
+// taskEnded records an end as evidence about the worker and the job and as a measurement of its size.
+// Running out of memory is neither the worker's fault nor a reason to wait: the next attempt asks for
+// more.
+func (learned *learned) taskEnded(on ident.Worker, status worker.Status, known ending, now clock.Time) {
+	name := status.Task.Job
+	if status.Peak > 0 {
+		learned.sizes.Peak(name, known.class, status.Peak, now)
+	}
+	switch {
+	case status.State == worker.Finished:
 		learned.health.Succeeded(status.Task, on, now)
-	case worker.Failed:
+		if status.Ran > 0 && !known.resumed {
+			learned.sizes.Finished(name, known.class, status.Ran, now)
+		}
+	case status.State == worker.Failed && status.End == worker.OutOfMemory:
+		learned.health.Stopped(status.Task, on)
+		floor := learned.sizes.OutOfMemory(name, known.class, status.Resources.Memory, known.largest)
+		klog.InfoS("Task ran out of memory", "Task", status.Task.String(), "Epoch", status.Epoch, "Worker", on,
+			"LimitMiB", status.Resources.Memory, "NextMiB", floor)
+	case status.State == worker.Failed:
 		learned.health.Failed(status.Task, on, status.Reason, now)
-	case worker.Stopped:
+	case status.State == worker.Stopped:
 		learned.health.Stopped(status.Task, on)
 	}
 }
+
+// Size returns the size to reserve for a task of the job. The margin on measured memory does not pass
+// the largest worker: only a task that ran out of memory there cannot run.
+func (learned *learned) Size(name ident.Job, class string, declared unit.Resources) unit.Resources {
+	size := learned.sizes.Size(name, class, declared)
+	if largest := learned.largest; size.Memory > largest && declared.Memory <= largest && learned.sizes.Floor(name, class) <= largest {
+		size.Memory = largest
+	}
+	return size
+}
--- a/entry/tick.go
+++ b/entry/tick.go
@@ -61,6 +61,7 @@
 		fleet = append(fleet, worker.ID)
 	}
 	entry.learned.health.SetFleet(fleet)
+	entry.learned.largest = entry.scheduler.LargestMemory()
 }
 
 // homesOf returns the ids of the live entries, for comparison.
--- a/estimate/estimate_test.go
+++ b/estimate/estimate_test.go
@@ -111,7 +111,7 @@
 				if limit > 1<<30 {
 					return
 				}
-				floor := model.OutOfMemory(name, class, limit)
+				floor := model.OutOfMemory(name, class, limit, 0)
 				floors[string(name)] = max(floors[string(name)], limit+1, floor)
 			},
 			"move home": func(*rapid.T) {
--- a/estimate/model.go
+++ b/estimate/model.go
@@ -50,12 +50,29 @@
 	}
 }
 
+// Peak records the most memory that an ended task used.
+func (model *Model) Peak(job ident.Job, class string, used unit.Mebibytes, now clock.Time) {
+	for _, record := range model.touch(job, class) {
+		record.memory.add(memory.scale, int64(used), now, model.settings.HalfLifeMillis)
+	}
+}
+
 // OutOfMemory records that a task of the job ran out of memory at the limit it was placed with.
 // Later sizes of the job are at least the returned floor, which is OutOfMemoryPercent of that limit.
-// The caller keeps it with the job, so that the job's next home can Restore it.
-func (model *Model) OutOfMemory(job ident.Job, class string, limit unit.Mebibytes) unit.Mebibytes {
+// It does not pass the largest worker until a task ran out of memory there; 0 means that the largest
+// worker is not known.
+func (model *Model) OutOfMemory(job ident.Job, class string, limit, largest unit.Mebibytes) unit.Mebibytes {
 	percent := unit.Mebibytes(max(model.settings.OutOfMemoryPercent, 100))
-	model.floors.raise(job, class, (limit*percent+99)/100)
+	floor := (limit*percent + 99) / 100
+	if limit < largest {
+		floor = min(floor, largest)
+	}
+	model.floors.raise(job, class, floor)
+	return model.floors.of(job, class)
+}
+
+// Floor returns the memory below which the job is not placed, 0 if it never ran out of memory.
+func (model *Model) Floor(job ident.Job, class string) unit.Mebibytes {
 	return model.floors.of(job, class)
 }
 
--- a/placement/explain.go
+++ b/placement/explain.go
@@ -77,6 +77,30 @@
 	return scheduler.fitsEver(&spec, scheduler.size(&spec))
 }
 
+// LargestMemory returns the most memory that one known worker has for tasks.
+func (scheduler *Scheduler) LargestMemory() unit.Mebibytes {
+	largest := unit.Mebibytes(0)
+	for _, worker := range scheduler.order {
+		if worker.known {
+			largest = max(largest, worker.state.Capacity.Memory)
+		}
+	}
+	return largest
+}
+
+// Spec returns the job's specification, and whether an earlier placement of the task left a
+// checkpoint that a later one resumed from. It returns false if the job is unknown here.
+func (scheduler *Scheduler) Spec(task ident.Task) (spec job.Spec, resumed, ok bool) {
+	view, ok := scheduler.jobs[task.Job]
+	if !ok {
+		return job.Spec{}, false, false
+	}
+	if task.Index >= 0 && task.Index < len(view.row.Tasks) {
+		resumed = view.row.Tasks[task.Index].Checkpoint.Name != ""
+	}
+	return view.row.Spec, resumed, true
+}
+
 // fitsEver reports whether empty workers could hold the job. Closed data centres count, because
 // they return.
 func (scheduler *Scheduler) fitsEver(spec *job.Spec, size unit.Resources) (reason string, ok bool) {
--- a/placement/resolve.go
+++ b/placement/resolve.go
@@ -254,7 +254,8 @@
 		scheduler.stats.Evictions++
 	case status.State == worker.Finished || status.State == worker.Failed:
 		change.Step = job.StepFail
-		if batch && task.Failures+1 >= scheduler.settings.MaxFailures {
+		// Running out of memory is bounded by the largest worker, not by the number of failures.
+		if batch && status.End != worker.OutOfMemory && task.Failures+1 >= scheduler.settings.MaxFailures {
 			change.Step = job.StepGiveUp
 		}
 		view.delay[index] = scheduler.now.Add(backoff(task.Failures))
--- a/recorded/entry.go
+++ b/recorded/entry.go
@@ -340,10 +340,12 @@
 		case worker.Finished:
 			entry.health.Succeeded(status.Task, from.name, now)
 		case worker.Failed:
-			entry.health.Failed(status.Task, from.name, status.Reason, now)
-			if status.Reason == outOfMemory {
-				entry.sizes.OutOfMemory(status.Task.Job, entry.deployment.profiles[status.Task].class, status.Resources.Memory)
+			if status.End == worker.OutOfMemory {
+				entry.health.Stopped(status.Task, from.name)
+				entry.sizes.OutOfMemory(status.Task.Job, entry.deployment.profiles[status.Task].class, status.Resources.Memory, entry.scheduler.LargestMemory())
+				break
 			}
+			entry.health.Failed(status.Task, from.name, status.Reason, now)
 		case worker.Stopped:
 			entry.health.Stopped(status.Task, from.name)
 		}
--- a/recorded/runtime.go
+++ b/recorded/runtime.go
@@ -182,6 +182,9 @@
 	delete(runtime.tasks, name)
 	delete(deployment.places, name)
 	status := worker.Status{Task: name, Epoch: task.epoch, State: state, Resources: task.size, Checkpoint: task.checkpoint, Throttle: task.throttle, Reason: reason}
+	if reason == outOfMemory {
+		status.End = worker.OutOfMemory
+	}
 	runtime.ended[name] = status
 	deployment.checks.ended(agent, status)
 	if state != worker.Finished {
--- a/standin/payload.go
+++ b/standin/payload.go
@@ -25,6 +25,9 @@
 	ActualCPU unit.MilliCPU
 	// ActualMemory is the memory the task really uses; 0 means 90% of its size.
 	ActualMemory unit.Mebibytes
+	// PeakMemory is the memory that the task needs halfway through RunMillis. With a smaller size it
+	// ends there for lack of memory. 0 means ActualMemory.
+	PeakMemory unit.Mebibytes
 	// WaveMillis makes the task alternate between full load and quietPercent of it, each for
 	// WaveMillis; 0 means constant load. Its own progress does not change.
 	WaveMillis clock.Millis
@@ -57,7 +60,7 @@
 	if err := json.Unmarshal([]byte(text), &payload); err != nil {
 		return Payload{}, ErrBadPayload{Reason: err.Error()}
 	}
-	if payload.RunMillis < 0 || payload.FailAfterMillis < 0 || payload.ActualCPU < 0 || payload.ActualMemory < 0 {
+	if payload.RunMillis < 0 || payload.FailAfterMillis < 0 || payload.ActualCPU < 0 || payload.ActualMemory < 0 || payload.PeakMemory < 0 {
 		return Payload{}, ErrBadPayload{Reason: "values must not be negative"}
 	}
 	if payload.WaveMillis != 0 && payload.WaveMillis < minWave {
--- a/standin/simulation.go
+++ b/standin/simulation.go
@@ -23,6 +23,7 @@
 	reasonWorkerLost  = "WorkerLost"
 	reasonSuperseded  = "Superseded"
 	reasonRequested   = "Requested"
+	reasonMemory      = "OutOfMemory"
 )
 
 // sample is what a task used from At on.
@@ -44,6 +45,15 @@
 	checkpoint worker.Checkpoint
 	run        *Run
 	samples    []sample
+	// end, peak and ran are set once the task has ended.
+	end  worker.End
+	peak unit.Mebibytes
+	ran  clock.Millis
+}
+
+// peaked reports whether the task has reached the point at which it needs its peak memory.
+func (task *simulated) peaked() bool {
+	return task.payload.PeakMemory > 0 && task.done >= int64(task.payload.RunMillis)*workScale/2
 }
 
 func (task *simulated) progress() clock.Millis {
@@ -55,6 +65,9 @@
 	fail := int64(task.payload.FailAfterMillis) * workScale
 	finish := int64(task.payload.RunMillis) * workScale
 	standing := task.spec.Kind == worker.Standing
+	if half := finish / 2; task.payload.PeakMemory > task.spec.Resources.Memory && (fail == 0 || half < fail) {
+		return half, worker.Failed, true
+	}
 	if task.payload.FailAfterMillis > 0 && (standing || fail <= finish) {
 		return fail, worker.Failed, true
 	}
@@ -195,7 +208,16 @@
 // end records the end of a running task at the settled time.
 func (runtime *Worker) end(task *simulated, state worker.State, reason string) {
 	task.state, task.reason = state, reason
-	if state == worker.Failed && reason == "" {
+	task.ran = runtime.settled.Sub(task.run.Start)
+	task.peak = runtime.usage(task).Memory
+	if task.peaked() {
+		task.peak = min(task.payload.PeakMemory, task.spec.Resources.Memory)
+	}
+	switch {
+	case state != worker.Failed || reason != "":
+	case task.peaked() && task.payload.PeakMemory > task.spec.Resources.Memory:
+		task.reason, task.end = reasonMemory, worker.OutOfMemory
+	default:
 		task.reason = reasonPayload
 	}
 	runtime.options.Records.end(task.run, runtime.settled, state, task.reason, task.progress())
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -279,6 +279,7 @@
 		report.Tasks = append(report.Tasks, worker.Status{
 			Task: task.spec.Task, Epoch: task.spec.Epoch, State: task.state, Resources: task.spec.Resources,
 			Checkpoint: task.checkpoint, Throttle: task.throttle, Reason: task.reason,
+			End: task.end, Peak: task.peak, Ran: task.ran,
 		})
 		if usage, ok := runtime.report(task); ok && task.state == worker.Running {
 			report.Usage = append(report.Usage, usage)
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -57,6 +57,12 @@
 	Stopped State = "Stopped"
 )
 
+// End tells more about how a task ended.
+type End string
+
+// OutOfMemory is the end of a failed task that needed more memory than its size.
+const OutOfMemory End = "OutOfMemory"
+
 // Status is a worker's record of one task.
 type Status struct {
 	Task       ident.Task
@@ -67,6 +73,12 @@
 	// Throttle is the share of processor time the task may use, in percent; 100 is unthrottled.
 	Throttle int
 	Reason   string
+	// End of an ended task is empty if there is no more to tell than State does.
+	End End `json:",omitempty"`
+	// Peak is the most memory that an ended task used; 0 means unknown.
+	Peak unit.Mebibytes `json:",omitempty"`
+	// Ran is how long an ended task ran in its epoch; 0 means unknown.
+	Ran clock.Millis `json:",omitempty"`
 }
 
 // Usage is a measurement of one task, taken Lag before it is reported.
