Do not start a job whose declared size no worker can hold

Cause: a size learned from small jobs of the class replaced the declared size of a job that no worker can hold, so it was accepted and started, and parked only after it had run out of memory.

Change: until the job itself has run, a declared size that no empty worker can hold is not replaced by a smaller learned one: the submission is refused, or the job is parked with NeverFits. A job that has run keeps its learned size, so that a preset's headroom does not park it.

Conclusion: a job that can never run uses no capacity.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -263,7 +263,7 @@
 
 // keepFree stops other ordinary work from using the worker that is closest to having room.
 func (scheduler *Scheduler) keepFree(view *jobView) bool {
-	spec, size := &view.row.Spec, scheduler.size(&view.row.Spec)
+	spec, size := &view.row.Spec, scheduler.sizeOf(view)
 	var best *workerView
 	bestMissing := 0
 	for _, candidate := range scheduler.order {
--- a/placement/drain.go
+++ b/placement/drain.go
@@ -165,7 +165,7 @@
 		if _, blocked := scheduler.dependencies.Health.Blocked(name, scheduler.now); blocked {
 			continue
 		}
-		if _, ok := scheduler.fitsEver(&view.row.Spec, scheduler.size(&view.row.Spec)); !ok {
+		if _, ok := scheduler.fitsEver(&view.row.Spec, scheduler.sizeOf(view)); !ok {
 			continue
 		}
 		delete(scheduler.parked, name)
--- a/placement/place.go
+++ b/placement/place.go
@@ -196,7 +196,7 @@
 			return true
 		}
 	}
-	size := scheduler.size(spec)
+	size := scheduler.sizeOf(view)
 	if !spec.Urgent && scheduler.missed(spec, size) {
 		view.reason = "NoRoom: no worker has room for " + size.String()
 		return false
--- a/placement/preempt.go
+++ b/placement/preempt.go
@@ -39,7 +39,7 @@
 	if !view.row.Spec.Urgent || scheduler.now.Before(view.preemptUntil) {
 		return
 	}
-	size := scheduler.size(&view.row.Spec)
+	size := scheduler.sizeOf(view)
 	planned := plan{extra: make(map[*workerView]unit.Resources), foreign: make(map[ident.Task]bool)}
 	var stops messages
 	until := scheduler.now.Add(scheduler.settings.CheckpointBound + 3*scheduler.settings.Round)
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -148,9 +148,9 @@
 	)
 }
 
-// size returns what to reserve for a task: the learned size, or the declared one if that is not
-// usable.
-func (scheduler *Scheduler) size(spec *job.Spec) unit.Resources {
+// learnedSize returns what to reserve for a task: the learned size, or the declared one if that is
+// not usable.
+func (scheduler *Scheduler) learnedSize(spec *job.Spec) unit.Resources {
 	size := scheduler.dependencies.Sizer.Size(spec.Job, spec.Class, spec.Declared)
 	if size.Negative() || size.IsZero() {
 		size = spec.Declared
@@ -159,3 +159,44 @@
 	size.Accelerators = spec.Declared.Accelerators
 	return size
 }
+
+// size returns what to reserve for a task of a job that has not run. A size learned from others of
+// its class does not make up for a declared size that no worker can hold.
+func (scheduler *Scheduler) size(spec *job.Spec) unit.Resources {
+	size := scheduler.learnedSize(spec)
+	if !spec.Declared.FitsIn(size) && !scheduler.holdable(spec, spec.Declared) {
+		return size.Max(spec.Declared)
+	}
+	return size
+}
+
+// sizeOf returns what to reserve for a task of the job. Once the job has run, its size is known from
+// its own tasks, also if workers became smaller, for example by a preset's headroom.
+func (scheduler *Scheduler) sizeOf(view *jobView) unit.Resources {
+	size := scheduler.learnedSize(&view.row.Spec)
+	if view.row.Spec.Declared.FitsIn(size) || view.ran() {
+		return size
+	}
+	return scheduler.size(&view.row.Spec)
+}
+
+// ran reports whether a task of the job was placed before.
+func (view *jobView) ran() bool {
+	for index := range view.row.Tasks {
+		if view.row.Tasks[index].Epoch > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// holdable reports whether an empty known worker could hold the size. It is true while no worker is
+// known.
+func (scheduler *Scheduler) holdable(spec *job.Spec, size unit.Resources) bool {
+	for _, worker := range scheduler.order {
+		if worker.known && spec.Allows(worker.state.DataCentre) && size.FitsIn(worker.state.Capacity) {
+			return true
+		}
+	}
+	return scheduler.total.IsZero()
+}
