--- a/entry/learnedstate.go
+++ b/entry/learnedstate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
@@ -37,18 +38,18 @@
 	return learnedPrefix + string(entry.settings.Region) + "/"
 }
 
-// saveLearned writes the interference estimates to the object store, so that an entry that starts
-// with nothing does not place work as if no pair disturbed another.
+// saveLearned writes what the entry learned to the object store, so that an entry that starts with
+// nothing does not place work as if no pair disturbed another and no declared size was wrong.
 func (entry *Entry) saveLearned() {
 	if entry.objects == nil || !entry.publisher.Ready() {
 		return
 	}
-	message := &controlpb.ExchangeRequest{}
-	entry.control.Call(func() { message.Pairs = entry.learned.pairs.Export(maxLearnedPairs, true) })
-	if len(message.Pairs) == 0 {
+	snapshot := &controlpb.Learned{Format: learnedFormat, SavedUnixMillis: time.Now().UnixMilli()}
+	entry.control.Call(func() { entry.learned.export(snapshot, entry.time.Now()) })
+	if len(snapshot.Pairs)+len(snapshot.Jobs)+len(snapshot.Floors)+len(snapshot.Health) == 0 {
 		return
 	}
-	payload, err := proto.Marshal(message)
+	payload, err := proto.Marshal(snapshot)
 	if err != nil {
 		klog.ErrorS(err, "Estimates were not encoded", "Entry", entry.settings.ID)
 		return
@@ -60,8 +61,33 @@
 	}
 }
 
-// maxLearnedPairs bounds the estimates in a snapshot.
-const maxLearnedPairs = 4096
+func (learned *learned) export(snapshot *controlpb.Learned, now clock.Time) {
+	snapshot.Pairs = learned.pairs.Export(maxLearnedPairs, true)
+	learned.sizes.Export(snapshot, maxLearnedJobs, now)
+	snapshot.Health, _ = learned.health.Export(0, maxLearnedSuspects, now)
+}
+
+const (
+	// learnedFormat is the version of the content of a snapshot. Format 1 had the pairs alone.
+	learnedFormat = 2
+	// learnedAge is the age from which a snapshot is not used. By then the weights of its estimates
+	// have halved six times.
+	learnedAge = 3 * clock.Day
+	// maxLearnedPairs, maxLearnedJobs and maxLearnedSuspects bound a snapshot. At the design size a home
+	// has some 210 jobs a day.
+	maxLearnedPairs    = 4096
+	maxLearnedJobs     = 512
+	maxLearnedSuspects = 256
+)
+
+// ageOf returns the age of a snapshot by the wall clocks of the two processes. They can differ, which
+// makes estimates decay a little more or less. Format 1 has no time and nothing that ages.
+func ageOf(snapshot *controlpb.Learned) clock.Millis {
+	if snapshot.GetFormat() == 0 {
+		return 0
+	}
+	return clock.Millis(max(time.Now().UnixMilli()-snapshot.GetSavedUnixMillis(), 0))
+}
 
 // loadLearned takes over the newest whole snapshot of each entry of the region. Torn ones are skipped
 // by the series; without any, the entry learns anew.
@@ -92,11 +118,30 @@
 		klog.InfoS("Saved estimates were not read", "Author", author, "Reason", err.Error())
 		return
 	}
-	message := &controlpb.ExchangeRequest{}
+	message := &controlpb.Learned{}
 	if err := proto.Unmarshal(snapshot.Payload, message); err != nil {
 		klog.ErrorS(err, "Saved estimates cannot be used", "Author", author)
 		return
 	}
-	entry.control.Call(func() { entry.learned.pairs.Import(author, message.GetPairs()) })
-	klog.InfoS("Saved estimates taken over", "Author", author, "Pairs", len(message.GetPairs()))
+	age := ageOf(message)
+	if message.GetFormat() > learnedFormat || age >= learnedAge {
+		klog.InfoS("Saved estimates are skipped", "Author", author, "Format", message.GetFormat(), "AgeMillis", age)
+		return
+	}
+	entry.control.Call(func() { entry.learned.take(author, message, age, entry.time.Now()) })
+	klog.InfoS("Saved estimates taken over", "Author", author, "Pairs", len(message.GetPairs()),
+		"Jobs", len(message.GetJobs()), "Workers", len(message.GetHealth()), "AgeMillis", age)
+}
+
+// take takes over a snapshot. Trial tasks of an ended process hold no place, because their ends are
+// reported to other entries.
+func (learned *learned) take(author ident.Entry, snapshot *controlpb.Learned, age clock.Millis, now clock.Time) {
+	learned.pairs.Import(author, snapshot.GetPairs())
+	learned.sizes.Import(snapshot, age, now)
+	for _, health := range snapshot.GetHealth() {
+		health.Trials = 0
+		health.LeftMillis -= int64(age)
+		health.AgeMillis += int64(age)
+	}
+	learned.health.Import(author, snapshot.GetHealth(), false, now)
 }
--- a/estimate/floors.go
+++ b/estimate/floors.go
@@ -31,7 +31,11 @@
 		floors.jobs[job] = max(floors.jobs[job], floor)
 		return
 	}
-	_, known = floors.classes[class]
+	floors.raiseClass(class, floor)
+}
+
+func (floors *floors) raiseClass(class string, floor unit.Mebibytes) {
+	_, known := floors.classes[class]
 	if known || len(floors.classes) < floors.maxClasses {
 		floors.classes[class] = max(floors.classes[class], floor)
 		return
--- a/estimate/model.go
+++ b/estimate/model.go
@@ -1,7 +1,6 @@
 package estimate
 
 import (
-	"cmp"
 	"container/list"
 
 	"hyssopjunction/clock"
@@ -112,18 +111,18 @@
 }
 
 // records is a map of records bounded by dropping the least recently updated.
-type records[Key cmp.Ordered] struct {
+type records[Key ~string] struct {
 	limit  int
 	byKey  map[Key]*list.Element
 	recent *list.List
 }
 
-type keyed[Key cmp.Ordered] struct {
+type keyed[Key ~string] struct {
 	key    Key
 	record record
 }
 
-func newRecords[Key cmp.Ordered](limit int) *records[Key] {
+func newRecords[Key ~string](limit int) *records[Key] {
 	return &records[Key]{limit: max(limit, 1), byKey: make(map[Key]*list.Element), recent: list.New()}
 }
 
--- a/quarantine/share.go
+++ b/quarantine/share.go
@@ -54,6 +54,16 @@
 	return failed > 0 && failed*100 >= ended*percent
 }
 
+// toldOf reports whether another entry's evidence is still valid.
+func (record *workerRecord) toldOf(now clock.Time) bool {
+	for _, told := range record.remote {
+		if now.Before(told.until) {
+			return true
+		}
+	}
+	return false
+}
+
 // waveTold reports whether another entry recently told of a platform fault.
 func (tracker *Tracker) waveTold(now clock.Time) bool {
 	for entry, at := range tracker.toldWave {
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -101,8 +101,8 @@
 	tracker.self, tracker.entries = position, len(sorted)
 }
 
-// SetFleet names the workers that exist. Evidence about other workers is dropped; decisions on them
-// are kept for MaxQuarantineMillis. The cap is a share of this fleet, see limitOut.
+// SetFleet names the workers that exist. Own evidence about other workers is dropped. What others told
+// of them is kept until it is too old, and decisions for MaxQuarantineMillis. The cap is a share of this fleet, see limitOut.
 func (tracker *Tracker) SetFleet(fleet []ident.Worker) {
 	known := set.New(fleet...)
 	for _, worker := range set.SortedKeys(tracker.workers) {
@@ -112,8 +112,9 @@
 		}
 		if !record.absent {
 			record.absent, record.absentAt = true, tracker.now
+			record.ends, record.affected = nil, false
 		}
-		if record.generation == 0 || tracker.now.Sub(record.absentAt) >= tracker.settings.MaxQuarantineMillis {
+		if record.generation == 0 && !record.toldOf(tracker.now) || tracker.now.Sub(record.absentAt) >= tracker.settings.MaxQuarantineMillis {
 			delete(tracker.workers, worker)
 		}
 	}
