--- a/entry/entry.go
+++ b/entry/entry.go
@@ -112,9 +112,11 @@
 	publishedHomes string
 	refreshedAt    clock.Time
 	inExchange     map[ident.Entry]bool
-	silent         map[ident.Worker]silence
-	since          map[ident.Endpoint]presence
-	applied        *config.View
+	// healthTold is the change up to which each peer knows the health of workers.
+	healthTold map[ident.Entry]uint64
+	silent     map[ident.Worker]silence
+	since      map[ident.Endpoint]presence
+	applied    *config.View
 	// residents are the tasks on the workers homed here.
 	residents map[ident.Worker][]resident
 	// listed are the tasks of workers homed elsewhere, urgent the urgent jobs homed here.
@@ -177,13 +179,13 @@
 		inForce: newInForce(), homed: map[ident.Job]bool{}, finalSince: map[ident.Job]clock.Time{},
 		residents: map[ident.Worker][]resident{}, listed: map[ident.Worker]listedResidents{}, urgent: map[ident.Job]bool{},
 		random: rand.New(rand.NewPCG(settings.Seed, 3)), slowdownTarget: defaultSlowdownTarget,
-		inExchange: map[ident.Entry]bool{}, silent: map[ident.Worker]silence{}, since: map[ident.Endpoint]presence{},
+		inExchange: map[ident.Entry]bool{}, healthTold: map[ident.Entry]uint64{}, silent: map[ident.Worker]silence{}, since: map[ident.Endpoint]presence{},
 		quit: make(chan struct{}), rescan: make(chan struct{}, 1), settle: make(chan struct{}, 1),
 	}
 	entry.accounts = &accounts{Ledger: quota.New(quota.Defaults()), learned: entry.learned}
 	entry.scheduler = placement.New(settings.Placement, placement.Dependencies{
 		Entry: settings.ID, Incarnation: incarnation,
-		Sizer: entry.learned.sizes, Interference: entry.learned, Health: entry.learned.health, Accounts: entry.accounts,
+		Sizer: entry.learned, Interference: entry.learned, Health: entry.learned.health, Accounts: entry.accounts,
 	})
 	entry.services.Store(&serviceTable{})
 	polling := config.DefaultReaderSettings()
