Keep two tests of entries free of data races

Cause: the race detector found a map of entries filled while entries call each other (TestLeftRowIsDeletedOnce) and a read of the slowdown limit outside of the control goroutine (TestServiceLimits).

Change: the first uses the guarded add, the second reads on the control goroutine. go test -race -short ./entry failed before and passes after.

Conclusion: both faults were in the tests.

--- a/entry/left_test.go
+++ b/entry/left_test.go
@@ -33,7 +33,7 @@
 				t.Fatal(err)
 			}
 			defer entry.Close()
-			network.entries[name] = entry
+			network.add(name, entry)
 		}
 		exists := func() bool {
 			row, err := memory.Get(context.Background(), membership.EntryKey("three"))
--- a/entry/servicelimits_test.go
+++ b/entry/servicelimits_test.go
@@ -30,12 +30,14 @@
 		if err != nil || len(list.Services) != 1 || list.Services[0].TargetSlowdown != 115 || list.Services[0].RetentionMillis != 2*clock.Day {
 			world.Errorf("listed %+v, %v", list.Services, err)
 		}
-		if limit := world.entry.slowdownLimit("checks"); limit != 115 {
-			world.Errorf("the governor's limit is %d", limit)
-		}
-		if limit := world.entry.slowdownLimit("others"); limit != config.DefaultPresets()[config.Ordinary].SlowdownLimitPercent {
-			world.Errorf("the limit without an own one is %d", limit)
-		}
+		world.entry.control.Call(func() {
+			if limit := world.entry.slowdownLimit("checks"); limit != 115 {
+				world.Errorf("the governor's limit is %d", limit)
+			}
+			if limit := world.entry.slowdownLimit("others"); limit != config.DefaultPresets()[config.Ordinary].SlowdownLimitPercent {
+				world.Errorf("the limit without an own one is %d", limit)
+			}
+		})
 		if kept := world.entry.retention("checks"); kept != 2*clock.Day {
 			world.Errorf("kept for %d ms", kept)
 		}
