Count the ends that the granter reports in an agent's place

Cause: ends that the granter of a silent worker reads from its runtime were recorded, but were no evidence and no measurement at a job's home that is the granter itself. The platform-fault check counted the fleet in each tick.

Change: such ends are counted like reported ones, once. The fleet is counted only when an exchange is due.

--- a/entry/consult.go
+++ b/entry/consult.go
@@ -87,6 +87,7 @@
 			}
 			home, ok := membership.JobHome(status.Task.Job, entry.settings.Region, live).Get()
 			if !ok || home.ID == entry.settings.ID {
+				entry.countEnd(name, status, entry.time.Now())
 				entry.knowJob(status)
 				entry.handle(placement.TaskEnded{Worker: name, Status: status})
 				continue
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -33,13 +33,15 @@
 	var due []outgoing
 	entry.control.Call(func() {
 		now := entry.time.Now()
-		fault := entry.learned.health.PlatformFault(now)
+		fault := false
 		var pairs []*controlpb.PairEstimate
 		for _, peer := range entry.entries.Peers(now) {
 			if entry.inExchange[peer.ID] || !entry.workers.Due(peer.ID, now) {
 				continue
 			}
 			if pairs == nil {
+				// Counting the fleet in each tick, of which few send an exchange, would cost most of it.
+				fault = entry.learned.health.PlatformFault(now)
 				pairs = entry.learned.pairs.Export(maxPairs, false)
 			}
 			request := entry.workers.Delta(peer.ID, now)
