Take over the estimates of an entry that ended

They placed such jobs without the sizes, run times and memory floors that had been learned. Two tests read state of the control goroutine from outside.

The tests share a fixture and read the state on the control goroutine.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -220,7 +220,7 @@
 		{scanInterval, entry.rescan, entry.scanJobs},
 		{10 * clock.Second, nil, entry.sweep},
 		{20 * clock.Second, entry.settle, entry.reviewTeams},
-		{learnedInterval, nil, entry.saveLearned},
+		{learnedInterval, nil, func() { entry.saveLearned(objectTimeout) }},
 	} {
 		entry.every(loop.interval, loop.wake, loop.step)
 	}
--- a/entry/health_test.go
+++ b/entry/health_test.go
@@ -9,14 +9,11 @@
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
 
 	"hyssopjunction/clock"
 	"hyssopjunction/controlpb"
 	"hyssopjunction/ident"
 	"hyssopjunction/job"
-	"hyssopjunction/membership"
 	"hyssopjunction/table/tabletest"
 	"hyssopjunction/unit"
 	"hyssopjunction/worker"
@@ -39,19 +36,14 @@
 }
 
 func (client neighbour) Exchange(ctx context.Context, request *controlpb.ExchangeRequest, _ ...grpc.CallOption) (*controlpb.ExchangeReply, error) {
-	running, ok := client.network.running.Load(client.address)
-	if !ok {
-		return nil, status.Error(codes.Unavailable, "no such entry")
+	if running, ok := client.network.running.Load(client.address); ok {
+		return running.(*Entry).Exchange(ctx, request)
 	}
-	return running.(*Entry).Exchange(ctx, request)
+	return nil, errClosed{}
 }
 
-func (client neighbour) Yield(ctx context.Context, request *controlpb.YieldRequest, _ ...grpc.CallOption) (*controlpb.YieldReply, error) {
-	running, ok := client.network.running.Load(client.address)
-	if !ok {
-		return nil, status.Error(codes.Unavailable, "no such entry")
-	}
-	return running.(*Entry).Yield(ctx, request)
+func (client neighbour) Yield(context.Context, *controlpb.YieldRequest, ...grpc.CallOption) (*controlpb.YieldReply, error) {
+	return nil, errClosed{}
 }
 
 // healthWorld is three entries of a region and ten workers.
@@ -64,16 +56,21 @@
 }
 
 func (world *healthWorld) start(name string) *Entry {
+	entry := startEntry(world.T, name, Dependencies{Table: world.memory, Control: world.network})
+	world.network.running.Store(name, entry)
+	return entry
+}
+
+func startEntry(t *testing.T, name string, dependencies Dependencies) *Entry {
+	t.Helper()
 	settings := DefaultSettings()
 	settings.ID, settings.ControlAddress, settings.Region, settings.DataCentre = ident.Entry(name), name, "north", "dc1"
-	entry, err := New(world.Context(), settings, Dependencies{
-		Clock: clock.NewSystem(), Table: world.memory, Agents: noRequests{}, Control: world.network,
-		Runtimes: func(string, ident.Worker) worker.Runtime { return nil },
-	})
+	dependencies.Clock, dependencies.Agents = clock.NewSystem(), noRequests{}
+	dependencies.Runtimes = func(string, ident.Worker) worker.Runtime { return nil }
+	entry, err := New(t.Context(), settings, dependencies)
 	if err != nil {
-		world.Fatal(err)
+		t.Fatal(err)
 	}
-	world.network.running.Store(name, entry)
 	return entry
 }
 
@@ -102,11 +99,10 @@
 
 // fail reports a failed task of a job whose home is the entry.
 func (world *healthWorld) fail(entry *Entry, on string) {
-	for index := 0; ; index++ {
+	for {
 		world.count++
 		name := ident.Job(fmt.Sprintf("job-%d", world.count))
-		home, _ := membership.JobHome(name, "north", entry.entries.Live(entry.time.Now())).Get()
-		if home.ID != entry.settings.ID {
+		if !entry.mine(name) {
 			continue
 		}
 		submission, err := job.Submission(job.Spec{
--- a/entry/learnedstate.go
+++ b/entry/learnedstate.go
@@ -27,6 +27,8 @@
 	learnedNames = 1000
 	// objectTimeout bounds one use of the object store.
 	objectTimeout = 10 * clock.Second
+	// leaveTimeout bounds the last snapshot of a leaving entry, which must not wait long for the store.
+	leaveTimeout = 2 * clock.Second
 )
 
 // learnedSeries returns the series of an entry's snapshots.
@@ -40,7 +42,7 @@
 
 // saveLearned writes what the entry learned to the object store, so that an entry that starts with
 // nothing does not place work as if no pair disturbed another and no declared size was wrong.
-func (entry *Entry) saveLearned() {
+func (entry *Entry) saveLearned(bound clock.Millis) {
 	if entry.objects == nil || !entry.publisher.Ready() {
 		return
 	}
@@ -54,7 +56,7 @@
 		klog.ErrorS(err, "Estimates were not encoded", "Entry", entry.settings.ID)
 		return
 	}
-	ctx, cancel := entry.call(objectTimeout)
+	ctx, cancel := entry.call(bound)
 	defer cancel()
 	if _, err := entry.learnedSeries(entry.settings.ID).Write(ctx, payload); err != nil {
 		klog.InfoS("Estimates were not saved", "Entry", entry.settings.ID, "Reason", err.Error())
@@ -108,11 +110,30 @@
 		authors.Add(ident.Entry(author))
 	}
 	for _, author := range set.Sorted(authors) {
-		entry.importLearned(ctx, author)
+		entry.importLearned(ctx, author, entry.learned.take)
+	}
+}
+
+// inheritLearned takes over the sizes that an entry which is gone has learned of its jobs, because
+// their new homes run already. The rest was told in the exchanges.
+func (entry *Entry) inheritLearned(gone []ident.Entry) {
+	if entry.objects == nil || len(gone) == 0 {
+		return
 	}
+	entry.spawn(func() {
+		for _, author := range gone {
+			ctx, cancel := entry.call(objectTimeout)
+			entry.importLearned(ctx, author, func(_ ident.Entry, snapshot *controlpb.Learned, age clock.Millis, now clock.Time) {
+				entry.learned.sizes.Import(snapshot, age, now)
+			})
+			cancel()
+		}
+	})
 }
 
-func (entry *Entry) importLearned(ctx context.Context, author ident.Entry) {
+// importLearned reads the newest whole snapshot of an entry and passes it to take on the control
+// goroutine.
+func (entry *Entry) importLearned(ctx context.Context, author ident.Entry, take func(ident.Entry, *controlpb.Learned, clock.Millis, clock.Time)) {
 	snapshot, err := entry.learnedSeries(author).Newest(ctx)
 	if err != nil {
 		klog.InfoS("Saved estimates were not read", "Author", author, "Reason", err.Error())
@@ -128,7 +149,7 @@
 		klog.InfoS("Saved estimates are skipped", "Author", author, "Format", message.GetFormat(), "AgeMillis", age)
 		return
 	}
-	entry.control.Call(func() { entry.learned.take(author, message, age, entry.time.Now()) })
+	entry.control.Call(func() { take(author, message, age, entry.time.Now()) })
 	klog.InfoS("Saved estimates taken over", "Author", author, "Pairs", len(message.GetPairs()),
 		"Jobs", len(message.GetJobs()), "Workers", len(message.GetHealth()), "AgeMillis", age)
 }
--- a/entry/learnedstate_test.go
+++ b/entry/learnedstate_test.go
@@ -14,7 +14,6 @@
 	"hyssopjunction/standin"
 	"hyssopjunction/table/tabletest"
 	"hyssopjunction/unit"
-	"hyssopjunction/worker"
 )
 
 // savedWorld is an object store and the entries that use it one after the other.
@@ -31,17 +30,9 @@
 }
 
 // run starts an entry of the name, waits until it has read the snapshots, and closes it after use.
-func (world *savedWorld) run(name ident.Entry, use func(entry *Entry)) {
+func (world *savedWorld) run(name string, use func(entry *Entry)) {
 	world.Helper()
-	settings := DefaultSettings()
-	settings.ID, settings.Region, settings.DataCentre, settings.ControlAddress = name, "north", "dc1", string(name)
-	entry, err := New(world.Context(), settings, Dependencies{
-		Clock: clock.NewSystem(), Table: world.memory, Agents: noRequests{}, Control: noConnections{}, Objects: world.objects,
-		Runtimes: func(string, ident.Worker) worker.Runtime { return nil },
-	})
-	if err != nil {
-		world.Fatal(err)
-	}
+	entry := startEntry(world.T, name, Dependencies{Table: world.memory, Control: noConnections{}, Objects: world.objects})
 	defer entry.Close()
 	time.Sleep(5 * time.Second)
 	synctest.Wait()
@@ -61,24 +52,19 @@
 			entry.learned.health.Failed(ident.Task{Job: job, Index: index}, "w1", "exit status 1", now)
 		}
 	})
-	entry.saveLearned()
-}
-
-func knows(entry *Entry) (size unit.Resources, floor unit.Mebibytes, runTime clock.Millis) {
-	entry.control.Call(func() {
-		size = entry.learned.sizes.Size("nightly", "layout", unit.Resources{CPU: 100, Memory: 100})
-		floor = entry.learned.sizes.Floor("hungry", "layout")
-		runTime = entry.learned.sizes.RunTime("nightly", "layout", 0)
-	})
-	return size, floor, runTime
+	entry.saveLearned(objectTimeout)
 }
 
 func (world *savedWorld) wantKnown(entry *Entry, want bool) {
 	world.Helper()
-	size, floor, runTime := knows(entry)
-	if known := size.Memory >= 9000 && floor > 20_000 && runTime >= clock.Hour; known != want {
-		world.Errorf("size %s, floor %d, run time %s: known %v, want %v", size, floor, runTime, known, want)
-	}
+	entry.control.Call(func() {
+		sizes := entry.learned.sizes
+		size, floor := sizes.Size("nightly", "layout", unit.Resources{CPU: 100, Memory: 100}), sizes.Floor("hungry", "layout")
+		runTime := sizes.RunTime("nightly", "layout", 0)
+		if known := size.Memory >= 9000 && floor > 20_000 && runTime >= clock.Hour; known != want {
+			world.Errorf("size %s, floor %d, run time %s: known %v, want %v", size, floor, runTime, known, want)
+		}
+	})
 }
 
 // TestLearnedSurvivesReplacement guards against sizes, run times and failures on workers that are
@@ -107,6 +93,26 @@
 	})
 }
 
+// TestLearnedMovesWithTheJobs guards against sizes and floors that the new homes of the jobs of an
+// ended entry do not know, because they started before it ended.
+func TestLearnedMovesWithTheJobs(t *testing.T) {
+	inSavedWorld(t, func(world *savedWorld) {
+		world.run("e1", func(survivor *Entry) {
+			world.run("e2", func(entry *Entry) {
+				// The survivor reads the rows of entries once per renewal.
+				time.Sleep(2 * DefaultSettings().Membership.RenewMillis.Duration())
+				synctest.Wait()
+				teach(entry)
+			})
+			world.wantKnown(survivor, false)
+			// The last renewal is read up to an interval after the end, and the expiry counts from there.
+			time.Sleep((DefaultSettings().Membership.EntryExpiryMillis + 2*DefaultSettings().Membership.RenewMillis).Duration())
+			synctest.Wait()
+			world.wantKnown(survivor, true)
+		})
+	})
+}
+
 // TestLearnedFormats guards against an older snapshot that cannot be read any more, and against using
 // one whose format is not known.
 func TestLearnedFormats(t *testing.T) {
--- a/entry/memory_test.go
+++ b/entry/memory_test.go
@@ -9,17 +9,21 @@
 	"hyssopjunction/ident"
 	"hyssopjunction/job"
 	"hyssopjunction/table"
+	"hyssopjunction/unit"
 	"hyssopjunction/worker"
 )
 
 // outOfMemory reports that an epoch of the job's task ran out of memory at the limit.
 func (world *world) outOfMemory(epoch ident.Epoch, limit int64) {
 	world.Helper()
-	status := worker.Status{Task: run, Epoch: epoch, State: worker.Failed, End: worker.OutOfMemory, Reason: "killed", Ran: 5000}
-	status.Resources.Memory, status.Peak = 1, 1
-	message := controlpb.FromStatus(status)
-	message.Resources.MemoryMib, message.PeakMemoryMib = limit, limit
-	if _, err := world.entry.Report(world.Context(), &controlpb.ReportRequest{Worker: "w1", Incarnation: 1, Ended: []*controlpb.TaskStatus{message}}); err != nil {
+	used := unit.Mebibytes(limit)
+	world.end(worker.Status{Task: run, Epoch: epoch, State: worker.Failed, End: worker.OutOfMemory, Resources: unit.Resources{Memory: used}, Peak: used})
+}
+
+func (world *world) end(status worker.Status) {
+	world.Helper()
+	request := &controlpb.ReportRequest{Worker: "w1", Incarnation: 1, Ended: []*controlpb.TaskStatus{controlpb.FromStatus(status)}}
+	if _, err := world.entry.Report(world.Context(), request); err != nil {
 		world.Fatal(err)
 	}
 }
@@ -55,7 +59,8 @@
 		if err := world.entry.loadJob(world.Context(), run.Job); err != nil {
 			world.Fatal(err)
 		}
-		largest := int64(world.entry.learned.largest)
+		largest := int64(0)
+		world.entry.control.Call(func() { largest = int64(world.entry.learned.largest) })
 		limit, steps := world.memory(), 0
 		for epoch := ident.Epoch(1); limit < largest; epoch++ {
 			world.outOfMemory(epoch, limit)
@@ -96,10 +101,7 @@
 		if err := world.entry.loadJob(world.Context(), run.Job); err != nil {
 			world.Fatal(err)
 		}
-		status := worker.Status{Task: run, Epoch: 1, State: worker.Finished, Ran: 60_000, Peak: 300}
-		if _, err := world.entry.Report(world.Context(), &controlpb.ReportRequest{Worker: "w1", Incarnation: 1, Ended: []*controlpb.TaskStatus{controlpb.FromStatus(status)}}); err != nil {
-			world.Fatal(err)
-		}
+		world.end(worker.Status{Task: run, Epoch: 1, State: worker.Finished, Ran: 60_000, Peak: 300})
 		world.entry.control.Call(func() {
 			if learned := world.entry.learned.sizes.RunTime(run.Job, "", 0); learned < 60_000 || learned > 80_000 {
 				world.Errorf("run time %s after a task of 60 s", learned)
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -19,6 +19,8 @@
 func (entry *Entry) Shutdown(ctx context.Context) error {
 	entry.shuttingDown.Store(true)
 	klog.InfoS("Entry is leaving", "Entry", entry.settings.ID)
+	// The new homes of the jobs read it when they see that this entry leaves.
+	entry.saveLearned(leaveTimeout)
 	entry.control.Call(func() {
 		entry.entries.Drain()
 		entry.refresh()
--- a/entry/tick.go
+++ b/entry/tick.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"slices"
+	"strings"
 
 	"k8s.io/klog/v2"
 
@@ -41,9 +42,11 @@
 	live := entry.entries.Live(now)
 	homes := homesOf(live)
 	if homes != entry.homes {
+		ids := idsOf(live)
+		entry.inheritLearned(slices.DeleteFunc(namesOf(entry.homes), func(id ident.Entry) bool { return slices.Contains(ids, id) }))
 		entry.homes = homes
 		klog.InfoS("Live entries changed", "Entries", homes)
-		entry.learned.health.SetEntries(entry.settings.ID, idsOf(live))
+		entry.learned.health.SetEntries(entry.settings.ID, ids)
 		if shared, ok := entry.store.(interface{ SetEntries(entries int) }); ok {
 			shared.SetEntries(max(len(live), 1))
 		}
@@ -73,6 +76,15 @@
 	return homes
 }
 
+// namesOf returns the entries in what homesOf returned.
+func namesOf(homes string) []ident.Entry {
+	var names []ident.Entry
+	for name := range strings.FieldsSeq(homes) {
+		names = append(names, ident.Entry(name))
+	}
+	return names
+}
+
 func idsOf(live []membership.Entry) []ident.Entry {
 	ids := make([]ident.Entry, 0, len(live))
 	for _, known := range live {
