Correct the size of a suspect worker in an exchange

Cause: the comment gave an estimate.

Conclusion: a full exchange with 16 suspects adds about 400 bytes.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -15,7 +15,7 @@
 	// maxPairs bounds the interference estimates in one exchange.
 	maxPairs = 32
 	// maxSuspects bounds the workers with failures but without a decision in one exchange. Each takes
-	// about 50 bytes.
+	// about 25 bytes, a quarantined worker about 85.
 	maxSuspects = 16
 )
 
