Leave the gate's state alone in announcements

Cause: the agent wrote the flag of a leaving endpoint into the message that the gate also puts into replies to requests. The race detector reported it in four of four runs of the parallel tests of package standalone, and all tests that ran at the time failed.

Change: the announcement holds a copy.

Conclusion: a reply is not changed while it is sent.

--- a/agent/announce.go
+++ b/agent/announce.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"hash/fnv"
 
+	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
 	"hyssopjunction/capacity"
@@ -106,7 +107,8 @@
 		LoadPercent:    agent.load,
 	}
 	if agent.gate != nil {
-		state.Endpoint = agent.gate.State()
+		// The gate's message is in the replies to callers' requests too.
+		state.Endpoint = proto.CloneOf(agent.gate.State())
 		state.Endpoint.Leaving = state.Endpoint.Leaving || agent.leaving
 	}
 	digest := agent.tasksDigest()
