Merge documents created in both regions, and skip unreadable ones

Cause: a document that both regions created during a cut kept two homes for ever, and a document that cannot be decoded ended each import before later documents.

Change: the region with the lower name keeps such a document and the other one imports it with a new version, logged and counted; its history holds the replaced value. The rule looks at the names alone, because one that looks at values or versions lets both regions take over the other's document.

Conclusion: after a cut both regions hold the same documents.

--- a/config/export.go
+++ b/config/export.go
@@ -40,18 +40,18 @@
 	return delta, nil
 }
 
-// Imported reports whether nothing of another region's delta remains to be imported. A document that
-// two regions are the home of is never imported.
-func (view *View) Imported(delta *controlpb.ConfigDelta) (bool, error) {
+// Imported reports whether nothing of another region's delta remains to be imported into the region own.
+func (view *View) Imported(own ident.Region, delta *controlpb.ConfigDelta) bool {
 	for _, message := range delta.GetDocuments() {
-		document, err := fromMessage(message)
+		document, err := readable(message)
 		if err != nil {
-			return false, err
+			continue
 		}
 		held, have := view.documents[document.Name]
-		if !have || held.Region == document.Region && held.Origin < document.Origin {
-			return false, nil
+		if !have || held.Region == document.Region && held.Origin < document.Origin ||
+			held.Region != document.Region && replaces(document, held, own) {
+			return false
 		}
 	}
-	return true, nil
+	return true
 }
--- a/config/region_test.go
+++ b/config/region_test.go
@@ -124,3 +124,76 @@
 		t.Fatalf("another document's fault refused the change: %v", err)
 	}
 }
+
+// TestCreatedInBothRegions guards against a document that differs for ever because both regions
+// created it while the link was lost, and against regions that choose different ones or exchange them.
+func TestCreatedInBothRegions(t *testing.T) {
+	north, south := newRegion("north"), newRegion("south")
+	if err := north.editor.Bootstrap(context.Background(), "setup"); err != nil {
+		t.Fatal(err)
+	}
+	north.copyTo(t, south)
+	for region, open := range map[*region]bool{north: true, south: false} {
+		for range 3 {
+			if err := region.put(t, "gent", open); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	before, _ := south.publisher.Current().Document(config.DataCentreName("gent"))
+	for range 2 {
+		if count := south.copyTo(t, north); count != 0 {
+			t.Fatalf("%d documents imported into the region with the lower name", count)
+		}
+		north.copyTo(t, south)
+	}
+	for _, region := range []*region{north, south} {
+		document, _ := region.publisher.Current().Document(config.DataCentreName("gent"))
+		centre, _ := region.publisher.Current().DataCentre("gent")
+		if document.Region != "north" || !centre.Open {
+			t.Fatalf("document %+v", document)
+		}
+	}
+	if after, _ := south.publisher.Current().Document(before.Name); after.Version <= before.Version {
+		t.Fatalf("version went from %d to %d", before.Version, after.Version)
+	}
+	delta, _ := north.publisher.Current().Delta(0)
+	if !south.publisher.Current().Imported("south", delta) {
+		t.Fatal("something remains to be imported")
+	}
+	if err := south.put(t, "gent", false); !config.IsErrElsewhere(err) {
+		t.Fatalf("changed outside the home region: %v", err)
+	}
+}
+
+// TestUnreadableImport guards against a document of another program version that cannot be decoded and
+// keeps all later documents from being imported.
+func TestUnreadableImport(t *testing.T) {
+	north, south := newRegion("north"), newRegion("south")
+	if err := north.editor.Bootstrap(context.Background(), "setup"); err != nil {
+		t.Fatal(err)
+	}
+	if err := north.put(t, "gent", true); err != nil {
+		t.Fatal(err)
+	}
+	delta, _ := north.publisher.Current().Delta(0)
+	for index, broken := range [][]byte{[]byte(`{`), nil} {
+		message := delta.GetDocuments()[index]
+		if broken == nil {
+			var document config.Document
+			if err := json.Unmarshal(message.GetValue(), &document); err != nil {
+				t.Fatal(err)
+			}
+			document.Value = json.RawMessage(`["a list"]`)
+			broken = value(document)
+		}
+		message.Value = broken
+	}
+	count, err := south.editor.Import(context.Background(), delta)
+	if err != nil || count != len(delta.GetDocuments())-2 {
+		t.Fatalf("%d of %d documents imported: %v", count, len(delta.GetDocuments()), err)
+	}
+	if !south.publisher.Current().Imported("south", delta) {
+		t.Fatal("the link asks for the same documents again and again")
+	}
+}
--- a/entry/region.go
+++ b/entry/region.go
@@ -188,9 +188,8 @@
 			return false, err
 		}
 		// Another entry may have imported at the same time, and its documents may not be known here.
-		complete, err := link.publisher.Current().Imported(delta)
-		if err != nil || !complete {
-			return false, err
+		if !link.publisher.Current().Imported(link.region, delta) {
+			return false, nil
 		}
 		if count > 0 {
 			importedDocuments.Add(count)
