Take back the end of an incarnation that the table refused

Cause: an entry that had decided the end of an incarnation and then found that another entry was its granter fenced the agent when it returned, so its tasks were checkpointed and resumed needlessly.

Change: lease.Granter.Resume takes the decision back if the row, later than this entry's own record, names another granter and does not say that the incarnation is over. A row of an earlier revision proves nothing, because an end that was written without an answer may follow it, and Record refuses such a row.

Conclusion: only incarnations that the table declared over are fenced.

--- a/entry/grants.go
+++ b/entry/grants.go
@@ -226,8 +226,8 @@
 }
 
 // decideEnd decides that the worker's incarnation is over, and reports whether it is. The row is read
-// before, because the decision cannot be taken back: if another entry is the granter by now, the
-// worker may return to this entry with the same incarnation.
+// before: if another entry is the granter by now, the worker may return to this entry with the same
+// incarnation.
 func (entry *Entry) decideEnd(worker ident.Worker) bool {
 	known, ok := entry.grantOf(worker)
 	if !ok {
@@ -251,8 +251,7 @@
 		case current == nil || current.incarnation != known.incarnation || current.revision != known.revision:
 			return
 		case record.Granter != entry.process() || record.Incarnation != current.incarnation:
-			entry.granter.Lose(worker)
-			delete(entry.grants, worker)
+			entry.endRefused(worker, record, row.Revision)
 			return
 		case !current.ending:
 			current.ending = entry.granter.Over(worker, current.incarnation, entry.time.Now()) == nil
@@ -271,6 +270,10 @@
 	ctx, cancel := entry.call(entry.settings.CallTimeout)
 	defer cancel()
 	row, err := entry.store.Get(ctx, lease.Key(worker))
+	var record lease.Record
+	if err == nil {
+		record, err = lease.DecodeRecord(row)
+	}
 	if err == nil {
 		err = entry.endIncarnation(ctx, row, worker, known.incarnation, lease.LeaseLapsed)
 	}
@@ -284,15 +287,22 @@
 		})
 	case lease.IsErrNotGranter(err):
 		// Another entry is the granter now. After a conflict the next pass reads the row again.
-		entry.control.Call(func() {
-			entry.granter.Lose(worker)
-			delete(entry.grants, worker)
-		})
+		entry.control.Call(func() { entry.endRefused(worker, record, row.Revision) })
 	default:
 		klog.V(1).InfoS("End of incarnation was not written", "Worker", worker, "Reason", err.Error())
 	}
 }
 
+// endRefused notes that the worker's row, as read at revision, names another granter, so that the end
+// that this entry decided was not written.
+func (entry *Entry) endRefused(worker ident.Worker, record lease.Record, revision table.Revision) {
+	entry.granter.Lose(worker)
+	if current := entry.grants[worker]; current != nil && current.incarnation == record.Incarnation && !record.Fenced(current.incarnation) {
+		entry.granter.Resume(worker, current.incarnation, revision)
+	}
+	delete(entry.grants, worker)
+}
+
 // incarnationEnded tells the scheduler, and the other entries with the next exchanges.
 func (entry *Entry) incarnationEnded(worker ident.Worker, incarnation ident.Incarnation, reason lease.Reason) {
 	if have, ok := entry.ended[worker]; ok && have.incarnation >= incarnation {
--- a/entry/grants_test.go
+++ b/entry/grants_test.go
@@ -76,6 +76,28 @@
 	})
 }
 
+// Guards against a returning agent that is fenced needlessly, so that its tasks are checkpointed and
+// resumed: this entry decided the end of its incarnation, and another one became its granter before.
+func TestRefusedEndIsTakenBack(t *testing.T) {
+	inWorld(t, func(world *world) {
+		world.wantGrant(world.announce("w1", 1, 0, 0))
+		world.mu.Lock()
+		world.list = func(context.Context) (worker.Report, error) {
+			if record, _ := world.record("w1"); record.Granter.Entry == "e1" {
+				world.takeOver("w1", 1)
+			}
+			return worker.Report{}, nil
+		}
+		world.mu.Unlock()
+		world.pass(30 * time.Second)
+		record, row := world.record("w1")
+		if record.Granter.Entry == "e1" || record.Over != 0 {
+			world.Fatalf("row is %+v", record)
+		}
+		world.wantGrant(world.announce("w1", 1, uint64(row.Revision), 0))
+	})
+}
+
 // Guards against a lease after this entry yielded: the answer to its own takeover came later than the
 // request of the next granter, which counts on no grant since.
 func TestNoGrantAfterYield(t *testing.T) {
--- a/lease/granter.go
+++ b/lease/granter.go
@@ -53,7 +53,8 @@
 	// former are the entries that may still be granting under an older revision. While there are any,
 	// the worker may hold a lease that this entry does not know of.
 	former []Process
-	over   bool
+	// over is set by Over and Declare, declared by Declare alone.
+	over, declared bool
 }
 
 // Granter is the home's side of the leases. It is not safe for concurrent use.
@@ -77,12 +78,17 @@
 // Record notes that the table names this entry as granter of the worker's incarnation since
 // revision. The previous granter may have granted until now, so the grant is taken to be as young as
 // possible. Former is that of the row: until the agent has confirmed a grant of this entry, or each
-// of them has stopped, this entry cannot tell when the last lease ends. The error is ErrFenced.
+// of them has stopped, this entry cannot tell when the last lease ends. Errors are ErrFenced and, for an old copy of the row,
+// ErrNotGranter.
 func (granter *Granter) Record(worker ident.Worker, incarnation ident.Incarnation, revision table.Revision, former []Process, now clock.Time) error {
 	have, ok := granter.grants[worker]
 	if ok && (incarnation < have.incarnation || (incarnation == have.incarnation && have.over)) {
 		return ErrFenced{Worker: worker, Incarnation: incarnation, Have: have.incarnation}
 	}
+	if ok && incarnation == have.incarnation && revision < have.revision {
+		// The row was read from an old copy.
+		return ErrNotGranter{Worker: worker}
+	}
 	if ok && incarnation == have.incarnation {
 		have.recorded, have.revision, have.former = true, revision, slices.Clone(former)
 		have.last = max(have.last, now)
@@ -171,15 +177,27 @@
 	return nil
 }
 
+// Resume takes back Over after the table refused the end: at revision the row names another granter
+// and does not say that the incarnation is over. It has no effect unless that is later than Record,
+// because an end that was written without an answer may follow an earlier one. Grants need another
+// Record, at that revision or later.
+func (granter *Granter) Resume(worker ident.Worker, incarnation ident.Incarnation, revision table.Revision) {
+	have, ok := granter.grants[worker]
+	if !ok || incarnation != have.incarnation || have.declared || revision <= have.revision {
+		return
+	}
+	have.over, have.recorded, have.revision = false, false, revision
+}
+
 // Declare notes that the table says that the incarnation is over.
 func (granter *Granter) Declare(worker ident.Worker, incarnation ident.Incarnation) {
 	have, ok := granter.grants[worker]
 	if !ok || incarnation > have.incarnation {
-		granter.grants[worker] = &grant{incarnation: incarnation, over: true}
+		granter.grants[worker] = &grant{incarnation: incarnation, over: true, declared: true}
 		return
 	}
 	if incarnation == have.incarnation {
-		have.over = true
+		have.over, have.declared = true, true
 	}
 }
 
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -266,3 +266,39 @@
 		t.Fatal("no incarnation ended, so the test checks nothing")
 	}
 }
+
+// TestRefusedEndIsTakenBack guards against an incarnation that is fenced needlessly because this entry
+// decided its end and another entry became its granter, and against grants from old copies of the row.
+func TestRefusedEndIsTakenBack(t *testing.T) {
+	granter := NewGranter(Settings{})
+	lapsed := clock.Time(1000).Add(DefaultTerm + Margin(DefaultTerm))
+	if err := granter.Record("w", 1, 5, nil, 1000); err != nil {
+		t.Fatal(err)
+	}
+	if err := granter.Over("w", 1, lapsed); err != nil {
+		t.Fatal(err)
+	}
+	// The row as it was before this entry became the granter proves nothing.
+	granter.Resume("w", 1, 4)
+	if err := granter.Record("w", 1, 6, nil, lapsed); !IsErrFenced(err) {
+		t.Fatalf("got %v", err)
+	}
+	granter.Resume("w", 1, 6)
+	if _, err := granter.Grant("w", 1, 0, lapsed); !IsErrNotGranter(err) {
+		t.Fatalf("granted while another entry is the granter: %v", err)
+	}
+	if err := granter.Record("w", 1, 5, nil, lapsed); !IsErrNotGranter(err) {
+		t.Fatalf("recorded from an old copy: %v", err)
+	}
+	if err := granter.Record("w", 1, 7, nil, lapsed); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := granter.Grant("w", 1, 0, lapsed); err != nil {
+		t.Fatal(err)
+	}
+	granter.Declare("w", 1)
+	granter.Resume("w", 1, 9)
+	if _, err := granter.Grant("w", 1, 0, lapsed); !IsErrFenced(err) {
+		t.Fatalf("an incarnation that the table declared over goes on: %v", err)
+	}
+}
