Drop old lists of workers' tasks

Cause: the tasks that agents listed for urgent work were dropped only when the list of the same worker was used again.

Figures: go test ./entry -run OldLists fails before (1 list is kept) and passes after.

Conclusion: the lists of workers that are gone no longer stay.

--- a/entry/grants.go
+++ b/entry/grants.go
@@ -333,6 +333,11 @@
 			}
 		}
 	}
+	for worker, listed := range entry.listed {
+		if now.Sub(listed.at) > residentsFresh {
+			delete(entry.listed, worker)
+		}
+	}
 	for _, ends := range []map[ident.Task]recordedEnd{entry.recorded, entry.counted} {
 		for task, known := range ends {
 			if now.Sub(known.at) > recordedKept {
--- a/entry/grants_test.go
+++ b/entry/grants_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"hyssopjunction/clock"
 	"hyssopjunction/controlpb"
 	"hyssopjunction/ident"
 	"hyssopjunction/job"
@@ -98,6 +99,21 @@
 	})
 }
 
+// Guards against lists of the tasks of workers that are kept for ever once nobody asks for them.
+func TestOldListsAreDropped(t *testing.T) {
+	inWorld(t, func(world *world) {
+		world.entry.control.Call(func() {
+			world.entry.listed["w1"] = listedResidents{at: world.entry.time.Now()}
+		})
+		world.pass((residentsFresh + 2*clock.Second).Duration())
+		world.entry.control.Call(func() {
+			if count := len(world.entry.listed); count > 0 {
+				world.Errorf("%d lists are kept", count)
+			}
+		})
+	})
+}
+
 // Guards against a lease after this entry yielded: the answer to its own takeover came later than the
 // request of the next granter, which counts on no grant since.
 func TestNoGrantAfterYield(t *testing.T) {
