--- a/entry/grants_test.go
+++ b/entry/grants_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"hyssopjunction/clock"
 	"hyssopjunction/controlpb"
 	"hyssopjunction/ident"
 	"hyssopjunction/job"
@@ -76,6 +77,43 @@
 	})
 }
 
+// Guards against a returning agent that is fenced needlessly, so that its tasks are checkpointed and
+// resumed: this entry decided the end of its incarnation, and another one became its granter before.
+func TestRefusedEndIsTakenBack(t *testing.T) {
+	inWorld(t, func(world *world) {
+		world.wantGrant(world.announce("w1", 1, 0, 0))
+		world.mu.Lock()
+		world.list = func(context.Context) (worker.Report, error) {
+			if record, _ := world.record("w1"); record.Granter.Entry == "e1" {
+				world.takeOver("w1", 1)
+			}
+			return worker.Report{}, nil
+		}
+		world.mu.Unlock()
+		world.pass(30 * time.Second)
+		record, row := world.record("w1")
+		if record.Granter.Entry == "e1" || record.Over != 0 {
+			world.Fatalf("row is %+v", record)
+		}
+		world.wantGrant(world.announce("w1", 1, uint64(row.Revision), 0))
+	})
+}
+
+// Guards against lists of the tasks of workers that are kept for ever once nobody asks for them.
+func TestOldListsAreDropped(t *testing.T) {
+	inWorld(t, func(world *world) {
+		world.entry.control.Call(func() {
+			world.entry.listed["w1"] = listedResidents{at: world.entry.time.Now()}
+		})
+		world.pass((residentsFresh + 2*clock.Second).Duration())
+		world.entry.control.Call(func() {
+			if count := len(world.entry.listed); count > 0 {
+				world.Errorf("%d lists are kept", count)
+			}
+		})
+	})
+}
+
 // Guards against a lease after this entry yielded: the answer to its own takeover came later than the
 // request of the next granter, which counts on no grant since.
 func TestNoGrantAfterYield(t *testing.T) {
