--- a/recorded/deployment.go
+++ b/recorded/deployment.go
@@ -32,6 +32,14 @@
 	return Policy{FirstFit: true, DeclaredSizes: true, NoInterference: true, NoDrain: true, RandomRouting: true}
 }
 
+// DrainingBaseline is the baseline with the project's drain, for a fair comparison of the work while a
+// data centre leaves.
+func DrainingBaseline() Policy {
+	policy := Baseline()
+	policy.NoDrain = false
+	return policy
+}
+
 // Result is what a run recorded.
 type Result struct {
 	// Log is the content of the golden file without the summary.
@@ -84,7 +92,7 @@
 	deployment := &deployment{
 		timeline: line, session: session, policy: policy, start: line.now(), rate: 1,
 		network: newDraws(session.Seed, 1), work: newDraws(session.Seed, 2), traffic: newDraws(session.Seed, 3),
-		log: newLog(line), measures: &Measures{}, profiles: make(map[ident.Task]*profile), saved: make(map[string]clock.Millis),
+		log: newLog(line), measures: &Measures{Losses: newLosses()}, profiles: make(map[ident.Task]*profile), saved: make(map[string]clock.Millis),
 		places: make(map[ident.Task]*agent), closedAt: make(map[ident.DataCentre]clock.Time),
 	}
 	deployment.checks = newChecks(deployment)
@@ -102,6 +110,10 @@
 		agent.boot()
 	}
 	deployment.schedule()
+	deployment.every(clock.Second, func() bool {
+		deployment.measures.Losses.sample(deployment)
+		return true
+	})
 	line.until(deployment.start.Add(session.Length + session.Settle))
 	deployment.checks.recount()
 	deployment.log.turn()
--- a/recorded/measure.go
+++ b/recorded/measure.go
@@ -30,6 +30,7 @@
 	StandingMillis clock.Millis
 	// Parked holds the reason of the job that can never run.
 	Parked string
+	Losses Losses
 	counts []string
 }
 
@@ -86,6 +87,7 @@
 		for _, status := range checks.ends[name] {
 			if status.State == worker.Stopped && !row.Cancelled {
 				measures.Evictions++
+				measures.Losses.Evictions[status.Reason]++
 			}
 			if status.Reason == outOfMemory {
 				measures.OutOfMemory++
--- a/recorded/runtime.go
+++ b/recorded/runtime.go
@@ -112,6 +112,7 @@
 			agent.deployment.measures.StandingMillis += runtimeStep
 			continue
 		}
+		agent.deployment.measures.Losses.slowed(runtime, task)
 		gained = min(gained, task.profile.work-task.done)
 		task.done += gained
 		agent.deployment.measures.work(agent.deployment, gained)
