Tolerate more slowdown of a service while its slots are mostly free

Cause: the governor throttled batch work whenever the slowdown of an endpoint was above the limit of the preset, also with nine of ten slots free.

Change: a reading tells the share of free slots. While at least half are free (smoothed as the slowdown is) the target is raised by SpareMargin, 40 points in Omaruru's settings and 60 in Modelwerf's. It applies to entering and to releasing, so that tasks throttled in a busy time are released.

The smaller margins are kept because other services may not have endpoints to spare.

--- a/config/documents.go
+++ b/config/documents.go
@@ -67,7 +67,7 @@
 	// HeadroomPercent is the part of each worker's capacity that placement keeps free of batch tasks.
 	HeadroomPercent int
 	// SlowdownLimitPercent is the slowdown of a service above which batch tasks beside it are
-	// throttled; 100 is undisturbed.
+	// throttled; 100 is undisturbed. While most slots of the endpoint are free, more is tolerated.
 	SlowdownLimitPercent int
 	// EvictionsPerHour bounds the evictions that are not needed for urgent work.
 	EvictionsPerHour int
--- a/entry/govern.go
+++ b/entry/govern.go
@@ -86,11 +86,13 @@
 // govern throttles, checkpoints or evicts tasks that slow the endpoint down too much.
 func (entry *Entry) govern(state *controlpb.WorkerState, now clock.Time) {
 	name := ident.Worker(state.GetWorker())
-	service := ident.Service(state.GetEndpoint().GetService())
+	endpoint := state.GetEndpoint()
+	service := ident.Service(endpoint.GetService())
 	reading := interference.Reading{
 		Worker: name, Service: service, Class: string(service),
-		Slowdown: int(state.GetEndpoint().GetSlowdownPercent()), Target: entry.slowdownLimit(service),
-		Load: int(state.GetLoadPercent()),
+		Slowdown: int(endpoint.GetSlowdownPercent()), Target: entry.slowdownLimit(service),
+		SpareSlots: interference.SpareSlots(int(endpoint.GetSlots()), int(endpoint.GetSlotsUsed()), int(endpoint.GetQueue())),
+		Load:       int(state.GetLoadPercent()),
 	}
 	for _, known := range entry.residents[name] {
 		if known.urgent {
--- a/interference/action.go
+++ b/interference/action.go
@@ -53,12 +53,23 @@
 	// Slowdown is measured, and Target what the service tolerates, in percent; 100 is undisturbed.
 	Slowdown int
 	Target   int
+	// SpareSlots is the share of the service's slots on the worker that are free, in percent; 0 if
+	// requests wait or if it is not known.
+	SpareSlots int
 	// Load is the processor time in use on the worker in percent of its capacity.
 	Load int
 	// Candidates are all tasks on the worker that may be acted on, the same for each service there.
 	Candidates []Candidate
 }
 
+// SpareSlots returns the free share of slots in percent. It is 0 while the queue would fill them.
+func SpareSlots(slots, used, queue int) int {
+	if slots <= 0 {
+		return 0
+	}
+	return max(0, slots-used-queue) * 100 / slots
+}
+
 // Predictor tells which slowdown residents cause; Model and Loaded implement it.
 type Predictor interface {
 	Slowdown(class string, residents []string) int
--- a/interference/governor.go
+++ b/interference/governor.go
@@ -60,7 +60,7 @@
 	state := known.services[reading.Service]
 	if state == nil {
 		// A first measurement above the target may be a spike, so the mean starts at the target.
-		state = &watched{smoothed: float64(min(reading.Slowdown, reading.Target)), seen: now, levels: make(map[run]int)}
+		state = &watched{smoothed: float64(min(reading.Slowdown, reading.Target)), spare: float64(reading.SpareSlots), seen: now, levels: make(map[run]int)}
 		known.services[reading.Service] = state
 		governor.adopt(known, state, reading, now)
 	}
@@ -73,6 +73,7 @@
 			delete(state.levels, task)
 		}
 	}
+	reading.Target += governor.spareMargin(state)
 	governor.smooth(state, reading, now)
 	var actions []Action
 	switch {
@@ -105,11 +106,20 @@
 	}
 }
 
+// spareMargin is what the service tolerates beyond its target because its slots are mostly free.
+func (governor *Governor) spareMargin(state *watched) int {
+	if state.spare > 0 && state.spare >= float64(governor.settings.SpareSlots) {
+		return governor.settings.SpareMargin
+	}
+	return 0
+}
+
 // smooth updates the smoothed slowdown and since when it is outside the band around the target.
 func (governor *Governor) smooth(state *watched, reading Reading, now clock.Time) {
 	elapsed := float64(max(now.Sub(state.seen), 0))
 	share := 1 - math.Exp(-elapsed/float64(max(governor.settings.SmoothingMillis, 1)))
 	state.smoothed += share * (float64(reading.Slowdown) - state.smoothed)
+	state.spare += share * (float64(reading.SpareSlots) - state.spare)
 	state.seen = now
 	if state.aboveAt == 0 {
 		state.deepAt = 0
--- a/interference/governor_test.go
+++ b/interference/governor_test.go
@@ -26,6 +26,7 @@
 	governor *interference.Governor
 	fake     *clock.Fake
 	tasks    map[ident.Task]*interference.Candidate
+	spare    int
 }
 
 func newPost(settings interference.GovernorSettings, tasks int) *post {
@@ -44,7 +45,7 @@
 // step reads slowdown and carries the actions out.
 func (post *post) step(slowdown int) []interference.Action {
 	post.fake.Advance(clock.Second)
-	reading := interference.Reading{Worker: "worker", Service: "checks", Class: "checks", Slowdown: slowdown, Target: 120}
+	reading := interference.Reading{Worker: "worker", Service: "checks", Class: "checks", Slowdown: slowdown, Target: 120, SpareSlots: post.spare}
 	for _, candidate := range post.tasks {
 		reading.Candidates = append(reading.Candidates, *candidate)
 	}
@@ -290,3 +291,33 @@
 		t.Fatal("the disturbed service caused no throttle")
 	}
 }
+
+// TestSpareSlots guards against throttling batch work beside an endpoint that does not suffer, and
+// against not throttling it once the endpoint's slots fill.
+func TestSpareSlots(t *testing.T) {
+	for name, settings := range presets {
+		t.Run(name, func(t *testing.T) {
+			post := newPost(settings, 3)
+			tolerated := 120 + settings.EnterMargin + settings.SpareMargin
+			acts := func(slowdown, spare int) bool {
+				post.spare = spare
+				for range 60 {
+					if len(post.step(slowdown)) > 0 {
+						return true
+					}
+				}
+				return false
+			}
+			if acts(tolerated, 100) {
+				t.Errorf("the governor acts at a slowdown of %d%% while all slots are free", tolerated)
+			}
+			if !acts(tolerated, 0) {
+				t.Errorf("the governor does not act at a slowdown of %d%% while no slot is free", tolerated)
+			}
+			post = newPost(settings, 3)
+			if !acts(tolerated+10, 100) {
+				t.Errorf("the governor tolerates a slowdown of %d%% because slots are free", tolerated+10)
+			}
+		})
+	}
+}
--- a/interference/settings.go
+++ b/interference/settings.go
@@ -46,6 +46,11 @@
 type GovernorSettings struct {
 	// EnterMargin is how many points above its target a service's slowdown must be to act.
 	EnterMargin int
+	// SpareMargin is added to the target while at least SpareSlots percent of the service's slots on
+	// the worker are free. Without a queue a slowdown stretches single requests, which routing sends
+	// elsewhere, while throttled batch work holds its room for longer.
+	SpareMargin int
+	SpareSlots  int
 	// ExitMargin is how many points below its target the slowdown must be to relax.
 	ExitMargin int
 	// SmoothingMillis is the time constant of the smoothed slowdown.
@@ -83,6 +88,8 @@
 func Omaruru() GovernorSettings {
 	return GovernorSettings{
 		EnterMargin:      3,
+		SpareMargin:      40,
+		SpareSlots:       50,
 		ExitMargin:       10,
 		SmoothingMillis:  3 * clock.Second,
 		EnterMillis:      2 * clock.Second,
@@ -103,6 +110,8 @@
 func Modelwerf() GovernorSettings {
 	return GovernorSettings{
 		EnterMargin:      20,
+		SpareMargin:      60,
+		SpareSlots:       50,
 		ExitMargin:       5,
 		SmoothingMillis:  15 * clock.Second,
 		EnterMillis:      10 * clock.Second,
@@ -131,6 +140,8 @@
 	switch {
 	case settings.EnterMargin < 0 || settings.ExitMargin < 0 || settings.EnterMargin+settings.ExitMargin == 0:
 		return ErrBadSettings{Field: "EnterMargin", Reason: "and ExitMargin must leave a band around the target"}
+	case settings.SpareMargin < 0 || settings.SpareSlots < 0 || settings.SpareSlots > 100:
+		return ErrBadSettings{Field: "SpareSlots", Reason: "must be from 0 to 100, and SpareMargin not negative"}
 	case settings.SmoothingMillis <= 0 || settings.EnterMillis < 0 || settings.ReleaseMillis <= 0 || settings.RetryMillis <= 0:
 		return ErrBadSettings{Field: "SmoothingMillis", Reason: "and the other durations must be positive"}
 	case settings.DwellMillis <= 0:
--- a/interference/state.go
+++ b/interference/state.go
@@ -32,10 +32,12 @@
 // watched is the state for one service target on one worker.
 type watched struct {
 	smoothed float64
-	seen     clock.Time
-	aboveAt  clock.Time
-	belowAt  clock.Time
-	stepAt   clock.Time
+	// spare is the smoothed share of free slots in percent.
+	spare   float64
+	seen    clock.Time
+	aboveAt clock.Time
+	belowAt clock.Time
+	stepAt  clock.Time
 	// deepAt is since when throttling is exhausted and the slowdown still above.
 	deepAt clock.Time
 	// levels is the index of the next throttle step per chosen task.
--- a/recorded/heartbeat.go
+++ b/recorded/heartbeat.go
@@ -229,6 +229,7 @@
 	reading := interference.Reading{
 		Worker: state.worker, Service: ident.Service(service), Class: service,
 		Slowdown: state.slowdown, Target: entry.target, Load: state.load,
+		SpareSlots: interference.SpareSlots(state.report.Slots, state.report.SlotsUsed, state.report.Queue),
 	}
 	for _, task := range state.tasks {
 		residents = append(residents, interference.Resident{Class: task.class, Percent: task.throttle})
