Move batch work off a data centre in the second half of the drain only

Cause: the drain evicted tasks from its first round on. While work waits elsewhere, a task that moves early only takes the room of another.

Change: batch tasks stay until half of the drain's bound, for data centres and for single workers; standing tasks, which do not end, move from the start. Among equals the youngest move first. With no room elsewhere tasks run until the bound, as before.

Tests: the sample run's long tasks of 4 s ended within the first half of its drain of 10 s, so TestSampleRun found no eviction and no resume. The drain is now 3 s and the tasks run for 6 s; the assertion is unchanged.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -305,7 +305,7 @@
 		if bound <= 0 {
 			bound = scheduler.settings.DrainBound
 		}
-		centre.drainAt = scheduler.now.Add(bound)
+		centre.drainAt, centre.drainHalf = scheduler.now.Add(bound), scheduler.now.Add(bound/2)
 		centre.rampFrom = 0
 	case event.Open && known && !centre.open:
 		centre.drainAt = 0
--- a/placement/drain.go
+++ b/placement/drain.go
@@ -9,6 +9,7 @@
 	"hyssopjunction/job"
 	"hyssopjunction/set"
 	"hyssopjunction/unit"
+	"hyssopjunction/worker"
 )
 
 // parkReview is how often jobs set aside for another reason than room are looked at.
@@ -25,11 +26,13 @@
 	if bound <= 0 {
 		bound = scheduler.settings.DrainBound
 	}
-	at.drainAt = scheduler.now.Add(bound)
+	at.drainAt, at.drainHalf = scheduler.now.Add(bound), scheduler.now.Add(bound/2)
 }
 
 // drain evicts tasks from closed data centres and drained workers at a pace that empties them
-// within the bound, so that not all checkpoints and new placements come at once.
+// within the bound, so that not all checkpoints and new placements come at once. Batch tasks are left
+// alone in the first half of the bound: many end in it, and while work waits elsewhere, a task that
+// moves early only takes the room of another.
 func (scheduler *Scheduler) drain() {
 	for _, name := range set.SortedKeys(scheduler.centres) {
 		centre := scheduler.centres[name]
@@ -42,11 +45,11 @@
 				tasks = at.drainable(tasks)
 			}
 		}
-		scheduler.drainTasks(tasks, centre.drainAt, "DataCentreOut")
+		scheduler.drainTasks(tasks, centre.drainHalf, centre.drainAt, "DataCentreOut")
 	}
 	for _, at := range scheduler.order {
 		if at.drainAt != 0 && at.known {
-			scheduler.drainTasks(at.drainable(nil), at.drainAt, "WorkerDrain")
+			scheduler.drainTasks(at.drainable(nil), at.drainHalf, at.drainAt, "WorkerDrain")
 		}
 	}
 }
@@ -62,10 +65,7 @@
 	return tasks
 }
 
-func (scheduler *Scheduler) drainTasks(tasks []*occupant, until clock.Time, reason string) {
-	if len(tasks) == 0 {
-		return
-	}
+func (scheduler *Scheduler) drainTasks(tasks []*occupant, half, until clock.Time, reason string) {
 	left := until.Sub(scheduler.now) - scheduler.settings.CheckpointBound
 	if scheduler.settings.NoDrain {
 		if scheduler.now.Before(until) {
@@ -77,10 +77,18 @@
 		}
 		return
 	}
+	if scheduler.now.Before(half) {
+		tasks = slices.DeleteFunc(tasks, func(occupant *occupant) bool { return occupant.view.row.Spec.Kind == worker.Batch })
+	}
+	if len(tasks) == 0 {
+		return
+	}
 	slices.SortFunc(tasks, func(first, second *occupant) int {
-		// Work that someone waits for moves first.
+		// Work that someone waits for moves first. Of the rest, the youngest do: the oldest are the most
+		// likely to end in time and lose the most if their checkpoint fails.
 		return cmp.Or(
 			compareBool(second.view.row.Spec.Urgent, first.view.row.Spec.Urgent),
+			cmp.Compare(second.since(), first.since()),
 			compareTasks(first.name(), second.name()),
 		)
 	})
@@ -112,6 +120,9 @@
 	return ident.Task{Job: occupant.view.name, Index: occupant.index}
 }
 
+// since returns when the placement was claimed, as far as this scheduler knows.
+func (occupant *occupant) since() clock.Time { return occupant.view.live[occupant.index].since }
+
 // elsewhere is the free room of usable workers, consumed as tasks are evicted, so that a drain does
 // not stop more tasks than can run on.
 type elsewhere struct{ rooms []unit.Resources }
--- a/placement/view.go
+++ b/placement/view.go
@@ -28,8 +28,9 @@
 	silent bool
 	// gone is the newest incarnation that is certainly over.
 	gone ident.Incarnation
-	// drainAt is when an operator wants the worker empty; 0 means no drain.
-	drainAt clock.Time
+	// drainAt is when an operator wants the worker empty; 0 means no drain. From drainHalf on its batch
+	// tasks are moved.
+	drainAt, drainHalf clock.Time
 	// heldFor is a job that the worker is kept free for until heldUntil.
 	heldFor   ident.Job
 	heldUntil clock.Time
@@ -79,8 +80,9 @@
 	revision table.Revision
 	// seen is the newest revision read from the table. No claim is made while it is not known what
 	// that revision says.
-	seen    table.Revision
-	drainAt clock.Time
+	seen table.Revision
+	// drainAt and drainHalf are as those of a worker.
+	drainAt, drainHalf clock.Time
 	// rampFrom is when the data centre returned; 0 means that it is not returning.
 	rampFrom   clock.Time
 	rampPlaced unit.Resources
--- a/standalone/run.go
+++ b/standalone/run.go
@@ -33,7 +33,9 @@
 	shortTasks     = 40
 	longTasks      = 6
 	shortRun       = 400 * clock.Millisecond
-	longRun        = 4 * clock.Second
+	longRun        = 6 * clock.Second
+	// Batch tasks move in the second half of a drain, so it is short enough to meet the long tasks.
+	sampleDrain    = 3 * clock.Second
 	samplePatience = 5 * clock.Second
 	// limit bounds the run; it ends well before on an idle machine.
 	limit = 28 * clock.Second
@@ -142,7 +144,7 @@
 func (run *sampleRun) setDataCentre(ctx context.Context, centre ident.DataCentre, state string) error {
 	change := operator.DataCentreChange{DataCentre: centre, State: state, Reason: "sample run"}
 	if state == operator.Out {
-		change.DrainMillis = 10 * clock.Second
+		change.DrainMillis = sampleDrain
 	}
 	_, err := run.operators.SetDataCentre(ctx, change)
 	return err
