Let measured memory replace the declared size sooner

The declared memory counted as 64 measurements. A task is measured every 2 s, so that is 128 s of one task, and tasks run for 30 to 120 s: sizes followed the declaration nearly to the end.

Change: MemoryPriorWeight is 16 instead of 64. What a job itself was seen to need still bounds its size from below.

--- a/estimate/settings.go
+++ b/estimate/settings.go
@@ -24,7 +24,8 @@
 	// PriorWeight is the number of measurements that the declared processor time and run time count as.
 	PriorWeight float64
 	// MemoryPriorWeight is the number of measurements that the declared memory counts as when less
-	// was measured. It is larger because the memory of many tasks grows while they run.
+	// was measured. It is larger because the memory of many tasks grows while they run. Usage is measured
+	// every 2 s, so a weight of 64 kept the declared size in force for longer than most runs last.
 	MemoryPriorWeight float64
 	// OutOfMemoryPercent is the size after an out-of-memory failure in percent of the limit that
 	// was exceeded.
@@ -44,7 +45,7 @@
 		RunTimePercentile:   90,
 		MemoryMarginPercent: 10,
 		PriorWeight:         8,
-		MemoryPriorWeight:   64,
+		MemoryPriorWeight:   16,
 		OutOfMemoryPercent:  150,
 		MaxJobs:             4096,
 		MaxClasses:          256,
