Evict for interference only while a service's slots are taken

Change: an eviction needs the service to be short of free slots, as the raised target does. Throttling is unchanged.

--- a/interference/governor.go
+++ b/interference/governor.go
@@ -165,7 +165,8 @@
 	if state.deepAt == 0 {
 		state.deepAt = now
 	}
-	if now.Sub(state.deepAt) < governor.settings.EvictAfterMillis {
+	// While slots are free routing bridges the slowdown, so that throttling suffices.
+	if now.Sub(state.deepAt) < governor.settings.EvictAfterMillis || governor.spareMargin(state) > 0 {
 		return nil
 	}
 	recent := known.evictions[:0]
--- a/interference/governor_test.go
+++ b/interference/governor_test.go
@@ -321,3 +321,30 @@
 		})
 	}
 }
+
+// TestSpareSlotsEvict guards against evictions beside an endpoint whose slots are free, where a
+// throttle suffices, and against none once they fill.
+func TestSpareSlotsEvict(t *testing.T) {
+	for name, settings := range presets {
+		t.Run(name, func(t *testing.T) {
+			post := newPost(settings, 3)
+			evicts := func(spare int) bool {
+				post.spare = spare
+				for range 20 * int(clock.Minute/clock.Second) {
+					for _, action := range post.step(300) {
+						if action.Kind == interference.Evict {
+							return true
+						}
+					}
+				}
+				return false
+			}
+			if evicts(100) {
+				t.Error("a task is evicted while all slots are free")
+			}
+			if !evicts(0) {
+				t.Error("no task is evicted while no slot is free")
+			}
+		})
+	}
+}
