--- a/lease/granter.go
+++ b/lease/granter.go
@@ -78,8 +78,8 @@
 // Record notes that the table names this entry as granter of the worker's incarnation since
 // revision. The previous granter may have granted until now, so the grant is taken to be as young as
 // possible. Former is that of the row: until the agent has confirmed a grant of this entry, or each
-// of them has stopped, this entry cannot tell when the last lease ends. Errors are ErrFenced and, for an old copy of the row,
-// ErrNotGranter.
+// of them has stopped, this entry cannot tell when the last lease ends. Errors are ErrFenced and, for an
+// old copy of the row, ErrNotGranter.
 func (granter *Granter) Record(worker ident.Worker, incarnation ident.Incarnation, revision table.Revision, former []Process, now clock.Time) error {
 	have, ok := granter.grants[worker]
 	if ok && (incarnation < have.incarnation || (incarnation == have.incarnation && have.over)) {
