bench: count sleeps of the entry process and profile it on request

The metric of processor time at rest varies with other load of the machine. The number of voluntary context switches is what the wakeups of a process cost and varies less. HYSSOPJUNCTION_BENCH_PROFILE names a file for a processor profile of the entry process, HYSSOPJUNCTION_BENCH_ENV one more variable for it, and the address depends on the process, so that two versions can run at the same time.

--- a/bench/process_bench_test.go
+++ b/bench/process_bench_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime/pprof"
 	"strconv"
 	"strings"
 	"syscall"
@@ -24,24 +25,54 @@
 // its own without another build.
 const runEnv = "HYSSOPJUNCTION_BENCH_RUN"
 
+// profileEnv names a file for a processor profile of that process: 15 s that begin profileDelay after
+// its start, when it is at rest.
+const (
+	profileEnv   = "HYSSOPJUNCTION_BENCH_PROFILE"
+	profileDelay = 12 * time.Second
+)
+
+// extraEnv names the variable with one more variable for that process, such as "GOMAXPROCS=2".
+const extraEnv = "HYSSOPJUNCTION_BENCH_ENV"
+
 // loopbackToken is accepted by an entry without a tokens file.
 const loopbackToken = "loopback-operators-need-no-secret"
 
 func TestMain(m *testing.M) {
 	if os.Getenv(runEnv) != "" {
+		if name := os.Getenv(profileEnv); name != "" {
+			go profileProcess(name)
+		}
 		os.Exit(cmd.Run(os.Args[1:], os.Stdout, os.Stderr))
 	}
 	os.Exit(m.Run())
 }
 
+// profileProcess writes the processor profile of this process.
+func profileProcess(name string) {
+	time.Sleep(profileDelay)
+	file, err := os.Create(name)
+	if err != nil {
+		return
+	}
+	defer func() { _ = file.Close() }()
+	if pprof.StartCPUProfile(file) == nil {
+		time.Sleep(15 * time.Second)
+		pprof.StopCPUProfile()
+	}
+}
+
 // process is an entry daemon as a process with production times.
 type process struct {
 	control, operator, metrics string
+	id                         int
 }
 
 // startProcess starts an entry as a process on a loopback address of its own.
 func (fleet *fleet) startProcess() process {
-	const host = "127.77.7.7"
+	// Two versions can be compared at the same time, each on an address of its own.
+	id := os.Getpid()
+	host := fmt.Sprintf("127.77.%d.%d", id>>8&0xff, id&0xff)
 	started := process{control: host + ":7012", operator: host + ":7011", metrics: host + ":7013"}
 	settings := fmt.Sprintf(`[Identity]
 Name = "entry-00"
@@ -70,7 +101,11 @@
 	fleet.check(err)
 	daemon := exec.Command(binary, "entry", "--config", name)
 	daemon.Env = append(os.Environ(), runEnv+"=1")
+	if extra := os.Getenv(extraEnv); extra != "" {
+		daemon.Env = append(daemon.Env, extra)
+	}
 	fleet.check(daemon.Start())
+	started.id = daemon.Process.Pid
 	fleet.stop = append(fleet.stop, func() {
 		_ = daemon.Process.Signal(syscall.SIGKILL)
 		_ = daemon.Wait()
@@ -107,6 +142,25 @@
 	return seconds, resident
 }
 
+// switches returns how often the threads of the process have gone to sleep, which is what a wakeup
+// costs. The count depends less on other load of the machine than processor time does.
+func (process process) switches(b testing.TB) float64 {
+	b.Helper()
+	names, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/status", process.id))
+	if err != nil {
+		b.Fatal(err)
+	}
+	total := 0.0
+	for _, name := range names {
+		data, _ := os.ReadFile(name)
+		_, text, _ := strings.Cut(string(data), "\nvoluntary_ctxt_switches:")
+		text, _, _ = strings.Cut(text, "\n")
+		count, _ := strconv.ParseFloat(strings.TrimSpace(text), 64)
+		total += count
+	}
+	return total
+}
+
 // BenchmarkEntryProcess measures processor time and resident memory of one entry as a process of its
 // own, at rest with 12 tasks a worker, against the number of agents. The baselines are the targets
 // of 1.1% of a core and 128 MB.
@@ -129,9 +183,11 @@
 				fleet.until("all tasks run", func() bool { return fleet.tasks() == agents*tasksPerWorker })
 				<-fleet.time.After(5 * clock.Second)
 				before, _ := started.used(b)
+				switches := started.switches(b)
 				began := time.Now()
 				<-fleet.time.After(window)
 				after, resident := started.used(b)
+				b.ReportMetric((started.switches(b)-switches)/time.Since(began).Seconds(), "sleeps/s")
 				core := 100 * (after - before) / time.Since(began).Seconds()
 				b.ReportMetric(core, "%core")
 				b.ReportMetric(resident/1e6, "resident-MB")
