controlpb: fix the flow control windows instead of measuring the bandwidth

Cause: grpc-go measures the bandwidth of a connection with a ping when a message arrives, unless the windows are static. Heartbeats, exchanges and starts are single small messages, so nearly each caused two pings and two answers of 17 bytes, and as many wakeups in both processes.

Change: static windows of 1 MiB a stream and 4 MiB a connection.

--- a/controlpb/options.go
+++ b/controlpb/options.go
@@ -19,6 +19,12 @@
 	maxDelay = 2 * time.Second
 	// maxMessageBytes bounds a message; callers' bodies are bounded to 1 MiB by default.
 	maxMessageBytes = 16 << 20
+	// streamWindow and connectionWindow are fixed, because the library otherwise measures the bandwidth
+	// of a connection with a ping at nearly every message. A ping and its answer are 34 bytes, and each
+	// wakes both processes. The windows hold a caller's body and let a connection carry 1 GB/s at a
+	// round trip of 1 ms.
+	streamWindow     = 1 << 20
+	connectionWindow = 4 << 20
 )
 
 // DialOptions returns the options of connections between daemons.
@@ -30,6 +36,8 @@
 			Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.3, MaxDelay: maxDelay},
 			MinConnectTimeout: time.Second,
 		}),
+		grpc.WithStaticStreamWindowSize(streamWindow),
+		grpc.WithStaticConnWindowSize(connectionWindow),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
 	}
 }
@@ -38,6 +46,8 @@
 func ServerOptions() []grpc.ServerOption {
 	return []grpc.ServerOption{
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingAfter / 2}),
+		grpc.StaticStreamWindowSize(streamWindow),
+		grpc.StaticConnWindowSize(connectionWindow),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxSendMsgSize(maxMessageBytes),
 	}
