entry: carry out all periodic work with one timer

Cause: at rest an entry with 50 agents went to sleep 208 times a second, and its profile showed mostly the scheduler and timers of the Go runtime. Seven loops had timers of their own that fired at different moments: tick, round and urgent work 11.3 times, renewal, pending rows, grants and configuration 4 times a second. Each heartbeat passed to the control goroutine and back twice.

Change: the steps have due times on one grid, so an idle entry wakes 4 times a second, and steps for the control goroutine share one event. The grid's phase differs between entries in place of the poll's jitter. Steps that wait for the table run on goroutines of their own and are not started twice. A heartbeat takes one event unless the granter has to be recorded. Urgent work is looked for every 250 instead of 300 ms. Shutdown exchanges from the control goroutine; it did so from another one. Close ends a hanging poll first.

--- a/config/reader.go
+++ b/config/reader.go
@@ -43,8 +43,11 @@
 
 	closed  chan struct{}
 	closing sync.Once
+	ctx     context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
+	// failing belongs to the caller of Poll.
+	failing bool
 }
 
 // NewReader returns a Reader that loads the configuration and then polls until Close. Store should
@@ -53,26 +56,11 @@
 func NewReader(
 	store table.Store, source clock.Clock, random *rand.Rand, publisher *Publisher, settings ReaderSettings,
 ) *Reader {
-	ctx, cancel := context.WithCancel(context.Background())
-	reader := &Reader{
-		settings:  settings,
-		clock:     source,
-		publisher: publisher,
-		random:    random,
-		loader:    newLoader(store),
-		closed:    make(chan struct{}),
-		cancel:    cancel,
-	}
+	reader := NewIdleReader(store, publisher)
+	reader.settings, reader.clock, reader.random = settings, source, random
 	reader.running.Go(func() {
-		failing := false
 		for {
-			// Refresh counts the failures; only the first of a series is logged.
-			if err := reader.Refresh(ctx); err != nil && !failing && ctx.Err() == nil {
-				failing = true
-				klog.ErrorS(err, "configuration not read", "Version", uint64(publisher.Version()))
-			} else if err == nil {
-				failing = false
-			}
+			reader.Poll()
 			select {
 			case <-reader.clock.After(reader.interval()):
 			case <-reader.closed:
@@ -83,6 +71,29 @@
 	return reader
 }
 
+// NewIdleReader returns a Reader that reads only when Poll or Refresh is called, for daemons that
+// read at the times of their other periodic work.
+func NewIdleReader(store table.Store, publisher *Publisher) *Reader {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Reader{
+		publisher: publisher,
+		loader:    newLoader(store),
+		closed:    make(chan struct{}),
+		ctx:       ctx,
+		cancel:    cancel,
+	}
+}
+
+// Poll reads the head and logs the first failure of a series. It must not be called concurrently.
+func (reader *Reader) Poll() {
+	// Refresh counts the failures.
+	err := reader.Refresh(reader.ctx)
+	if err != nil && !reader.failing && reader.ctx.Err() == nil {
+		klog.ErrorS(err, "configuration not read", "Version", uint64(reader.publisher.Version()))
+	}
+	reader.failing = err != nil
+}
+
 // Refresh reads the head now and puts the configuration in force if it changed.
 func (reader *Reader) Refresh(ctx context.Context) error {
 	reader.mu.Lock()
--- a/entry/announce.go
+++ b/entry/announce.go
@@ -24,18 +24,19 @@
 	reply := &controlpb.AnnounceReply{}
 	home, fenced, record := false, false, false
 	entry.control.Call(func() {
-		if home = entry.takeHeartbeat(request, reply); home {
-			fenced, record = entry.grantState(worker, incarnation, request.GrantRevision)
-			// A granter whose row is missing is taken for one that left long ago, so the row is written first.
-			record = record && entry.entries.MayGrant(entry.time.Now())
+		if home = entry.takeHeartbeat(request, reply); !home {
+			return
+		}
+		fenced, record = entry.grantState(worker, incarnation, request.GrantRevision)
+		// A granter whose row is missing is taken for one that left long ago, so the row is written first.
+		if record = record && entry.entries.MayGrant(entry.time.Now()); !record {
+			entry.answerHeartbeat(request, reply, fenced)
 		}
 	})
-	if !home {
+	if !home || !record {
 		return reply, nil
 	}
-	if record {
-		fenced = entry.recordGrant(worker, incarnation, state.GetTasks())
-	}
+	fenced = entry.recordGrant(worker, incarnation, state.GetTasks())
 	entry.control.Call(func() { entry.answerHeartbeat(request, reply, fenced) })
 	return reply, nil
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -188,9 +188,7 @@
 		Sizer: entry.learned, Interference: entry.learned, Health: entry.learned.health, Accounts: entry.accounts,
 	})
 	entry.services.Store(&serviceTable{})
-	polling := config.DefaultReaderSettings()
-	polling.PollMillis = settings.ConfigPoll
-	entry.reader = config.NewReader(dependencies.Table, dependencies.Clock, entry.newRandom(1), publisher, polling)
+	entry.reader = config.NewIdleReader(dependencies.Table, publisher)
 	entry.editor = config.NewEditor(dependencies.Table, dependencies.Clock, entry.newRandom(2), publisher)
 	entry.linkRegions()
 	ledger := dedup.New(dependencies.Table, entry.newWrite, dedup.Defaults())
@@ -206,24 +204,23 @@
 
 // start runs the entry's loops.
 func (entry *Entry) start() {
-	for _, loop := range []struct {
-		interval clock.Millis
-		wake     <-chan struct{}
-		step     func()
-	}{
-		{entry.settings.Tick, nil, entry.tick},
-		{entry.settings.Round, nil, entry.round},
-		{urgentInterval, nil, entry.assistUrgent},
-		{clock.Second, nil, entry.renew},
-		{clock.Second, nil, entry.adopt},
-		{clock.Second, nil, entry.settleGrants},
-		{scanInterval, entry.rescan, entry.scanJobs},
-		{10 * clock.Second, nil, entry.sweep},
-		{20 * clock.Second, entry.settle, entry.reviewTeams},
-		{learnedInterval, nil, func() { entry.saveLearned(objectTimeout) }},
-	} {
-		entry.every(loop.interval, loop.wake, loop.step)
+	jitter := entry.newRandom(4)
+	periodic := &schedule{
+		phase:  clock.Millis(jitter.Int64N(int64(clock.Second))),
+		jitter: func(bound clock.Millis) clock.Millis { return clock.Millis(jitter.Int64N(int64(bound))) },
 	}
+	periodic.control(entry.settings.Tick, entry.tick)
+	periodic.control(entry.settings.Round, entry.round)
+	periodic.control(urgentInterval, entry.assistUrgent)
+	periodic.call(entry.settings.ConfigPoll, entry.reader.Poll)
+	periodic.call(clock.Second, entry.renew)
+	periodic.call(clock.Second, entry.adopt)
+	periodic.call(clock.Second, entry.settleGrants)
+	periodic.call(10*clock.Second, entry.sweep)
+	entry.running.Go(func() { entry.follow(periodic) })
+	entry.every(scanInterval, entry.rescan, entry.scanJobs)
+	entry.every(20*clock.Second, entry.settle, entry.reviewTeams)
+	entry.every(learnedInterval, nil, func() { entry.saveLearned(objectTimeout) })
 	entry.running.Go(entry.loadLearned)
 	entry.running.Go(entry.bootstrap)
 	entry.running.Go(entry.followConfig)
@@ -298,11 +295,12 @@
 	entry.control.Post(func() { entry.handle(event) })
 }
 
-// round is the tick of the scheduler.
-func (entry *Entry) round() {
+// round is the tick of the scheduler. It runs on the control goroutine.
+func (entry *Entry) round() []func() {
 	if entry.publisher.Ready() {
-		entry.control.Call(func() { entry.handle(placement.Round{}) })
+		entry.handle(placement.Round{})
 	}
+	return nil
 }
 
 // notReady refuses a call before the configuration is known.
@@ -318,8 +316,9 @@
 	entry.spawning.Lock()
 	entry.closing.Do(func() { close(entry.quit) })
 	entry.spawning.Unlock()
-	entry.running.Wait()
+	// Ends a poll that waits for the table.
 	entry.reader.Close()
+	entry.running.Wait()
 	entry.control.Close()
 	entry.lanes.close()
 }
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -28,43 +28,40 @@
 	healthTo uint64
 }
 
-// exchange sends what changed to the peers that are due.
-func (entry *Entry) exchange() {
-	var due []outgoing
-	entry.control.Call(func() {
-		now := entry.time.Now()
-		fault := false
-		var pairs []*controlpb.PairEstimate
-		for _, peer := range entry.entries.Peers(now) {
-			if entry.inExchange[peer.ID] || !entry.workers.Due(peer.ID, now) {
-				continue
-			}
-			if pairs == nil {
-				// Counting the fleet in each tick, of which few send an exchange, would cost most of it.
-				fault = entry.learned.health.PlatformFault(now)
-				pairs = entry.learned.pairs.Export(maxPairs, false)
-			}
-			request := entry.workers.Delta(peer.ID, now)
-			request.Sender = entry.selfMessage()
-			request.Pairs = pairs
-			for _, worker := range set.SortedKeys(entry.ended) {
-				request.Ended = append(request.Ended, &controlpb.EndedIncarnation{
-					Worker: string(worker), Incarnation: uint64(entry.ended[worker].incarnation),
-				})
-			}
-			if request.Full {
-				delete(entry.healthTold, peer.ID)
-			}
-			message := outgoing{peer: peer, sequence: ident.Sequence(request.Sequence), request: request}
-			request.Health, message.healthTo = entry.learned.health.Export(entry.healthTold[peer.ID], maxSuspects, now)
-			request.PlatformFault = fault
-			entry.inExchange[peer.ID] = true
-			due = append(due, message)
+// exchange returns the calls that tell what changed to the peers that are due. It runs on the control
+// goroutine.
+func (entry *Entry) exchange() []func() {
+	var due []func()
+	now := entry.time.Now()
+	fault := false
+	var pairs []*controlpb.PairEstimate
+	for _, peer := range entry.entries.Peers(now) {
+		if entry.inExchange[peer.ID] || !entry.workers.Due(peer.ID, now) {
+			continue
 		}
-	})
-	for _, message := range due {
-		entry.spawn(func() { entry.sendExchange(message) })
+		if pairs == nil {
+			// Counting the fleet in each tick, of which few send an exchange, would cost most of it.
+			fault = entry.learned.health.PlatformFault(now)
+			pairs = entry.learned.pairs.Export(maxPairs, false)
+		}
+		request := entry.workers.Delta(peer.ID, now)
+		request.Sender = entry.selfMessage()
+		request.Pairs = pairs
+		for _, worker := range set.SortedKeys(entry.ended) {
+			request.Ended = append(request.Ended, &controlpb.EndedIncarnation{
+				Worker: string(worker), Incarnation: uint64(entry.ended[worker].incarnation),
+			})
+		}
+		if request.Full {
+			delete(entry.healthTold, peer.ID)
+		}
+		message := outgoing{peer: peer, sequence: ident.Sequence(request.Sequence), request: request}
+		request.Health, message.healthTo = entry.learned.health.Export(entry.healthTold[peer.ID], maxSuspects, now)
+		request.PlatformFault = fault
+		entry.inExchange[peer.ID] = true
+		due = append(due, func() { entry.sendExchange(message) })
 	}
+	return due
 }
 
 func (entry *Entry) sendExchange(message outgoing) {
--- /dev/null
+++ b/entry/schedule_test.go
@@ -0,0 +1,88 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/config"
+	"hyssopjunction/table"
+)
+
+// Guards against steps that wake the process at different times although their intervals would allow
+// the same, and against steps that are due later than their interval.
+func TestStepsShareWakeups(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	jitter := func(bound clock.Millis) clock.Millis { return clock.Millis(random.Int64N(int64(bound))) }
+	for name, steps := range map[string]*schedule{"grid": {phase: 170}, "with jitter": {phase: 170, jitter: jitter}} {
+		t.Run(name, func(t *testing.T) { checkWakeups(t, steps) })
+	}
+}
+
+func checkWakeups(t *testing.T, steps *schedule) {
+	t.Helper()
+	runs := map[clock.Millis]int{}
+	for _, interval := range []clock.Millis{250, 1000, 10_000} {
+		steps.control(interval, func() []func() { runs[interval]++; return nil })
+	}
+	now, wakeups := clock.Time(clock.Minute+3), 0
+	last := map[clock.Millis]clock.Time{}
+	for end := now.Add(20 * clock.Second); now.Before(end); now = now.Add(steps.wait(now)) {
+		wakeups++
+		for _, step := range steps.take(now) {
+			if gap := now.Sub(last[step.interval]); last[step.interval] != 0 && gap > step.interval {
+				t.Fatalf("a step of %s ran after %s", step.interval, gap)
+			}
+			last[step.interval] = now
+			step.control()
+		}
+	}
+	// Jitter shortens the interval by at most a tenth.
+	if most := 20*4*10/9 + 1; wakeups > most || steps.jitter == nil && wakeups > 20*4+1 {
+		t.Fatalf("%d wakeups in 20 s, want at most %d", wakeups, most)
+	}
+	for interval, least := range map[clock.Millis]int{250: 80, 1000: 20, 10_000: 2} {
+		if runs[interval] < least {
+			t.Fatalf("a step of %s ran %d times in 20 s, want %d", interval, runs[interval], least)
+		}
+	}
+}
+
+// Guards against steps that are made up for one by one after the process was paused.
+func TestMissedStepsAreNotRepeated(t *testing.T) {
+	steps := &schedule{}
+	steps.control(250, func() []func() { return nil })
+	steps.take(1000)
+	if late := steps.take(9100); len(late) != 1 {
+		t.Fatalf("%d steps are due after a pause, want 1", len(late))
+	}
+	if wait := steps.wait(9100); wait != 150 {
+		t.Fatalf("next step is due after %s, want 150ms", wait)
+	}
+}
+
+// Guards against a call to a table that hangs, which would hold up the other steps or would be made
+// again while it hangs.
+func TestHangingCallHoldsUpNoStep(t *testing.T) {
+	inWorld(t, func(world *world) {
+		hung, release := 0, make(chan struct{})
+		world.store.hook(func(call string, key table.Key) {
+			if call == "Get" && key == config.HeadKey {
+				hung++
+				<-release
+			}
+		})
+		world.pass(5 * time.Second)
+		world.entry.control.Call(func() {
+			if late := world.entry.time.Now().Sub(world.entry.refreshedAt); late > refreshInterval+world.entry.settings.Tick {
+				t.Errorf("view was published %s ago while a call hangs", late)
+			}
+		})
+		if hung != 1 {
+			t.Errorf("%d reads of the configuration hang, want 1", hung)
+		}
+		world.store.hook(nil)
+		close(release)
+	})
+}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -32,7 +32,7 @@
 	Tick clock.Millis
 	// Round is the interval of scheduling rounds.
 	Round clock.Millis
-	// ConfigPoll is the mean interval at which the configuration's head is read.
+	// ConfigPoll is the interval at which the configuration's head is read.
 	ConfigPoll clock.Millis
 	// Concurrency bounds the caller requests in flight.
 	Concurrency int
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -21,11 +21,15 @@
 	klog.InfoS("Entry is leaving", "Entry", entry.settings.ID)
 	// The new homes of the jobs read it when they see that this entry leaves.
 	entry.saveLearned(leaveTimeout)
+	var exchanges []func()
 	entry.control.Call(func() {
 		entry.entries.Drain()
 		entry.refresh()
+		exchanges = entry.exchange()
 	})
-	entry.exchange()
+	for _, send := range exchanges {
+		entry.spawn(send)
+	}
 	err := entry.dispatcher.Stop(ctx)
 	entry.dispatcher.Flush(ctx)
 	select {
--- a/entry/tick.go
+++ b/entry/tick.go
@@ -16,18 +16,17 @@
 	"hyssopjunction/unit"
 )
 
-// tick expires what was not heard of, publishes the view for traffic and sends exchanges.
-func (entry *Entry) tick() {
-	entry.control.Call(func() {
-		for _, worker := range entry.workers.Expire(entry.time.Now()) {
-			entry.workerSilent(worker)
-		}
-		if entry.time.Now().Sub(entry.refreshedAt) >= refreshInterval {
-			entry.refresh()
-		}
-		entry.logHealth()
-	})
-	entry.exchange()
+// tick expires what was not heard of, publishes the view for traffic and returns the exchanges to
+// send. It runs on the control goroutine.
+func (entry *Entry) tick() []func() {
+	for _, worker := range entry.workers.Expire(entry.time.Now()) {
+		entry.workerSilent(worker)
+	}
+	if entry.time.Now().Sub(entry.refreshedAt) >= refreshInterval {
+		entry.refresh()
+	}
+	entry.logHealth()
+	return entry.exchange()
 }
 
 // refreshInterval is how often the view is published although only loads may have changed. Publishing
--- a/entry/urgent.go
+++ b/entry/urgent.go
@@ -14,8 +14,9 @@
 
 const (
 	// urgentInterval is how often waiting urgent work is looked for. With a round before and the
-	// checkpoints of displaced tasks after it, urgent work still starts within 4.2 s.
-	urgentInterval = 300 * clock.Millisecond
+	// checkpoints of displaced tasks after it, urgent work still starts within 4.2 s. It is the interval of
+	// the tick, so that it needs no wakeup of its own.
+	urgentInterval = 250 * clock.Millisecond
 	// urgentCandidates is the number of workers whose tasks are listed per look. Tasks of other homes'
 	// jobs are not exchanged between entries, because that would take more than 7 KB/s at the peak.
 	urgentCandidates = 8
@@ -29,22 +30,23 @@
 	at    clock.Time
 }
 
-// assistUrgent lists the tasks of some workers for the scheduler while urgent work waits, so that it
-// can displace batch tasks whose home is another entry.
-func (entry *Entry) assistUrgent() {
-	var candidates []membership.Worker
-	entry.control.Call(func() {
-		if size, waiting := entry.urgentWaiting(); waiting {
-			candidates = entry.urgentCandidates(size)
-		}
-	})
-	for _, candidate := range candidates {
+// assistUrgent returns the calls that list the tasks of some workers for the scheduler while urgent work
+// waits, so that it can displace batch tasks whose home is another entry. It runs on the control
+// goroutine.
+func (entry *Entry) assistUrgent() []func() {
+	size, waiting := entry.urgentWaiting()
+	if !waiting {
+		return nil
+	}
+	var calls []func()
+	for _, candidate := range entry.urgentCandidates(size) {
 		client, err := entry.connections.Agent(candidate.AgentAddress)
 		if err != nil {
 			continue
 		}
-		entry.spawn(func() { entry.listResidents(candidate.ID, client) })
+		calls = append(calls, func() { entry.listResidents(candidate.ID, client) })
 	}
+	return calls
 }
 
 // urgentWaiting returns the declared size of an urgent task that waits, if there is one.
