Send only the load in heartbeats to a home that keeps the state

Cause: an agent with 12 tasks sent 64 B/s and received 42 B/s, of which the greater part repeated addresses, place and capacity in each heartbeat, and in each reply the home's own state and the digest of the entries.

Change: a home tells that it keeps the agent's state. The next heartbeats carry the load, without an agent address, as exchanges do, until the state changes, a heartbeat has no answer (it may still arrive) or another entry is the home. A home that does not know the incarnation asks for the whole state, and the agent sends it at once. An accepted reply leaves out the home, which agents of all versions only read in a refused one. Classes of work and the load in percent count as load and no longer make a change of the worker that is told to all entries at once; loads without classes, as the previous version sends them, keep the known classes. Agents of the previous version send whole states, and to an entry of the previous version whole states are sent, as it keeps none.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -73,7 +73,10 @@
 	// listed is the digest of the task list that the home took last.
 	listed uint64
 	// announcing is the digest in the heartbeat under way.
-	announcing  uint64
+	announcing uint64
+	// told is the state of the heartbeat under way, and kept the one that the entry at keptBy holds.
+	told, kept  *controlpb.WorkerState
+	keptBy      string
 	renewed     worker.Instant
 	known       []*controlpb.EntryState
 	knownDigest uint64
--- a/agent/announce.go
+++ b/agent/announce.go
@@ -12,6 +12,7 @@
 	"hyssopjunction/controlpb"
 	"hyssopjunction/ident"
 	"hyssopjunction/lease"
+	"hyssopjunction/membership"
 	"hyssopjunction/table"
 )
 
@@ -26,8 +27,9 @@
 		}
 		agent.sequence++
 		sequence = agent.sequence
-		request = agent.announcement()
 		target = agent.finder.target()
+		request = agent.announcement()
+		request.State = agent.stateFor(target, request.State)
 		agent.holder.Sent(sequence, agent.time.Now())
 	})
 	if request == nil || target == "" {
@@ -39,7 +41,7 @@
 		return
 	}
 	fenced := false
-	agent.control.Call(func() { fenced = agent.announced(sequence, reply) })
+	agent.control.Call(func() { fenced = agent.announced(sequence, target, reply) })
 	if fenced {
 		agent.restart(ident.Incarnation(reply.HighestIncarnation))
 		return
@@ -63,6 +65,8 @@
 	agent.entries.Discard(target)
 	moved := false
 	agent.control.Call(func() {
+		// The state may still arrive, after the next one.
+		agent.kept = nil
 		if moved = agent.finder.failed(); moved {
 			agent.complete = true
 		}
@@ -88,6 +92,15 @@
 	}
 }
 
+// stateFor returns the load of state alone if the entry at target keeps the rest, and otherwise state.
+func (agent *Agent) stateFor(target string, state *controlpb.WorkerState) *controlpb.WorkerState {
+	agent.told = state
+	if agent.kept == nil || agent.keptBy != target || !membership.SameStructure(agent.kept, state) {
+		return state
+	}
+	return membership.LoadOf(state)
+}
+
 // announcement builds the heartbeat.
 func (agent *Agent) announcement() *controlpb.AnnounceRequest {
 	state := &controlpb.WorkerState{
@@ -155,7 +168,7 @@
 }
 
 // announced applies a reply and reports whether this incarnation was fenced.
-func (agent *Agent) announced(sequence ident.Sequence, reply *controlpb.AnnounceReply) bool {
+func (agent *Agent) announced(sequence ident.Sequence, target string, reply *controlpb.AnnounceReply) bool {
 	if reply.Config != nil {
 		if err := agent.config.Apply(reply.Config); err != nil {
 			klog.ErrorS(err, "Configuration was not applied", "Worker", agent.settings.Worker)
@@ -164,6 +177,12 @@
 	if len(reply.Entries) > 0 {
 		agent.known, agent.knownDigest = reply.Entries, reply.EntriesDigest
 	}
+	if reply.WantState {
+		agent.kept = nil
+		wake(agent.kick)
+		return false
+	}
+	agent.kept, agent.keptBy = nil, target
 	if reply.Fenced {
 		return true
 	}
@@ -179,6 +198,9 @@
 		return false
 	}
 	agent.finder.accepted(reply.Entries)
+	if reply.KeepsState {
+		agent.kept = agent.told
+	}
 	agent.complete = reply.WantComplete
 	agent.listed = agent.announcing
 	agent.holder.Granted(sequence, clock.Millis(reply.LeaseTermMillis), table.Revision(reply.GrantRevision), agent.time.Now())
--- a/agent/announce_test.go
+++ b/agent/announce_test.go
@@ -1,7 +1,9 @@
 package agent
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"hyssopjunction/controlpb"
 )
@@ -28,3 +30,65 @@
 		})
 	})
 }
+
+// Guards against a home without the agent's addresses and place: the state must be whole in the first
+// heartbeat, after one without answer, which may still arrive and change what the home holds, after a
+// change, and for a home that has lost it.
+func TestHeartbeatsAreWholeUntilKept(t *testing.T) {
+	inWorld(t, func(world *world) {
+		lost, unknown := false, false
+		world.entry.decide(func(request *controlpb.AnnounceRequest) (*controlpb.AnnounceReply, error) {
+			if lost {
+				lost = false
+				return nil, context.DeadlineExceeded
+			}
+			if unknown && request.State.AgentAddress == "" {
+				return &controlpb.AnnounceReply{WantState: true}, nil
+			}
+			unknown = false
+			reply := granted(1)
+			reply.KeepsState = true
+			return reply, nil
+		})
+		next := func(cause string, whole bool) {
+			t.Helper()
+			world.entry.mu.Lock()
+			seen := len(world.entry.heartbeats)
+			world.entry.mu.Unlock()
+			for range 100 {
+				world.pass(100 * time.Millisecond)
+				world.entry.mu.Lock()
+				heartbeats := world.entry.heartbeats
+				world.entry.mu.Unlock()
+				if len(heartbeats) > seen {
+					if have := heartbeats[seen].State.AgentAddress != ""; have != whole {
+						t.Fatalf("%s: whole state is %v, want %v", cause, have, whole)
+					}
+					return
+				}
+			}
+			t.Fatalf("%s: no heartbeat", cause)
+		}
+		next("before the home keeps the state", true)
+		next("after the home kept the state", false)
+		world.entry.mu.Lock()
+		lost = true
+		world.entry.mu.Unlock()
+		next("heartbeat without answer", false)
+		next("after a heartbeat without answer", true)
+		next("after its answer", false)
+		world.agent.control.Call(func() { world.agent.ledger.Drain(true) })
+		next("after a change", true)
+		next("after its answer", false)
+		world.entry.mu.Lock()
+		unknown = true
+		seen := len(world.entry.heartbeats)
+		world.entry.mu.Unlock()
+		world.pass(world.agent.settings.Heartbeat.Duration())
+		world.entry.mu.Lock()
+		defer world.entry.mu.Unlock()
+		if repeated := world.entry.heartbeats[seen:]; len(repeated) < 2 || repeated[1].State.AgentAddress == "" {
+			t.Fatalf("%d heartbeats to a home that lost the state, want the whole state at once", len(repeated))
+		}
+	})
+}
--- a/entry/announce.go
+++ b/entry/announce.go
@@ -18,12 +18,17 @@
 	if err := entry.notReady(); err != nil {
 		return nil, err
 	}
-	state := request.GetState()
-	worker := ident.Worker(state.GetWorker())
-	incarnation := ident.Incarnation(state.GetIncarnation())
+	worker := ident.Worker(request.GetState().GetWorker())
+	incarnation := ident.Incarnation(request.GetState().GetIncarnation())
 	reply := &controlpb.AnnounceReply{}
 	home, fenced, record := false, false, false
 	entry.control.Call(func() {
+		whole, known := entry.workers.Restore(request.GetState())
+		if !known {
+			reply.WantState = true
+			return
+		}
+		request.State = whole
 		if home = entry.takeHeartbeat(request, reply); !home {
 			return
 		}
@@ -36,7 +41,7 @@
 	if !home || !record {
 		return reply, nil
 	}
-	fenced = entry.recordGrant(worker, incarnation, state.GetTasks())
+	fenced = entry.recordGrant(worker, incarnation, request.GetState().GetTasks())
 	entry.control.Call(func() { entry.answerHeartbeat(request, reply, fenced) })
 	return reply, nil
 }
@@ -48,8 +53,8 @@
 	state := request.GetState()
 	live := entry.entries.Live(now)
 	digest := entriesDigest(live)
-	reply.EntriesDigest = digest
 	if digest != request.EntriesDigest {
+		reply.EntriesDigest = digest
 		for _, known := range live {
 			reply.Entries = append(reply.Entries, known.Message())
 		}
@@ -59,11 +64,8 @@
 	if !ok {
 		return false
 	}
-	reply.Home = home.Message()
-	if home.ID != entry.settings.ID {
-		return false
-	}
-	if entry.workers.Announce(state, now) == membership.Stale {
+	if home.ID != entry.settings.ID || entry.workers.Announce(state, now) == membership.Stale {
+		reply.Home = home.Message()
 		return false
 	}
 	entry.inForce.agentApplied(ident.Worker(state.GetWorker()), ident.Incarnation(state.GetIncarnation()), ident.Version(state.GetConfigVersion()))
@@ -90,7 +92,7 @@
 		reply.Fenced = true
 		return
 	}
-	reply.Accepted = true
+	reply.Accepted, reply.KeepsState = true, true
 	if known != nil {
 		known.runtime = state.GetRuntimeAddress()
 	}
--- a/membership/summary.go
+++ b/membership/summary.go
@@ -4,6 +4,7 @@
 	"math/bits"
 
 	"hyssopjunction/controlpb"
+	"hyssopjunction/ident"
 
 	"google.golang.org/protobuf/proto"
 )
@@ -17,6 +18,8 @@
 func summarise(known *record) *controlpb.WorkerState {
 	summary := proto.CloneOf(known.state)
 	summary.AgeMillis = 0
+	// Only the home uses it.
+	summary.LoadPercent = 0
 	if used, capacity := summary.GetUsed(), summary.GetCapacity(); used != nil {
 		used.CpuMilli = coarse(used.GetCpuMilli(), capacity.GetCpuMilli())
 		used.MemoryMib = coarse(used.GetMemoryMib(), capacity.GetMemoryMib())
@@ -64,12 +67,37 @@
 	return proto.Equal(left, right)
 }
 
+// SameStructure reports whether two announced states differ in nothing but the load and the sequence
+// number, so that the home needs only the load of the second.
+func SameStructure(held, state *controlpb.WorkerState) bool {
+	return sameStructure(held, state)
+}
+
+// LoadOf returns the state without the fields that a home that holds the same structure knows.
+func LoadOf(state *controlpb.WorkerState) *controlpb.WorkerState {
+	return loadOf(state)
+}
+
+// Restore returns the whole state of an announcement that may hold only the load. It returns false if
+// the rest is not known here.
+func (workers *Workers) Restore(state *controlpb.WorkerState) (*controlpb.WorkerState, bool) {
+	if !isLoad(state) {
+		return state, true
+	}
+	held, have := workers.records[ident.Worker(state.GetWorker())]
+	if !have || held.home != workers.self || held.state.GetIncarnation() != state.GetIncarnation() {
+		return nil, false
+	}
+	return withLoad(held.state, state), true
+}
+
 // loadOf returns the state without the fields that a receiver of the same incarnation knows. Having
 // no agent address marks it.
 func loadOf(state *controlpb.WorkerState) *controlpb.WorkerState {
 	load := &controlpb.WorkerState{
 		Worker: state.GetWorker(), Incarnation: state.GetIncarnation(), Sequence: state.GetSequence(),
 		Used: state.GetUsed(), ConfigVersion: state.GetConfigVersion(), Tasks: state.GetTasks(),
+		Classes: state.GetClasses(), LoadPercent: state.GetLoadPercent(),
 	}
 	if endpoint := state.GetEndpoint(); endpoint != nil {
 		load.Endpoint = &controlpb.EndpointState{
@@ -90,6 +118,11 @@
 	merged := proto.CloneOf(state)
 	merged.Sequence, merged.AgeMillis = load.GetSequence(), load.GetAgeMillis()
 	merged.Used, merged.ConfigVersion, merged.Tasks = load.GetUsed(), load.GetConfigVersion(), load.GetTasks()
+	merged.LoadPercent = load.GetLoadPercent()
+	// Entries of the previous version send loads without classes.
+	if len(load.GetClasses()) > 0 || load.GetTasks() == 0 {
+		merged.Classes = load.GetClasses()
+	}
 	if endpoint, from := merged.GetEndpoint(), load.GetEndpoint(); endpoint != nil && from != nil {
 		endpoint.SlotsUsed, endpoint.ConnectionsUsed, endpoint.Queue = from.GetSlotsUsed(), from.GetConnectionsUsed(), from.GetQueue()
 		endpoint.LatencyMillis, endpoint.SlowdownPercent = from.GetLatencyMillis(), from.GetSlowdownPercent()
