Leave addresses and place out of exchanges with entries that know them

Cause: each exchange and each reply repeated the entry's two addresses, region and data centre, and each loss or restart is rare.

Change: a request names the incarnation of the receiver whose addresses the sender knows, and the reply the incarnation of the sender. A daemon of exactly that incarnation leaves them out; full exchanges carry them always. After an exchange without answer or a restart of either side the incarnations differ or are forgotten, and the next message is whole. Entries of the previous version name no incarnation and get whole messages.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -114,9 +114,11 @@
 	inExchange     map[ident.Entry]bool
 	// healthTold is the change up to which each peer knows the health of workers.
 	healthTold map[ident.Entry]uint64
-	silent     map[ident.Worker]silence
-	since      map[ident.Endpoint]presence
-	applied    *config.View
+	// knownBy is the incarnation of this entry whose addresses and place the peer said it knows.
+	knownBy map[ident.Entry]ident.Incarnation
+	silent  map[ident.Worker]silence
+	since   map[ident.Endpoint]presence
+	applied *config.View
 	// residents are the tasks on the workers homed here.
 	residents map[ident.Worker][]resident
 	// listed are the tasks of workers homed elsewhere, urgent the urgent jobs homed here.
@@ -179,7 +181,7 @@
 		inForce: newInForce(), homed: map[ident.Job]bool{}, finalSince: map[ident.Job]clock.Time{},
 		residents: map[ident.Worker][]resident{}, listed: map[ident.Worker]listedResidents{}, urgent: map[ident.Job]bool{},
 		random: rand.New(rand.NewPCG(settings.Seed, 3)), slowdownTarget: defaultSlowdownTarget,
-		inExchange: map[ident.Entry]bool{}, healthTold: map[ident.Entry]uint64{}, silent: map[ident.Worker]silence{}, since: map[ident.Endpoint]presence{},
+		inExchange: map[ident.Entry]bool{}, healthTold: map[ident.Entry]uint64{}, knownBy: map[ident.Entry]ident.Incarnation{}, silent: map[ident.Worker]silence{}, since: map[ident.Endpoint]presence{},
 		quit: make(chan struct{}), rescan: make(chan struct{}, 1), settle: make(chan struct{}, 1),
 	}
 	entry.accounts = &accounts{Ledger: quota.New(quota.Defaults()), learned: entry.learned}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -45,7 +45,8 @@
 			pairs = entry.learned.pairs.Export(maxPairs, false)
 		}
 		request := entry.workers.Delta(peer.ID, now)
-		request.Sender = entry.selfMessage()
+		request.ReceiverIncarnation = uint64(peer.Incarnation)
+		request.Sender = entry.selfMessageFor(request.Full, entry.knownBy[peer.ID])
 		request.Pairs = pairs
 		for _, worker := range set.SortedKeys(entry.ended) {
 			request.Ended = append(request.Ended, &controlpb.EndedIncarnation{
@@ -70,6 +71,7 @@
 		delete(entry.inExchange, message.peer.ID)
 		now := entry.time.Now()
 		if err != nil {
+			delete(entry.knownBy, message.peer.ID)
 			entry.workers.Unanswered(message.peer.ID, message.sequence)
 			return
 		}
@@ -77,6 +79,7 @@
 		if !reply.GetWantFull() {
 			entry.healthTold[message.peer.ID] = message.healthTo
 		}
+		entry.knownBy[message.peer.ID] = ident.Incarnation(reply.GetSenderIncarnation())
 		entry.heard(reply.GetReceiver())
 	})
 	if err != nil {
@@ -107,15 +110,21 @@
 	}
 }
 
-// heard takes the state that a peer told of itself.
-func (entry *Entry) heard(message *controlpb.EntryState) {
+// heard takes the state that a peer told of itself and returns the incarnation whose addresses and place
+// are known afterwards, 0 for none.
+func (entry *Entry) heard(message *controlpb.EntryState) ident.Incarnation {
 	if message.GetEntry() == "" || message.GetEntry() == string(entry.settings.ID) {
-		return
+		return 0
+	}
+	peer, known := entry.entries.Restore(membership.FromMessage(message))
+	if !known {
+		return 0
 	}
-	entry.entries.Heartbeat(membership.FromMessage(message), entry.time.Now())
+	entry.entries.Heartbeat(peer, entry.time.Now())
 	entry.inForce.homes[ident.Entry(message.GetEntry())] = homeVersion{
 		lowest: ident.Version(message.GetAgentsVersion()), agents: int(message.GetAgents()),
 	}
+	return peer.Incarnation
 }
 
 // Exchange takes the heartbeat of another entry.
@@ -123,9 +132,10 @@
 	var reply *controlpb.ExchangeReply
 	entry.control.Call(func() {
 		now := entry.time.Now()
-		entry.heard(request.GetSender())
+		known := entry.heard(request.GetSender())
 		reply = entry.workers.Exchange(request, now)
-		reply.Receiver = entry.selfMessage()
+		reply.SenderIncarnation = uint64(known)
+		reply.Receiver = entry.selfMessageFor(false, ident.Incarnation(request.GetReceiverIncarnation()))
 		for _, state := range request.GetWorkers() {
 			entry.workerSeen(ident.Worker(state.GetWorker()))
 		}
--- a/entry/inforce.go
+++ b/entry/inforce.go
@@ -64,6 +64,16 @@
 	return message
 }
 
+// selfMessageFor returns the state that heartbeats tell, without the addresses and the place if the
+// peer knows them of this incarnation.
+func (entry *Entry) selfMessageFor(whole bool, known ident.Incarnation) *controlpb.EntryState {
+	message := entry.selfMessage()
+	if !whole && known == entry.incarnation {
+		message.ControlAddress, message.CallerAddress, message.Region, message.DataCentre = "", "", "", ""
+	}
+	return message
+}
+
 // lagging names the live daemons that have not told that they applied the version. Agents homed at
 // other entries are named by their entry.
 func (entry *Entry) lagging(version ident.Version) []string {
--- a/membership/entries.go
+++ b/membership/entries.go
@@ -214,6 +214,21 @@
 	entries.sight(entry, 0, now)
 }
 
+// Restore returns what a heartbeat tells, with the addresses and place of the known entry if the
+// heartbeat left them out. It returns false if they are not known of that incarnation.
+func (entries *Entries) Restore(told Entry) (Entry, bool) {
+	if told.ControlAddress != "" {
+		return told, true
+	}
+	known, have := entries.seen[told.ID]
+	if !have || known.entry.Incarnation != told.Incarnation {
+		return Entry{}, false
+	}
+	told.ControlAddress, told.CallerAddress = known.entry.ControlAddress, known.entry.CallerAddress
+	told.Region, told.DataCentre = known.entry.Region, known.entry.DataCentre
+	return told, true
+}
+
 // Drain makes the own heartbeats say that the entry leaves, so that it is no home any more. Its row
 // is still renewed until Leave.
 func (entries *Entries) Drain() {
