--- a/entry/inforce.go
+++ b/entry/inforce.go
@@ -76,6 +76,9 @@
 
 // lagging names the live daemons that have not told that they applied the version. Agents homed at
 // other entries are named by their entry.
+//
+// It is called while an operator waits, so the other entries that lag are asked again soon: their
+// replies tell what they and their agents have applied.
 func (entry *Entry) lagging(version ident.Version) []string {
 	var names []string
 	entry.control.Call(func() {
@@ -86,10 +89,14 @@
 				}
 				continue
 			}
+			home := entry.inForce.homes[known.ID]
+			if known.ConfigVersion < version || home.agents > 0 && home.lowest < version {
+				entry.workers.Hurry(known.ID)
+			}
 			if known.ConfigVersion < version {
 				names = append(names, string(known.ID))
 			}
-			if home := entry.inForce.homes[known.ID]; home.agents > 0 && home.lowest < version {
+			if home.agents > 0 && home.lowest < version {
 				names = append(names, "agents of "+string(known.ID))
 			}
 		}
--- /dev/null
+++ b/membership/exchange_test.go
@@ -0,0 +1,28 @@
+package membership
+
+import (
+	"testing"
+
+	"hyssopjunction/clock"
+)
+
+// Guards against an operator who waits for the interval of exchanges to learn that a change is in force,
+// and against exchanges without pause while one waits.
+func TestHurriedExchangeIsDueOnce(t *testing.T) {
+	workers := NewWorkers("e1", DefaultSettings())
+	urgent := workers.settings.UrgentMillis
+	sent := clock.Time(clock.Minute)
+	workers.Hurry("unknown")
+	workers.Delta("e2", sent)
+	workers.Hurry("e2")
+	if workers.Due("e2", sent.Add(urgent-1)) {
+		t.Fatal("due at once after the last exchange")
+	}
+	if !workers.Due("e2", sent.Add(urgent)) {
+		t.Fatal("not due after the interval of urgent exchanges")
+	}
+	workers.Delta("e2", sent.Add(urgent))
+	if workers.Due("e2", sent.Add(2*urgent)) {
+		t.Fatal("due again although nobody hurries")
+	}
+}
