Push configuration from the version that each agent has

An agent that missed a push refuses the next ones, which do not follow its version, until it gets the documents in the reply to a heartbeat, and the home learns of it with the heartbeat after that.

Change: a push starts from the version that the agent told last, if that is lower. An agent that gets documents in a reply repeats its heartbeat at once.

--- a/agent/announce.go
+++ b/agent/announce.go
@@ -172,6 +172,9 @@
 	if reply.Config != nil {
 		if err := agent.config.Apply(reply.Config); err != nil {
 			klog.ErrorS(err, "Configuration was not applied", "Worker", agent.settings.Worker)
+		} else {
+			// Tells the home that it is in force here.
+			wake(agent.kick)
 		}
 	}
 	if len(reply.Entries) > 0 {
--- a/agent/announce_test.go
+++ b/agent/announce_test.go
@@ -92,3 +92,23 @@
 		}
 	})
 }
+
+// Guards against a change that the home takes for pending until the next heartbeat although the agent
+// got it with the reply to one.
+func TestConfigurationFromReplyIsToldAtOnce(t *testing.T) {
+	inWorld(t, func(world *world) {
+		world.entry.decide(func(request *controlpb.AnnounceRequest) (*controlpb.AnnounceReply, error) {
+			reply := granted(1)
+			if request.State.ConfigVersion < 3 {
+				reply.Config = &controlpb.ConfigDelta{ToVersion: 3}
+			}
+			return reply, nil
+		})
+		world.pass(world.agent.settings.Heartbeat.Duration())
+		world.entry.mu.Lock()
+		defer world.entry.mu.Unlock()
+		if last := world.entry.heartbeats[len(world.entry.heartbeats)-1]; last.State.ConfigVersion != 3 {
+			t.Fatalf("last told version %d, want 3", last.State.ConfigVersion)
+		}
+	})
+}
--- a/entry/configure.go
+++ b/entry/configure.go
@@ -75,13 +75,11 @@
 	klog.InfoS("Configuration in force", "Entry", entry.settings.ID, "Version", view.Version())
 }
 
-// pushConfig sends the documents that are newer than from to the agents homed here. An agent that
-// misses the push receives them with its next heartbeat.
+// pushConfig sends the agents homed here the documents that are newer than from, or than the version
+// that the agent told last if that is lower: it refuses documents that do not follow its own. An agent
+// that misses the push receives them with its next heartbeat.
 func (entry *Entry) pushConfig(from ident.Version, view *config.View) {
-	delta, err := view.Delta(from)
-	if err != nil {
-		return
-	}
+	deltas := map[ident.Version]*controlpb.ConfigDelta{}
 	for _, worker := range entry.workers.Own() {
 		client, ok := entry.agentOf(worker)
 		state, seen := entry.workers.Get(worker)
@@ -89,6 +87,15 @@
 			continue
 		}
 		incarnation := ident.Incarnation(state.GetIncarnation())
+		base := min(from, entry.inForce.applied[worker].version)
+		delta, computed := deltas[base]
+		if !computed {
+			var err error
+			if delta, err = view.Delta(base); err != nil {
+				return
+			}
+			deltas[base] = delta
+		}
 		entry.spawn(func() {
 			ctx, cancel := entry.call(entry.settings.CallTimeout)
 			defer cancel()
