Hold the reply to a report until the ends are recorded

Cause: an agent reports an end at once and again each second until the home has recorded it. The home records it with the next round and its commit, after the first reply, so each end took two reports.

Change: the home holds the reply until the ends are recorded, at most 700 ms, which the tick ends without a timer of its own. The agent reports to several homes at the same time, so that one does not delay the others.

--- a/agent/report.go
+++ b/agent/report.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"sync"
+
 	"k8s.io/klog/v2"
 
 	"hyssopjunction/clock"
@@ -25,9 +27,12 @@
 			}
 		}
 	})
+	// An entry holds its reply until the ends are recorded, so the others are asked at the same time.
+	var running sync.WaitGroup
 	for _, address := range set.SortedKeys(batches) {
-		agent.sendReport(address, incarnation, batches[address])
+		running.Go(func() { agent.sendReport(address, incarnation, batches[address]) })
 	}
+	running.Wait()
 }
 
 func (agent *Agent) sendReport(address string, incarnation ident.Incarnation, batch []*controlpb.TaskStatus) {
--- a/entry/actions.go
+++ b/entry/actions.go
@@ -39,7 +39,7 @@
 			entry.spawn(func() { entry.read(action) })
 		case placement.Recorded:
 			for _, ref := range action.Tasks {
-				entry.recorded[ref.Task] = recordedEnd{epoch: ref.Epoch, at: entry.time.Now()}
+				entry.noteRecorded(ref.Task, ref.Epoch)
 			}
 		case placement.Park:
 			klog.InfoS("Job parked", "Job", action.Job, "Reason", action.Reason)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -103,6 +103,8 @@
 	// counted are the reported ends that are evidence about workers and jobs already. An agent repeats a
 	// report each second while the table is unavailable.
 	counted map[ident.Task]recordedEnd
+	// reports are those whose replies wait.
+	reports map[*heldReport]struct{}
 	inForce *inForce
 	homed   map[ident.Job]bool
 	// finalSince is when this entry first saw that a job homed here had ended.
@@ -177,7 +179,7 @@
 		entries: entries, workers: membership.NewWorkers(settings.ID, settings.Membership),
 		granter: lease.NewGranter(settings.Lease), grants: map[ident.Worker]*grant{}, yielded: map[ident.Worker]table.Revision{},
 		ended: map[ident.Worker]endedIncarnation{}, learned: newLearned(), decisions: newDecisionLog(),
-		recorded: map[ident.Task]recordedEnd{}, counted: map[ident.Task]recordedEnd{},
+		recorded: map[ident.Task]recordedEnd{}, counted: map[ident.Task]recordedEnd{}, reports: map[*heldReport]struct{}{},
 		inForce: newInForce(), homed: map[ident.Job]bool{}, finalSince: map[ident.Job]clock.Time{},
 		residents: map[ident.Worker][]resident{}, listed: map[ident.Worker]listedResidents{}, urgent: map[ident.Job]bool{},
 		random: rand.New(rand.NewPCG(settings.Seed, 3)), slowdownTarget: defaultSlowdownTarget,
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -271,7 +271,7 @@
 				entry.takeJob(name, row)
 				return
 			}
-			entry.recorded[status.Task] = recordedEnd{epoch: status.Epoch, at: entry.time.Now()}
+			entry.noteRecorded(status.Task, status.Epoch)
 		})
 	})
 }
@@ -289,33 +289,6 @@
 	entry.counted[status.Task] = recordedEnd{epoch: status.Epoch, at: now}
 }
 
-// Report takes the ends of tasks that an agent reports until they are recorded in the table.
-func (entry *Entry) Report(_ context.Context, request *controlpb.ReportRequest) (*controlpb.ReportReply, error) {
-	if err := entry.notReady(); err != nil {
-		return nil, err
-	}
-	reply := &controlpb.ReportReply{}
-	entry.control.Call(func() {
-		now := entry.time.Now()
-		for _, message := range request.GetEnded() {
-			status := controlpb.ToStatus(message)
-			if known, ok := entry.recorded[status.Task]; ok && known.epoch >= status.Epoch {
-				reply.Recorded = append(reply.Recorded, message.Task)
-				continue
-			}
-			if !entry.isHome(status.Task.Job) {
-				reply.Misdirected = append(reply.Misdirected, message.Task)
-				continue
-			}
-			name := ident.Worker(request.GetWorker())
-			entry.countEnd(name, status, now)
-			entry.knowJob(status)
-			entry.handle(placement.TaskEnded{Worker: name, Status: status})
-		}
-	})
-	return reply, nil
-}
-
 // sweep deletes claim rows of keyed submissions whose retention is over.
 func (entry *Entry) sweep() {
 	if !entry.publisher.Ready() {
--- a/entry/tick.go
+++ b/entry/tick.go
@@ -22,6 +22,7 @@
 	for _, worker := range entry.workers.Expire(entry.time.Now()) {
 		entry.workerSilent(worker)
 	}
+	entry.releaseReports(entry.time.Now())
 	if entry.time.Now().Sub(entry.refreshedAt) >= refreshInterval {
 		entry.refresh()
 	}
