Read the configuration every 2 s and leave out a header towards the table

Cause: at rest an entry makes 2.35 reads a second of about 450 bytes with the table, of which one is the head of the configuration.

Change: the default of Config.PollMillis is 2 s. A push reaches the agents at once, and one that misses it has the change after a poll and a heartbeat, 6 s. Calls to the table have no User-Agent.

The target is 7 s.

--- a/entry/settings.go
+++ b/entry/settings.go
@@ -59,7 +59,8 @@
 		StopTimeout: 5 * clock.Second,
 		Tick:        250 * clock.Millisecond,
 		Round:       250 * clock.Millisecond,
-		ConfigPoll:  clock.Second,
+		// An agent that missed a push has a change after a poll and a heartbeat, 6 s.
+		ConfigPoll:  2 * clock.Second,
 		Concurrency: 2048,
 		Seed:        1,
 		Membership:  membership.DefaultSettings(),
--- a/setting/daemon.go
+++ b/setting/daemon.go
@@ -7,7 +7,7 @@
 
 // Config configures how a daemon learns of changes of the operators' configuration.
 type Config struct {
-	PollMillis clock.Millis `default:"1000" min:"100" max:"6000" doc:"Time between two reads of the configuration from the table; changes must be in force within 7 s"`
+	PollMillis clock.Millis `default:"2000" min:"100" max:"6000" doc:"Time between two reads of the configuration from the table; changes must be in force within 7 s"`
 }
 
 // Shutdown bounds the graceful shutdown.
--- a/table/http.go
+++ b/table/http.go
@@ -121,6 +121,8 @@
 		return errNoAnswer{reason: err.Error()}
 	}
 	post.Header.Set("Content-Type", "application/json")
+	// An empty value leaves the header out.
+	post.Header.Set("User-Agent", "")
 	response, err := store.client.Do(post)
 	if err != nil {
 		return errNoAnswer{reason: err.Error(), sent: sent.Load()}
