--- a/entry/tick.go
+++ b/entry/tick.go
@@ -173,6 +173,7 @@
 		}
 		for _, id := range entry.entries.Complete(rows, sent) {
 			entry.workers.Forget(id)
+			delete(entry.knownBy, id)
 		}
 		now := entry.time.Now()
 		changes = entry.entries.Bury(now)
