membership: keep telling that a worker moved

Cause: TestExchangesConverge failed with -rapid.seed=, on main too: an entry kept a worker that had ended. A home whose worker moved tells its peers that it no longer vouches for it, but forgot to when the next home told of the worker again. A peer that had missed the next home's exchange took the worker as vouched for by the former home from then on, and ignored its end.

Change: only a worker that announces itself to this entry again is no longer told as gone.

Figures: the seed passes, and so do 1,500 further sequences with go test ./membership -run TestExchangesConverge -rapid.checks=1500.

--- a/membership/workers.go
+++ b/membership/workers.go
@@ -131,7 +131,11 @@
 		next.leaving = before.leaving
 	}
 	delete(workers.past, id)
-	delete(workers.gone, id)
+	if home == workers.self {
+		// Otherwise entries that have not heard from the other home are still told that this one no longer
+		// vouches for the worker.
+		delete(workers.gone, id)
+	}
 	switch {
 	case have && known.home == workers.self && home != workers.self:
 		// The worker moved to another home, which tells the other entries about it. Entries that
