recorded: add connections that go silent and a lease holder that is paused

Cause: the recorded sessions had neither open connections that go silent for ever while new ones work nor an agent that is paused past its lease and wakes up; no run checked the invariants under them.

Change: messages between entries and agents go over connections. A silent one loses everything; an entry asks for an unanswered request over a fresh connection, an agent dials anew when a heartbeat had no reply, and the ping of the transport closes a connection that lost a call. A paused agent takes what reached it when it wakes, while its runtime, its endpoint and the clock go on. A start without a lease is a violation. The end of a run counts again from the workers' records that no run overlaps the former one, and from the endpoints' records that no attempt and no key ran twice and none that was reported as not run.

--- a/recorded/agent.go
+++ b/recorded/agent.go
@@ -11,6 +11,7 @@
 	"hyssopjunction/membership"
 	"hyssopjunction/placement"
 	"hyssopjunction/routing"
+	"hyssopjunction/table"
 	"hyssopjunction/unit"
 	"hyssopjunction/worker"
 )
@@ -34,7 +35,10 @@
 	incarnation ident.Incarnation
 	alive       bool
 	fenced      bool
-	draws       draws
+	// paused is set while the process is stopped, held is what reached it since.
+	paused bool
+	held   []func()
+	draws  draws
 	// skew is the worker's clock less the agent's.
 	skew       worker.Instant
 	ledger     *capacity.Ledger
@@ -46,6 +50,8 @@
 	// leftAt is when the endpoint began to leave, 0 while it serves.
 	leftAt  clock.Time
 	waiting map[ident.Request]*attempt
+	// unanswered is the connection of the last heartbeat until its reply.
+	unanswered *connection
 	// running counts the requests that the endpoint itself runs, apart from the controller.
 	running int
 	runtime runtime
@@ -85,7 +91,7 @@
 	agent.openEndpoint()
 	incarnation := agent.incarnation
 	beat := func() bool {
-		if agent.alive && agent.incarnation == incarnation {
+		if agent.alive && agent.incarnation == incarnation && !agent.paused {
 			agent.announce()
 		}
 		return agent.alive && agent.incarnation == incarnation
@@ -109,7 +115,7 @@
 	}
 	controller := agent.controller
 	agent.deployment.every(100, func() bool {
-		if agent.alive && agent.controller == controller {
+		if agent.alive && agent.controller == controller && !agent.paused {
 			agent.answer(controller.Tick(agent.deployment.now()))
 		}
 		return agent.alive && agent.controller == controller
@@ -137,27 +143,39 @@
 		return
 	}
 	target, incarnation := deployment.entry(home.ID), agent.incarnation
-	deployment.send(func() {
+	if agent.unanswered != nil {
+		agent.unanswered.replace()
+	}
+	open := deployment.connection(ends{entry: home.ID, agent: agent.name, fromAgent: true})
+	agent.unanswered = open
+	open.send(func() {
 		if !target.alive {
 			return
 		}
 		term, revision, fenced := target.heartbeat(state)
-		deployment.send(func() {
-			if !agent.alive || agent.incarnation != incarnation {
-				return
-			}
-			agent.fenced = agent.fenced || fenced
-			if !fenced && agent.holder.Granted(state.sequence, term, revision, deployment.now()) {
-				agent.holder.Sampled(deployment.now(), deployment.now(), agent.runtime.now())
-				if expiry, ok := agent.holder.WorkerExpiry(); ok {
-					agent.runtime.renew(expiry)
-				}
-			}
+		open.reply(func() {
+			agent.receive(func() { agent.granted(state, incarnation, term, revision, fenced) })
 		})
 	})
 	agent.report()
 }
 
+// granted takes the reply to a heartbeat.
+func (agent *agent) granted(state announcement, incarnation ident.Incarnation, term clock.Millis, revision table.Revision, fenced bool) {
+	now := agent.deployment.now()
+	if !agent.alive || agent.incarnation != incarnation {
+		return
+	}
+	agent.unanswered = nil
+	agent.fenced = agent.fenced || fenced
+	if !fenced && agent.holder.Granted(state.sequence, term, revision, now) {
+		agent.holder.Sampled(now, now, agent.runtime.now())
+		if expiry, ok := agent.holder.WorkerExpiry(); ok {
+			agent.runtime.renew(expiry)
+		}
+	}
+}
+
 // report sends the ends that are not in the table to the homes of their jobs.
 func (agent *agent) report() {
 	for _, name := range sortedTasks(agent.runtime.ended) {
--- a/recorded/check.go
+++ b/recorded/check.go
@@ -33,11 +33,15 @@
 	faults     []string
 	starts     map[ident.Task][]placed
 	ends       map[ident.Task][]worker.Status
+	// endTimes are when the ends were recorded.
+	endTimes map[ident.Task][]clock.Time
 	// occupancy is the record of each worker's starts and ends in order.
 	occupancy map[ident.Worker][]unit.Resources
 	// ran holds the attempts that an endpoint executed, keyRuns how often each key was.
-	ran     map[ident.Request]bool
-	keyRuns map[ident.Key]int
+	ran map[ident.Request]bool
+	// executions is the record of each endpoint in order.
+	executions map[ident.Endpoint][]execution
+	keyRuns    map[ident.Key]int
 	// keyAnswers are the keys whose callers were told that the submission ran.
 	keyAnswers map[ident.Key]bool
 	// notRun holds the attempts that were reported as not run.
@@ -47,19 +51,32 @@
 	reportedRan, reportedNot, reportedDoubt int
 	resumed, cancelledAfter, openEvictions  int
 	mostRunning                             int
-	latestClosed                            clock.Millis
-	latestLeaving                           clock.Millis
+	// silentConnections went silent and lost silenced messages; replaced counts closed connections and
+	// queries the questions for requests without an answer.
+	silentConnections, silenced, replaced, queries int
+	// pausedTasks ran beside a paused agent, held counts what reached it then.
+	pausedTasks, held int
+	latestClosed      clock.Millis
+	latestLeaving     clock.Millis
 }
 
 type placed struct {
 	epoch      ident.Epoch
 	worker     ident.Worker
 	checkpoint worker.Checkpoint
+	at         clock.Time
+}
+
+// execution is a run of an attempt in the record of an endpoint.
+type execution struct {
+	id  ident.Request
+	key ident.Key
 }
 
 func newChecks(deployment *deployment) *checks {
 	return &checks{
 		deployment: deployment, starts: make(map[ident.Task][]placed), ends: make(map[ident.Task][]worker.Status),
+		endTimes: make(map[ident.Task][]clock.Time), executions: make(map[ident.Endpoint][]execution),
 		occupancy: make(map[ident.Worker][]unit.Resources), ran: make(map[ident.Request]bool), keyRuns: make(map[ident.Key]int), notRun: make(map[ident.Request]bool), keyAnswers: make(map[ident.Key]bool),
 	}
 }
@@ -103,12 +120,16 @@
 			checks.broken("I4: task %s starts in %s %s after it was taken out", ref.Task, agent.centre, late)
 		}
 	}
-	checks.starts[ref.Task] = append(checks.starts[ref.Task], placed{epoch: ref.Epoch, worker: agent.name, checkpoint: spec.Checkpoint})
+	if agent.runtime.now() >= agent.runtime.expiry {
+		checks.broken("I2: task %s starts on %s without a lease", ref.Task, agent.name)
+	}
+	checks.starts[ref.Task] = append(checks.starts[ref.Task], placed{epoch: ref.Epoch, worker: agent.name, checkpoint: spec.Checkpoint, at: deployment.now()})
 	checks.occupancy[agent.name] = append(checks.occupancy[agent.name], spec.Size)
 }
 
 func (checks *checks) ended(agent *agent, status worker.Status) {
 	checks.ends[status.Task] = append(checks.ends[status.Task], status)
+	checks.endTimes[status.Task] = append(checks.endTimes[status.Task], checks.deployment.now())
 	checks.occupancy[agent.name] = append(checks.occupancy[agent.name], unit.Resources{}.Sub(status.Resources))
 }
 
@@ -141,7 +162,8 @@
 }
 
 // executed asserts I6 and I7 when an endpoint runs an attempt.
-func (checks *checks) executed(next *attempt) {
+func (checks *checks) executed(agent *agent, next *attempt) {
+	checks.executions[agent.endpoint] = append(checks.executions[agent.endpoint], execution{id: next.id, key: next.request.key})
 	if checks.notRun[next.id] {
 		checks.broken("I6: %s runs after it was reported as not run", next.id)
 	}
@@ -236,6 +258,8 @@
 			checks.broken("task %s is Finished in the table and not on a worker", name)
 		}
 	}
+	checks.recountTimes()
+	checks.recountExecutions()
 	checks.recountState()
 	for _, agent := range checks.deployment.agents {
 		var sum unit.Resources
--- a/recorded/check_test.go
+++ b/recorded/check_test.go
@@ -21,7 +21,7 @@
 	deployment := &deployment{
 		timeline: line, session: ContestDay(), log: newLog(line), measures: &Measures{},
 		profiles: make(map[ident.Task]*profile), saved: make(map[string]clock.Millis),
-		places: make(map[ident.Task]*agent), closedAt: make(map[ident.DataCentre]clock.Time),
+		places: make(map[ident.Task]*agent), connections: make(map[ends]*connection), closedAt: make(map[ident.DataCentre]clock.Time),
 	}
 	deployment.checks = newChecks(deployment)
 	deployment.store = newStore(deployment)
@@ -39,6 +39,7 @@
 		t.Fatal(err)
 	}
 	deployment.put(t, job.Key("claimed"), row.Encode())
+	first.runtime.expiry = first.runtime.now() + 1
 	return deployment, first, placement.TaskSpec{Task: ident.Task{Job: "claimed"}, Epoch: 1, Kind: worker.Batch, Size: size}
 }
 
@@ -80,6 +81,7 @@
 		{"just closed", "", func(deployment *deployment, at *agent, _ *placement.TaskSpec) {
 			deployment.closedAt[at.centre] = deployment.now().Add(-closedBound)
 		}},
+		{"lapsed lease", "without a lease", func(_ *deployment, at *agent, _ *placement.TaskSpec) { at.runtime.expiry-- }},
 		{"no claim", "without a claim", func(_ *deployment, _ *agent, spec *placement.TaskSpec) { spec.Epoch = 2 }},
 	}
 	for _, test := range cases {
@@ -98,23 +100,23 @@
 		return &attempt{try: &try{request: &request{key: "key"}, ids: []ident.Request{id}}, id: id}
 	}
 	t.Run("not run and then run", func(t *testing.T) {
-		deployment, _, _ := newChecked(t)
+		deployment, at, _ := newChecked(t)
 		next := keyed("r1-1")
 		deployment.checks.reported(next.try, outcome.NotRun)
-		deployment.checks.executed(next)
+		deployment.checks.executed(at, next)
 		assertBroken(t, deployment, "I6: ")
 	})
 	t.Run("run and then not run", func(t *testing.T) {
-		deployment, _, _ := newChecked(t)
+		deployment, at, _ := newChecked(t)
 		next := keyed("r1-1")
-		deployment.checks.executed(next)
+		deployment.checks.executed(at, next)
 		deployment.checks.reported(next.try, outcome.NotRun)
 		assertBroken(t, deployment, "I6: ")
 	})
 	t.Run("key run twice", func(t *testing.T) {
-		deployment, _, _ := newChecked(t)
-		deployment.checks.executed(keyed("r1-1"))
-		deployment.checks.executed(keyed("r1-2"))
+		deployment, at, _ := newChecked(t)
+		deployment.checks.executed(at, keyed("r1-1"))
+		deployment.checks.executed(at, keyed("r1-2"))
 		assertBroken(t, deployment, "I7: ")
 	})
 	t.Run("answer without a run", func(t *testing.T) {
@@ -160,10 +162,11 @@
 		t.Run(test.name, func(t *testing.T) {
 			deployment, at, spec := newChecked(t)
 			for _, epoch := range test.starts {
-				deployment.checks.starts[spec.Task] = append(deployment.checks.starts[spec.Task], placed{epoch: epoch, worker: at.name})
+				deployment.checks.starts[spec.Task] = append(deployment.checks.starts[spec.Task], placed{epoch: epoch, worker: at.name, at: deployment.now()})
 			}
 			for index, state := range test.ends {
 				deployment.checks.ends[spec.Task] = append(deployment.checks.ends[spec.Task], worker.Status{Task: spec.Task, Epoch: test.starts[index], State: state})
+				deployment.checks.endTimes[spec.Task] = append(deployment.checks.endTimes[spec.Task], deployment.now())
 			}
 			if test.final {
 				_, row := deployment.store.task(spec.Task)
@@ -176,6 +179,32 @@
 			assertBroken(t, deployment, test.want)
 		})
 	}
+	t.Run("overlapping", func(t *testing.T) {
+		deployment, at, spec := newChecked(t)
+		deployment.checks.starts[spec.Task] = []placed{{epoch: 1, worker: at.name, at: 5}, {epoch: 2, worker: "worker-01", at: 9}}
+		deployment.checks.endTimes[spec.Task] = []clock.Time{9}
+		deployment.checks.recountTimes()
+		assertBroken(t, deployment, "")
+		deployment.checks.endTimes[spec.Task] = []clock.Time{10}
+		deployment.checks.recountTimes()
+		assertBroken(t, deployment, "before its former run ended")
+	})
+	t.Run("executions", func(t *testing.T) {
+		for want, prepare := range map[string]func(checks *checks){
+			"records have r1-1 on": func(checks *checks) { checks.executions["b"] = []execution{{id: "r1-1"}} },
+			"records have key key": func(checks *checks) { checks.executions["b"] = []execution{{id: "r1-2", key: "key"}} },
+			"reported as not run":  func(checks *checks) { checks.notRun["r1-1"] = true },
+			"no endpoint has it":   func(checks *checks) { checks.keyAnswers["other"] = true },
+		} {
+			deployment, _, _ := newChecked(t)
+			deployment.checks.executions["a"] = []execution{{id: "r1-1", key: "key"}}
+			deployment.checks.recountExecutions()
+			assertBroken(t, deployment, "")
+			prepare(deployment.checks)
+			deployment.checks.recountExecutions()
+			assertBroken(t, deployment, want)
+		}
+	})
 	t.Run("overcommitted", func(t *testing.T) {
 		deployment, at, _ := newChecked(t)
 		deployment.checks.occupancy[at.name] = []unit.Resources{at.capacity, {CPU: 1}}
--- a/recorded/deployment.go
+++ b/recorded/deployment.go
@@ -77,6 +77,8 @@
 	saved map[string]clock.Millis
 	// places is where each task runs now.
 	places map[ident.Task]*agent
+	// connections are the open ones between entries and agents.
+	connections map[ends]*connection
 	// closedAt is when a data centre's document was closed, 0 while it is open.
 	closedAt map[ident.DataCentre]clock.Time
 	writes   int
@@ -93,7 +95,7 @@
 		timeline: line, session: session, policy: policy, start: line.now(), rate: 1,
 		network: newDraws(session.Seed, 1), work: newDraws(session.Seed, 2), traffic: newDraws(session.Seed, 3),
 		log: newLog(line), measures: &Measures{Losses: newLosses()}, profiles: make(map[ident.Task]*profile), saved: make(map[string]clock.Millis),
-		places: make(map[ident.Task]*agent), closedAt: make(map[ident.DataCentre]clock.Time),
+		places: make(map[ident.Task]*agent), connections: make(map[ends]*connection), closedAt: make(map[ident.DataCentre]clock.Time),
 	}
 	deployment.checks = newChecks(deployment)
 	deployment.store = newStore(deployment)
--- a/recorded/entry.go
+++ b/recorded/entry.go
@@ -317,14 +317,20 @@
 // call sends a message to an agent and its answer back. A dead agent does not answer.
 func (entry *entry) call(to ident.Worker, serve func(agent *agent) placement.Event) {
 	deployment := entry.deployment
-	deployment.send(func() {
+	open := deployment.connection(ends{entry: entry.id, agent: to})
+	open.send(func() {
 		agent := deployment.agent(to)
-		if agent == nil || !agent.alive {
+		if agent == nil {
 			return
 		}
-		if answer := serve(agent); answer != nil {
-			deployment.send(func() { entry.handle(answer) })
-		}
+		agent.receive(func() {
+			if !agent.alive {
+				return
+			}
+			if answer := serve(agent); answer != nil {
+				open.reply(func() { entry.handle(answer) })
+			}
+		})
 	})
 }
 
--- a/recorded/incidents.go
+++ b/recorded/incidents.go
@@ -61,6 +61,13 @@
 		deployment.agents[7].ledger.Drain(false)
 		deployment.agents[7].openEndpoint()
 	})
+	var paused *agent
+	deployment.when(incidents.Pause, "Pause", func() {
+		paused = deployment.busiest()
+		paused.pause()
+	})
+	deployment.when(incidents.Wake, "Wake", func() { paused.wake() })
+	deployment.when(incidents.Silent, "Silent", deployment.silence)
 }
 
 // when plans an incident; a time of 0 means never.
--- a/recorded/keyed.go
+++ b/recorded/keyed.go
@@ -71,35 +71,41 @@
 func (entry *entry) resolve(sent *try, ticket dedup.Ticket) {
 	deployment := entry.deployment
 	target := deployment.agent(ticket.Record.Target.Worker)
-	deployment.send(func() {
-		if !target.alive {
-			return
-		}
-		if target.incarnation != ticket.Record.Target.Incarnation {
-			deployment.send(func() { entry.lose(sent, ticket) })
-			return
-		}
-		status := target.controller.Query(deployment.now(), ticket.Record.Request, true)
-		deployment.send(func() {
-			if sent.dead() {
+	open := deployment.fresh(ends{entry: entry.id, agent: target.name})
+	open.send(func() {
+		target.receive(func() {
+			if !target.alive {
 				return
 			}
-			switch {
-			case status.State == admission.Finished && status.Answer.Outcome == outcome.Ran:
-				entry.complete(ticket, nil)
-				sent.answer(outcome.Ran, "")
-			case status.State == admission.Denied:
-				deployment.checks.denied(ticket.Record.Request)
-				entry.release(ticket)
-				sent.answer(outcome.NotRun, "ErrReleased")
-			default:
-				sent.doubt = true
-				sent.answer(outcome.Unknown, "ErrStillRunning")
+			if target.incarnation != ticket.Record.Target.Incarnation {
+				open.reply(func() { entry.lose(sent, ticket) })
+				return
 			}
+			status := target.controller.Query(deployment.now(), ticket.Record.Request, true)
+			open.reply(func() { entry.resolved(sent, ticket, status) })
 		})
 	})
 }
 
+// resolved takes what the target of an earlier claim answered.
+func (entry *entry) resolved(sent *try, ticket dedup.Ticket, status admission.Status) {
+	if sent.dead() {
+		return
+	}
+	switch {
+	case status.State == admission.Finished && status.Answer.Outcome == outcome.Ran:
+		entry.complete(ticket, nil)
+		sent.answer(outcome.Ran, "")
+	case status.State == admission.Denied:
+		entry.deployment.checks.denied(ticket.Record.Request)
+		entry.release(ticket)
+		sent.answer(outcome.NotRun, "ErrReleased")
+	default:
+		sent.doubt = true
+		sent.answer(outcome.Unknown, "ErrStillRunning")
+	}
+}
+
 func (entry *entry) lose(sent *try, ticket dedup.Ticket) {
 	if sent.dead() {
 		return
--- a/recorded/measure.go
+++ b/recorded/measure.go
@@ -116,6 +116,8 @@
 		fmt.Sprintf("I7 KeysRun=%d KeysAnswered=%d AttemptsRun=%d MostAtOnceAtEndpoint=%d", len(checks.keyRuns), len(checks.keyAnswers), len(checks.ran), checks.mostRunning),
 		fmt.Sprintf("I8 Arrivals=%d LatestAtLeavingEndpoint=%s Bound=%s", checks.arrivals, checks.latestLeaving, leavingBound),
 		fmt.Sprintf("I10 Changes=%d Conflicts=%d VersionsChecked=%d", len(deployment.accepted), checks.conflicts, checks.forced),
+		fmt.Sprintf("Silent Connections=%d MessagesLost=%d Replaced=%d Queries=%d", checks.silentConnections, checks.silenced, checks.replaced, checks.queries),
+		fmt.Sprintf("Paused Tasks=%d Held=%d", checks.pausedTasks, checks.held),
 		fmt.Sprintf("Table Commits=%d AnswersLost=%d Refused=%d", deployment.store.commits, deployment.store.lost, deployment.store.refused),
 	}
 }
--- a/recorded/recorded_test.go
+++ b/recorded/recorded_test.go
@@ -33,7 +33,7 @@
 	session.Settle = 300 * clock.Second
 	session.Incidents = Incidents{
 		Impossible: 20 * clock.Second, CentreOut: 60*clock.Second + 8, CentreBack: 120 * clock.Second, Race: 70 * clock.Second,
-		RaceBack: 90 * clock.Second,
+		RaceBack: 90 * clock.Second, Pause: 125 * clock.Second, Wake: 160 * clock.Second, Silent: 165 * clock.Second,
 	}
 	return session
 }
--- a/recorded/requests.go
+++ b/recorded/requests.go
@@ -57,7 +57,9 @@
 	target   dedup.Target
 	sent     clock.Time
 	over     bool
-	ticket   *dedup.Ticket
+	// open is the connection that carries the request and its answer.
+	open   *connection
+	ticket *dedup.Ticket
 }
 
 // call sends the request to an entry. The caller repeats it if no answer comes.
@@ -154,7 +156,9 @@
 	if next.request.key != "" {
 		left = next.request.patience
 	}
-	deployment.send(func() { next.agent.arrive(next, left) })
+	next.open = deployment.connection(ends{entry: entry.id, agent: next.agent.name})
+	next.open.send(func() { next.agent.receive(func() { next.agent.arrive(next, left) }) })
+	entry.suspect(next)
 	deployment.after(max(left, 0)+progressDeadline, func() {
 		if next.over || next.dead() {
 			return
@@ -230,7 +234,6 @@
 
 // answer carries out the controller's actions.
 func (agent *agent) answer(actions []admission.Action) {
-	deployment := agent.deployment
 	for _, action := range actions {
 		next := agent.waiting[action.Request]
 		if next == nil {
@@ -242,7 +245,7 @@
 		case admission.Refuse, admission.Deliver:
 			delete(agent.waiting, action.Request)
 			load := agent.load(agent.controller.Load())
-			deployment.send(func() { next.at.replied(next, action, load) })
+			next.open.reply(func() { next.at.replied(next, action, load) })
 		}
 	}
 }
@@ -250,7 +253,7 @@
 // execute is the endpoint: it runs the request, slowed down by the tasks beside it.
 func (agent *agent) execute(next *attempt) {
 	deployment := agent.deployment
-	deployment.checks.executed(next)
+	deployment.checks.executed(agent, next)
 	agent.running++
 	deployment.checks.occupied(agent)
 	micros := max(agent.draws.exponential(next.request.service), 1000) * int64(agent.runtime.slowdown(nil)) / 100
@@ -258,9 +261,11 @@
 	controller := agent.controller
 	deployment.after(took, func() {
 		agent.running--
-		if agent.alive && agent.controller == controller {
-			agent.answer(controller.Finish(deployment.now(), next.id, admission.Answer{Outcome: outcome.Ran, Status: 200, Service: took}))
-		}
+		agent.receive(func() {
+			if agent.alive && agent.controller == controller {
+				agent.answer(controller.Finish(deployment.now(), next.id, admission.Answer{Outcome: outcome.Ran, Status: 200, Service: took}))
+			}
+		})
 	})
 }
 
--- a/recorded/runtime.go
+++ b/recorded/runtime.go
@@ -192,13 +192,16 @@
 		deployment.measures.lose(deployment, task.done-task.kept)
 	}
 	deployment.log.write("%s End Task=%s Epoch=%d State=%s Reason=%q", agent.name, name, task.epoch, state, reason)
-	if !agent.alive {
-		return
-	}
-	agent.ledger.Ended(name, task.epoch, deployment.now())
-	if home := deployment.jobHome(name.Job); home != nil {
-		deployment.send(func() { home.taskEnded(agent, status) })
-	}
+	ledger := agent.ledger
+	agent.receive(func() {
+		if !agent.alive || agent.ledger != ledger {
+			return
+		}
+		ledger.Ended(name, task.epoch, deployment.now())
+		if home := deployment.jobHome(name.Job); home != nil {
+			deployment.send(func() { home.taskEnded(agent, status) })
+		}
+	})
 }
 
 // sortedTasks returns the keys in ascending order.
--- a/recorded/session.go
+++ b/recorded/session.go
@@ -89,6 +89,11 @@
 	Race, RaceBack clock.Millis
 	// EndpointLeaves and EndpointBack are of the eighth worker's endpoint.
 	EndpointLeaves, EndpointBack clock.Millis
+	// Pause and Wake are of the agent of the then busiest worker, further apart than the lease term and
+	// its margin.
+	Pause, Wake clock.Millis
+	// Silent makes all open connections between entries and agents silent for ever.
+	Silent clock.Millis
 }
 
 func allIncidents() Incidents {
@@ -105,6 +110,8 @@
 		FaultyFrom: 745 * clock.Second, FaultyUntil: 840 * clock.Second,
 		CancelWave:     850 * clock.Second,
 		EndpointLeaves: 870 * clock.Second, EndpointBack: 900 * clock.Second,
+		Pause: 905 * clock.Second, Wake: 945 * clock.Second,
+		Silent: 950 * clock.Second,
 	}
 }
 
