entry: schedule an urgent job whose home does not answer

Cause: found by the loss of an entry under urgent work: an urgent job whose home was lost without a sign waited until the other entries counted the home as dead, 8 s and more, and a message to a lost home had no bound of its own.

Change: the entry that accepted an urgent job asks the home again each second while a task waits, each message bounded to a second. Without an answer it schedules the job itself for 15 s and then leaves it to its home. Claims are conditional on the job's row, so two entries cause only a conflict. TestUrgentJobOfLostHome fails without the change.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -126,6 +126,8 @@
 	// listed are the tasks of workers homed elsewhere, urgent the urgent jobs homed here.
 	listed map[ident.Worker]listedResidents
 	urgent map[ident.Job]bool
+	// substituted are the urgent jobs scheduled here in place of their home, with the end of that.
+	substituted map[ident.Job]clock.Time
 	// random draws candidates for urgent work.
 	random *rand.Rand
 	// slowdownTarget and headroom are those of the preset in force, in percent.
@@ -182,7 +184,7 @@
 		recorded: map[ident.Task]recordedEnd{}, counted: map[ident.Task]recordedEnd{}, reports: map[*heldReport]struct{}{},
 		inForce: newInForce(), homed: map[ident.Job]bool{}, finalSince: map[ident.Job]clock.Time{},
 		residents: map[ident.Worker][]resident{}, listed: map[ident.Worker]listedResidents{}, urgent: map[ident.Job]bool{},
-		random: rand.New(rand.NewPCG(settings.Seed, 3)), slowdownTarget: defaultSlowdownTarget,
+		substituted: map[ident.Job]clock.Time{}, random: rand.New(rand.NewPCG(settings.Seed, 3)), slowdownTarget: defaultSlowdownTarget,
 		inExchange: map[ident.Entry]bool{}, healthTold: map[ident.Entry]uint64{}, knownBy: map[ident.Entry]ident.Incarnation{}, silent: map[ident.Worker]silence{}, since: map[ident.Endpoint]presence{},
 		quit: make(chan struct{}), rescan: make(chan struct{}, 1), settle: make(chan struct{}, 1),
 	}
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -206,6 +206,13 @@
 		entry.takeJob(name, row)
 		return
 	}
+	if _, substitute := entry.substituted[name]; !substitute {
+		entry.dropJob(name)
+	}
+}
+
+// dropJob leaves a job to its home.
+func (entry *Entry) dropJob(name ident.Job) {
 	if entry.homed[name] {
 		delete(entry.homed, name)
 		klog.InfoS("No longer home of job", "Job", name)
@@ -226,28 +233,32 @@
 	return &controlpb.NotifyReply{}, nil
 }
 
-// notifyHome tells the home of a job that its row changed. The pending row reaches the home if this
-// call does not.
-func (entry *Entry) notifyHome(ctx context.Context, name ident.Job) {
+// notifyHome tells the home of a job that its row changed, and reports whether the home answered. The
+// pending row reaches the home if this call does not.
+func (entry *Entry) notifyHome(ctx context.Context, name ident.Job) bool {
+	ctx, cancel := context.WithTimeout(ctx, notifyTimeout.Duration())
+	defer cancel()
 	var home membership.Entry
 	found := false
 	entry.control.Call(func() {
 		home, found = membership.JobHome(name, entry.settings.Region, entry.entries.Live(entry.time.Now())).Get()
 	})
 	if !found {
-		return
+		return false
 	}
 	if home.ID == entry.settings.ID {
-		_ = entry.loadJob(ctx, name)
-		return
+		return entry.loadJob(ctx, name) == nil
 	}
 	client, err := entry.connections.Entry(home.ControlAddress)
-	if err != nil {
-		return
+	if err == nil {
+		_, err = client.Notify(ctx, &controlpb.NotifyRequest{Jobs: []string{string(name)}})
 	}
-	if _, err := client.Notify(ctx, &controlpb.NotifyRequest{Jobs: []string{string(name)}}); err != nil {
+	if err != nil {
 		klog.V(1).InfoS("Home of job was not notified", "Job", name, "Entry", home.ID, "Reason", err.Error())
+		// The connection may be silent, so the next message dials anew.
+		entry.connections.Discard(home.ControlAddress)
 	}
+	return err == nil
 }
 
 // knowJob reads the row of a job that a reported end names and that this entry has not read. The
--- a/entry/operations_jobs.go
+++ b/entry/operations_jobs.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return operator.JobState{}, operatorError(err, call.Request)
 	}
-	operations.entry.notifyHome(ctx, spec.Job)
+	operations.entry.submitted(ctx, spec)
 	return operations.Job(ctx, spec.Job)
 }
 
--- a/entry/tick.go
+++ b/entry/tick.go
@@ -27,6 +27,7 @@
 		entry.refresh()
 	}
 	entry.logHealth()
+	entry.endSubstitutes()
 	return entry.exchange()
 }
 
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -94,12 +94,17 @@
 
 // inWorld runs check with the only entry of its region, which has read the configuration.
 func inWorld(t *testing.T, check func(world *world)) {
+	inWorldWith(t, noConnections{}, check)
+}
+
+// inWorldWith runs check with an entry that reaches other daemons over the connections.
+func inWorldWith(t *testing.T, connections Connections, check func(world *world)) {
 	synctest.Test(t, func(t *testing.T) {
 		world := &world{T: t, store: &fakeStore{Memory: tabletest.New()}}
 		settings := DefaultSettings()
 		settings.ID, settings.Region, settings.DataCentre, settings.ControlAddress = "e1", "north", "dc1", "e1"
 		entry, err := New(t.Context(), settings, Dependencies{
-			Clock: clock.NewSystem(), Table: world.store, Agents: noRequests{}, Control: noConnections{},
+			Clock: clock.NewSystem(), Table: world.store, Agents: noRequests{}, Control: connections,
 			Runtimes: func(string, ident.Worker) worker.Runtime {
 				return fakeRuntime{list: func(ctx context.Context) (worker.Report, error) {
 					world.mu.Lock()
