--- a/bench/fleet_test.go
+++ b/bench/fleet_test.go
@@ -57,6 +57,10 @@
 	mu sync.Mutex
 	// started are the processes of entries, ended ones included.
 	started []*entryNode
+	// centres are the data centres, in turn.
+	centres []ident.DataCentre
+	// patience bounds each wait for a state.
+	patience clock.Millis
 	// heapBefore is the heap before anything was started.
 	heapBefore float64
 	stop       []func()
@@ -84,7 +88,7 @@
 func newFleet(b testing.TB, workers int) *fleet {
 	b.Helper()
 	logging.New(io.Discard, slog.LevelInfo)
-	fleet := &fleet{b: b, time: clock.NewSystem(), heapBefore: heap()}
+	fleet := &fleet{b: b, time: clock.NewSystem(), centres: centres, patience: 2 * clock.Minute, heapBefore: heap()}
 	settings := setting.StandIn{Simulation: setting.Simulation{Seed: 1, TickMillis: 1000, ValueBytes: 256 << 10, ObjectBytes: 16 << 20}}
 	for index := range workers {
 		settings.Workers = append(settings.Workers, setting.StandInWorker{
@@ -259,13 +263,13 @@
 	return client
 }
 
-// until waits for a state of the running system, at most 2 minutes.
+// until waits for a state of the running system.
 func (fleet *fleet) until(awaited string, reached func() bool) {
 	fleet.b.Helper()
-	deadline := fleet.time.Now().Add(2 * clock.Minute)
+	deadline := fleet.time.Now().Add(fleet.patience)
 	for !reached() {
 		if fleet.time.Now() > deadline {
-			fleet.b.Fatalf("not reached within 2 minutes: %s", awaited)
+			fleet.b.Fatalf("not reached within %s: %s", fleet.patience, awaited)
 		}
 		<-fleet.time.After(50 * clock.Millisecond)
 	}
@@ -288,7 +292,7 @@
 func (fleet *fleet) configure(operators *operator.Client) operator.Accepted {
 	var accepted operator.Accepted
 	var err error
-	for _, centre := range centres {
+	for _, centre := range fleet.centres {
 		fleet.until("entries are ready", func() bool {
 			accepted, err = operators.SetDataCentre(context.Background(), operator.DataCentreChange{DataCentre: centre, State: operator.In, Reason: "benchmark"})
 			return err == nil
