entry: settle a team again after a lost race, and bound an explanation

An explanation of a job waited without bound for a home that was lost without a sign.

Change: the review looks again after a second while a row that it settles is behind. The question to the home is bounded by the call timeout.

--- a/entry/accounts.go
+++ b/entry/accounts.go
@@ -66,11 +66,11 @@
 	view := entry.publisher.Current()
 	behind := false
 	for _, team := range view.Teams() {
-		if entry.mine(ident.Job(team)) {
-			entry.settleTeam(ctx, view, team)
+		if entry.mine(ident.Job(team)) && entry.settleTeam(ctx, view, team) {
 			continue
 		}
-		behind = behind || entry.quotaBehind(view, team)
+		// A claim of another entry can overtake the write of the row.
+		behind = entry.quotaBehind(view, team) || behind
 	}
 	if behind {
 		entry.spawn(entry.reviewTeamsSoon)
@@ -120,11 +120,12 @@
 	}
 }
 
-// settleTeam writes the team's row if its quota changed or it holds loans that it does not use.
-func (entry *Entry) settleTeam(ctx context.Context, view *config.View, team ident.Team) {
+// settleTeam writes the team's row if its quota changed or it holds loans that it does not use, and
+// reports whether the row needs no further write.
+func (entry *Entry) settleTeam(ctx context.Context, view *config.View, team ident.Team) bool {
 	configured, ok := view.Team(team)
 	if !ok {
-		return
+		return true
 	}
 	target := configured.Quotas[entry.settings.Region]
 	var round *quota.Round
@@ -151,14 +152,15 @@
 		}
 	})
 	if len(transaction.Operations) == 0 {
-		return
+		return true
 	}
 	transaction.Write = entry.newWrite()
 	result, err := entry.store.Commit(ctx, transaction)
 	if err != nil {
 		klog.V(1).InfoS("Team's row was not written", "Team", team, "Reason", err.Error())
-		return
+		return false
 	}
 	entry.control.Call(func() { round.Committed(result) })
 	klog.InfoS("Team settled", "Team", team, "Target", target.String())
+	return true
 }
--- a/entry/explain.go
+++ b/entry/explain.go
@@ -74,6 +74,8 @@
 	entry.control.Call(func() {
 		home, _ = membership.JobHome(spec.Job, entry.settings.Region, entry.entries.Live(entry.time.Now())).Get()
 	})
+	ctx, cancel := context.WithTimeout(ctx, entry.settings.CallTimeout.Duration())
+	defer cancel()
 	reply := &controlpb.ExplainReply{}
 	if home.ID == entry.settings.ID {
 		reply, _ = entry.Explain(ctx, request)
--- a/entry/urgenthome_test.go
+++ b/entry/urgenthome_test.go
@@ -35,6 +35,14 @@
 	return &controlpb.NotifyReply{}, ctx.Err()
 }
 
+// Explain does not answer once the entry is lost.
+func (home *otherHome) Explain(ctx context.Context, _ *controlpb.ExplainRequest, _ ...grpc.CallOption) (*controlpb.ExplainReply, error) {
+	if home.lost.Load() {
+		<-ctx.Done()
+	}
+	return &controlpb.ExplainReply{Known: true, Reason: "told by the home"}, ctx.Err()
+}
+
 // Exchange has no answer.
 func (home *otherHome) Exchange(context.Context, *controlpb.ExchangeRequest, ...grpc.CallOption) (*controlpb.ExchangeReply, error) {
 	return nil, errClosed{}
@@ -64,10 +72,7 @@
 					world.entry.control.Call(func() { world.entry.entries.Heartbeat(other, world.entry.time.Now()) })
 				}
 				heard()
-				name := ident.Job("j0")
-				for index := 1; world.entry.mine(name); index++ {
-					name = ident.Job(fmt.Sprintf("j%d", index))
-				}
+				name := world.theirs()
 				submission := operator.JobSubmission{Job: name, Team: "team", Kind: worker.Batch, Tasks: 1, Resources: size, Urgent: test.urgent}
 				world.submit(submission)
 				home.lost.Store(test.after)
@@ -83,6 +88,15 @@
 	}
 }
 
+// theirs returns the name of a job whose home is another entry.
+func (world *world) theirs() ident.Job {
+	name := ident.Job("j0")
+	for index := 1; world.entry.mine(name); index++ {
+		name = ident.Job(fmt.Sprintf("j%d", index))
+	}
+	return name
+}
+
 // submit accepts a job as the operators' API does once its team is known.
 func (world *world) submit(submission operator.JobSubmission) {
 	world.Helper()
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -54,6 +54,12 @@
 	return row, err
 }
 
+func (store *fakeStore) Range(ctx context.Context, prefix, after table.Key, limit int) ([]table.Row, error) {
+	rows, err := store.Memory.Range(ctx, prefix, after, limit)
+	store.passed("Range", prefix)
+	return rows, err
+}
+
 func (store *fakeStore) Commit(ctx context.Context, transaction table.Transaction) (table.Result, error) {
 	result, err := store.Memory.Commit(ctx, transaction)
 	store.passed("Commit", transaction.Operations[0].Key)
