agent: leave an entry that never answered after one failure

Cause: found by the loss of a data centre without a sign among 12 entries: an agent that looked for its next home tried other lost entries twice each, 5 s apart, and tasks of three surviving workers were stopped 16 s after the last heartbeat.

Change: only the home that accepted the last announcement gets a second attempt.

--- a/agent/announce.go
+++ b/agent/announce.go
@@ -63,16 +63,16 @@
 // gone silent.
 func (agent *Agent) announcementFailed(target string, err error) {
 	agent.entries.Discard(target)
-	moved := false
+	moved, hurry := false, false
 	agent.control.Call(func() {
 		// The state may still arrive, after the next one.
 		agent.kept = nil
-		if moved = agent.finder.failed(); moved {
+		if moved, hurry = agent.finder.failed(); moved {
 			agent.complete = true
 		}
 	})
 	klog.InfoS("Announcement had no answer", "Worker", agent.settings.Worker, "Entry", target, "Moved", moved, "Reason", err.Error())
-	if moved {
+	if hurry {
 		wake(agent.kick)
 		return
 	}
--- a/agent/home.go
+++ b/agent/home.go
@@ -6,8 +6,10 @@
 	"hyssopjunction/controlpb"
 )
 
-// failuresBeforeMove is how many announcements in a row may fail before the agent tries another
-// entry. One failure can be a single lost message.
+// failuresBeforeMove is how many announcements in a row to the accepted home may fail before the agent
+// tries another entry. One failure can be a single lost message. Any other entry is left after the
+// first failure: when several entries are lost at once, each further wait brings the lease closer to
+// its end.
 const failuresBeforeMove = 2
 
 // maxRedirects is how many redirects in a row are followed at once. Entries that disagree about the
@@ -26,6 +28,8 @@
 	entries   []*controlpb.EntryState
 	current   string
 	failures  int
+	// home is the entry that accepted the last announcement.
+	home string
 	// redirects counts the announcements in a row that were not accepted.
 	redirects int
 	// silent holds the addresses that did not answer since the last accepted announcement, and counts
@@ -59,6 +63,7 @@
 func (finder *homeFinder) accepted(entries []*controlpb.EntryState) {
 	finder.failures, finder.redirects = 0, 0
 	clear(finder.silent)
+	finder.home = finder.current
 	if len(entries) > 0 {
 		finder.entries = entries
 	}
@@ -86,16 +91,20 @@
 	return atHeartbeat
 }
 
-// failed records an announcement without answer and reports whether the target changed.
-func (finder *homeFinder) failed() bool {
+// failed records an announcement without answer. It reports whether the target changed, and whether to
+// announce there at once. If every known entry failed since the last acceptance, the agent pauses
+// between attempts.
+func (finder *homeFinder) failed() (moved, hurry bool) {
 	finder.failures++
-	if finder.failures < failuresBeforeMove {
-		return false
+	_, before := finder.silent[finder.current]
+	if finder.current == finder.home && !before && finder.failures < failuresBeforeMove {
+		return false, false
 	}
 	finder.failures, finder.redirects = 0, 0
 	finder.silent[finder.current] = 0
 	finder.current = finder.another(finder.current)
-	return true
+	_, silent := finder.silent[finder.current]
+	return true, !silent
 }
 
 // another returns a known entry other than avoid, or a bootstrap address, and one that answered lately
