Leave late worker states alone after refusals of urgent work

Cause: with loads told to other entries at 700 instead of 1,500 B/s, full workers of other homes looked free after a wave of starts.

After two refusals an urgent job uses and makes room on precise states only, for 4 s.

The lower byte rate stays.

--- a/entry/urgent.go
+++ b/entry/urgent.go
@@ -10,6 +10,7 @@
 	"hyssopjunction/membership"
 	"hyssopjunction/placement"
 	"hyssopjunction/set"
+	"hyssopjunction/unit"
 )
 
 const (
@@ -97,6 +98,18 @@
 	})
 }
 
+// listedUse returns what the tasks that an agent listed lately take, or false if there is no such list.
+func (entry *Entry) listedUse(name ident.Worker) (used unit.Resources, ok bool) {
+	listed, ok := entry.listed[name]
+	if !ok || entry.time.Now().Sub(listed.at) > residentsFresh {
+		return used, false
+	}
+	for _, task := range listed.tasks {
+		used = used.Add(task.size)
+	}
+	return used, true
+}
+
 // residentsFor returns the tasks on a worker as far as this entry knows them. The scheduler leaves
 // out those of its own jobs.
 func (entry *Entry) residentsFor(name ident.Worker) []placement.Resident {
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -88,7 +88,8 @@
 	disturbed, closed := false, true
 	for step := 0; step < count; step++ {
 		candidate := scheduler.order[(offset+step)%count]
-		if !size.FitsIn(candidate.free) || !spec.Allows(candidate.state.DataCentre) || !scheduler.usable(candidate) {
+		if !size.FitsIn(candidate.free) || !spec.Allows(candidate.state.DataCentre) || !scheduler.usable(candidate) ||
+			!scheduler.believes(view, candidate) {
 			continue
 		}
 		closed = false
--- a/placement/events.go
+++ b/placement/events.go
@@ -48,6 +48,8 @@
 	Classes []string
 	// Residents are the tasks of other schedulers' jobs, as far as known.
 	Residents []Resident
+	// Coarse states come from another entry and may be minutes late.
+	Coarse bool
 }
 
 // WorkerChanged gives the newest state of a worker. A lower incarnation than the known is ignored.
--- a/placement/hold.go
+++ b/placement/hold.go
@@ -140,6 +140,7 @@
 		}
 		held.view.avoid[worker.name] = scheduler.now.Add(avoidAfterRefusal)
 		held.view.reason = "Refused: " + result.Refusal
+		scheduler.countRefusal(held.view)
 	}
 	if event.FreeKnown && worker.known {
 		worker.free = event.Free.Sub(worker.asked)
@@ -149,6 +150,30 @@
 	}
 }
 
+const (
+	// maxRefusals is how many reservations of an urgent job may be refused before it leaves the workers
+	// alone whose state is coarse. Each refusal takes a round, and after a wave of starts all of these
+	// workers may seem free that are full.
+	maxRefusals = 2
+	// preciseTerm is for how long it does. Room is made on workers with precise states meanwhile.
+	preciseTerm = 4 * clock.Second
+)
+
+// countRefusal notes a refused reservation of an urgent job.
+func (scheduler *Scheduler) countRefusal(view *jobView) {
+	if !view.row.Spec.Urgent {
+		return
+	}
+	if view.refusals++; view.refusals >= maxRefusals {
+		view.refusals, view.preciseUntil = 0, scheduler.now.Add(preciseTerm)
+	}
+}
+
+// believes reports whether the job may rely on the known state of a worker.
+func (scheduler *Scheduler) believes(view *jobView, candidate *workerView) bool {
+	return !candidate.state.Coarse || !scheduler.now.Before(view.preciseUntil)
+}
+
 // avoidAfterRefusal is how long a job does not try a worker again that refused its reservation. The
 // agent may remember a fenced epoch, which a repetition at once would meet again.
 const avoidAfterRefusal = 2 * clock.Second
--- a/placement/preempt.go
+++ b/placement/preempt.go
@@ -73,6 +73,7 @@
 	for step := 0; step < count && possible < scheduler.settings.Candidates; step++ {
 		candidate := scheduler.order[(offset+step)%count]
 		if !size.FitsIn(candidate.state.Capacity) || !view.row.Spec.Allows(candidate.state.DataCentre) || !scheduler.usable(candidate) ||
+			!scheduler.believes(view, candidate) ||
 			(candidate.heldFor != "" && candidate.heldFor != view.name && scheduler.now.Before(candidate.heldUntil)) {
 			continue
 		}
--- a/placement/view.go
+++ b/placement/view.go
@@ -125,6 +125,10 @@
 	occupied  map[int]*workerView
 	delay     map[int]clock.Time
 	avoid     map[ident.Worker]clock.Time
+	// refusals counts refused reservations of an urgent job, and until preciseUntil it uses no worker
+	// whose state is coarse.
+	refusals     int
+	preciseUntil clock.Time
 	// preemptUntil is when the last preemption for this job must have helped.
 	preemptUntil clock.Time
 	reason       string
