Give each role only the settings that it reads

Cause: an agent accepted the patience, body, retry and retention keys of [Requests] and an entry its slots, connections and queue, without using them; [Objects] ObjectBytes and TimeoutMillis were read nowhere, and uses of the object store were bounded by a constant of 10 s.

Change: [Requests] has the keys of its role, the timeout of the object store is applied (5 s by default), ObjectBytes is gone.

Tests: TestAgentRequests; the test of an entry's faults expects the slots to be an unknown key now, and that of the defaults names two keys that entries read.

--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -177,6 +177,7 @@
 	converted.Placement.ReservationTerm = settings.Tasks.ReservationTermMillis
 	converted.ConfigPoll = settings.Config.PollMillis
 	converted.Retention = settings.Requests.RetentionMillis
+	converted.ObjectTimeout = settings.Objects.TimeoutMillis
 	converted.DefaultPatience = settings.Requests.DefaultPatienceMillis
 	converted.Retry.RatioPermille = settings.Requests.RetryBudgetPercent * permillePerPercent
 	converted.Dispatch.LogSampling = uint64(settings.Log.Sampling)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -226,7 +226,7 @@
 	entry.running.Go(func() { entry.follow(periodic) })
 	entry.every(scanInterval, entry.rescan, entry.scanJobs)
 	entry.every(20*clock.Second, entry.settle, entry.reviewTeams)
-	entry.every(learnedInterval, nil, func() { entry.saveLearned(objectTimeout) })
+	entry.every(learnedInterval, nil, func() { entry.saveLearned(entry.settings.ObjectTimeout) })
 	entry.running.Go(entry.loadLearned)
 	entry.running.Go(entry.bootstrap)
 	entry.running.Go(entry.followConfig)
--- a/entry/learnedstate.go
+++ b/entry/learnedstate.go
@@ -25,8 +25,6 @@
 	learnedInterval = 5 * clock.Minute
 	// learnedNames bounds the names read at start.
 	learnedNames = 1000
-	// objectTimeout bounds one use of the object store.
-	objectTimeout = 10 * clock.Second
 	// leaveTimeout bounds the last snapshot of a leaving entry, which must not wait long for the store.
 	leaveTimeout = 2 * clock.Second
 )
@@ -97,7 +95,7 @@
 	if entry.objects == nil {
 		return
 	}
-	ctx, cancel := entry.call(objectTimeout)
+	ctx, cancel := entry.call(entry.settings.ObjectTimeout)
 	defer cancel()
 	names, err := entry.objects.List(ctx, objectstore.Name(entry.learnedRegion()), "", learnedNames)
 	if err != nil {
@@ -122,7 +120,7 @@
 	}
 	entry.spawn(func() {
 		for _, author := range gone {
-			ctx, cancel := entry.call(objectTimeout)
+			ctx, cancel := entry.call(entry.settings.ObjectTimeout)
 			entry.importLearned(ctx, author, func(_ ident.Entry, snapshot *controlpb.Learned, age clock.Millis, now clock.Time) {
 				entry.learned.sizes.Import(snapshot, age, now)
 			})
--- a/entry/learnedstate_test.go
+++ b/entry/learnedstate_test.go
@@ -52,7 +52,7 @@
 			entry.learned.health.Failed(ident.Task{Job: job, Index: index}, "w1", "exit status 1", now)
 		}
 	})
-	entry.saveLearned(objectTimeout)
+	entry.saveLearned(entry.settings.ObjectTimeout)
 }
 
 func (world *savedWorld) wantKnown(entry *Entry, want bool) {
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -50,6 +50,8 @@
 	JobRetention clock.Millis
 	// DefaultPatience is that of requests whose service has none.
 	DefaultPatience clock.Millis
+	// ObjectTimeout bounds one use of the object store.
+	ObjectTimeout clock.Millis
 }
 
 // DefaultSettings returns the settings used in production, without identity and addresses.
@@ -72,6 +74,7 @@
 		JobRetention: clock.Day,
 
 		DefaultPatience: 5 * clock.Second,
+		ObjectTimeout:   5 * clock.Second,
 	}
 }
 
--- a/setting/agent.go
+++ b/setting/agent.go
@@ -7,7 +7,7 @@
 	Peers    Peers
 	Worker   Worker
 	Endpoint Endpoint
-	Requests Requests
+	Requests Slots
 	Tasks    Tasks
 	Shutdown Shutdown
 	TLS      TLS
--- a/setting/platform.go
+++ b/setting/platform.go
@@ -20,7 +20,6 @@
 type Objects struct {
 	URL           string       `kind:"url" default:"http://127.0.0.1:7000" doc:"Address of the object store"`
 	TimeoutMillis clock.Millis `default:"5000" min:"10" max:"600000" doc:"Time after which a call counts as failed"`
-	ObjectBytes   int64        `default:"16777216" min:"1024" max:"1073741824" doc:"Largest object that is stored, in bytes"`
 }
 
 // Worker configures the client of the platform's runtime on the agent's worker.
--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -30,8 +30,8 @@
 	assertEqual(t, entry.Tasks.ReservationTermMillis, 2*clock.Second)
 	assertEqual(t, entry.Tasks.LeaseTermMillis, 20*clock.Second)
 	assertEqual(t, entry.Tasks.OutageGraceMillis, 3_700*clock.Second)
-	assertEqual(t, entry.Requests.Slots, 8)
-	assertEqual(t, entry.Requests.Connections, 64)
+	assertEqual(t, entry.Requests.RetentionMillis, clock.Day)
+	assertEqual(t, entry.Objects.TimeoutMillis, 5*clock.Second)
 	assertEqual(t, entry.Table.ReadsPerSecond, 900.0)
 	assertEqual(t, entry.Log.Level, "Info")
 }
@@ -107,7 +107,7 @@
 		"Listen.Operator: 127.0.0.1:9 is also the address of Listen.Control",
 		"Log.Level: must be one of Debug, Info, Warn, Error, is \"Loud\"",
 		"Requests.MinPatienceMillis: must not exceed Requests.DefaultPatienceMillis (5000), is 6000",
-		"Requests.Slots: must be from 1 to 1024, is 5000",
+		"Requests.Slots: unknown key",
 		"TLS.AuthorityFile: is required when another file of TLS is given",
 		"TLS.CertificateFile: is required when another file of TLS is given",
 		"Table.TimeoutMillis: must be a whole number, is the string \"fast\"",
@@ -267,3 +267,23 @@
 		t.Errorf("differs (-want +have):\n%s", difference)
 	}
 }
+
+// Guards against keys of the other role that an agent accepts without using them, and against more slots
+// than connections.
+func TestAgentRequests(t *testing.T) {
+	_, err := Parse[Agent]("agent.toml", []byte(minimal+`Rack = "r1"
+[Peers]
+Entries = ["127.0.0.1:7012"]
+[Worker]
+Name = "w1"
+[Requests]
+Slots = 5000
+RetentionMillis = 5000
+`))
+	assertProblems(t, err,
+		"Requests.RetentionMillis: unknown key",
+		"Requests.Slots: must be from 1 to 1024, is 5000",
+	)
+	_, err = Parse[Agent]("agent.toml", []byte(minimal+"[Peers]\nEntries = [\"127.0.0.1:7012\"]\n[Worker]\nName = \"w1\"\n[Requests]\nSlots = 65\n"))
+	assertProblems(t, err, "Requests.Slots: must not exceed Requests.Connections (64), is 65")
+}
