Schedule an urgent job although its submitter turned away

An operator's client divides its 10 s among the entries it knows, so with 23 of them it turned to the next one after 435 ms. That cancelled the context with which the accepting entry waited for the lost home and read the job to schedule it in the home's place ("Urgent job was not read ... context canceled"), and the job waited until the home counted as dead.

Change: what follows an accepted submission has a time limit of its own.

Test: TestUrgentJobOfImpatientClient fails without the change; the fake store now fails reads whose context has ended, as the real client does.

--- a/entry/urgenthome.go
+++ b/entry/urgenthome.go
@@ -24,8 +24,11 @@
 
 // submitted notifies the home of a new job. An urgent job is scheduled here as soon as its home does
 // not answer, now or while a task of the job waits. Two entries that schedule a job cause only a
-// conflict, because each claim is conditional on the job's row.
+// conflict, because each claim is conditional on the job's row. An operator's client that turns to
+// another entry while the home does not answer does not end this.
 func (entry *Entry) submitted(ctx context.Context, spec job.Spec) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), (2 * notifyTimeout).Duration())
+	defer cancel()
 	notified := entry.notifyHome(ctx, spec.Job)
 	switch {
 	case !spec.Urgent:
--- a/entry/urgenthome_test.go
+++ b/entry/urgenthome_test.go
@@ -88,6 +88,23 @@
 	}
 }
 
+// Guards against an urgent job that is not scheduled, because the operator's client turned to another
+// entry while the accepting one waited for the lost home.
+func TestUrgentJobOfImpatientClient(t *testing.T) {
+	home := &otherHome{}
+	home.lost.Store(true)
+	inWorldWith(t, home, func(world *world) {
+		other := membership.Entry{ID: "e2", State: membership.Live, Incarnation: 1, ControlAddress: "e2", Region: "north", DataCentre: "dc1"}
+		world.entry.control.Call(func() { world.entry.entries.Heartbeat(other, world.entry.time.Now()) })
+		name := world.theirs()
+		impatient, cancel := context.WithTimeout(world.Context(), 400*time.Millisecond)
+		defer cancel()
+		world.submitIn(impatient, operator.JobSubmission{Job: name, Team: "team", Kind: worker.Batch, Tasks: 1, Resources: size, Urgent: true})
+		world.pass(time.Second)
+		world.wantScheduled(name, true)
+	})
+}
+
 // theirs returns the name of a job whose home is another entry.
 func (world *world) theirs() ident.Job {
 	name := ident.Job("j0")
@@ -99,6 +116,12 @@
 
 // submit accepts a job as the operators' API does once its team is known.
 func (world *world) submit(submission operator.JobSubmission) {
+	world.Helper()
+	world.submitIn(world.Context(), submission)
+}
+
+// submitIn is submit with the context of the operator's call.
+func (world *world) submitIn(ctx context.Context, submission operator.JobSubmission) {
 	world.Helper()
 	spec := job.Spec{Job: submission.Job, Team: submission.Team, Kind: submission.Kind, Count: submission.Tasks, Declared: submission.Resources, Urgent: submission.Urgent, Region: "north"}
 	transaction, err := job.Submission(spec, "submission")
@@ -108,7 +131,7 @@
 	if err != nil {
 		world.Fatal(err)
 	}
-	world.entry.submitted(world.Context(), spec)
+	world.entry.submitted(ctx, spec)
 }
 
 func (world *world) wantScheduled(name ident.Job, want bool) {
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -26,7 +26,8 @@
 }
 
 // fakeStore is a table whose answers can be delayed: after is called between a call that took effect
-// and its answer, with the key read or the first one written.
+// and its answer, with the key read or the first one written. Reads fail once their context has ended, as
+// those of the table client do.
 type fakeStore struct {
 	*tabletest.Memory
 	mu    sync.Mutex
@@ -51,6 +52,9 @@
 func (store *fakeStore) Get(ctx context.Context, key table.Key) (table.Row, error) {
 	row, err := store.Memory.Get(ctx, key)
 	store.passed("Get", key)
+	if ctx.Err() != nil {
+		return table.Row{}, table.ErrUnavailable{Reason: ctx.Err().Error()}
+	}
 	return row, err
 }
 
