--- a/entry/tick.go
+++ b/entry/tick.go
@@ -218,11 +218,10 @@
 	if service := state.GetEndpoint().GetService(); service != "" {
 		converted.Classes = append(converted.Classes, service)
 	}
-	_, own := entry.residents[converted.Worker]
 	if used, listed := entry.listedUse(converted.Worker); listed {
 		converted.Used = used
 	} else {
-		converted.Coarse = !own
+		converted.Coarse = !entry.workers.IsOwn(converted.Worker)
 	}
 	converted.Residents = entry.residentsFor(converted.Worker)
 	if len(converted.Residents) > 0 {
--- a/membership/workers.go
+++ b/membership/workers.go
@@ -282,6 +282,12 @@
 	return known.state, true
 }
 
+// IsOwn reports whether the worker's agent announces itself here.
+func (workers *Workers) IsOwn(id ident.Worker) bool {
+	known, have := workers.records[id]
+	return have && known.home == workers.self
+}
+
 // Own returns the workers whose agents announce themselves here, in ascending order.
 func (workers *Workers) Own() []ident.Worker {
 	var own []ident.Worker
