Remove the declared run time that nothing used

Change: the option, the field and the line are gone. Run times are learned from the ends of tasks.

Conclusion: every option of ctl job submit has an effect.

--- a/cmd/ctljob.go
+++ b/cmd/ctljob.go
@@ -28,7 +28,6 @@
 	Class       string `long:"class" value-name:"CLASS" description:"Class of work for learned sizes and interference"`
 	Kind        string `long:"kind" choice:"Batch" choice:"Standing" default:"Batch" description:"Batch tasks run to completion, standing ones until cancelled"`
 	Tasks       int    `long:"tasks" value-name:"COUNT" default:"1" description:"Number of tasks"`
-	RunTime     wait   `long:"run-time" value-name:"DURATION" description:"Expected run time of one task"`
 	Patience    wait   `long:"patience" value-name:"DURATION" description:"Time in which the job is wanted"`
 	Urgent      bool   `long:"urgent" description:"Start within seconds, if need be in place of ordinary work"`
 	Payload     string `long:"payload" value-name:"TEXT" description:"Passed to each task unchanged"`
@@ -57,8 +56,8 @@
 		return client.SubmitJob(ctx, operator.JobSubmission{
 			Job: ident.Job(command.Positional.Job), Team: ident.Team(command.Team), Class: command.Class,
 			Kind: worker.Kind(command.Kind), Tasks: command.Tasks, Resources: command.resources(),
-			RunTimeMillis: command.RunTime.millis(), PatienceMillis: command.Patience.millis(),
-			Urgent: command.Urgent, Payload: payload,
+			PatienceMillis: command.Patience.millis(),
+			Urgent:         command.Urgent, Payload: payload,
 		})
 	}, showJob)
 }
@@ -169,7 +168,6 @@
 		{"Reason", dash(job.Reason)},
 		{"Tasks", counts(job)},
 		{"Declared size", quantity(job.Resources)},
-		{"Declared run time", millis(job.RunTimeMillis)},
 		{"Patience", millis(job.PatienceMillis)},
 	}}
 	for _, placed := range job.Running {
--- a/operator/check.go
+++ b/operator/check.go
@@ -67,7 +67,7 @@
 		return ErrBadRequest{Field: "Resources", Reason: "CPU and Memory must be positive"}
 	}
 	return first(identifier("Job", submission.Job), identifier("Team", submission.Team), optional("Class", submission.Class),
-		quantity("Resources", submission.Resources), duration("RunTimeMillis", submission.RunTimeMillis),
+		quantity("Resources", submission.Resources),
 		duration("PatienceMillis", submission.PatienceMillis))
 }
 
--- a/operator/types.go
+++ b/operator/types.go
@@ -144,8 +144,6 @@
 	Tasks int
 	// Resources is the declared size of one task.
 	Resources unit.Resources
-	// RunTimeMillis is the declared run time of one task; 0 means not known.
-	RunTimeMillis clock.Millis
 	// PatienceMillis is the time in which the job is wanted; 0 means no deadline.
 	PatienceMillis clock.Millis
 	Urgent         bool
