Grant no lease while a stated end is being written

Between the check that a worker is silent and the answer of the table to the end of its incarnation, a returning agent still got a lease from this entry, for tasks that started elsewhere. The lapse of a lease was guarded by a mark in the grant, an operator's statement about a worker or data centre was not.

Change: the check and the mark are one step on the control goroutine, in the state that decides about grants, for both kinds of statement.

Test: TestReturnDuringStatement; without the mark the agent is accepted after the row says that its incarnation is over.

Conclusion: a statement can no longer leave a task in two places until the agent's next heartbeat.

--- a/entry/jobs_test.go
+++ b/entry/jobs_test.go
@@ -259,6 +259,30 @@
 	})
 }
 
+// Guards against a lease for an agent that returns while the end of its incarnation, stated by an
+// operator, is on its way to the table.
+func TestReturnDuringStatement(t *testing.T) {
+	inWorld(t, func(world *world) {
+		revision := world.wantGrant(world.announce("w1", 1, 0, 1))
+		world.pass(15 * time.Second)
+		returned := false
+		world.store.hook(func(call string, key table.Key) {
+			if record, _ := world.record("w1"); call == "Commit" && key == lease.Key("w1") && record.Over == 1 {
+				world.store.hook(nil)
+				returned = true
+				world.wantFenced(world.announce("w1", 1, revision, 1))
+			}
+		})
+		loss := operator.WorkerLoss{Worker: "w1", Incarnation: 1}
+		if _, err := world.entry.Operations().DeclareLost(world.Context(), operator.Call{Operator: "anna", Request: "r1"}, loss); err != nil {
+			world.Fatal(err)
+		}
+		if !returned {
+			world.Fatal("the agent did not return during the write")
+		}
+	})
+}
+
 // Guards against a lease that is granted after the entry's row says Left.
 func TestShutdownGrantsNoMore(t *testing.T) {
 	inWorld(t, func(world *world) {
--- a/entry/operations_view.go
+++ b/entry/operations_view.go
@@ -63,9 +63,6 @@
 // that an entry still hears of, because its tasks would run twice.
 func (operations *operations) DeclareLost(ctx context.Context, call operator.Call, loss operator.WorkerLoss) (operator.Accepted, error) {
 	entry := operations.entry
-	if entry.hears(loss.Worker, loss.Incarnation) {
-		return operator.Accepted{}, operator.ErrBadRequest{Field: "Worker", Reason: "is not silent: its agent announces itself, so its tasks would run twice"}
-	}
 	row, err := entry.store.Get(ctx, lease.Key(loss.Worker))
 	if err != nil {
 		return operator.Accepted{}, operatorError(err, call.Request)
@@ -82,6 +79,8 @@
 		return accepted, nil
 	case record.Incarnation != loss.Incarnation:
 		return operator.Accepted{}, operator.ErrConflict{Document: accepted.Document, Winner: string(record.Granter.Entry), Version: accepted.Version}
+	case !entry.acceptLoss(loss.Worker, record):
+		return operator.Accepted{}, operator.ErrBadRequest{Field: "Worker", Reason: "is not silent: its agent announces itself, so its tasks would run twice"}
 	}
 	err = entry.endIncarnation(ctx, row, loss.Worker, loss.Incarnation, lease.OperatorStatement)
 	if table.IsErrConflict(err) {
@@ -91,7 +90,7 @@
 		return operator.Accepted{}, operatorError(err, call.Request)
 	}
 	entry.control.Call(func() {
-		entry.granter.Declare(loss.Worker, loss.Incarnation)
+		entry.statementWritten(loss.Worker, loss.Incarnation)
 		entry.incarnationEnded(loss.Worker, loss.Incarnation, lease.OperatorStatement)
 	})
 	accepted.Version++
--- a/entry/silent.go
+++ b/entry/silent.go
@@ -68,7 +68,7 @@
 	}
 	entry.control.Call(func() {
 		if reason == lease.OperatorStatement {
-			entry.granter.Declare(worker, record.Incarnation)
+			entry.statementWritten(worker, record.Incarnation)
 		}
 		entry.silentEnded(worker, record.Incarnation, reason)
 	})
@@ -81,6 +81,7 @@
 		switch {
 		case entry.stated(worker, record, now):
 			reason = lease.OperatorStatement
+			entry.stopGranting(worker, record)
 		case entry.allGone(record, now):
 			reason = lease.HomeSilent
 		}
@@ -139,13 +140,35 @@
 	entry.handle(placement.WorkerSilent{Worker: worker})
 }
 
-// hears reports whether the incarnation of a worker announces itself here or at its home.
-func (entry *Entry) hears(worker ident.Worker, incarnation ident.Incarnation) (heard bool) {
+// acceptLoss reports whether an operator may state that the incarnation in a worker's row is over. It
+// may not while the incarnation announces itself here or at its home.
+func (entry *Entry) acceptLoss(worker ident.Worker, record lease.Record) (accepted bool) {
 	entry.control.Call(func() {
 		state, known := entry.workers.Get(worker)
-		heard = known && ident.Incarnation(state.GetIncarnation()) == incarnation
+		if accepted = !known || ident.Incarnation(state.GetIncarnation()) != record.Incarnation; accepted {
+			entry.stopGranting(worker, record)
+		}
 	})
-	return heard
+	return accepted
+}
+
+// stopGranting refuses leases to the incarnation in a worker's row while its end is being written. An
+// agent that returns in between would otherwise hold a lease for tasks that start elsewhere. It runs on
+// the control goroutine.
+func (entry *Entry) stopGranting(worker ident.Worker, record lease.Record) {
+	current := entry.grants[worker]
+	if current != nil && current.incarnation == record.Incarnation && record.Granter == entry.process() {
+		current.ending = true
+	}
+}
+
+// statementWritten notes that the worker's row says, by an operator's statement, that the incarnation is
+// over. It runs on the control goroutine.
+func (entry *Entry) statementWritten(worker ident.Worker, incarnation ident.Incarnation) {
+	entry.granter.Declare(worker, incarnation)
+	if current := entry.grants[worker]; current != nil && current.ending && current.incarnation == incarnation {
+		current.revision = 0
+	}
 }
 
 // reviewAt makes the silent workers of a data centre due for review. It is called from the control
