Join the end of two recovery benchmarks

Cause: the restart storm and the return of a data centre ended with the same lines. Change: one function waits, counts and checks.

--- a/bench/recovery_bench_test.go
+++ b/bench/recovery_bench_test.go
@@ -200,10 +200,7 @@
 		restarted := fleet.time.Now()
 		fleet.until("all daemons serve", func() bool { return fleet.unready() == 0 })
 		served := fleet.time.Now()
-		<-fleet.time.After(25 * clock.Second)
-		peak := stop()
-		_, after := fleet.runs()
-		fleet.safe(2 * agents)
+		peak, after := fleet.settle(stop, 2*agents)
 		b.ReportMetric(float64(restarted.Sub(began)), "storm-ms")
 		b.ReportMetric(float64(served.Sub(restarted)), "serving-after-ms")
 		b.ReportMetric(float64(after-before), "started-again")
@@ -212,6 +209,16 @@
 	}
 }
 
+// settle waits until every lease of before has ended, checks the records for the number of tasks and
+// returns the busiest second and the number of runs.
+func (fleet *fleet) settle(stop func() rates, tasks int) (rates, int) {
+	<-fleet.time.After(25 * clock.Second)
+	peak := stop()
+	_, after := fleet.runs()
+	fleet.safe(tasks)
+	return peak, after
+}
+
 // BenchmarkTableOutage makes the table refuse all calls for two minutes, while two standing tasks run on
 // each worker and callers send requests, and measures the time until a job that is submitted again and
 // again after it has finished. The baseline of requests is their number.
@@ -320,10 +327,7 @@
 		}
 		fleet.until("all daemons serve", func() bool { return fleet.unready() == 0 })
 		served := fleet.time.Now()
-		<-fleet.time.After(25 * clock.Second)
-		peak := stop()
-		_, after := fleet.runs()
-		fleet.safe(2 * agents)
+		peak, after := fleet.settle(stop, 2*agents)
 		b.ReportMetric(float64(placed.Sub(lost)), "placed-elsewhere-after-ms")
 		b.ReportMetric(float64(served.Sub(returned)), "serving-after-ms")
 		b.ReportMetric(float64(after-before), "started-again")
