Run on the users' platform: first whole path

Cause: nothing of the product ran on the users' machines. The present job model knows one set of equal tasks, agents lease for 20 s, and the table adapter speaks another protocol.

Ruled out: extending packages job, placement and lease.

Before: nothing ran.

--- a/cmd/agent.go
+++ b/cmd/agent.go
@@ -40,6 +40,9 @@
 
 // Execute runs the agent until SIGINT or SIGTERM.
 func (command *agentCommand) Execute([]string) error {
+	if path, ok := clusterSettings(); ok && command.Config == "" {
+		return runClusterAgent(command.std, path)
+	}
 	settings, checked, err := loadDaemon(command.std, command.daemonOptions, func(settings setting.Agent) error { return checkFiles(settings.TLS) },
 		func(settings setting.Agent) string { return settings.Log.Level })
 	if err != nil || checked {
--- a/cmd/daemon.go
+++ b/cmd/daemon.go
@@ -159,7 +159,7 @@
 
 // daemonOptions are the options of the subcommands that run a daemon.
 type daemonOptions struct {
-	Config string `long:"config" required:"true" value-name:"FILE" description:"Settings of the daemon"`
+	Config string `long:"config" value-name:"FILE" description:"Settings of the daemon; without it, the settings of a deployment named by HYSSOPJUNCTION_SETTINGS"`
 	Check  bool   `long:"check" description:"Check the settings and exit"`
 }
 
@@ -169,6 +169,9 @@
 func loadDaemon[Root setting.Entry | setting.Agent](std streams, options daemonOptions,
 	check func(settings Root) error, level func(settings Root) string,
 ) (settings Root, checked bool, err error) {
+	if options.Config == "" {
+		return settings, false, ErrExit{Code: ExitUsage, Reason: "the required flag `--config' was not specified"}
+	}
 	if settings, err = setting.Load[Root](options.Config); err != nil {
 		return settings, false, ErrExit{Code: ExitUsage, Reason: err.Error()}
 	}
--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -49,6 +49,9 @@
 
 // Execute runs the entry until SIGINT or SIGTERM.
 func (command *entryCommand) Execute([]string) error {
+	if path, ok := clusterSettings(); ok && command.Config == "" {
+		return runClusterEntry(command.std, path)
+	}
 	settings, checked, err := loadDaemon(command.std, command.daemonOptions, func(settings setting.Entry) error {
 		return checkFiles(settings.TLS, func() error { _, err := newTokens(settings, clock.NewSystem()); return err })
 	},
--- /dev/null
+++ b/coordinator/write.go
@@ -0,0 +1,181 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"k8s.io/klog/v2"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/election"
+	"hyssopjunction/scheduler"
+	"hyssopjunction/store"
+	"hyssopjunction/workflow"
+)
+
+// pump plans, stores what changed, and sends what depends on it. One round of writes is active at a
+// time; what happens meanwhile is part of the next one.
+func (leader *Coordinator) pump() {
+	now := leader.need.Clock.Now()
+	if leader.writing || leader.base.Err() != nil || now.Sub(leader.wroteAt) < roundGap {
+		return
+	}
+	leader.book.Plan(now, leader.need.TimeOfDay())
+	jobs, orders := leader.book.Take()
+	renew := now.Sub(leader.renewedAt) >= election.Renewal
+	if len(jobs) == 0 && !renew {
+		leader.finish(orders, leader.takeWaiting())
+		return
+	}
+	writes, err := leader.prepare(jobs, renew)
+	if err != nil {
+		leader.stepDown(err.Error())
+		return
+	}
+	waiting := leader.takeWaiting()
+	leader.writing = true
+	leader.background(func() { leader.write(writes, orders, waiting) })
+}
+
+func (leader *Coordinator) takeWaiting() []func() {
+	waiting := leader.waiting
+	leader.waiting = nil
+	return waiting
+}
+
+// pending is a transaction of a round with the jobs that it stores.
+type pending struct {
+	tx     store.Tx
+	states map[workflow.ID]workflow.State
+	beat   bool
+}
+
+// prepare returns the transactions of a round. Each depends on the term.
+func (leader *Coordinator) prepare(jobs []*workflow.Job, renew bool) ([]pending, error) {
+	var writes []pending
+	current := leader.newPending()
+	size := 0
+	if renew {
+		beat := leader.beat
+		beat.Count++
+		tx, err := leader.renewal(beat)
+		if err != nil {
+			return nil, err
+		}
+		leader.beat = beat
+		current.tx, current.beat = tx, true
+	}
+	for _, job := range jobs {
+		value, err := workflow.EncodeState(job)
+		if err != nil {
+			return nil, fmt.Errorf("encoding job %s: %w", job.Spec.ID, err)
+		}
+		if len(current.states) >= rowsPerTx || size+len(value) > bytesPerTx {
+			writes = append(writes, current)
+			current, size = leader.newPending(), 0
+		}
+		id := job.Spec.ID
+		ref := store.Ref{Table: runTable, Key: string(id)}
+		current.tx.Conditions = append(current.tx.Conditions, store.Condition{Ref: ref, Version: leader.rows[id]})
+		current.tx.Puts = append(current.tx.Puts, store.Put{Ref: ref, Value: value})
+		current.states[id] = job.State
+		size += len(value)
+	}
+	return append(writes, current), nil
+}
+
+func (leader *Coordinator) newPending() pending {
+	return pending{
+		tx:     store.Tx{Conditions: []store.Condition{{Ref: election.TermRef(), Version: leader.won.TermVersion}}},
+		states: map[workflow.ID]workflow.State{},
+	}
+}
+
+// renewal returns the transaction that extends the leader's lease.
+func (leader *Coordinator) renewal(beat election.Beat) (store.Tx, error) {
+	value, err := json.Marshal(beat)
+	if err != nil {
+		return store.Tx{}, fmt.Errorf("encoding the beat: %w", err)
+	}
+	return store.Tx{
+		Conditions: []store.Condition{
+			{Ref: election.TermRef(), Version: leader.won.TermVersion}, {Ref: election.BeatRef(), Version: leader.beatVersion},
+		},
+		Puts: []store.Put{{Ref: election.BeatRef(), Value: value}},
+	}, nil
+}
+
+// write commits a round and reports to the control loop. It runs outside the loop.
+func (leader *Coordinator) write(writes []pending, orders []scheduler.Order, waiting []func()) {
+	for _, item := range writes {
+		sent := leader.need.Clock.Now()
+		version, err := leader.settle(item.tx)
+		var conflict store.ErrConflict
+		if errors.As(err, &conflict) {
+			leader.stepDown(fmt.Sprintf("conflict: term row has version %d, not %d", conflict.Row(election.TermRef()).Version, leader.won.TermVersion))
+			return
+		}
+		if err != nil {
+			return // The term ended.
+		}
+		if item.beat {
+			leader.validUntil.Store(int64(sent.Add(election.Lease)))
+		}
+		leader.loop.Post(func() { leader.stored(item, version, sent) })
+	}
+	leader.post(func() {
+		leader.writing = false
+		leader.wroteAt = leader.need.Clock.Now()
+		leader.finish(orders, waiting)
+	})
+}
+
+// settle commits tx, however long the store takes. Error: ErrConflict, or that of the context once
+// the term ended.
+func (leader *Coordinator) settle(tx store.Tx) (store.Version, error) {
+	logged := false
+	unknown := false
+	for {
+		version, err := store.Settle(leader.base, leader.need.Store, leader.need.Clock, tx)
+		if err == nil || !store.IsErrUnavailable(err) && !store.IsErrUnknown(err) {
+			if logged {
+				klog.InfoS("Store regained", "Term", leader.won.Term.Number)
+			}
+			return version, err
+		}
+		unknown = unknown || store.IsErrUnknown(err)
+		if !logged && leader.base.Err() == nil {
+			klog.ErrorS(err, "Store lost", "Term", leader.won.Term.Number)
+		}
+		logged = true
+		select {
+		case <-leader.need.Clock.After(feedRetry):
+		case <-leader.base.Done():
+			return 0, context.Cause(leader.base)
+		}
+	}
+}
+
+// stored takes the versions of a transaction that was applied.
+func (leader *Coordinator) stored(item pending, version store.Version, sent clock.Time) {
+	if item.beat {
+		leader.beatVersion, leader.renewedAt = version, sent
+	}
+	for id, state := range item.states {
+		leader.rows[id] = version
+		leader.show(id, state)
+		if state.Final() {
+			klog.InfoS("Job ended", "Job", id, "State", state)
+		}
+	}
+}
+
+// finish sends the orders of a round and does what waited for it.
+func (leader *Coordinator) finish(orders []scheduler.Order, waiting []func()) {
+	leader.send(orders)
+	for _, effect := range waiting {
+		effect()
+	}
+}
--- /dev/null
+++ b/intake/errors.go
@@ -0,0 +1,55 @@
+package intake
+
+import (
+	"errors"
+	"fmt"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/workflow"
+)
+
+// ErrNotAccepted reports a job that was not stored and never runs.
+type ErrNotAccepted struct {
+	Reason     string
+	RetryAfter clock.Millis
+}
+
+// Error describes the reason.
+func (err ErrNotAccepted) Error() string { return "job not accepted: " + err.Reason }
+
+// IsErrNotAccepted reports whether err is or wraps an ErrNotAccepted.
+func IsErrNotAccepted(err error) bool { return errors.As(err, new(ErrNotAccepted)) }
+
+// ErrUndecided reports a call whose outcome is not known before its deadline. Repeating it is safe.
+type ErrUndecided struct {
+	Reason string
+}
+
+// Error describes the reason.
+func (err ErrUndecided) Error() string { return "outcome not known in time: " + err.Reason }
+
+// IsErrUndecided reports whether err is or wraps an ErrUndecided.
+func IsErrUndecided(err error) bool { return errors.As(err, new(ErrUndecided)) }
+
+// ErrNoJob reports a job that is not stored.
+type ErrNoJob struct {
+	ID workflow.ID
+}
+
+// Error describes the job.
+func (err ErrNoJob) Error() string { return fmt.Sprintf("no job %s", err.ID) }
+
+// IsErrNoJob reports whether err is or wraps an ErrNoJob.
+func IsErrNoJob(err error) bool { return errors.As(err, new(ErrNoJob)) }
+
+// ErrNoAnswer reports a question that neither the leader nor the store answers at present.
+type ErrNoAnswer struct {
+	Reason     string
+	RetryAfter clock.Millis
+}
+
+// Error describes the reason.
+func (err ErrNoAnswer) Error() string { return "no answer at present: " + err.Reason }
+
+// IsErrNoAnswer reports whether err is or wraps an ErrNoAnswer.
+func IsErrNoAnswer(err error) bool { return errors.As(err, new(ErrNoAnswer)) }
--- /dev/null
+++ b/session/client.go
@@ -0,0 +1,94 @@
+package session
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+)
+
+// Times of connecting. A daemon that is gone does not answer; the next one is tried instead.
+const (
+	connectTimeout = time.Second
+	firstBackoff   = 100 * time.Millisecond
+	lastBackoff    = 500 * time.Millisecond
+)
+
+// Client is a connection to one entry. It is safe for concurrent use.
+type Client struct {
+	connection *grpc.ClientConn
+}
+
+// Dial returns a client of the entry at the address (host:port). It connects with the first call.
+func Dial(address string) (*Client, error) {
+	connection, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDefaultCallOptions(grpc.ForceCodec(codec{})),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: firstBackoff, Multiplier: 2, Jitter: 0.2, MaxDelay: lastBackoff},
+			MinConnectTimeout: connectTimeout,
+		}))
+	if err != nil {
+		return nil, fmt.Errorf("dialling entry %s: %w", address, err)
+	}
+	return &Client{connection: connection}, nil
+}
+
+// Close ends the connection.
+func (client *Client) Close() error { return client.connection.Close() }
+
+// AgentStream is the agent's side of its session.
+type AgentStream struct {
+	stream grpc.ClientStream
+}
+
+// Attend opens an agent's session. It ends with ctx.
+func (client *Client) Attend(ctx context.Context) (*AgentStream, error) {
+	stream, err := client.connection.NewStream(ctx,
+		&grpc.StreamDesc{StreamName: attendMethod, ServerStreams: true, ClientStreams: true}, method(attendMethod))
+	if err != nil {
+		return nil, fmt.Errorf("opening a session: %w", err)
+	}
+	return &AgentStream{stream: stream}, nil
+}
+
+// Send sends a report.
+func (agent *AgentStream) Send(report *Report) error { return agent.stream.SendMsg(report) }
+
+// Receive returns the next orders, or an error when the session ends.
+func (agent *AgentStream) Receive() (*Orders, error) {
+	orders := new(Orders)
+	if err := agent.stream.RecvMsg(orders); err != nil {
+		return nil, err
+	}
+	return orders, nil
+}
+
+// State asks for the state of a job. Error: ErrNotLeading, or that of the connection.
+func (client *Client) State(ctx context.Context, request *StateRequest) (*StateReply, error) {
+	return invoke[StateReply](ctx, client, stateMethod, request)
+}
+
+// Pending asks for the number of waiting jobs. Error: ErrNotLeading, or that of the connection.
+func (client *Client) Pending(ctx context.Context, request *PendingRequest) (*PendingReply, error) {
+	return invoke[PendingReply](ctx, client, pendingMethod, request)
+}
+
+func invoke[Reply any](ctx context.Context, client *Client, name string, request any) (*Reply, error) {
+	reply := new(Reply)
+	err := client.connection.Invoke(ctx, method(name), request, reply)
+	if status.Code(err) == codes.FailedPrecondition {
+		return nil, ErrNotLeading{}
+	}
+	if err != nil {
+		return nil, fmt.Errorf("calling %s: %w", name, err)
+	}
+	return reply, nil
+}
+
+func method(name string) string { return "/" + serviceName + "/" + name }
--- /dev/null
+++ b/session/codec.go
@@ -0,0 +1,15 @@
+package session
+
+import "encoding/json"
+
+// codec encodes messages as JSON. Both ends of every connection are of this project.
+type codec struct{}
+
+// Marshal encodes a message.
+func (codec) Marshal(message any) ([]byte, error) { return json.Marshal(message) }
+
+// Unmarshal decodes a message.
+func (codec) Unmarshal(data []byte, message any) error { return json.Unmarshal(data, message) }
+
+// Name is the content subtype of the connections.
+func (codec) Name() string { return "json" }
--- /dev/null
+++ b/session/server.go
@@ -0,0 +1,97 @@
+package session
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+)
+
+// Names of the service and its methods.
+const (
+	serviceName   = "hyssopjunction.Session"
+	attendMethod  = "Attend"
+	stateMethod   = "State"
+	pendingMethod = "Pending"
+)
+
+// Stream is the leader's side of an agent's session.
+type Stream interface {
+	Send(orders *Orders) error
+	// Receive returns the next report, or an error when the stream ends.
+	Receive() (*Report, error)
+	Context() context.Context
+}
+
+// Handler serves sessions.
+type Handler interface {
+	// Attend serves one agent until the stream ends or it returns.
+	Attend(stream Stream) error
+	// State and Pending return ErrNotLeading where the answer is not known.
+	State(ctx context.Context, request *StateRequest) (*StateReply, error)
+	Pending(ctx context.Context, request *PendingRequest) (*PendingReply, error)
+}
+
+// ErrNotLeading reports that a daemon does not lead, or not any more.
+type ErrNotLeading struct {
+	// Leader is the address of the leader, if known.
+	Leader string
+}
+
+// Error describes the state.
+func (err ErrNotLeading) Error() string { return fmt.Sprintf("not leading; leader is %q", err.Leader) }
+
+// IsErrNotLeading reports whether err is or wraps an ErrNotLeading.
+func IsErrNotLeading(err error) bool { return errors.As(err, new(ErrNotLeading)) }
+
+// NewServer returns a gRPC server of handler. The caller serves and stops it.
+func NewServer(handler Handler, options ...grpc.ServerOption) *grpc.Server {
+	server := grpc.NewServer(append(options, grpc.ForceServerCodec(codec{}))...)
+	server.RegisterService(&grpc.ServiceDesc{
+		ServiceName: serviceName,
+		HandlerType: (*Handler)(nil),
+		Methods: []grpc.MethodDesc{
+			{MethodName: stateMethod, Handler: unary(Handler.State)},
+			{MethodName: pendingMethod, Handler: unary(Handler.Pending)},
+		},
+		Streams: []grpc.StreamDesc{{
+			StreamName: attendMethod, ServerStreams: true, ClientStreams: true,
+			Handler: func(service any, stream grpc.ServerStream) error {
+				return service.(Handler).Attend(serverStream{stream})
+			},
+		}},
+	}, handler)
+	return server
+}
+
+// unary adapts a method of Handler to gRPC.
+func unary[Request, Reply any](method func(Handler, context.Context, *Request) (*Reply, error)) grpc.MethodHandler {
+	return func(service any, ctx context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+		request := new(Request)
+		if err := decode(request); err != nil {
+			return nil, err
+		}
+		reply, err := method(service.(Handler), ctx, request)
+		if IsErrNotLeading(err) {
+			return nil, status.Error(codes.FailedPrecondition, err.Error())
+		}
+		return reply, err
+	}
+}
+
+type serverStream struct {
+	grpc.ServerStream
+}
+
+func (stream serverStream) Send(orders *Orders) error { return stream.SendMsg(orders) }
+
+func (stream serverStream) Receive() (*Report, error) {
+	report := new(Report)
+	if err := stream.RecvMsg(report); err != nil {
+		return nil, err
+	}
+	return report, nil
+}
--- /dev/null
+++ b/steward/orders.go
@@ -0,0 +1,213 @@
+package steward
+
+import (
+	"context"
+	"errors"
+
+	"k8s.io/klog/v2"
+
+	"hyssopjunction/session"
+)
+
+// obey takes orders of the leader.
+func (agent *Steward) obey(orders *session.Orders) {
+	present := agent.life
+	if present == nil {
+		return
+	}
+	if orders.Incarnation == present.incarnation {
+		present.recorded = max(present.recorded, orders.Recorded)
+	}
+	for _, order := range orders.Stops {
+		if order.Incarnation == present.incarnation {
+			agent.obeyStop(present, order)
+		}
+	}
+	for _, order := range orders.Starts {
+		if order.Incarnation == present.incarnation {
+			agent.obeyStart(present, order)
+		}
+	}
+}
+
+func (agent *Steward) obeyStart(present *life, order session.Start) {
+	key := runKey{order.Task, order.Run}
+	if known, ok := present.runs[key]; ok {
+		if !known.described {
+			known.order, known.described = order, true
+		}
+		return
+	}
+	for _, ended := range present.listing.Ended {
+		if ended.Task == order.Task && ended.Run == order.Run {
+			return // Its end is on the way to the leader.
+		}
+	}
+	if present.said.Draining {
+		agent.reject(present, order, "Draining")
+		return
+	}
+	if !present.reserved().Add(order.Reserved).FitsIn(present.said.Capacity) {
+		agent.reject(present, order, "Room")
+		return
+	}
+	known := &run{order: order, phase: starting, paced: fullPace, described: true}
+	present.runs[key] = known
+	agent.carryOut(present, known)
+}
+
+// reject reports a run that was not passed to the worker.
+func (agent *Steward) reject(present *life, order session.Start, reason string) {
+	klog.InfoS("Start refused", "Task", order.Task, "Run", order.Run, "Reason", reason)
+	agent.rejections = append(agent.rejections, session.Rejection{
+		Incarnation: present.incarnation, Task: order.Task, Run: order.Run, Reason: reason,
+	})
+	agent.wake()
+}
+
+func (agent *Steward) obeyStop(present *life, order session.Stop) {
+	key := runKey{order.Task, order.Run}
+	known, ok := present.runs[key]
+	if !ok {
+		for _, ended := range present.listing.Ended {
+			if ended.Task == order.Task && ended.Run == order.Run {
+				return
+			}
+		}
+		known = &run{order: session.Start{Task: order.Task, Run: order.Run}, paced: fullPace, described: true}
+		present.runs[key] = known
+	}
+	agent.abandon(present, known, "Stopped")
+}
+
+// abandon ends a run, whether it was started or not.
+func (agent *Steward) abandon(present *life, known *run, reason string) {
+	if known.phase == stopping || known.phase == stopped {
+		return
+	}
+	known.phase, known.reason, known.confirmedAt = stopping, reason, 0
+	if !known.busy {
+		agent.carryOut(present, known)
+	}
+}
+
+// carryOut starts or stops the run at the worker until the worker answers.
+func (agent *Steward) carryOut(present *life, known *run) {
+	known.busy = true
+	agent.background(func() {
+		agent.slots <- struct{}{}
+		defer func() { <-agent.slots }()
+		for again := true; again && agent.base.Err() == nil; {
+			var call func(context.Context) error
+			var stop bool
+			agent.loop.Call(func() { call, stop = agent.nextCall(present, known) })
+			if call == nil {
+				agent.loop.Call(func() { again = agent.life == present && known.phase == starting })
+				if again {
+					agent.pause(callRetry)
+				}
+				continue
+			}
+			ctx, cancel := context.WithTimeout(agent.base, callTimeout.Duration())
+			err := call(ctx)
+			cancel()
+			again = false
+			agent.loop.Call(func() { again = agent.answered(present, known, stop, err) })
+			if again && err != nil {
+				agent.pause(callRetry)
+			}
+		}
+		agent.loop.Call(func() { agent.release(present, known) })
+	})
+}
+
+// release ends the work on a run, and begins again if it was abandoned meanwhile.
+func (agent *Steward) release(present *life, known *run) {
+	known.busy = false
+	if known.phase == stopping && agent.life == present && agent.base.Err() == nil {
+		agent.carryOut(present, known)
+	}
+}
+
+// nextCall returns the call that the run needs now, and whether it is a stop. There is none while the
+// lease is not granted, and when nothing is left to do.
+func (agent *Steward) nextCall(present *life, known *run) (func(context.Context) error, bool) {
+	if agent.life != present {
+		return nil, false
+	}
+	switch known.phase {
+	case starting:
+		deadline := agent.deadline(present)
+		if deadline == 0 {
+			return nil, false
+		}
+		call := StartCall{
+			Life: present.said.Life, Task: known.order.Task, Run: known.order.Run, Payload: known.order.Payload,
+			Saved: known.order.Saved, Deadline: deadline, Token: agent.grant.term,
+		}
+		present.held = agent.clock.Now()
+		return func(ctx context.Context) error { return agent.runtime.Start(ctx, call) }, false
+	case stopping:
+		call := StopCall{Life: present.said.Life, Task: known.order.Task, Run: known.order.Run, Token: agent.grant.term}
+		return func(ctx context.Context) error { return agent.runtime.Stop(ctx, call) }, true
+	case started, stopped:
+	}
+	return nil, false
+}
+
+// answered takes the outcome of a call and returns whether another one is needed.
+func (agent *Steward) answered(present *life, known *run, stop bool, err error) bool {
+	if agent.life != present || IsErrOtherLife(err) {
+		return false
+	}
+	now := agent.clock.Now()
+	var refused ErrRefused
+	switch {
+	case stop && (err == nil || errors.As(err, &refused) && refused.Refusal != RefusedToken):
+		if known.phase == stopping {
+			known.phase, known.confirmedAt = stopped, now
+		}
+		return false
+	case stop:
+		return known.phase == stopping
+	case known.phase != starting:
+		return known.phase == stopping // The order was withdrawn or the listing was faster.
+	case err == nil:
+		known.phase, known.confirmedAt = started, now
+		return false
+	case errors.As(err, &refused):
+		klog.InfoS("Worker refused a start", "Task", known.order.Task, "Run", known.order.Run, "Refusal", refused.Refusal, "Detail", refused.Detail)
+		known.phase, known.reason = stopping, string(refused.Refusal)
+		return true
+	case IsErrNothingDone(err):
+		known.attempts++
+		if known.attempts >= startAttempts {
+			known.phase, known.reason = stopping, err.Error()
+		}
+		return true
+	default:
+		klog.V(1).InfoS("Start not answered", "Task", known.order.Task, "Run", known.order.Run, "Reason", err.Error())
+		return true
+	}
+}
+
+// repace sets the pace of a filling run.
+func (agent *Steward) repace(present *life, known *run, pace int) {
+	known.busy = true
+	call := PaceCall{Life: present.said.Life, Task: known.order.Task, Run: known.order.Run, Percent: pace, Token: agent.grant.term}
+	agent.background(func() {
+		agent.slots <- struct{}{}
+		ctx, cancel := context.WithTimeout(agent.base, callTimeout.Duration())
+		err := agent.runtime.Pace(ctx, call)
+		cancel()
+		<-agent.slots
+		agent.loop.Call(func() {
+			if err == nil {
+				known.paced = pace
+			} else {
+				klog.V(1).InfoS("Pace not set", "Task", known.order.Task, "Run", known.order.Run, "Reason", err.Error())
+			}
+			agent.release(present, known)
+		})
+	})
+}
--- /dev/null
+++ b/steward/steward.go
@@ -0,0 +1,380 @@
+package steward
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"k8s.io/klog/v2"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/election"
+	"hyssopjunction/loop"
+	"hyssopjunction/pacing"
+	"hyssopjunction/session"
+	"hyssopjunction/unit"
+	"hyssopjunction/workflow"
+)
+
+// Times and bounds of the agent.
+const (
+	// holdWait is how long the worker waits for an end. It bounds the age of the figures that pace
+	// filling tasks, which are of half a second.
+	holdWait = 400 * clock.Millisecond
+	// callTimeout bounds a call to the worker beyond its own waiting. Orders that get no answer are
+	// carried out up to 12 s later, so they are repeated early.
+	callTimeout = 500 * clock.Millisecond
+	// callRetry separates attempts.
+	callRetry = 150 * clock.Millisecond
+	// holdPause keeps listings without news from following each other at once.
+	holdPause = 60 * clock.Millisecond
+	// calls bounds the orders that are carried out at the same time.
+	calls = 6
+	// startAttempts is how often a worker may answer that it did nothing before the run goes elsewhere.
+	startAttempts = 3
+	// silentAfter is the number of listings without an answer after which the worker gets no new runs.
+	silentAfter = 2
+)
+
+// Steward is the agent of one worker. Create it with New.
+type Steward struct {
+	node    string
+	clock   clock.Clock
+	runtime Runtime
+	lease   clock.Millis
+	loop    *loop.Loop
+	base    context.Context
+	end     context.CancelFunc
+	tasks   sync.WaitGroup
+	slots   chan struct{}
+	kick    chan struct{}
+
+	// The rest belongs to the control loop.
+	life  *life
+	grant grant
+	// rejections wait for the next report.
+	rejections []session.Rejection
+	link       link
+}
+
+// grant is the permission to extend the worker's lease.
+type grant struct {
+	until clock.Time
+	term  int64
+}
+
+// life is the worker as the agent knows it.
+type life struct {
+	said        Announcement
+	incarnation string
+	governor    *pacing.Governor
+	runs        map[runKey]*run
+	// clock is the worker's clock at the time read.
+	clock  WorkerTime
+	readAt clock.Time
+	// held is the time of the last call that may have extended the lease.
+	held clock.Time
+	// silent counts listings without an answer.
+	silent int
+	lapsed bool
+	// recorded is the number of the last end that is stored.
+	recorded int64
+	listing  Listing
+	gone     bool
+}
+
+// phase is the progress of an order at the worker.
+type phase int
+
+const (
+	// starting runs are being ordered.
+	starting phase = iota
+	// started runs were confirmed or are listed.
+	started
+	// stopping runs are being stopped.
+	stopping
+	// stopped runs were confirmed to be stopped, or to be refused from now on.
+	stopped
+)
+
+// runKey names a run.
+type runKey struct {
+	task   string
+	number workflow.Run
+}
+
+// run is an order of the leader.
+type run struct {
+	order session.Start
+	phase phase
+	// confirmedAt is when the worker confirmed the start or the stop.
+	confirmedAt clock.Time
+	reason      string
+	paced       int
+	busy        bool
+	attempts    int
+	// described is false for runs that were listed but not ordered in this process.
+	described bool
+}
+
+// New starts the agent of the node until Close. The lease is the longest that the worker accepts.
+func New(source clock.Clock, runtime Runtime, node string, lease clock.Millis) *Steward {
+	base, end := context.WithCancel(context.Background())
+	agent := &Steward{
+		node: node, clock: source, runtime: runtime, lease: lease, loop: loop.New(), base: base, end: end,
+		slots: make(chan struct{}, calls), kick: make(chan struct{}, 1),
+	}
+	agent.background(agent.hold)
+	return agent
+}
+
+func (agent *Steward) background(work func()) {
+	agent.tasks.Add(1)
+	go func() {
+		defer agent.tasks.Done()
+		work()
+	}()
+}
+
+// Close ends the agent. The worker keeps its tasks until its lease ends.
+func (agent *Steward) Close() {
+	agent.end()
+	agent.tasks.Wait()
+	agent.loop.Close()
+}
+
+// Announce takes what the worker says of itself. It returns false for a life that is over.
+func (agent *Steward) Announce(said Announcement) bool {
+	accepted := false
+	agent.loop.Call(func() { accepted = agent.announce(said) })
+	return accepted
+}
+
+func (agent *Steward) announce(said Announcement) bool {
+	present := agent.life
+	if present != nil && said.Life == present.said.Life {
+		if said.Sequence <= present.said.Sequence {
+			return true // A repeated or overtaken statement says nothing new.
+		}
+		if said.Draining != present.said.Draining {
+			klog.InfoS("Worker state", "Worker", present.incarnation, "Draining", said.Draining, "RemainingMillis", int64(said.Remaining))
+			agent.wake()
+		}
+		if present.said.Draining {
+			said.Draining = true
+		}
+		present.said = said
+		return true
+	}
+	if present != nil && said.Life.Born <= present.said.Life.Born {
+		klog.InfoS("Statement of an earlier life ignored", "ID", said.Life.ID, "Born", said.Life.Born)
+		return false
+	}
+	agent.life = &life{
+		said: said, incarnation: fmt.Sprintf("%s@%d@%s", said.Life.ID, said.Life.Born, agent.node),
+		governor: pacing.New(), runs: map[runKey]*run{},
+	}
+	klog.InfoS("Worker announced", "Worker", agent.life.incarnation, "Service", said.Service, "CPU", int64(said.Capacity.CPU), "Labels", said.Labels)
+	agent.wake()
+	return true
+}
+
+// Leave records that the worker with the id ends.
+func (agent *Steward) Leave(id string) {
+	agent.loop.Call(func() {
+		if agent.life != nil && agent.life.said.Life.ID == id {
+			klog.InfoS("Worker leaves", "Worker", agent.life.incarnation)
+			agent.life.said.Draining, agent.life.gone = true, true
+			agent.wake()
+		}
+	})
+}
+
+// wake lets the session send a report at once.
+func (agent *Steward) wake() {
+	select {
+	case agent.kick <- struct{}{}:
+	default:
+	}
+}
+
+// hold extends the worker's lease and lists its runs, one call after the other.
+func (agent *Steward) hold() {
+	for agent.base.Err() == nil {
+		var present *life
+		var call HoldCall
+		agent.loop.Call(func() { present, call = agent.nextHold() })
+		if present == nil {
+			agent.pause(holdPause)
+			continue
+		}
+		sent := agent.clock.Now()
+		ctx, cancel := context.WithTimeout(agent.base, (call.Wait + callTimeout).Duration())
+		listing, err := agent.runtime.Hold(ctx, call)
+		cancel()
+		news := false
+		agent.loop.Call(func() { news = agent.listed(present, listing, sent, err) })
+		if !news {
+			agent.pause(holdPause)
+		}
+	}
+}
+
+func (agent *Steward) pause(millis clock.Millis) {
+	select {
+	case <-agent.clock.After(millis):
+	case <-agent.base.Done():
+	}
+}
+
+func (agent *Steward) nextHold() (*life, HoldCall) {
+	present := agent.life
+	if present == nil {
+		return nil, HoldCall{}
+	}
+	call := HoldCall{Life: present.said.Life, Token: agent.grant.term, Seen: present.recorded, Wait: holdWait}
+	if present.readAt == 0 {
+		call.Wait = 0 // The first call only reads the clock and what runs.
+	}
+	call.Deadline = agent.deadline(present)
+	if call.Deadline > 0 {
+		present.held = agent.clock.Now()
+	}
+	return present, call
+}
+
+// deadline returns the end of the granted lease on the worker's clock, or 0 if there is none. The
+// clock was read before the answer arrived, so the result is never too late.
+func (agent *Steward) deadline(present *life) WorkerTime {
+	now := agent.clock.Now()
+	if present.readAt == 0 || !now.Before(agent.grant.until) {
+		return 0
+	}
+	return present.clock + WorkerTime(agent.grant.until.Sub(present.readAt))
+}
+
+// listed takes the answer to a hold and returns whether it had news.
+func (agent *Steward) listed(present *life, listing Listing, sent clock.Time, err error) bool {
+	if agent.life != present {
+		return false
+	}
+	now := agent.clock.Now()
+	if err != nil {
+		present.silent++
+		if present.silent == silentAfter {
+			klog.ErrorS(err, "Worker does not answer", "Worker", present.incarnation)
+			agent.wake()
+		}
+		if IsErrOtherLife(err) && !present.lapsed {
+			klog.InfoS("Worker has another life", "Worker", present.incarnation)
+			present.lapsed = true
+			agent.wake()
+		}
+		if !present.lapsed && present.held != 0 && now.Sub(present.held) > election.WorkerTerm(agent.lease) {
+			klog.InfoS("Worker lapsed", "Worker", present.incarnation)
+			present.lapsed = true
+			agent.wake()
+		}
+		return false
+	}
+	if listing.Born != 0 && listing.Born != present.said.Life.Born {
+		present.lapsed = true
+		agent.wake()
+		return false
+	}
+	if present.silent >= silentAfter || present.lapsed {
+		klog.InfoS("Worker answers again", "Worker", present.incarnation)
+		present.lapsed = false
+		agent.wake()
+	}
+	present.silent = 0
+	present.clock, present.readAt = listing.Clock, now
+	fresh := len(listing.Ended) > 0 && listing.Ended[len(listing.Ended)-1].Number > lastNumber(present.listing.Ended)
+	first := len(present.listing.Active)+len(present.listing.Ended) == 0 && len(listing.Active) > 0
+	present.listing = listing
+	agent.compare(present, sent)
+	agent.govern(present)
+	if fresh || first {
+		agent.wake()
+	}
+	return fresh || now.Sub(sent) >= holdPause // The worker waited before it answered.
+}
+
+// compare settles the orders by what the worker listed in answer to a call sent at the time.
+func (agent *Steward) compare(present *life, sent clock.Time) {
+	active := map[runKey]struct{}{}
+	for _, item := range present.listing.Active {
+		key := runKey{item.Task, item.Run}
+		active[key] = struct{}{}
+		known, ok := present.runs[key]
+		if !ok {
+			present.runs[key] = &run{order: session.Start{Task: item.Task, Run: item.Run}, phase: started, paced: fullPace}
+			continue
+		}
+		if known.phase == starting {
+			known.phase, known.confirmedAt = started, sent
+		}
+	}
+	for _, item := range present.listing.Ended {
+		delete(present.runs, runKey{item.Task, item.Run})
+	}
+	for key, known := range present.runs {
+		if _, ok := active[key]; ok {
+			continue
+		}
+		settled := known.confirmedAt != 0 && known.confirmedAt.Before(sent)
+		switch {
+		case known.phase == started && !known.described:
+			delete(present.runs, key)
+		case known.phase == started && settled:
+			agent.abandon(present, known, "Vanished")
+		case known.phase == stopped && settled:
+			// The worker neither runs it nor lists its end, so it never ran and never will.
+			delete(present.runs, key)
+			agent.rejections = append(agent.rejections, session.Rejection{
+				Incarnation: present.incarnation, Task: key.task, Run: key.number, Reason: known.reason,
+			})
+			agent.wake()
+		}
+	}
+}
+
+// fullPace is the pace of a run that was not slowed down.
+const fullPace = 100
+
+// reserved returns what the runs on the worker reserve.
+func (present *life) reserved() unit.Resources {
+	var total unit.Resources
+	for _, known := range present.runs {
+		total = total.Add(known.order.Reserved)
+	}
+	return total
+}
+
+// govern paces filling tasks by the tails of those that serve.
+func (agent *Steward) govern(present *life) {
+	var serving []pacing.Serving
+	for _, item := range present.listing.Active {
+		if known, ok := present.runs[runKey{item.Task, item.Run}]; ok && known.order.Target > 0 {
+			serving = append(serving, pacing.Serving{Tail: clock.Millis(item.Figure), Target: known.order.Target})
+		}
+	}
+	before := present.governor.Pace()
+	pace := present.governor.Decide(serving, agent.clock.Now())
+	if pace != before {
+		klog.InfoS("Pace of filling tasks", "Worker", present.incarnation, "Percent", pace, "Serving", len(serving))
+		agent.wake()
+	}
+	for _, known := range present.runs {
+		if known.order.Fills && known.phase == started && known.paced != pace && !known.busy {
+			agent.repace(present, known, pace)
+		}
+	}
+}
+
+func lastNumber(ends []Ended) int64 {
+	if len(ends) == 0 {
+		return 0
+	}
+	return ends[len(ends)-1].Number
+}
--- /dev/null
+++ b/workflow/check.go
@@ -0,0 +1,92 @@
+package workflow
+
+import (
+	"errors"
+	"fmt"
+
+	"hyssopjunction/clock"
+)
+
+// Bounds on what a submission may ask for. They keep a job's state row below the store's row size.
+const (
+	maxSteps = 64
+	maxTasks = 1000
+	maxText  = 4000
+	// maxRepetitions bounds the occurrences of a scheduled job.
+	maxRepetitions = 1000
+)
+
+// ErrInvalid reports a field of a submission that cannot be accepted.
+type ErrInvalid struct {
+	Field  string
+	Reason string
+}
+
+// Error describes the fault.
+func (err ErrInvalid) Error() string { return fmt.Sprintf("%s: %s", err.Field, err.Reason) }
+
+// IsErrInvalid reports whether err is or wraps an ErrInvalid.
+func IsErrInvalid(err error) bool { return errors.As(err, new(ErrInvalid)) }
+
+// Check reports the first field that cannot be accepted as an ErrInvalid.
+func (spec Spec) Check() error {
+	if len(spec.Payload) > maxText {
+		return ErrInvalid{Field: "Payload", Reason: fmt.Sprintf("longer than %d bytes", maxText)}
+	}
+	if len(spec.Steps) == 0 || len(spec.Steps) > maxSteps {
+		return ErrInvalid{Field: "Steps", Reason: fmt.Sprintf("must hold 1 to %d steps", maxSteps)}
+	}
+	if spec.Repetitions < 0 || spec.Repetitions > maxRepetitions {
+		return ErrInvalid{Field: "Repetitions", Reason: fmt.Sprintf("must be 0 to %d", maxRepetitions)}
+	}
+	tasks := 0
+	for number, step := range spec.Steps {
+		if err := step.check(number); err != nil {
+			return err
+		}
+		tasks += step.Count
+	}
+	if tasks > maxTasks {
+		return ErrInvalid{Field: "Steps", Reason: fmt.Sprintf("hold more than %d tasks", maxTasks)}
+	}
+	return nil
+}
+
+func (step Step) check(number int) error {
+	field := fmt.Sprintf("Steps[%d].", number)
+	if step.Count < 1 {
+		return ErrInvalid{Field: field + "Count", Reason: "must be positive"}
+	}
+	if step.Need.CPU < 0 || step.Need.Memory < 0 || step.Need.Accelerators < 0 {
+		return ErrInvalid{Field: field + "Need", Reason: "must not be negative"}
+	}
+	if step.Estimate < 0 || step.Target < 0 || step.PerWorker < 0 || step.MayMiss < 0 {
+		return ErrInvalid{Field: field + "Estimate, Target, PerWorker, MayMiss", Reason: "must not be negative"}
+	}
+	for _, earlier := range step.After {
+		if earlier < 0 || earlier >= number {
+			return ErrInvalid{Field: field + "After", Reason: "must name earlier steps"}
+		}
+	}
+	return nil
+}
+
+// Chain returns the run time of the longest chain of dependent steps by the estimates of the submitter.
+func (spec Spec) Chain() clock.Millis {
+	longest := clock.Millis(0)
+	ends := make([]clock.Millis, len(spec.Steps))
+	for number, step := range spec.Steps {
+		begin := clock.Millis(0)
+		for _, earlier := range step.After {
+			begin = max(begin, ends[earlier])
+		}
+		ends[number] = begin + step.Estimate
+		longest = max(longest, ends[number])
+	}
+	return longest
+}
+
+// Objective returns the time after acceptance in which the job should finish.
+func (spec Spec) Objective() clock.Millis {
+	return clock.Millis(spec.Policy.Slack*float64(spec.Chain())) + spec.Policy.Latency
+}
--- /dev/null
+++ b/workflow/job.go
@@ -0,0 +1,282 @@
+package workflow
+
+import (
+	"slices"
+
+	"hyssopjunction/clock"
+)
+
+// Phase is the progress of one task.
+type Phase uint8
+
+// Phases of a task.
+const (
+	// Waiting tasks have no run, either because none was started or because all ended.
+	Waiting Phase = iota
+	// Active tasks have a run on a worker.
+	Active
+	// Done tasks have a run that completed.
+	Done
+)
+
+// State is the progress of a job as callers see it.
+type State string
+
+// States of a job.
+const (
+	Queued    State = "queued"
+	Running   State = "running"
+	Completed State = "completed"
+	Failed    State = "failed"
+	Cancelled State = "cancelled"
+)
+
+// Final reports whether the state never changes again.
+func (state State) Final() bool {
+	return state == Completed || state == Failed || state == Cancelled
+}
+
+// Cause tells how a run ended.
+type Cause uint8
+
+// Causes of the end of a run.
+const (
+	// Finished runs completed the task.
+	Finished Cause = iota + 1
+	// Faulted runs failed, by their own fault or the worker's. They count as attempts.
+	Faulted
+	// Interrupted runs were stopped or lost with their worker's lease.
+	Interrupted
+)
+
+// Task is the state of one task.
+type Task struct {
+	Phase Phase
+	// Run is the number of the last run; 0 if there was none.
+	Run Run
+	// Worker is the incarnation of the worker that an active task runs on.
+	Worker string
+	// Failures counts the runs that ended as Faulted.
+	Failures int
+	// Saved is the newest checkpoint.
+	Saved Checkpoint
+}
+
+// Occurrence is one execution of a job's steps.
+type Occurrence struct {
+	Number int
+	// Steps holds the tasks by step and index.
+	Steps [][]Task
+	// left counts the tasks of each step that are not done.
+	left []int
+}
+
+// Complete reports whether all tasks are done.
+func (occurrence *Occurrence) Complete() bool {
+	for _, left := range occurrence.left {
+		if left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Left returns the number of tasks of the step that are not done.
+func (occurrence *Occurrence) Left(step int) int { return occurrence.left[step] }
+
+// Job is a job with the state of its tasks. Its methods are not safe for concurrent use.
+type Job struct {
+	Spec  Spec
+	State State
+	// Occurrences holds those that are due and not complete, in order.
+	Occurrences []*Occurrence
+	// Next is the number of the first occurrence that is not due yet.
+	Next int
+}
+
+// New returns the job of spec without occurrences, see Occur.
+func New(spec Spec) *Job {
+	return &Job{Spec: spec, State: Queued}
+}
+
+// Total returns the number of occurrences of the job.
+func (job *Job) Total() int { return max(1, job.Spec.Repetitions) }
+
+// DueAt returns the time of day at which the next occurrence is due, in Unix milliseconds, and false
+// if all are due.
+func (job *Job) DueAt() (int64, bool) {
+	if job.Next >= job.Total() {
+		return 0, false
+	}
+	if job.Spec.Repetitions == 0 {
+		return 0, true
+	}
+	return job.Spec.StartAt + int64(job.Next)*int64(job.Spec.Interval), true
+}
+
+// Occur adds the occurrences that are due at the time of day and reports whether there were any.
+func (job *Job) Occur(timeOfDay int64) bool {
+	added := false
+	for !job.State.Final() {
+		due, ok := job.DueAt()
+		if !ok || due > timeOfDay {
+			break
+		}
+		job.Occurrences = append(job.Occurrences, job.newOccurrence(job.Next))
+		job.Next++
+		added = true
+	}
+	return added
+}
+
+func (job *Job) newOccurrence(number int) *Occurrence {
+	occurrence := &Occurrence{Number: number, Steps: make([][]Task, len(job.Spec.Steps)), left: make([]int, len(job.Spec.Steps))}
+	for position, step := range job.Spec.Steps {
+		occurrence.Steps[position] = make([]Task, step.Count)
+		occurrence.left[position] = step.Count
+	}
+	return occurrence
+}
+
+// Occurrence returns the occurrence with the number if it is due and not complete.
+func (job *Job) Occurrence(number int) (*Occurrence, bool) {
+	for _, occurrence := range job.Occurrences {
+		if occurrence.Number == number {
+			return occurrence, true
+		}
+	}
+	return nil, false
+}
+
+// Task returns the task, or nil if the job has no such task that can still run.
+func (job *Job) Task(name Name) *Task {
+	occurrence, ok := job.Occurrence(name.Occurrence)
+	if !ok || name.Step >= len(occurrence.Steps) || name.Index >= len(occurrence.Steps[name.Step]) {
+		return nil
+	}
+	return &occurrence.Steps[name.Step][name.Index]
+}
+
+// Ready reports whether all steps that the step depends on are done.
+func (job *Job) Ready(occurrence *Occurrence, step int) bool {
+	for _, earlier := range job.Spec.Steps[step].After {
+		if occurrence.left[earlier] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// NextRun returns the number for the next run of a task. The members of a gang get the same number,
+// above those of all their earlier runs.
+func (job *Job) NextRun(name Name) Run {
+	if !job.Spec.Steps[name.Step].Gang {
+		return job.Task(name).Run + 1
+	}
+	occurrence, _ := job.Occurrence(name.Occurrence)
+	highest := Run(0)
+	for _, member := range occurrence.Steps[name.Step] {
+		highest = max(highest, member.Run)
+	}
+	return highest + 1
+}
+
+// Place records the start of a run on a worker.
+func (job *Job) Place(name Name, run Run, worker string) {
+	task := job.Task(name)
+	task.Phase, task.Run, task.Worker = Active, run, worker
+	if job.State == Queued {
+		job.State = Running
+	}
+}
+
+// End records the end of the run of an active task.
+func (job *Job) End(name Name, cause Cause, saved Checkpoint) {
+	task := job.Task(name)
+	if saved != "" {
+		job.Save(name, saved)
+	}
+	task.Phase, task.Worker = Waiting, ""
+	switch cause {
+	case Finished:
+		job.finish(name)
+	case Faulted:
+		task.Failures++
+		if !job.Spec.Steps[name.Step].Standing && task.Failures >= job.Spec.Policy.MaxAttempts {
+			job.State = Failed
+		}
+	case Interrupted:
+	}
+}
+
+// Save records a checkpoint. The checkpoint of one member is valid for its gang, whose members must
+// all resume from the same one.
+func (job *Job) Save(name Name, saved Checkpoint) {
+	occurrence, ok := job.Occurrence(name.Occurrence)
+	if !ok {
+		return
+	}
+	if !job.Spec.Steps[name.Step].Gang {
+		occurrence.Steps[name.Step][name.Index].Saved = saved
+		return
+	}
+	for index := range occurrence.Steps[name.Step] {
+		occurrence.Steps[name.Step][index].Saved = saved
+	}
+}
+
+func (job *Job) finish(name Name) {
+	occurrence, _ := job.Occurrence(name.Occurrence)
+	step := job.Spec.Steps[name.Step]
+	if step.Standing {
+		return
+	}
+	tasks := occurrence.Steps[name.Step]
+	if step.Gang {
+		// The members of a gang end as done together, so one end stands for all.
+		for index := range tasks {
+			tasks[index].Phase, tasks[index].Worker = Done, ""
+		}
+		occurrence.left[name.Step] = 0
+	} else {
+		tasks[name.Index].Phase = Done
+		occurrence.left[name.Step]--
+	}
+	if !occurrence.Complete() {
+		return
+	}
+	job.Occurrences = slices.DeleteFunc(job.Occurrences, func(other *Occurrence) bool { return other == occurrence })
+	if len(job.Occurrences) == 0 && job.Next >= job.Total() && !job.State.Final() {
+		job.State = Completed
+	}
+}
+
+// Each calls visit for every task of the due occurrences.
+func (job *Job) Each(visit func(name Name, task *Task)) {
+	for _, occurrence := range job.Occurrences {
+		for step := range occurrence.Steps {
+			for index := range occurrence.Steps[step] {
+				visit(Name{Job: job.Spec.ID, Occurrence: occurrence.Number, Step: step, Index: index}, &occurrence.Steps[step][index])
+			}
+		}
+	}
+}
+
+// RemainingChain returns the run time of the longest chain of steps that are not done, by the
+// submitter's estimates. It ignores the progress of active tasks.
+func (job *Job) RemainingChain(occurrence *Occurrence) clock.Millis {
+	longest := clock.Millis(0)
+	ends := make([]clock.Millis, len(job.Spec.Steps))
+	for number, step := range job.Spec.Steps {
+		begin := clock.Millis(0)
+		for _, earlier := range step.After {
+			begin = max(begin, ends[earlier])
+		}
+		ends[number] = begin
+		if occurrence.left[number] > 0 {
+			ends[number] += step.Estimate
+		}
+		longest = max(longest, ends[number])
+	}
+	return longest
+}
