Pace and place filling tasks by the learned disturbance of image pairs

A regression of the logarithm of the tails on the cores of each filling image shows pairs with a rise of 0.1 to 0.45 a core and pairs below 0.03.

Ruled out: too little idle processor time (worst tails fell to 0.6 of the target while the pace was 10 percent); the memory of the workers (9 filling tasks fit beside 5 serving ones).

Change: the leader learns the rise per pair of images from differences of successive figures, places filling tasks where no sensitive task is near its target and serving tasks beside their like, and tells the agents, which slow down only the images that disturb.

--- a/coordinator/agents.go
+++ b/coordinator/agents.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 
 	"k8s.io/klog/v2"
 
@@ -14,6 +15,12 @@
 // queueLength bounds the orders that wait for an agent that does not read. Its session is ended then.
 const queueLength = 64
 
+// adviceInterval is how often agents are told which images disturb each other.
+const adviceInterval = clock.Second
+
+// milli is the precision of what they are told.
+const milli = 1000
+
 // ErrOverrun reports an agent that does not read its orders.
 type ErrOverrun struct {
 	Node string
@@ -36,6 +43,8 @@
 	recorded int64
 	// sequence is the newest report.
 	sequence uint64
+	// advisedAt is when the agent was last told which images disturb each other.
+	advisedAt clock.Time
 }
 
 // Attend serves an agent until its stream or the term ends. Errors: ErrNotLeading, ErrOverrun, or
@@ -142,9 +151,18 @@
 	if agent.incarnation != "" {
 		leader.granted[agent.node] = grant{incarnation: agent.incarnation, at: now}
 	}
-	leader.enqueue(agent, &session.Orders{
+	orders := &session.Orders{
 		Sequence: agent.sequence, Lease: leader.lease, Recorded: agent.recorded, Incarnation: string(agent.incarnation),
-	})
+	}
+	if now.Sub(agent.advisedAt) >= adviceInterval {
+		agent.advisedAt = now
+		for _, known := range leader.book.Disturbances(agent.incarnation, now) {
+			orders.Weights = append(orders.Weights, session.Weight{
+				Serving: string(known.Serving), Filling: string(known.Filling), Rise: math.Round(known.Rise*milli) / milli,
+			})
+		}
+	}
+	leader.enqueue(agent, orders)
 }
 
 // describe takes the profile of the agent's worker.
@@ -156,7 +174,6 @@
 	leader.book.Update(scheduler.Profile{
 		Incarnation: incarnation, Node: agent.node, Service: reported.Service, DataCentre: reported.DataCentre,
 		Labels: reported.Labels, Capacity: reported.Capacity, Draining: reported.Draining, Remaining: reported.Remaining,
-		Pace: reported.Pace,
 	}, now)
 	if reported.Lapsed {
 		leader.book.Lapsed(incarnation)
@@ -232,7 +249,9 @@
 			klog.ErrorS(err, "Progress ignored")
 			continue
 		}
-		converted = append(converted, scheduler.Progress{Name: name, Run: item.Run, Saved: item.Saved, Percent: item.Percent})
+		converted = append(converted, scheduler.Progress{
+			Name: name, Run: item.Run, Saved: item.Saved, Percent: item.Percent, Figure: item.Figure, Slowed: item.Slowed,
+		})
 	}
 	return converted
 }
@@ -276,7 +295,7 @@
 	step := order.Job.Spec.Steps[order.Name.Step]
 	return session.Start{
 		Incarnation: string(order.Worker), Task: order.Name.String(), Run: order.Run, Payload: order.Job.Spec.Payload,
-		Saved: task.Saved, Reserved: step.Reserved(), Fills: step.Fills, Target: step.Target, Image: step.Image,
+		Saved: task.Saved, Reserved: step.Reserved(), Fills: step.Fills, CPU: step.Need.CPU, Target: step.Target, Image: step.Image,
 	}, true
 }
 
--- /dev/null
+++ b/pacing/governor.go
@@ -0,0 +1,142 @@
+package pacing
+
+import (
+	"math"
+
+	"hyssopjunction/clock"
+)
+
+// Figures of the control.
+const (
+	// aim is the share of the target that tails are kept at. The rest is for the swing of the load
+	// between two figures.
+	aim = 0.8
+	// Full is the pace, in percent, of a task that is not slowed down.
+	Full = 100
+	// floor is the pace below which a task stands still.
+	floor = 5
+	// step is the granularity of the pace in percent; smaller changes are not worth a call.
+	step = 5
+	// interval separates decisions: one figure each.
+	interval = 450 * clock.Millisecond
+	// alarm is the share of the target from which the model is distrusted, and calm the one below which
+	// trust returns.
+	alarm = 0.95
+	calm  = 0.8
+	// tighten and loosen change the trust at each decision. Three decisions over the target leave an
+	// eighth, within half of the time that a target may be exceeded.
+	tighten = 0.5
+	loosen  = 1.25
+	// doubt is the least weight of a filling image beside a task that is over its target.
+	doubt = 0.02
+)
+
+// Weights tells by how much one core of a filling image raises the logarithm of a serving image's tail.
+type Weights func(serving, filling Image) float64
+
+// Governor decides the pace of each filling task of one worker.
+type Governor struct {
+	decidedAt clock.Time
+	// trust scales what the model allows beside each serving task.
+	trust map[string]float64
+	paces map[string]int
+}
+
+// NewGovernor returns a governor at full pace.
+func NewGovernor() *Governor {
+	return &Governor{trust: map[string]float64{}, paces: map[string]int{}}
+}
+
+// Pace returns the decided pace of a filling task in percent.
+func (governor *Governor) Pace(task string) int {
+	pace, ok := governor.paces[task]
+	if !ok {
+		return Full
+	}
+	return pace
+}
+
+// Decide takes the newest figures of the worker and decides the paces anew, at most once per figure.
+func (governor *Governor) Decide(serving []Serving, filling []Filling, weights Weights, now clock.Time) {
+	if governor.decidedAt != 0 && now.Sub(governor.decidedAt) < interval {
+		return
+	}
+	governor.decidedAt = now
+	governor.judge(serving)
+	shares := make([]float64, len(filling))
+	for position := range filling {
+		shares[position] = 1
+	}
+	for _, task := range serving {
+		governor.limit(task, filling, shares, weights)
+	}
+	paces := map[string]int{}
+	for position, task := range filling {
+		pace := int(shares[position]*Full/step+0.5) * step
+		if pace < floor {
+			pace = 0
+		}
+		paces[task.Task] = pace
+	}
+	governor.paces = paces
+}
+
+// judge adapts the trust in the model to what is measured.
+func (governor *Governor) judge(serving []Serving) {
+	trust := map[string]float64{}
+	for _, task := range serving {
+		present, ok := governor.trust[task.Task]
+		if !ok {
+			present = 1
+		}
+		switch ratio := task.ratio(); {
+		case ratio > alarm:
+			present *= tighten
+		case ratio < calm:
+			present = math.Min(1, present*loosen)
+		}
+		trust[task.Task] = present
+	}
+	governor.trust = trust
+}
+
+// limit lowers the shares of filling tasks until the serving task is expected to stay at its aim.
+func (governor *Governor) limit(task Serving, filling []Filling, shares []float64, weights Weights) {
+	trust := governor.trust[task.Task]
+	least := 0.0
+	if task.ratio() > alarm {
+		least = doubt
+	}
+	present, wanted := 0.0, 0.0
+	each := make([]float64, len(filling))
+	for position, other := range filling {
+		weight := math.Max(least, weights(task.Image, other.Image))
+		present += weight * other.Used
+		each[position] = weight * other.Cores * shares[position]
+		wanted += each[position]
+	}
+	if wanted <= 0 {
+		return
+	}
+	undisturbed := math.Log(task.ratio()) - present
+	allowed := (math.Log(aim) - undisturbed) * trust
+	if wanted <= allowed && trust >= 1 {
+		return
+	}
+	factor := math.Max(0, math.Min(1, allowed/wanted))
+	for position := range filling {
+		// Tasks that hardly contribute keep their pace.
+		if each[position] >= wanted/float64(4*len(filling)) {
+			shares[position] *= factor
+		}
+	}
+}
+
+// Room returns how many cores of the filling image the serving task stands, given the expected rise
+// of the logarithm of its tail by tasks that its figure does not show yet.
+func Room(task Serving, weight, pending float64) float64 {
+	if weight <= 0 {
+		return math.Inf(1)
+	}
+	return math.Max(0, (math.Log(aim)-math.Log(task.ratio())-pending)/weight)
+}
--- /dev/null
+++ b/pacing/model.go
@@ -0,0 +1,209 @@
+// Package pacing keeps tasks that serve users below their target latency while other tasks fill the
+// processors that are left. It learns which image disturbs which, and decides how fast the filling
+// tasks of a worker may work. It has no goroutine and no clock.
+package pacing
+
+import (
+	"math"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/set"
+)
+
+// Image names what a task executes.
+type Image string
+
+// Figures of the learning.
+const (
+	// Prior is the assumed rise of the logarithm of a tail latency per core of an unknown filling image.
+	// It lies between the two groups that calm days show: below 0.03, and 0.1 to 0.45.
+	Prior = 0.05
+	// priorWeight is the weight of the prior in squared cores: that of about two changes of one task.
+	priorWeight = 6.0
+	// shortest and longest bound the time between the two samples of a difference. Figures are of the
+	// last half second; the own load of a serving task moves within seconds.
+	shortest = 800 * clock.Millisecond
+	longest  = 2500 * clock.Millisecond
+	// quiet is the change of use, in cores, below which a difference teaches nothing.
+	quiet = 0.1
+	// forget is the share of the evidence that is kept at each solution, one a second: half in a minute.
+	forget = 0.99
+	// resolve separates two solutions.
+	resolve = clock.Second
+	// milli converts thousandths.
+	milli = 1000
+)
+
+// Serving is a sample of a task that serves users.
+type Serving struct {
+	// Task names the run, so that successive samples are matched.
+	Task   string
+	Image  Image
+	Tail   clock.Millis
+	Target clock.Millis
+}
+
+// ratio returns the tail as a share of its target.
+func (serving Serving) ratio() float64 {
+	return math.Max(float64(serving.Tail), 1) / float64(max(serving.Target, 1))
+}
+
+// Filling is a sample of a task that fills.
+type Filling struct {
+	Task  string
+	Image Image
+	// Cores is the processor time that the task asks for, and Used what it took.
+	Cores float64
+	Used  float64
+}
+
+// Model learns by how much one core of a filling image raises the logarithm of the tail latency of a
+// serving image. The logarithm makes the rise independent of the serving task's own load. Differences
+// between successive samples of the same task cancel what the load contributes.
+type Model struct {
+	images map[Image]*evidence
+	last   map[string]sample
+}
+
+type sample struct {
+	at   clock.Time
+	tail float64
+	used map[Image]float64
+}
+
+// evidence holds the normal equations of one serving image.
+type evidence struct {
+	products map[[2]Image]float64
+	sums     map[Image]float64
+	solution map[Image]float64
+	solvedAt clock.Time
+	fresh    bool
+}
+
+// NewModel returns a model without evidence.
+func NewModel() *Model {
+	return &Model{images: map[Image]*evidence{}, last: map[string]sample{}}
+}
+
+// Observe takes the samples of one worker at a time.
+func (model *Model) Observe(serving []Serving, filling []Filling, at clock.Time) {
+	used := map[Image]float64{}
+	for _, task := range filling {
+		used[task.Image] += task.Used
+	}
+	for _, task := range serving {
+		if task.Tail <= 0 {
+			continue
+		}
+		now := sample{at: at, tail: math.Log(float64(task.Tail)), used: used}
+		previous, ok := model.last[task.Task]
+		if ok && at.Sub(previous.at) < shortest {
+			continue
+		}
+		model.last[task.Task] = now
+		if ok && at.Sub(previous.at) <= longest {
+			model.learn(task.Image, previous, now)
+		}
+	}
+}
+
+// Forget drops the samples of a run that ended.
+func (model *Model) Forget(task string) { delete(model.last, task) }
+
+func (model *Model) learn(image Image, before, after sample) {
+	changes := map[Image]float64{}
+	for filling, cores := range after.used {
+		changes[filling] = cores
+	}
+	for filling, cores := range before.used {
+		changes[filling] -= cores
+	}
+	for filling, change := range changes {
+		if math.Abs(change) < quiet {
+			delete(changes, filling)
+		}
+	}
+	if len(changes) == 0 {
+		return
+	}
+	known, ok := model.images[image]
+	if !ok {
+		known = &evidence{products: map[[2]Image]float64{}, sums: map[Image]float64{}}
+		model.images[image] = known
+	}
+	rise := after.tail - before.tail
+	for left, change := range changes {
+		known.sums[left] += change * rise
+		for right, other := range changes {
+			known.products[[2]Image{left, right}] += change * other
+		}
+	}
+	known.fresh = true
+}
+
+// Weight returns the expected rise of the logarithm of the serving image's tail per core of the
+// filling image. It is not negative.
+func (model *Model) Weight(serving, filling Image, now clock.Time) float64 {
+	known, ok := model.images[serving]
+	if !ok {
+		return Prior
+	}
+	if known.solution == nil || known.fresh && now.Sub(known.solvedAt) >= resolve {
+		known.solve(now)
+	}
+	weight, ok := known.solution[filling]
+	if !ok {
+		return Prior
+	}
+	return math.Max(0, weight)
+}
+
+// solve finds the weights by regularised least squares.
+func (known *evidence) solve(now clock.Time) {
+	images := set.SortedKeys(known.sums)
+	matrix := make([][]float64, len(images))
+	right := make([]float64, len(images))
+	for row, left := range images {
+		matrix[row] = make([]float64, len(images))
+		for column, other := range images {
+			matrix[row][column] = known.products[[2]Image{left, other}]
+		}
+		matrix[row][row] += priorWeight
+		right[row] = known.sums[left] + priorWeight*Prior
+	}
+	known.solution = map[Image]float64{}
+	for position, weight := range solveLinear(matrix, right) {
+		known.solution[images[position]] = weight
+	}
+	known.solvedAt, known.fresh = now, false
+	for key := range known.products {
+		known.products[key] *= forget
+	}
+	for key := range known.sums {
+		known.sums[key] *= forget
+	}
+}
+
+// solveLinear solves a system with a symmetric positive definite matrix by elimination. It changes
+// its arguments.
+func solveLinear(matrix [][]float64, right []float64) []float64 {
+	size := len(right)
+	for pivot := range size {
+		for row := pivot + 1; row < size; row++ {
+			factor := matrix[row][pivot] / matrix[pivot][pivot]
+			for column := pivot; column < size; column++ {
+				matrix[row][column] -= factor * matrix[pivot][column]
+			}
+			right[row] -= factor * right[pivot]
+		}
+	}
+	solution := make([]float64, size)
+	for row := size - 1; row >= 0; row-- {
+		rest := right[row]
+		for column := row + 1; column < size; column++ {
+			rest -= matrix[row][column] * solution[column]
+		}
+		solution[row] = rest / matrix[row][row]
+	}
+	return solution
+}
--- a/scheduler/book.go
+++ b/scheduler/book.go
@@ -9,6 +9,7 @@
 
 	"hyssopjunction/clock"
 	"hyssopjunction/ident"
+	"hyssopjunction/pacing"
 	"hyssopjunction/set"
 	"hyssopjunction/workflow"
 )
@@ -28,6 +29,11 @@
 	Run     workflow.Run
 	Saved   workflow.Checkpoint
 	Percent int
+	// Figure is the tail latency of a serving run in milliseconds, or the processor time that any other
+	// run uses in thousandths of a core.
+	Figure int64
+	// Slowed is by how many percent the agent slows the run down.
+	Slowed int
 }
 
 // End is a worker's statement that a run is over.
@@ -50,6 +56,7 @@
 	orders  []Order
 	out     set.Set[ident.DataCentre]
 	stirred bool
+	model   *pacing.Model
 }
 
 // entry is a job with what the scheduler remembers about it.
@@ -70,7 +77,7 @@
 	return &Book{
 		jobs: map[workflow.ID]*entry{}, workers: map[Incarnation]*worker{}, open: map[workflow.ID]*entry{},
 		orphans: map[Incarnation]map[workflow.Name]*run{}, changed: map[workflow.ID]*entry{},
-		out: set.New[ident.DataCentre](),
+		out: set.New[ident.DataCentre](), model: pacing.NewModel(),
 	}
 }
 
@@ -159,7 +166,7 @@
 		target = &worker{runs: map[workflow.Name]*run{}}
 		book.workers[profile.Incarnation] = target
 	}
-	if !known || target.Draining != profile.Draining || target.Pace != profile.Pace || target.Capacity != profile.Capacity {
+	if !known || target.Draining != profile.Draining || target.Capacity != profile.Capacity {
 		book.stirred = true
 	}
 	drains := profile.Draining && !target.Draining
@@ -241,13 +248,15 @@
 			}
 			continue
 		}
-		if item.Percent != active.percent {
+		active.figure, active.figureAt, active.slowed = item.Figure, now, item.Slowed
+		if item.Percent != active.percent || item.Slowed > maxStallSlowed {
 			active.percent, active.movedAt = item.Percent, now
 		}
 		if item.Saved != "" && !active.job.State.Final() {
 			active.job.Save(item.Name, item.Saved)
 		}
 	}
+	book.observe(target, now)
 }
 
 // Ended records an end that the worker listed.
@@ -291,6 +300,7 @@
 
 func (book *Book) end(active *run, cause workflow.Cause, saved workflow.Checkpoint) {
 	active.worker.remove(active)
+	book.model.Forget(active.name.String())
 	book.settle(active, cause, saved)
 }
 
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -17,6 +17,8 @@
 	// stallAfter is the time without progress after which a run counts as stalled. Progress is reported
 	// about every second in whole percent; a task of 20 s moves by 5 in that time.
 	stallAfter = 2500 * clock.Millisecond
+	// maxStallSlowed is the slowing down, in percent, up to which a run must show progress.
+	maxStallSlowed = 60
 	// stalledRuns is the number of stalled runs that suspends a worker on which nothing moves.
 	stalledRuns = 2
 )
--- /dev/null
+++ b/scheduler/interference.go
@@ -0,0 +1,135 @@
+package scheduler
+
+import (
+	"math"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/pacing"
+	"hyssopjunction/set"
+	"hyssopjunction/unit"
+	"hyssopjunction/workflow"
+)
+
+// milli converts thousandths.
+const milli = 1000
+
+// observe lets the model learn from a worker's newest listing.
+func (book *Book) observe(target *worker, now clock.Time) {
+	serving, filling := samples(target)
+	if len(serving) > 0 {
+		book.model.Observe(serving, filling, now)
+	}
+}
+
+// samples returns the figures of the serving and the filling runs on a worker.
+func samples(target *worker) ([]pacing.Serving, []pacing.Filling) {
+	var serving []pacing.Serving
+	var filling []pacing.Filling
+	for _, active := range target.runs {
+		switch {
+		case active.figureAt == 0:
+		case active.step.Target > 0:
+			serving = append(serving, newServing(active))
+		case active.step.Fills:
+			filling = append(filling, pacing.Filling{
+				Task: active.name.String(), Image: pacing.Image(active.step.Image),
+				Cores: float64(active.step.Need.CPU) / milli, Used: float64(active.figure) / milli,
+			})
+		}
+	}
+	return serving, filling
+}
+
+func newServing(active *run) pacing.Serving {
+	return pacing.Serving{
+		Task: active.name.String(), Image: pacing.Image(active.step.Image), Tail: clock.Millis(active.figure), Target: active.step.Target,
+	}
+}
+
+// speed returns the share of its speed with which a filling task could work on a worker without
+// bringing a serving task there near its target.
+func (book *Book) speed(step *workflow.Step, target *worker, now clock.Time) float64 {
+	cores := float64(step.Need.CPU) / milli
+	if cores <= 0 {
+		return 1
+	}
+	share := 1.0
+	for _, active := range target.runs {
+		if active.step.Target == 0 || active.figure == 0 {
+			continue
+		}
+		weight := book.model.Weight(pacing.Image(active.step.Image), pacing.Image(step.Image), now)
+		share = math.Min(share, pacing.Room(newServing(active), weight, book.pending(active, target, now))/cores)
+	}
+	return share
+}
+
+// pending returns the expected rise of a serving run's tail by filling runs that its figure does not
+// show yet, or not at their full pace.
+func (book *Book) pending(serving *run, target *worker, now clock.Time) float64 {
+	rise := 0.0
+	for _, other := range target.runs {
+		if !other.step.Fills {
+			continue
+		}
+		missing := float64(other.step.Need.CPU-unit.MilliCPU(other.figure)) / milli
+		if missing > 0 {
+			rise += missing * book.model.Weight(pacing.Image(serving.step.Image), pacing.Image(other.step.Image), now)
+		}
+	}
+	return rise
+}
+
+// neighbours returns the share of a worker's serving tasks that have the same image, less that of the
+// others, or 0 if there are none.
+func neighbours(step *workflow.Step, target *worker) float64 {
+	same, others := 0, 0
+	for _, active := range target.runs {
+		switch {
+		case !active.step.Standing:
+		case active.step.Image == step.Image:
+			same++
+		default:
+			others++
+		}
+	}
+	if same+others == 0 {
+		return 0
+	}
+	return float64(same-others) / float64(same+others)
+}
+
+// Disturbance tells by how much one core of a filling image raises the logarithm of a serving image's tail.
+type Disturbance struct {
+	Serving pacing.Image
+	Filling pacing.Image
+	Rise    float64
+}
+
+// Disturbances returns what is known about the images on a worker and those that wait.
+func (book *Book) Disturbances(incarnation Incarnation, now clock.Time) []Disturbance {
+	target, ok := book.workers[incarnation]
+	if !ok {
+		return nil
+	}
+	serving, filling := set.New[pacing.Image](), set.New[pacing.Image]()
+	for _, active := range target.runs {
+		if active.step.Target > 0 {
+			serving.Add(pacing.Image(active.step.Image))
+		}
+	}
+	for _, found := range book.open {
+		for position := range found.job.Spec.Steps {
+			if step := &found.job.Spec.Steps[position]; step.Fills {
+				filling.Add(pacing.Image(step.Image))
+			}
+		}
+	}
+	var list []Disturbance
+	for _, victim := range set.Sorted(serving) {
+		for _, image := range set.Sorted(filling) {
+			list = append(list, Disturbance{Serving: victim, Filling: image, Rise: book.model.Weight(victim, image, now)})
+		}
+	}
+	return list
+}
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -23,6 +23,13 @@
 	starvedAfter = 8 * clock.Second
 	// farPenalty is what a worker off the data's rack costs against a share of free processors.
 	farPenalty = 0.5
+	// minSpeed is the share of its speed with which a filling task must be expected to work.
+	minSpeed = 0.5
+	// speedWeight makes the expected speed more important than the unused processors.
+	speedWeight = 2.0
+	// neighbourWeight is the worth of placing serving tasks beside those of the same image, which the
+	// same filling images disturb.
+	neighbourWeight = 0.5
 	// failedPenalty is what each failure of the same job on a worker costs.
 	failedPenalty = 1.0
 )
@@ -90,7 +97,7 @@
 				moving = true
 			}
 		}
-		if moving || len(stalled) < stalledRuns || target.Pace == 0 {
+		if moving || len(stalled) < stalledRuns {
 			continue
 		}
 		target.health.suspend(now)
@@ -231,6 +238,16 @@
 			continue
 		}
 		score := score(found, step, target)
+		if step.Fills {
+			speed := book.speed(step, target, now)
+			if speed < minSpeed && !starved {
+				continue
+			}
+			score += speed * speedWeight
+		}
+		if step.Standing {
+			score += neighbourWeight * neighbours(step, target)
+		}
 		if best == nil || score > bestScore || (score == bestScore && target.Incarnation < best.Incarnation) {
 			best, bestScore = target, score
 		}
@@ -248,7 +265,7 @@
 
 // hasIdle reports whether a filling task would find processors that nothing else uses.
 func hasIdle(step *workflow.Step, target *worker) bool {
-	idle := target.idle() * unit.MilliCPU(target.Pace) / 100
+	idle := target.idle()
 	return target.filling == 0 && idle > 0 || target.filling+step.Need.CPU <= idle
 }
 
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -26,8 +26,6 @@
 	Draining bool
 	// Remaining is the least time that a draining worker keeps running its tasks.
 	Remaining clock.Millis
-	// Pace is the share, in percent, that the agent lets filling tasks work.
-	Pace int
 }
 
 // worker is the scheduler's view of one incarnation.
@@ -56,6 +54,12 @@
 	// percent is the last reported progress, and movedAt the time at which it last changed.
 	percent int
 	movedAt clock.Time
+	// figure is the tail latency of a serving run in milliseconds, or the processor time that any other
+	// run uses, as listed at figureAt.
+	figure   int64
+	figureAt clock.Time
+	// slowed is by how many percent the agent slows the run down.
+	slowed int
 }
 
 func (target *worker) add(active *run) {
--- a/session/message.go
+++ b/session/message.go
@@ -38,8 +38,6 @@
 	Answering bool
 	// Lapsed reports that the worker's lease has certainly ended, and with it everything on it.
 	Lapsed bool `json:",omitempty"`
-	// Pace is the share in percent that filling tasks may work.
-	Pace int
 }
 
 // Progress describes an active run.
@@ -48,6 +46,11 @@
 	Run     workflow.Run
 	Saved   workflow.Checkpoint `json:",omitempty"`
 	Percent int                 `json:",omitempty"`
+	// Figure is the tail latency of a serving task in milliseconds, or the processor time that any other
+	// task uses in thousandths of a core.
+	Figure int64 `json:",omitempty"`
+	// Slowed is by how many percent the agent slows the run down.
+	Slowed int `json:",omitempty"`
 }
 
 // End describes the end of a run.
@@ -85,6 +88,15 @@
 	Incarnation string  `json:",omitempty"`
 	Starts      []Start `json:",omitempty"`
 	Stops       []Stop  `json:",omitempty"`
+	// Weights replaces what the agent knows about disturbances, unless empty.
+	Weights []Weight `json:",omitempty"`
+}
+
+// Weight tells by how much one core of a filling image raises the logarithm of a serving image's tail.
+type Weight struct {
+	Serving string
+	Filling string
+	Rise    float64
 }
 
 // Start orders a run. A run that is active already only takes the description.
@@ -95,9 +107,11 @@
 	Payload     string              `json:",omitempty"`
 	Saved       workflow.Checkpoint `json:",omitempty"`
 	Reserved    unit.Resources
-	Fills       bool         `json:",omitempty"`
-	Target      clock.Millis `json:",omitempty"`
-	Image       string       `json:",omitempty"`
+	Fills       bool `json:",omitempty"`
+	// CPU is what a filling task asks for.
+	CPU    unit.MilliCPU `json:",omitempty"`
+	Target clock.Millis  `json:",omitempty"`
+	Image  string        `json:",omitempty"`
 }
 
 // Stop orders the end of a run.
--- a/steward/link.go
+++ b/steward/link.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"hyssopjunction/clock"
+	"hyssopjunction/pacing"
 	"hyssopjunction/session"
 )
 
@@ -196,7 +197,6 @@
 		Incarnation: present.incarnation, Service: present.said.Service, DataCentre: present.said.DataCentre,
 		Labels: present.said.Labels, Capacity: present.said.Capacity, Draining: present.said.Draining,
 		Remaining: present.said.Remaining, Answering: present.silent < silentAfter, Lapsed: present.lapsed,
-		Pace: present.governor.Pace(),
 	}
 	if told.introduced != present.incarnation {
 		told.introduced, told.ends, told.listedAt, told.profile = present.incarnation, 0, 0, nil
@@ -217,9 +217,19 @@
 		told.listedAt, report.Listed = now, true
 		for _, item := range present.listing.Active {
 			report.Progress = append(report.Progress, session.Progress{
-				Task: item.Task, Run: item.Run, Saved: item.Saved, Percent: item.Percent,
+				Task: item.Task, Run: item.Run, Saved: item.Saved, Percent: item.Percent, Figure: item.Figure,
+				Slowed: present.slowed(item),
 			})
 		}
 	}
 	return report
 }
+
+// slowed returns by how many percent a run is slowed down.
+func (present *life) slowed(item Active) int {
+	known, ok := present.runs[runKey{item.Task, item.Run}]
+	if !ok {
+		return 0
+	}
+	return pacing.Full - known.paced
+}
--- a/steward/orders.go
+++ b/steward/orders.go
@@ -6,6 +6,7 @@
 
 	"k8s.io/klog/v2"
 
+	"hyssopjunction/pacing"
 	"hyssopjunction/session"
 )
 
@@ -18,6 +19,12 @@
 	if orders.Incarnation == present.incarnation {
 		present.recorded = max(present.recorded, orders.Recorded)
 	}
+	if len(orders.Weights) > 0 {
+		present.weights = map[[2]pacing.Image]float64{}
+		for _, weight := range orders.Weights {
+			present.weights[[2]pacing.Image{pacing.Image(weight.Serving), pacing.Image(weight.Filling)}] = weight.Rise
+		}
+	}
 	for _, order := range orders.Stops {
 		if order.Incarnation == present.incarnation {
 			agent.obeyStop(present, order)
@@ -51,7 +58,7 @@
 		agent.reject(present, order, "Room")
 		return
 	}
-	known := &run{order: order, phase: starting, paced: fullPace, described: true}
+	known := &run{order: order, phase: starting, paced: pacing.Full, described: true}
 	present.runs[key] = known
 	agent.carryOut(present, known)
 }
@@ -74,7 +81,7 @@
 				return
 			}
 		}
-		known = &run{order: session.Start{Task: order.Task, Run: order.Run}, paced: fullPace, described: true}
+		known = &run{order: session.Start{Task: order.Task, Run: order.Run}, paced: pacing.Full, described: true}
 		present.runs[key] = known
 	}
 	agent.abandon(present, known, "Stopped")
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -79,6 +79,7 @@
 	lapsed bool
 	// recorded is the number of the last end that is stored.
 	recorded int64
+	weights  map[[2]pacing.Image]float64
 	listing  Listing
 	gone     bool
 }
@@ -172,7 +173,7 @@
 	}
 	agent.life = &life{
 		said: said, incarnation: fmt.Sprintf("%s@%d@%s", said.Life.ID, said.Life.Born, agent.node),
-		governor: pacing.New(), runs: map[runKey]*run{},
+		governor: pacing.NewGovernor(), runs: map[runKey]*run{},
 	}
 	klog.InfoS("Worker announced", "Worker", agent.life.incarnation, "Service", said.Service, "CPU", int64(said.Capacity.CPU), "Labels", said.Labels)
 	agent.wake()
@@ -308,7 +309,7 @@
 		active[key] = struct{}{}
 		known, ok := present.runs[key]
 		if !ok {
-			present.runs[key] = &run{order: session.Start{Task: item.Task, Run: item.Run}, phase: started, paced: fullPace}
+			present.runs[key] = &run{order: session.Start{Task: item.Task, Run: item.Run}, phase: started, paced: pacing.Full}
 			continue
 		}
 		if known.phase == starting {
@@ -339,9 +340,6 @@
 	}
 }
 
-// fullPace is the pace of a run that was not slowed down.
-const fullPace = 100
-
 // reserved returns what the runs on the worker reserve.
 func (present *life) reserved() unit.Resources {
 	var total unit.Resources
@@ -354,24 +352,40 @@
 // govern paces filling tasks by the tails of those that serve.
 func (agent *Steward) govern(present *life) {
 	var serving []pacing.Serving
+	var filling []pacing.Filling
 	for _, item := range present.listing.Active {
-		if known, ok := present.runs[runKey{item.Task, item.Run}]; ok && known.order.Target > 0 {
-			serving = append(serving, pacing.Serving{Tail: clock.Millis(item.Figure), Target: known.order.Target})
+		known, ok := present.runs[runKey{item.Task, item.Run}]
+		switch {
+		case !ok:
+		case known.order.Target > 0:
+			serving = append(serving, pacing.Serving{
+				Task: item.Task, Image: pacing.Image(known.order.Image), Tail: clock.Millis(item.Figure), Target: known.order.Target,
+			})
+		case known.order.Fills:
+			filling = append(filling, pacing.Filling{
+				Task: item.Task, Image: pacing.Image(known.order.Image), Cores: float64(known.order.CPU) / milli, Used: float64(item.Figure) / milli,
+			})
 		}
 	}
-	before := present.governor.Pace()
-	pace := present.governor.Decide(serving, agent.clock.Now())
-	if pace != before {
-		klog.InfoS("Pace of filling tasks", "Worker", present.incarnation, "Percent", pace, "Serving", len(serving))
-		agent.wake()
-	}
+	present.governor.Decide(serving, filling, present.weight, agent.clock.Now())
 	for _, known := range present.runs {
-		if known.order.Fills && known.phase == started && known.paced != pace && !known.busy {
+		if pace := present.governor.Pace(known.order.Task); known.order.Fills && known.phase == started && known.paced != pace && !known.busy {
 			agent.repace(present, known, pace)
 		}
 	}
 }
 
+// milli converts thousandths.
+const milli = 1000
+
+// weight returns what the leader told about a pair of images, or a cautious assumption.
+func (present *life) weight(serving, filling pacing.Image) float64 {
+	if rise, ok := present.weights[[2]pacing.Image{serving, filling}]; ok {
+		return rise
+	}
+	return pacing.Prior
+}
+
 func lastNumber(ends []Ended) int64 {
 	if len(ends) == 0 {
 		return 0
