--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -23,6 +23,8 @@
 const (
 	// tick bounds the age of what the periodic checks see.
 	tick = 100 * clock.Millisecond
+	// countInterval is how often the tasks that wait are logged.
+	countInterval = 2 * clock.Second
 	// roundGap separates the transactions of the leader, so that a busy second takes at most 40 of the
 	// 200 transactions that one partition of the store applies.
 	roundGap = 25 * clock.Millisecond
@@ -82,6 +84,8 @@
 	waiting []func()
 	started clock.Time
 	out     set.Set[ident.DataCentre]
+	// countedAt is when waiting tasks were last counted.
+	countedAt clock.Time
 
 	shownMu sync.Mutex
 	shown   map[workflow.ID]workflow.State
@@ -198,6 +202,12 @@
 		leader.out = out
 		leader.book.SetOut(out)
 	}
+	if now.Sub(leader.countedAt) >= countInterval {
+		leader.countedAt = now
+		if waiting := leader.book.Waiting(now); waiting != (scheduler.Waiting{}) {
+			klog.InfoS("Tasks wait", "Quick", waiting.Quick, "Standing", waiting.Standing, "Filling", waiting.Filling, "Late", waiting.Late)
+		}
+	}
 	for node, last := range leader.granted {
 		if last.lapsed || now.Sub(last.at) <= election.WorkerTerm(leader.lease) {
 			continue
--- a/pacing/governor.go
+++ b/pacing/governor.go
@@ -26,7 +26,9 @@
 	// tighten and loosen change the trust at each decision. Three decisions over the target leave an
 	// eighth, within half of the time that a target may be exceeded.
 	tighten = 0.5
-	loosen  = 1.25
+	loosen  = 1.6
+	// leastTrust bounds the distrust, so that trust returns within three seconds.
+	leastTrust = 0.05
 	// doubt is the least weight of a filling image beside a task that is over its target.
 	doubt = 0.02
 )
@@ -91,7 +93,7 @@
 		}
 		switch ratio := task.ratio(); {
 		case ratio > alarm:
-			present *= tighten
+			present = math.Max(leastTrust, present*tighten)
 		case ratio < calm:
 			present = math.Min(1, present*loosen)
 		}
@@ -118,8 +120,7 @@
 	if wanted <= 0 {
 		return
 	}
-	undisturbed := math.Log(task.ratio()) - present
-	allowed := (math.Log(aim) - undisturbed) * trust
+	allowed := (math.Log(aim) - math.Log(task.ratio()) + present) * trust
 	if wanted <= allowed && trust >= 1 {
 		return
 	}
@@ -132,11 +133,21 @@
 	}
 }
 
-// Room returns how many cores of the filling image the serving task stands, given the expected rise
-// of the logarithm of its tail by tasks that its figure does not show yet.
-func Room(task Serving, weight, pending float64) float64 {
+// Undisturbed returns the logarithm of the share of its target that the task's tail would have
+// without the filling tasks beside it.
+func Undisturbed(task Serving, filling []Filling, weights Weights) float64 {
+	rise := 0.0
+	for _, other := range filling {
+		rise += weights(task.Image, other.Image) * other.Used
+	}
+	return math.Log(task.ratio()) - rise
+}
+
+// Room returns how many cores of a filling image of the weight a serving task stands whose undisturbed
+// tail and whose rise by other filling tasks are given as logarithms.
+func Room(undisturbed, rise, weight float64) float64 {
 	if weight <= 0 {
 		return math.Inf(1)
 	}
-	return math.Max(0, (math.Log(aim)-math.Log(task.ratio())-pending)/weight)
+	return math.Max(0, (math.Log(aim)-undisturbed-rise)/weight)
 }
--- a/scheduler/book.go
+++ b/scheduler/book.go
@@ -57,6 +57,8 @@
 	out     set.Set[ident.DataCentre]
 	stirred bool
 	model   *pacing.Model
+	// movedAt is when runs were last moved to faster workers.
+	movedAt clock.Time
 }
 
 // entry is a job with what the scheduler remembers about it.
@@ -249,6 +251,12 @@
 			continue
 		}
 		active.figure, active.figureAt, active.slowed = item.Figure, now, item.Slowed
+		switch {
+		case item.Slowed < crawling:
+			active.crawlingSince = 0
+		case active.crawlingSince == 0:
+			active.crawlingSince = now
+		}
 		if item.Percent != active.percent || item.Slowed > maxStallSlowed {
 			active.percent, active.movedAt = item.Percent, now
 		}
@@ -401,3 +409,29 @@
 	slices.Sort(others)
 	return others
 }
+
+// sortedWorkers returns the incarnations of the workers in a reproducible order.
+func (book *Book) sortedWorkers() []Incarnation { return set.SortedKeys(book.workers) }
+
+// Waiting counts the tasks whose turn has come and that have no run, by what they are.
+type Waiting struct {
+	Quick, Standing, Filling, Late int
+}
+
+// Waiting returns the counts at a time.
+func (book *Book) Waiting(now clock.Time) Waiting {
+	var counts Waiting
+	for _, item := range book.candidates(now) {
+		switch item.rank {
+		case rankQuick:
+			counts.Quick += len(item.waiting)
+		case rankStanding:
+			counts.Standing += len(item.waiting)
+		case rankFill:
+			counts.Filling += len(item.waiting)
+		default:
+			counts.Late += len(item.waiting)
+		}
+	}
+	return counts
+}
--- a/scheduler/interference.go
+++ b/scheduler/interference.go
@@ -6,19 +6,40 @@
 	"hyssopjunction/clock"
 	"hyssopjunction/pacing"
 	"hyssopjunction/set"
-	"hyssopjunction/unit"
 	"hyssopjunction/workflow"
 )
 
 // milli converts thousandths.
 const milli = 1000
 
-// observe lets the model learn from a worker's newest listing.
+// baseDecay is by how much the remembered peak of an undisturbed tail falls in a second, as a logarithm.
+// The load of serving tasks swings within 10 to 20 s by a factor of about three.
+const baseDecay = 0.08
+
+// observe lets the model learn from a worker's newest listing and updates the tails that its serving
+// runs would have undisturbed.
 func (book *Book) observe(target *worker, now clock.Time) {
 	serving, filling := samples(target)
-	if len(serving) > 0 {
-		book.model.Observe(serving, filling, now)
+	if len(serving) == 0 {
+		return
 	}
+	book.model.Observe(serving, filling, now)
+	for _, active := range target.runs {
+		if active.step.Target == 0 || active.figure == 0 {
+			continue
+		}
+		tail := pacing.Undisturbed(newServing(active), filling, book.weights(now))
+		decayed := active.base - baseDecay*float64(now.Sub(active.baseAt))/float64(clock.Second)
+		if active.baseAt == 0 || tail > decayed {
+			decayed = tail
+		}
+		active.base, active.baseAt = decayed, now
+	}
+}
+
+// weights returns what the model knows at the time.
+func (book *Book) weights(now clock.Time) pacing.Weights {
+	return func(serving, filling pacing.Image) float64 { return book.model.Weight(serving, filling, now) }
 }
 
 // samples returns the figures of the serving and the filling runs on a worker.
@@ -47,37 +68,28 @@
 }
 
 // speed returns the share of its speed with which a filling task could work on a worker without
-// bringing a serving task there near its target.
-func (book *Book) speed(step *workflow.Step, target *worker, now clock.Time) float64 {
+// bringing a serving task there near its target. Runs of the task's own are left out.
+func (book *Book) speed(step *workflow.Step, target *worker, own *run, now clock.Time) float64 {
 	cores := float64(step.Need.CPU) / milli
 	if cores <= 0 {
 		return 1
 	}
+	weights := book.weights(now)
 	share := 1.0
 	for _, active := range target.runs {
-		if active.step.Target == 0 || active.figure == 0 {
+		if active.step.Target == 0 || active.baseAt == 0 {
 			continue
 		}
-		weight := book.model.Weight(pacing.Image(active.step.Image), pacing.Image(step.Image), now)
-		share = math.Min(share, pacing.Room(newServing(active), weight, book.pending(active, target, now))/cores)
-	}
-	return share
-}
-
-// pending returns the expected rise of a serving run's tail by filling runs that its figure does not
-// show yet, or not at their full pace.
-func (book *Book) pending(serving *run, target *worker, now clock.Time) float64 {
-	rise := 0.0
-	for _, other := range target.runs {
-		if !other.step.Fills {
-			continue
-		}
-		missing := float64(other.step.Need.CPU-unit.MilliCPU(other.figure)) / milli
-		if missing > 0 {
-			rise += missing * book.model.Weight(pacing.Image(serving.step.Image), pacing.Image(other.step.Image), now)
+		serving := pacing.Image(active.step.Image)
+		rise := 0.0
+		for _, other := range target.runs {
+			if other.step.Fills && other != own {
+				rise += weights(serving, pacing.Image(other.step.Image)) * float64(other.step.Need.CPU) / milli
+			}
 		}
+		share = math.Min(share, pacing.Room(active.base, rise, weights(serving, pacing.Image(step.Image)))/cores)
 	}
-	return rise
+	return share
 }
 
 // neighbours returns the share of a worker's serving tasks that have the same image, less that of the
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -19,7 +19,7 @@
 	// lateFactor times the objective is the age at which a job is worth nothing more.
 	lateFactor = 3
 	// starvedAfter is the time without an active run after which a filling task may share processors
-	// that are taken.
+	// that are taken, while less than half of the service's processors are reserved.
 	starvedAfter = 8 * clock.Second
 	// farPenalty is what a worker off the data's rack costs against a share of free processors.
 	farPenalty = 0.5
@@ -62,6 +62,7 @@
 		}
 	}
 	book.relieve(now)
+	book.move(now)
 	if !book.stirred {
 		return
 	}
@@ -165,7 +166,7 @@
 		book.serveGang(waiting, now)
 		return
 	}
-	starved := step.Fills && waiting.found.active == 0 && now.Sub(waiting.found.idleSince) > starvedAfter
+	starved := step.Fills && waiting.found.active == 0 && now.Sub(waiting.found.idleSince) > starvedAfter && book.slack(job.Spec.Service)
 	key := blockKey{need: step.Need, fills: step.Fills, starved: starved, service: job.Spec.Service}
 	for _, index := range waiting.waiting {
 		if step.PerWorker == 0 && step.Label == "" && blocked[key] {
@@ -239,7 +240,7 @@
 		}
 		score := score(found, step, target)
 		if step.Fills {
-			speed := book.speed(step, target, now)
+			speed := book.speed(step, target, nil, now)
 			if speed < minSpeed && !starved {
 				continue
 			}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -58,8 +58,14 @@
 	// run uses, as listed at figureAt.
 	figure   int64
 	figureAt clock.Time
+	// base is the logarithm of the share of its target that the tail of a serving run reached lately
+	// without the filling runs beside it.
+	base   float64
+	baseAt clock.Time
 	// slowed is by how many percent the agent slows the run down.
 	slowed int
+	// crawlingSince is when a filling run began to be slowed down much, or 0.
+	crawlingSince clock.Time
 }
 
 func (target *worker) add(active *run) {
