End the trial of a suspended worker beside standing tasks, and look at waiting tasks regularly

A worker in its trial got nothing while anything ran on it, and standing tasks run for ever; besides, the end of a suspension did not cause a new plan.

Change: only runs placed after the suspension count in a trial; waiting tasks are looked at every 250 ms.

--- a/scheduler/book.go
+++ b/scheduler/book.go
@@ -57,6 +57,8 @@
 	out     set.Set[ident.DataCentre]
 	stirred bool
 	model   *pacing.Model
+	// plannedAt is when waiting tasks were last looked at.
+	plannedAt clock.Time
 	// movedAt is when runs were last moved to faster workers.
 	movedAt clock.Time
 }
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -55,10 +55,21 @@
 	judged.until, judged.trial, judged.failed = now.Add(judged.term), true, nil
 }
 
-// allows reports whether a worker with active runs may get another one.
-func (judged *health) allows(active int, now clock.Time) bool {
+// allows reports whether the worker may get another run. During a trial, one run at a time that was
+// placed after the suspension shows whether the worker is sound; standing tasks show nothing by
+// running, so they do not count.
+func (target *worker) allows(now clock.Time) bool {
+	judged := &target.health
 	if now.Before(judged.until) {
 		return false
 	}
-	return !judged.trial || active == 0
+	if !judged.trial {
+		return true
+	}
+	for _, active := range target.runs {
+		if !active.step.Standing && !active.placedAt.Before(judged.until) {
+			return false
+		}
+	}
+	return true
 }
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -21,6 +21,9 @@
 	// starvedAfter is the time without an active run after which a filling task may share processors
 	// that are taken, while less than half of the service's processors are reserved.
 	starvedAfter = 8 * clock.Second
+	// replan is how often waiting tasks are looked at although no event concerned them: suspensions end,
+	// and tails fall.
+	replan = 250 * clock.Millisecond
 	// farPenalty is what a worker off the data's rack costs against a share of free processors.
 	farPenalty = 0.5
 	// minSpeed is the share of its speed with which a filling task must be expected to work.
@@ -63,10 +66,10 @@
 	}
 	book.relieve(now)
 	book.move(now)
-	if !book.stirred {
+	if !book.stirred && now.Sub(book.plannedAt) < replan {
 		return
 	}
-	book.stirred = false
+	book.stirred, book.plannedAt = false, now
 	// A step that found no room shows that equal or larger tasks find none either.
 	blocked := map[blockKey]bool{}
 	for _, waiting := range book.candidates(now) {
@@ -229,7 +232,7 @@
 	bestScore := 0.0
 	for _, target := range book.workers {
 		if !target.suits(step, found.job.Spec.Service) || book.out.Has(target.DataCentre) ||
-			!target.health.allows(len(target.runs), now) || !target.admits(step, headroom(step, target)) {
+			!target.allows(now) || !target.admits(step, headroom(step, target)) {
 			continue
 		}
 		if step.PerWorker > 0 && target.count(name) >= step.PerWorker {
