--- a/cmd/cluster.go
+++ b/cmd/cluster.go
@@ -155,13 +155,14 @@
 	keeper := leadership.New(coordinator.Dependencies{
 		Store: service, Clock: source, TimeOfDay: func() int64 { return time.Now().UnixMilli() }, Out: follower.Out,
 	}, settings.Node, settings.Session(settings.Address), settings.Lease)
-	server := session.NewServer(keeper)
-	serveSessions(server, sessions)
 	callers, err := net.Listen("tcp", settings.Callers)
 	if err != nil {
 		return err
 	}
-	jobs := intake.New(service, source, keeper.Questions())
+	peers := leadership.NewPeers(settings.Session(settings.Address), sessionAddresses(settings))
+	jobs := intake.New(service, source, keeper.Questions(), peers)
+	server := session.NewServer(leadership.NewHandler(keeper, jobs.Store))
+	serveSessions(server, sessions)
 	front := &http.Server{
 		Handler:           platform.NewIngress(follower.Config, jobs),
 		ReadHeaderTimeout: (3 * clock.Second).Duration(), IdleTimeout: (30 * clock.Second).Duration(),
@@ -194,6 +195,7 @@
 		err := front.Shutdown(bounded)
 		server.Stop()
 		follower.Close()
+		peers.Close()
 		service.Close()
 		klog.InfoS("Stopped")
 		return err
--- a/coordinator/agents.go
+++ b/coordinator/agents.go
@@ -154,6 +154,7 @@
 	orders := &session.Orders{
 		Sequence: agent.sequence, Lease: leader.lease, Recorded: agent.recorded, Incarnation: string(agent.incarnation),
 	}
+	orders.Doubtful = now.After(clock.Time(leader.validUntil.Load()))
 	if now.Sub(agent.advisedAt) >= adviceInterval {
 		agent.advisedAt = now
 		for _, known := range leader.book.Disturbances(agent.incarnation, now) {
--- a/election/election.go
+++ b/election/election.go
@@ -13,11 +13,11 @@
 // Times of leadership. A leader acts until Lease after it sent its last successful renewal; others
 // wait longer than that after they saw the renewal.
 const (
-	// Lease is half of the shortest worker lease in use (6 s), so that a new leader renews the workers'
-	// leases before they end.
-	Lease = 3 * clock.Second
-	// Renewal leaves two attempts within the lease.
-	Renewal = clock.Second
+	// Lease is less than half of the shortest worker lease in use (6 s), so that a new leader renews the
+	// workers' leases before they end.
+	Lease = 2500 * clock.Millisecond
+	// Renewal leaves three attempts within the lease.
+	Renewal = 700 * clock.Millisecond
 	// Poll is how often an entry that does not lead reads the rows.
 	Poll = 400 * clock.Millisecond
 	// Extension is how long a leader that cannot renew goes on granting worker leases. It bridges
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -5,10 +5,12 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 
 	"k8s.io/klog/v2"
 
 	"hyssopjunction/clock"
+	"hyssopjunction/session"
 	"hyssopjunction/store"
 	"hyssopjunction/workflow"
 )
@@ -17,6 +19,13 @@
 // seconds, and callers have 3 s.
 const retryAfter = clock.Second
 
+const (
+	// ownAttempt bounds this entry's attempt to store. The rest of the callers' 3 s is for other entries.
+	ownAttempt = 1300 * clock.Millisecond
+	// cutOffMemory is how long after a failure other entries are asked first.
+	cutOffMemory = 1500 * clock.Millisecond
+)
+
 // Leader answers questions about jobs from the leader's memory. Its errors mean that it cannot be
 // asked; they are of any type.
 type Leader interface {
@@ -26,16 +35,25 @@
 	Pending(ctx context.Context, queue workflow.Queue) (int, error)
 }
 
+// Peers are other entries, which may reach the store when this one does not.
+type Peers interface {
+	// Store asks them in turn until one decides. The outcome is session.Refused if none could be asked.
+	Store(ctx context.Context, request *session.StoreRequest) session.StoreReply
+}
+
 // Intake serves callers' calls. It is safe for concurrent use.
 type Intake struct {
 	store  store.Store
 	clock  clock.Clock
 	leader Leader
+	peers  Peers
+	// failedAt is when the store last failed to answer, or 0 if it answered since.
+	failedAt atomic.Int64
 }
 
 // New returns an Intake.
-func New(service store.Store, source clock.Clock, leader Leader) *Intake {
-	return &Intake{store: service, clock: source, leader: leader}
+func New(service store.Store, source clock.Clock, leader Leader, peers Peers) *Intake {
+	return &Intake{store: service, clock: source, leader: leader, peers: peers}
 }
 
 // Submit stores a job. A job with the same id that is stored already counts as this one. Errors:
@@ -49,33 +67,70 @@
 	if err != nil {
 		return err
 	}
-	row := ref(Submission, spec.ID)
-	_, err = store.Settle(ctx, intake.store, intake.clock, store.Tx{
-		Conditions: []store.Condition{{Ref: row}}, Puts: []store.Put{{Ref: row, Value: value}},
-	})
-	outcome := outcomeOf(err)
-	klog.InfoS("Job submitted", "Job", spec.ID, "Queue", spec.Queue, "Steps", len(spec.Steps), "Outcome", outcome)
-	switch outcome {
-	case "stored", "repeated":
+	reply := intake.decide(ctx, &session.StoreRequest{ID: spec.ID, Spec: value})
+	klog.InfoS("Job submitted", "Job", spec.ID, "Queue", spec.Queue, "Steps", len(spec.Steps), "Outcome", reply.Outcome, "Reason", reply.Reason)
+	switch reply.Outcome {
+	case session.Stored:
 		return nil
-	case "refused":
-		return ErrNotAccepted{Reason: err.Error(), RetryAfter: retryAfter}
+	case session.Refused:
+		return ErrNotAccepted{Reason: reply.Reason, RetryAfter: retryAfter}
 	default:
-		return ErrUndecided{Reason: err.Error()}
+		return ErrUndecided{Reason: reply.Reason}
+	}
+}
+
+// decide stores what a caller wants, by way of another entry if this one does not reach the store.
+func (intake *Intake) decide(ctx context.Context, request *session.StoreRequest) session.StoreReply {
+	own := session.StoreReply{Outcome: session.Refused, Reason: "the store did not answer lately"}
+	if !intake.isCutOff() {
+		bounded, cancel := context.WithTimeout(ctx, ownAttempt.Duration())
+		own = intake.Store(bounded, request)
+		cancel()
+		if own.Outcome == session.Stored || own.Outcome == session.Missing {
+			return own
+		}
+	}
+	reply := intake.peers.Store(ctx, request)
+	if reply.Outcome == session.Refused && own.Outcome == session.Undecided {
+		return own // The own attempt may still take effect.
 	}
+	return reply
 }
 
-// outcomeOf names the outcome of storing a row that must not exist.
-func outcomeOf(err error) string {
+// isCutOff reports whether the store failed to answer a moment ago.
+func (intake *Intake) isCutOff() bool {
+	failed := clock.Time(intake.failedAt.Load())
+	return failed != 0 && intake.clock.Now().Sub(failed) < cutOffMemory
+}
+
+// Store stores what a caller of this or another entry wants.
+func (intake *Intake) Store(ctx context.Context, request *session.StoreRequest) session.StoreReply {
+	kind, value := Submission, []byte(request.Spec)
+	if request.Cancel {
+		kind, value = Cancellation, []byte("{}")
+		submission, err := intake.read(ctx, ref(Submission, request.ID))
+		if err != nil {
+			intake.failedAt.Store(int64(intake.clock.Now()))
+			return session.StoreReply{Outcome: session.Refused, Reason: err.Error()}
+		}
+		if submission.Version == 0 {
+			return session.StoreReply{Outcome: session.Missing}
+		}
+	}
+	row := ref(kind, request.ID)
+	_, err := store.Settle(ctx, intake.store, intake.clock, store.Tx{
+		Conditions: []store.Condition{{Ref: row}}, Puts: []store.Put{{Ref: row, Value: value}},
+	})
 	switch {
-	case err == nil:
-		return "stored"
-	case errors.As(err, new(store.ErrConflict)):
-		return "repeated"
+	case err == nil || errors.As(err, new(store.ErrConflict)):
+		intake.failedAt.Store(0)
+		return session.StoreReply{Outcome: session.Stored}
 	case store.IsErrUnavailable(err):
-		return "refused"
+		intake.failedAt.Store(int64(intake.clock.Now()))
+		return session.StoreReply{Outcome: session.Refused, Reason: err.Error()}
 	default:
-		return "undecided"
+		intake.failedAt.Store(int64(intake.clock.Now()))
+		return session.StoreReply{Outcome: session.Undecided, Reason: err.Error()}
 	}
 }
 
@@ -126,26 +181,17 @@
 
 // Cancel stores the cancellation of a job. Errors: ErrNoJob, ErrNoAnswer, ErrUndecided.
 func (intake *Intake) Cancel(ctx context.Context, id workflow.ID) error {
-	submission, err := intake.read(ctx, ref(Submission, id))
-	if err != nil {
-		return err
-	}
-	if submission.Version == 0 {
-		return ErrNoJob{ID: id}
-	}
-	row := ref(Cancellation, id)
-	_, err = store.Settle(ctx, intake.store, intake.clock, store.Tx{
-		Conditions: []store.Condition{{Ref: row}}, Puts: []store.Put{{Ref: row, Value: []byte("{}")}},
-	})
-	outcome := outcomeOf(err)
-	klog.InfoS("Cancellation", "Job", id, "Outcome", outcome)
-	switch outcome {
-	case "stored", "repeated":
+	reply := intake.decide(ctx, &session.StoreRequest{ID: id, Cancel: true})
+	klog.InfoS("Cancellation", "Job", id, "Outcome", reply.Outcome, "Reason", reply.Reason)
+	switch reply.Outcome {
+	case session.Stored:
 		return nil
-	case "refused":
-		return ErrNoAnswer{Reason: err.Error(), RetryAfter: retryAfter}
+	case session.Missing:
+		return ErrNoJob{ID: id}
+	case session.Refused:
+		return ErrNoAnswer{Reason: reply.Reason, RetryAfter: retryAfter}
 	default:
-		return ErrUndecided{Reason: err.Error()}
+		return ErrUndecided{Reason: reply.Reason}
 	}
 }
 
--- a/leadership/directory.go
+++ b/leadership/directory.go
@@ -4,7 +4,10 @@
 	"context"
 	"sync/atomic"
 
+	"k8s.io/klog/v2"
+
 	"hyssopjunction/election"
+	"hyssopjunction/session"
 	"hyssopjunction/store"
 )
 
@@ -54,6 +57,42 @@
 	return reading.Term.Address, nil
 }
 
+// Later asks all seeds at the same time for the leader of a later term than the given one.
+func (directory *Directory) Later(ctx context.Context, term int64) (string, bool) {
+	bounded, cancel := context.WithTimeout(ctx, askTimeout.Duration())
+	defer cancel()
+	seeds := *directory.seeds.Load()
+	replies := make(chan session.LeaderReply, len(seeds))
+	for _, seed := range seeds {
+		go func() {
+			reply, err := askLeader(bounded, seed)
+			if err != nil {
+				klog.V(1).InfoS("Entry not asked for the leader", "Address", seed, "Reason", err.Error())
+			}
+			replies <- reply
+		}()
+	}
+	for range seeds {
+		if reply := <-replies; reply.Term > term && reply.Address != "" {
+			return reply.Address, true
+		}
+	}
+	return "", false
+}
+
+func askLeader(ctx context.Context, address string) (session.LeaderReply, error) {
+	client, err := session.Dial(address)
+	if err != nil {
+		return session.LeaderReply{}, err
+	}
+	defer func() { _ = client.Close() }()
+	reply, err := client.Leader(ctx)
+	if err != nil {
+		return session.LeaderReply{}, err
+	}
+	return *reply, nil
+}
+
 // ErrNoLeader reports a cluster that never had a leader.
 type ErrNoLeader struct{}
 
--- a/leadership/keeper.go
+++ b/leadership/keeper.go
@@ -194,6 +194,15 @@
 	return &session.PendingReply{Count: count}, nil
 }
 
+// Leader serves other daemons.
+func (keeper *Keeper) Leader(context.Context, *session.LeaderRequest) (*session.LeaderReply, error) {
+	term := keeper.leader.Load()
+	if term == nil {
+		return &session.LeaderReply{}, nil
+	}
+	return &session.LeaderReply{Term: term.Number, Address: term.Address}, nil
+}
+
 // Questions asks whoever leads. It implements what package intake needs.
 type Questions struct {
 	keeper *Keeper
--- a/pacing/governor.go
+++ b/pacing/governor.go
@@ -10,7 +10,7 @@
 const (
 	// aim is the share of the target that tails are kept at. The rest is for the swing of the load
 	// between two figures.
-	aim = 0.8
+	aim = 0.6
 	// Full is the pace, in percent, of a task that is not slowed down.
 	Full = 100
 	// floor is the pace below which a task stands still.
--- a/pacing/model.go
+++ b/pacing/model.go
@@ -32,9 +32,9 @@
 	resolve = clock.Second
 	// saturated is the share of the target above which a tail is due to the own load of its task.
 	saturated = 1.5
-	// outlier bounds how far a difference may lie from what is expected, as a logarithm: about twice the
-	// noise of figures. The own load of a serving task near its limit moves its tail by more.
-	outlier = 0.5
+	// outlier bounds how far a difference may lie from what is expected, as a logarithm: that of 3 cores of a
+	// heavy image. The own load of a serving task near its limit moves its tail by more.
+	outlier = 0.9
 	// harmless is the weight below which a filling image counts as not disturbing: 8 cores of it raise a
 	// tail by 15 percent.
 	harmless = 0.018
--- a/scheduler/interference.go
+++ b/scheduler/interference.go
@@ -14,7 +14,7 @@
 
 // baseDecay is by how much the remembered peak of an undisturbed tail falls in a second, as a logarithm.
 // The load of serving tasks swings within 10 to 20 s by a factor of about three.
-const baseDecay = 0.08
+const baseDecay = 0.15
 
 // observe lets the model learn from a worker's newest listing and updates the tails that its serving
 // runs would have undisturbed.
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -47,7 +47,9 @@
 	step       int
 	rank       int
 	latest     clock.Time
-	waiting    []int
+	// work is the remaining work of the job in thousandths of a core times milliseconds.
+	work    int64
+	waiting []int
 }
 
 // Ranks of candidates, in the order in which they are served.
@@ -145,7 +147,7 @@
 		}
 	}
 	slices.SortFunc(list, func(left, right candidate) int {
-		return cmp.Or(cmp.Compare(left.rank, right.rank), cmp.Compare(left.latest, right.latest),
+		return cmp.Or(cmp.Compare(left.rank, right.rank), cmp.Compare(left.work, right.work), cmp.Compare(left.latest, right.latest),
 			strings.Compare(string(left.found.job.Spec.ID), string(right.found.job.Spec.ID)), cmp.Compare(left.step, right.step))
 	})
 	return list
@@ -163,7 +165,7 @@
 	case !shape.Fills && spec.Policy.Priority == 0:
 		added.rank = rankQuick
 	case spec.Repetitions > 0 || !now.After(latest):
-		added.rank = rankFill
+		added.rank, added.work = rankFill, found.job.RemainingWork(occurrence)
 	case now.Sub(begin) < lateFactor*objective:
 		added.rank = rankLate
 	default:
--- a/session/client.go
+++ b/session/client.go
@@ -79,6 +79,16 @@
 	return invoke[PendingReply](ctx, client, pendingMethod, request)
 }
 
+// Leader asks who leads. Error: that of the connection.
+func (client *Client) Leader(ctx context.Context) (*LeaderReply, error) {
+	return invoke[LeaderReply](ctx, client, leaderMethod, &LeaderRequest{})
+}
+
+// Store asks the entry to store what a caller wants. Error: that of the connection.
+func (client *Client) Store(ctx context.Context, request *StoreRequest) (*StoreReply, error) {
+	return invoke[StoreReply](ctx, client, storeMethod, request)
+}
+
 func invoke[Reply any](ctx context.Context, client *Client, name string, request any) (*Reply, error) {
 	reply := new(Reply)
 	err := client.connection.Invoke(ctx, method(name), request, reply)
--- a/session/message.go
+++ b/session/message.go
@@ -2,6 +2,8 @@
 package session
 
 import (
+	"encoding/json"
+
 	"hyssopjunction/clock"
 	"hyssopjunction/ident"
 	"hyssopjunction/unit"
@@ -79,6 +81,8 @@
 	Term int64
 	// Redirect is the address of the leader, set by an entry that does not lead. Nothing else is set then.
 	Redirect string `json:",omitempty"`
+	// Doubtful reports that the leader could not renew its term, so that another entry may lead.
+	Doubtful bool `json:",omitempty"`
 	// Sequence is the newest report that arrived. It grants the worker's lease for Lease from the
 	// moment at which the agent sent that report.
 	Sequence uint64       `json:",omitempty"`
@@ -132,6 +136,44 @@
 	State workflow.State
 }
 
+// LeaderRequest asks who leads.
+type LeaderRequest struct{}
+
+// LeaderReply tells the newest term that an entry knows, and where its leader serves sessions.
+type LeaderReply struct {
+	Term    int64
+	Address string
+}
+
+// StoreRequest asks an entry to store what a caller wants, because the asking one does not reach the
+// store. Cancel asks for the job's cancellation, otherwise Spec is submitted.
+type StoreRequest struct {
+	ID     workflow.ID
+	Cancel bool            `json:",omitempty"`
+	Spec   json.RawMessage `json:",omitempty"`
+}
+
+// StoreReply tells the outcome.
+type StoreReply struct {
+	Outcome Outcome
+	Reason  string `json:",omitempty"`
+}
+
+// Outcome is the outcome of storing.
+type Outcome string
+
+// Outcomes of storing.
+const (
+	// Stored: it lies in the store, from now on or from before.
+	Stored Outcome = "Stored"
+	// Refused: it was not stored by this call.
+	Refused Outcome = "Refused"
+	// Missing: there is no such job.
+	Missing Outcome = "Missing"
+	// Undecided: it may have been stored.
+	Undecided Outcome = "Undecided"
+)
+
 // PendingRequest asks how many jobs of a queue have not started.
 type PendingRequest struct {
 	Queue workflow.Queue
--- a/session/server.go
+++ b/session/server.go
@@ -16,6 +16,8 @@
 	attendMethod  = "Attend"
 	stateMethod   = "State"
 	pendingMethod = "Pending"
+	leaderMethod  = "Leader"
+	storeMethod   = "Store"
 )
 
 // Stream is the leader's side of an agent's session.
@@ -33,6 +35,8 @@
 	// State and Pending return ErrNotLeading where the answer is not known.
 	State(ctx context.Context, request *StateRequest) (*StateReply, error)
 	Pending(ctx context.Context, request *PendingRequest) (*PendingReply, error)
+	Leader(ctx context.Context, request *LeaderRequest) (*LeaderReply, error)
+	Store(ctx context.Context, request *StoreRequest) (*StoreReply, error)
 }
 
 // ErrNotLeading reports that a daemon does not lead, or not any more.
@@ -56,6 +60,8 @@
 		Methods: []grpc.MethodDesc{
 			{MethodName: stateMethod, Handler: unary(Handler.State)},
 			{MethodName: pendingMethod, Handler: unary(Handler.Pending)},
+			{MethodName: leaderMethod, Handler: unary(Handler.Leader)},
+			{MethodName: storeMethod, Handler: unary(Handler.Store)},
 		},
 		Streams: []grpc.StreamDesc{{
 			StreamName: attendMethod, ServerStreams: true, ClientStreams: true,
--- a/steward/link.go
+++ b/steward/link.go
@@ -29,6 +29,8 @@
 type Directory interface {
 	// Next returns the address of an entry that may lead. Redirect is what the last one said, or empty.
 	Next(ctx context.Context, redirect string) (string, error)
+	// Later returns the address of the leader of a later term than the given one, if an entry knows it.
+	Later(ctx context.Context, term int64) (string, bool)
 }
 
 // link is the state of the session with the leader. It belongs to the control loop.
@@ -56,7 +58,7 @@
 				agent.pause(findPause)
 				continue
 			}
-			redirect = agent.attend(address)
+			redirect = agent.attend(directory, address)
 			if redirect == "" {
 				agent.pause(findPause)
 			}
@@ -65,7 +67,7 @@
 }
 
 // attend holds a session with the entry at the address and returns where it redirects to.
-func (agent *Steward) attend(address string) string {
+func (agent *Steward) attend(directory Directory, address string) string {
 	client, err := session.Dial(address)
 	if err != nil {
 		klog.ErrorS(err, "Session not opened")
@@ -95,7 +97,7 @@
 			}
 		}
 	})
-	return agent.converse(ctx, address, stream, incoming)
+	return agent.converse(ctx, directory, address, stream, incoming)
 }
 
 // open opens the stream and gives up after the time of silence.
@@ -113,10 +115,14 @@
 }
 
 // converse reports and takes orders until the session ends or falls silent.
-func (agent *Steward) converse(ctx context.Context, address string, stream *session.AgentStream, incoming <-chan *session.Orders) string {
+func (agent *Steward) converse(ctx context.Context, directory Directory, address string,
+	stream *session.AgentStream, incoming <-chan *session.Orders,
+) string {
 	heard := agent.clock.Now()
 	timer := agent.clock.After(0)
 	term := int64(0)
+	later := make(chan string, 1)
+	searching := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -135,11 +141,22 @@
 				klog.InfoS("Orders of an earlier leader refused", "Address", address, "Term", orders.Term)
 				return ""
 			}
+			if orders.Doubtful && !searching {
+				searching = true
+				agent.background(func() { later <- agent.search(ctx, directory, orders.Term) })
+			}
 			if term == 0 {
 				term = orders.Term
 				klog.InfoS("Attached to the leader", "Address", address, "Term", term)
 			}
 			continue
+		case found := <-later:
+			if found != "" {
+				klog.InfoS("A later leader is known", "Address", found, "Term", term)
+				return found
+			}
+			searching = false
+			continue
 		case <-timer:
 			timer = agent.clock.After(reportInterval)
 		case <-agent.kick:
@@ -160,6 +177,16 @@
 	}
 }
 
+// search asks other entries for a later leader and returns its address, or nothing.
+func (agent *Steward) search(ctx context.Context, directory Directory, term int64) string {
+	found, ok := directory.Later(ctx, term)
+	if !ok {
+		agent.pause(findPause)
+		return ""
+	}
+	return found
+}
+
 // accept takes orders and returns false if a later leader is known.
 func (agent *Steward) accept(orders *session.Orders) bool {
 	if orders.Term < agent.grant.term {
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -280,3 +280,13 @@
 	}
 	return longest
 }
+
+// RemainingWork returns the processor time that the tasks that are not done ask for, in thousandths of a
+// core times milliseconds, by the submitter's estimates.
+func (job *Job) RemainingWork(occurrence *Occurrence) int64 {
+	work := int64(0)
+	for number, step := range job.Spec.Steps {
+		work += int64(occurrence.left[number]) * int64(step.Need.CPU) * int64(step.Estimate)
+	}
+	return work
+}
