--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -77,9 +77,12 @@
 	beat    election.Beat
 	// beatVersion is the version of the beat row.
 	beatVersion store.Version
-	writing     bool
-	renewedAt   clock.Time
-	wroteAt     clock.Time
+	// lessonVersion is the version of the row of lessons, stored last at lessonAt.
+	lessonVersion store.Version
+	lessonAt      clock.Time
+	writing       bool
+	renewedAt     clock.Time
+	wroteAt       clock.Time
 	// waiting holds what may be done once the state in the book is stored.
 	waiting []func()
 	started clock.Time
--- a/coordinator/inbox.go
+++ b/coordinator/inbox.go
@@ -33,11 +33,18 @@
 	if err != nil {
 		return 0, err
 	}
+	learned, err := leader.listAll(ctx, lessonTable)
+	if err != nil {
+		return 0, err
+	}
 	states := map[workflow.ID]store.Row{}
 	for _, row := range runs.Rows {
 		states[workflow.ID(row.Key)] = row
 	}
-	leader.loop.Call(func() { leader.receive(inbox.Rows, states) })
+	leader.loop.Call(func() {
+		leader.recall(learned.Rows)
+		leader.receive(inbox.Rows, states)
+	})
 	return inbox.Version, nil
 }
 
--- a/coordinator/write.go
+++ b/coordinator/write.go
@@ -50,6 +50,8 @@
 	tx     store.Tx
 	states map[workflow.ID]workflow.State
 	beat   bool
+	// lessons reports that the transaction stores what was learned.
+	lessons bool
 }
 
 // prepare returns the transactions of a round. Each depends on the term.
@@ -66,6 +68,14 @@
 		}
 		leader.beat = beat
 		current.tx, current.beat = tx, true
+		if now := leader.need.Clock.Now(); now.Sub(leader.lessonAt) >= lessonInterval {
+			leader.lessonAt = now
+			if learned, ok := leader.lessonsTx(now); ok {
+				current.tx.Conditions = append(current.tx.Conditions, learned.Conditions...)
+				current.tx.Puts = append(current.tx.Puts, learned.Puts...)
+				current.lessons = true
+			}
+		}
 	}
 	for _, job := range jobs {
 		value, err := workflow.EncodeState(job)
@@ -163,6 +173,9 @@
 	if item.beat {
 		leader.beatVersion, leader.renewedAt = version, sent
 	}
+	if item.lessons {
+		leader.lessonVersion = version
+	}
 	for id, state := range item.states {
 		leader.rows[id] = version
 		leader.show(id, state)
--- a/pacing/model.go
+++ b/pacing/model.go
@@ -24,6 +24,8 @@
 	// last half second; the own load of a serving task moves within seconds.
 	shortest = 800 * clock.Millisecond
 	longest  = 2500 * clock.Millisecond
+	// recalledWeight is the weight of a recalled lesson in squared cores.
+	recalledWeight = 20.0
 	// quiet is the change of use, in cores, below which a difference teaches nothing.
 	quiet = 0.1
 	// forget is the share of the evidence that is kept at each solution, one a second: half in a minute.
@@ -133,11 +135,7 @@
 	if len(changes) == 0 {
 		return
 	}
-	known, ok := model.images[image]
-	if !ok {
-		known = &evidence{products: map[[2]Image]float64{}, sums: map[Image]float64{}}
-		model.images[image] = known
-	}
+	known := model.evidence(image)
 	expected := 0.0
 	for filling, change := range changes {
 		expected += change * known.weight(filling)
@@ -152,6 +150,23 @@
 	known.fresh = true
 }
 
+// evidence returns what is known about a serving image, which may be nothing.
+func (model *Model) evidence(image Image) *evidence {
+	known, ok := model.images[image]
+	if !ok {
+		known = &evidence{products: map[[2]Image]float64{}, sums: map[Image]float64{}}
+		model.images[image] = known
+	}
+	return known
+}
+
+// refresh solves anew if there is evidence since the last solution.
+func (known *evidence) refresh(now clock.Time) {
+	if known.solution == nil || known.fresh && now.Sub(known.solvedAt) >= resolve {
+		known.solve(now)
+	}
+}
+
 // Weight returns the expected rise of the logarithm of the serving image's tail per core of the
 // filling image, or 0 if the filling image counts as harmless.
 func (model *Model) Weight(serving, filling Image, now clock.Time) float64 {
@@ -159,9 +174,7 @@
 	if !ok {
 		return Prior
 	}
-	if known.solution == nil || known.fresh && now.Sub(known.solvedAt) >= resolve {
-		known.solve(now)
-	}
+	known.refresh(now)
 	if weight := known.weight(filling); weight >= harmless {
 		return weight
 	}
@@ -226,3 +239,33 @@
 	}
 	return solution
 }
+
+// Lesson is what is known about a pair of images.
+type Lesson struct {
+	Serving Image
+	Filling Image
+	Weight  float64
+}
+
+// Lessons returns what was learned, in a reproducible order.
+func (model *Model) Lessons(now clock.Time) []Lesson {
+	var lessons []Lesson
+	for _, serving := range set.SortedKeys(model.images) {
+		known := model.images[serving]
+		known.refresh(now)
+		for _, filling := range set.SortedKeys(known.solution) {
+			lessons = append(lessons, Lesson{Serving: serving, Filling: filling, Weight: known.solution[filling]})
+		}
+	}
+	return lessons
+}
+
+// Recall starts a model from the lessons of an earlier one. They weigh as much as some seconds of evidence.
+func (model *Model) Recall(lessons []Lesson) {
+	for _, lesson := range lessons {
+		known := model.evidence(lesson.Serving)
+		known.products[[2]Image{lesson.Filling, lesson.Filling}] += recalledWeight
+		known.sums[lesson.Filling] += recalledWeight * lesson.Weight
+		known.fresh = true
+	}
+}
--- a/scheduler/interference.go
+++ b/scheduler/interference.go
@@ -145,3 +145,9 @@
 	}
 	return list
 }
+
+// Lessons returns what was learned about the disturbance of images.
+func (book *Book) Lessons(now clock.Time) []pacing.Lesson { return book.model.Lessons(now) }
+
+// Recall starts from the lessons of an earlier leader.
+func (book *Book) Recall(lessons []pacing.Lesson) { book.model.Recall(lessons) }
