Learn from every figure and from tails far over the target

Change: tails up to 6 times the target count, clipped as before; progress is told every half second.

--- a/pacing/model.go
+++ b/pacing/model.go
@@ -22,7 +22,7 @@
 	priorWeight = 6.0
 	// shortest and longest bound the time between the two samples of a difference. Figures are of the
 	// last half second; the own load of a serving task moves within seconds.
-	shortest = 800 * clock.Millisecond
+	shortest = 400 * clock.Millisecond
 	longest  = 2500 * clock.Millisecond
 	// recalledWeight is the weight of a recalled lesson in squared cores.
 	recalledWeight = 20.0
@@ -33,7 +33,7 @@
 	// resolve separates two solutions.
 	resolve = clock.Second
 	// saturated is the share of the target above which a tail is due to the own load of its task.
-	saturated = 1.5
+	saturated = 6
 	// outlier bounds how far a difference may lie from what is expected, as a logarithm: that of 3 cores of a
 	// heavy image. The own load of a serving task near its limit moves its tail by more.
 	outlier = 0.9
--- a/steward/link.go
+++ b/steward/link.go
@@ -15,8 +15,8 @@
 const (
 	// reportInterval is how often the lease is renewed. The lease outlasts a gap of its length less this.
 	reportInterval = 400 * clock.Millisecond
-	// listInterval is how often the progress of all runs is told.
-	listInterval = clock.Second
+	// listInterval is how often the progress of all runs is told: once per figure of the worker.
+	listInterval = 500 * clock.Millisecond
 	// silence is the time without orders after which a session counts as dead: more than three reports.
 	silence = 1500 * clock.Millisecond
 	// findPause separates attempts to find the leader.
