Arrange serving tasks so that those with the same sensitivities share workers

Ruled out: waste (stops of standing tasks cost nothing in the price of work thrown away), processors. Change: a pure rule counts the idle cores that filling tasks can use by image; standing tasks are placed where they cost least, and every 1.5 s the one whose move gains most (1.5 cores or more) is moved.

--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -71,6 +71,7 @@
 	}
 	book.relieve(now)
 	book.move(now)
+	book.arrange(now)
 	if !book.stirred && now.Sub(book.plannedAt) < replan {
 		return
 	}
@@ -263,7 +264,7 @@
 			score += speed * speedWeight
 		}
 		if step.Standing {
-			score += neighbourWeight * neighbours(step, target)
+			score += neighbourWeight*neighbours(step, target) - arrangeWeight*book.cost(step, target, now)
 		}
 		if best == nil || score > bestScore || (score == bestScore && target.Incarnation < best.Incarnation) {
 			best, bestScore = target, score
