Let the lease of a worker end that does not answer

Each unanswered call carried a new end of the lease and may have been carried out, so the agent never counted the lease as over and the leader kept the tasks there. Ruled out: missing capacity, suspensions (no standing task waited in the leader's log). Change: after two listings without an answer calls carry no new end of the lease, and starts wait. Tests of the agent against a worker in memory; TestSilentWorkerLapses failed first.

--- a/steward/orders.go
+++ b/steward/orders.go
@@ -145,7 +145,7 @@
 	switch known.phase {
 	case starting:
 		deadline := agent.deadline(present)
-		if deadline == 0 {
+		if deadline == 0 || present.silent >= silentAfter {
 			return nil, false
 		}
 		call := StartCall{
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -32,7 +32,8 @@
 	calls = 6
 	// startAttempts is how often a worker may answer that it did nothing before the run goes elsewhere.
 	startAttempts = 3
-	// silentAfter is the number of listings without an answer after which the worker gets no new runs.
+	// silentAfter is the number of listings without an answer after which the worker gets no new runs and
+	// its lease is not extended: any unanswered call may have been carried out.
 	silentAfter = 2
 )
 
@@ -237,7 +238,9 @@
 	if present.readAt == 0 {
 		call.Wait = 0 // The first call only reads the clock and what runs.
 	}
-	call.Deadline = agent.deadline(present)
+	if present.silent < silentAfter {
+		call.Deadline = agent.deadline(present)
+	}
 	if call.Deadline > 0 {
 		present.held = agent.clock.Now()
 	}
--- /dev/null
+++ b/steward/steward_test.go
@@ -0,0 +1,206 @@
+package steward
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/session"
+	"hyssopjunction/unit"
+	"hyssopjunction/workflow"
+)
+
+const (
+	testLease = 600 * clock.Millisecond
+	// patience bounds the wait for what must happen.
+	patience = 5 * time.Second
+)
+
+// fakeRuntime is a worker that keeps its runs in memory.
+type fakeRuntime struct {
+	mu     sync.Mutex
+	began  time.Time
+	silent bool
+	// lose lets that many starts be carried out without an answer.
+	lose   int
+	runs   map[runKey]bool
+	ended  []Ended
+	fenced map[runKey]bool
+	starts int
+}
+
+func newRuntime() *fakeRuntime {
+	return &fakeRuntime{began: time.Now(), runs: map[runKey]bool{}, fenced: map[runKey]bool{}}
+}
+
+var errSilent = errors.New("no answer")
+
+func (fake *fakeRuntime) Start(_ context.Context, call StartCall) error {
+	fake.mu.Lock()
+	defer fake.mu.Unlock()
+	if fake.silent {
+		return errSilent
+	}
+	key := runKey{call.Task, call.Run}
+	if fake.fenced[key] {
+		return ErrRefused{Refusal: RefusedOld}
+	}
+	if !fake.runs[key] {
+		fake.starts++
+	}
+	fake.runs[key] = true
+	if fake.lose > 0 {
+		fake.lose--
+		return errSilent
+	}
+	return nil
+}
+
+func (fake *fakeRuntime) Stop(_ context.Context, call StopCall) error {
+	fake.mu.Lock()
+	defer fake.mu.Unlock()
+	key := runKey{call.Task, call.Run}
+	fake.fenced[key] = true
+	if fake.runs[key] {
+		delete(fake.runs, key)
+		fake.ended = append(fake.ended, Ended{Number: int64(len(fake.ended) + 1), Task: call.Task, Run: call.Run, Cause: workflow.Interrupted, Reason: "stopped"})
+	}
+	return nil
+}
+
+func (fake *fakeRuntime) Pace(context.Context, PaceCall) error { return nil }
+
+func (fake *fakeRuntime) Hold(ctx context.Context, call HoldCall) (Listing, error) {
+	select {
+	case <-time.After((call.Wait / 10).Duration()):
+	case <-ctx.Done():
+	}
+	fake.mu.Lock()
+	defer fake.mu.Unlock()
+	if fake.silent {
+		return Listing{}, errSilent
+	}
+	listing := Listing{Clock: WorkerTime(time.Since(fake.began).Milliseconds()), Born: call.Life.Born}
+	for key := range fake.runs {
+		listing.Active = append(listing.Active, Active{Task: key.task, Run: key.number})
+	}
+	for _, ended := range fake.ended {
+		if ended.Number > call.Seen {
+			listing.Ended = append(listing.Ended, ended)
+		}
+	}
+	return listing, nil
+}
+
+func (fake *fakeRuntime) set(change func()) {
+	fake.mu.Lock()
+	defer fake.mu.Unlock()
+	change()
+}
+
+// newAgent returns an agent whose leader grants leases for ever.
+func newAgent(t *testing.T, fake *fakeRuntime) *Steward {
+	t.Helper()
+	agent := New(clock.NewSystem(), fake, "node", testLease)
+	t.Cleanup(agent.Close)
+	agent.Announce(Announcement{Life: Life{ID: "i-1", Born: 10}, Sequence: 1, Capacity: unit.Resources{CPU: 4000, Memory: 4000}})
+	agent.loop.Call(func() { agent.grant.term = 1; agent.grant.until = agent.clock.Now().Add(clock.Hour) })
+	return agent
+}
+
+func (agent *Steward) order(run workflow.Run, stop bool) {
+	agent.loop.Call(func() {
+		orders := &session.Orders{Term: 1, Starts: []session.Start{{
+			Incarnation: agent.life.incarnation, Task: "0123456789abcdef.0.0.0", Run: run, Reserved: unit.Resources{CPU: 3000, Memory: 10},
+		}}}
+		if stop {
+			orders.Starts = nil
+			orders.Stops = []session.Stop{{Incarnation: agent.life.incarnation, Task: "0123456789abcdef.0.0.0", Run: run}}
+		}
+		agent.obey(orders)
+	})
+}
+
+// await waits until the condition holds on the control loop.
+func await(t *testing.T, agent *Steward, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		holds := false
+		agent.loop.Call(func() { holds = condition() })
+		if holds {
+			return
+		}
+	}
+	t.Fatalf("%s did not happen within %s", what, patience)
+}
+
+// Guards against a worker that is gone for good while its agent lives: each unanswered call might have
+// extended the lease, so it never counted as over, and standing tasks had no run for 30 s.
+func TestSilentWorkerLapses(t *testing.T) {
+	fake := newRuntime()
+	agent := newAgent(t, fake)
+	await(t, agent, "a listing", func() bool { return agent.life.readAt != 0 })
+	agent.order(1, false)
+	await(t, agent, "a start", func() bool { return len(agent.life.listing.Active) == 1 })
+	fake.set(func() { fake.silent = true })
+	agent.order(2, false)
+	await(t, agent, "the lapse", func() bool { return agent.life.lapsed })
+	fake.set(func() { fake.silent = false })
+	await(t, agent, "the return", func() bool { return !agent.life.lapsed })
+}
+
+// Guards against a run that is started twice or given up because the answer to its start was lost.
+func TestLostAnswerToStart(t *testing.T) {
+	fake := newRuntime()
+	agent := newAgent(t, fake)
+	fake.set(func() { fake.lose = 2 })
+	agent.order(1, false)
+	await(t, agent, "a start", func() bool { return len(agent.life.listing.Active) == 1 })
+	fake.set(func() {
+		if fake.starts != 1 {
+			t.Errorf("got %d starts, want 1", fake.starts)
+		}
+	})
+	agent.loop.Call(func() {
+		if len(agent.rejections) != 0 {
+			t.Errorf("got rejections %v", agent.rejections)
+		}
+	})
+}
+
+// Guards against a stop of a run that never arrived: the leader must learn that it never runs, and a
+// late start must be refused.
+func TestStopOfUnknownRun(t *testing.T) {
+	fake := newRuntime()
+	agent := newAgent(t, fake)
+	await(t, agent, "a listing", func() bool { return agent.life.readAt != 0 })
+	agent.order(1, true)
+	await(t, agent, "a rejection", func() bool { return len(agent.rejections) == 1 })
+	if err := fake.Start(t.Context(), StartCall{Task: "0123456789abcdef.0.0.0", Run: 1}); !IsErrRefused(err) {
+		t.Errorf("got %v, want a refusal", err)
+	}
+}
+
+// Guards against overfilling a worker that does not check its own capacity.
+func TestStartBeyondCapacity(t *testing.T) {
+	fake := newRuntime()
+	agent := newAgent(t, fake)
+	await(t, agent, "a listing", func() bool { return agent.life.readAt != 0 })
+	agent.order(1, false)
+	agent.order(2, false)
+	await(t, agent, "a rejection", func() bool { return len(agent.rejections) == 1 && agent.rejections[0].Run == 2 })
+}
+
+// Guards against a delayed statement of an earlier life that replaces the present one.
+func TestEarlierLifeIsIgnored(t *testing.T) {
+	agent := newAgent(t, newRuntime())
+	if agent.Announce(Announcement{Life: Life{ID: "i-0", Born: 9}, Sequence: 5}) {
+		t.Error("an earlier life was accepted")
+	}
+	if !agent.Announce(Announcement{Life: Life{ID: "i-1", Born: 11}, Sequence: 1}) {
+		t.Error("a later life with the same id was refused")
+	}
+}
