--- a/cmd/cluster.go
+++ b/cmd/cluster.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -70,7 +71,7 @@
 
 // watchSettings passes changed settings to apply until the process ends. Settings that cannot be used
 // are logged and the present ones stay.
-func watchSettings(lifecycle fx.Lifecycle, path string, check func(cluster.Settings) error, apply func(cluster.Settings)) {
+func watchSettings(lifecycle fx.Lifecycle, path string, present cluster.Settings, check func(cluster.Settings) error, apply func(cluster.Settings)) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	done := make(chan struct{})
@@ -104,7 +105,11 @@
 				klog.ErrorS(err, "Changed settings refused")
 				continue
 			}
-			klog.InfoS("Settings read again", "Seeds", settings.Seeds)
+			if reflect.DeepEqual(settings, present) {
+				continue
+			}
+			present = settings
+			klog.InfoS("Settings changed", "Seeds", settings.Seeds)
 			apply(settings)
 		}
 	}()
@@ -183,7 +188,7 @@
 	if err := servePage(lifecycle, settings.Workers, platform.NewReadiness(ready)); err != nil {
 		return err
 	}
-	watchSettings(lifecycle, path, cluster.Settings.CheckEntry, func(cluster.Settings) {})
+	watchSettings(lifecycle, path, settings, cluster.Settings.CheckEntry, func(cluster.Settings) {})
 	lifecycle.Append(fx.StopHook(func(ctx context.Context) error {
 		klog.InfoS("Draining")
 		stopping.set()
@@ -233,7 +238,7 @@
 		return err
 	}
 	directory := leadership.NewDirectory(service, sessionAddresses(settings))
-	watchSettings(lifecycle, path, cluster.Settings.CheckAgent, func(changed cluster.Settings) {
+	watchSettings(lifecycle, path, settings, cluster.Settings.CheckAgent, func(changed cluster.Settings) {
 		directory.SetSeeds(sessionAddresses(changed))
 	})
 	agent.Follow(directory)
--- a/coordinator/lessons.go
+++ b/coordinator/lessons.go
@@ -14,10 +14,10 @@
 const (
 	// lessonTable holds what leaders learned, so that it outlasts them.
 	lessonTable store.Table = "learned"
-	lessonKey               = "interference"
+	lessonKey   string      = "interference"
 	// lessonInterval is how often it is stored: seldom enough to cost little, often enough that a new leader
 	// lacks a few seconds of evidence only.
-	lessonInterval = 4 * clock.Second
+	lessonInterval clock.Millis = 4 * clock.Second
 )
 
 // lessonRow is a stored lesson. Names are short because all pairs are stored.
--- a/election/election.go
+++ b/election/election.go
@@ -133,6 +133,9 @@
 	}
 }
 
+// Since returns when the present renewal was seen first.
+func (candidate *Candidate) Since() clock.Time { return candidate.since }
+
 // Leader returns the term that was read last.
 func (candidate *Candidate) Leader() Term { return candidate.seen.Term }
 
--- a/leadership/keeper.go
+++ b/leadership/keeper.go
@@ -40,7 +40,9 @@
 	end       context.CancelFunc
 	done      sync.WaitGroup
 
-	leader  atomic.Pointer[election.Term]
+	leader atomic.Pointer[election.Term]
+	// renewed is when a new renewal of the leader was seen.
+	renewed atomic.Int64
 	leading atomic.Pointer[coordinator.Coordinator]
 
 	mu     sync.Mutex
@@ -120,7 +122,11 @@
 		klog.ErrorS(err, "Election cannot be read")
 		return false
 	}
-	may := keeper.candidate.Observe(reading, keeper.need.Clock.Now())
+	now := keeper.need.Clock.Now()
+	may := keeper.candidate.Observe(reading, now)
+	if keeper.candidate.Since() == now {
+		keeper.renewed.Store(int64(now))
+	}
 	term := keeper.candidate.Leader()
 	if previous := keeper.leader.Load(); previous == nil || previous.Number < term.Number {
 		klog.InfoS("Leader observed", "Term", term.Number, "Holder", term.Holder, "Address", term.Address)
@@ -165,12 +171,20 @@
 // elsewhere returns the address of the leader if it is another entry.
 func (keeper *Keeper) elsewhere() string {
 	term := keeper.leader.Load()
-	if term == nil || term.Address == keeper.address {
+	if term == nil || term.Address == keeper.address || keeper.isOverdue() {
 		return ""
 	}
 	return term.Address
 }
 
+// overdue is the time without a renewal after which agents are not sent to a leader: two renewals and a
+// reading. They ask again then, and find the next leader as soon as it is known.
+const overdue = 2*election.Renewal + election.Poll
+
+func (keeper *Keeper) isOverdue() bool {
+	return keeper.need.Clock.Now().Sub(clock.Time(keeper.renewed.Load())) > overdue
+}
+
 // State serves another entry. Error: session.ErrNotLeading.
 func (keeper *Keeper) State(_ context.Context, request *session.StateRequest) (*session.StateReply, error) {
 	leader := keeper.leading.Load()
@@ -197,7 +211,7 @@
 // Leader serves other daemons.
 func (keeper *Keeper) Leader(context.Context, *session.LeaderRequest) (*session.LeaderReply, error) {
 	term := keeper.leader.Load()
-	if term == nil {
+	if term == nil || !keeper.Leading() && keeper.isOverdue() {
 		return &session.LeaderReply{}, nil
 	}
 	return &session.LeaderReply{Term: term.Number, Address: term.Address}, nil
--- /dev/null
+++ b/standin/site/store.go
@@ -0,0 +1,255 @@
+// Package site is a stand-in of the platform that deployments run on: its store of rows and its
+// runners, with the faults that they may show. It exists for tests.
+package site
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Fault is how a call fails.
+type Fault int
+
+// Faults of calls.
+const (
+	// None: the call is carried out and answered.
+	None Fault = iota
+	// Busy: 503, nothing was done.
+	Busy
+	// Reset: the connection breaks, nothing was done.
+	Reset
+	// Lost: the call is carried out and its connection breaks.
+	Lost
+	// Silent: the call gets no answer until its caller gives up, and is not carried out.
+	Silent
+)
+
+// rowKey names a row.
+type rowKey struct{ table, part, key string }
+
+// storedRow is a row in the form of the protocol.
+type storedRow struct {
+	Table   string
+	Part    string `json:"part"`
+	Key     string
+	Value   []byte `json:",omitempty"`
+	Ver     int64
+	Deleted bool `json:",omitempty"`
+}
+
+// Store is the platform's store of rows. It implements http.Handler and is safe for concurrent use.
+type Store struct {
+	mu      sync.Mutex
+	rows    map[rowKey]storedRow
+	history []storedRow
+	// oldest is the version after which the history is kept.
+	oldest  int64
+	version int64
+	changed chan struct{}
+	began   time.Time
+	fault   func(request *http.Request) Fault
+	calls   int
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{rows: map[rowKey]storedRow{}, changed: make(chan struct{}), began: time.Now()}
+}
+
+// SetFault decides how calls fail from now on; nil means that none does.
+func (service *Store) SetFault(fault func(request *http.Request) Fault) {
+	service.mu.Lock()
+	defer service.mu.Unlock()
+	service.fault = fault
+}
+
+// Forget drops the history, as a compaction does.
+func (service *Store) Forget() {
+	service.mu.Lock()
+	defer service.mu.Unlock()
+	service.history, service.oldest = nil, service.version
+}
+
+// Put writes a row of the operators.
+func (service *Store) Put(table, part, key string, value []byte) {
+	service.mu.Lock()
+	defer service.mu.Unlock()
+	service.apply([]storedRow{{Table: table, Part: part, Key: key, Value: value}}, nil)
+}
+
+// Row returns the value of a row and whether it exists.
+func (service *Store) Row(table, part, key string) ([]byte, bool) {
+	service.mu.Lock()
+	defer service.mu.Unlock()
+	row, ok := service.rows[rowKey{table, part, key}]
+	return row.Value, ok
+}
+
+// apply is called with the lock held.
+func (service *Store) apply(puts, removes []storedRow) {
+	service.version++
+	for _, row := range puts {
+		row.Ver = service.version
+		service.rows[rowKey{row.Table, row.Part, row.Key}] = row
+		service.history = append(service.history, row)
+	}
+	for _, row := range removes {
+		delete(service.rows, rowKey{row.Table, row.Part, row.Key})
+		row.Ver, row.Deleted, row.Value = service.version, true, nil
+		service.history = append(service.history, row)
+	}
+	close(service.changed)
+	service.changed = make(chan struct{})
+}
+
+// ServeHTTP implements http.Handler.
+func (service *Store) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	service.mu.Lock()
+	service.calls++
+	fault := None
+	if service.fault != nil {
+		fault = service.fault(request)
+	}
+	service.mu.Unlock()
+	switch fault {
+	case Busy:
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case Reset:
+		panic(http.ErrAbortHandler)
+	case Silent:
+		<-request.Context().Done()
+		return
+	case None, Lost:
+	}
+	status, body := service.answer(request)
+	if fault == Lost {
+		panic(http.ErrAbortHandler)
+	}
+	reply(writer, status, body)
+}
+
+func (service *Store) answer(request *http.Request) (int, any) {
+	switch request.URL.Path {
+	case "/api/rows-tx":
+		return service.transact(request)
+	case "/api/rows-get":
+		return service.list(request)
+	case "/api/rows-feed":
+		return service.feed(request)
+	default:
+		return http.StatusNotFound, struct{}{}
+	}
+}
+
+// rowsAnswer is the body of an answer about rows.
+type rowsAnswer struct {
+	Rows    []storedRow `json:"rows"`
+	HasMore bool
+	Ver     int64
+	NowMs   int64
+}
+
+func (service *Store) newAnswer(rows []storedRow) rowsAnswer {
+	return rowsAnswer{Rows: rows, Ver: service.version, NowMs: time.Since(service.began).Milliseconds() + 1}
+}
+
+func (service *Store) transact(request *http.Request) (int, any) {
+	var form struct{ ExpectedRevision, Puts, Remove []storedRow }
+	if err := json.NewDecoder(request.Body).Decode(&form); err != nil {
+		return http.StatusBadRequest, struct{}{}
+	}
+	service.mu.Lock()
+	defer service.mu.Unlock()
+	holds := true
+	var present []storedRow
+	for _, expected := range form.ExpectedRevision {
+		row, ok := service.rows[rowKey{expected.Table, expected.Part, expected.Key}]
+		if ok {
+			present = append(present, row)
+		}
+		holds = holds && row.Ver == expected.Ver
+	}
+	if !holds {
+		return http.StatusPreconditionFailed, service.newAnswer(present)
+	}
+	service.apply(form.Puts, form.Remove)
+	return http.StatusOK, service.newAnswer(nil)
+}
+
+func (service *Store) list(request *http.Request) (int, any) {
+	query := request.URL.Query()
+	limit, err := strconv.Atoi(query.Get("Limit"))
+	if err != nil {
+		limit = 500
+	}
+	service.mu.Lock()
+	defer service.mu.Unlock()
+	var rows []storedRow
+	for key, row := range service.rows {
+		if key.table == query.Get("Table") && key.part == query.Get("part") && key.key >= query.Get("From") &&
+			(query.Get("To") == "" || key.key < query.Get("To")) {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(left, right storedRow) int { return strings.Compare(left.Key, right.Key) })
+	answer := service.newAnswer(rows)
+	if len(rows) > limit {
+		answer.Rows, answer.HasMore = rows[:limit], true
+	}
+	return http.StatusOK, answer
+}
+
+func (service *Store) feed(request *http.Request) (int, any) {
+	query := request.URL.Query()
+	after, err := strconv.ParseInt(query.Get("After"), 10, 64)
+	if err != nil {
+		return http.StatusBadRequest, struct{}{}
+	}
+	wait, err := strconv.Atoi(query.Get("WaitMs"))
+	if err != nil {
+		wait = 0
+	}
+	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		service.mu.Lock()
+		if after < service.oldest {
+			service.mu.Unlock()
+			return http.StatusGone, struct{}{}
+		}
+		var rows []storedRow
+		for _, row := range service.history {
+			if row.Ver > after && row.Table == query.Get("Table") {
+				rows = append(rows, row)
+			}
+		}
+		answer, changed := service.newAnswer(rows), service.changed
+		service.mu.Unlock()
+		if len(rows) > 0 {
+			return http.StatusOK, answer
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			return http.StatusOK, answer
+		case <-request.Context().Done():
+			return http.StatusOK, answer
+		}
+	}
+}
+
+func reply(writer http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		writer.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	_, _ = writer.Write(data) // A caller that left needs no answer.
+}
