--- a/agent/tasks.go
+++ b/agent/tasks.go
@@ -92,9 +92,8 @@
 
 func (agent *Agent) start(reservation capacity.Reservation, name ident.Task, epoch ident.Epoch, now clock.Time) (bool, error) {
 	if err := agent.admissible(now); err != nil && agent.ledger.Ready() {
-		already, startErr := agent.alreadyStarted(name, epoch)
-		if already {
-			return true, startErr
+		if agent.alreadyStarted(name, epoch) {
+			return true, nil
 		}
 		agent.ledger.Fence(name, epoch, now)
 		return false, err
@@ -103,16 +102,16 @@
 }
 
 // alreadyStarted reports whether the epoch was started here before.
-func (agent *Agent) alreadyStarted(name ident.Task, epoch ident.Epoch) (bool, error) {
+func (agent *Agent) alreadyStarted(name ident.Task, epoch ident.Epoch) bool {
 	if agent.ledger.EndedUnrecorded(name, epoch) {
-		return true, nil
+		return true
 	}
 	for _, entry := range agent.ledger.Entries() {
 		if entry.Task == name && entry.Epoch == epoch && entry.Running {
-			return true, nil
+			return true
 		}
 	}
-	return false, nil
+	return false
 }
 
 // launch asks the worker to run a task that the ledger holds as running. Without an answer the call
--- a/agent/world_test.go
+++ b/agent/world_test.go
@@ -245,6 +245,7 @@
 
 // inWorld runs check with an agent that has a lease.
 func inWorld(t *testing.T, check func(world *world)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		world := &world{T: t, entry: &fakeEntry{}}
 		world.runtime = &fakeRuntime{time: clock.NewSystem(), tasks: map[ident.Task]worker.Status{}, fences: map[ident.Task]ident.Epoch{}}
--- a/bench/entry_bench_test.go
+++ b/bench/entry_bench_test.go
@@ -29,6 +29,7 @@
 
 // skipShort leaves a benchmark of one size and of a minute or more out of short runs.
 func skipShort(b *testing.B) {
+	b.Helper()
 	if testing.Short() {
 		b.Skip("long")
 	}
@@ -90,6 +91,7 @@
 
 // measure runs a system and observes it at rest, with standing tasks on each worker.
 func measure(b testing.TB, entries, agents, tasks int) observation {
+	b.Helper()
 	fleet := newFleet(b, agents)
 	defer fleet.close()
 	for range entries {
@@ -114,6 +116,7 @@
 
 // measureFixed runs the same agents with an entry that answers with a constant.
 func measureFixed(b testing.TB, agents int) observation {
+	b.Helper()
 	fleet := newFleet(b, agents)
 	defer fleet.close()
 	address := fleet.startFixed()
@@ -146,6 +149,7 @@
 
 // report reports the traffic and table calls of each entry and the heap of the process.
 func report(b *testing.B, used observation, entries, agents int) {
+	b.Helper()
 	each := float64(entries)
 	b.ReportMetric(used.control.received/each, "received-B/s/entry")
 	b.ReportMetric(used.control.sent/each, "sent-B/s/entry")
--- a/bench/loss_bench_test.go
+++ b/bench/loss_bench_test.go
@@ -42,6 +42,7 @@
 }
 
 func (spread *spread) report(b *testing.B, name string, target clock.Millis) {
+	b.Helper()
 	b.ReportMetric(float64(spread.sum)/float64(max(spread.count, 1)), name+"-mean-ms")
 	b.ReportMetric(float64(spread.worst), name+"-worst-ms")
 	b.ReportMetric(float64(spread.late), name+"-late")
@@ -108,6 +109,7 @@
 
 // clean fails the benchmark if the workers' records show a task in two places or too much on one.
 func (site *site) clean(b *testing.B) {
+	b.Helper()
 	if violations := site.platform.Records.Violations(); violations.Any() {
 		b.Errorf("violations: %+v", violations)
 	}
@@ -115,6 +117,7 @@
 
 // calls are the calls of the table so far.
 func (site *site) calls(b *testing.B, name string, before standin.TableCounts, since clock.Time) {
+	b.Helper()
 	after, seconds := site.platform.Table.Counts(), float64(site.time.Now().Sub(since))/1000
 	b.ReportMetric(float64(after.Commits-before.Commits), name+"-commits")
 	b.ReportMetric(float64(after.Commits-before.Commits)/seconds, name+"-commits/s")
@@ -206,6 +209,7 @@
 }
 
 func (site *site) loseAndReturn(b *testing.B, entries, agents []*member) {
+	b.Helper()
 	workers := map[ident.Worker]bool{}
 	for _, member := range agents {
 		workers[workerID(member.index)] = true
--- a/bench/recovery_bench_test.go
+++ b/bench/recovery_bench_test.go
@@ -60,6 +60,7 @@
 
 // report reports the rates and their ratio to the limits that the entries set themselves.
 func (peak rates) report(b *testing.B) {
+	b.Helper()
 	limits := table.DefaultSettings()
 	b.ReportMetric(peak.reads, "peak-reads/s")
 	b.ReportMetric(peak.commits, "peak-commits/s")
--- a/bench/start_bench_test.go
+++ b/bench/start_bench_test.go
@@ -35,6 +35,7 @@
 
 // startFleet runs entries and agents with the team configured.
 func startFleet(b testing.TB, entries, agents int) (*fleet, *operator.Client) {
+	b.Helper()
 	fleet := newFleet(b, agents)
 	for range entries {
 		fleet.startEntry(entries)
--- a/config/bench_test.go
+++ b/config/bench_test.go
@@ -64,6 +64,7 @@
 // poll lets an entry read the table and push what is new to its agents. It returns the number and
 // bytes of the messages.
 func (deployment *deployment) poll(b *testing.B, entry int) (int, int) {
+	b.Helper()
 	publisher := deployment.entries[entry]
 	if err := deployment.readers[entry].Refresh(context.Background()); err != nil {
 		b.Fatal(err)
--- a/config/race_test.go
+++ b/config/race_test.go
@@ -35,6 +35,7 @@
 }
 
 func faultSequence(t *testing.T, faults []tabletest.Fault, direct bool) string {
+	t.Helper()
 	var failure string
 	synctest.Test(t, func(*testing.T) {
 		memory, version := prepared()
@@ -121,6 +122,7 @@
 }
 
 func race(t *testing.T, seed uint64, rate int) string {
+	t.Helper()
 	var failure string
 	synctest.Test(t, func(*testing.T) {
 		memory, _ := prepared()
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -225,7 +225,7 @@
 	method, path := call.Method, call.Path
 	fill(&method, http.MethodPost)
 	fill(&path, "/requests")
-	request, err := http.NewRequest(method, "http://"+client.settings.Address+path, bytes.NewReader(call.Body))
+	request, err := http.NewRequestWithContext(context.Background(), method, "http://"+client.settings.Address+path, bytes.NewReader(call.Body))
 	if err != nil {
 		return nil, fmt.Errorf("building the request: %w", err)
 	}
--- a/entry/learnedstate_test.go
+++ b/entry/learnedstate_test.go
@@ -24,6 +24,7 @@
 }
 
 func inSavedWorld(t *testing.T, check func(world *savedWorld)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		check(&savedWorld{T: t, objects: standin.NewObjects(standin.ObjectsOptions{Clock: clock.NewSystem()}), memory: tabletest.New()})
 	})
--- a/entry/regions_test.go
+++ b/entry/regions_test.go
@@ -110,6 +110,7 @@
 }
 
 func hourApart(t *testing.T, seed uint64) {
+	t.Helper()
 	random, pair := rand.New(rand.NewPCG(seed, 1)), newPair(t, seed)
 	defer pair.close()
 	if seed%2 == 1 {
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -104,11 +104,13 @@
 
 // inWorld runs check with the only entry of its region, which has read the configuration.
 func inWorld(t *testing.T, check func(world *world)) {
+	t.Helper()
 	inWorldWith(t, noConnections{}, check)
 }
 
 // inWorldWith runs check with an entry that reaches other daemons over the connections.
 func inWorldWith(t *testing.T, connections Connections, check func(world *world)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		world := &world{T: t, store: &fakeStore{Memory: tabletest.New()}}
 		settings := DefaultSettings()
--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -17,6 +17,7 @@
 // fullSim returns workers that 14,100 running tasks fill but for a little room, and a queue of 2,500
 // jobs with 4 tasks each.
 func fullSim(b *testing.B, settings Settings, workers int) *sim {
+	b.Helper()
 	const running = 14_100
 	size := unit.Resources{CPU: 1000, Memory: 4000}
 	perWorker := (running + workers - 1) / workers
@@ -39,6 +40,7 @@
 
 // replace ends count tasks at random and has one round fill their places.
 func (world *sim) replace(b *testing.B, count int) {
+	b.Helper()
 	var ends []TaskEnded
 	for len(ends) < count {
 		at := world.workers[world.random.IntN(len(world.workers))]
@@ -180,6 +182,7 @@
 // throughput runs jobs whose declared sizes are a third to three times the actual ones, evenly on a
 // logarithmic scale, for 30 minutes, and returns the work completed and the evictions.
 func throughput(b *testing.B, settings Settings, learn bool) (finished, evictions float64) {
+	b.Helper()
 	random := rand.New(rand.NewPCG(11, 12))
 	sizes := make(learned)
 	dependencies := Dependencies{}
@@ -218,6 +221,7 @@
 
 // outage runs long tasks while a data centre leaves and returns, and returns the work kept.
 func outage(b *testing.B, settings Settings) float64 {
+	b.Helper()
 	world := newSim(b, settings, Dependencies{}, 30, unit.Resources{CPU: 16_000, Memory: 60_000})
 	for index := range 60 {
 		world.submit(job.Spec{
--- a/placement/run_test.go
+++ b/placement/run_test.go
@@ -38,6 +38,7 @@
 }
 
 func runWorld(t *testing.T, seed uint64) {
+	t.Helper()
 	world := newWorld(t, seed, 6)
 	world.loss = []float64{0, 0.02, 0.1}[world.random.IntN(3)]
 	for range 500 {
--- a/recorded/bench_test.go
+++ b/recorded/bench_test.go
@@ -65,6 +65,7 @@
 
 // runSeeds runs the session once for each seed.
 func runSeeds(bench *testing.B, session Session, policy Policy) []*Measures {
+	bench.Helper()
 	results := make([]Result, *benchSeeds)
 	var running sync.WaitGroup
 	for index := range results {
@@ -84,6 +85,7 @@
 }
 
 func logLosses(bench *testing.B, session Session, name string, runs []*Measures) {
+	bench.Helper()
 	sum := newLosses()
 	for _, measures := range runs {
 		sum.Add(&measures.Losses)
@@ -92,6 +94,7 @@
 }
 
 func compare(bench *testing.B, baseline string, own, others []*Measures) {
+	bench.Helper()
 	var sums strings.Builder
 	for _, figure := range figures {
 		var ratios []float64
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -16,13 +16,11 @@
 	t    *testing.T
 	book *Book
 	now  clock.Time
-	// placed counts the start orders by worker.
-	placed map[Incarnation]int
 }
 
 func newWorld(t *testing.T, workers int) *world {
 	t.Helper()
-	w := &world{t: t, book: New(), now: clock.Time(clock.Minute), placed: map[Incarnation]int{}}
+	w := &world{t: t, book: New(), now: clock.Time(clock.Minute)}
 	for number := range workers {
 		w.worker(name(number), 32_000, 128_000)
 	}
@@ -53,21 +51,19 @@
 	}, w.now)
 }
 
-// plan advances the time and returns the start orders and the stop orders.
-func (w *world) plan(after clock.Millis) (starts, stops []Order) {
+// plan advances the time and returns the start orders.
+func (w *world) plan(after clock.Millis) []Order {
 	w.t.Helper()
 	w.now = w.now.Add(after)
 	w.book.Plan(w.now, 0)
 	_, orders := w.book.Take()
+	var starts []Order
 	for _, order := range orders {
-		if order.Stop {
-			stops = append(stops, order)
-			continue
+		if !order.Stop {
+			starts = append(starts, order)
 		}
-		starts = append(starts, order)
-		w.placed[order.Worker]++
 	}
-	return starts, stops
+	return starts
 }
 
 func (w *world) end(order Order, cause workflow.Cause) {
@@ -89,23 +85,23 @@
 	standing := step(1)
 	standing.Standing = true
 	w.submit("standing", standing)
-	starts, _ := w.plan(0)
+	starts := w.plan(0)
 	wantStarts(t, starts, 1)
 	for number := range suspectEnds {
 		w.submit(fmt.Sprint("failing-", number), step(1))
 	}
-	starts, _ = w.plan(1)
+	starts = w.plan(1)
 	wantStarts(t, starts, suspectEnds)
 	for _, order := range starts {
 		w.end(order, workflow.Faulted)
 	}
-	starts, _ = w.plan(1)
+	starts = w.plan(1)
 	wantStarts(t, starts, 0)
-	starts, _ = w.plan(firstSuspension)
+	starts = w.plan(firstSuspension)
 	wantStarts(t, starts, 1) // The trial.
 	w.submit("standing-2", standing)
 	w.end(starts[0], workflow.Finished)
-	starts, _ = w.plan(1)
+	starts = w.plan(1)
 	wantStarts(t, starts, suspectEnds) // The rest of what failed, and the standing task.
 }
 
@@ -117,8 +113,8 @@
 	standing.Standing = true
 	standing.Need.CPU = 32_000
 	w.submit("standing", standing)
-	starts, _ := w.plan(0)
+	starts := w.plan(0)
 	wantStarts(t, starts, 0)
-	starts, _ = w.plan(headroomWait)
+	starts = w.plan(headroomWait)
 	wantStarts(t, starts, 1)
 }
--- a/standalone/bubble_test.go
+++ b/standalone/bubble_test.go
@@ -52,6 +52,7 @@
 
 // inBubble runs check with one entry and some workers with agents in each of three data centres.
 func inBubble(t *testing.T, workers int, check func(bubble *bubble)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		made := &bubble{
 			T: t, time: clock.NewSystem(), centres: SampleLayout().DataCentres, workers: workers,
--- a/standalone/link.go
+++ b/standalone/link.go
@@ -1,6 +1,7 @@
 package standalone
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync"
@@ -101,7 +102,7 @@
 
 // pass relays one connection until either end closes it.
 func (link *Link) pass(near net.Conn, address string) {
-	far, err := net.Dial("tcp", address)
+	far, err := new(net.Dialer).DialContext(context.Background(), "tcp", address)
 	if err != nil {
 		_ = near.Close()
 		return
--- a/standalone/recovery_test.go
+++ b/standalone/recovery_test.go
@@ -26,6 +26,7 @@
 
 // takeover ends an entry, after which server stands at its address.
 func takeover(t *testing.T, server any) {
+	t.Helper()
 	inBubble(t, 8, func(bubble *bubble) {
 		bubble.stand(48)
 		dead := bubble.centres[0]
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -103,7 +103,8 @@
 	router.HandleFunc("/streams/{Stream}", endpoint.stream).Methods(http.MethodGet)
 	router.PathPrefix("/").HandlerFunc(endpoint.serveRequest)
 	endpoint.server = &http.Server{
-		Handler: router,
+		Handler:           router,
+		ReadHeaderTimeout: headerTimeout,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
 			return context.WithValue(ctx, connectionKey{}, conn)
 		},
--- a/standin/endpoint_test.go
+++ b/standin/endpoint_test.go
@@ -38,6 +38,7 @@
 
 // caller returns a client whose connections end with the test.
 func caller(t *testing.T) *http.Client {
+	t.Helper()
 	transport := &http.Transport{}
 	t.Cleanup(transport.CloseIdleConnections)
 	return &http.Client{Transport: transport}
--- a/standin/server.go
+++ b/standin/server.go
@@ -7,11 +7,15 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/gorilla/mux"
 	"k8s.io/klog/v2"
 )
 
+// headerTimeout bounds the reading of a request's headers. Callers on loopback send them at once.
+const headerTimeout = 10 * time.Second
+
 // Server offers a Platform's table, object store, worker runtimes, faults and records over HTTP:
 //
 //	POST /table/{get,range,commit}     see table.HTTP
@@ -37,7 +41,7 @@
 	router.HandleFunc("/faults", server.getFaults).Methods(http.MethodGet)
 	router.HandleFunc("/faults", server.postFaults).Methods(http.MethodPost)
 	router.HandleFunc("/records", server.getRecords).Methods(http.MethodGet)
-	server.server = &http.Server{Handler: router}
+	server.server = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
 	return server
 }
 
--- a/standin/table.go
+++ b/standin/table.go
@@ -268,7 +268,8 @@
 	if limit == 0 {
 		return
 	}
-	commits := append(store.history[row.Key], Commit{
+	commits := store.history[row.Key]
+	commits = append(commits, Commit{
 		At: store.options.Clock.Now(), Write: row.Write, Revision: row.Revision, Value: row.Value, Deleted: row.Deleted,
 	})
 	store.history[row.Key] = commits[max(0, len(commits)-limit):]
--- a/standin/worker_test.go
+++ b/standin/worker_test.go
@@ -270,26 +270,31 @@
 		})
 	}
 	check("TwoPlaces", standin.Violations{TwoPlaces: 1}, func(t *testing.T, hall *hall) {
+		t.Helper()
 		start(t, hall, 0, spec(task, 1, payload))
 		hall.clock.Advance(499)
 		start(t, hall, 1, spec(task, 2, payload))
 	})
 	check("AfterLease", standin.Violations{}, func(t *testing.T, hall *hall) {
+		t.Helper()
 		start(t, hall, 0, spec(task, 1, payload))
 		hall.clock.Advance(500)
 		start(t, hall, 1, spec(task, 2, payload))
 	})
 	check("EpochReused", standin.Violations{EpochReused: 1}, func(t *testing.T, hall *hall) {
+		t.Helper()
 		start(t, hall, 0, spec(task, 1, payload))
 		hall.clock.Advance(500)
 		start(t, hall, 1, spec(task, 1, payload))
 	})
 	check("AfterFinish", standin.Violations{AfterFinish: 1}, func(t *testing.T, hall *hall) {
+		t.Helper()
 		start(t, hall, 0, spec(task, 1, standin.Payload{RunMillis: 20}))
 		hall.clock.Advance(30)
 		start(t, hall, 1, spec(task, 2, standin.Payload{RunMillis: 20}))
 	})
 	check("BehindCheckpoint", standin.Violations{BehindCheckpoint: 1, LostMillis: 300}, func(t *testing.T, hall *hall) {
+		t.Helper()
 		start(t, hall, 0, spec(task, 1, payload))
 		hall.clock.Advance(300)
 		_, err := hall.workers[0].Checkpoint(t.Context(), task, 1)
@@ -298,6 +303,7 @@
 		start(t, hall, 1, spec(task, 2, payload))
 	})
 	check("OverCapacity", standin.Violations{OverCapacity: 1}, func(t *testing.T, hall *hall) {
+		t.Helper()
 		for index := range 5 {
 			start(t, hall, 0, spec(ident.Task{Job: "layout", Index: index}, 1, payload))
 		}
--- a/table/client.go
+++ b/table/client.go
@@ -202,7 +202,7 @@
 
 // call makes one call within the deadline and tells the breaker how it ended.
 func (client *Client) call(ctx context.Context, call func(context.Context) error) error {
-	bounded, done := client.expiry.start(ctx, client.clock.Now(), errDeadline)
+	bounded, done := client.expiry.start(ctx, client.clock.Now())
 	err := call(bounded)
 	if err != nil && errors.Is(context.Cause(bounded), errDeadline) && !answered(err) {
 		err = fmt.Errorf("%w: %w", errDeadline, err)
--- a/table/client_test.go
+++ b/table/client_test.go
@@ -40,6 +40,7 @@
 
 // inBubble runs work with a fresh bench and returns the error text that work returned.
 func inBubble(t *testing.T, settings table.Settings, work func(bench) string) string {
+	t.Helper()
 	var failure string
 	synctest.Test(t, func(*testing.T) {
 		memory, fake := tabletest.New(), clock.NewFake(1000)
@@ -176,6 +177,7 @@
 }
 
 func randomHistory(t *testing.T, seed uint64, rate int) string {
+	t.Helper()
 	var failure string
 	synctest.Test(t, func(*testing.T) {
 		random := rand.New(rand.NewPCG(seed, 1))
--- a/table/deadline.go
+++ b/table/deadline.go
@@ -22,8 +22,8 @@
 	done   bool
 }
 
-// start returns a context that is cancelled with cause after the term, and a function that ends it.
-func (deadlines *deadlines) start(ctx context.Context, now clock.Time, cause error) (context.Context, func()) {
+// start returns a context that is cancelled with errDeadline after the term, and a function that ends it.
+func (deadlines *deadlines) start(ctx context.Context, now clock.Time) (context.Context, func()) {
 	bounded, cancel := context.WithCancelCause(ctx)
 	call := &timedCall{due: now.Add(deadlines.term), cancel: cancel}
 	deadlines.mu.Lock()
