--- a/entry/region_test.go
+++ b/entry/region_test.go
@@ -50,6 +50,7 @@
 }
 
 func newPair(t testing.TB, seed uint64) *pair {
+	t.Helper()
 	pair := &pair{
 		t: t, clock: clock.NewFake(clock.Time(clock.Minute)), memory: map[ident.Region]*tabletest.Memory{}, links: map[string]*regionLink{},
 		due: map[string]clock.Time{}, seen: map[string]map[config.Name]config.Document{},
--- a/placement/sim_test.go
+++ b/placement/sim_test.go
@@ -62,6 +62,7 @@
 }
 
 func newSim(t testing.TB, settings Settings, dependencies Dependencies, workers int, capacity unit.Resources) *sim {
+	t.Helper()
 	world := &sim{
 		t: t, now: 100_000, random: rand.New(rand.NewPCG(1, 2)), rows: make(map[table.Key]table.Row),
 		byName: make(map[ident.Worker]*simWorker), profiles: make(map[ident.Task]*simTask), startedAt: make(map[ident.Job]clock.Time),
--- a/placement/world_test.go
+++ b/placement/world_test.go
@@ -61,6 +61,7 @@
 func centreKey(name ident.DataCentre) table.Key { return table.Key("DataCentre/" + string(name)) }
 
 func newWorld(t testing.TB, seed uint64, workers int) *world {
+	t.Helper()
 	world := &world{
 		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 7)), now: 100_000,
 		granter: lease.NewGranter(lease.Settings{}), started: make(map[ident.Task]ident.Epoch),
