--- a/cmd/help_test.go
+++ b/cmd/help_test.go
@@ -26,11 +26,11 @@
 		}
 		return visited
 	}
-	// The program itself, its 6 subcommands, 3 of standin, and 8 groups of ctl with 19 commands.
-	if visited := visit(nil); visited != 37 {
-		t.Errorf("%d helps, not 37", visited)
+	// The program itself, its 7 subcommands, 3 of standin, 6 of cluster, and 8 groups of ctl with 19 commands.
+	if visited := visit(nil); visited != 44 {
+		t.Errorf("%d helps, not 44", visited)
 	}
-	for _, args := range [][]string{nil, {"unknown"}, {"ctl"}, {"entry"}, {"entry", "--unknown"}, {"standin"}, {"ctl", "job"}} {
+	for _, args := range [][]string{nil, {"unknown"}, {"ctl"}, {"entry"}, {"entry", "--unknown"}, {"standin"}, {"ctl", "job"}, {"cluster"}, {"cluster", "status"}} {
 		var out, log bytes.Buffer
 		if code := cmd.Run(args, &out, &log); code != cmd.ExitUsage || out.Len() > 0 || log.Len() == 0 {
 			t.Errorf("%v: exit code %d, output %q, log %q", args, code, out.String(), log.String())
--- a/coordinator/agents.go
+++ b/coordinator/agents.go
@@ -216,6 +216,7 @@
 			klog.ErrorS(err, "End ignored", "Node", agent.node)
 			continue
 		}
+		leader.counters.end(end.Cause)
 		klog.InfoS("Run ended", "Task", end.Task, "Run", end.Run, "Reason", end.Reason, "Worker", agent.incarnation)
 		leader.book.Ended(agent.incarnation, scheduler.End{Name: name, Run: end.Run, Cause: end.Cause, Saved: end.Saved}, now)
 	}
@@ -238,6 +239,7 @@
 		klog.ErrorS(err, "Rejection ignored")
 		return
 	}
+	leader.counters.rejections.Inc()
 	klog.InfoS("Run rejected", "Task", rejected.Task, "Run", rejected.Run, "Worker", rejected.Incarnation, "Reason", rejected.Reason)
 	leader.book.Rejected(scheduler.Incarnation(rejected.Incarnation), name, rejected.Run)
 }
@@ -271,11 +273,13 @@
 			byWorker[order.Worker] = batch
 		}
 		if order.Stop {
+			leader.counters.stops.Inc()
 			klog.InfoS("Stop", "Task", order.Name.String(), "Run", order.Run, "Worker", order.Worker)
 			batch.Stops = append(batch.Stops, session.Stop{Incarnation: string(order.Worker), Task: order.Name.String(), Run: order.Run})
 			continue
 		}
 		if start, ok := newStart(order); ok {
+			leader.counters.starts.Inc()
 			klog.InfoS("Place", "Task", start.Task, "Run", order.Run, "Worker", order.Worker)
 			batch.Starts = append(batch.Starts, start)
 		}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -65,6 +65,8 @@
 	over  sync.Once
 	tasks sync.WaitGroup
 
+	counters counters
+
 	// validUntil is the end of the leader's lease.
 	validUntil atomic.Int64
 
@@ -109,7 +111,7 @@
 		need: need, won: won, lease: lease, loop: loop.New(), base: base, end: end, lost: make(chan struct{}),
 		book: scheduler.New(), sessions: map[string]*attached{}, granted: map[string]grant{},
 		rows: map[workflow.ID]store.Version{}, beat: election.Beat{Term: won.Term.Number}, beatVersion: won.BeatVersion,
-		renewedAt: won.Sent, started: need.Clock.Now(), shown: map[workflow.ID]workflow.State{},
+		counters: newCounters(), renewedAt: won.Sent, started: need.Clock.Now(), shown: map[workflow.ID]workflow.State{},
 	}
 	leader.validUntil.Store(int64(won.Sent.Add(election.Lease)))
 	version, err := leader.load(ctx)
@@ -129,6 +131,7 @@
 			}
 		}
 	})
+	leader.counters.terms.Inc()
 	klog.InfoS("Leading", "Term", won.Term.Number, "Jobs", len(leader.rows), "LoadMillis", int64(need.Clock.Now().Sub(leader.started)))
 	return leader, nil
 }
--- /dev/null
+++ b/coordinator/counters.go
@@ -0,0 +1,39 @@
+package coordinator
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+
+	"hyssopjunction/workflow"
+)
+
+// counters are the metrics of a leader. They go on over the terms of a process.
+type counters struct {
+	terms, rounds, starts, stops, rejections *metrics.Counter
+	finished, faulted, interrupted           *metrics.Counter
+	roundMillis                              *metrics.Histogram
+}
+
+func newCounters() counters {
+	return counters{
+		terms:       metrics.GetOrCreateCounter("hyssopjunction_coordinator_terms_total"),
+		rounds:      metrics.GetOrCreateCounter("hyssopjunction_coordinator_rounds_total"),
+		starts:      metrics.GetOrCreateCounter("hyssopjunction_coordinator_starts_total"),
+		stops:       metrics.GetOrCreateCounter("hyssopjunction_coordinator_stops_total"),
+		rejections:  metrics.GetOrCreateCounter("hyssopjunction_coordinator_rejections_total"),
+		finished:    metrics.GetOrCreateCounter(`hyssopjunction_coordinator_ends_total{cause="Finished"}`),
+		faulted:     metrics.GetOrCreateCounter(`hyssopjunction_coordinator_ends_total{cause="Faulted"}`),
+		interrupted: metrics.GetOrCreateCounter(`hyssopjunction_coordinator_ends_total{cause="Interrupted"}`),
+		roundMillis: metrics.GetOrCreateHistogram("hyssopjunction_coordinator_round_millis"),
+	}
+}
+
+func (counted counters) end(cause workflow.Cause) {
+	switch cause {
+	case workflow.Finished:
+		counted.finished.Inc()
+	case workflow.Faulted:
+		counted.faulted.Inc()
+	case workflow.Interrupted:
+		counted.interrupted.Inc()
+	}
+}
--- a/coordinator/write.go
+++ b/coordinator/write.go
@@ -119,6 +119,8 @@
 
 // write commits a round and reports to the control loop. It runs outside the loop.
 func (leader *Coordinator) write(writes []pending, orders []scheduler.Order, waiting []func()) {
+	began := leader.need.Clock.Now()
+	leader.counters.rounds.Inc()
 	for _, item := range writes {
 		sent := leader.need.Clock.Now()
 		version, err := leader.settle(item.tx)
@@ -135,6 +137,7 @@
 		}
 		leader.loop.Post(func() { leader.stored(item, version, sent) })
 	}
+	leader.counters.roundMillis.Update(float64(leader.need.Clock.Now().Sub(began)))
 	leader.post(func() {
 		leader.writing = false
 		leader.wroteAt = leader.need.Clock.Now()
--- a/directive/directive.go
+++ b/directive/directive.go
@@ -44,6 +44,19 @@
 	Limits  Limits
 }
 
+// Queue returns the queue with the name, also for a nil Config, which has none.
+func (config *Config) Queue(name workflow.Queue) (Queue, bool) {
+	if config == nil {
+		return Queue{}, false
+	}
+	for _, queue := range config.Queues {
+		if queue.Name == name {
+			return queue, true
+		}
+	}
+	return Queue{}, false
+}
+
 // Match returns the queue with the longest prefix of path for the host, and the rest of the path.
 func (config *Config) Match(host, path string) (Queue, string, bool) {
 	if at := strings.LastIndexByte(host, ':'); at >= 0 {
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -5,8 +5,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 
+	"github.com/VictoriaMetrics/metrics"
 	"k8s.io/klog/v2"
 
 	"hyssopjunction/clock"
@@ -70,6 +72,7 @@
 		return err
 	}
 	reply := intake.decide(ctx, &session.StoreRequest{ID: spec.ID, Spec: value})
+	metrics.GetOrCreateCounter(fmt.Sprintf(`hyssopjunction_intake_submissions_total{outcome=%q}`, reply.Outcome)).Inc()
 	klog.InfoS("Job submitted", "Job", spec.ID, "Queue", spec.Queue, "Steps", len(spec.Steps), "Outcome", reply.Outcome, "Reason", reply.Reason)
 	switch reply.Outcome {
 	case session.Stored:
@@ -172,6 +175,29 @@
 	return intake.storedState(ctx, id)
 }
 
+// Job reads a job with its tasks from the store. Errors: ErrNoJob, ErrNoAnswer, workflow.ErrCorrupt.
+func (intake *Intake) Job(ctx context.Context, id workflow.ID) (*workflow.Job, error) {
+	submission, err := intake.read(ctx, ref(Submission, id))
+	if err != nil {
+		return nil, err
+	}
+	if submission.Version == 0 {
+		return nil, ErrNoJob{ID: id}
+	}
+	spec, err := workflow.DecodeSpec(id, submission.Value)
+	if err != nil {
+		return nil, err
+	}
+	stored, err := intake.read(ctx, store.Ref{Table: StateTable, Key: string(id)})
+	if err != nil {
+		return nil, err
+	}
+	if stored.Version == 0 {
+		return workflow.New(spec), nil
+	}
+	return workflow.Restore(spec, stored.Value)
+}
+
 // storedState reads the state of a job from the store.
 func (intake *Intake) storedState(ctx context.Context, id workflow.ID) (workflow.State, error) {
 	submission, err := intake.read(ctx, ref(Submission, id))
@@ -208,6 +234,7 @@
 // Cancel stores the cancellation of a job. Errors: ErrNoJob, ErrNoAnswer, ErrUndecided.
 func (intake *Intake) Cancel(ctx context.Context, id workflow.ID) error {
 	reply := intake.decide(ctx, &session.StoreRequest{ID: id, Cancel: true})
+	metrics.GetOrCreateCounter(fmt.Sprintf(`hyssopjunction_intake_cancellations_total{outcome=%q}`, reply.Outcome)).Inc()
 	klog.InfoS("Cancellation", "Job", id, "Outcome", reply.Outcome, "Reason", reply.Reason)
 	switch reply.Outcome {
 	case session.Stored:
--- a/workflow/check.go
+++ b/workflow/check.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 
 	"hyssopjunction/clock"
 )
@@ -90,3 +91,19 @@
 func (spec Spec) Objective() clock.Millis {
 	return clock.Millis(spec.Policy.Slack*float64(spec.Chain())) + spec.Policy.Latency
 }
+
+// idDigits is the length of an id.
+const idDigits = 16
+
+// ValidID reports whether text can be the id of a job: 16 hexadecimal digits.
+func ValidID(text string) bool {
+	if len(text) != idDigits {
+		return false
+	}
+	for _, digit := range text {
+		if !strings.ContainsRune("0123456789abcdefABCDEF", digit) {
+			return false
+		}
+	}
+	return true
+}
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -19,6 +19,20 @@
 	Done
 )
 
+// String names the phase.
+func (phase Phase) String() string {
+	switch phase {
+	case Waiting:
+		return "waiting"
+	case Active:
+		return "active"
+	case Done:
+		return "done"
+	default:
+		return "unknown"
+	}
+}
+
 // State is the progress of a job as callers see it.
 type State string
 
