Reach the store by way of other entries

Ruled out: a shorter lease of the leader, which lost answers would break. Change: package relay makes each call of an entry go its own way or, for a second after a failure, by way of another entry, for commits, lists and feeds alike; it replaces the request to store for another entry. An open outcome is returned as such, never hidden by another entry's refusal. The test now tells the status and the reason of an answer that is not the stream.

--- a/cmd/cluster.go
+++ b/cmd/cluster.go
@@ -24,6 +24,7 @@
 	"hyssopjunction/leadership"
 	"hyssopjunction/platform"
 	"hyssopjunction/probe"
+	"hyssopjunction/relay"
 	"hyssopjunction/session"
 	"hyssopjunction/steward"
 )
@@ -151,7 +152,8 @@
 
 func startClusterEntry(lifecycle fx.Lifecycle, settings cluster.Settings, path string) error {
 	source := clock.NewBoot()
-	service := platform.NewStore(settings.Store, source)
+	own := platform.NewStore(settings.Store, source)
+	service := relay.New(own, source, settings.Session(settings.Address), sessionAddresses(settings))
 	follower := directive.NewFollower(service, source, platform.Operators{})
 	sessions, err := net.Listen("tcp", settings.Session(settings.Address))
 	if err != nil {
@@ -164,9 +166,8 @@
 	if err != nil {
 		return err
 	}
-	peers := leadership.NewPeers(settings.Session(settings.Address), sessionAddresses(settings))
-	jobs := intake.New(service, source, keeper.Questions(), peers)
-	server := session.NewServer(leadership.NewHandler(keeper, jobs.Store))
+	jobs := intake.New(service, source, keeper.Questions())
+	server := session.NewServer(leadership.NewHandler(keeper, own))
 	serveSessions(server, sessions)
 	front := &http.Server{
 		Handler:           platform.NewIngress(follower.Config, jobs),
@@ -200,8 +201,8 @@
 		err := front.Shutdown(bounded)
 		server.Stop()
 		follower.Close()
-		peers.Close()
 		service.Close()
+		own.Close()
 		klog.InfoS("Stopped")
 		return err
 	}))
--- a/cmd/clusterctl.go
+++ b/cmd/clusterctl.go
@@ -276,7 +276,7 @@
 // Execute prints a job with its tasks.
 func (command *clusterShow) Execute([]string) error {
 	return command.shared.run(func(ctx context.Context, service *platform.Store) error {
-		job, err := intake.New(service, clock.NewBoot(), noLeader{}, noPeers{}).Job(ctx, command.id())
+		job, err := intake.New(service, clock.NewBoot(), noLeader{}).Job(ctx, command.id())
 		if err != nil {
 			return err
 		}
@@ -304,7 +304,7 @@
 // Execute cancels a job.
 func (command *clusterCancel) Execute([]string) error {
 	return command.shared.run(func(ctx context.Context, service *platform.Store) error {
-		return intake.New(service, clock.NewBoot(), noLeader{}, noPeers{}).Cancel(ctx, command.id())
+		return intake.New(service, clock.NewBoot(), noLeader{}).Cancel(ctx, command.id())
 	})
 }
 
@@ -336,7 +336,7 @@
 			return ErrExit{Code: ExitNotFound, Reason: fmt.Sprintf("no queue %s in the configuration in force", command.Queue)}
 		}
 		spec.ID, spec.Queue, spec.Service, spec.Policy = workflow.ID(command.ID), queue.Name, queue.Service, queue.Policy
-		return intake.New(service, clock.NewBoot(), noLeader{}, noPeers{}).Submit(ctx, spec)
+		return intake.New(service, clock.NewBoot(), noLeader{}).Submit(ctx, spec)
 	})
 }
 
@@ -387,11 +387,3 @@
 func (noLeader) Pending(context.Context, workflow.Queue) (int, error) {
 	return 0, session.ErrNotLeading{}
 }
-
-// noPeers is a set of no other entries.
-type noPeers struct{}
-
-// Store implements intake.Peers.
-func (noPeers) Store(context.Context, *session.StoreRequest) session.StoreReply {
-	return session.StoreReply{Outcome: session.Refused, Reason: "the store does not answer"}
-}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -6,13 +6,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
 	"k8s.io/klog/v2"
 
 	"hyssopjunction/clock"
-	"hyssopjunction/session"
 	"hyssopjunction/store"
 	"hyssopjunction/workflow"
 )
@@ -22,12 +20,10 @@
 const retryAfter = clock.Second
 
 const (
-	// ownAttempt bounds this entry's attempt to store. The rest of the callers' 3 s is for other entries.
-	ownAttempt = 1300 * clock.Millisecond
+	// attemptTime bounds a row of attempts, after which the outcome is looked at again.
+	attemptTime = 1300 * clock.Millisecond
 	// decidePause separates attempts while the outcome is open.
 	decidePause = 200 * clock.Millisecond
-	// cutOffMemory is how long after a failure other entries are asked first.
-	cutOffMemory = 600 * clock.Millisecond
 )
 
 // Leader answers questions about jobs from the leader's memory. Its errors mean that it cannot be
@@ -39,25 +35,16 @@
 	Pending(ctx context.Context, queue workflow.Queue) (int, error)
 }
 
-// Peers are other entries, which may reach the store when this one does not.
-type Peers interface {
-	// Store asks them in turn until one decides. The outcome is session.Refused if none could be asked.
-	Store(ctx context.Context, request *session.StoreRequest) session.StoreReply
-}
-
 // Intake serves callers' calls. It is safe for concurrent use.
 type Intake struct {
 	store  store.Store
 	clock  clock.Clock
 	leader Leader
-	peers  Peers
-	// failedAt is when the store last failed to answer, or 0 if it answered since.
-	failedAt atomic.Int64
 }
 
 // New returns an Intake.
-func New(service store.Store, source clock.Clock, leader Leader, peers Peers) *Intake {
-	return &Intake{store: service, clock: source, leader: leader, peers: peers}
+func New(service store.Store, source clock.Clock, leader Leader) *Intake {
+	return &Intake{store: service, clock: source, leader: leader}
 }
 
 // Submit stores a job. A job with the same id that is stored already counts as this one. Errors:
@@ -71,95 +58,54 @@
 	if err != nil {
 		return err
 	}
-	reply := intake.decide(ctx, &session.StoreRequest{ID: spec.ID, Spec: value})
-	metrics.GetOrCreateCounter(fmt.Sprintf(`hyssopjunction_intake_submissions_total{outcome=%q}`, reply.Outcome)).Inc()
-	klog.InfoS("Job submitted", "Job", spec.ID, "Queue", spec.Queue, "Steps", len(spec.Steps), "Outcome", reply.Outcome, "Reason", reply.Reason)
-	switch reply.Outcome {
-	case session.Stored:
+	outcome, reason := intake.decide(ctx, ref(Submission, spec.ID), value)
+	metrics.GetOrCreateCounter(fmt.Sprintf(`hyssopjunction_intake_submissions_total{outcome=%q}`, outcome)).Inc()
+	klog.InfoS("Job submitted", "Job", spec.ID, "Queue", spec.Queue, "Steps", len(spec.Steps), "Outcome", outcome, "Reason", reason)
+	switch outcome {
+	case Stored:
 		return nil
-	case session.Refused:
-		return ErrNotAccepted{Reason: reply.Reason, RetryAfter: retryAfter}
+	case Refused:
+		return ErrNotAccepted{Reason: reason, RetryAfter: retryAfter}
 	default:
-		return ErrUndecided{Reason: reply.Reason}
+		return ErrUndecided{Reason: reason}
 	}
 }
 
-// decide stores what a caller wants, by way of another entry if this one does not reach the store. While
-// an attempt may have taken effect it tries on until ctx ends, because only the store can tell.
-func (intake *Intake) decide(ctx context.Context, request *session.StoreRequest) session.StoreReply {
+// Outcome is the outcome of storing a row.
+type Outcome string
+
+// Outcomes of storing a row.
+const (
+	// Stored: it lies in the store, from now on or from before.
+	Stored Outcome = "Stored"
+	// Refused: it was not stored by this call.
+	Refused Outcome = "Refused"
+	// Undecided: it may have been stored.
+	Undecided Outcome = "Undecided"
+)
+
+// decide stores a row that must not exist yet. While an attempt may have taken effect it tries on until
+// ctx ends, because only the store can tell. The reason is that of the last failure.
+func (intake *Intake) decide(ctx context.Context, row store.Ref, value []byte) (Outcome, string) {
+	tx := store.Tx{Conditions: []store.Condition{{Ref: row}}, Puts: []store.Put{{Ref: row, Value: value}}}
 	undecided := false
 	for {
-		reply := intake.attempt(ctx, request)
-		switch reply.Outcome {
-		case session.Stored, session.Missing:
-			return reply
-		case session.Undecided:
+		bounded, cancel := context.WithTimeout(ctx, attemptTime.Duration())
+		_, err := store.Settle(bounded, intake.store, intake.clock, tx)
+		cancel()
+		switch {
+		case err == nil || errors.As(err, new(store.ErrConflict)):
+			return Stored, ""
+		case !store.IsErrUnavailable(err):
 			undecided = true
-		case session.Refused:
-			if !undecided {
-				return reply
-			}
+		case !undecided:
+			return Refused, err.Error()
 		}
 		select {
 		case <-intake.clock.After(decidePause):
 		case <-ctx.Done():
-			return session.StoreReply{Outcome: session.Undecided, Reason: reply.Reason}
-		}
-	}
-}
-
-// attempt tries once, here and at the other entries.
-func (intake *Intake) attempt(ctx context.Context, request *session.StoreRequest) session.StoreReply {
-	own := session.StoreReply{Outcome: session.Refused, Reason: "the store did not answer lately"}
-	if !intake.isCutOff() {
-		bounded, cancel := context.WithTimeout(ctx, ownAttempt.Duration())
-		own = intake.Store(bounded, request)
-		cancel()
-		if own.Outcome == session.Stored || own.Outcome == session.Missing {
-			return own
-		}
-	}
-	reply := intake.peers.Store(ctx, request)
-	if reply.Outcome == session.Refused && own.Outcome == session.Undecided {
-		return own // The own attempt may still take effect.
-	}
-	return reply
-}
-
-// isCutOff reports whether the store failed to answer a moment ago.
-func (intake *Intake) isCutOff() bool {
-	failed := clock.Time(intake.failedAt.Load())
-	return failed != 0 && intake.clock.Now().Sub(failed) < cutOffMemory
-}
-
-// Store stores what a caller of this or another entry wants.
-func (intake *Intake) Store(ctx context.Context, request *session.StoreRequest) session.StoreReply {
-	kind, value := Submission, []byte(request.Spec)
-	if request.Cancel {
-		kind, value = Cancellation, []byte("{}")
-		submission, err := intake.read(ctx, ref(Submission, request.ID))
-		if err != nil {
-			intake.failedAt.Store(int64(intake.clock.Now()))
-			return session.StoreReply{Outcome: session.Refused, Reason: err.Error()}
+			return Undecided, err.Error()
 		}
-		if submission.Version == 0 {
-			return session.StoreReply{Outcome: session.Missing}
-		}
-	}
-	row := ref(kind, request.ID)
-	_, err := store.Settle(ctx, intake.store, intake.clock, store.Tx{
-		Conditions: []store.Condition{{Ref: row}}, Puts: []store.Put{{Ref: row, Value: value}},
-	})
-	switch {
-	case err == nil || errors.As(err, new(store.ErrConflict)):
-		intake.failedAt.Store(0)
-		return session.StoreReply{Outcome: session.Stored}
-	case store.IsErrUnavailable(err):
-		intake.failedAt.Store(int64(intake.clock.Now()))
-		return session.StoreReply{Outcome: session.Refused, Reason: err.Error()}
-	default:
-		intake.failedAt.Store(int64(intake.clock.Now()))
-		return session.StoreReply{Outcome: session.Undecided, Reason: err.Error()}
 	}
 }
 
@@ -233,18 +179,23 @@
 
 // Cancel stores the cancellation of a job. Errors: ErrNoJob, ErrNoAnswer, ErrUndecided.
 func (intake *Intake) Cancel(ctx context.Context, id workflow.ID) error {
-	reply := intake.decide(ctx, &session.StoreRequest{ID: id, Cancel: true})
-	metrics.GetOrCreateCounter(fmt.Sprintf(`hyssopjunction_intake_cancellations_total{outcome=%q}`, reply.Outcome)).Inc()
-	klog.InfoS("Cancellation", "Job", id, "Outcome", reply.Outcome, "Reason", reply.Reason)
-	switch reply.Outcome {
-	case session.Stored:
-		return nil
-	case session.Missing:
+	submission, err := intake.read(ctx, ref(Submission, id))
+	if err != nil {
+		return err
+	}
+	if submission.Version == 0 {
 		return ErrNoJob{ID: id}
-	case session.Refused:
-		return ErrNoAnswer{Reason: reply.Reason, RetryAfter: retryAfter}
+	}
+	outcome, reason := intake.decide(ctx, ref(Cancellation, id), []byte("{}"))
+	metrics.GetOrCreateCounter(fmt.Sprintf(`hyssopjunction_intake_cancellations_total{outcome=%q}`, outcome)).Inc()
+	klog.InfoS("Cancellation", "Job", id, "Outcome", outcome, "Reason", reason)
+	switch outcome {
+	case Stored:
+		return nil
+	case Refused:
+		return ErrNoAnswer{Reason: reason, RetryAfter: retryAfter}
 	default:
-		return ErrUndecided{Reason: reply.Reason}
+		return ErrUndecided{Reason: reason}
 	}
 }
 
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -51,13 +51,6 @@
 
 func (script *scripted) Now() clock.Time { return 1 }
 
-// answering is a set of other entries that always answers the same.
-type answering session.Outcome
-
-func (outcome answering) Store(context.Context, *session.StoreRequest) session.StoreReply {
-	return session.StoreReply{Outcome: session.Outcome(outcome), Reason: "scripted"}
-}
-
 type silentLeader struct{}
 
 func (silentLeader) State(context.Context, workflow.ID) (workflow.State, bool, error) {
@@ -72,12 +65,12 @@
 	return &scripted{errors: errors, rows: map[store.Ref]store.Row{}}
 }
 
-func submit(t *testing.T, script *scripted, peers Peers, within time.Duration) error {
+func submit(t *testing.T, script *scripted, within time.Duration) error {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
 	spec := workflow.Spec{ID: "0123456789abcdef", Steps: []workflow.Step{{Count: 1, Need: unit.Resources{CPU: 1}}}}
-	return New(script, clock.NewSystem(), silentLeader{}, peers).Submit(ctx, spec)
+	return New(script, clock.NewSystem(), silentLeader{}).Submit(ctx, spec)
 }
 
 // Guards against an answer "not accepted" for a job that may be stored, and against giving up while the
@@ -87,21 +80,18 @@
 	unknown, refused := store.ErrUnknown{Reason: "reset"}, store.ErrUnavailable{Reason: "503"}
 	cases := map[string]struct {
 		script *scripted
-		peers  Peers
 		within time.Duration
 		want   func(error) bool
 	}{
-		"stored at once":         {newScript(), answering(session.Refused), time.Second, func(err error) bool { return err == nil }},
-		"refused by all":         {newScript(refused), answering(session.Refused), time.Second, IsErrNotAccepted},
-		"stored by another":      {newScript(refused), answering(session.Stored), time.Second, func(err error) bool { return err == nil }},
-		"unknown, then stored":   {newScript(unknown, unknown), answering(session.Refused), time.Second, func(err error) bool { return err == nil }},
-		"unknown until the end":  {newScript(many(unknown)...), answering(session.Refused), 300 * time.Millisecond, IsErrUndecided},
-		"unknown at the others":  {newScript(many(refused)...), answering(session.Undecided), 300 * time.Millisecond, IsErrUndecided},
-		"unknown, then refusing": {newScript(append([]error{unknown}, many(refused)...)...), answering(session.Refused), 300 * time.Millisecond, IsErrUndecided},
+		"stored at once":         {newScript(), time.Second, func(err error) bool { return err == nil }},
+		"refused by all":         {newScript(refused), time.Second, IsErrNotAccepted},
+		"unknown, then stored":   {newScript(unknown, unknown), time.Second, func(err error) bool { return err == nil }},
+		"unknown until the end":  {newScript(many(unknown)...), 300 * time.Millisecond, IsErrUndecided},
+		"unknown, then refusing": {newScript(append([]error{unknown}, many(refused)...)...), 300 * time.Millisecond, IsErrUndecided},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			if err := submit(t, test.script, test.peers, test.within); !test.want(err) {
+			if err := submit(t, test.script, test.within); !test.want(err) {
 				t.Errorf("got %v", err)
 			}
 		})
@@ -119,7 +109,7 @@
 // Guards against a 410 for a job that is stored but that the leader has not seen yet.
 func TestStateOfStoredJobWithoutLeader(t *testing.T) {
 	script := newScript()
-	intake := New(script, clock.NewSystem(), silentLeader{}, answering(session.Refused))
+	intake := New(script, clock.NewSystem(), silentLeader{})
 	spec := workflow.Spec{ID: "0123456789abcdef", Steps: []workflow.Step{{Count: 1, Need: unit.Resources{CPU: 1}}}}
 	if err := intake.Submit(t.Context(), spec); err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/leadership/handler.go
@@ -0,0 +1,25 @@
+package leadership
+
+import (
+	"context"
+
+	"hyssopjunction/relay"
+	"hyssopjunction/session"
+	"hyssopjunction/store"
+)
+
+// Handler serves sessions, and calls to the store for other entries.
+type Handler struct {
+	*Keeper
+	own store.Store
+}
+
+// NewHandler returns the handler of an entry with its own way to the store.
+func NewHandler(keeper *Keeper, own store.Store) Handler {
+	return Handler{Keeper: keeper, own: own}
+}
+
+// Relay serves another entry.
+func (handler Handler) Relay(ctx context.Context, request *session.RelayRequest) (*session.RelayReply, error) {
+	return relay.Serve(ctx, handler.own, request), nil
+}
--- a/session/client.go
+++ b/session/client.go
@@ -84,9 +84,10 @@
 	return invoke[LeaderReply](ctx, client, leaderMethod, &LeaderRequest{})
 }
 
-// Store asks the entry to store what a caller wants. Error: that of the connection.
-func (client *Client) Store(ctx context.Context, request *StoreRequest) (*StoreReply, error) {
-	return invoke[StoreReply](ctx, client, storeMethod, request)
+// Relay asks the entry to make a call to the store. Error: that of the connection; that of the store is
+// in the reply.
+func (client *Client) Relay(ctx context.Context, request *RelayRequest) (*RelayReply, error) {
+	return invoke[RelayReply](ctx, client, relayMethod, request)
 }
 
 func invoke[Reply any](ctx context.Context, client *Client, name string, request any) (*Reply, error) {
--- a/session/message.go
+++ b/session/message.go
@@ -2,8 +2,6 @@
 package session
 
 import (
-	"encoding/json"
-
 	"hyssopjunction/clock"
 	"hyssopjunction/ident"
 	"hyssopjunction/unit"
@@ -145,35 +143,6 @@
 	Address string
 }
 
-// StoreRequest asks an entry to store what a caller wants, because the asking one does not reach the
-// store. Cancel asks for the job's cancellation, otherwise Spec is submitted.
-type StoreRequest struct {
-	ID     workflow.ID
-	Cancel bool            `json:",omitempty"`
-	Spec   json.RawMessage `json:",omitempty"`
-}
-
-// StoreReply tells the outcome.
-type StoreReply struct {
-	Outcome Outcome
-	Reason  string `json:",omitempty"`
-}
-
-// Outcome is the outcome of storing.
-type Outcome string
-
-// Outcomes of storing.
-const (
-	// Stored: it lies in the store, from now on or from before.
-	Stored Outcome = "Stored"
-	// Refused: it was not stored by this call.
-	Refused Outcome = "Refused"
-	// Missing: there is no such job.
-	Missing Outcome = "Missing"
-	// Undecided: it may have been stored.
-	Undecided Outcome = "Undecided"
-)
-
 // PendingRequest asks how many jobs of a queue have not started.
 type PendingRequest struct {
 	Queue workflow.Queue
--- a/session/server.go
+++ b/session/server.go
@@ -17,7 +17,7 @@
 	stateMethod   = "State"
 	pendingMethod = "Pending"
 	leaderMethod  = "Leader"
-	storeMethod   = "Store"
+	relayMethod   = "Relay"
 )
 
 // Stream is the leader's side of an agent's session.
@@ -36,7 +36,8 @@
 	State(ctx context.Context, request *StateRequest) (*StateReply, error)
 	Pending(ctx context.Context, request *PendingRequest) (*PendingReply, error)
 	Leader(ctx context.Context, request *LeaderRequest) (*LeaderReply, error)
-	Store(ctx context.Context, request *StoreRequest) (*StoreReply, error)
+	// Relay makes a call to the store for another entry.
+	Relay(ctx context.Context, request *RelayRequest) (*RelayReply, error)
 }
 
 // ErrNotLeading reports that a daemon does not lead, or not any more.
@@ -61,7 +62,7 @@
 			{MethodName: stateMethod, Handler: unary(Handler.State)},
 			{MethodName: pendingMethod, Handler: unary(Handler.Pending)},
 			{MethodName: leaderMethod, Handler: unary(Handler.Leader)},
-			{MethodName: storeMethod, Handler: unary(Handler.Store)},
+			{MethodName: relayMethod, Handler: unary(Handler.Relay)},
 		},
 		Streams: []grpc.StreamDesc{{
 			StreamName: attendMethod, ServerStreams: true, ClientStreams: true,
--- a/standalone/stream_test.go
+++ b/standalone/stream_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"testing"
 
@@ -25,6 +26,12 @@
 		return nil
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		reason, err := io.ReadAll(response.Body)
+		fixture.test.Errorf("stream %s at %s from %d: status %d, Retry-After %q, %s (%v)", stream, address, offset,
+			response.StatusCode, response.Header.Get("Retry-After"), reason, err)
+		return nil
+	}
 	var received bytes.Buffer
 	part := make([]byte, 512)
 	for {
