Set the pace of runs that an earlier process of the agent started

Change: the pace of such runs is unknown and set anew. TestPaceAfterRestartOfAgent failed first (5 s without the full pace).

--- a/steward/link.go
+++ b/steward/link.go
@@ -257,7 +257,7 @@
 // slowed returns by how many percent a run is slowed down.
 func (present *life) slowed(item Active) int {
 	known, ok := present.runs[runKey{item.Task, item.Run}]
-	if !ok {
+	if !ok || known.paced == unknownPace {
 		return 0
 	}
 	return pacing.Full - known.paced
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -99,6 +99,9 @@
 	stopped
 )
 
+// unknownPace stands for the pace of a run that another process of the agent may have set.
+const unknownPace = -1
+
 // runKey names a run.
 type runKey struct {
 	task   string
@@ -312,7 +315,7 @@
 		active[key] = struct{}{}
 		known, ok := present.runs[key]
 		if !ok {
-			present.runs[key] = &run{order: session.Start{Task: item.Task, Run: item.Run}, phase: started, paced: pacing.Full}
+			present.runs[key] = &run{order: session.Start{Task: item.Task, Run: item.Run}, phase: started, paced: unknownPace}
 			continue
 		}
 		if known.phase == starting {
--- a/steward/steward_test.go
+++ b/steward/steward_test.go
@@ -30,10 +30,11 @@
 	ended  []Ended
 	fenced map[runKey]bool
 	starts int
+	paces  map[string]int
 }
 
 func newRuntime() *fakeRuntime {
-	return &fakeRuntime{began: time.Now(), runs: map[runKey]bool{}, fenced: map[runKey]bool{}}
+	return &fakeRuntime{began: time.Now(), runs: map[runKey]bool{}, fenced: map[runKey]bool{}, paces: map[string]int{}}
 }
 
 var errSilent = errors.New("no answer")
@@ -71,7 +72,12 @@
 	return nil
 }
 
-func (fake *fakeRuntime) Pace(context.Context, PaceCall) error { return nil }
+func (fake *fakeRuntime) Pace(_ context.Context, call PaceCall) error {
+	fake.mu.Lock()
+	defer fake.mu.Unlock()
+	fake.paces[call.Task] = call.Percent
+	return nil
+}
 
 func (fake *fakeRuntime) Hold(ctx context.Context, call HoldCall) (Listing, error) {
 	select {
@@ -194,6 +200,27 @@
 	await(t, agent, "a rejection", func() bool { return len(agent.rejections) == 1 && agent.rejections[0].Run == 2 })
 }
 
+// Guards against a filling run that keeps the pace which an earlier process of the agent set: after the
+// restart of an agent such runs stood still although nothing was near its target.
+func TestPaceAfterRestartOfAgent(t *testing.T) {
+	const task = "0123456789abcdef.0.0.0"
+	fake := newRuntime()
+	fake.runs[runKey{task, 1}] = true
+	fake.paces[task] = 0
+	agent := newAgent(t, fake)
+	await(t, agent, "a listing", func() bool { return len(agent.life.listing.Active) == 1 })
+	agent.loop.Call(func() {
+		agent.obey(&session.Orders{Term: 1, Starts: []session.Start{{
+			Incarnation: agent.life.incarnation, Task: task, Run: 1, Fills: true, CPU: 1000,
+		}}})
+	})
+	await(t, agent, "the full pace", func() bool {
+		fake.mu.Lock()
+		defer fake.mu.Unlock()
+		return fake.paces[task] == 100
+	})
+}
+
 // Guards against a delayed statement of an earlier life that replaces the present one.
 func TestEarlierLifeIsIgnored(t *testing.T) {
 	agent := newAgent(t, newRuntime())
