--- a/pacing/governor.go
+++ b/pacing/governor.go
@@ -48,8 +48,10 @@
 	// trust scales what the model allows beside each serving task.
 	trust map[string]float64
 	// over is the time from which each serving task was over its target.
-	over  map[string]clock.Time
-	paces map[string]int
+	over map[string]clock.Time
+	// halted reports that one was over it for too long at the last figure.
+	halted bool
+	paces  map[string]int
 }
 
 // NewGovernor returns a governor at full pace.
@@ -73,6 +75,13 @@
 	}
 	governor.decidedAt = now
 	governor.judge(serving, filling, weights)
+	governor.halted = governor.isHalted(serving, now)
+	governor.Allot(serving, filling, weights)
+}
+
+// Allot decides the paces by the trust that there is. It is for filling tasks that the figures do not
+// show yet: they must not work at full pace until the next figure.
+func (governor *Governor) Allot(serving []Serving, filling []Filling, weights Weights) {
 	shares := make([]float64, len(filling))
 	for position := range filling {
 		shares[position] = 1
@@ -80,7 +89,7 @@
 	for _, task := range serving {
 		governor.limit(task, filling, shares, weights)
 	}
-	if governor.isHalted(serving, now) {
+	if governor.halted {
 		clear(shares)
 	}
 	paces := map[string]int{}
@@ -141,7 +150,10 @@
 
 // limit lowers the shares of filling tasks until the serving task is expected to stay at its aim.
 func (governor *Governor) limit(task Serving, filling []Filling, shares []float64, weights Weights) {
-	trust := governor.trust[task.Task]
+	trust, ok := governor.trust[task.Task]
+	if !ok {
+		trust = 1
+	}
 	least := 0.0
 	if task.ratio() > alarm && !isOwnLoad(task, filling, weights) {
 		least = doubt
--- a/steward/orders.go
+++ b/steward/orders.go
@@ -128,11 +128,17 @@
 	})
 }
 
-// release ends the work on a run, and begins again if it was abandoned meanwhile.
+// release ends the work on a run, and begins again if it was abandoned meanwhile. A filling run that
+// was just started is paced.
 func (agent *Steward) release(present *life, known *run) {
 	known.busy = false
-	if known.phase == stopping && agent.life == present && agent.base.Err() == nil {
+	switch {
+	case agent.life != present || agent.base.Err() != nil:
+	case known.phase == stopping:
 		agent.carryOut(present, known)
+	case known.phase == started && known.order.Fills && !known.welcomed:
+		known.welcomed = true
+		agent.welcome(present)
 	}
 }
 
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -117,7 +117,9 @@
 	reason      string
 	paced       int
 	busy        bool
-	attempts    int
+	// welcomed reports that the pace was decided after the start.
+	welcomed bool
+	attempts int
 	// described is false for runs that were listed but not ordered in this process.
 	described bool
 }
@@ -357,28 +359,49 @@
 
 // govern paces filling tasks by the tails of those that serve.
 func (agent *Steward) govern(present *life) {
+	serving, filling := present.samples()
+	present.governor.Decide(serving, filling, present.weight, agent.clock.Now())
+	agent.repaceAll(present)
+}
+
+// welcome paces the filling tasks of a worker anew when one was started, before its figures are known.
+func (agent *Steward) welcome(present *life) {
+	serving, filling := present.samples()
+	present.governor.Allot(serving, filling, present.weight)
+	agent.repaceAll(present)
+}
+
+func (agent *Steward) repaceAll(present *life) {
+	for _, known := range present.runs {
+		if pace := present.governor.Pace(known.order.Task); known.order.Fills && known.phase == started && known.paced != pace && !known.busy {
+			agent.repace(present, known, pace)
+		}
+	}
+}
+
+// samples returns the newest figures of serving tasks, and all filling tasks that were started. Those
+// that are not listed yet have used nothing.
+func (present *life) samples() ([]pacing.Serving, []pacing.Filling) {
 	var serving []pacing.Serving
-	var filling []pacing.Filling
+	used := map[runKey]int64{}
 	for _, item := range present.listing.Active {
-		known, ok := present.runs[runKey{item.Task, item.Run}]
-		switch {
-		case !ok:
-		case known.order.Target > 0:
+		key := runKey{item.Task, item.Run}
+		used[key] = item.Figure
+		if known, ok := present.runs[key]; ok && known.order.Target > 0 {
 			serving = append(serving, pacing.Serving{
 				Task: item.Task, Image: pacing.Image(known.order.Image), Tail: clock.Millis(item.Figure), Target: known.order.Target,
 			})
-		case known.order.Fills:
-			filling = append(filling, pacing.Filling{
-				Task: item.Task, Image: pacing.Image(known.order.Image), Cores: float64(known.order.CPU) / milli, Used: float64(item.Figure) / milli,
-			})
 		}
 	}
-	present.governor.Decide(serving, filling, present.weight, agent.clock.Now())
-	for _, known := range present.runs {
-		if pace := present.governor.Pace(known.order.Task); known.order.Fills && known.phase == started && known.paced != pace && !known.busy {
-			agent.repace(present, known, pace)
+	var filling []pacing.Filling
+	for key, known := range present.runs {
+		if known.order.Fills && known.phase == started {
+			filling = append(filling, pacing.Filling{
+				Task: key.task, Image: pacing.Image(known.order.Image), Cores: float64(known.order.CPU) / milli, Used: float64(used[key]) / milli,
+			})
 		}
 	}
+	return serving, filling
 }
 
 // milli converts thousandths.
