Count jobs as late whose step finds too few processors

Cause: whether a job can still meet its objective was judged by its chain alone, so wide steps of an image that few workers are open to stayed among those that can, finished late, and held back others. Change: a step is expected to take its work by the cores that its image may use, estimated once a second.

--- a/scheduler/arrange.go
+++ b/scheduler/arrange.go
@@ -126,3 +126,39 @@
 	}
 	return step.PerWorker == 0 || target.count(active.name) < step.PerWorker
 }
+
+// crowded is the share of the time by the usable cores that a step is expected to take. The estimate of
+// the cores is rough, so only jobs that are far from their objective count as late before it passed.
+const crowded = 0.6
+
+// cores are the processors that filling tasks of each image may use beside the serving tasks.
+type cores map[pacing.Image]float64
+
+// usable returns the cores for the images of the open jobs. It is estimated anew once a second.
+func (book *Book) usable(now clock.Time) cores {
+	if book.usableCores != nil && now.Sub(book.usableAt) < clock.Second {
+		return book.usableCores
+	}
+	book.usableAt, book.usableCores = now, cores{}
+	for image := range book.demand() {
+		total := 0.0
+		for _, target := range book.workers {
+			if target.reachable && !target.Draining && !book.out.Has(target.DataCentre) {
+				total += book.worth(target, map[pacing.Image]float64{image: 1}, nil, nil, now)
+			}
+		}
+		book.usableCores[image] = total
+	}
+	return book.usableCores
+}
+
+// stretch returns how many times its estimate a step of filling tasks is expected to take, because its
+// tasks find processors one after the other.
+func (usable cores) stretch(step *workflow.Step, left int) float64 {
+	available, ok := usable[pacing.Image(step.Image)]
+	if !step.Fills || !ok {
+		return 1
+	}
+	wanted := float64(left) * float64(step.Need.CPU) / milli
+	return math.Max(1, crowded*wanted/math.Max(available, 1))
+}
--- a/scheduler/book.go
+++ b/scheduler/book.go
@@ -59,6 +59,9 @@
 	model   *pacing.Model
 	// plannedAt is when waiting tasks were last looked at.
 	plannedAt clock.Time
+	// usableCores was estimated at usableAt.
+	usableCores cores
+	usableAt    clock.Time
 	// arrangedAt is when serving tasks were last looked at.
 	arrangedAt clock.Time
 	// movedAt is when runs were last moved to faster workers.
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -121,6 +121,7 @@
 // candidates returns what waits, in the order in which it is served.
 func (book *Book) candidates(now clock.Time) []candidate {
 	var list []candidate
+	usable := book.usable(now)
 	for _, found := range book.open {
 		standing := false
 		for _, occurrence := range found.job.Occurrences {
@@ -136,7 +137,7 @@
 				}
 				if len(waiting) > 0 {
 					standing = standing || found.job.Spec.Steps[step].Standing
-					list = append(list, newCandidate(found, occurrence, step, waiting, now))
+					list = append(list, newCandidate(found, occurrence, step, waiting, usable, now))
 				}
 			}
 		}
@@ -154,11 +155,13 @@
 	return list
 }
 
-func newCandidate(found *entry, occurrence *workflow.Occurrence, step int, waiting []int, now clock.Time) candidate {
+func newCandidate(found *entry, occurrence *workflow.Occurrence, step int, waiting []int, usable cores, now clock.Time) candidate {
 	spec := &found.job.Spec
 	begin := found.arrived
 	objective := spec.Objective()
-	latest := begin.Add(objective - found.job.RemainingChain(occurrence))
+	latest := begin.Add(objective - found.job.RemainingChain(occurrence, func(number int) float64 {
+		return usable.stretch(&spec.Steps[number], occurrence.Left(number))
+	}))
 	added := candidate{found: found, occurrence: occurrence, step: step, waiting: waiting, latest: latest}
 	switch shape := spec.Steps[step]; {
 	case shape.Standing:
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -277,8 +277,8 @@
 }
 
 // RemainingChain returns the run time of the longest chain of steps that are not done, by the
-// submitter's estimates. It ignores the progress of active tasks.
-func (job *Job) RemainingChain(occurrence *Occurrence) clock.Millis {
+// submitter's estimates times the stretch of each step. It ignores the progress of active tasks.
+func (job *Job) RemainingChain(occurrence *Occurrence, stretch func(step int) float64) clock.Millis {
 	longest := clock.Millis(0)
 	ends := make([]clock.Millis, len(job.Spec.Steps))
 	for number, step := range job.Spec.Steps {
@@ -288,7 +288,7 @@
 		}
 		ends[number] = begin
 		if occurrence.left[number] > 0 {
-			ends[number] += step.Estimate
+			ends[number] += clock.Millis(float64(step.Estimate) * stretch(number))
 		}
 		longest = max(longest, ends[number])
 	}
