--- a/workflow/codec.go
+++ b/workflow/codec.go
@@ -110,14 +110,20 @@
 		return job, nil
 	}
 	for _, kept := range stored.Occurrences {
+		if kept.Number < 0 || kept.Number >= stored.Next || stored.Next > job.Total() {
+			return nil, ErrCorrupt{ID: spec.ID, Reason: "has an occurrence that is not due"}
+		}
 		occurrence := job.newOccurrence(kept.Number)
 		for _, encoded := range kept.Tasks {
-			if encoded.Step >= len(occurrence.Steps) || encoded.Index >= len(occurrence.Steps[encoded.Step]) {
+			if !occurrence.has(encoded.Step, encoded.Index) {
 				return nil, ErrCorrupt{ID: spec.ID, Reason: "has a task that the spec lacks"}
 			}
+			if encoded.Run < 1 || encoded.Phase > Done || occurrence.Steps[encoded.Step][encoded.Index].Run != 0 {
+				return nil, ErrCorrupt{ID: spec.ID, Reason: "has a task without a run, in no known phase, or twice"}
+			}
 			task := Task{Phase: encoded.Phase, Run: encoded.Run, Failures: encoded.Failures, Saved: encoded.Saved}
 			if task.Phase == Active {
-				if encoded.Worker >= len(stored.Workers) {
+				if encoded.Worker < 0 || encoded.Worker >= len(stored.Workers) {
 					return nil, ErrCorrupt{ID: spec.ID, Reason: "refers to a worker that it does not list"}
 				}
 				task.Worker = stored.Workers[encoded.Worker]
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -95,6 +95,11 @@
 	return true
 }
 
+// has reports whether the occurrence has the task.
+func (occurrence *Occurrence) has(step, index int) bool {
+	return step >= 0 && step < len(occurrence.Steps) && index >= 0 && index < len(occurrence.Steps[step])
+}
+
 // Left returns the number of tasks of the step that are not done.
 func (occurrence *Occurrence) Left(step int) int { return occurrence.left[step] }
 
@@ -165,7 +170,7 @@
 // Task returns the task, or nil if the job has no such task that can still run.
 func (job *Job) Task(name Name) *Task {
 	occurrence, ok := job.Occurrence(name.Occurrence)
-	if !ok || name.Step >= len(occurrence.Steps) || name.Index >= len(occurrence.Steps[name.Step]) {
+	if !ok || !occurrence.has(name.Step, name.Index) {
 		return nil
 	}
 	return &occurrence.Steps[name.Step][name.Index]
