--- a/cluster/settings.go
+++ b/cluster/settings.go
@@ -41,6 +41,8 @@
 	StopTimeout clock.Millis
 	// Impact is how long a standing task may be over its target through filling tasks.
 	Impact clock.Millis
+	// OrdersByHeartbeat reports that workers take their orders from the answers to their heartbeats.
+	OrdersByHeartbeat bool
 	// MemoryBytes is the most memory that the daemon may use; 0 means no limit.
 	MemoryBytes int64
 }
@@ -78,6 +80,9 @@
 	if err := settings.check(); err != nil {
 		return err
 	}
+	if settings.OrdersByHeartbeat {
+		return ErrBadSetting{Name: "OrdersByHeartbeat", Reason: "workers that take their orders from heartbeats are not supported"}
+	}
 	return required([]named{{"Workers", settings.Workers}, {"Runtime", settings.Runtime}})
 }
 
--- a/directive/directive.go
+++ b/directive/directive.go
@@ -26,6 +26,8 @@
 	Policy  workflow.Policy
 	// Timeout bounds a caller's request.
 	Timeout clock.Millis
+	// Advised queues run their steps only where an outside service allows it.
+	Advised bool
 }
 
 // Limits bound callers' requests.
