--- a/standin/site/runner.go
+++ b/standin/site/runner.go
@@ -90,16 +90,8 @@
 		fault = runner.fault(request)
 	}
 	runner.mu.Unlock()
-	switch fault {
-	case Busy:
-		writer.WriteHeader(http.StatusServiceUnavailable)
+	if fault.prevents(writer, request) {
 		return
-	case Reset:
-		panic(http.ErrAbortHandler)
-	case Silent:
-		<-request.Context().Done()
-		return
-	case None, Lost:
 	}
 	if expected := request.Header.Get(expectedHeader); expected != "" && expected != runner.id {
 		writer.WriteHeader(http.StatusMisdirectedRequest)
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -29,6 +29,22 @@
 	Silent
 )
 
+// prevents reports whether the call must not be carried out, and answers it then as the fault says.
+func (fault Fault) prevents(writer http.ResponseWriter, request *http.Request) bool {
+	switch fault {
+	case Busy:
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	case Reset:
+		panic(http.ErrAbortHandler)
+	case Silent:
+		<-request.Context().Done()
+		return true
+	case None, Lost:
+	}
+	return false
+}
+
 // rowKey names a row.
 type rowKey struct{ table, part, key string }
 
@@ -116,16 +132,8 @@
 		fault = service.fault(request)
 	}
 	service.mu.Unlock()
-	switch fault {
-	case Busy:
-		writer.WriteHeader(http.StatusServiceUnavailable)
-		return
-	case Reset:
-		panic(http.ErrAbortHandler)
-	case Silent:
-		<-request.Context().Done()
+	if fault.prevents(writer, request) {
 		return
-	case None, Lost:
 	}
 	status, body := service.answer(request)
 	if fault == Lost {
