Place nothing on a worker that does not answer its agent, after a change of leaders

The agent of a gone runner told its last listing again and again, so the leader ordered stops twice a second, and a call that failed by way of another entry closed the connection under the other calls on it. Change: the leader takes the agent's word; a worker that refused a start gets nothing for 0.5 s; listings of a silent worker are not told; connections that are replaced are closed after 3 s.

--- a/coordinator/agents.go
+++ b/coordinator/agents.go
@@ -37,6 +37,8 @@
 	gone        chan struct{}
 	closed      bool
 	overrun     bool
+	// answering reports that the worker responds to the agent.
+	answering bool
 	// introduced reports that the expected runs were sent.
 	introduced bool
 	// recorded is the highest number of an end that is stored.
@@ -176,6 +178,7 @@
 		Incarnation: incarnation, Node: agent.node, Service: reported.Service, DataCentre: reported.DataCentre,
 		Labels: reported.Labels, Capacity: reported.Capacity, Draining: reported.Draining, Remaining: reported.Remaining,
 	}, now)
+	agent.answering = reported.Answering
 	if reported.Lapsed {
 		leader.book.Lapsed(incarnation)
 	}
@@ -201,7 +204,7 @@
 // their description.
 func (leader *Coordinator) introduce(agent *attached) {
 	leader.send(leader.book.Expected(agent.incarnation))
-	leader.book.SetReachable(agent.incarnation, true)
+	leader.book.SetReachable(agent.incarnation, agent.answering)
 }
 
 func (leader *Coordinator) takeEnds(agent *attached, ends []session.End, now clock.Time) {
@@ -241,7 +244,7 @@
 	}
 	leader.counters.rejections.Inc()
 	klog.InfoS("Run rejected", "Task", rejected.Task, "Run", rejected.Run, "Worker", rejected.Incarnation, "Reason", rejected.Reason)
-	leader.book.Rejected(scheduler.Incarnation(rejected.Incarnation), name, rejected.Run)
+	leader.book.Rejected(scheduler.Incarnation(rejected.Incarnation), name, rejected.Run, leader.need.Clock.Now())
 }
 
 func (leader *Coordinator) progress(listed []session.Progress) []scheduler.Progress {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -21,6 +21,8 @@
 	// answerTime bounds a call by way of another entry beyond its own waiting: the store's longest time for
 	// an answer on slow days and the way between the entries.
 	answerTime = 900 * clock.Millisecond
+	// dropDelay outlasts the calls on a connection that is replaced: a feed waits for 2 s.
+	dropDelay = 3 * clock.Second
 )
 
 // Store is a store.Store that prefers its own way and else asks other entries. It is safe for
@@ -176,13 +178,17 @@
 	return client, nil
 }
 
-// drop closes a connection that failed, because it may have gone silent.
+// drop replaces a connection that failed, because it may have gone silent. It is closed after the time that
+// other calls on it may still take.
 func (relayed *Store) drop(address string, failed *session.Client) {
 	relayed.mu.Lock()
 	defer relayed.mu.Unlock()
 	if relayed.clients[address] == failed {
 		delete(relayed.clients, address)
-		_ = failed.Close()
+		go func() {
+			<-relayed.clock.After(dropDelay)
+			_ = failed.Close()
+		}()
 	}
 }
 
--- a/scheduler/book.go
+++ b/scheduler/book.go
@@ -304,7 +304,7 @@
 }
 
 // Rejected records that the worker certainly never runs the run.
-func (book *Book) Rejected(incarnation Incarnation, name workflow.Name, number workflow.Run) {
+func (book *Book) Rejected(incarnation Incarnation, name workflow.Name, number workflow.Run, now clock.Time) {
 	target, ok := book.workers[incarnation]
 	if !ok {
 		return
@@ -313,6 +313,7 @@
 		if found, ok := book.jobs[name.Job]; ok {
 			found.avoid[incarnation]++
 		}
+		target.refusesUntil = now.Add(refusalPause)
 		book.end(active, workflow.Interrupted, "")
 	}
 }
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -14,6 +14,9 @@
 	// of workers last for 4 to 8 s.
 	firstSuspension = 2 * clock.Second
 	lastSuspension  = 8 * clock.Second
+	// refusalPause is how long a worker gets nothing after a refused start: the leader's view is corrected
+	// by the next listing, within half a second.
+	refusalPause = 500 * clock.Millisecond
 	// stallAfter is the time without progress after which a run counts as stalled. Progress is reported
 	// about every second in whole percent; a task of 20 s moves by 5 in that time.
 	stallAfter = 2500 * clock.Millisecond
@@ -60,7 +63,7 @@
 // running, so they do not count.
 func (target *worker) allows(now clock.Time) bool {
 	judged := &target.health
-	if now.Before(judged.until) {
+	if now.Before(judged.until) || now.Before(target.refusesUntil) {
 		return false
 	}
 	if !judged.trial {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -40,6 +40,8 @@
 	// serving is the processor time reserved by standing tasks.
 	serving unit.MilliCPU
 	health  health
+	// refusesUntil is the end of the pause after a refused start.
+	refusesUntil clock.Time
 }
 
 // run is an active run in the book.
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -118,3 +118,15 @@
 	starts = w.plan(headroomWait)
 	wantStarts(t, starts, 1)
 }
+
+// Guards against a start that is refused and repeated at once for ever, where leader and agent disagree
+// about the room of a worker.
+func TestRefusedStartWaits(t *testing.T) {
+	w := newWorld(t, 1)
+	w.submit("job", step(1))
+	starts := w.plan(0)
+	wantStarts(t, starts, 1)
+	w.book.Rejected(starts[0].Worker, starts[0].Name, starts[0].Run, w.now)
+	wantStarts(t, w.plan(1), 0)
+	wantStarts(t, w.plan(refusalPause), 1)
+}
--- a/steward/link.go
+++ b/steward/link.go
@@ -242,7 +242,7 @@
 		}
 	}
 	report.Rejections, agent.rejections = agent.rejections, nil
-	if now.Sub(told.listedAt) >= listInterval {
+	if now.Sub(told.listedAt) >= listInterval && present.silent < silentAfter {
 		told.listedAt, report.Listed = now, true
 		for _, item := range present.listing.Active {
 			report.Progress = append(report.Progress, session.Progress{
--- a/store/settle.go
+++ b/store/settle.go
@@ -40,7 +40,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return 0, ErrUnknown{Reason: err.Error()}
+			return 0, ErrUnknown{Reason: reasonOf(err)}
 		case <-source.After(pause):
 		}
 		pause = min(2*pause, lastPause)
@@ -65,3 +65,12 @@
 	}
 	return version, true
 }
+
+// reasonOf returns why an outcome is not known.
+func reasonOf(err error) string {
+	var unknown ErrUnknown
+	if errors.As(err, &unknown) {
+		return unknown.Reason
+	}
+	return err.Error()
+}
