Learn from the tasks of one job on different workers

Cause: differences over time of a task's own tail contain the swing of its load, so pairs needed 10 to 20 s. Change: every half second the tails of a job's tasks on different workers are compared, which share their load. TestSiblingsTeachFast: 5 s suffice.

--- a/pacing/model.go
+++ b/pacing/model.go
@@ -127,6 +127,11 @@
 	for filling, cores := range before.used {
 		changes[filling] -= cores
 	}
+	model.take(image, changes, after.tail-before.tail)
+}
+
+// take adds the evidence of a rise of the logarithm of a tail with changes of use, in cores.
+func (model *Model) take(image Image, changes map[Image]float64, measured float64) {
 	for filling, change := range changes {
 		if math.Abs(change) < quiet {
 			delete(changes, filling)
@@ -140,7 +145,7 @@
 	for filling, change := range changes {
 		expected += change * known.weight(filling)
 	}
-	rise := expected + math.Max(-outlier, math.Min(outlier, after.tail-before.tail-expected))
+	rise := expected + math.Max(-outlier, math.Min(outlier, measured-expected))
 	for left, change := range changes {
 		known.sums[left] += change * rise
 		for right, other := range changes {
@@ -269,3 +274,41 @@
 		known.fresh = true
 	}
 }
+
+// Sibling is the sample of one of several tasks that serve the same users at the same time.
+type Sibling struct {
+	Tail   clock.Millis
+	Target clock.Millis
+	// Used holds the cores that filling tasks of each image use beside it.
+	Used map[Image]float64
+}
+
+// Siblings learns from tasks of one image that share their load: what their tails differ by is due to
+// what fills beside them.
+func (model *Model) Siblings(image Image, group []Sibling) {
+	var fit []Sibling
+	tail := 0.0
+	mean := map[Image]float64{}
+	for _, sibling := range group {
+		serving := Serving{Tail: sibling.Tail, Target: sibling.Target}
+		if sibling.Tail <= 0 || serving.ratio() > saturated {
+			continue
+		}
+		fit = append(fit, sibling)
+		tail += math.Log(float64(sibling.Tail))
+		for filling, cores := range sibling.Used {
+			mean[filling] += cores
+		}
+	}
+	if len(fit) < 2 {
+		return
+	}
+	count := float64(len(fit))
+	for _, sibling := range fit {
+		changes := map[Image]float64{}
+		for filling, sum := range mean {
+			changes[filling] = sibling.Used[filling] - sum/count
+		}
+		model.take(image, changes, math.Log(float64(sibling.Tail))-tail/count)
+	}
+}
--- a/pacing/pacing_test.go
+++ b/pacing/pacing_test.go
@@ -111,3 +111,28 @@
 		t.Errorf("pace is %d, want %d", got, Full)
 	}
 }
+
+// Guards against slow learning where the own load of serving tasks swings by more than what fills beside
+// them causes: the tails of one job's tasks on different workers tell the difference at once.
+func TestSiblingsTeachFast(t *testing.T) {
+	model := NewModel()
+	random := rand.New(rand.NewPCG(3, 4))
+	now := clock.Time(clock.Minute)
+	for range 10 {
+		now = now.Add(clock.Second / 2)
+		own := 20 * math.Exp(1.5*random.Float64())
+		var group []Sibling
+		for worker := range 4 {
+			used := map[Image]float64{heavy: float64(worker % 2 * 3), light: float64(worker / 2 * 3)}
+			tail := own * math.Exp(truth(sensitive, heavy)*used[heavy]+0.15*random.NormFloat64())
+			group = append(group, Sibling{Tail: clock.Millis(tail), Target: 400, Used: used})
+		}
+		model.Siblings(sensitive, group)
+	}
+	if got := model.Weight(sensitive, heavy, now); math.Abs(got-0.3) > 0.06 {
+		t.Errorf("weight of the heavy image after 5 s is %.3f, want 0.3", got)
+	}
+	if got := model.Weight(sensitive, light, now); got > 0.04 {
+		t.Errorf("weight of the light image after 5 s is %.3f, want 0", got)
+	}
+}
--- a/scheduler/book.go
+++ b/scheduler/book.go
@@ -59,6 +59,8 @@
 	model   *pacing.Model
 	// plannedAt is when waiting tasks were last looked at.
 	plannedAt clock.Time
+	// comparedAt is when siblings were last compared.
+	comparedAt clock.Time
 	// usableCores was estimated at usableAt.
 	usableCores cores
 	usableAt    clock.Time
--- a/scheduler/interference.go
+++ b/scheduler/interference.go
@@ -37,6 +37,40 @@
 	}
 }
 
+// siblingInterval separates comparisons of siblings: one figure each.
+const siblingInterval = 500 * clock.Millisecond
+
+// compareSiblings lets the model learn from the standing tasks of each job, which share their load but not
+// their neighbours.
+func (book *Book) compareSiblings(now clock.Time) {
+	if now.Sub(book.comparedAt) < siblingInterval {
+		return
+	}
+	book.comparedAt = now
+	groups := map[workflow.Name][]pacing.Sibling{}
+	for _, incarnation := range book.sortedWorkers() {
+		target := book.workers[incarnation]
+		_, filling := samples(target)
+		used := map[pacing.Image]float64{}
+		for _, task := range filling {
+			used[task.Image] += task.Used
+		}
+		for _, active := range sortedRuns(target) {
+			if active.step.Target == 0 || active.figure == 0 || now.Sub(active.figureAt) > siblingInterval {
+				continue
+			}
+			group := active.name
+			group.Index = 0
+			groups[group] = append(groups[group], pacing.Sibling{
+				Tail: clock.Millis(active.figure), Target: active.step.Target, Used: used,
+			})
+		}
+	}
+	for group, siblings := range groups {
+		book.model.Siblings(pacing.Image(book.jobs[group.Job].job.Spec.Steps[group.Step].Image), siblings)
+	}
+}
+
 // weights returns what the model knows at the time.
 func (book *Book) weights(now clock.Time) pacing.Weights {
 	return func(serving, filling pacing.Image) float64 { return book.model.Weight(serving, filling, now) }
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -69,6 +69,7 @@
 			book.changed[found.job.Spec.ID] = found
 		}
 	}
+	book.compareSiblings(now)
 	book.relieve(now)
 	book.move(now)
 	book.arrange(now)
