Pace by the mean tail of a job's tasks on a worker

Cause: figures are rough: of three tasks of one job on one worker one was told with 22 ms and the others with 10 and 12, and the governor took the worst for the truth. Change: the agent gives tasks of one step on one worker the geometric mean of their tails.

--- a/pacing/model.go
+++ b/pacing/model.go
@@ -56,6 +56,23 @@
 	return math.Max(float64(serving.Tail), 1) / float64(max(serving.Target, 1))
 }
 
+// Pool gives tasks of the same group the geometric mean of their tails: tasks of one job on one worker share
+// their load and what disturbs them, and single figures are rough.
+func Pool(serving []Serving, group func(task string) string) {
+	sums, counts := map[string]float64{}, map[string]float64{}
+	for _, task := range serving {
+		if task.Tail > 0 {
+			sums[group(task.Task)] += math.Log(float64(task.Tail))
+			counts[group(task.Task)]++
+		}
+	}
+	for position, task := range serving {
+		if count := counts[group(task.Task)]; count > 1 && task.Tail > 0 {
+			serving[position].Tail = clock.Millis(math.Round(math.Exp(sums[group(task.Task)] / count)))
+		}
+	}
+}
+
 // Filling is a sample of a task that fills.
 type Filling struct {
 	Task  string
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 
 	"k8s.io/klog/v2"
@@ -393,6 +394,7 @@
 			})
 		}
 	}
+	pacing.Pool(serving, stepOf)
 	var filling []pacing.Filling
 	for key, known := range present.runs {
 		if known.order.Fills && known.phase == started {
@@ -404,6 +406,9 @@
 	return serving, filling
 }
 
+// stepOf returns a task's name without its index.
+func stepOf(task string) string { return task[:max(0, strings.LastIndexByte(task, '.'))] }
+
 // milli converts thousandths.
 const milli = 1000
 
