--- a/directive/directive_test.go
+++ b/directive/directive_test.go
@@ -4,7 +4,8 @@
 
 func config() *Config {
 	return &Config{Version: 3, Queues: []Queue{
-		{Name: "short", Host: "desk.example", Prefix: "/a/"}, {Name: "long", Host: "desk.example", Prefix: "/a/b/"},
+		{Name: "short", Host: "desk.example", Prefix: "/a/"},
+		{Name: "long", Host: "desk.example", Prefix: "/a/b/"},
 		{Name: "other", Host: "other.example", Prefix: "/a/"},
 	}}
 }
