--- a/cluster/settings.go
+++ b/cluster/settings.go
@@ -37,8 +37,6 @@
 	Lease clock.Millis
 	// Grace is the time between the signal to stop and the kill.
 	Grace clock.Millis
-	// StopTimeout is how long a worker takes at most to stop a task.
-	StopTimeout clock.Millis
 	// Impact is how long a standing task may be over its target through filling tasks.
 	Impact clock.Millis
 	// OrdersByHeartbeat reports that workers take their orders from the answers to their heartbeats.
--- a/cmd/cluster.go
+++ b/cmd/cluster.go
@@ -231,7 +231,7 @@
 func startClusterAgent(lifecycle fx.Lifecycle, settings cluster.Settings, path string) error {
 	source := clock.NewBoot()
 	service := platform.NewStore(settings.Store, source)
-	agent := steward.New(source, platform.NewRunner(settings.Runtime), settings.Node, settings.Lease)
+	agent := steward.New(source, platform.NewRunner(settings.Runtime), settings.Node, settings.Lease, settings.Impact)
 	if err := servePage(lifecycle, settings.Workers, platform.NewRegistry(settings, agent)); err != nil {
 		return err
 	}
--- a/coordinator/agents.go
+++ b/coordinator/agents.go
@@ -176,7 +176,7 @@
 	}
 	leader.book.Update(scheduler.Profile{
 		Incarnation: incarnation, Node: agent.node, Service: reported.Service, DataCentre: reported.DataCentre,
-		Labels: reported.Labels, Capacity: reported.Capacity, Draining: reported.Draining, Remaining: reported.Remaining,
+		Labels: reported.Labels, Capacity: reported.Capacity, Draining: reported.Draining,
 	}, now)
 	agent.answering = reported.Answering
 	if reported.Lapsed {
--- a/coordinator/write.go
+++ b/coordinator/write.go
@@ -149,7 +149,6 @@
 // the term ended.
 func (leader *Coordinator) settle(tx store.Tx) (store.Version, error) {
 	logged := false
-	unknown := false
 	for {
 		version, err := store.Settle(leader.base, leader.need.Store, leader.need.Clock, tx)
 		if err == nil || !store.IsErrUnavailable(err) && !store.IsErrUnknown(err) {
@@ -158,7 +157,6 @@
 			}
 			return version, err
 		}
-		unknown = unknown || store.IsErrUnknown(err)
 		if !logged && leader.base.Err() == nil {
 			klog.ErrorS(err, "Store lost", "Term", leader.won.Term.Number)
 		}
--- a/directive/directive.go
+++ b/directive/directive.go
@@ -32,11 +32,7 @@
 
 // Limits bound callers' requests.
 type Limits struct {
-	HeaderBytes int
-	BodyBytes   int64
-	// HeaderTimeout and IdleTimeout bound the waiting for a request.
-	HeaderTimeout clock.Millis
-	IdleTimeout   clock.Millis
+	BodyBytes int64
 }
 
 // Config is the operators' configuration.
--- a/pacing/governor.go
+++ b/pacing/governor.go
@@ -29,10 +29,9 @@
 	loosen  = 1.6
 	// leastTrust bounds the distrust, so that trust returns within three seconds.
 	leastTrust = 0.05
-	// halt is the time over the target after which all filling tasks beside the serving one stand still,
-	// whatever the model says. With the lag of the figures it leaves half of the 4 s that a target may be
-	// exceeded.
-	halt = 1200 * clock.Millisecond
+	// haltPercent of the time that a target may be exceeded is waited before all filling tasks beside the
+	// serving one stand still, whatever the model says. Figures lag by a second, and half of the time is left.
+	haltPercent = 30
 	// doubt is the least weight of a filling image beside a task that is over its target, unless the task
 	// would be over it by ownLoad without the filling tasks.
 	doubt   = 0.02
@@ -51,12 +50,13 @@
 	over map[string]clock.Time
 	// halted reports that one was over it for too long at the last figure.
 	halted bool
+	halt   clock.Millis
 	paces  map[string]int
 }
 
-// NewGovernor returns a governor at full pace.
-func NewGovernor() *Governor {
-	return &Governor{trust: map[string]float64{}, over: map[string]clock.Time{}, paces: map[string]int{}}
+// NewGovernor returns a governor at full pace. Impact is how long a target may be exceeded.
+func NewGovernor(impact clock.Millis) *Governor {
+	return &Governor{halt: impact * haltPercent / Full, trust: map[string]float64{}, over: map[string]clock.Time{}, paces: map[string]int{}}
 }
 
 // Pace returns the decided pace of a filling task in percent.
@@ -115,7 +115,7 @@
 			since = now
 		}
 		over[task.Task] = since
-		if now.Sub(since) >= halt {
+		if now.Sub(since) >= governor.halt {
 			halted = true
 			governor.trust[task.Task] = leastTrust
 		}
--- a/scheduler/book.go
+++ b/scheduler/book.go
@@ -81,8 +81,6 @@
 	active int
 	// standingSince is the time from which a standing task waited, or 0.
 	standingSince clock.Time
-	// idleSince is the time from which no run was active.
-	idleSince clock.Time
 }
 
 // New returns an empty Book.
@@ -105,7 +103,7 @@
 // Restore adds a job in its stored state. The workers of its active tasks are unknown until they are
 // reported or declared gone.
 func (book *Book) Restore(job *workflow.Job, arrived clock.Time) {
-	added := &entry{job: job, arrived: arrived, idleSince: arrived, avoid: map[Incarnation]int{}}
+	added := &entry{job: job, arrived: arrived, avoid: map[Incarnation]int{}}
 	book.jobs[job.Spec.ID] = added
 	book.stirred = true
 	if !job.State.Final() {
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -21,8 +21,7 @@
 	headroomWait = 1200 * clock.Millisecond
 	// lateFactor times the objective is the age at which a job is worth nothing more.
 	lateFactor = 3
-	// starvedAfter is the time without an active run after which a filling task may share processors
-	// that are taken, while less than half of the service's processors are reserved.
+	// starvedAfter is the age at which a job without an active run may share processors that are taken, while less than half of the service's processors are reserved.
 	starvedAfter = 8 * clock.Second
 	// replan is how often waiting tasks are looked at although no event concerned them: suspensions end,
 	// and tails fall.
@@ -187,7 +186,7 @@
 		book.serveGang(waiting, now)
 		return
 	}
-	starved := step.Fills && waiting.found.active == 0 && now.Sub(waiting.found.idleSince) > starvedAfter && book.slack(job.Spec.Service)
+	starved := step.Fills && waiting.found.active == 0 && now.Sub(waiting.found.arrived) > starvedAfter && book.slack(job.Spec.Service)
 	key := blockKey{need: step.Need, fills: step.Fills, starved: starved, service: job.Spec.Service}
 	for _, index := range waiting.waiting {
 		if step.PerWorker == 0 && step.Label == "" && blocked[key] {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -24,8 +24,6 @@
 	Capacity unit.Resources
 	// Draining workers get no new tasks.
 	Draining bool
-	// Remaining is the least time that a draining worker keeps running its tasks.
-	Remaining clock.Millis
 }
 
 // worker is the scheduler's view of one incarnation.
--- a/session/message.go
+++ b/session/message.go
@@ -32,8 +32,7 @@
 	DataCentre  ident.DataCentre
 	Labels      []string
 	Capacity    unit.Resources
-	Draining    bool         `json:",omitempty"`
-	Remaining   clock.Millis `json:",omitempty"`
+	Draining    bool `json:",omitempty"`
 	// Answering reports that the worker responds to its agent.
 	Answering bool
 	// Lapsed reports that the worker's lease has certainly ended, and with it everything on it.
--- a/steward/link.go
+++ b/steward/link.go
@@ -225,7 +225,7 @@
 	profile := &session.Worker{
 		Incarnation: present.incarnation, Service: present.said.Service, DataCentre: present.said.DataCentre,
 		Labels: present.said.Labels, Capacity: present.said.Capacity, Draining: present.said.Draining,
-		Remaining: present.said.Remaining, Answering: present.silent < silentAfter, Lapsed: present.lapsed,
+		Answering: present.silent < silentAfter, Lapsed: present.lapsed,
 	}
 	if told.introduced != present.incarnation {
 		told.introduced, told.ends, told.listedAt, told.profile = present.incarnation, 0, 0, nil
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -44,6 +44,7 @@
 	clock   clock.Clock
 	runtime Runtime
 	lease   clock.Millis
+	impact  clock.Millis
 	loop    *loop.Loop
 	base    context.Context
 	end     context.CancelFunc
@@ -125,11 +126,12 @@
 	described bool
 }
 
-// New starts the agent of the node until Close. The lease is the longest that the worker accepts.
-func New(source clock.Clock, runtime Runtime, node string, lease clock.Millis) *Steward {
+// New starts the agent of the node until Close. The lease is the longest that the worker accepts, and
+// impact how long the target of a serving task may be exceeded through filling ones.
+func New(source clock.Clock, runtime Runtime, node string, lease, impact clock.Millis) *Steward {
 	base, end := context.WithCancel(context.Background())
 	agent := &Steward{
-		node: node, clock: source, runtime: runtime, lease: lease, loop: loop.New(), base: base, end: end,
+		node: node, clock: source, runtime: runtime, lease: lease, impact: impact, loop: loop.New(), base: base, end: end,
 		slots: make(chan struct{}, calls), kick: make(chan struct{}, 1),
 	}
 	agent.background(agent.hold)
@@ -180,7 +182,7 @@
 	}
 	agent.life = &life{
 		said: said, incarnation: fmt.Sprintf("%s@%d@%s", said.Life.ID, said.Life.Born, agent.node),
-		governor: pacing.NewGovernor(), runs: map[runKey]*run{},
+		governor: pacing.NewGovernor(agent.impact), runs: map[runKey]*run{},
 	}
 	klog.InfoS("Worker announced", "Worker", agent.life.incarnation, "Service", said.Service, "CPU", int64(said.Capacity.CPU), "Labels", said.Labels)
 	agent.wake()
