--- a/cluster/settings.go
+++ b/cluster/settings.go
@@ -30,6 +30,9 @@
 	Metrics string
 	// Store is the address of the store.
 	Store string
+	// StoreWrites and StoreReads are the calls a second that all daemons together may make; 0 means no limit.
+	StoreWrites float64
+	StoreReads  float64
 	// Runtime is the address of the worker beside an agent, and Service names what it belongs to.
 	Runtime string
 	Service string
--- a/cmd/cluster.go
+++ b/cmd/cluster.go
@@ -152,7 +152,7 @@
 
 func startClusterEntry(lifecycle fx.Lifecycle, settings cluster.Settings, path string) error {
 	source := clock.NewBoot()
-	own := platform.NewStore(settings.Store, source)
+	own := platform.NewStore(settings.Store, source, settings.StoreWrites, settings.StoreReads)
 	service := relay.New(own, source, settings.Session(settings.Address), sessionAddresses(settings))
 	follower := directive.NewFollower(service, source, platform.Operators{})
 	sessions, err := net.Listen("tcp", settings.Session(settings.Address))
@@ -230,7 +230,7 @@
 
 func startClusterAgent(lifecycle fx.Lifecycle, settings cluster.Settings, path string) error {
 	source := clock.NewBoot()
-	service := platform.NewStore(settings.Store, source)
+	service := platform.NewStore(settings.Store, source, settings.StoreWrites, settings.StoreReads)
 	agent := steward.New(source, platform.NewRunner(settings.Runtime), settings.Node, settings.Lease, settings.Impact)
 	if err := servePage(lifecycle, settings.Workers, platform.NewRegistry(settings, agent)); err != nil {
 		return err
--- a/cmd/clusterctl.go
+++ b/cmd/clusterctl.go
@@ -70,7 +70,7 @@
 		return nil, nil, nil, ErrExit{Code: ExitUsage, Reason: cluster.ErrBadSetting{Name: "Store", Reason: "is missing"}.Error()}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), clusterTimeout)
-	return platform.NewStore(settings.Store, clock.NewBoot()), ctx, cancel, nil
+	return platform.NewStore(settings.Store, clock.NewBoot(), settings.StoreWrites, settings.StoreReads), ctx, cancel, nil
 }
 
 func (shared *clusterOptions) load() (cluster.Settings, error) {
