--- a/steward/steward.go
+++ b/steward/steward.go
@@ -84,7 +84,6 @@
 	recorded int64
 	weights  map[[2]pacing.Image]float64
 	listing  Listing
-	gone     bool
 }
 
 // phase is the progress of an order at the worker.
@@ -116,11 +115,15 @@
 	phase phase
 	// confirmedAt is when the worker confirmed the start or the stop.
 	confirmedAt clock.Time
-	reason      string
-	paced       int
-	busy        bool
+	// reason is why the run was given up.
+	reason string
+	// paced is the pace that was set last, in percent, or unknownPace.
+	paced int
+	// busy reports that a call about the run is under way, or waits to be repeated.
+	busy bool
 	// welcomed reports that the pace was decided after the start.
 	welcomed bool
+	// attempts counts the starts that the worker answered without doing anything.
 	attempts int
 	// described is false for runs that were listed but not ordered in this process.
 	described bool
@@ -194,7 +197,7 @@
 	agent.loop.Call(func() {
 		if agent.life != nil && agent.life.said.Life.ID == id {
 			klog.InfoS("Worker leaves", "Worker", agent.life.incarnation)
-			agent.life.said.Draining, agent.life.gone = true, true
+			agent.life.said.Draining = true
 			agent.wake()
 		}
 	})
