The product's own interface to the jobs of a deployment

Cause: the job model of the deployments was offered by the platform's protocol and the command line only. Change: package jobapi serves submission, state with tasks, cancellation and counts in the product's format on the metrics port of the entries; faults name the field. The command line reads jobs in the same form.

--- a/cmd/cluster.go
+++ b/cmd/cluster.go
@@ -21,6 +21,7 @@
 	"hyssopjunction/coordinator"
 	"hyssopjunction/directive"
 	"hyssopjunction/intake"
+	"hyssopjunction/jobapi"
 	"hyssopjunction/leadership"
 	"hyssopjunction/platform"
 	"hyssopjunction/probe"
@@ -180,7 +181,10 @@
 	}()
 	stopping := newFlag()
 	ready := func() bool { return !stopping.isSet() && follower.Fresh() }
-	if err := servePage(lifecycle, settings.Metrics, probe.New(ready)); err != nil {
+	pages := http.NewServeMux()
+	pages.Handle("/v1/", jobapi.New(follower.Config, jobs))
+	pages.Handle("/", probe.New(ready))
+	if err := servePage(lifecycle, settings.Metrics, pages); err != nil {
 		return err
 	}
 	if err := servePage(lifecycle, settings.Readiness, platform.NewReadiness(ready)); err != nil {
--- a/cmd/clusterctl.go
+++ b/cmd/clusterctl.go
@@ -20,6 +20,7 @@
 	"hyssopjunction/directive"
 	"hyssopjunction/election"
 	"hyssopjunction/intake"
+	"hyssopjunction/jobapi"
 	"hyssopjunction/platform"
 	"hyssopjunction/session"
 	"hyssopjunction/store"
@@ -319,7 +320,7 @@
 
 // Execute submits the job of a file.
 func (command *clusterSubmit) Execute([]string) error {
-	spec, err := readJob(command.Positional.File)
+	submission, err := readJob(command.Positional.File)
 	if err != nil {
 		return ErrExit{Code: ExitUsage, Reason: err.Error()}
 	}
@@ -335,27 +336,17 @@
 		if !ok {
 			return ErrExit{Code: ExitNotFound, Reason: fmt.Sprintf("no queue %s in the configuration in force", command.Queue)}
 		}
-		spec.ID, spec.Queue, spec.Service, spec.Policy = workflow.ID(command.ID), queue.Name, queue.Service, queue.Policy
-		return intake.New(service, clock.NewBoot(), noLeader{}).Submit(ctx, spec)
+		return intake.New(service, clock.NewBoot(), noLeader{}).Submit(ctx, submission.Spec(workflow.ID(command.ID), queue))
 	})
 }
 
-// jobFile is a job as operators write it. Unknown fields are refused.
-type jobFile struct {
-	Payload     string
-	Steps       []workflow.Step
-	Repetitions int
-	StartAt     int64
-	Interval    clock.Millis
-}
-
 // readJob reads a job from a JSON file, or from a TOML file if its name does not end with ".json".
-func readJob(path string) (workflow.Spec, error) {
+func readJob(path string) (jobapi.Submission, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return workflow.Spec{}, err
+		return jobapi.Submission{}, err
 	}
-	var file jobFile
+	var file jobapi.Submission
 	if filepath.Ext(path) == ".json" {
 		decoder := json.NewDecoder(strings.NewReader(string(data)))
 		decoder.DisallowUnknownFields()
@@ -364,15 +355,12 @@
 		err = toml.NewDecoder(strings.NewReader(string(data))).DisallowUnknownFields().Decode(&file)
 	}
 	if err != nil {
-		return workflow.Spec{}, fmt.Errorf("job file %s: %w", path, err)
-	}
-	spec := workflow.Spec{
-		Payload: file.Payload, Steps: file.Steps, Repetitions: file.Repetitions, StartAt: file.StartAt, Interval: file.Interval,
+		return jobapi.Submission{}, fmt.Errorf("job file %s: %w", path, err)
 	}
-	if err := spec.Check(); err != nil {
-		return workflow.Spec{}, fmt.Errorf("job file %s: %w", path, err)
+	if err := file.Spec("", directive.Queue{}).Check(); err != nil {
+		return jobapi.Submission{}, fmt.Errorf("job file %s: %w", path, err)
 	}
-	return spec, nil
+	return file, nil
 }
 
 // noLeader lets the command line read the store, which has all that is stored.
--- /dev/null
+++ b/jobapi/handler_test.go
@@ -0,0 +1,117 @@
+package jobapi
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/directive"
+	"hyssopjunction/intake"
+	"hyssopjunction/workflow"
+)
+
+// fakeJobs keeps jobs in memory, or fails every call.
+type fakeJobs struct {
+	jobs map[workflow.ID]*workflow.Job
+	err  error
+}
+
+func (fake *fakeJobs) Submit(_ context.Context, spec workflow.Spec) error {
+	if fake.err != nil {
+		return fake.err
+	}
+	if err := spec.Check(); err != nil {
+		return err
+	}
+	fake.jobs[spec.ID] = workflow.New(spec)
+	fake.jobs[spec.ID].Occur(0)
+	return nil
+}
+
+func (fake *fakeJobs) Job(_ context.Context, id workflow.ID) (*workflow.Job, error) {
+	if job, ok := fake.jobs[id]; ok && fake.err == nil {
+		return job, nil
+	}
+	if fake.err != nil {
+		return nil, fake.err
+	}
+	return nil, intake.ErrNoJob{ID: id}
+}
+
+func (fake *fakeJobs) Cancel(ctx context.Context, id workflow.ID) error {
+	job, err := fake.Job(ctx, id)
+	if err == nil {
+		job.State = workflow.Cancelled
+	}
+	return err
+}
+
+func (fake *fakeJobs) Pending(context.Context, workflow.Queue) (int, error) {
+	return len(fake.jobs), fake.err
+}
+
+const (
+	jobPath   = "/v1/queues/r-1/jobs/0123456789abcdef"
+	statePath = "/v1/jobs/0123456789abcdef"
+	body      = `{"Payload":"x","Steps":[{"Count":2,"Need":{"CPU":500},"Estimate":100}]}`
+)
+
+// call makes a request and wants its status and parts of the answer.
+func call(t *testing.T, api http.Handler, method, path, text string, want int, parts ...string) *httptest.ResponseRecorder {
+	t.Helper()
+	recorder := httptest.NewRecorder()
+	api.ServeHTTP(recorder, httptest.NewRequest(method, path, strings.NewReader(text)))
+	if recorder.Code != want {
+		t.Errorf("%s %s: status %d, want %d; %s", method, path, recorder.Code, want, recorder.Body)
+	}
+	for _, part := range parts {
+		if !strings.Contains(recorder.Body.String(), part) {
+			t.Errorf("%s %s: answer lacks %q: %s", method, path, part, recorder.Body)
+		}
+	}
+	return recorder
+}
+
+func newAPI(fake *fakeJobs) http.Handler {
+	config := &directive.Config{Queues: []directive.Queue{
+		{Name: "r-1", Service: "desk", Policy: workflow.Policy{MaxAttempts: 2, Slack: 2}}, {Name: "advised", Advised: true},
+	}}
+	return New(func() *directive.Config { return config }, fake)
+}
+
+// Guards against a job that cannot be followed from its submission to its cancellation.
+func TestLifeOfAJob(t *testing.T) {
+	api := newAPI(&fakeJobs{jobs: map[workflow.ID]*workflow.Job{}})
+	call(t, api, http.MethodGet, statePath, "", http.StatusNotFound, "no job")
+	call(t, api, http.MethodPut, jobPath, body, http.StatusOK, "0123456789abcdef")
+	call(t, api, http.MethodGet, statePath, "", http.StatusOK, `"State":"queued"`, `"0123456789abcdef.0.0.1"`, `"ObjectiveMillis":200`)
+	call(t, api, http.MethodGet, "/v1/queues/r-1", "", http.StatusOK, `"Pending":1`)
+	call(t, api, http.MethodDelete, statePath, "", http.StatusOK)
+	call(t, api, http.MethodGet, statePath, "", http.StatusOK, `"State":"cancelled"`)
+}
+
+// Guards against wrong input that is taken, or refused without the name of the field.
+func TestWrongInput(t *testing.T) {
+	api := newAPI(&fakeJobs{jobs: map[workflow.ID]*workflow.Job{}})
+	call(t, api, http.MethodPut, "/v1/queues/r-1/jobs/short", body, http.StatusBadRequest, `"Field":"ID"`)
+	call(t, api, http.MethodPut, jobPath, `{"Steps":[{"Count":0}]}`, http.StatusBadRequest, `"Field":"Steps[0].Count"`)
+	call(t, api, http.MethodPut, jobPath, `{"Colour":1}`, http.StatusBadRequest, "Colour")
+	call(t, api, http.MethodPut, "/v1/queues/none/jobs/0123456789abcdef", body, http.StatusNotFound)
+	call(t, api, http.MethodPut, "/v1/queues/advised/jobs/0123456789abcdef", body, http.StatusNotFound)
+	call(t, api, http.MethodGet, "/v1/queues/none", "", http.StatusNotFound)
+}
+
+// Guards against failures whose answers say something else: only a refusal says that nothing was stored,
+// and when to come back.
+func TestFailures(t *testing.T) {
+	refused := newAPI(&fakeJobs{err: intake.ErrNotAccepted{Reason: "503", RetryAfter: 1500 * clock.Millisecond}})
+	if got := call(t, refused, http.MethodPut, jobPath, body, http.StatusServiceUnavailable).Header().Get("Retry-After"); got != "2" {
+		t.Errorf("Retry-After %q, want 2", got)
+	}
+	call(t, newAPI(&fakeJobs{err: intake.ErrUndecided{Reason: "reset"}}), http.MethodPut, jobPath, body, http.StatusGatewayTimeout)
+	call(t, newAPI(&fakeJobs{err: intake.ErrNoAnswer{Reason: "away"}}), http.MethodGet, statePath, "", http.StatusServiceUnavailable)
+	call(t, New(func() *directive.Config { return nil }, &fakeJobs{}), http.MethodPut, jobPath, body, http.StatusServiceUnavailable)
+}
