Give up starts that wait at the agent until their reason has passed

Cause: read as a reviewer: draining was checked when an order to start arrived, not when it was carried out. An order that waited for a lease or for a silent worker, up to a change of leaders, could start on a worker whose draining was acknowledged more than 2 s before, or in a data centre taken out more than 5 s before; it also held one of the six places for calls, so that stops waited behind it. Ruled out: a check at the leader, which cannot take back what it sent. Change: the agent stops and reports such an order when its worker drains or after 1.8 s; the worker refuses it then also if a start is still on its way, and the leader decides anew. TestWaitingStartIsGivenUp failed first in both cases.

--- a/steward/orders.go
+++ b/steward/orders.go
@@ -58,7 +58,7 @@
 		agent.reject(present, order, "Room")
 		return
 	}
-	known := &run{order: order, phase: starting, paced: pacing.Full, described: true}
+	known := &run{order: order, phase: starting, paced: pacing.Full, described: true, orderedAt: agent.clock.Now()}
 	present.runs[key] = known
 	agent.carryOut(present, known)
 }
@@ -148,6 +148,15 @@
 	if agent.life != present {
 		return nil, false
 	}
+	if known.phase == starting {
+		// The worker refuses the run once it was told to stop it, also if a start is still on its way.
+		switch {
+		case present.said.Draining:
+			known.phase, known.reason = stopping, "Draining"
+		case agent.clock.Now().Sub(known.orderedAt) > startAge:
+			known.phase, known.reason = stopping, "Overdue"
+		}
+	}
 	switch known.phase {
 	case starting:
 		deadline := agent.deadline(present)
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -33,6 +33,9 @@
 	calls = 6
 	// startAttempts is how often a worker may answer that it did nothing before the run goes elsewhere.
 	startAttempts = 3
+	// startAge is how long an order to start is good for. It is given up after that, and the leader decides
+	// anew: the worker may be draining (starts must end 2 s after that) or its data centre be out (5 s).
+	startAge = 1800 * clock.Millisecond
 	// silentAfter is the number of listings without an answer after which the worker gets no new runs and
 	// its lease is not extended: any unanswered call may have been carried out.
 	silentAfter = 2
@@ -115,6 +118,8 @@
 	phase phase
 	// confirmedAt is when the worker confirmed the start or the stop.
 	confirmedAt clock.Time
+	// orderedAt is when the order to start arrived.
+	orderedAt clock.Time
 	// reason is why the run was given up.
 	reason string
 	// paced is the pace that was set last, in percent, or unknownPace.
--- a/steward/steward_test.go
+++ b/steward/steward_test.go
@@ -231,3 +231,35 @@
 		t.Error("a later life with the same id was refused")
 	}
 }
+
+// Guards against a start that waits at the agent, for a lease or for its worker, and is carried out when
+// the reason for it has passed: the worker drains meanwhile, or the order is so old that its data centre
+// may be out.
+func TestWaitingStartIsGivenUp(t *testing.T) {
+	cases := map[string]func(agent *Steward){
+		"worker drains": func(agent *Steward) {
+			agent.Announce(Announcement{
+				Life: Life{ID: "i-1", Born: 10}, Sequence: 2, Capacity: unit.Resources{CPU: 4000, Memory: 4000}, Draining: true,
+			})
+		},
+		"order is old": func(*Steward) { time.Sleep((startAge + 200*clock.Millisecond).Duration()) },
+	}
+	for name, passes := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fake := newRuntime()
+			agent := newAgent(t, fake)
+			await(t, agent, "a listing", func() bool { return agent.life.readAt != 0 })
+			agent.loop.Call(func() { agent.grant.until = 0 })
+			agent.order(1, false)
+			passes(agent)
+			agent.loop.Call(func() { agent.grant.until = agent.clock.Now().Add(clock.Hour) })
+			await(t, agent, "a rejection", func() bool { return len(agent.rejections) == 1 })
+			fake.set(func() {
+				if fake.starts != 0 {
+					t.Errorf("got %d starts, want none", fake.starts)
+				}
+			})
+		})
+	}
+}
