Name the cause of interrupted streams in the test that was red once

Cause: not found. The answer that the second entry gave had 146 bytes; of the answers that it can give only "was not run: Outage (retry after 1000ms)" has that length with the ids of a standalone run, so five attempts in 1.55 s passed no data on. Ruled out, by runs: that the entry learns the endpoints late (40 deployments at once on one processor, known within 0.1 s each), and that an entry dies right after the endpoints announced themselves (12 of 12 streams resumed after 0.25 s). 18 runs beside three busy processes passed. Change: the test binary keeps the lines on interrupted streams and prints them when a test failed.

--- a/standalone/deployment_test.go
+++ b/standalone/deployment_test.go
@@ -1,11 +1,13 @@
 package standalone
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"log/slog"
 	"os"
+	"sync"
 	"testing"
 	"time"
 
@@ -19,10 +21,42 @@
 	"hyssopjunction/worker"
 )
 
-// TestMain drops the daemons' logs, which would hide the failures of tests.
+// TestMain keeps the daemons' logs off the output, where they would hide the failures of tests. The
+// lines about interrupted streams are printed if a test fails: they name the cause of each attempt.
 func TestMain(m *testing.M) {
-	logging.New(io.Discard, slog.LevelError)
-	os.Exit(m.Run())
+	kept := &lineFilter{part: []byte("Stream interrupted")}
+	logging.New(kept, slog.LevelInfo)
+	code := m.Run()
+	if code != 0 {
+		kept.print(os.Stderr)
+	}
+	os.Exit(code)
+}
+
+// lineFilter keeps the log lines that contain part. One write is one line.
+type lineFilter struct {
+	part []byte
+
+	mu    sync.Mutex
+	lines [][]byte
+}
+
+// Write implements io.Writer.
+func (filter *lineFilter) Write(line []byte) (int, error) {
+	if bytes.Contains(line, filter.part) {
+		filter.mu.Lock()
+		filter.lines = append(filter.lines, bytes.Clone(line))
+		filter.mu.Unlock()
+	}
+	return len(line), nil
+}
+
+func (filter *lineFilter) print(out io.Writer) {
+	filter.mu.Lock()
+	defer filter.mu.Unlock()
+	for _, line := range filter.lines {
+		_, _ = out.Write(line)
+	}
 }
 
 // bound ends a test whose system does not reach the awaited state. It is no performance bound.
