--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -70,11 +70,43 @@
 	began   time.Time
 	fault   func(request *http.Request) Fault
 	calls   int
+	// slowness is how long a part is busy with each transaction, and busy until when it is.
+	slowness time.Duration
+	busy     map[string]time.Time
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{rows: map[rowKey]storedRow{}, changed: make(chan struct{}), began: time.Now()}
+	return &Store{rows: map[rowKey]storedRow{}, changed: make(chan struct{}), began: time.Now(), busy: map[string]time.Time{}}
+}
+
+// SetSlowness makes each part take so long for a transaction, one after another.
+func (service *Store) SetSlowness(slowness time.Duration) {
+	service.mu.Lock()
+	defer service.mu.Unlock()
+	service.slowness = slowness
+}
+
+// longestQueue is how much waiting work a part accepts.
+const longestQueue = time.Second
+
+// queue waits for the turn of a transaction at its part and reports whether the part accepts it.
+func (service *Store) queue(part string) bool {
+	service.mu.Lock()
+	now := time.Now()
+	begin := service.busy[part]
+	if begin.Before(now) {
+		begin = now
+	}
+	if begin.Sub(now) > longestQueue {
+		service.mu.Unlock()
+		return false
+	}
+	end := begin.Add(service.slowness)
+	service.busy[part] = end
+	service.mu.Unlock()
+	time.Sleep(time.Until(end))
+	return true
 }
 
 // SetFault decides how calls fail from now on; nil means that none does.
@@ -172,6 +204,15 @@
 	if err := json.NewDecoder(request.Body).Decode(&form); err != nil {
 		return http.StatusBadRequest, struct{}{}
 	}
+	rows := slices.Concat(form.ExpectedRevision, form.Puts, form.Remove)
+	for _, row := range rows {
+		if row.Part != rows[0].Part {
+			return http.StatusBadRequest, struct{}{}
+		}
+	}
+	if len(rows) > 0 && !service.queue(rows[0].Part) {
+		return http.StatusTooManyRequests, struct{}{}
+	}
 	service.mu.Lock()
 	defer service.mu.Unlock()
 	holds := true
