Archive jobs that ended, so that a new leader reads open jobs only

Rows of ended jobs were never removed. Ruled out: removing them altogether (a repeated submission would become a second job); a short row in the place of the job's (a leader would still read one for each job of the last minutes). Change: 8 s after the end the leader replaces the job's rows of the inbox by a short row of the table ended, in one transaction; submissions depend on both rows being absent. The state goes 15 s later in a fenced transaction, the short row after 600 s. The three tables of a takeover are read at the same time. The book forgets archived jobs; a late start of one is still stopped.

--- a/cmd/cluster.go
+++ b/cmd/cluster.go
@@ -161,6 +161,7 @@
 		return err
 	}
 	keeper := leadership.New(coordinator.Dependencies{
+		Keep:  coordinator.DefaultRetention(),
 		Store: service, Clock: source, TimeOfDay: func() int64 { return time.Now().UnixMilli() }, Out: follower.Out,
 	}, settings.Node, settings.Session(settings.Address), settings.Lease)
 	callers, err := net.Listen("tcp", settings.Callers)
--- a/cmd/clusterctl.go
+++ b/cmd/clusterctl.go
@@ -168,7 +168,17 @@
 	if rows, err = service.List(ctx, intake.StateTable, "", ""); err != nil {
 		return read, err
 	}
+	states := rows.Rows
+	if rows, err = service.List(ctx, intake.EndedTable, "", ""); err != nil {
+		return read, err
+	}
 	for _, row := range rows.Rows {
+		ended, err := intake.DecodeEnded(row)
+		faults = append(faults, err)
+		id := workflow.ID(row.Key)
+		read.specs[id], read.states[id] = workflow.Spec{ID: id, Queue: ended.Queue, Service: ended.Service}, ended.State
+	}
+	for _, row := range states {
 		state, err := workflow.DecodeStateOf(workflow.ID(row.Key), row.Value)
 		faults = append(faults, err)
 		read.states[workflow.ID(row.Key)] = state
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -12,6 +12,7 @@
 	"hyssopjunction/clock"
 	"hyssopjunction/election"
 	"hyssopjunction/ident"
+	"hyssopjunction/intake"
 	"hyssopjunction/loop"
 	"hyssopjunction/scheduler"
 	"hyssopjunction/set"
@@ -42,6 +43,8 @@
 	TimeOfDay func() int64
 	// Out returns the data centres that get no new tasks.
 	Out func() set.Set[ident.DataCentre]
+	// Keep is how long what is known of jobs that ended is kept.
+	Keep Retention
 }
 
 // Leadership is a term that was won.
@@ -76,7 +79,17 @@
 	// granted is when a worker's lease was last granted, by node.
 	granted map[string]grant
 	rows    map[workflow.ID]store.Version
-	beat    election.Beat
+	// inbox holds the versions of the rows of jobs that are not archived.
+	inbox map[workflow.ID]intake.Versions
+	// endedAt is when the end of a job was stored.
+	endedAt map[workflow.ID]clock.Time
+	// dropped are jobs that are archived, in the order in which they were.
+	dropped    []archived
+	archiving  bool
+	archivedAt clock.Time
+	// roundTook is how long the last round of writes took.
+	roundTook clock.Millis
+	beat      election.Beat
 	// beatVersion is the version of the beat row.
 	beatVersion store.Version
 	// lessonVersion is the version of the row of lessons, stored last at lessonAt.
@@ -110,7 +123,7 @@
 	leader := &Coordinator{
 		need: need, won: won, lease: lease, loop: loop.New(), base: base, end: end, lost: make(chan struct{}),
 		book: scheduler.New(), sessions: map[string]*attached{}, granted: map[string]grant{},
-		rows: map[workflow.ID]store.Version{}, beat: election.Beat{Term: won.Term.Number}, beatVersion: won.BeatVersion,
+		rows: map[workflow.ID]store.Version{}, inbox: map[workflow.ID]intake.Versions{}, endedAt: map[workflow.ID]clock.Time{}, beat: election.Beat{Term: won.Term.Number}, beatVersion: won.BeatVersion,
 		counters: newCounters(), renewedAt: won.Sent, started: need.Clock.Now(), shown: map[workflow.ID]workflow.State{},
 	}
 	leader.validUntil.Store(int64(won.Sent.Add(election.Lease)))
@@ -121,6 +134,7 @@
 		return nil, err
 	}
 	leader.background(func() { leader.follow(version) })
+	leader.background(leader.sweep)
 	leader.background(func() {
 		for {
 			select {
@@ -214,6 +228,7 @@
 			klog.InfoS("Tasks wait", "Quick", waiting.Quick, "Standing", waiting.Standing, "Filling", waiting.Filling, "Late", waiting.Late)
 		}
 	}
+	leader.archive(now)
 	for node, last := range leader.granted {
 		if last.lapsed || now.Sub(last.at) <= election.WorkerTerm(leader.lease) {
 			continue
--- a/coordinator/inbox.go
+++ b/coordinator/inbox.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 
+	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
 	"hyssopjunction/clock"
 	"hyssopjunction/intake"
+	"hyssopjunction/set"
 	"hyssopjunction/store"
 	"hyssopjunction/workflow"
 )
@@ -23,18 +25,19 @@
 // runTable holds the state of each job, written by the leader only.
 const runTable = intake.StateTable
 
-// load fills the book and returns the version after which the inbox is followed.
+// load fills the book and returns the version after which the inbox is followed. The tables may be read
+// at the same time: only the leader writes states.
 func (leader *Coordinator) load(ctx context.Context) (store.Version, error) {
-	inbox, err := leader.listAll(ctx, intake.Table)
-	if err != nil {
-		return 0, err
-	}
-	runs, err := leader.listAll(ctx, runTable)
-	if err != nil {
-		return 0, err
+	var inbox, runs, learned store.Rows
+	group, ctx := errgroup.WithContext(ctx)
+	for table, rows := range map[store.Table]*store.Rows{intake.Table: &inbox, runTable: &runs, lessonTable: &learned} {
+		group.Go(func() error {
+			var err error
+			*rows, err = leader.listAll(ctx, table)
+			return err
+		})
 	}
-	learned, err := leader.listAll(ctx, lessonTable)
-	if err != nil {
+	if err := group.Wait(); err != nil {
 		return 0, err
 	}
 	states := map[workflow.ID]store.Row{}
@@ -44,10 +47,28 @@
 	leader.loop.Call(func() {
 		leader.recall(learned.Rows)
 		leader.receive(inbox.Rows, states)
+		leader.adopt(states)
 	})
 	return inbox.Version, nil
 }
 
+// adopt takes over the removal of states whose jobs an earlier leader archived.
+func (leader *Coordinator) adopt(states map[workflow.ID]store.Row) {
+	now := leader.need.Clock.Now()
+	for _, id := range set.SortedKeys(states) {
+		if _, known := leader.inbox[id]; known {
+			continue
+		}
+		state, err := workflow.DecodeStateOf(id, states[id].Value)
+		if err != nil || !state.Final() {
+			klog.InfoS("State without a job left alone", "Job", id, "State", state, "Error", err)
+			continue
+		}
+		leader.show(id, state)
+		leader.dropped = append(leader.dropped, archived{id: id, version: states[id].Version, at: now})
+	}
+}
+
 // listAll reads a table until the store answers or ctx or the term ends.
 func (leader *Coordinator) listAll(ctx context.Context, table store.Table) (store.Rows, error) {
 	for {
@@ -67,7 +88,7 @@
 // receive takes rows of the inbox. Jobs that are known stay as they are.
 func (leader *Coordinator) receive(rows []store.Row, states map[workflow.ID]store.Row) {
 	now := leader.need.Clock.Now()
-	var cancelled []workflow.ID
+	cancelled := map[workflow.ID]store.Version{}
 	for _, row := range rows {
 		if row.Deleted {
 			continue
@@ -79,26 +100,32 @@
 		}
 		switch kind {
 		case intake.Cancellation:
-			cancelled = append(cancelled, id)
+			cancelled[id] = row.Version
 		case intake.Submission:
-			leader.admit(id, row.Value, states[id], now)
+			leader.admit(id, row, states[id], now)
 		}
 	}
-	for _, id := range cancelled {
+	for _, id := range set.SortedKeys(cancelled) {
 		klog.InfoS("Job cancelled", "Job", id)
 		leader.book.Cancel(id)
+		if versions, ok := leader.inbox[id]; ok {
+			versions.Cancellation = cancelled[id]
+			leader.inbox[id] = versions
+		}
 	}
 }
 
-func (leader *Coordinator) admit(id workflow.ID, value []byte, state store.Row, now clock.Time) {
-	if _, known := leader.book.State(id); known {
+func (leader *Coordinator) admit(id workflow.ID, row, state store.Row, now clock.Time) {
+	// A feed that was resumed may report jobs again that were archived meanwhile.
+	if _, known := leader.State(id); known {
 		return
 	}
-	spec, err := workflow.DecodeSpec(id, value)
+	spec, err := workflow.DecodeSpec(id, row.Value)
 	if err != nil {
 		klog.ErrorS(err, "Stored job ignored", "Job", id)
 		return
 	}
+	leader.inbox[id] = intake.Versions{Submission: row.Version}
 	age := max(0, leader.need.Store.Now().Sub(spec.Accepted))
 	if state.Version == 0 {
 		leader.book.Submit(spec, now.Add(-age))
@@ -114,6 +141,9 @@
 	leader.rows[id] = state.Version
 	leader.book.Restore(job, now.Add(-age))
 	leader.show(id, job.State)
+	if job.State.Final() {
+		leader.endedAt[id] = now
+	}
 }
 
 // follow passes changes of the inbox to the control loop until the term ends.
--- a/coordinator/write.go
+++ b/coordinator/write.go
@@ -67,6 +67,7 @@
 			return nil, err
 		}
 		leader.beat = beat
+		leader.drop(&tx, leader.need.Clock.Now())
 		current.tx, current.beat = tx, true
 		if now := leader.need.Clock.Now(); now.Sub(leader.lessonAt) >= lessonInterval {
 			leader.lessonAt = now
@@ -137,9 +138,10 @@
 		}
 		leader.loop.Post(func() { leader.stored(item, version, sent) })
 	}
-	leader.counters.roundMillis.Update(float64(leader.need.Clock.Now().Sub(began)))
+	took := leader.need.Clock.Now().Sub(began)
+	leader.counters.roundMillis.Update(float64(took))
 	leader.post(func() {
-		leader.writing = false
+		leader.writing, leader.roundTook = false, took
 		leader.wroteAt = leader.need.Clock.Now()
 		leader.finish(orders, waiting)
 	})
@@ -182,6 +184,9 @@
 		leader.show(id, state)
 		if state.Final() {
 			klog.InfoS("Job ended", "Job", id, "State", state)
+			if _, known := leader.endedAt[id]; !known {
+				leader.endedAt[id] = leader.need.Clock.Now()
+			}
 		}
 	}
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -58,7 +58,10 @@
 	if err != nil {
 		return err
 	}
-	outcome, reason := intake.decide(ctx, ref(Submission, spec.ID), value)
+	outcome, reason := intake.decide(ctx, store.Tx{
+		Conditions: []store.Condition{{Ref: ref(Submission, spec.ID)}, {Ref: endedRef(spec.ID)}},
+		Puts:       []store.Put{{Ref: ref(Submission, spec.ID), Value: value}},
+	})
 	metrics.GetOrCreateCounter(fmt.Sprintf(`hyssopjunction_intake_submissions_total{outcome=%q}`, outcome)).Inc()
 	klog.InfoS("Job submitted", "Job", spec.ID, "Queue", spec.Queue, "Steps", len(spec.Steps), "Outcome", outcome, "Reason", reason)
 	switch outcome {
@@ -76,7 +79,7 @@
 
 // Outcomes of storing a row.
 const (
-	// Stored: it lies in the store, from now on or from before.
+	// Stored: it lies in the store, from now on or from before, or its job ended.
 	Stored Outcome = "Stored"
 	// Refused: it was not stored by this call.
 	Refused Outcome = "Refused"
@@ -84,10 +87,10 @@
 	Undecided Outcome = "Undecided"
 )
 
-// decide stores a row that must not exist yet. While an attempt may have taken effect it tries on until
-// ctx ends, because only the store can tell. The reason is that of the last failure.
-func (intake *Intake) decide(ctx context.Context, row store.Ref, value []byte) (Outcome, string) {
-	tx := store.Tx{Conditions: []store.Condition{{Ref: row}}, Puts: []store.Put{{Ref: row, Value: value}}}
+// decide stores a row. A conflict shows that it is stored already or no longer needed. While an attempt
+// may have taken effect it tries on until ctx ends, because only the store can tell. The reason is that
+// of the last failure.
+func (intake *Intake) decide(ctx context.Context, tx store.Tx) (Outcome, string) {
 	undecided := false
 	for {
 		bounded, cancel := context.WithTimeout(ctx, attemptTime.Duration())
@@ -121,14 +124,21 @@
 	return intake.storedState(ctx, id)
 }
 
-// Job reads a job with its tasks from the store. Errors: ErrNoJob, ErrNoAnswer, workflow.ErrCorrupt.
+// Job reads a job with its tasks from the store; of one that ended a while ago only its state, queue and
+// service. Errors: ErrNoJob, ErrNoAnswer, workflow.ErrCorrupt.
 func (intake *Intake) Job(ctx context.Context, id workflow.ID) (*workflow.Job, error) {
 	submission, err := intake.read(ctx, ref(Submission, id))
 	if err != nil {
 		return nil, err
 	}
 	if submission.Version == 0 {
-		return nil, ErrNoJob{ID: id}
+		ended, err := intake.ended(ctx, id)
+		if err != nil {
+			return nil, err
+		}
+		job := workflow.New(workflow.Spec{ID: id, Queue: ended.Queue, Service: ended.Service})
+		job.State = ended.State
+		return job, nil
 	}
 	spec, err := workflow.DecodeSpec(id, submission.Value)
 	if err != nil {
@@ -151,7 +161,8 @@
 		return "", err
 	}
 	if submission.Version == 0 {
-		return "", ErrNoJob{ID: id}
+		ended, err := intake.ended(ctx, id)
+		return ended.State, err
 	}
 	stored, err := intake.read(ctx, store.Ref{Table: StateTable, Key: string(id)})
 	if err != nil {
@@ -163,6 +174,19 @@
 	return workflow.DecodeStateOf(id, stored.Value)
 }
 
+// ended reads what is kept of a job that is no longer in the inbox. Errors: ErrNoJob, ErrNoAnswer,
+// workflow.ErrCorrupt.
+func (intake *Intake) ended(ctx context.Context, id workflow.ID) (Ended, error) {
+	row, err := intake.read(ctx, endedRef(id))
+	if err != nil {
+		return Ended{}, err
+	}
+	if row.Version == 0 {
+		return Ended{}, ErrNoJob{ID: id}
+	}
+	return DecodeEnded(row)
+}
+
 // read returns a row, with Version 0 if it does not exist. Error: ErrNoAnswer.
 func (intake *Intake) read(ctx context.Context, row store.Ref) (store.Row, error) {
 	rows, err := intake.store.List(ctx, row.Table, row.Key, row.Key+"\x00")
@@ -177,16 +201,21 @@
 	return store.Row{Ref: row}, nil
 }
 
-// Cancel stores the cancellation of a job. Errors: ErrNoJob, ErrNoAnswer, ErrUndecided.
+// Cancel stores the cancellation of a job that has not ended. Errors: ErrNoJob, ErrNoAnswer, ErrUndecided,
+// workflow.ErrCorrupt.
 func (intake *Intake) Cancel(ctx context.Context, id workflow.ID) error {
 	submission, err := intake.read(ctx, ref(Submission, id))
 	if err != nil {
 		return err
 	}
 	if submission.Version == 0 {
-		return ErrNoJob{ID: id}
+		_, err := intake.ended(ctx, id)
+		return err
 	}
-	outcome, reason := intake.decide(ctx, ref(Cancellation, id), []byte("{}"))
+	outcome, reason := intake.decide(ctx, store.Tx{
+		Conditions: []store.Condition{{Ref: ref(Submission, id), Version: submission.Version}, {Ref: ref(Cancellation, id)}},
+		Puts:       []store.Put{{Ref: ref(Cancellation, id), Value: []byte("{}")}},
+	})
 	metrics.GetOrCreateCounter(fmt.Sprintf(`hyssopjunction_intake_cancellations_total{outcome=%q}`, outcome)).Inc()
 	klog.InfoS("Cancellation", "Job", id, "Outcome", outcome, "Reason", reason)
 	switch outcome {
--- a/scheduler/book.go
+++ b/scheduler/book.go
@@ -377,6 +377,41 @@
 	return orders
 }
 
+// Forget drops a job that ended and that no worker runs any more, and reports whether it did.
+func (book *Book) Forget(id workflow.ID) bool {
+	found, ok := book.jobs[id]
+	if !ok {
+		return true
+	}
+	if !book.idle(found) {
+		return false
+	}
+	delete(book.jobs, id)
+	return true
+}
+
+// Idle reports whether Forget would drop the job.
+func (book *Book) Idle(id workflow.ID) bool {
+	found, ok := book.jobs[id]
+	return !ok || book.idle(found)
+}
+
+func (book *Book) idle(found *entry) bool {
+	return found.job.State.Final() && found.active == 0 && book.changed[found.job.Spec.ID] == nil
+}
+
+// Summary returns the state, the queue and the service of a job that the book has.
+func (book *Book) Summary(id workflow.ID) (workflow.State, workflow.Queue, workflow.Service) {
+	found, ok := book.jobs[id]
+	if !ok {
+		return "", "", ""
+	}
+	return found.job.State, found.job.Spec.Queue, found.job.Spec.Service
+}
+
+// Open returns the number of jobs that have not ended.
+func (book *Book) Open() int { return len(book.open) }
+
 // State returns the state of a job and whether the book has it.
 func (book *Book) State(id workflow.ID) (workflow.State, bool) {
 	found, ok := book.jobs[id]
