Heed data centres that are out from a leader's first moment; fit rounds into the store

(2) A leader looked at the data centres that are out every 100 ms only, first 100 ms after it began, and an entry that had not read the operators' rows yet took none for out. Agents that attach at once got starts in that time. The fault is as old as the leader; it shows only if a leader changes while a zone is out and the agents are quick. Change: what a transaction holds is counted as the store counts it; the leader looks before each plan and places nothing while the directives are unknown.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -29,8 +29,10 @@
 	// roundGap separates the transactions of the leader, so that a busy second takes at most 40 of the
 	// 200 transactions that one partition of the store applies.
 	roundGap = 25 * clock.Millisecond
-	// rowsPerTx stays below the 100 entries that a transaction may hold, with the rows of the election.
-	rowsPerTx = 40
+	// entriesPerTx is what a transaction may hold: conditions, puts and removals together.
+	entriesPerTx = 100
+	// entriesPerJob is what a job adds: a condition and a put.
+	entriesPerJob = 2
 	// bytesPerTx stays below the 1 MB that a transaction may hold in the store's encoding.
 	bytesPerTx = 500_000
 )
@@ -41,8 +43,8 @@
 	Clock clock.Clock
 	// TimeOfDay returns Unix milliseconds, for scheduled jobs.
 	TimeOfDay func() int64
-	// Out returns the data centres that get no new tasks.
-	Out func() set.Set[ident.DataCentre]
+	// Out returns the data centres that get no new tasks, and false while that is not known.
+	Out func() (set.Set[ident.DataCentre], bool)
 	// Keep is how long what is known of jobs that ended is kept.
 	Keep Retention
 }
@@ -217,11 +219,6 @@
 // periodic judges what depends on the time alone.
 func (leader *Coordinator) periodic() {
 	now := leader.need.Clock.Now()
-	if out := leader.need.Out(); !equal(out, leader.out) {
-		klog.InfoS("Data centres out", "DataCentres", set.Sorted(out))
-		leader.out = out
-		leader.book.SetOut(out)
-	}
 	if now.Sub(leader.countedAt) >= countInterval {
 		leader.countedAt = now
 		if waiting := leader.book.Waiting(now); waiting != (scheduler.Waiting{}) {
@@ -246,6 +243,18 @@
 	}
 }
 
+// heed takes the data centres that are out and reports whether they are known. Nothing is placed before
+// they are.
+func (leader *Coordinator) heed() bool {
+	out, known := leader.need.Out()
+	if known && !equal(out, leader.out) {
+		klog.InfoS("Data centres out", "DataCentres", set.Sorted(out))
+		leader.out = out
+		leader.book.SetOut(out)
+	}
+	return known
+}
+
 func equal(left, right set.Set[ident.DataCentre]) bool {
 	if left.Len() != right.Len() {
 		return false
--- a/coordinator/write.go
+++ b/coordinator/write.go
@@ -22,7 +22,9 @@
 	if leader.writing || leader.base.Err() != nil || now.Sub(leader.wroteAt) < roundGap {
 		return
 	}
-	leader.book.Plan(now, leader.need.TimeOfDay())
+	if leader.heed() {
+		leader.book.Plan(now, leader.need.TimeOfDay())
+	}
 	jobs, orders := leader.book.Take()
 	renew := now.Sub(leader.renewedAt) >= election.Renewal
 	if len(jobs) == 0 && !renew {
@@ -54,6 +56,11 @@
 	lessons bool
 }
 
+// entries returns the number of entries of the transaction, as the store counts them.
+func (item pending) entries() int {
+	return len(item.tx.Conditions) + len(item.tx.Puts) + len(item.tx.Removes)
+}
+
 // prepare returns the transactions of a round. Each depends on the term.
 func (leader *Coordinator) prepare(jobs []*workflow.Job, renew bool) ([]pending, error) {
 	var writes []pending
@@ -83,7 +90,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("encoding job %s: %w", job.Spec.ID, err)
 		}
-		if len(current.states) >= rowsPerTx || size+len(value) > bytesPerTx {
+		if current.entries()+entriesPerJob > entriesPerTx || size+len(value) > bytesPerTx {
 			writes = append(writes, current)
 			current, size = leader.newPending(), 0
 		}
--- a/directive/directive.go
+++ b/directive/directive.go
@@ -119,8 +119,6 @@
 func NewFollower(service store.Store, source clock.Clock, rows Source) *Follower {
 	ctx, end := context.WithCancel(context.Background())
 	follower := &Follower{store: service, clock: source, source: rows, end: end}
-	empty := set.New[ident.DataCentre]()
-	follower.out.Store(&empty)
 	follower.done.Add(1)
 	go func() {
 		defer follower.done.Done()
@@ -142,8 +140,15 @@
 // Config returns the configuration in force, or nil before the first one.
 func (follower *Follower) Config() *Config { return follower.config.Load() }
 
-// Out returns the data centres that are out. The set must not be changed.
-func (follower *Follower) Out() set.Set[ident.DataCentre] { return *follower.out.Load() }
+// Out returns the data centres that are out, and false before the operators' rows were read. The set must
+// not be changed.
+func (follower *Follower) Out() (set.Set[ident.DataCentre], bool) {
+	out := follower.out.Load()
+	if out == nil {
+		return nil, false
+	}
+	return *out, true
+}
 
 // Fresh reports whether there is a configuration and the store confirmed it lately.
 func (follower *Follower) Fresh() bool {
@@ -174,8 +179,8 @@
 			follower.hear()
 			after = changes.Version
 			if len(changes.Rows) > 0 {
-				out := set.New(set.Sorted(follower.Out())...)
-				follower.apply(changes.Rows, out)
+				before, _ := follower.Out()
+				follower.apply(changes.Rows, set.New(set.Sorted(before)...))
 			}
 		case store.IsErrHistoryGone(err):
 			return
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -87,6 +87,9 @@
 	service.slowness = slowness
 }
 
+// mostEntries is how many entries a transaction may hold.
+const mostEntries = 100
+
 // longestQueue is how much waiting work a part accepts.
 const longestQueue = time.Second
 
@@ -205,6 +208,9 @@
 		return http.StatusBadRequest, struct{}{}
 	}
 	rows := slices.Concat(form.ExpectedRevision, form.Puts, form.Remove)
+	if len(rows) > mostEntries {
+		return http.StatusBadRequest, struct{}{}
+	}
 	for _, row := range rows {
 		if row.Part != rows[0].Part {
 			return http.StatusBadRequest, struct{}{}
