--- a/standin/site/runner.go
+++ b/standin/site/runner.go
@@ -28,6 +28,8 @@
 	// Ended is zero while it runs.
 	Ended time.Time
 	How   string
+	// Noted reports that the end was taken note of.
+	Noted bool
 }
 
 // Log records the runs of all runners. It is safe for concurrent use.
@@ -63,15 +65,17 @@
 	records  map[string]*Run
 	highest  map[string]int
 	ended    [][]any
-	number   int64
-	fault    func(request *http.Request) Fault
+	// listed holds the records of the ends that are not taken note of.
+	listed map[int64]*Run
+	number int64
+	fault  func(request *http.Request) Fault
 }
 
 // NewRunner returns a runner that runs nothing.
 func NewRunner(id string, born int64, log *Log, length func(task string) (time.Duration, bool)) *Runner {
 	return &Runner{
 		id: id, born: born, log: log, length: length, began: time.Now(),
-		tasks: map[string]*runnerTask{}, records: map[string]*Run{}, highest: map[string]int{},
+		tasks: map[string]*runnerTask{}, records: map[string]*Run{}, highest: map[string]int{}, listed: map[int64]*Run{},
 	}
 }
 
@@ -144,7 +148,7 @@
 	case "/api/run-stop":
 		runner.highest[form.Task] = max(runner.highest[form.Task], form.RunID)
 		if active, ok := runner.tasks[form.Task]; ok && active.run == form.RunID {
-			runner.finish(form.Task, "stopped")
+			runner.finish(form.Task, "stopped", time.Now())
 		}
 		return http.StatusOK, runner.newAnswer()
 	case "/api/hold":
@@ -211,9 +215,15 @@
 	runner.extend(form.DeadlineMs)
 	kept := runner.ended[:0]
 	for _, row := range runner.ended {
-		if number, ok := row[0].(int64); ok && number > form.LastSeen {
+		number, ok := row[0].(int64)
+		if ok && number > form.LastSeen {
 			kept = append(kept, row)
+			continue
 		}
+		runner.log.mu.Lock()
+		runner.listed[number].Noted = true
+		runner.log.mu.Unlock()
+		delete(runner.listed, number)
 	}
 	runner.ended = kept
 	answer := runner.newAnswer()
@@ -228,35 +238,41 @@
 	return http.StatusOK, answer
 }
 
-// advance ends what is over. It is called with the lock held.
+// advance ends what is over, at the time at which it was. It is called with the lock held.
 func (runner *Runner) advance() {
-	lapsed := time.Since(runner.began) > runner.deadline
+	lapse := runner.began.Add(runner.deadline)
 	for task, active := range runner.tasks {
-		switch {
-		case active.length > 0 && time.Since(active.started) >= active.length && active.fails:
-			runner.finish(task, "failed")
-		case active.length > 0 && time.Since(active.started) >= active.length:
-			runner.finish(task, "done")
-		case lapsed:
-			runner.finish(task, "lapsed")
+		due := active.started.Add(active.length)
+		lapses := active.length == 0 || lapse.Before(due)
+		switch now := time.Now(); {
+		case lapses && lapse.Before(now):
+			runner.finish(task, "lapsed", lapse)
+		case lapses || now.Before(due):
+		case active.fails:
+			runner.finish(task, "failed", due)
+		default:
+			runner.finish(task, "done", due)
 		}
 	}
 }
 
-func (runner *Runner) finish(task, how string) {
+func (runner *Runner) finish(task, how string, at time.Time) {
 	active := runner.tasks[task]
 	delete(runner.tasks, task)
 	runner.number++
 	runner.ended = append(runner.ended, []any{runner.number, task, active.run, how, ""})
+	record := runner.records[task]
+	runner.listed[runner.number] = record
 	runner.log.mu.Lock()
 	defer runner.log.mu.Unlock()
-	runner.records[task].Ended, runner.records[task].How = time.Now(), how
+	record.Ended, record.How = at, how
 }
 
 // Crash ends everything without a word, as the loss of the runner does.
 func (runner *Runner) Crash() {
 	runner.mu.Lock()
 	defer runner.mu.Unlock()
+	runner.advance()
 	for task := range runner.tasks {
 		runner.log.mu.Lock()
 		runner.records[task].Ended, runner.records[task].How = time.Now(), "crashed"
@@ -265,3 +281,10 @@
 	}
 	runner.id = fmt.Sprintf("crashed-%s", runner.id)
 }
+
+// Settle ends what is over, so that the log is up to date.
+func (runner *Runner) Settle() {
+	runner.mu.Lock()
+	defer runner.mu.Unlock()
+	runner.advance()
+}
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -38,6 +39,8 @@
 	case Reset:
 		panic(http.ErrAbortHandler)
 	case Silent:
+		// A server notices that its caller left only once the body is read.
+		_, _ = io.Copy(io.Discard, request.Body)
 		<-request.Context().Done()
 		return true
 	case None, Lost:
