A worker whose port refuses connections is gone at once

Ruled out: the same for connections that are reset, which faulty workers do while they run (srv_grey, reset): these stay as they were. Change: ErrNotListening; after 250 ms of it the agent reports the life as over. A process ends with its listener, and the next one has another birth. Test: TestGoneWorker failed first; a worker that is missed once keeps its runs.

--- a/steward/orders.go
+++ b/steward/orders.go
@@ -213,7 +213,7 @@
 		klog.InfoS("Worker refused a start", "Task", known.order.Task, "Run", known.order.Run, "Refusal", refused.Refusal, "Detail", refused.Detail)
 		known.phase, known.reason = stopping, string(refused.Refusal)
 		return true
-	case IsErrNothingDone(err):
+	case IsErrNothingDone(err), IsErrNotListening(err):
 		known.attempts++
 		if known.attempts >= startAttempts {
 			known.phase, known.reason = stopping, err.Error()
--- a/steward/runtime.go
+++ b/steward/runtime.go
@@ -104,8 +104,8 @@
 	Ended  []Ended
 }
 
-// Runtime is the worker beside the agent. Errors: ErrRefused, ErrOtherLife, ErrNothingDone if the call
-// had no effect; any other error leaves the outcome open, and the call may still be carried out later.
+// Runtime is the worker beside the agent. Errors: ErrRefused, ErrOtherLife, ErrNothingDone and
+// ErrNotListening if the call had no effect; any other error leaves the outcome open, and the call may still be carried out later.
 type Runtime interface {
 	Start(ctx context.Context, call StartCall) error
 	Stop(ctx context.Context, call StopCall) error
@@ -165,5 +165,16 @@
 // Error describes the reason.
 func (err ErrNothingDone) Error() string { return "worker did nothing: " + err.Reason }
 
+// ErrNotListening reports that nothing listens at the worker's address: its process does not run.
+type ErrNotListening struct {
+	Reason string
+}
+
+// Error describes the reason.
+func (err ErrNotListening) Error() string { return "worker does not run: " + err.Reason }
+
+// IsErrNotListening reports whether err is or wraps an ErrNotListening.
+func IsErrNotListening(err error) bool { return errors.As(err, new(ErrNotListening)) }
+
 // IsErrNothingDone reports whether err is or wraps an ErrNothingDone.
 func IsErrNothingDone(err error) bool { return errors.As(err, new(ErrNothingDone)) }
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -44,6 +44,8 @@
 	// silentAfter is the number of listings without an answer after which the worker gets no new runs and
 	// its lease is not extended: any unanswered call may have been carried out.
 	silentAfter = 3
+	// goneAfter is how long nothing must listen at the worker's address: four listings.
+	goneAfter = 250 * clock.Millisecond
 )
 
 // Steward is the agent of one worker. Create it with New.
@@ -88,6 +90,8 @@
 	// silent counts listings without an answer.
 	silent int
 	lapsed bool
+	// goneSince is the time from which nothing listened at the worker's address, or 0.
+	goneSince clock.Time
 	// recorded is the number of the last end that is stored.
 	recorded int64
 	weights  map[[2]pacing.Image]float64
@@ -290,6 +294,11 @@
 			klog.ErrorS(err, "Worker does not answer", "Worker", present.incarnation)
 			agent.wake()
 		}
+		if present.isGone(err, now) && !present.lapsed {
+			klog.InfoS("Worker is gone", "Worker", present.incarnation, "Reason", err.Error())
+			present.lapsed = true
+			agent.wake()
+		}
 		if IsErrOtherLife(err) && !present.lapsed {
 			klog.InfoS("Worker has another life", "Worker", present.incarnation)
 			present.lapsed = true
@@ -312,7 +321,7 @@
 		present.lapsed = false
 		agent.wake()
 	}
-	present.silent = 0
+	present.silent, present.goneSince = 0, 0
 	present.clock, present.readAt = listing.Clock, now
 	fresh := len(listing.Ended) > 0 && listing.Ended[len(listing.Ended)-1].Number > lastNumber(present.listing.Ended)
 	first := len(present.listing.Active)+len(present.listing.Ended) == 0 && len(listing.Active) > 0
@@ -325,6 +334,18 @@
 	return fresh || now.Sub(sent) >= holdPause // The worker waited before it answered.
 }
 
+// isGone reports whether nothing has listened at the worker's address for a while, so that nothing runs
+// there: what a process ran ends with it, and the next one is another life.
+func (present *life) isGone(err error, now clock.Time) bool {
+	switch {
+	case !IsErrNotListening(err):
+		present.goneSince = 0
+	case present.goneSince == 0:
+		present.goneSince = now
+	}
+	return present.goneSince != 0 && now.Sub(present.goneSince) >= goneAfter
+}
+
 // compare settles the orders by what the worker listed in answer to a call sent at the time.
 func (agent *Steward) compare(present *life, sent clock.Time) {
 	active := map[runKey]struct{}{}
--- a/steward/steward_test.go
+++ b/steward/steward_test.go
@@ -29,6 +29,8 @@
 	// swallow leaves the first start of each run unanswered until the caller gives up.
 	swallow   bool
 	swallowed map[runKey]bool
+	// refused is how many listings find nothing that listens; -1 means all.
+	refused int
 	// swallowHolds is how many listings are left unanswered.
 	swallowHolds int
 	runs         map[runKey]bool
@@ -114,6 +116,10 @@
 	}
 	fake.mu.Lock()
 	defer fake.mu.Unlock()
+	if fake.refused != 0 {
+		fake.refused = max(-1, fake.refused-1)
+		return Listing{}, ErrNotListening{Reason: "connection refused"}
+	}
 	if fake.silent {
 		return Listing{}, errSilent
 	}
@@ -348,3 +354,31 @@
 		t.Errorf("learned after %s, want at most %s", took, quickSlack)
 	}
 }
+
+// Guards against tasks that stay with a worker whose process is gone until its lease ends, 6.5 s: nothing
+// listens at its address any more. A worker that is missed for a moment keeps them.
+func TestGoneWorker(t *testing.T) {
+	cases := map[string]struct {
+		refused int
+		want    bool
+	}{
+		"gone for good": {-1, true},
+		"missed once":   {1, false},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			fake := newRuntime()
+			agent := newAgent(t, fake)
+			agent.order(1, false)
+			await(t, agent, "start", func() bool { return agent.life.runs[runKey{"0123456789abcdef.0.0.0", 1}].phase == started })
+			fake.set(func() { fake.refused = test.refused })
+			// The lease would end after 918 ms.
+			time.Sleep(600 * time.Millisecond)
+			lapsed := false
+			agent.loop.Call(func() { lapsed = agent.life.lapsed })
+			if lapsed != test.want {
+				t.Errorf("lapsed %v, want %v", lapsed, test.want)
+			}
+		})
+	}
+}
