A new leader reads the ends of archived jobs too, after it began

Cause: the state of a job that was archived more than 15 s before a takeover was known to the store only: three reads for each question, and no answer while the store is away (found by reading the change again). Ruled out: reading them before the leader begins, which is what archiving avoids. Change: the ends are read in the background of a new term.

--- a/coordinator/archive.go
+++ b/coordinator/archive.go
@@ -142,6 +142,22 @@
 	leader.dropped = leader.dropped[count:]
 }
 
+// remember reads the ends that are told, so that they are while the store is away, and without asking it.
+func (leader *Coordinator) remember() {
+	rows, err := leader.listAll(leader.base, intake.EndedTable)
+	if err != nil {
+		return // The term ended.
+	}
+	for _, row := range rows.Rows {
+		ended, err := intake.DecodeEnded(row)
+		if err != nil {
+			klog.ErrorS(err, "Ended job ignored")
+			continue
+		}
+		leader.show(workflow.ID(row.Key), ended.State)
+	}
+}
+
 // sweep removes the ends that were told long enough, until the term ends.
 func (leader *Coordinator) sweep() {
 	for {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -136,7 +136,10 @@
 		return nil, err
 	}
 	leader.background(func() { leader.follow(version) })
-	leader.background(leader.sweep)
+	leader.background(func() {
+		leader.remember()
+		leader.sweep()
+	})
 	leader.background(func() {
 		for {
 			select {
