Archive nothing before the store's clock is known

Cause: the end of a job is dated by the store's clock, which is 0 at a leader that has only reached the store by way of other entries. The next search for old ends would have removed it within 300 s, and callers would have been told 410 or, with the same id, been given a second job. Ruled out: the same for the age of a job at acceptance, which only orders work. Change: nothing is archived while that clock is unknown. Test: TestNothingIsArchivedWithoutTheStoresClock failed first.

--- a/coordinator/archive.go
+++ b/coordinator/archive.go
@@ -59,6 +59,10 @@
 		return
 	}
 	leader.archivedAt = now
+	at := leader.need.Store.Now()
+	if at == 0 {
+		return // The end would seem to be as old as the store.
+	}
 	batch := map[workflow.ID]store.Tx{}
 	for _, id := range set.SortedKeys(leader.endedAt) {
 		if now.Sub(leader.endedAt[id]) < leader.need.Keep.Inbox || !leader.book.Idle(id) {
@@ -66,7 +70,7 @@
 		}
 		state, queue, service := leader.book.Summary(id)
 		tx, err := intake.ArchiveTx(id, leader.inbox[id], intake.Ended{
-			State: state, At: leader.need.Store.Now(), Queue: queue, Service: service,
+			State: state, At: at, Queue: queue, Service: service,
 		})
 		if err != nil {
 			klog.ErrorS(err, "Job not archived", "Job", id)
--- a/coordinator/write_test.go
+++ b/coordinator/write_test.go
@@ -44,3 +44,21 @@
 		t.Error("no state of an archived job is removed")
 	}
 }
+
+// mute is a store that was not heard of yet, so that its clock is not known.
+type mute struct{ store.Store }
+
+func (mute) Now() clock.Time { return 0 }
+
+// Guards against the end of a job that is forgotten too early, so that its id names a second job: a leader
+// that only ever reached the store by way of other entries does not know the store's clock.
+func TestNothingIsArchivedWithoutTheStoresClock(t *testing.T) {
+	leader := &Coordinator{
+		need: Dependencies{Clock: clock.NewBoot(), Store: mute{}, Keep: DefaultRetention()},
+		book: scheduler.New(), endedAt: map[workflow.ID]clock.Time{"0123456789abcdef": 0},
+	}
+	leader.archive(leader.need.Clock.Now().Add(clock.Hour))
+	if leader.archiving {
+		t.Error("a job is archived, want none")
+	}
+}
