Count unanswered listings from the change of leaders

Cause: an agent tells a leader that its worker is unresponsive after three listings in a row without an answer. Ruled out: fewer listings at all times (two), because a single lost answer of a sound worker would then stop its starts and its lease more often. Change: until the worker has answered a listing that was requested in the session with the leader, one unanswered listing is enough, also one from before the session. Leases are as before. Before: TestWorkerIsUnresponsiveToNewLeader fails in two cases with the old rule (responsive true, want false). After: passes.

--- a/supervisor/leadersession.go
+++ b/supervisor/leadersession.go
@@ -39,6 +39,10 @@
 
 // sessionState is the state of the session with the leader. It may be accessed only on the control loop.
 type sessionState struct {
+	// startedAt is when the session was opened.
+	startedAt clock.Time
+	// hasListing reports that the worker answered a listing that was requested during the session.
+	hasListing bool
 	// sequence is the number of the last report.
 	sequence uint64
 	// sentAt holds the times at which reports were sent, by sequence.
@@ -88,7 +92,7 @@
 		klog.InfoS("Session not opened", "Address", address, "Reason", err.Error())
 		return ""
 	}
-	supervisor.loop.Call(func() { supervisor.session = sessionState{sentAt: map[uint64]clock.Time{}} })
+	supervisor.loop.Call(supervisor.beginSession)
 	incoming := make(chan *session.Orders)
 	supervisor.background(func() {
 		defer close(incoming)
@@ -107,6 +111,21 @@
 	return supervisor.exchange(ctx, directory, address, stream, incoming)
 }
 
+// beginSession discards what an earlier session reported.
+func (supervisor *Supervisor) beginSession() {
+	supervisor.session = sessionState{startedAt: supervisor.clock.Now(), sentAt: map[uint64]clock.Time{}}
+}
+
+// isResponsive reports whether the leader may place runs on the worker. A leader that has just taken over places
+// many tasks at once and knows nothing of earlier failures, so the first unanswered listing counts until the
+// worker has answered one in this session.
+func (supervisor *Supervisor) isResponsive(worker *workerState) bool {
+	if !supervisor.session.hasListing {
+		return worker.unansweredListings == 0
+	}
+	return worker.unansweredListings < unresponsiveListings
+}
+
 // openStream opens the stream of a session. It calls cancel if that takes longer than openTimeout.
 func (supervisor *Supervisor) openStream(ctx context.Context, cancel func(), client *session.Client) (*session.AgentStream, error) {
 	opened := make(chan struct{})
@@ -234,7 +253,7 @@
 	profile := &session.Worker{
 		Incarnation: worker.incarnation, Service: worker.announcement.Service, DataCentre: worker.announcement.DataCentre,
 		Labels: worker.announcement.Labels, Capacity: worker.announcement.Capacity, Draining: worker.announcement.Draining,
-		Responsive: worker.unansweredListings < unresponsiveListings, Lapsed: worker.lapsed,
+		Responsive: supervisor.isResponsive(worker), Lapsed: worker.lapsed,
 	}
 	if state.reportedIncarnation != worker.incarnation {
 		state.reportedIncarnation, state.reportedEnd, state.progressReportedAt, state.reportedWorker = worker.incarnation, 0, 0, nil
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -300,10 +300,13 @@
 		return false
 	}
 	now := supervisor.clock.Now()
+	wasResponsive := supervisor.isResponsive(worker)
 	if err != nil {
 		worker.unansweredListings++
 		if worker.unansweredListings == unresponsiveListings {
 			klog.ErrorS(err, "Worker does not answer", "Worker", worker.incarnation)
+		}
+		if wasResponsive && !supervisor.isResponsive(worker) {
 			supervisor.requestReport()
 		}
 		if worker.trackGone(err, now) && !worker.lapsed {
@@ -328,12 +331,15 @@
 		supervisor.requestReport()
 		return false
 	}
-	if worker.unansweredListings >= unresponsiveListings || worker.lapsed {
+	if !wasResponsive || worker.lapsed {
 		klog.InfoS("Worker answers again", "Worker", worker.incarnation)
 		worker.lapsed = false
 		supervisor.requestReport()
 	}
 	worker.unansweredListings, worker.notListeningSince = 0, 0
+	if !sentAt.Before(supervisor.session.startedAt) {
+		supervisor.session.hasListing = true
+	}
 	worker.workerClock, worker.clockReadAt = listing.Clock, now
 	hasNewEnds := len(listing.Ended) > 0 && listing.Ended[len(listing.Ended)-1].Number > lastEndNumber(worker.listing.Ended)
 	hasFirstRuns := len(worker.listing.Active)+len(worker.listing.Ended) == 0 && len(listing.Active) > 0
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -384,3 +384,46 @@
 		})
 	}
 }
+
+// TestWorkerIsUnresponsiveToNewLeader guards against starts on an unresponsive worker after a change of leaders:
+// three listings in a row had to fail before the agent said so, and the new leader placed tasks there meanwhile.
+func TestWorkerIsUnresponsiveToNewLeader(t *testing.T) {
+	supervisor := newSupervisor(t, newRuntime())
+	await(t, supervisor, "a listing", func() bool { return supervisor.worker.clockReadAt != 0 })
+	supervisor.loop.Call(func() {
+		worker := supervisor.worker
+		report := func(answers ...error) bool {
+			for _, err := range answers {
+				supervisor.handleListing(worker, Listing{Clock: worker.workerClock}, supervisor.clock.Now(), err)
+			}
+			supervisor.session.reportedWorker = nil
+			return supervisor.nextReport().Worker.Responsive
+		}
+		cases := []struct {
+			name       string
+			newSession bool
+			answers    []error
+			want       bool
+		}{
+			{"answered before the session", true, []error{nil}, true},
+			{"one failure after an answer", false, []error{errNoAnswer}, true},
+			{"three failures after an answer", false, []error{errNoAnswer, errNoAnswer}, false},
+			{"an answer again", false, []error{nil}, true},
+			{"one failure once more", false, []error{errNoAnswer}, true},
+			{"a new leader after that failure", true, nil, false},
+			{"answered to the new leader", false, []error{nil}, true},
+			{"a further leader", true, nil, true},
+			{"the first failure in its session", false, []error{errNoAnswer}, false},
+			{"answered to the further leader", false, []error{nil}, true},
+			{"one failure after that", false, []error{errNoAnswer}, true},
+		}
+		for _, test := range cases {
+			if test.newSession {
+				supervisor.beginSession()
+			}
+			if got := report(test.answers...); got != test.want {
+				t.Errorf("%s: responsive %v, want %v", test.name, got, test.want)
+			}
+		}
+	})
+}
