Join concurrent transactions of a partition

Cause: each accepted job is a transaction of its own, and a partition applies one after another. Ruled out: longer timeouts (a lost answer would be noticed later), a client's budget of retries alone (jobs are then refused that could be stored).

--- a/coordinator/write_test.go
+++ b/coordinator/write_test.go
@@ -48,6 +48,8 @@
 // unreachedStore is a store that has not answered yet, so that its clock is not known.
 type unreachedStore struct{ store.Store }
 
+func (unreachedStore) Partition(store.Ref) string { return "" }
+
 func (unreachedStore) Now() clock.Time { return 0 }
 
 // TestNoArchivingBeforeStoreClockIsKnown guards against an archived job that expires at once, so that its id
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -42,9 +42,9 @@
 	leader Leader
 }
 
-// New returns an Intake that stores rows in jobStore.
+// New returns an Intake that stores rows in jobStore. Concurrent submissions share transactions.
 func New(jobStore store.Store, timeSource clock.Clock, leader Leader) *Intake {
-	return &Intake{store: jobStore, clock: timeSource, leader: leader}
+	return &Intake{store: store.NewGroup(jobStore), clock: timeSource, leader: leader}
 }
 
 // Submit stores a job. If a job with the same id is stored already, the submission counts as a repetition and
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -49,6 +49,8 @@
 	return store.Rows{}, nil
 }
 
+func (fake *fakeStore) Partition(store.Ref) string { return "" }
+
 func (fake *fakeStore) Now() clock.Time { return 1 }
 
 // noLeader is the Leader of an entry that does not know a leader.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -55,6 +55,9 @@
 	return relay
 }
 
+// Partition implements store.Store.
+func (relay *Store) Partition(ref store.Ref) string { return relay.direct.Partition(ref) }
+
 // Now implements store.Store.
 func (relay *Store) Now() clock.Time { return relay.direct.Now() }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -37,6 +37,8 @@
 	return store.Rows{Version: 7}, fake.call()
 }
 
+func (fake *stub) Partition(store.Ref) string { return "" }
+
 func (fake *stub) Now() clock.Time { return 1 }
 
 // relayHandler serves only relayed calls to the store.
--- a/store/store.go
+++ b/store/store.go
@@ -71,6 +71,9 @@
 	// none, it waits for them for at most the given time.
 	// Errors: ErrHistoryGone, ErrUnavailable.
 	Changes(ctx context.Context, table Table, after Version, wait clock.Millis) (Rows, error)
+	// Partition returns the partition of a row. The rows of a transaction lie in one partition, which applies one
+	// transaction after another.
+	Partition(ref Ref) string
 	// Now returns an estimate of the store's steady clock, or 0 before the store first answered.
 	Now() clock.Time
 }
