Streams try another endpoint after a failed attempt

Cause: Dispatcher.Follow chooses among all endpoints again after each failed attempt. Attempts that fail at once can all go to the same failing endpoints, because these stay the fastest until they are ejected, so the five attempts of 1.55 s end in "was not run: Outage" while other endpoints could serve. Ruled out: more attempts, which only makes the same choice again. Change: endpoints that failed since the last data are chosen only if there are no others. Conclusion: a stream is refused only after five different endpoints, or all of them, failed.

--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -294,6 +294,28 @@
 	})
 }
 
+// TestStreamTriesOtherEndpoints guards against a stream that is refused while an endpoint could serve it, because
+// its attempts go to the same failing endpoints again.
+func TestStreamTriesOtherEndpoints(t *testing.T) {
+	const endpoints, seeds = 5, 20
+	for seed := range uint64(seeds) {
+		synctest.Test(t, func(t *testing.T) {
+			fixture := newFixture(t, endpoints, 8)
+			for _, agent := range fixture.agents[1:] {
+				agent.down = true
+			}
+			count := 0
+			err := fixture.entry(seed+1, dispatch.Defaults()).Follow(t.Context(), dispatch.StreamRequest{ID: "f", Service: "s", Stream: "x"}, func(data []byte) error {
+				count += len(data)
+				return nil
+			})
+			if err != nil || count != 100 {
+				t.Errorf("seed %d: %d bytes, want 100; %v", seed, count, err)
+			}
+		})
+	}
+}
+
 // TestRefusedRequestsHaveReason guards against requests that cannot be dispatched and fail without a
 // typed reason.
 func TestRefusedRequestsHaveReason(t *testing.T) {
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -66,8 +66,10 @@
 		}
 	}()
 	offset := request.Offset
+	// failed holds the endpoints that were tried since the last data.
+	var failed []ident.Endpoint
 	for failures := 0; failures < maxStreamAttempts; failures++ {
-		reached, endpoint, err := dispatcher.followOnce(ctx, request, candidates, offset, onData)
+		reached, endpoint, err := dispatcher.followOnce(ctx, request, candidates, failed, offset, onData)
 		var caller errCaller
 		switch {
 		case errors.As(err, new(errStreamEnd)):
@@ -80,7 +82,10 @@
 		klog.InfoS("Stream interrupted", "Request", request.ID, "Stream", request.Stream, "Endpoint", endpoint,
 			"Offset", reached, "Reason", err.Error())
 		if reached > offset {
-			offset, failures = reached, 0
+			offset, failures, failed = reached, 0, nil
+		}
+		if endpoint != "" {
+			failed = append(failed, endpoint)
 		}
 		select {
 		case <-dispatcher.clock.After(pollInterval << failures):
@@ -97,11 +102,15 @@
 	return ErrUnknown{Request: request.ID, Reason: Outage, RetryAfter: dispatcher.settings.RetryAfter}
 }
 
-// followOnce follows the stream at one endpoint and returns the offset reached.
-func (dispatcher *Dispatcher) followOnce(ctx context.Context, request StreamRequest, candidates *routing.View, offset int64,
+// followOnce follows the stream at one endpoint and returns the offset reached. Endpoints in failed are chosen only if
+// there are no others.
+func (dispatcher *Dispatcher) followOnce(ctx context.Context, request StreamRequest, candidates *routing.View, failed []ident.Endpoint, offset int64,
 	onData func(data []byte) error,
 ) (int64, ident.Endpoint, error) {
-	decision, err := candidates.Choose(dispatcher.clock.Now(), nil)
+	decision, err := candidates.Choose(dispatcher.clock.Now(), failed)
+	if err != nil && len(failed) > 0 {
+		decision, err = candidates.Choose(dispatcher.clock.Now(), nil)
+	}
 	if err != nil {
 		return offset, "", err
 	}
