Placement: requirements of blocked needs, fewer filling tasks at a time

Cause: (1) a step that finds no room blocks all steps with the same need for a round, also when its label, image or limit per worker was the reason. (2) While filling tasks request two to four times what serving tasks leave, tasks are placed that are expected to reach half of their speed; all jobs are then late together. Change: the key of a blocked need holds label, image, rack and kind; limits per worker and avoided workers are not remembered. A filling task starts where it is expected to reach 0.75 of its speed, instead of 0.5.

--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -29,8 +29,10 @@
 	replanInterval = 250 * clock.Millisecond
 	// remoteDataPenalty lowers the score of a worker outside the rack that holds the task's data.
 	remoteDataPenalty = 0.5
-	// minFillingSpeed is the share of its full speed that a filling task must be expected to reach on a worker.
-	minFillingSpeed = 0.5
+	// minFillingSpeed is the share of its full speed that a filling task must be expected to reach on a worker. Tasks
+	// that would be slower wait: while filling tasks request more cores than there are, more jobs meet their objective
+	// if fewer of them run at a time.
+	minFillingSpeed = 0.75
 	// fillingSpeedWeight makes the expected speed of a filling task count more than a worker's free cores.
 	fillingSpeedWeight = 2.0
 	// imageAffinityWeight favours placing standing tasks beside those of the same image, because the same
@@ -89,10 +91,14 @@
 
 // blockKey holds the requirements that decide whether a task finds room on any worker.
 type blockKey struct {
-	need    unit.Resources
-	fills   bool
-	starved bool
-	service workflow.Service
+	need     unit.Resources
+	fills    bool
+	starved  bool
+	standing bool
+	service  workflow.Service
+	label    string
+	image    string
+	dataRack string
 }
 
 // quarantineStalled quarantines workers with several stalled runs and no run that makes progress, and stops
@@ -196,15 +202,19 @@
 		return
 	}
 	starved := step.Fills && candidate.record.activeRuns == 0 && now.Sub(candidate.record.acceptedAt) > starvationAge && scheduler.isMostlyUnreserved(job.Spec.Service)
-	key := blockKey{need: step.Need, fills: step.Fills, starved: starved, service: job.Spec.Service}
+	key := blockKey{
+		need: step.Need, fills: step.Fills, starved: starved, standing: step.Standing, service: job.Spec.Service, label: step.Label, image: step.Image, dataRack: step.DataRack,
+	}
+	// A limit per worker, and workers that are avoided after failures, depend on the job.
+	dependsOnJob := step.PerWorker > 0 || len(candidate.record.failuresByWorker) > 0
 	for _, index := range candidate.indices {
-		if step.PerWorker == 0 && step.Label == "" && blocked[key] {
+		if !dependsOnJob && blocked[key] {
 			return
 		}
 		name := workflow.Name{Job: job.Spec.ID, Occurrence: candidate.occurrence.Number, Step: candidate.step, Index: index}
 		worker := scheduler.chooseWorker(candidate.record, step, name, starved, now)
 		if worker == nil {
-			if len(candidate.record.failuresByWorker) == 0 {
+			if !dependsOnJob {
 				blocked[key] = true
 			}
 			return
