Move throttled filling runs of many workers at a time

Cause: a job ends with its slowest task. Change: a run for each six workers in a round, after 0.7 s; without checkpoints only up to 15 percent of progress.

--- a/scheduler/movethrottled.go
+++ b/scheduler/movethrottled.go
@@ -9,19 +9,21 @@
 const (
 	// throttledPercent is the throttling from which a run may be moved.
 	throttledPercent = 65
-	// minThrottledTime is how long the throttling must last before the run is moved: two listings, so that
-	// short load peaks move nothing.
-	minThrottledTime = 1200 * clock.Millisecond
+	// minThrottledTime is how long the throttling must last before the run is moved: more than one listing, so that
+	// short load peaks move little. A job is late with its slowest task, and wide steps always have a throttled one.
+	minThrottledTime = 700 * clock.Millisecond
 	// moveInterval is the time between two rounds of moves. The effect of a round shows in the samples after
 	// about a second.
 	moveInterval = 600 * clock.Millisecond
-	// movesPerRound is the maximum number of runs that a round stops.
-	movesPerRound = 4
+	// workersPerThrottledMove is the number of workers for each run that a round stops, and minMovesPerRound the number
+	// of runs on few workers.
+	workersPerThrottledMove = 6
+	minMovesPerRound        = 4
 	// minMoveSpeed is the share of its full speed that a run must be expected to reach on another worker.
 	minMoveSpeed = 0.8
 	// maxLostProgressPercent is the progress above which a run without checkpoints is not moved, because it
 	// would start over.
-	maxLostProgressPercent = 30
+	maxLostProgressPercent = 15
 )
 
 // moveThrottled stops heavily throttled filling runs if another worker has room for them and lets them run
@@ -31,11 +33,11 @@
 		return
 	}
 	scheduler.movedAt = now
-	moveCount := 0
+	moveCount, moveLimit := 0, max(minMovesPerRound, len(scheduler.workers)/workersPerThrottledMove)
 	var reservations []*activeRun
 	for _, incarnation := range scheduler.sortedWorkers() {
 		for _, run := range sortedRuns(scheduler.workers[incarnation]) {
-			if moveCount >= movesPerRound {
+			if moveCount >= moveLimit {
 				break
 			}
 			if !scheduler.isMovable(run, now) {
