--- a/scheduler/fillingview.go
+++ b/scheduler/fillingview.go
@@ -101,39 +101,45 @@
 	return float64(step.Need.CPU) * servingLoadPercent / 100 / milliPerCore
 }
 
-// usableCores estimates how many idle cores filling tasks can use beside the serving tasks, averaged over the
-// demand.
-func (view *fillingView) usableCores(tasks neighbourhood) float64 {
-	if view.totalDemand == 0 {
-		return 0
+// smallestShares returns the smallest of the usable shares for each filling image.
+func (view *fillingView) smallestShares(tasks neighbourhood) []float64 {
+	smallest := make([]float64, len(view.images))
+	for position := range smallest {
+		smallest[position] = 1
 	}
-	usable := 0.0
-	for position, cores := range view.demand {
-		usable += cores * tasks.share(position)
+	for _, shares := range tasks.shares {
+		for position, share := range shares {
+			smallest[position] = min(smallest[position], share)
+		}
 	}
-	return math.Max(0, tasks.idleCores) * usable / view.totalDemand
+	return smallest
 }
 
-// share returns the smallest of the usable shares of a filling image.
-func (tasks neighbourhood) share(position int) float64 {
-	share := 1.0
-	for _, shares := range tasks.shares {
-		share = math.Min(share, shares[position])
+// usableCores estimates how many idle cores filling tasks can use where they can use the shares, averaged over the
+// demand. The shares beside one more serving task may be given too.
+func (view *fillingView) usableCores(idleCores float64, shares, more []float64) float64 {
+	if view.totalDemand == 0 || idleCores <= 0 {
+		return 0
 	}
-	return share
+	usable := 0.0
+	for position, cores := range view.demand {
+		share := shares[position]
+		if more != nil && more[position] < share {
+			share = more[position]
+		}
+		usable += cores * share
+	}
+	return idleCores * usable / view.totalDemand
 }
 
-// usableOn estimates how many idle cores of a worker filling tasks can use.
-func (view *fillingView) usableOn(worker *workerState) float64 {
-	return view.usableCores(view.neighbourhoodOf(worker, nil, nil))
+// usableOn estimates how many idle cores of a worker filling tasks can use, without one run and with a task of one more
+// step. Both may be nil.
+func (view *fillingView) usableOn(worker *workerState, without *activeRun, with *workflow.Step) float64 {
+	tasks := view.neighbourhoodOf(worker, without, with)
+	return view.usableCores(tasks.idleCores, view.smallestShares(tasks), nil)
 }
 
 // lossByAdding returns how many usable cores filling tasks lose if a task of the step is added to a worker.
 func (view *fillingView) lossByAdding(step *workflow.Step, worker *workerState) float64 {
-	return view.usableOn(worker) - view.usableCores(view.neighbourhoodOf(worker, nil, step))
-}
-
-// gainByRemoving returns how many usable cores filling tasks gain if a run is removed from its worker.
-func (view *fillingView) gainByRemoving(run *activeRun) float64 {
-	return view.usableCores(view.neighbourhoodOf(run.worker, run, nil)) - view.usableOn(run.worker)
+	return view.usableOn(worker, nil, nil) - view.usableOn(worker, nil, step)
 }
--- a/scheduler/fillingview_test.go
+++ b/scheduler/fillingview_test.go
@@ -72,7 +72,7 @@
 	gains := map[string]float64{}
 	var sensitive []*activeRun
 	for _, run := range sortedRuns(worker) {
-		gains[run.name.String()] = view.gainByRemoving(run)
+		gains[run.name.String()] = view.usableOn(worker, run, nil) - view.usableOn(worker, nil, nil)
 		if run.step.Image == "sensitive" {
 			sensitive = append(sensitive, run)
 		}
@@ -82,7 +82,7 @@
 		t.Errorf("removing one of two sensitive tasks gains %.2f cores, want little: its own cores beside the other", first)
 	}
 	worker.remove(sensitive[0])
-	last := view.gainByRemoving(sensitive[1])
+	last := view.usableOn(worker, sensitive[1], nil) - view.usableOn(worker, nil, nil)
 	if last < 10 {
 		t.Errorf("removing the last sensitive task gains %.2f cores, want most of the worker's", last)
 	}
--- a/scheduler/rebalance.go
+++ b/scheduler/rebalance.go
@@ -19,8 +19,10 @@
 	interferenceExponent = 10.0
 	// rebalanceInterval is the time between two rounds of moves.
 	rebalanceInterval = clock.Second
-	// sourcesPerRound is the number of workers from which moves are considered in a round. All workers take turns.
-	sourcesPerRound = 8
+	// sourcesPerRound is the number of workers from which moves are considered in a round, which limits its processor
+	// time. A worker is considered again after sourceInterval.
+	sourcesPerRound = 4
+	sourceInterval  = 4 * clock.Second
 	// workersPerMove is the number of workers for each move of a round, so that few tasks are missing at a time.
 	workersPerMove = 16
 	// minGainPerTask is how many usable cores filling tasks must gain for each task that is moved. A moved task does
@@ -82,45 +84,67 @@
 	}
 }
 
-// servingMoves returns the best move from each of the workers whose turn it is, if it gains enough.
+// ratedWorker is a worker with what filling tasks can use there, by position of the filling image.
+type ratedWorker struct {
+	*workerState
+	idleCores float64
+	shares    []float64
+	usable    float64
+	runs      []ratedRun
+	// highestGain is the highest gain of runs.
+	highestGain float64
+}
+
+// ratedRun is a serving run that may be moved, with what filling tasks can use on its worker without it.
+type ratedRun struct {
+	*activeRun
+	idleCores float64
+	shares    []float64
+	// gain is how many usable cores filling tasks gain if the run is removed.
+	gain float64
+}
+
+// rateWorkers rates all workers and their movable runs.
+func (scheduler *Scheduler) rateWorkers(view *fillingView, now clock.Time) []ratedWorker {
+	workers := make([]ratedWorker, 0, len(scheduler.workers))
+	for _, incarnation := range scheduler.sortedWorkers() {
+		worker := scheduler.workers[incarnation]
+		tasks := view.neighbourhoodOf(worker, nil, nil)
+		rated := ratedWorker{workerState: worker, idleCores: tasks.idleCores, shares: view.smallestShares(tasks)}
+		rated.usable = view.usableCores(rated.idleCores, rated.shares, nil)
+		for _, run := range movableRuns(worker, now) {
+			without := view.neighbourhoodOf(worker, run, nil)
+			item := ratedRun{activeRun: run, idleCores: without.idleCores, shares: view.smallestShares(without)}
+			item.gain = view.usableCores(item.idleCores, item.shares, nil) - rated.usable
+			rated.highestGain = math.Max(rated.highestGain, item.gain)
+			rated.runs = append(rated.runs, item)
+		}
+		workers = append(workers, rated)
+	}
+	return workers
+}
+
+// servingMoves returns the best move from each of the workers from which a move can gain most, if it gains enough.
 func (scheduler *Scheduler) servingMoves(now clock.Time) []servingMove {
 	view := scheduler.fillingView(now)
-	workers := scheduler.sortedWorkers()
-	movable := make([][]*activeRun, len(workers))
-	gains := make([][]float64, len(workers))
-	highestGain := make([]float64, len(workers))
-	for position, incarnation := range workers {
-		movable[position] = movableRuns(scheduler.workers[incarnation], now)
-		for _, run := range movable[position] {
-			gain := view.gainByRemoving(run)
-			gains[position] = append(gains[position], gain)
-			highestGain[position] = math.Max(highestGain[position], gain)
+	workers := scheduler.rateWorkers(view, now)
+	sources := make([]*ratedWorker, 0, len(workers))
+	for position := range workers {
+		// An exchange gains at most what the removal of both tasks does.
+		if source := &workers[position]; source.highestGain > minGainPerTask && now.Sub(source.consideredAt) >= sourceInterval {
+			sources = append(sources, source)
 		}
 	}
+	slices.SortStableFunc(sources, func(left, right *ratedWorker) int { return cmp.Compare(right.highestGain, left.highestGain) })
 	var moves []servingMove
-	for range min(sourcesPerRound, len(workers)) {
-		scheduler.nextSource = (scheduler.nextSource + 1) % len(workers)
+	for _, source := range sources[:min(sourcesPerRound, len(sources))] {
+		source.consideredAt = now
 		best := servingMove{gain: minGainPerTask}
-		for index, run := range movable[scheduler.nextSource] {
-			for position, incarnation := range workers {
-				destination := scheduler.workers[incarnation]
-				bound := gains[scheduler.nextSource][index]
-				// Each task takes cores at its destination, so a move cannot gain more than its removals do.
-				if destination == run.worker || (bound+highestGain[position])/2 <= best.gain && bound <= best.gain || !scheduler.mayPlaceRun(run, destination, now) {
-					continue
-				}
-				if gain := bound - view.lossByAdding(run.step, destination); gain > best.gain && scheduler.fitsAfter(run, destination, nil, now) {
-					best = servingMove{run: run, destination: destination, gain: gain}
-				}
-				for other, back := range movable[position] {
-					if (bound+gains[position][other])/2 <= best.gain || back.step.Image == run.step.Image {
-						continue
-					}
-					gain := view.usableCores(view.neighbourhoodOf(run.worker, run, back.step)) - view.usableOn(run.worker) +
-						view.usableCores(view.neighbourhoodOf(destination, back, run.step)) - view.usableOn(destination)
-					if gain/2 > best.gain && scheduler.mayPlaceRun(back, run.worker, now) && scheduler.fitsAfter(run, destination, back, now) && scheduler.fitsAfter(back, run.worker, run, now) {
-						best = servingMove{run: run, destination: destination, back: back, gain: gain / 2}
-					}
+		for _, run := range source.runs {
+			for position := range workers {
+				destination := &workers[position]
+				if destination.workerState != source.workerState && (run.gain > best.gain || (run.gain+destination.highestGain)/2 > best.gain) && scheduler.mayPlaceRun(run.activeRun, destination.workerState, now) {
+					scheduler.rateMoves(view, source, run, destination, &best, now)
 				}
 			}
 		}
@@ -131,6 +155,28 @@
 	return moves
 }
 
+// rateMoves replaces best by a move of the run to the destination, alone or in exchange for a run there, that gains more.
+func (scheduler *Scheduler) rateMoves(view *fillingView, source *ratedWorker, run ratedRun, destination *ratedWorker, best *servingMove, now clock.Time) {
+	shares, load := view.sharesBeside(pacing.Image(run.step.Image)), servingLoad(run.step)
+	if run.gain > best.gain && scheduler.fitsAfter(run.activeRun, destination.workerState, nil, now) {
+		gain := run.gain + view.usableCores(destination.idleCores-load, destination.shares, shares) - destination.usable
+		if gain > best.gain {
+			*best = servingMove{run: run.activeRun, destination: destination.workerState, gain: gain}
+		}
+	}
+	for _, back := range destination.runs {
+		if (run.gain+back.gain)/2 <= best.gain || back.step.Image == run.step.Image {
+			continue
+		}
+		gain := view.usableCores(run.idleCores-servingLoad(back.step), run.shares, view.sharesBeside(pacing.Image(back.step.Image))) - source.usable +
+			view.usableCores(back.idleCores-load, back.shares, shares) - destination.usable
+		if gain/2 > best.gain && scheduler.mayPlaceRun(back.activeRun, source.workerState, now) &&
+			scheduler.fitsAfter(run.activeRun, destination.workerState, back.activeRun, now) && scheduler.fitsAfter(back.activeRun, source.workerState, run.activeRun, now) {
+			*best = servingMove{run: run.activeRun, destination: destination.workerState, back: back.activeRun, gain: gain / 2}
+		}
+	}
+}
+
 // movableRuns returns one run of each step on a worker that may be moved.
 func movableRuns(worker *workerState, now clock.Time) []*activeRun {
 	var runs []*activeRun
@@ -191,8 +237,8 @@
 			continue
 		}
 		tasks := view.neighbourhoodOf(worker, nil, nil)
-		for position, image := range view.images {
-			scheduler.fillingCores[image] += math.Max(0, tasks.idleCores) * tasks.share(position)
+		for position, share := range view.smallestShares(tasks) {
+			scheduler.fillingCores[view.images[position]] += math.Max(0, tasks.idleCores) * share
 		}
 	}
 	return scheduler.fillingCores
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -71,8 +71,6 @@
 	fillingCoresAt clock.Time
 	// rebalancedAt is when moves of serving tasks were last considered.
 	rebalancedAt clock.Time
-	// nextSource is the position of the worker from which moves of serving tasks were last considered.
-	nextSource int
 	// transfers holds the serving tasks that are being moved.
 	transfers map[workflow.Name]*transfer
 	// movedAt is when moves of throttled runs were last considered.
