Join log lines, report every 0.6 s with the progress

Change: log lines are written together within 20 ms; the runs of a step that start together are one line; the agent logs ends of runs, the leader only those that did not finish; reports every 0.6 s always have the progress.

--- a/coordinator/agents.go
+++ b/coordinator/agents.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"math"
 
 	"k8s.io/klog/v2"
@@ -268,7 +269,9 @@
 			continue
 		}
 		coordinator.counters.countEnd(end.Cause)
-		klog.InfoS("Run ended", "Task", end.Task, "Run", end.Run, "Reason", end.Reason, "Worker", agent.incarnation)
+		if end.Cause != workflow.Finished {
+			klog.InfoS("Run ended", "Task", end.Task, "Run", end.Run, "Reason", end.Reason, "Worker", agent.incarnation)
+		}
 		coordinator.scheduler.RecordEnd(agent.incarnation, scheduler.End{Name: name, Run: end.Run, Cause: end.Cause, Saved: end.Saved}, now)
 	}
 	if highest == agent.storedEnd {
@@ -318,6 +321,9 @@
 		return
 	}
 	byWorker := map[scheduler.Incarnation]*session.Orders{}
+	// placed holds the index, run number and worker of the placed tasks by step. One line for each run would take a
+	// tenth of the leader's processor time when wide steps start.
+	placed := map[workflow.Name][]string{}
 	for _, order := range orders {
 		batch, ok := byWorker[order.Worker]
 		if !ok {
@@ -332,10 +338,15 @@
 		}
 		if start, ok := newStart(order); ok {
 			coordinator.counters.starts.Inc()
-			klog.InfoS("Place", "Task", start.Task, "Run", order.Run, "Worker", order.Worker)
+			step := order.Name
+			step.Index = 0
+			placed[step] = append(placed[step], fmt.Sprintf("%d:%d %s", order.Name.Index, order.Run, order.Worker))
 			batch.Starts = append(batch.Starts, start)
 		}
 	}
+	for step, runs := range placed {
+		klog.InfoS("Place", "Job", step.Job, "Occurrence", step.Occurrence, "Step", step.Step, "Runs", runs)
+	}
 	for _, agent := range coordinator.sessions {
 		if batch, ok := byWorker[agent.incarnation]; ok {
 			batch.StoredEnds, batch.Incarnation = agent.storedEnd, string(agent.incarnation)
--- a/main.go
+++ b/main.go
@@ -5,8 +5,14 @@
 	"os"
 
 	"hyssopjunction/cmd"
+	"hyssopjunction/logging"
 )
 
 func main() {
-	os.Exit(cmd.Run(os.Args[1:], os.Stdout, os.Stderr))
+	log := logging.NewBuffer(os.Stderr)
+	code := cmd.Run(os.Args[1:], os.Stdout, log)
+	if err := log.Flush(); err != nil {
+		code = max(code, cmd.ExitFailed)
+	}
+	os.Exit(code)
 }
--- a/scheduler/interference.go
+++ b/scheduler/interference.go
@@ -39,8 +39,8 @@
 	}
 }
 
-// replicaInterval is the time between two comparisons of replicas, that of two samples of a run.
-const replicaInterval = 500 * clock.Millisecond
+// replicaInterval is the time between two comparisons of replicas, that of two reports of a run.
+const replicaInterval = 600 * clock.Millisecond
 
 // learnFromReplicas passes the samples of the serving tasks of each step to the model. They share their
 // load but run beside different filling tasks.
--- a/supervisor/leadersession.go
+++ b/supervisor/leadersession.go
@@ -15,11 +15,12 @@
 const (
 	// reportInterval is how often a report is sent. Each one renews the lease, so the worker keeps its runs if the
 	// leader does not answer for up to the length of the lease minus reportInterval.
-	reportInterval = 400 * clock.Millisecond
-	// progressInterval is how often the progress of all runs is reported: once per sample of the worker.
+	reportInterval = 600 * clock.Millisecond
+	// progressInterval is the shortest time between two reports of the progress of all runs: that of a sample of the
+	// worker. The reports of reportInterval have it, those of an end only if it has passed.
 	progressInterval = 500 * clock.Millisecond
 	// sessionTimeout is the time without orders after which a session is ended: more than three report intervals.
-	sessionTimeout = 1500 * clock.Millisecond
+	sessionTimeout = 2000 * clock.Millisecond
 	// openTimeout limits the opening of a session. An attempt to connect to a machine that is down gets no answer.
 	openTimeout = 600 * clock.Millisecond
 	// findRetryInterval is the time between two attempts to find the leader.
@@ -264,6 +265,7 @@
 	for _, end := range worker.listing.Ended {
 		if end.Number > state.reportedEnd {
 			state.reportedEnd = end.Number
+			klog.InfoS("Run ended", "Task", end.Task, "Run", end.Run, "Reason", end.Reason, "Worker", worker.incarnation)
 			report.Ends = append(report.Ends, session.End{
 				Number: end.Number, Task: end.Task, Run: end.Run, Cause: end.Cause, Reason: end.Reason, Saved: end.Saved,
 			})
