Store at most 800 learned weights

Cause: the row of learned weights grows with the pairs of images seen. Beyond 64 KB the store refuses the transaction, which also renews the leader's lease, so the leader would lose its term every few seconds. Change: the 800 weights that differ most from the prior are stored. The field of movable runs of a rated worker no longer hides the runs of the worker.

--- a/coordinator/learnedweights.go
+++ b/coordinator/learnedweights.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math"
+	"slices"
 
 	"k8s.io/klog/v2"
 
@@ -18,6 +19,9 @@
 	// weightsStoreInterval is how often the weights are stored. A new leader lacks the evidence of at most
 	// this time; shorter intervals cost more writes.
 	weightsStoreInterval clock.Millis = 4 * clock.Second
+	// maxStoredWeights keeps the row below the store's limit of 64 KB. The row shares its transaction with the renewal
+	// of the leader's lease, so a row that is too large would end the term.
+	maxStoredWeights = 800
 )
 
 // weightRow is the stored form of a learned weight. The JSON names are short because one row holds all pairs.
@@ -51,7 +55,7 @@
 // weightsTx returns the transaction that stores the learned weights, or false if there are none.
 func (coordinator *Coordinator) weightsTx(now clock.Time) (store.Tx, bool) {
 	var rows []weightRow
-	for _, weight := range coordinator.scheduler.LearnedWeights(now) {
+	for _, weight := range mostInformative(coordinator.scheduler.LearnedWeights(now)) {
 		rows = append(rows, weightRow{Serving: weight.Serving, Filling: weight.Filling, Weight: math.Round(weight.Weight*weightScale) / weightScale})
 	}
 	if len(rows) == 0 {
@@ -67,3 +71,25 @@
 		Conditions: []store.Condition{{Ref: ref, Version: coordinator.weightsVersion}}, Puts: []store.Put{{Ref: ref, Value: value}},
 	}, true
 }
+
+// mostInformative returns at most maxStoredWeights of the weights: those that differ most from the prior, in the order
+// given.
+func mostInformative(weights []pacing.LearnedWeight) []pacing.LearnedWeight {
+	if len(weights) <= maxStoredWeights {
+		return weights
+	}
+	distances := make([]float64, len(weights))
+	for position, weight := range weights {
+		distances[position] = math.Abs(weight.Weight - pacing.PriorWeight)
+	}
+	sorted := slices.Clone(distances)
+	slices.Sort(sorted)
+	least := sorted[len(sorted)-maxStoredWeights]
+	var kept []pacing.LearnedWeight
+	for position, weight := range weights {
+		if distances[position] >= least && len(kept) < maxStoredWeights {
+			kept = append(kept, weight)
+		}
+	}
+	return kept
+}
--- a/coordinator/write_test.go
+++ b/coordinator/write_test.go
@@ -1,10 +1,12 @@
 package coordinator
 
 import (
+	"encoding/base64"
 	"fmt"
 	"testing"
 
 	"hyssopjunction/clock"
+	"hyssopjunction/pacing"
 	"hyssopjunction/scheduler"
 	"hyssopjunction/store"
 	"hyssopjunction/unit"
@@ -65,3 +67,28 @@
 		t.Error("a job is archived, want none")
 	}
 }
+
+// maxStoreRowBytes is the limit of the platform's store on the value of a row, after encoding in base64.
+const maxStoreRowBytes = 65536
+
+// TestLearnedWeightsFitOneRow guards against a row of learned weights that the store refuses: its transaction renews the
+// leader's lease too, so the leader would lose its term every few seconds once many images were seen.
+func TestLearnedWeightsFitOneRow(t *testing.T) {
+	coordinator := &Coordinator{deps: Dependencies{Clock: clock.NewBoot()}, scheduler: scheduler.New()}
+	var weights []pacing.LearnedWeight
+	for serving := range 40 {
+		for filling := range 100 {
+			weights = append(weights, pacing.LearnedWeight{
+				Serving: pacing.Image(fmt.Sprintf("serving-image-%d", serving)), Filling: pacing.Image(fmt.Sprintf("filling-image-%d", filling)), Weight: float64(filling%10) / 30,
+			})
+		}
+	}
+	coordinator.scheduler.LoadWeights(weights)
+	tx, ok := coordinator.weightsTx(clock.Time(clock.Minute))
+	if !ok {
+		t.Fatal("no weights are stored")
+	}
+	if got := base64.StdEncoding.EncodedLen(len(tx.Puts[0].Value)); got > maxStoreRowBytes {
+		t.Errorf("the row has %d bytes, want at most %d", got, maxStoreRowBytes)
+	}
+}
--- a/scheduler/rebalance.go
+++ b/scheduler/rebalance.go
@@ -90,8 +90,8 @@
 	idleCores float64
 	shares    []float64
 	usable    float64
-	runs      []ratedRun
-	// highestGain is the highest gain of runs.
+	movable   []ratedRun
+	// highestGain is the highest gain of the movable runs.
 	highestGain float64
 }
 
@@ -117,7 +117,7 @@
 			item := ratedRun{activeRun: run, idleCores: without.idleCores, shares: view.smallestShares(without)}
 			item.gain = view.usableCores(item.idleCores, item.shares, nil) - rated.usable
 			rated.highestGain = math.Max(rated.highestGain, item.gain)
-			rated.runs = append(rated.runs, item)
+			rated.movable = append(rated.movable, item)
 		}
 		workers = append(workers, rated)
 	}
@@ -140,7 +140,7 @@
 	for _, source := range sources[:min(sourcesPerRound, len(sources))] {
 		source.consideredAt = now
 		best := servingMove{gain: minGainPerTask}
-		for _, run := range source.runs {
+		for _, run := range source.movable {
 			for position := range workers {
 				destination := &workers[position]
 				if destination.workerState != source.workerState && (run.gain > best.gain || (run.gain+destination.highestGain)/2 > best.gain) && scheduler.mayPlaceRun(run.activeRun, destination.workerState, now) {
@@ -164,7 +164,7 @@
 			*best = servingMove{run: run.activeRun, destination: destination.workerState, gain: gain}
 		}
 	}
-	for _, back := range destination.runs {
+	for _, back := range destination.movable {
 		if (run.gain+back.gain)/2 <= best.gain || back.step.Image == run.step.Image {
 			continue
 		}
