--- a/relay/relay.go
+++ b/relay/relay.go
@@ -42,8 +42,9 @@
 	mu      sync.Mutex
 	clients map[string]*session.Client
 	// closed is closed by Close, which waits for closing: the replaced connections that are still open.
-	closed  chan struct{}
-	closing sync.WaitGroup
+	closed    chan struct{}
+	closeOnce sync.Once
+	closing   sync.WaitGroup
 }
 
 // New returns a Store. Addresses are the session addresses of entries; ownAddress is that of this entry, which
@@ -210,8 +211,8 @@
 	})
 }
 
-// Close closes the connections to other entries, also those that were replaced. It must be called once, after the last
-// call.
+// Close closes the connections to other entries, also those that were replaced. It must not be called while calls are
+// made; further calls of Close do nothing.
 func (relay *Store) Close() {
 	relay.mu.Lock()
 	for _, client := range relay.clients {
@@ -219,7 +220,7 @@
 	}
 	clear(relay.clients)
 	relay.mu.Unlock()
-	close(relay.closed)
+	relay.closeOnce.Do(func() { close(relay.closed) })
 	relay.closing.Wait()
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -151,6 +151,7 @@
 	}
 	relay.discard("127.0.0.1:1", client)
 	relay.Close()
+	relay.Close() // A second call must not panic.
 	if _, err := client.Relay(t.Context(), &session.RelayRequest{}); status.Code(errors.Unwrap(err)) != codes.Canceled {
 		t.Errorf("got %v, want the error of a closed connection", err)
 	}
