--- a/estimate/floors.go
+++ b/estimate/floors.go
@@ -46,13 +46,3 @@
 func (floors *floors) floorFor(job ident.Job, class string) unit.Mebibytes {
 	return max(floors.jobs[job], floors.classes[class], floors.overall)
 }
-
-func (floors *floors) remove(job ident.Job) {
-	delete(floors.jobs, job)
-}
-
-// RemoveFloor removes the memory floor of a job that will not run again, so that another job can have
-// one.
-func (model *Model) RemoveFloor(job ident.Job) {
-	model.floors.remove(job)
-}
--- a/quarantine/decision.go
+++ b/quarantine/decision.go
@@ -288,14 +288,6 @@
 	tracker.pending = append(tracker.pending, Action{Kind: Release, Worker: worker, Reason: reason})
 }
 
-// ReleaseWorker returns a worker to full service because an operator requested it or the worker was
-// replaced.
-func (tracker *Tracker) ReleaseWorker(worker ident.Worker) {
-	if record := tracker.workers[worker]; record != nil && record.quarantinedUntil != 0 {
-		tracker.release(worker, record, "released by request")
-	}
-}
-
 // isJobFaulty reports whether the job failed on so many distinct workers that the job itself is the
 // cause. Failures on quarantined or faulty workers don't count. Repeated failures on one worker are not
 // enough, however many, because the worker may be the cause.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -412,39 +412,6 @@
 	return record.job.State.Final() && record.activeRuns == 0 && scheduler.dirtyJobs[record.job.Spec.ID] == nil
 }
 
-// Summary returns the state, the queue and the service of a job, or empty strings if it does not exist.
-func (scheduler *Scheduler) Summary(id workflow.ID) (workflow.State, workflow.Queue, workflow.Service) {
-	record, ok := scheduler.jobs[id]
-	if !ok {
-		return "", "", ""
-	}
-	return record.job.State, record.job.Spec.Queue, record.job.Spec.Service
-}
-
-// OpenJobCount returns the number of jobs whose state is not final.
-func (scheduler *Scheduler) OpenJobCount() int { return len(scheduler.open) }
-
-// State returns the state of a job and whether it exists.
-func (scheduler *Scheduler) State(id workflow.ID) (workflow.State, bool) {
-	record, ok := scheduler.jobs[id]
-	if !ok {
-		return "", false
-	}
-	return record.job.State, true
-}
-
-// QueuedJobCount returns the number of jobs of the queue of which no task has started. Scheduled jobs whose time has
-// not come are not counted.
-func (scheduler *Scheduler) QueuedJobCount(queue workflow.Queue) int {
-	count := 0
-	for _, record := range scheduler.open {
-		if record.job.Spec.Queue == queue && record.job.State == workflow.Queued {
-			count++
-		}
-	}
-	return count
-}
-
 // sortedRuns returns the runs of a worker, sorted by task name.
 func sortedRuns(worker *workerState) []*activeRun {
 	runs := make([]*activeRun, 0, len(worker.runs))
@@ -477,27 +444,3 @@
 
 // sortedWorkers returns the incarnations of the workers in order.
 func (scheduler *Scheduler) sortedWorkers() []Incarnation { return set.SortedKeys(scheduler.workers) }
-
-// WaitingCounts counts the tasks that are ready and have no run, by rank. Late includes those of jobs that are
-// past worthlessFactor times their objective.
-type WaitingCounts struct {
-	Quick, Standing, Filling, Late int
-}
-
-// Waiting returns the counts of the tasks that wait at a time.
-func (scheduler *Scheduler) Waiting(now clock.Time) WaitingCounts {
-	var counts WaitingCounts
-	for _, item := range scheduler.candidates(now) {
-		switch item.rank {
-		case rankQuick:
-			counts.Quick += len(item.indices)
-		case rankStanding:
-			counts.Standing += len(item.indices)
-		case rankFilling:
-			counts.Filling += len(item.indices)
-		default:
-			counts.Late += len(item.indices)
-		}
-	}
-	return counts
-}
