--- a/scheduler/plan_test.go
+++ b/scheduler/plan_test.go
@@ -62,3 +62,18 @@
 		})
 	}
 }
+
+// TestLateJobIsNotStarved guards against late jobs that wait for good although nothing else waits: no worker ever let
+// their tasks reach the speed that jobs in time ask for, and 400 tasks were left at the end of a day.
+func TestLateJobIsNotStarved(t *testing.T) {
+	fixture := newFixture(t, 1)
+	fixture.learn("serving", "heavy", 0.1)
+	fixture.submit("standing", servingStep(1, "serving"))
+	assertStartCount(t, fixture.plan(0), 1)
+	fixture.report(incarnationName(0), 49) // A task reaches two thirds of its speed.
+	fixture.submit("filling", fillingStep(1, "heavy"))
+	assertStartCount(t, fixture.plan(clock.Second/10), 0)
+	fixture.now = fixture.now.Add(2 * clock.Second)
+	fixture.report(incarnationName(0), 49)
+	assertStartCount(t, fixture.plan(clock.Second/2), 1)
+}
