Log what the hypotheses of the incident differ in

The logs did not tell which reports of a worker's end a leader stored, when a leader stopped extending leases, and what an agent knew when it stopped. Added, one line each and at most once per worker or outage: Worker reported without runs, Ends of the worker's runs stored, Worker leases are not extended any more, Worker is left. No logic changes; RecordLeaseLapse returns a count.

--- a/coordinator/agents.go
+++ b/coordinator/agents.go
@@ -179,7 +179,15 @@
 // grantLease extends the lease of the agent's worker unless that was done within grantInterval. The lease counts from
 // the moment at which the agent sent its newest report.
 func (coordinator *Coordinator) grantLease(agent *agentSession, now clock.Time) {
-	if !coordinator.canGrantLeases() || agent.grantedAt != 0 && now.Sub(agent.grantedAt) < grantInterval {
+	if !coordinator.canGrantLeases() {
+		if !coordinator.grantsEnded && coordinator.ctx.Err() == nil {
+			klog.InfoS("Worker leases are not extended any more", "Term", coordinator.leadership.Term.Number, "SinceRenewalMillis", int64(now.Sub(coordinator.renewedAt)))
+		}
+		coordinator.grantsEnded = true
+		return
+	}
+	coordinator.grantsEnded = false
+	if agent.grantedAt != 0 && now.Sub(agent.grantedAt) < grantInterval {
 		return
 	}
 	agent.grantedAt = now
@@ -226,7 +234,7 @@
 	}, now)
 	agent.responsive = worker.Responsive
 	if worker.Lapsed {
-		coordinator.scheduler.RecordLeaseLapse(incarnation)
+		coordinator.recordLapse(agent)
 	}
 	if !agent.expectedSent {
 		agent.expectedSent = true
@@ -236,6 +244,20 @@
 	coordinator.scheduler.SetReachable(incarnation, worker.Responsive)
 }
 
+// recordLapse records that all runs of the agent's worker have ended.
+func (coordinator *Coordinator) recordLapse(agent *agentSession) {
+	incarnation := agent.incarnation
+	ended := coordinator.scheduler.RecordLeaseLapse(incarnation)
+	if ended == 0 {
+		return
+	}
+	term := coordinator.leadership.Term.Number
+	klog.InfoS("Worker reported without runs", "Node", agent.node, "Worker", incarnation, "EndedRuns", ended, "Term", term)
+	coordinator.onceStored = append(coordinator.onceStored, func() {
+		klog.InfoS("Ends of the worker's runs stored", "Worker", incarnation, "EndedRuns", ended, "Term", term)
+	})
+}
+
 // replaceWorker records that the node's worker has a new incarnation, which ends all other incarnations.
 func (coordinator *Coordinator) replaceWorker(agent *agentSession, incarnation scheduler.Incarnation) {
 	klog.InfoS("Worker registered", "Node", agent.node, "Worker", incarnation)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -82,6 +82,8 @@
 	sessions  map[string]*agentSession
 	// grants holds the last lease of each worker by node.
 	grants map[string]leaseGrant
+	// grantsEnded reports that the last lease was refused because of canGrantLeases.
+	grantsEnded bool
 	// stateVersions holds the versions of the state rows of jobs.
 	stateVersions map[workflow.ID]store.Version
 	// inboxVersions holds the versions of the rows of the inbox of jobs that are not archived.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -241,16 +241,18 @@
 }
 
 // RecordLeaseLapse records that the lease of an incarnation lapsed, so that all its runs have ended. The worker
-// is kept, because it may become reachable again.
-func (scheduler *Scheduler) RecordLeaseLapse(incarnation Incarnation) {
+// is kept, because it may become reachable again. It returns the number of the runs.
+func (scheduler *Scheduler) RecordLeaseLapse(incarnation Incarnation) int {
 	worker, ok := scheduler.workers[incarnation]
 	if !ok {
-		return
+		return 0
 	}
 	worker.reachable = false
-	for _, run := range sortedRuns(worker) {
+	runs := sortedRuns(worker)
+	for _, run := range runs {
 		scheduler.endRun(run, workflow.Interrupted, "")
 	}
+	return len(runs)
 }
 
 // Orphans returns the incarnations that have active tasks but have not been reported.
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -173,6 +173,11 @@
 
 // Close stops the supervisor. The worker keeps its runs until its lease ends.
 func (supervisor *Supervisor) Close() {
+	supervisor.loop.Call(func() {
+		if worker := supervisor.worker; worker != nil {
+			klog.InfoS("Worker is left", "Worker", worker.incarnation, "Draining", worker.announcement.Draining, "Lapsed", worker.lapsed, "Term", supervisor.grant.term)
+		}
+	})
 	supervisor.cancel()
 	supervisor.goroutines.Wait()
 	supervisor.loop.Close()
