Keep the end of a worker until a leader has stored it

Cause: an agent told the end of its worker to the leader in its session and stopped a second later, when its machine went. That leader had no store, held the fact in memory and lost its term; the next leader took the worker for one that might return and waited for the longest lease. Class: a fact that cannot be learned again is given up before it is stored. Ruled out: an end that was stored and not read (no row had it), a refused registration, room (the tasks were placed at once after the wait). Change: a new call, EndWorker. The agent makes it as soon as its worker's process is certainly gone, with the ends of runs that nobody acknowledged; the leader answers once its round is stored. Until then the seeds get it too, and every entry keeps it and passes it on to the leader of the time, also while it drains. An agent that is told to stop goes on while its worker shuts down or its end is not stored, at most for its grace less a second. A report is ignored while the worker answers an attached agent. Weighed: an acknowledgement within the session (does not help if no leader can store within the grace), and rows written by agents (the store was away for them too, and a second writer would need a fence). Without the change TestShutdownWaitsUntilWorkerEndIsStored does not compile, and agents stopped at once. Conclusion: the known way is closed; an agent that is killed together with its worker is left to the wait of the next leader.

--- a/cmd/cluster.go
+++ b/cmd/cluster.go
@@ -205,13 +205,14 @@
 	lifecycle.Append(fx.StopHook(func(ctx context.Context) error {
 		klog.InfoS("Draining")
 		stopping.set()
-		elector.Close()
+		elector.Release()
 		callerServer.SetKeepAlivesEnabled(false)
 		<-source.After(min(drainDelay, settings.Grace/2))
 		shutdownCtx, cancel := context.WithTimeout(ctx, (settings.Grace/2 - stopMargin).Duration())
 		defer cancel()
 		err := callerServer.Shutdown(shutdownCtx)
 		sessionServer.Stop()
+		elector.Close()
 		follower.Close()
 		relayStore.Close()
 		directStore.Close()
@@ -256,8 +257,10 @@
 		directory.SetSeeds(sessionAddresses(changed))
 	})
 	agent.Follow(directory)
-	lifecycle.Append(fx.StopHook(func() {
-		agent.Close()
+	lifecycle.Append(fx.StopHook(func(ctx context.Context) {
+		shutdownCtx, cancel := context.WithTimeout(ctx, (settings.Grace - stopMargin).Duration())
+		defer cancel()
+		agent.Shutdown(shutdownCtx)
 		clusterStore.Close()
 		klog.InfoS("Stopped")
 	}))
--- a/coordinator/agents.go
+++ b/coordinator/agents.go
@@ -280,21 +280,15 @@
 // them.
 func (coordinator *Coordinator) recordEnds(agent *agentSession, ends []session.End, now clock.Time) {
 	highest := agent.storedEnd
+	var fresh []session.End
 	for _, end := range ends {
-		if end.Number <= highest {
-			continue
-		}
-		highest = end.Number
-		name, err := workflow.ParseName(end.Task)
-		if err != nil {
-			klog.ErrorS(err, "End ignored", "Node", agent.node)
-			continue
+		if end.Number > highest {
+			highest = end.Number
+			fresh = append(fresh, end)
 		}
-		coordinator.counters.countEnd(end.Cause)
-		if end.Cause != workflow.Finished {
-			klog.InfoS("Run ended", "Task", end.Task, "Run", end.Run, "Reason", end.Reason, "Worker", agent.incarnation)
-		}
-		coordinator.scheduler.RecordEnd(agent.incarnation, scheduler.End{Name: name, Run: end.Run, Cause: end.Cause, Saved: end.Saved}, now)
+	}
+	for _, end := range coordinator.convertEnds(agent.incarnation, fresh) {
+		coordinator.scheduler.RecordEnd(agent.incarnation, end, now)
 	}
 	if highest == agent.storedEnd {
 		return
@@ -308,6 +302,24 @@
 	})
 }
 
+// convertEnds logs and counts ends of runs on an incarnation and converts them for the scheduler.
+func (coordinator *Coordinator) convertEnds(incarnation scheduler.Incarnation, ends []session.End) []scheduler.End {
+	converted := make([]scheduler.End, 0, len(ends))
+	for _, end := range ends {
+		name, err := workflow.ParseName(end.Task)
+		if err != nil {
+			klog.ErrorS(err, "End ignored", "Worker", incarnation)
+			continue
+		}
+		coordinator.counters.countEnd(end.Cause)
+		if end.Cause != workflow.Finished {
+			klog.InfoS("Run ended", "Task", end.Task, "Run", end.Run, "Reason", end.Reason, "Worker", incarnation)
+		}
+		converted = append(converted, scheduler.End{Name: name, Run: end.Run, Cause: end.Cause, Saved: end.Saved})
+	}
+	return converted
+}
+
 // recordRejection passes to the scheduler that a run never started.
 func (coordinator *Coordinator) recordRejection(rejection session.Rejection) {
 	name, err := workflow.ParseName(rejection.Task)
--- /dev/null
+++ b/coordinator/workerend.go
@@ -0,0 +1,49 @@
+package coordinator
+
+import (
+	"context"
+
+	"k8s.io/klog/v2"
+
+	"hyssopjunction/scheduler"
+	"hyssopjunction/session"
+)
+
+// EndWorker records that an incarnation of a worker has ended for good, and returns once that is stored. Errors:
+// session.ErrNotLeading if the term ends first, or the error of ctx.
+func (coordinator *Coordinator) EndWorker(ctx context.Context, end *session.WorkerEnd) error {
+	stored := make(chan struct{})
+	ok := coordinator.loop.Post(func() {
+		coordinator.endWorker(end)
+		coordinator.onceStored = append(coordinator.onceStored, func() {
+			klog.V(1).InfoS("End of the worker stored", "Worker", end.Incarnation, "Term", coordinator.leadership.Term.Number)
+			close(stored)
+		})
+		coordinator.startRound()
+	})
+	if !ok {
+		return session.ErrNotLeading{}
+	}
+	select {
+	case <-stored:
+		return nil
+	case <-coordinator.ctx.Done():
+		return session.ErrNotLeading{}
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// endWorker removes a worker's incarnation from the scheduler. An agent that is attached and reaches the worker knows
+// better than a report that was kept by another entry.
+func (coordinator *Coordinator) endWorker(end *session.WorkerEnd) {
+	incarnation := scheduler.Incarnation(end.Incarnation)
+	if agent, ok := coordinator.sessions[end.Node]; ok && agent.incarnation == incarnation && agent.responsive {
+		klog.InfoS("End of a worker ignored: it answers its agent", "Node", end.Node, "Worker", incarnation)
+		return
+	}
+	ended := coordinator.scheduler.EndWorker(incarnation, coordinator.convertEnds(incarnation, end.Ends), coordinator.deps.Clock.Now())
+	if ended > 0 { // The same report may arrive from several entries.
+		klog.InfoS("Worker ended", "Node", end.Node, "Worker", incarnation, "EndedRuns", ended, "ReportedEnds", len(end.Ends), "Term", coordinator.leadership.Term.Number)
+	}
+}
--- /dev/null
+++ b/coordinator/workerend_test.go
@@ -0,0 +1,76 @@
+package coordinator
+
+import (
+	"context"
+	"testing"
+
+	"hyssopjunction/loop"
+	"hyssopjunction/scheduler"
+	"hyssopjunction/session"
+)
+
+// endAsync reports the end of a worker and returns a channel with the result.
+func endAsync(ctx context.Context, coordinator *Coordinator, incarnation string) <-chan error {
+	result := make(chan error, 1)
+	go func() {
+		result <- coordinator.EndWorker(ctx, &session.WorkerEnd{Node: "side-1", Incarnation: incarnation})
+	}()
+	return result
+}
+
+// TestWorkerEndIsAcknowledgedOnceStored guards against a leader that acknowledges the end of a worker before it is
+// stored, so that it is lost if the term ends.
+func TestWorkerEndIsAcknowledgedOnceStored(t *testing.T) {
+	coordinator, _ := newTestLeader(t)
+	coordinator.loop = loop.New()
+	defer coordinator.loop.Close()
+	coordinator.writing = true // A round is being stored.
+	result := endAsync(t.Context(), coordinator, "i-1@1@side-1")
+	for waits := false; !waits; {
+		coordinator.loop.Call(func() { waits = len(coordinator.onceStored) == 1 })
+	}
+	select {
+	case err := <-result:
+		t.Fatalf("acknowledged before the round was stored, with %v", err)
+	default:
+	}
+	coordinator.loop.Call(func() { coordinator.finishRound(nil, coordinator.takeOnceStored()) })
+	if err := <-result; err != nil {
+		t.Error(err)
+	}
+}
+
+// TestWorkerEndIsNotAcknowledgedAfterTerm guards against an acknowledgement by a leader whose term ended first.
+func TestWorkerEndIsNotAcknowledgedAfterTerm(t *testing.T) {
+	coordinator, _ := newTestLeader(t)
+	coordinator.loop = loop.New()
+	defer coordinator.loop.Close()
+	coordinator.writing = true
+	ctx, cancel := context.WithCancel(t.Context())
+	coordinator.ctx = ctx
+	result := endAsync(t.Context(), coordinator, "i-1@1@side-1")
+	cancel()
+	if err := <-result; !session.IsErrNotLeading(err) {
+		t.Errorf("got %v, want ErrNotLeading", err)
+	}
+}
+
+// TestWorkerThatAnswersIsNotEnded guards against a delayed report of a worker's end that ends runs which were placed
+// after the worker answered again.
+func TestWorkerThatAnswersIsNotEnded(t *testing.T) {
+	coordinator, _ := newTestLeader(t)
+	agent := newTestSession("side-1")
+	coordinator.sessions["side-1"] = agent
+	coordinator.handleReport(agent, newWorkerReport())
+	end := &session.WorkerEnd{Node: "side-1", Incarnation: "i-1@1@side-1"}
+	for _, test := range []struct {
+		responsive bool
+		want       int
+	}{{true, 1}, {false, 0}} {
+		agent.responsive = test.responsive
+		coordinator.endWorker(end)
+		if got := len(coordinator.scheduler.OtherIncarnations("side-1", scheduler.Incarnation("none"))); got != test.want {
+			t.Errorf("responsive %v: got %d workers, want %d", test.responsive, got, test.want)
+		}
+	}
+}
--- a/leadership/directory.go
+++ b/leadership/directory.go
@@ -26,7 +26,7 @@
 	store store.Store
 	seeds atomic.Pointer[[]string]
 	// attempts counts the calls of NextEntry without a redirection.
-	attempts int
+	attempts atomic.Int64
 }
 
 // NewDirectory returns a directory. Seeds are the session addresses (host:port) of machines that may run
@@ -46,8 +46,7 @@
 	if redirect != "" {
 		return redirect, nil
 	}
-	directory.attempts++
-	if directory.attempts%attemptsPerStoreRead != 0 {
+	if directory.attempts.Add(1)%attemptsPerStoreRead != 0 {
 		if address, ok := directory.LeaderAfter(ctx, 0); ok {
 			return address, nil
 		}
@@ -98,6 +97,60 @@
 	return "", false
 }
 
+// EndWorker reports the end of a worker to the leader at the given address, if it is known, and to all seeds if that
+// leader does not store it. It reports whether a leader has stored it. Error: ErrNotKept if no entry keeps the report.
+func (directory *Directory) EndWorker(ctx context.Context, leader string, end *session.WorkerEnd) (bool, error) {
+	callCtx, cancel := context.WithTimeout(ctx, queryTimeout.Duration())
+	defer cancel()
+	kept := false
+	if leader != "" {
+		reply, err := endWorker(callCtx, leader, end)
+		if err == nil && reply.Stored {
+			return true, nil
+		}
+		kept = err == nil
+	}
+	seedsCtx, cancelSeeds := context.WithTimeout(ctx, queryTimeout.Duration())
+	defer cancelSeeds()
+	seeds := *directory.seeds.Load()
+	replies := make(chan *session.WorkerEndReply, len(seeds))
+	for _, seed := range seeds {
+		go func() {
+			reply, err := endWorker(seedsCtx, seed, end)
+			if err != nil {
+				klog.V(1).InfoS("Could not report the end of the worker", "Address", seed, "Reason", err.Error())
+			}
+			replies <- reply
+		}()
+	}
+	stored := false
+	for range seeds {
+		if reply := <-replies; reply != nil {
+			kept, stored = true, stored || reply.Stored
+		}
+	}
+	if !kept {
+		return false, ErrNotKept{}
+	}
+	return stored, nil
+}
+
+// endWorker reports the end of a worker to the entry at the address.
+func endWorker(ctx context.Context, address string, end *session.WorkerEnd) (*session.WorkerEndReply, error) {
+	client, err := session.Dial(address)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = client.Close() }()
+	return client.EndWorker(ctx, end)
+}
+
+// ErrNotKept reports that no entry has taken the report of a worker's end.
+type ErrNotKept struct{}
+
+// Error returns the message.
+func (ErrNotKept) Error() string { return "no entry keeps the end of the worker" }
+
 // queryLeader asks the entry at the address for the leader of the newest term that it has seen.
 func queryLeader(ctx context.Context, address string) (session.LeaderReply, error) {
 	client, err := session.Dial(address)
--- a/leadership/elector.go
+++ b/leadership/elector.go
@@ -38,8 +38,14 @@
 	candidate   *election.Candidate
 	address     string
 	workerLease clock.Millis
-	cancel      context.CancelFunc
-	goroutines  sync.WaitGroup
+	// cancelCampaign ends the part in the election, on the goroutine campaigning; cancel ends everything else.
+	cancelCampaign context.CancelFunc
+	campaigning    sync.WaitGroup
+	cancel         context.CancelFunc
+	goroutines     sync.WaitGroup
+	// released reports that the entry takes no part in the election any more.
+	released   atomic.Bool
+	workerEnds workerEnds
 
 	// observedTerm is the newest term that was read or won, or nil before the first.
 	observedTerm atomic.Pointer[election.Term]
@@ -58,27 +64,40 @@
 // the lease that the coordinator grants to workers.
 func New(deps coordinator.Dependencies, node, address string, workerLease clock.Millis) *Elector {
 	ctx, cancel := context.WithCancel(context.Background())
+	campaignCtx, cancelCampaign := context.WithCancel(ctx)
 	elector := &Elector{
-		deps: deps, candidate: election.NewCandidate(node, address), address: address, workerLease: workerLease, cancel: cancel,
+		deps: deps, candidate: election.NewCandidate(node, address), address: address, workerLease: workerLease,
+		cancel: cancel, cancelCampaign: cancelCampaign, workerEnds: workerEnds{kept: map[string]*session.WorkerEnd{}},
 	}
-	elector.goroutines.Add(1)
-	go func() {
-		defer elector.goroutines.Done()
-		for ctx.Err() == nil {
-			leadership, ok := elector.campaign(ctx)
+	elector.campaigning.Go(func() {
+		for campaignCtx.Err() == nil {
+			leadership, ok := elector.campaign(campaignCtx)
 			if !ok {
 				continue
 			}
-			elector.lead(ctx, leadership)
+			elector.lead(campaignCtx, leadership)
 		}
-	}()
+	})
+	elector.goroutines.Go(func() { elector.deliverWorkerEnds(ctx) })
 	return elector
 }
 
-// Close stops the elector. If the entry leads, it releases its term.
+// Release ends the part in the election. If the entry leads, it releases its term. The entry still passes reports of
+// workers' ends on to the next leader.
+func (elector *Elector) Release() {
+	elector.cancelCampaign()
+	elector.campaigning.Wait()
+	elector.released.Store(true)
+}
+
+// Close releases the elector and stops it.
 func (elector *Elector) Close() {
+	elector.Release()
 	elector.cancel()
 	elector.goroutines.Wait()
+	for _, end := range elector.workerEnds.list() {
+		klog.InfoS("End of a worker is given up", "Node", end.Node, "Worker", end.Incarnation)
+	}
 	elector.mu.Lock()
 	defer elector.mu.Unlock()
 	if elector.leaderClient != nil {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -240,6 +240,24 @@
 	delete(scheduler.orphans, incarnation)
 }
 
+// EndWorker records the ends of runs of an incarnation that has ended for good, and removes it. All its other runs
+// have ended without a report. It returns the number of runs that were active.
+func (scheduler *Scheduler) EndWorker(incarnation Incarnation, ends []End, now clock.Time) int {
+	if _, ok := scheduler.orphans[incarnation]; ok {
+		scheduler.UpdateWorker(Profile{Incarnation: incarnation}, now)
+	}
+	worker, ok := scheduler.workers[incarnation]
+	if !ok {
+		return 0
+	}
+	count := len(worker.runs)
+	for _, end := range ends {
+		scheduler.RecordEnd(incarnation, end, now)
+	}
+	scheduler.RemoveWorker(incarnation)
+	return count
+}
+
 // RecordLeaseLapse records that the lease of an incarnation lapsed, so that all its runs have ended. The worker
 // is kept, because it may become reachable again. It returns the number of the runs.
 func (scheduler *Scheduler) RecordLeaseLapse(incarnation Incarnation) int {
--- a/session/client.go
+++ b/session/client.go
@@ -87,6 +87,11 @@
 	return invoke[LeaderReply](ctx, client, leaderMethod, &LeaderRequest{})
 }
 
+// EndWorker reports the end of a worker's incarnation. Error: that of the connection.
+func (client *Client) EndWorker(ctx context.Context, end *WorkerEnd) (*WorkerEndReply, error) {
+	return invoke[WorkerEndReply](ctx, client, endMethod, end)
+}
+
 // Relay requests the entry to make a call to the store. It returns errors of the connection; an error of the
 // store is in the reply.
 func (client *Client) Relay(ctx context.Context, request *RelayRequest) (*RelayReply, error) {
--- a/session/message.go
+++ b/session/message.go
@@ -124,6 +124,19 @@
 	Run         workflow.Run
 }
 
+// WorkerEnd reports that an incarnation of a worker has ended for good, and all of its runs with it.
+type WorkerEnd struct {
+	Node        string
+	Incarnation string
+	// Ends lists the ends of runs that no leader has acknowledged, in ascending order of Number.
+	Ends []End `json:",omitempty"`
+}
+
+// WorkerEndReply acknowledges a WorkerEnd. If Stored is false, the entry keeps the report until a leader has stored it.
+type WorkerEndReply struct {
+	Stored bool
+}
+
 // StateRequest requests the state of a job.
 type StateRequest struct {
 	ID workflow.ID
--- a/session/server.go
+++ b/session/server.go
@@ -18,6 +18,7 @@
 	pendingMethod = "Pending"
 	leaderMethod  = "Leader"
 	relayMethod   = "Relay"
+	endMethod     = "EndWorker"
 )
 
 // Stream is the leader's side of an agent's session.
@@ -37,6 +38,8 @@
 	Pending(ctx context.Context, request *PendingRequest) (*PendingReply, error)
 	// Leader returns the newest term that the entry has seen, or an empty reply.
 	Leader(ctx context.Context, request *LeaderRequest) (*LeaderReply, error)
+	// EndWorker stores the end of a worker's incarnation, or keeps the report until a leader has stored it.
+	EndWorker(ctx context.Context, end *WorkerEnd) (*WorkerEndReply, error)
 	// Relay makes a call to the store for another entry.
 	Relay(ctx context.Context, request *RelayRequest) (*RelayReply, error)
 }
@@ -64,6 +67,7 @@
 			{MethodName: pendingMethod, Handler: unary(Handler.Pending)},
 			{MethodName: leaderMethod, Handler: unary(Handler.Leader)},
 			{MethodName: relayMethod, Handler: unary(Handler.Relay)},
+			{MethodName: endMethod, Handler: unary(Handler.EndWorker)},
 		},
 		Streams: []grpc.StreamDesc{{
 			StreamName: attendMethod, ServerStreams: true, ClientStreams: true,
--- a/supervisor/leadersession.go
+++ b/supervisor/leadersession.go
@@ -36,12 +36,17 @@
 	NextEntry(ctx context.Context, redirect string) (string, error)
 	// LeaderAfter returns the address of the leader of a later term than the given one, and false if no entry reports one.
 	LeaderAfter(ctx context.Context, term int64) (string, bool)
+	// EndWorker reports that a worker has ended, first to the leader if its address is known. It returns whether a leader
+	// has stored that, and an error if no entry keeps the report.
+	EndWorker(ctx context.Context, leader string, end *session.WorkerEnd) (bool, error)
 }
 
 // sessionState is the state of the session with the leader. It may be accessed only on the control loop.
 type sessionState struct {
 	// startedAt is when the session was opened.
 	startedAt clock.Time
+	// leader is the address of the leader after its first orders, or empty.
+	leader string
 	// hasListing reports that the worker answered a listing that was requested during the session.
 	hasListing bool
 	// sequence is the number of the last report.
@@ -59,6 +64,7 @@
 
 // Follow keeps a session with the leader until the supervisor is closed. It does not block.
 func (supervisor *Supervisor) Follow(directory Directory) {
+	supervisor.loop.Call(func() { supervisor.directory = directory })
 	supervisor.background(func() {
 		redirect := ""
 		for supervisor.baseContext.Err() == nil {
@@ -175,6 +181,7 @@
 			}
 			if term == 0 {
 				term = orders.Term
+				supervisor.loop.Call(func() { supervisor.session.leader = address })
 				klog.InfoS("Attached to the leader", "Address", address, "Term", term)
 			}
 			continue
@@ -266,9 +273,7 @@
 		if end.Number > state.reportedEnd {
 			state.reportedEnd = end.Number
 			klog.InfoS("Run ended", "Task", end.Task, "Run", end.Run, "Reason", end.Reason, "Worker", worker.incarnation)
-			report.Ends = append(report.Ends, session.End{
-				Number: end.Number, Task: end.Task, Run: end.Run, Cause: end.Cause, Reason: end.Reason, Saved: end.Saved,
-			})
+			report.Ends = append(report.Ends, newSessionEnd(end))
 		}
 	}
 	report.Rejections, supervisor.rejections = supervisor.rejections, nil
@@ -284,6 +289,11 @@
 	return report
 }
 
+// newSessionEnd converts an end that the worker lists.
+func newSessionEnd(end Ended) session.End {
+	return session.End{Number: end.Number, Task: end.Task, Run: end.Run, Cause: end.Cause, Reason: end.Reason, Saved: end.Saved}
+}
+
 // throttlePercent returns by how many percent a run is throttled.
 func (worker *workerState) throttlePercent(item Active) int {
 	run, ok := worker.runs[runKey{item.Task, item.Run}]
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -73,6 +73,8 @@
 	// rejections are the ones to be sent with the next report.
 	rejections []session.Rejection
 	session    sessionState
+	// directory is nil before Follow is called.
+	directory Directory
 }
 
 // grant is the leader's permission to extend the worker's lease until a time, and the leader's term.
@@ -95,7 +97,8 @@
 	// unansweredListings is the number of consecutive listings without an answer.
 	unansweredListings int
 	// lapsed reports that no run is active on the worker, because its lease or its process ended.
-	lapsed bool
+	lapsed    bool
+	endReport endReport
 	// notListeningSince is the time since which nothing listens at the worker's address, or 0.
 	notListeningSince clock.Time
 	// recordedEnd is the number of the last end that the leader has stored.
@@ -175,7 +178,8 @@
 func (supervisor *Supervisor) Close() {
 	supervisor.loop.Call(func() {
 		if worker := supervisor.worker; worker != nil {
-			klog.InfoS("Worker is left", "Worker", worker.incarnation, "Draining", worker.announcement.Draining, "Lapsed", worker.lapsed, "Term", supervisor.grant.term)
+			klog.InfoS("Worker is left", "Worker", worker.incarnation, "Draining", worker.announcement.Draining, "Lapsed", worker.lapsed,
+				"EndStored", worker.endReport == endStored, "Term", supervisor.grant.term)
 		}
 	})
 	supervisor.cancel()
@@ -318,11 +322,13 @@
 			klog.InfoS("Worker is gone", "Worker", worker.incarnation, "Reason", err.Error())
 			worker.lapsed = true
 			supervisor.requestReport()
+			supervisor.reportEnd(worker)
 		}
 		if IsErrOtherIncarnation(err) && !worker.lapsed {
 			klog.InfoS("Worker has another incarnation", "Worker", worker.incarnation)
 			worker.lapsed = true
 			supervisor.requestReport()
+			supervisor.reportEnd(worker)
 		}
 		if !worker.lapsed && worker.leaseSentAt != 0 && now.Sub(worker.leaseSentAt) > election.WorkerStoppedAfter(supervisor.leaseLength) {
 			klog.InfoS("Worker lapsed", "Worker", worker.incarnation)
--- /dev/null
+++ b/supervisor/workerend_test.go
@@ -0,0 +1,110 @@
+package supervisor
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"hyssopjunction/session"
+)
+
+// fakeDirectory is a directory without a leader whose entries store or only keep the ends of workers.
+type fakeDirectory struct {
+	stores  atomic.Bool
+	reports atomic.Int64
+}
+
+func (*fakeDirectory) NextEntry(context.Context, string) (string, error) {
+	return "", errors.New("no leader")
+}
+
+func (*fakeDirectory) LeaderAfter(context.Context, int64) (string, bool) { return "", false }
+
+func (fake *fakeDirectory) EndWorker(context.Context, string, *session.WorkerEnd) (bool, error) {
+	fake.reports.Add(1)
+	return fake.stores.Load(), nil
+}
+
+// shutDown starts a shutdown and returns a channel that is closed when it is complete.
+func shutDown(t *testing.T, supervisor *Supervisor) <-chan struct{} {
+	t.Helper()
+	done := make(chan struct{})
+	go func() {
+		supervisor.Shutdown(t.Context())
+		close(done)
+	}()
+	return done
+}
+
+func assertStopped(t *testing.T, done <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-done:
+	case <-time.After(eventTimeout):
+		t.Error("the supervisor does not stop")
+	}
+}
+
+// TestShutdownWaitsUntilWorkerEndIsStored guards against an agent that stops although nobody else knows for certain that
+// its worker has ended: the worker's tasks then wait until a lease has lapsed.
+func TestShutdownWaitsUntilWorkerEndIsStored(t *testing.T) {
+	for name, goneFirst := range map[string]bool{"worker is gone": true, "worker shuts down and is gone later": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fake, directory := newRuntime(), &fakeDirectory{}
+			supervisor := newSupervisor(t, fake)
+			supervisor.Follow(directory)
+			if goneFirst {
+				fake.update(func() { fake.refusedListings = -1 })
+				await(t, supervisor, "the report", func() bool { return directory.reports.Load() > 0 })
+			} else {
+				supervisor.Leave("i-1")
+			}
+			done := shutDown(t, supervisor)
+			time.Sleep((2 * goneTimeout).Duration())
+			select {
+			case <-done:
+				t.Fatal("the supervisor stopped before the end of its worker was stored")
+			default:
+			}
+			fake.update(func() { fake.refusedListings = -1 })
+			directory.stores.Store(true)
+			assertStopped(t, done)
+			if directory.reports.Load() == 0 {
+				t.Error("the end of the worker was not reported")
+			}
+		})
+	}
+}
+
+// TestShutdownLeavesLiveWorker guards against an agent that waits, although its worker works on and its next process
+// takes over.
+func TestShutdownLeavesLiveWorker(t *testing.T) {
+	directory := &fakeDirectory{}
+	supervisor := newSupervisor(t, newRuntime())
+	supervisor.Follow(directory)
+	await(t, supervisor, "a listing", func() bool { return supervisor.worker.clockReadAt != 0 })
+	assertStopped(t, shutDown(t, supervisor))
+	if got := directory.reports.Load(); got != 0 {
+		t.Errorf("got %d reports of the end of a live worker", got)
+	}
+}
+
+// TestWorkerThatAnswersAgainIsNotReported guards against reporting the end of a worker whose process only did not accept
+// connections for a while.
+func TestWorkerThatAnswersAgainIsNotReported(t *testing.T) {
+	fake, directory := newRuntime(), &fakeDirectory{}
+	supervisor := newSupervisor(t, fake)
+	supervisor.Follow(directory)
+	fake.update(func() { fake.refusedListings = -1 })
+	await(t, supervisor, "the report", func() bool { return directory.reports.Load() > 0 })
+	fake.update(func() { fake.refusedListings = 0 })
+	await(t, supervisor, "the end of the reports", func() bool { return supervisor.worker.endReport == endNotReported })
+	reports := directory.reports.Load()
+	time.Sleep((3 * endRetryInterval).Duration())
+	if got := directory.reports.Load(); got != reports {
+		t.Errorf("got %d more reports of a worker that answers", got-reports)
+	}
+}
