A leader that may not extend leases tells its agents so

Cause: agents look for a later leader only after a message that says that the lease of theirs has ended. Change: the leader answers reports also when it may grant nothing, without a lease and with the mark. Since that keeps such sessions open, LeaderAfter now reads the store at every fourth attempt as NextEntry does, so that agents with outdated seeds find the next leader too. Calls to several entries share askAll. Evidence: TestLeaderWithoutLeaseSaysSo failed before: got [], want one message. Conclusion: agents change over within one report after the next leader is known.

--- a/coordinator/agents.go
+++ b/coordinator/agents.go
@@ -70,7 +70,7 @@
 	storedEnd int64
 	// lastSequence is the sequence number of the newest report.
 	lastSequence uint64
-	// grantedAt is when the lease of the present incarnation was last granted, or 0.
+	// grantedAt is when the lease of the present incarnation was last granted or denied, or 0.
 	grantedAt clock.Time
 	// weightsSentAt is when interference weights were last compared with those that were sent, sentWeights.
 	weightsSentAt clock.Time
@@ -177,27 +177,25 @@
 }
 
 // grantLease extends the lease of the agent's worker unless that was done within grantInterval. The lease counts from
-// the moment at which the agent sent its newest report.
+// the moment at which the agent sent its newest report. A leader that may not extend leases any more says that its own
+// has ended, so that the agent looks for the next leader.
 func (coordinator *Coordinator) grantLease(agent *agentSession, now clock.Time) {
-	if !coordinator.canGrantLeases() {
-		if !coordinator.grantsEnded && coordinator.ctx.Err() == nil {
-			klog.InfoS("Worker leases are not extended any more", "Term", coordinator.leadership.Term.Number, "SinceRenewalMillis", int64(now.Sub(coordinator.renewedAt)))
-		}
-		coordinator.grantsEnded = true
-		return
-	}
-	coordinator.grantsEnded = false
 	if agent.grantedAt != 0 && now.Sub(agent.grantedAt) < grantInterval {
 		return
 	}
 	agent.grantedAt = now
+	orders := &session.Orders{
+		Sequence: agent.lastSequence, StoredEnds: agent.storedEnd, Incarnation: string(agent.incarnation),
+		LeaderLeaseEnded: now.After(clock.Time(coordinator.validUntil.Load())),
+	}
+	if coordinator.updateGrantsEnded(now) {
+		coordinator.enqueue(agent, orders)
+		return
+	}
+	orders.Lease = coordinator.workerLease
 	if agent.incarnation != "" {
 		coordinator.grants[agent.node] = leaseGrant{incarnation: agent.incarnation, at: now}
 	}
-	orders := &session.Orders{
-		Sequence: agent.lastSequence, Lease: coordinator.workerLease, StoredEnds: agent.storedEnd, Incarnation: string(agent.incarnation),
-	}
-	orders.LeaderLeaseEnded = now.After(clock.Time(coordinator.validUntil.Load()))
 	if now.Sub(agent.weightsSentAt) >= weightsInterval {
 		agent.weightsSentAt = now
 		orders.Weights = agent.changedWeights(coordinator.scheduler.Weights(agent.incarnation, now))
@@ -205,6 +203,16 @@
 	coordinator.enqueue(agent, orders)
 }
 
+// updateGrantsEnded reports whether leases may not be extended any more, and logs when that begins.
+func (coordinator *Coordinator) updateGrantsEnded(now clock.Time) bool {
+	ended := !coordinator.canGrantLeases()
+	if ended && !coordinator.grantsEnded && coordinator.ctx.Err() == nil {
+		klog.InfoS("Worker leases are not extended any more", "Term", coordinator.leadership.Term.Number, "SinceRenewalMillis", int64(now.Sub(coordinator.renewedAt)))
+	}
+	coordinator.grantsEnded = ended
+	return ended
+}
+
 // changedWeights returns the weights that differ by minWeightChange or more from those that were sent to the agent.
 func (agent *agentSession) changedWeights(weights []scheduler.Weight) []session.Weight {
 	var changed []session.Weight
--- a/coordinator/agents_test.go
+++ b/coordinator/agents_test.go
@@ -116,6 +116,21 @@
 	}
 }
 
+// TestLeaderWithoutLeaseSaysSo guards against agents that learn of the next leader only when their session times out: a
+// leader that may not extend leases any more sent them nothing, so they did not ask other entries.
+func TestLeaderWithoutLeaseSaysSo(t *testing.T) {
+	coordinator, source := newTestLeader(t)
+	agent := newTestSession("side-1")
+	coordinator.handleReport(agent, newWorkerReport())
+	agent.takeMessages()
+	source.Advance(election.LeaderLease + election.GrantExtension)
+	coordinator.handleReport(agent, &session.Report{Sequence: 2, Node: "side-1"})
+	messages := agent.takeMessages()
+	if len(messages) != 1 || !messages[0].LeaderLeaseEnded || messages[0].Lease != 0 {
+		t.Errorf("got %+v, want one message without a lease that says that the leader's lease has ended", messages)
+	}
+}
+
 // reportStream is the stream of an agent that sends one report and then stays silent.
 type reportStream struct {
 	ctx     context.Context
--- a/leadership/directory.go
+++ b/leadership/directory.go
@@ -25,7 +25,7 @@
 type Directory struct {
 	store store.Store
 	seeds atomic.Pointer[[]string]
-	// attempts counts the calls of NextEntry without a redirection.
+	// attempts counts the searches for a leader, except redirections.
 	attempts atomic.Int64
 }
 
@@ -47,50 +47,58 @@
 		return redirect, nil
 	}
 	if directory.attempts.Add(1)%attemptsPerStoreRead != 0 {
-		if address, ok := directory.LeaderAfter(ctx, 0); ok {
+		if address, ok := directory.querySeeds(ctx, 0); ok {
 			return address, nil
 		}
 		return "", ErrNoLeader{}
 	}
-	return directory.readStore(ctx)
+	term, err := directory.readStore(ctx)
+	return term.Address, err
 }
 
-// readStore reads the address of the leader from the store.
-func (directory *Directory) readStore(ctx context.Context) (string, error) {
+// readStore reads the term of the leader from the store. Errors: ErrNoLeader, or the error of the store.
+func (directory *Directory) readStore(ctx context.Context) (election.Term, error) {
 	callCtx, cancel := context.WithTimeout(ctx, readTimeout.Duration())
 	defer cancel()
 	rows, err := directory.store.List(callCtx, election.Table(), "", "")
 	if err != nil {
-		return "", err
+		return election.Term{}, err
 	}
 	reading, err := election.Parse(rows.Rows)
 	if err != nil {
-		return "", err
+		return election.Term{}, err
 	}
 	if reading.Term.Address == "" {
-		return "", ErrNoLeader{}
+		return election.Term{}, ErrNoLeader{}
 	}
-	return reading.Term.Address, nil
+	return reading.Term, nil
 }
 
-// LeaderAfter queries all seeds concurrently and returns the address of the leader of a term after the given one,
-// or false if no seed reports such a term.
+// LeaderAfter queries all seeds and, at every fourth attempt, the store, because the list of seeds may be outdated. It
+// returns the address of the leader of a term after the given one, or false if there is none.
 func (directory *Directory) LeaderAfter(ctx context.Context, term int64) (string, bool) {
+	if address, ok := directory.querySeeds(ctx, term); ok {
+		return address, true
+	}
+	if directory.attempts.Add(1)%attemptsPerStoreRead != 0 {
+		return "", false
+	}
+	latest, err := directory.readStore(ctx)
+	if err != nil {
+		klog.V(1).InfoS("Could not read the leader from the store", "Reason", err.Error())
+	}
+	return latest.Address, err == nil && latest.Number > term
+}
+
+// querySeeds queries all seeds concurrently and returns the address of the leader of a term after the given one, or
+// false if no seed reports such a term.
+func (directory *Directory) querySeeds(ctx context.Context, term int64) (string, bool) {
 	callCtx, cancel := context.WithTimeout(ctx, seedsTimeout.Duration())
 	defer cancel()
 	seeds := *directory.seeds.Load()
-	replies := make(chan session.LeaderReply, len(seeds))
-	for _, seed := range seeds {
-		go func() {
-			reply, err := queryLeader(callCtx, seed)
-			if err != nil {
-				klog.V(1).InfoS("Could not query an entry for the leader", "Address", seed, "Reason", err.Error())
-			}
-			replies <- reply
-		}()
-	}
+	replies := askAll(callCtx, seeds, (*session.Client).Leader)
 	for range seeds {
-		if reply := <-replies; reply.Term > term && reply.Address != "" {
+		if reply := <-replies; reply != nil && reply.Term > term && reply.Address != "" {
 			return reply.Address, true
 		}
 	}
@@ -100,49 +108,57 @@
 // EndWorker reports the end of a worker to the leader at the given address, if it is known, and to all seeds if that
 // leader does not store it. It reports whether a leader has stored it. Error: ErrNotKept if no entry keeps the report.
 func (directory *Directory) EndWorker(ctx context.Context, leader string, end *session.WorkerEnd) (bool, error) {
-	callCtx, cancel := context.WithTimeout(ctx, queryTimeout.Duration())
-	defer cancel()
-	kept := false
-	if leader != "" {
-		reply, err := endWorker(callCtx, leader, end)
-		if err == nil && reply.Stored {
+	call := func(client *session.Client, ctx context.Context) (*session.WorkerEndReply, error) {
+		return client.EndWorker(ctx, end)
+	}
+	kept, stored := false, false
+	for _, addresses := range [][]string{{leader}, *directory.seeds.Load()} {
+		callCtx, cancel := context.WithTimeout(ctx, queryTimeout.Duration())
+		replies := askAll(callCtx, addresses, call)
+		for range addresses {
+			if reply := <-replies; reply != nil {
+				kept, stored = true, stored || reply.Stored
+			}
+		}
+		cancel()
+		if stored {
 			return true, nil
 		}
-		kept = err == nil
 	}
-	seedsCtx, cancelSeeds := context.WithTimeout(ctx, queryTimeout.Duration())
-	defer cancelSeeds()
-	seeds := *directory.seeds.Load()
-	replies := make(chan *session.WorkerEndReply, len(seeds))
-	for _, seed := range seeds {
+	if !kept {
+		return false, ErrNotKept{}
+	}
+	return false, nil
+}
+
+// askAll makes a call to all entries at the addresses concurrently. The channel gets one reply for each of them, nil
+// after an error or for an empty address.
+func askAll[Reply any](ctx context.Context, addresses []string, call func(*session.Client, context.Context) (*Reply, error)) <-chan *Reply {
+	replies := make(chan *Reply, len(addresses))
+	for _, address := range addresses {
 		go func() {
-			reply, err := endWorker(seedsCtx, seed, end)
+			reply, err := ask(ctx, address, call)
 			if err != nil {
-				klog.V(1).InfoS("Could not report the end of the worker", "Address", seed, "Reason", err.Error())
+				klog.V(1).InfoS("Could not call an entry", "Address", address, "Reason", err.Error())
+				reply = nil
 			}
 			replies <- reply
 		}()
 	}
-	stored := false
-	for range seeds {
-		if reply := <-replies; reply != nil {
-			kept, stored = true, stored || reply.Stored
-		}
-	}
-	if !kept {
-		return false, ErrNotKept{}
-	}
-	return stored, nil
+	return replies
 }
 
-// endWorker reports the end of a worker to the entry at the address.
-func endWorker(ctx context.Context, address string, end *session.WorkerEnd) (*session.WorkerEndReply, error) {
+// ask makes a call to the entry at the address over a connection of its own. It does nothing for an empty address.
+func ask[Reply any](ctx context.Context, address string, call func(*session.Client, context.Context) (*Reply, error)) (*Reply, error) {
+	if address == "" {
+		return nil, nil
+	}
 	client, err := session.Dial(address)
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = client.Close() }()
-	return client.EndWorker(ctx, end)
+	return call(client, ctx)
 }
 
 // ErrNotKept reports that no entry has taken the report of a worker's end.
@@ -151,20 +167,6 @@
 // Error returns the message.
 func (ErrNotKept) Error() string { return "no entry keeps the end of the worker" }
 
-// queryLeader asks the entry at the address for the leader of the newest term that it has seen.
-func queryLeader(ctx context.Context, address string) (session.LeaderReply, error) {
-	client, err := session.Dial(address)
-	if err != nil {
-		return session.LeaderReply{}, err
-	}
-	defer func() { _ = client.Close() }()
-	reply, err := client.Leader(ctx)
-	if err != nil {
-		return session.LeaderReply{}, err
-	}
-	return *reply, nil
-}
-
 // ErrNoLeader reports that no leader could be found.
 type ErrNoLeader struct{}
 
