Count ends of runs that are reported together with the end of their worker

Callers would see: a finished task that runs again. Cause: the leader applied the lapse of a worker before the ends that the same report lists, so that each run had ended as interrupted when its end arrived; a first report of a session always has both. Ruled out: a double count, as an end of a run that is not active is ignored. Change: ends first. Evidence: TestEndsReportedWithLapseCount failed before: got a job in state running, want completed.

--- a/coordinator/agents.go
+++ b/coordinator/agents.go
@@ -169,6 +169,9 @@
 		for _, rejection := range report.Rejections {
 			coordinator.recordRejection(rejection)
 		}
+		if report.Worker != nil && report.Worker.Lapsed {
+			coordinator.recordLapse(agent) // Ends that the report lists came before it.
+		}
 		if report.Listed {
 			coordinator.scheduler.RecordProgress(agent.incarnation, coordinator.convertProgress(report.Progress), now)
 		}
@@ -241,9 +244,6 @@
 		Labels: worker.Labels, Capacity: worker.Capacity, Draining: worker.Draining,
 	}, now)
 	agent.responsive = worker.Responsive
-	if worker.Lapsed {
-		coordinator.recordLapse(agent)
-	}
 	if !agent.expectedSent {
 		agent.expectedSent = true
 		coordinator.onceStored = append(coordinator.onceStored, func() { coordinator.sendExpected(agent) })
--- a/coordinator/workerend_test.go
+++ b/coordinator/workerend_test.go
@@ -7,6 +7,8 @@
 	"hyssopjunction/loop"
 	"hyssopjunction/scheduler"
 	"hyssopjunction/session"
+	"hyssopjunction/unit"
+	"hyssopjunction/workflow"
 )
 
 // endAsync reports the end of a worker and returns a channel with the result.
@@ -55,6 +57,31 @@
 	}
 }
 
+// TestEndsReportedWithLapseCount guards against running a finished task again because the end of the run is reported
+// together with the end of its worker, as in the first report of a session.
+func TestEndsReportedWithLapseCount(t *testing.T) {
+	coordinator, source := newTestLeader(t)
+	agent := newTestSession("side-1")
+	coordinator.handleReport(agent, newWorkerReport())
+	coordinator.scheduler.SetReachable("i-1@1@side-1", true)
+	coordinator.scheduler.Submit(workflow.Spec{
+		ID: "0123456789abcdef", Service: "desk", Policy: workflow.Policy{MaxAttempts: 2},
+		Steps: []workflow.Step{{Count: 1, Need: unit.Resources{CPU: 1000, Memory: 1000}}},
+	}, source.Now())
+	coordinator.scheduler.Plan(source.Now(), 0)
+	jobs, starts := coordinator.scheduler.TakeChanges()
+	if len(starts) != 1 {
+		t.Fatalf("got %d starts, want 1", len(starts))
+	}
+	report := newWorkerReport()
+	report.Worker.Responsive, report.Worker.Lapsed = false, true
+	report.Ends = []session.End{{Number: 1, Task: starts[0].Name.String(), Run: starts[0].Run, Cause: workflow.Finished}}
+	coordinator.handleReport(agent, report)
+	if got := jobs[0].State; got != workflow.Completed {
+		t.Errorf("got a job in state %s, want %s", got, workflow.Completed)
+	}
+}
+
 // TestWorkerThatAnswersIsNotEnded guards against a delayed report of a worker's end that ends runs which were placed
 // after the worker answered again.
 func TestWorkerThatAnswersIsNotEnded(t *testing.T) {
