supervisor: one way to record that a worker's process has ended

A listing that another incarnation answers counted as a lapse but was not reported as an end, unlike the other two signs. All three now take the same way, and a worker that answered again and ends a second time is reported a second time. Tests of the package pass.

--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -318,17 +318,8 @@
 		if wasResponsive && !supervisor.isResponsive(worker) {
 			supervisor.requestReport()
 		}
-		if worker.trackGone(err, now) && !worker.lapsed {
-			klog.InfoS("Worker is gone", "Worker", worker.incarnation, "Reason", err.Error())
-			worker.lapsed = true
-			supervisor.requestReport()
-			supervisor.reportEnd(worker)
-		}
-		if IsErrOtherIncarnation(err) && !worker.lapsed {
-			klog.InfoS("Worker has another incarnation", "Worker", worker.incarnation)
-			worker.lapsed = true
-			supervisor.requestReport()
-			supervisor.reportEnd(worker)
+		if worker.trackGone(err, now) || IsErrOtherIncarnation(err) {
+			supervisor.endIncarnation(worker, err.Error())
 		}
 		if !worker.lapsed && worker.leaseSentAt != 0 && now.Sub(worker.leaseSentAt) > election.WorkerStoppedAfter(supervisor.leaseLength) {
 			klog.InfoS("Worker lapsed", "Worker", worker.incarnation)
@@ -338,8 +329,7 @@
 		return false
 	}
 	if listing.StartedAt != 0 && listing.StartedAt != worker.announcement.Incarnation.StartedAt {
-		worker.lapsed = true
-		supervisor.requestReport()
+		supervisor.endIncarnation(worker, "a later incarnation answers")
 		return false
 	}
 	if !wasResponsive || worker.lapsed {
--- a/supervisor/workerend.go
+++ b/supervisor/workerend.go
@@ -25,14 +25,24 @@
 	endStored
 )
 
+// endIncarnation records that the worker's process has ended, and its incarnation with it.
+func (supervisor *Supervisor) endIncarnation(worker *workerState, reason string) {
+	if worker.lapsed && worker.endReport != endNotReported {
+		return
+	}
+	klog.InfoS("Worker is gone", "Worker", worker.incarnation, "Reason", reason)
+	worker.lapsed = true
+	supervisor.requestReport()
+	if worker.endReport != endPending {
+		worker.endReport = endPending
+		supervisor.reportEnd(worker)
+	}
+}
+
 // reportEnd reports in the background that the worker's incarnation has ended, until a leader has stored it or the worker
 // answers again. The session's reports are not enough: a leader that cannot store them takes them along when its term
 // ends, and by then this process may have ended too.
 func (supervisor *Supervisor) reportEnd(worker *workerState) {
-	if worker.endReport != endNotReported {
-		return
-	}
-	worker.endReport = endPending
 	supervisor.background(func() {
 		for attempt := 1; supervisor.baseContext.Err() == nil; attempt++ {
 			var end *session.WorkerEnd
