--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -250,6 +250,7 @@
 	}
 	if now.Sub(coordinator.startedAt) > election.InheritedLeaseWait(coordinator.workerLease) {
 		for _, incarnation := range coordinator.scheduler.Orphans() {
+			coordinator.counters.workersAwaited.Inc()
 			klog.InfoS("Worker did not return", "Worker", incarnation, "Term", coordinator.leadership.Term.Number)
 			coordinator.scheduler.RemoveWorker(incarnation)
 		}
--- a/coordinator/counters.go
+++ b/coordinator/counters.go
@@ -10,20 +10,23 @@
 type counters struct {
 	terms, rounds, starts, stops, rejections *metrics.Counter
 	finished, faulted, interrupted           *metrics.Counter
+	workerEnds, workersAwaited               *metrics.Counter
 	roundMillis                              *metrics.Histogram
 }
 
 func newCounters() counters {
 	return counters{
-		terms:       metrics.GetOrCreateCounter("hyssopjunction_coordinator_terms_total"),
-		rounds:      metrics.GetOrCreateCounter("hyssopjunction_coordinator_rounds_total"),
-		starts:      metrics.GetOrCreateCounter("hyssopjunction_coordinator_starts_total"),
-		stops:       metrics.GetOrCreateCounter("hyssopjunction_coordinator_stops_total"),
-		rejections:  metrics.GetOrCreateCounter("hyssopjunction_coordinator_rejections_total"),
-		finished:    metrics.GetOrCreateCounter(`hyssopjunction_coordinator_ends_total{cause="Finished"}`),
-		faulted:     metrics.GetOrCreateCounter(`hyssopjunction_coordinator_ends_total{cause="Faulted"}`),
-		interrupted: metrics.GetOrCreateCounter(`hyssopjunction_coordinator_ends_total{cause="Interrupted"}`),
-		roundMillis: metrics.GetOrCreateHistogram("hyssopjunction_coordinator_round_millis"),
+		terms:          metrics.GetOrCreateCounter("hyssopjunction_coordinator_terms_total"),
+		rounds:         metrics.GetOrCreateCounter("hyssopjunction_coordinator_rounds_total"),
+		starts:         metrics.GetOrCreateCounter("hyssopjunction_coordinator_starts_total"),
+		stops:          metrics.GetOrCreateCounter("hyssopjunction_coordinator_stops_total"),
+		rejections:     metrics.GetOrCreateCounter("hyssopjunction_coordinator_rejections_total"),
+		finished:       metrics.GetOrCreateCounter(`hyssopjunction_coordinator_ends_total{cause="Finished"}`),
+		faulted:        metrics.GetOrCreateCounter(`hyssopjunction_coordinator_ends_total{cause="Faulted"}`),
+		interrupted:    metrics.GetOrCreateCounter(`hyssopjunction_coordinator_ends_total{cause="Interrupted"}`),
+		workerEnds:     metrics.GetOrCreateCounter("hyssopjunction_coordinator_worker_ends_total"),
+		workersAwaited: metrics.GetOrCreateCounter("hyssopjunction_coordinator_workers_awaited_total"),
+		roundMillis:    metrics.GetOrCreateHistogram("hyssopjunction_coordinator_round_millis"),
 	}
 }
 
--- a/coordinator/workerend.go
+++ b/coordinator/workerend.go
@@ -44,6 +44,7 @@
 	}
 	ended := coordinator.scheduler.EndWorker(incarnation, coordinator.convertEnds(incarnation, end.Ends), coordinator.deps.Clock.Now())
 	if ended > 0 { // The same report may arrive from several entries.
+		coordinator.counters.workerEnds.Inc()
 		klog.InfoS("Worker ended", "Node", end.Node, "Worker", incarnation, "EndedRuns", ended, "ReportedEnds", len(end.Ends), "Term", coordinator.leadership.Term.Number)
 	}
 }
