supervisor: log a lease that is granted after its end, and starts that are given up

Callers saw: nothing. Cause: the logs of the incident of the stale order do not tell a start that waited for a lease from one that the worker carried out late. Change: one line when a grant arrives after the last one has ended, with the number of starts that wait for a lease, and one when a start is given up, with its age and what is left of the lease. No logic changes.

--- a/supervisor/leadersession.go
+++ b/supervisor/leadersession.go
@@ -226,7 +226,7 @@
 		supervisor.grant.term = orders.Term
 	}
 	if sentAt, ok := supervisor.session.sentAt[orders.Sequence]; ok && orders.Lease > 0 {
-		supervisor.grant.until = max(supervisor.grant.until, sentAt.Add(orders.Lease))
+		supervisor.extendGrant(sentAt.Add(orders.Lease))
 		for sequence := range supervisor.session.sentAt {
 			if sequence < orders.Sequence {
 				delete(supervisor.session.sentAt, sequence)
@@ -237,6 +237,23 @@
 	return true
 }
 
+// extendGrant records that the worker's lease is granted until a time.
+func (supervisor *Supervisor) extendGrant(until clock.Time) {
+	now := supervisor.clock.Now()
+	if ended := supervisor.grant.until; ended != 0 && !now.Before(ended) && now.Before(until) {
+		waiting := 0
+		if supervisor.worker != nil {
+			for _, run := range supervisor.worker.runs {
+				if run.phase == phaseStarting {
+					waiting++
+				}
+			}
+		}
+		klog.InfoS("Lease granted after its end", "Term", supervisor.grant.term, "EndedMillis", int64(now.Sub(ended)), "WaitingStarts", waiting)
+	}
+	supervisor.grant.until = max(supervisor.grant.until, until)
+}
+
 // nextReport returns a report with everything that has changed since the last one. The lease is granted from the
 // time at which a report is sent.
 func (supervisor *Supervisor) nextReport() *session.Report {
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -168,9 +168,9 @@
 		// Once a run is stopped, the worker refuses it, also if an earlier start arrives late.
 		switch {
 		case worker.announcement.Draining:
-			run.phase, run.reason = phaseStopping, "Draining"
+			supervisor.giveUpStart(run, "Draining")
 		case supervisor.clock.Now().Sub(run.orderedAt) > maxStartAge:
-			run.phase, run.reason = phaseStopping, "Overdue"
+			supervisor.giveUpStart(run, "Overdue")
 		}
 	}
 	switch run.phase {
@@ -193,6 +193,14 @@
 	return nil, false
 }
 
+// giveUpStart makes the next call for a run that has not started a stop.
+func (supervisor *Supervisor) giveUpStart(run *runState, reason string) {
+	now := supervisor.clock.Now()
+	klog.InfoS("Start given up", "Task", run.order.Task, "Run", run.order.Run, "Reason", reason,
+		"AgeMillis", int64(now.Sub(run.orderedAt)), "LeaseLeftMillis", int64(supervisor.grant.until.Sub(now)))
+	run.phase, run.reason = phaseStopping, reason
+}
+
 // handleAnswer processes the outcome of a start or a stop and reports whether the run needs another call.
 func (supervisor *Supervisor) handleAnswer(worker *workerState, run *runState, stop bool, err error) bool {
 	if supervisor.worker != worker || IsErrOtherIncarnation(err) {
