coordinator: no new runs on a worker whose agent's report is missing

Callers saw: tasks that wait for an agent that does not answer. Change: a worker gets no new runs while one report of its agent is missing: more than two report intervals (1.2 s) since the last one. The leader's own silence does not count: if its control loop, which has an event every 100 ms, stood still for more than half a report interval (300 ms), the time starts anew for all agents. A leader that is slow all the time thus places as before. session.ReportInterval is now the one origin of these times. "Place" has RoundMillis, the time from the decision until the order is sent. Weighed: a limit on the share of overdue workers from which none counts. Not taken: a leader whose link is cut would go on placing tasks that cannot be delivered, and pauses and slowness of the leader are told apart without it. Not changed: orders that were decided before the silence are sent. Taking them back would break a gang of which other members are sent. Lapses, the stop of stalled runs and moves are as before. Conclusion: fewer stale orders come into being; safety does not depend on it.

--- a/coordinator/agents.go
+++ b/coordinator/agents.go
@@ -68,8 +68,11 @@
 	expectedSent bool
 	// storedEnd is the highest number of a run's end that is stored.
 	storedEnd int64
-	// lastSequence is the sequence number of the newest report.
+	// lastSequence is the sequence number of the newest report, which arrived at reportedAt.
 	lastSequence uint64
+	reportedAt   clock.Time
+	// overdue reports that the next report is missing.
+	overdue bool
 	// grantedAt is when the lease of the present incarnation was last granted, or 0.
 	grantedAt clock.Time
 	// weightsSentAt is when interference weights were last compared with those that were sent, sentWeights.
@@ -160,7 +163,7 @@
 		return
 	}
 	now := coordinator.deps.Clock.Now()
-	agent.lastSequence = report.Sequence
+	agent.lastSequence, agent.reportedAt = report.Sequence, now
 	if report.Worker != nil {
 		coordinator.updateWorker(agent, report.Worker, now)
 	}
@@ -345,7 +348,7 @@
 		}
 	}
 	for step, runs := range placed {
-		klog.InfoS("Place", "Job", step.Job, "Occurrence", step.Occurrence, "Step", step.Step, "Runs", runs)
+		klog.InfoS("Place", "Job", step.Job, "Occurrence", step.Occurrence, "Step", step.Step, "Runs", runs, "RoundMillis", int64(coordinator.roundDuration))
 	}
 	for _, agent := range coordinator.sessions {
 		if batch, ok := byWorker[agent.incarnation]; ok {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -109,6 +109,7 @@
 	// onceStored holds actions that must wait until the scheduler's present state is stored.
 	onceStored     []func()
 	startedAt      clock.Time
+	attention      attention
 	outDataCentres set.Set[ident.DataCentre]
 	// waitingLoggedAt is when the numbers of waiting tasks were last logged.
 	waitingLoggedAt clock.Time
--- a/coordinator/write.go
+++ b/coordinator/write.go
@@ -19,9 +19,11 @@
 // is active at a time; changes during a round are part of the next one.
 func (coordinator *Coordinator) startRound() {
 	now := coordinator.deps.Clock.Now()
+	coordinator.attention.observe(now)
 	if coordinator.writing || coordinator.ctx.Err() != nil || now.Sub(coordinator.roundEndedAt) < minRoundPause {
 		return
 	}
+	coordinator.updateOverdue(now)
 	if coordinator.updateOutDataCentres() {
 		coordinator.scheduler.Plan(now, coordinator.deps.TimeOfDay())
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -215,6 +215,14 @@
 	}
 }
 
+// SetOverdue records whether the next report of the worker's agent is missing. The worker then gets no new runs.
+func (scheduler *Scheduler) SetOverdue(incarnation Incarnation, overdue bool) {
+	if worker, ok := scheduler.workers[incarnation]; ok && worker.overdue != overdue {
+		worker.overdue = overdue
+		scheduler.dirty = true
+	}
+}
+
 // drain stops the runs that should continue on another worker: standing tasks, and tasks that resume from
 // their checkpoint.
 func (scheduler *Scheduler) drain(worker *workerState) {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -32,8 +32,10 @@
 	Profile
 	// reachable workers accept orders.
 	reachable bool
-	runs      map[workflow.Name]*activeRun
-	reserved  unit.Resources
+	// overdue workers get no new runs, because their agent's next report is missing.
+	overdue  bool
+	runs     map[workflow.Name]*activeRun
+	reserved unit.Resources
 	// fillingCPU is the CPU requested by filling tasks, which is not reserved.
 	fillingCPU unit.MilliCPU
 	// standingCPU is the CPU reserved by standing tasks.
@@ -133,8 +135,8 @@
 	return worker.reserved.Add(headroom).Add(step.Reserved()).FitsIn(worker.Capacity)
 }
 
-// isEligible reports whether the worker accepts tasks of the service and has the label that the step requires.
+// isEligible reports whether the worker may get tasks of the service and has the label that the step requires.
 func (worker *workerState) isEligible(step *workflow.Step, service workflow.Service) bool {
-	return worker.reachable && !worker.Draining && worker.Service == service &&
+	return worker.reachable && !worker.overdue && !worker.Draining && worker.Service == service &&
 		(step.Label == "" || slices.Contains(worker.Labels, step.Label))
 }
--- a/session/message.go
+++ b/session/message.go
@@ -9,6 +9,9 @@
 	"hyssopjunction/workflow"
 )
 
+// ReportInterval is how often an agent reports at least.
+const ReportInterval = 600 * clock.Millisecond
+
 // Report is a message of an agent to the leader. The first report on a stream holds the agent's full state;
 // later ones hold the changes.
 type Report struct {
--- a/supervisor/leadersession.go
+++ b/supervisor/leadersession.go
@@ -15,7 +15,7 @@
 const (
 	// reportInterval is how often a report is sent. Each one renews the lease, so the worker keeps its runs if the
 	// leader does not answer for up to the length of the lease minus reportInterval.
-	reportInterval = 600 * clock.Millisecond
+	reportInterval = session.ReportInterval
 	// progressInterval is the shortest time between two reports of the progress of all runs: that of a sample of the
 	// worker. The reports of reportInterval have it, those of an end only if it has passed.
 	progressInterval = 500 * clock.Millisecond
