coordinator: a worker gets runs again after its lapse

Callers saw: less room. Cause: a lapse makes the worker unreachable, and only a report with its profile makes it reachable again. An agent that was paused for longer than a lease may find orders first when it goes on; it then stays in its session and reports the profile only when that changes. Ruled out: workers in quarantine or on probation; nothing failed there. Change: the first grant after a lapse makes the worker reachable, if it answers its agent. The check of lapses is a function of its own, so that a test can play it. Test: TestWorkerIsUsedAgainAfterLapse failed before with "got 0 starts after the lapse, want 1".

--- a/coordinator/agents.go
+++ b/coordinator/agents.go
@@ -187,6 +187,10 @@
 	}
 	agent.grantedAt = now
 	if agent.incarnation != "" {
+		if previous := coordinator.grants[agent.node]; previous.lapsed && previous.incarnation == agent.incarnation {
+			klog.InfoS("Worker returns after its lapse", "Node", agent.node, "Worker", agent.incarnation, "Responsive", agent.responsive)
+			coordinator.scheduler.SetReachable(agent.incarnation, agent.responsive)
+		}
 		coordinator.grants[agent.node] = leaseGrant{incarnation: agent.incarnation, at: now}
 	}
 	orders := &session.Orders{
--- a/coordinator/agents_test.go
+++ b/coordinator/agents_test.go
@@ -162,3 +162,42 @@
 		t.Errorf("got %v, want ErrSuperseded", err)
 	}
 }
+
+// TestWorkerIsUsedAgainAfterLapse guards against a worker that gets no runs any more: its agent was paused for longer than
+// a lease and then went on in the same session, where it reports the worker's profile only when that changes.
+func TestWorkerIsUsedAgainAfterLapse(t *testing.T) {
+	cases := map[string]struct {
+		responsive bool
+		want       int
+	}{
+		"worker answers its agent":    {true, 1},
+		"worker does not answer then": {false, 0},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			coordinator, source := newTestLeader(t)
+			coordinator.workerLease = 3 * clock.Second
+			agent := newTestSession("side-1")
+			coordinator.sessions[agent.node] = agent
+			report := newWorkerReport()
+			report.Worker.Responsive = test.responsive
+			coordinator.handleReport(agent, report)
+			coordinator.finishRound(nil, coordinator.takeOnceStored())
+			source.Advance(election.WorkerStoppedAfter(coordinator.workerLease) + 1)
+			coordinator.validUntil.Store(int64(source.Now().Add(election.LeaderLease)))
+			coordinator.recordLapses(source.Now())
+			if !coordinator.grants[agent.node].lapsed {
+				t.Fatal("the lease has not lapsed")
+			}
+			coordinator.handleReport(agent, &session.Report{Sequence: 2, Node: "side-1"})
+			coordinator.scheduler.Submit(workflow.Spec{
+				ID: "0123456789abcdef", Service: "desk", Policy: workflow.Policy{MaxAttempts: 1, Slack: 2},
+				Steps: []workflow.Step{{Count: 1, Need: unit.Resources{CPU: 1000, Memory: 1000}, Estimate: clock.Second}},
+			}, source.Now())
+			coordinator.scheduler.Plan(source.Now(), 0)
+			if _, orders := coordinator.scheduler.TakeChanges(); len(orders) != test.want {
+				t.Errorf("got %d starts after the lapse, want %d", len(orders), test.want)
+			}
+		})
+	}
+}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -238,6 +238,17 @@
 		}
 	}
 	coordinator.archive(now)
+	coordinator.recordLapses(now)
+	if now.Sub(coordinator.startedAt) > election.InheritedLeaseWait(coordinator.workerLease) {
+		for _, incarnation := range coordinator.scheduler.Orphans() {
+			klog.InfoS("Worker did not return", "Worker", incarnation, "Term", coordinator.leadership.Term.Number)
+			coordinator.scheduler.RemoveWorker(incarnation)
+		}
+	}
+}
+
+// recordLapses ends the runs of the workers whose lease has certainly ended.
+func (coordinator *Coordinator) recordLapses(now clock.Time) {
 	for node, grant := range coordinator.grants {
 		if grant.lapsed || now.Sub(grant.at) <= election.WorkerStoppedAfter(coordinator.workerLease) {
 			continue
@@ -247,12 +258,6 @@
 		coordinator.grants[node] = grant
 		coordinator.scheduler.RecordLeaseLapse(grant.incarnation)
 	}
-	if now.Sub(coordinator.startedAt) > election.InheritedLeaseWait(coordinator.workerLease) {
-		for _, incarnation := range coordinator.scheduler.Orphans() {
-			klog.InfoS("Worker did not return", "Worker", incarnation, "Term", coordinator.leadership.Term.Number)
-			coordinator.scheduler.RemoveWorker(incarnation)
-		}
-	}
 }
 
 // updateOutDataCentres passes the data centres that are out to the scheduler and reports whether they are
