supervisor: a start ordered before a reported lapse is refused

Callers saw: nothing yet; found by asking for the same cause elsewhere. Cause: a lapse that the agent itself reports (its worker answers nothing for longer than a lease) makes the leader place the worker's tasks elsewhere, like one that the leader declares. If the worker answers again within 1.8 s, the agent carried out the starts that waited for it, for example those that a new session repeats, and those that the leader had sent before it had the report: two runs of one task. The agent's grant goes on all the while, so its end does not help. Change: each message to an agent names the newest report that the leader had, as grants did. A report of a lapse ends the lease under which all waiting starts were ordered, and a start whose message names an earlier report is given up in the same way. The worker is told to stop the run first, as for every start that is given up, so that the rejection is true. Weighed: a count of lapses in each start. Not taken: reports are numbered already, and a session begins them anew together with the orders. Ruled out elsewhere, by reading: stops and paces name a run, which does not come back after a lapse; a transfer ends when its target is unreachable or overdue; rejections and ends name worker and run, and the leader ignores those of runs that it has ended. Tests: TestStartBeforeReportedLapseIsRefused failed before in two of four cases ("started at [63900], want a start: false", "got <nil> for a late start, want a refusal"); TestStartsNameNewestReport failed before with "got 1 starts ordered after report 0, want 1 after report 2". Conclusion: seen in tests only, not in a soak.

--- a/coordinator/agents.go
+++ b/coordinator/agents.go
@@ -148,7 +148,7 @@
 	if agent.closed {
 		return
 	}
-	orders.Term = coordinator.leadership.Term.Number
+	orders.Term, orders.Sequence = coordinator.leadership.Term.Number, agent.lastSequence
 	select {
 	case agent.queue <- orders:
 	default:
@@ -194,7 +194,7 @@
 		coordinator.grants[agent.node] = leaseGrant{incarnation: agent.incarnation, at: now}
 	}
 	orders := &session.Orders{
-		Sequence: agent.lastSequence, Lease: coordinator.workerLease, StoredEnds: agent.storedEnd, Incarnation: string(agent.incarnation),
+		Lease: coordinator.workerLease, StoredEnds: agent.storedEnd, Incarnation: string(agent.incarnation),
 	}
 	orders.LeaderLeaseEnded = now.After(clock.Time(coordinator.validUntil.Load()))
 	if now.Sub(agent.weightsSentAt) >= weightsInterval {
--- a/coordinator/agents_test.go
+++ b/coordinator/agents_test.go
@@ -201,3 +201,29 @@
 		})
 	}
 }
+
+// TestStartsNameNewestReport guards against starts that an agent refuses, or carries out after a lapse, because they do not
+// say which of its reports the leader had.
+func TestStartsNameNewestReport(t *testing.T) {
+	coordinator, source := newTestLeader(t)
+	agent := newTestSession("side-1")
+	coordinator.sessions[agent.node] = agent
+	coordinator.handleReport(agent, newWorkerReport())
+	coordinator.finishRound(nil, coordinator.takeOnceStored())
+	coordinator.handleReport(agent, &session.Report{Sequence: 2, Node: "side-1"})
+	agent.takeMessages()
+	coordinator.scheduler.Submit(workflow.Spec{
+		ID: "0123456789abcdef", Service: "desk", Policy: workflow.Policy{MaxAttempts: 1, Slack: 2},
+		Steps: []workflow.Step{{Count: 1, Need: unit.Resources{CPU: 1000, Memory: 1000}, Estimate: clock.Second}},
+	}, source.Now())
+	coordinator.scheduler.Plan(source.Now(), 0)
+	_, orders := coordinator.scheduler.TakeChanges()
+	coordinator.sendOrders(orders)
+	messages := agent.takeMessages()
+	if len(messages) != 1 {
+		t.Fatalf("got %d messages, want 1", len(messages))
+	}
+	if got := messages[0]; len(got.Starts) != 1 || got.Sequence != 2 {
+		t.Errorf("got %d starts ordered after report %d, want 1 after report 2", len(got.Starts), got.Sequence)
+	}
+}
--- a/session/message.go
+++ b/session/message.go
@@ -85,8 +85,8 @@
 	// LeaderLeaseEnded reports that the lease of the leader has ended without a renewal, so that another entry may
 	// lead.
 	LeaderLeaseEnded bool `json:"Doubtful,omitempty"`
-	// Sequence is the number of the newest report that the leader received. The worker's lease lasts for
-	// Lease from the moment at which the agent sent that report.
+	// Sequence is the number of the newest report that the leader received. Unless Lease is 0, the worker's lease lasts
+	// for Lease from the moment at which the agent sent that report.
 	Sequence uint64       `json:",omitempty"`
 	Lease    clock.Millis `json:",omitempty"`
 	// StoredEnds acknowledges the ends of runs of the worker's Incarnation up to this number: they are stored.
@@ -106,7 +106,8 @@
 }
 
 // Start orders a run. If the run is active already, only its description is updated. The order is valid until the end of
-// the last lease that was granted before it: once that lease has lapsed, the leader places the task elsewhere.
+// the last lease that was granted before it, and only if the leader had the report of the worker's last lapse: after a
+// lapse, the leader places the task elsewhere.
 type Start struct {
 	Incarnation string
 	Task        string
--- a/supervisor/leadersession.go
+++ b/supervisor/leadersession.go
@@ -50,6 +50,8 @@
 	sentAt map[uint64]clock.Time
 	// reportedWorker is the last profile of the worker that was reported.
 	reportedWorker *session.Worker
+	// lapseSequence is the number of the last report that said that the worker has lapsed, or 0.
+	lapseSequence uint64
 	// reportedIncarnation is the last incarnation that was reported.
 	reportedIncarnation string
 	// reportedEnd is the number of the last end that was reported.
@@ -278,6 +280,10 @@
 	}
 	if !reflect.DeepEqual(state.reportedWorker, profile) {
 		report.Worker, state.reportedWorker = profile, profile
+		if profile.Lapsed {
+			state.lapseSequence = state.sequence
+			worker.endStarts(now)
+		}
 	}
 	for _, end := range worker.listing.Ended {
 		if end.Number > state.reportedEnd {
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -31,21 +31,35 @@
 			supervisor.applyStop(worker, order)
 		}
 	}
+	leaseEnd := supervisor.grant.until
+	if orders.Sequence < supervisor.session.lapseSequence {
+		leaseEnd = min(leaseEnd, supervisor.clock.Now())
+	}
 	for _, order := range orders.Starts {
 		if order.Incarnation == worker.incarnation {
-			supervisor.applyStart(worker, order)
+			supervisor.applyStart(worker, order, leaseEnd)
+		}
+	}
+}
+
+// endStarts ends the lease under which the runs were ordered that have not started yet.
+func (worker *workerState) endStarts(now clock.Time) {
+	for _, run := range worker.runs {
+		if run.phase == phaseStarting {
+			run.leaseEnd = min(run.leaseEnd, now)
 		}
 	}
 }
 
-// applyStart starts a run if it is new and fits on the worker, and rejects it otherwise.
-func (supervisor *Supervisor) applyStart(worker *workerState, order session.Start) {
+// applyStart starts a run if it is new and fits on the worker, and rejects it otherwise. leaseEnd is the end of the lease
+// under which it was ordered.
+func (supervisor *Supervisor) applyStart(worker *workerState, order session.Start, leaseEnd clock.Time) {
 	key := runKey{order.Task, order.Run}
 	if run, ok := worker.runs[key]; ok {
 		if !run.hasOrder {
 			run.order, run.hasOrder = order, true
 		}
-		run.leaseEnd = supervisor.grant.until
+		run.leaseEnd = leaseEnd
 		return
 	}
 	for _, end := range worker.listing.Ended {
@@ -61,7 +75,7 @@
 		supervisor.reject(worker, order, "Room")
 		return
 	}
-	run := &runState{order: order, phase: phaseStarting, pacePercent: pacing.FullPace, hasOrder: true, orderedAt: supervisor.clock.Now(), leaseEnd: supervisor.grant.until}
+	run := &runState{order: order, phase: phaseStarting, pacePercent: pacing.FullPace, hasOrder: true, orderedAt: supervisor.clock.Now(), leaseEnd: leaseEnd}
 	worker.runs[key] = run
 	supervisor.callWorker(worker, run)
 }
--- a/supervisor/staleorder_test.go
+++ b/supervisor/staleorder_test.go
@@ -33,6 +33,8 @@
 	running   map[runKey]bool
 	stopped   map[runKey]bool
 	ends      []Ended
+	// onStart is called when a start takes effect, if it is not nil.
+	onStart func(call StartCall)
 	// started holds the times of the starts that took effect.
 	started []clock.Time
 }
@@ -65,6 +67,9 @@
 	}
 	worker.leaseEnd = max(worker.leaseEnd, call.Deadline)
 	worker.running[key] = true
+	if worker.onStart != nil {
+		worker.onStart(call)
+	}
 	worker.started = append(worker.started, worker.clock.Now())
 	return nil
 }
@@ -127,6 +132,8 @@
 	supervisor *Supervisor
 	term       int64
 	rejections []session.Rejection
+	// received is the number of the newest report that the leader has.
+	received uint64
 }
 
 func newStaleFixture(t *testing.T) *staleFixture {
@@ -134,15 +141,20 @@
 	source := clock.NewFake(clock.Time(clock.Minute))
 	worker := &leasedWorker{clock: source, running: map[runKey]bool{}, stopped: map[runKey]bool{}}
 	fixture := &staleFixture{t: t, clock: source, worker: worker, term: 1}
-	fixture.supervisor = New(source, worker, "node", staleLease, 4*clock.Second)
-	t.Cleanup(fixture.supervisor.Close)
-	fixture.supervisor.loop.Call(fixture.supervisor.beginSession)
-	fixture.supervisor.Announce(Announcement{Incarnation: Incarnation{ID: "i-1", StartedAt: 10}, Sequence: 1, Capacity: unit.Resources{CPU: 4000, Memory: 4000}})
+	fixture.startSupervisor()
 	fixture.passUntil("a listing", func() bool { return fixture.supervisor.worker.clockReadAt != 0 })
 	fixture.grant(fixture.report())
 	return fixture
 }
 
+// startSupervisor starts the agent and announces its worker.
+func (fixture *staleFixture) startSupervisor() {
+	fixture.supervisor = New(fixture.clock, fixture.worker, "node", staleLease, 4*clock.Second)
+	fixture.t.Cleanup(fixture.supervisor.Close)
+	fixture.supervisor.loop.Call(fixture.supervisor.beginSession)
+	fixture.supervisor.Announce(Announcement{Incarnation: Incarnation{ID: "i-1", StartedAt: 10}, Sequence: 1, Capacity: unit.Resources{CPU: 4000, Memory: 4000}})
+}
+
 // pass lets the agent work for a time.
 func (fixture *staleFixture) pass(millis clock.Millis) {
 	for passed := clock.Millis(0); passed < millis; passed += staleStep {
@@ -176,7 +188,7 @@
 // receive passes orders of the leader to the agent.
 func (fixture *staleFixture) receive(orders *session.Orders) {
 	fixture.t.Helper()
-	orders.Term = fixture.term
+	orders.Term, orders.Sequence = fixture.term, fixture.received
 	fixture.supervisor.loop.Call(func() {
 		if !fixture.supervisor.acceptOrders(orders) {
 			fixture.t.Errorf("orders of term %d refused", orders.Term)
@@ -187,7 +199,8 @@
 // grant grants the lease on the report with the sequence number.
 func (fixture *staleFixture) grant(sequence uint64) {
 	fixture.t.Helper()
-	fixture.receive(&session.Orders{Sequence: sequence, Lease: staleLease})
+	fixture.received = sequence
+	fixture.receive(&session.Orders{Lease: staleLease})
 }
 
 // order orders run 1 of the task.
@@ -200,7 +213,7 @@
 
 // changeSession ends the session and begins one with the leader of a term.
 func (fixture *staleFixture) changeSession(term int64) {
-	fixture.term = term
+	fixture.term, fixture.received = term, 0
 	fixture.supervisor.loop.Call(fixture.supervisor.beginSession)
 }
 
@@ -212,6 +225,31 @@
 	})
 }
 
+// lapseWorker makes the worker leave calls unanswered until the agent has noticed its lapse. It calls before half a second
+// earlier. The leader's grants go on all the while.
+func (fixture *staleFixture) lapseWorker(before func()) {
+	fixture.t.Helper()
+	fixture.setUnresponsive(true)
+	called := false
+	for range 100 {
+		lapsed, left := false, clock.Millis(0)
+		fixture.supervisor.loop.Call(func() {
+			lapsed = fixture.supervisor.worker.lapsed
+			left = lapse() - fixture.clock.Now().Sub(fixture.supervisor.worker.leaseSentAt)
+		})
+		if lapsed {
+			return
+		}
+		if left < 500 && !called {
+			called = true
+			before()
+		}
+		fixture.grant(fixture.report())
+		fixture.pass(100)
+	}
+	fixture.t.Fatal("the worker did not lapse")
+}
+
 // check fails the test unless the run has started or, if it must not start, has been rejected for the reason and is
 // refused by the worker from then on.
 func (fixture *staleFixture) check(wantStart bool, wantReason string) {
@@ -334,3 +372,49 @@
 		})
 	}
 }
+
+// TestStartBeforeReportedLapseIsRefused guards against a second run of a task: the agent reports that its worker has
+// lapsed, whereupon the leader places the worker's tasks elsewhere, and the worker answers again and gets a start that was
+// ordered before the leader had that report.
+func TestStartBeforeReportedLapseIsRefused(t *testing.T) {
+	t.Parallel()
+	cases := map[string]struct {
+		orderWaits bool
+		play       func(fixture *staleFixture)
+		wantStart  bool
+		wantReason string
+	}{
+		"order waits when the lapse is reported": {orderWaits: true, play: func(fixture *staleFixture) {
+			fixture.grant(fixture.report())
+		}, wantReason: reasonLeaseEnded},
+		"order crosses the report": {play: func(fixture *staleFixture) {
+			sequence := fixture.report()
+			fixture.order()
+			fixture.grant(sequence)
+		}, wantReason: reasonLeaseEnded},
+		"order follows the report": {play: func(fixture *staleFixture) {
+			fixture.grant(fixture.report())
+			fixture.order()
+		}, wantStart: true},
+		"new session": {play: func(fixture *staleFixture) {
+			fixture.report()
+			fixture.changeSession(1)
+			fixture.grant(fixture.report())
+			fixture.order()
+		}, wantStart: true},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fixture := newStaleFixture(t)
+			fixture.lapseWorker(func() {
+				if test.orderWaits {
+					fixture.order()
+				}
+			})
+			test.play(fixture)
+			fixture.setUnresponsive(false)
+			fixture.check(test.wantStart, test.wantReason)
+		})
+	}
+}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -135,8 +135,9 @@
 	confirmedAt clock.Time
 	// orderedAt is when the start order arrived.
 	orderedAt clock.Time
-	// leaseEnd is the end of the last lease that was granted before the leader last ordered the start. The leader may
-	// place the task elsewhere only after it, so the run must not be started from then on.
+	// leaseEnd is the end of the last lease that was granted before the leader last ordered the start, or the time at
+	// which a lapse was reported that the leader did not know of then. The leader may place the task elsewhere only after
+	// it, so the run must not be started from then on.
 	leaseEnd clock.Time
 	// reason is why the run is being stopped.
 	reason string
