supervisor: a start is rejected only after the worker has confirmed its stop

Callers saw: nothing yet; found by asking which rejections are certain. Cause: starts that do not fit, or that arrive while the worker drains, were rejected at once. If an earlier process of the agent had made the start call, the worker may carry it out seconds later, and the leader has placed the task elsewhere. Change: such starts take the way of all others that are given up: the run is stopped at the worker, so that it refuses late starts, and is rejected once a listing shows that it neither is active nor has ended. "Start refused" became "Start given up". Test: TestRefusedStartNeverRuns failed before in both cases: "got <nil> for the late start of a rejected run, want a refusal". Conclusion: a rejection is now true also after a restart of the agent.

--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -51,7 +51,7 @@
 	}
 }
 
-// applyStart starts a run if it is new and fits on the worker, and rejects it otherwise. leaseEnd is the end of the lease
+// applyStart starts a run if it is new and fits on the worker, and gives it up otherwise. leaseEnd is the end of the lease
 // under which it was ordered.
 func (supervisor *Supervisor) applyStart(worker *workerState, order session.Start, leaseEnd clock.Time) {
 	key := runKey{order.Task, order.Run}
@@ -67,28 +67,15 @@
 			return // The leader has not received the end of the run yet.
 		}
 	}
-	if worker.announcement.Draining {
-		supervisor.reject(worker, order, "Draining")
-		return
-	}
+	run := &runState{order: order, phase: phaseStarting, pacePercent: pacing.FullPace, hasOrder: true, orderedAt: supervisor.clock.Now(), leaseEnd: leaseEnd}
 	if !worker.reserved().Add(order.Reserved).FitsIn(worker.announcement.Capacity) {
-		supervisor.reject(worker, order, "Room")
-		return
+		run.order = session.Start{Task: order.Task, Run: order.Run} // It reserves nothing while it is being refused.
+		supervisor.giveUpStart(run, "Room")
 	}
-	run := &runState{order: order, phase: phaseStarting, pacePercent: pacing.FullPace, hasOrder: true, orderedAt: supervisor.clock.Now(), leaseEnd: leaseEnd}
 	worker.runs[key] = run
 	supervisor.callWorker(worker, run)
 }
 
-// reject reports to the leader that a run was not started.
-func (supervisor *Supervisor) reject(worker *workerState, order session.Start, reason string) {
-	klog.InfoS("Start refused", "Task", order.Task, "Run", order.Run, "Reason", reason)
-	supervisor.rejections = append(supervisor.rejections, session.Rejection{
-		Incarnation: worker.incarnation, Task: order.Task, Run: order.Run, Reason: reason,
-	})
-	supervisor.requestReport()
-}
-
 // applyStop stops a run. A run that the worker has not started is stopped too, so that it refuses a late start.
 func (supervisor *Supervisor) applyStop(worker *workerState, order session.Stop) {
 	key := runKey{order.Task, order.Run}
@@ -215,7 +202,8 @@
 	return nil, false
 }
 
-// giveUpStart makes the next call for a run that has not started a stop.
+// giveUpStart makes the next call for a run that has not started a stop. The run is rejected only after the worker has
+// confirmed it, because an earlier process of the agent may have made a start call that is carried out later.
 func (supervisor *Supervisor) giveUpStart(run *runState, reason string) {
 	now := supervisor.clock.Now()
 	klog.InfoS("Start given up", "Task", run.order.Task, "Run", run.order.Run, "Reason", reason,
--- a/supervisor/staleorder_test.go
+++ b/supervisor/staleorder_test.go
@@ -418,3 +418,55 @@
 		})
 	}
 }
+
+// TestRefusedStartNeverRuns guards against a rejection of a run that starts later: an earlier process of the agent had made
+// the start call, which the worker carries out seconds later, and the present one has refused the start meanwhile.
+func TestRefusedStartNeverRuns(t *testing.T) {
+	t.Parallel()
+	cases := map[string]struct {
+		draining   bool
+		otherRun   bool
+		wantReason string
+	}{
+		"worker drains": {draining: true, wantReason: "Draining"},
+		"no room":       {otherRun: true, wantReason: "Room"},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fixture := newStaleFixture(t)
+			held := make(chan StartCall, 1)
+			fixture.worker.update(func() { fixture.worker.heldStart = held })
+			fixture.order()
+			call := <-held
+			fixture.supervisor.Close()
+			fixture.startSupervisor()
+			fixture.supervisor.Announce(Announcement{
+				Incarnation: Incarnation{ID: "i-1", StartedAt: 10}, Sequence: 2, Capacity: unit.Resources{CPU: 4000, Memory: 4000}, Draining: test.draining,
+			})
+			fixture.passUntil("a listing", func() bool { return fixture.supervisor.worker.clockReadAt != 0 })
+			fixture.grant(fixture.report())
+			if test.otherRun {
+				fixture.receive(&session.Orders{Starts: []session.Start{{
+					Incarnation: "i-1@10@node", Task: "0123456789abcdef.0.0.1", Run: 1, Reserved: unit.Resources{CPU: 3000, Memory: 10},
+				}}})
+				fixture.passUntil("the other start", func() bool {
+					fixture.worker.mu.Lock()
+					defer fixture.worker.mu.Unlock()
+					return len(fixture.worker.started) == 1
+				})
+			}
+			fixture.order()
+			fixture.passUntil("a rejection", func() bool { return len(fixture.supervisor.rejections) > 0 })
+			fixture.report()
+			if len(fixture.rejections) != 1 || fixture.rejections[0].Reason != test.wantReason {
+				t.Errorf("got rejections %+v, want one for %q", fixture.rejections, test.wantReason)
+			}
+			fixture.worker.update(func() {
+				if err := fixture.worker.start(call); !IsErrRefused(err) {
+					t.Errorf("got %v for the late start of a rejected run, want a refusal", err)
+				}
+			})
+		})
+	}
+}
