--- a/coordinator/agents.go
+++ b/coordinator/agents.go
@@ -68,8 +68,11 @@
 	expectedSent bool
 	// storedEnd is the highest number of a run's end that is stored.
 	storedEnd int64
-	// lastSequence is the sequence number of the newest report.
+	// lastSequence is the sequence number of the newest report, which arrived at reportedAt.
 	lastSequence uint64
+	reportedAt   clock.Time
+	// overdue reports that the next report is missing.
+	overdue bool
 	// grantedAt is when the lease of the present incarnation was last granted or denied, or 0.
 	grantedAt clock.Time
 	// weightsSentAt is when interference weights were last compared with those that were sent, sentWeights.
@@ -145,7 +148,7 @@
 	if agent.closed {
 		return
 	}
-	orders.Term = coordinator.leadership.Term.Number
+	orders.Term, orders.Sequence = coordinator.leadership.Term.Number, agent.lastSequence
 	select {
 	case agent.queue <- orders:
 	default:
@@ -160,7 +163,7 @@
 		return
 	}
 	now := coordinator.deps.Clock.Now()
-	agent.lastSequence = report.Sequence
+	agent.lastSequence, agent.reportedAt = report.Sequence, now
 	if report.Worker != nil {
 		coordinator.updateWorker(agent, report.Worker, now)
 	}
@@ -188,7 +191,7 @@
 	}
 	agent.grantedAt = now
 	orders := &session.Orders{
-		Sequence: agent.lastSequence, StoredEnds: agent.storedEnd, Incarnation: string(agent.incarnation),
+		StoredEnds: agent.storedEnd, Incarnation: string(agent.incarnation),
 		LeaderLeaseEnded: now.After(clock.Time(coordinator.validUntil.Load())),
 	}
 	if coordinator.updateGrantsEnded(now) {
@@ -197,6 +200,10 @@
 	}
 	orders.Lease = coordinator.workerLease
 	if agent.incarnation != "" {
+		if previous := coordinator.grants[agent.node]; previous.lapsed && previous.incarnation == agent.incarnation {
+			klog.InfoS("Worker returns after its lapse", "Node", agent.node, "Worker", agent.incarnation, "Responsive", agent.responsive)
+			coordinator.scheduler.SetReachable(agent.incarnation, agent.responsive)
+		}
 		coordinator.grants[agent.node] = leaseGrant{incarnation: agent.incarnation, at: now}
 	}
 	if now.Sub(agent.weightsSentAt) >= weightsInterval {
@@ -387,7 +394,7 @@
 		}
 	}
 	for step, runs := range placed {
-		klog.InfoS("Place", "Job", step.Job, "Occurrence", step.Occurrence, "Step", step.Step, "Runs", runs)
+		klog.InfoS("Place", "Job", step.Job, "Occurrence", step.Occurrence, "Step", step.Step, "Runs", runs, "RoundMillis", int64(coordinator.roundDuration))
 	}
 	for _, agent := range coordinator.sessions {
 		if batch, ok := byWorker[agent.incarnation]; ok {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -111,6 +111,7 @@
 	// onceStored holds actions that must wait until the scheduler's present state is stored.
 	onceStored     []func()
 	startedAt      clock.Time
+	attention      attention
 	outDataCentres set.Set[ident.DataCentre]
 	// waitingLoggedAt is when the numbers of waiting tasks were last logged.
 	waitingLoggedAt clock.Time
@@ -239,6 +240,18 @@
 		}
 	}
 	coordinator.archive(now)
+	coordinator.recordLapses(now)
+	if now.Sub(coordinator.startedAt) > election.InheritedLeaseWait(coordinator.workerLease) {
+		for _, incarnation := range coordinator.scheduler.Orphans() {
+			coordinator.counters.workersAwaited.Inc()
+			klog.InfoS("Worker did not return", "Worker", incarnation, "Term", coordinator.leadership.Term.Number)
+			coordinator.scheduler.RemoveWorker(incarnation)
+		}
+	}
+}
+
+// recordLapses ends the runs of the workers whose lease has certainly ended.
+func (coordinator *Coordinator) recordLapses(now clock.Time) {
 	for node, grant := range coordinator.grants {
 		if grant.lapsed || now.Sub(grant.at) <= election.WorkerStoppedAfter(coordinator.workerLease) {
 			continue
@@ -250,6 +263,7 @@
 	}
 	if now.Sub(coordinator.startedAt) > election.InheritedLeaseWait(coordinator.workerLease) {
 		for _, incarnation := range coordinator.scheduler.Orphans() {
+			coordinator.counters.workersAwaited.Inc()
 			coordinator.counters.workersAwaited.Inc()
 			klog.InfoS("Worker did not return", "Worker", incarnation, "Term", coordinator.leadership.Term.Number)
 			coordinator.scheduler.RemoveWorker(incarnation)
--- a/supervisor/leadersession.go
+++ b/supervisor/leadersession.go
@@ -15,7 +15,7 @@
 const (
 	// reportInterval is how often a report is sent. Each one renews the lease, so the worker keeps its runs if the
 	// leader does not answer for up to the length of the lease minus reportInterval.
-	reportInterval = 600 * clock.Millisecond
+	reportInterval = session.ReportInterval
 	// progressInterval is the shortest time between two reports of the progress of all runs: that of a sample of the
 	// worker. The reports of reportInterval have it, those of an end only if it has passed.
 	progressInterval = 500 * clock.Millisecond
@@ -55,6 +55,8 @@
 	sentAt map[uint64]clock.Time
 	// reportedWorker is the last profile of the worker that was reported.
 	reportedWorker *session.Worker
+	// lapseSequence is the number of the last report that said that the worker has lapsed, or 0.
+	lapseSequence uint64
 	// reportedIncarnation is the last incarnation that was reported.
 	reportedIncarnation string
 	// reportedEnd is the number of the last end that was reported.
@@ -233,7 +235,7 @@
 		supervisor.grant.term = orders.Term
 	}
 	if sentAt, ok := supervisor.session.sentAt[orders.Sequence]; ok && orders.Lease > 0 {
-		supervisor.grant.until = max(supervisor.grant.until, sentAt.Add(orders.Lease))
+		supervisor.extendGrant(sentAt.Add(orders.Lease))
 		for sequence := range supervisor.session.sentAt {
 			if sequence < orders.Sequence {
 				delete(supervisor.session.sentAt, sequence)
@@ -244,6 +246,23 @@
 	return true
 }
 
+// extendGrant records that the worker's lease is granted until a time.
+func (supervisor *Supervisor) extendGrant(until clock.Time) {
+	now := supervisor.clock.Now()
+	if ended := supervisor.grant.until; ended != 0 && !now.Before(ended) && now.Before(until) {
+		waiting := 0
+		if supervisor.worker != nil {
+			for _, run := range supervisor.worker.runs {
+				if run.phase == phaseStarting {
+					waiting++
+				}
+			}
+		}
+		klog.InfoS("Lease granted after its end", "Term", supervisor.grant.term, "EndedMillis", int64(now.Sub(ended)), "WaitingStarts", waiting)
+	}
+	supervisor.grant.until = max(supervisor.grant.until, until)
+}
+
 // nextReport returns a report with everything that has changed since the last one. The lease is granted from the
 // time at which a report is sent.
 func (supervisor *Supervisor) nextReport() *session.Report {
@@ -268,6 +287,10 @@
 	}
 	if !reflect.DeepEqual(state.reportedWorker, profile) {
 		report.Worker, state.reportedWorker = profile, profile
+		if profile.Lapsed {
+			state.lapseSequence = state.sequence
+			worker.endStarts(now)
+		}
 	}
 	for _, end := range worker.listing.Ended {
 		if end.Number > state.reportedEnd {
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -11,6 +11,9 @@
 	"hyssopjunction/session"
 )
 
+// reasonLeaseEnded is why a start is given up that was ordered under a lease that has ended.
+const reasonLeaseEnded = "LeaseEnded"
+
 // applyOrders applies orders of the leader to the worker. Orders for another incarnation are ignored.
 func (supervisor *Supervisor) applyOrders(orders *session.Orders) {
 	worker := supervisor.worker
@@ -28,20 +31,35 @@
 			supervisor.applyStop(worker, order)
 		}
 	}
+	leaseEnd := supervisor.grant.until
+	if orders.Sequence < supervisor.session.lapseSequence {
+		leaseEnd = min(leaseEnd, supervisor.clock.Now())
+	}
 	for _, order := range orders.Starts {
 		if order.Incarnation == worker.incarnation {
-			supervisor.applyStart(worker, order)
+			supervisor.applyStart(worker, order, leaseEnd)
+		}
+	}
+}
+
+// endStarts ends the lease under which the runs were ordered that have not started yet.
+func (worker *workerState) endStarts(now clock.Time) {
+	for _, run := range worker.runs {
+		if run.phase == phaseStarting {
+			run.leaseEnd = min(run.leaseEnd, now)
 		}
 	}
 }
 
-// applyStart starts a run if it is new and fits on the worker, and rejects it otherwise.
-func (supervisor *Supervisor) applyStart(worker *workerState, order session.Start) {
+// applyStart starts a run if it is new and fits on the worker, and gives it up otherwise. leaseEnd is the end of the lease
+// under which it was ordered.
+func (supervisor *Supervisor) applyStart(worker *workerState, order session.Start, leaseEnd clock.Time) {
 	key := runKey{order.Task, order.Run}
 	if run, ok := worker.runs[key]; ok {
 		if !run.hasOrder {
 			run.order, run.hasOrder = order, true
 		}
+		run.leaseEnd = leaseEnd
 		return
 	}
 	for _, end := range worker.listing.Ended {
@@ -49,28 +67,15 @@
 			return // The leader has not received the end of the run yet.
 		}
 	}
-	if worker.announcement.Draining {
-		supervisor.reject(worker, order, "Draining")
-		return
-	}
+	run := &runState{order: order, phase: phaseStarting, pacePercent: pacing.FullPace, hasOrder: true, orderedAt: supervisor.clock.Now(), leaseEnd: leaseEnd}
 	if !worker.reserved().Add(order.Reserved).FitsIn(worker.announcement.Capacity) {
-		supervisor.reject(worker, order, "Room")
-		return
+		run.order = session.Start{Task: order.Task, Run: order.Run} // It reserves nothing while it is being refused.
+		supervisor.giveUpStart(run, "Room")
 	}
-	run := &runState{order: order, phase: phaseStarting, pacePercent: pacing.FullPace, hasOrder: true, orderedAt: supervisor.clock.Now()}
 	worker.runs[key] = run
 	supervisor.callWorker(worker, run)
 }
 
-// reject reports to the leader that a run was not started.
-func (supervisor *Supervisor) reject(worker *workerState, order session.Start, reason string) {
-	klog.InfoS("Start refused", "Task", order.Task, "Run", order.Run, "Reason", reason)
-	supervisor.rejections = append(supervisor.rejections, session.Rejection{
-		Incarnation: worker.incarnation, Task: order.Task, Run: order.Run, Reason: reason,
-	})
-	supervisor.requestReport()
-}
-
 // applyStop stops a run. A run that the worker has not started is stopped too, so that it refuses a late start.
 func (supervisor *Supervisor) applyStop(worker *workerState, order session.Stop) {
 	key := runKey{order.Task, order.Run}
@@ -166,11 +171,15 @@
 	}
 	if run.phase == phaseStarting {
 		// Once a run is stopped, the worker refuses it, also if an earlier start arrives late.
-		switch {
+		switch now := supervisor.clock.Now(); {
 		case worker.announcement.Draining:
-			run.phase, run.reason = phaseStopping, "Draining"
-		case supervisor.clock.Now().Sub(run.orderedAt) > maxStartAge:
-			run.phase, run.reason = phaseStopping, "Overdue"
+			supervisor.giveUpStart(run, "Draining")
+		case !now.Before(run.leaseEnd):
+			// The leader may have declared the lapse of the lease and placed the task elsewhere. A later grant does not
+			// tell whether it has.
+			supervisor.giveUpStart(run, reasonLeaseEnded)
+		case now.Sub(run.orderedAt) > maxStartAge:
+			supervisor.giveUpStart(run, "Overdue")
 		}
 	}
 	switch run.phase {
@@ -193,6 +202,15 @@
 	return nil, false
 }
 
+// giveUpStart makes the next call for a run that has not started a stop. The run is rejected only after the worker has
+// confirmed it, because an earlier process of the agent may have made a start call that is carried out later.
+func (supervisor *Supervisor) giveUpStart(run *runState, reason string) {
+	now := supervisor.clock.Now()
+	klog.InfoS("Start given up", "Task", run.order.Task, "Run", run.order.Run, "Reason", reason,
+		"AgeMillis", int64(now.Sub(run.orderedAt)), "LeaseLeftMillis", int64(run.leaseEnd.Sub(now)), "GrantLeftMillis", int64(supervisor.grant.until.Sub(now)))
+	run.phase, run.reason = phaseStopping, reason
+}
+
 // handleAnswer processes the outcome of a start or a stop and reports whether the run needs another call.
 func (supervisor *Supervisor) handleAnswer(worker *workerState, run *runState, stop bool, err error) bool {
 	if supervisor.worker != worker || IsErrOtherIncarnation(err) {
