Send starts only while the leader's own lease holds

Cause: a round's orders were sent whenever its outcome became known. A leader that stood still, or whose answer was lost until its successor led, then started tasks in the later term without knowing of cancellations, ends and data centres of that term. CommitUntilKnown rightly takes a conflict that shows the transaction's own values for a success, but success says nothing about the term. Nothing but the agents' own change of leaders stood against it.

Change: the leader places tasks and sends starts only before the end of its own lease. Starts of stored runs that are withheld are sent with the first round after a renewal, without those of jobs that were cancelled and runs that ended since. Stops are sent always.

--- a/coordinator/agents.go
+++ b/coordinator/agents.go
@@ -320,6 +320,7 @@
 	if len(orders) == 0 {
 		return
 	}
+	maySendStarts := coordinator.maySendStarts(coordinator.deps.Clock.Now())
 	byWorker := map[scheduler.Incarnation]*session.Orders{}
 	// placed holds the index, run number and worker of the placed tasks by step. One line for each run would take a
 	// tenth of the leader's processor time when wide steps start.
@@ -336,6 +337,10 @@
 			batch.Stops = append(batch.Stops, session.Stop{Incarnation: string(order.Worker), Task: order.Name.String(), Run: order.Run})
 			continue
 		}
+		if !maySendStarts {
+			coordinator.withholdStart(order.Worker)
+			continue
+		}
 		if start, ok := newStart(order); ok {
 			coordinator.counters.starts.Inc()
 			step := order.Name
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -107,7 +107,11 @@
 	renewedAt    clock.Time
 	roundEndedAt clock.Time
 	// onceStored holds actions that must wait until the scheduler's present state is stored.
-	onceStored     []func()
+	onceStored []func()
+	// withheld holds the workers with stored runs whose starts were not sent.
+	withheld set.Set[scheduler.Incarnation]
+	// sendsStarts is the last result of maySendStarts.
+	sendsStarts    bool
 	startedAt      clock.Time
 	outDataCentres set.Set[ident.DataCentre]
 	// waitingLoggedAt is when the numbers of waiting tasks were last logged.
@@ -133,7 +137,7 @@
 		deps: deps, leadership: leadership, workerLease: workerLease, loop: loop.New(), ctx: runCtx, cancel: cancel, lost: make(chan struct{}),
 		scheduler: scheduler.New(), sessions: map[string]*agentSession{}, grants: map[string]leaseGrant{},
 		stateVersions: map[workflow.ID]store.Version{}, inboxVersions: map[workflow.ID]intake.Versions{}, endedAt: map[workflow.ID]clock.Time{}, heartbeat: election.Heartbeat{Term: leadership.Term.Number}, heartbeatVersion: leadership.HeartbeatVersion,
-		counters: newCounters(), renewedAt: leadership.Sent, startedAt: deps.Clock.Now(), jobStates: map[workflow.ID]workflow.State{},
+		counters: newCounters(), withheld: set.New[scheduler.Incarnation](), renewedAt: leadership.Sent, startedAt: deps.Clock.Now(), jobStates: map[workflow.ID]workflow.State{},
 	}
 	coordinator.validUntil.Store(int64(leadership.Sent.Add(election.LeaderLease)))
 	version, err := coordinator.load(ctx)
--- a/coordinator/counters.go
+++ b/coordinator/counters.go
@@ -9,21 +9,23 @@
 // counters are the metrics of the coordinator. All terms of a process share them.
 type counters struct {
 	terms, rounds, starts, stops, rejections *metrics.Counter
+	withheldStarts                           *metrics.Counter
 	finished, faulted, interrupted           *metrics.Counter
 	roundMillis                              *metrics.Histogram
 }
 
 func newCounters() counters {
 	return counters{
-		terms:       metrics.GetOrCreateCounter("hyssopjunction_coordinator_terms_total"),
-		rounds:      metrics.GetOrCreateCounter("hyssopjunction_coordinator_rounds_total"),
-		starts:      metrics.GetOrCreateCounter("hyssopjunction_coordinator_starts_total"),
-		stops:       metrics.GetOrCreateCounter("hyssopjunction_coordinator_stops_total"),
-		rejections:  metrics.GetOrCreateCounter("hyssopjunction_coordinator_rejections_total"),
-		finished:    metrics.GetOrCreateCounter(`hyssopjunction_coordinator_ends_total{cause="Finished"}`),
-		faulted:     metrics.GetOrCreateCounter(`hyssopjunction_coordinator_ends_total{cause="Faulted"}`),
-		interrupted: metrics.GetOrCreateCounter(`hyssopjunction_coordinator_ends_total{cause="Interrupted"}`),
-		roundMillis: metrics.GetOrCreateHistogram("hyssopjunction_coordinator_round_millis"),
+		terms:          metrics.GetOrCreateCounter("hyssopjunction_coordinator_terms_total"),
+		rounds:         metrics.GetOrCreateCounter("hyssopjunction_coordinator_rounds_total"),
+		starts:         metrics.GetOrCreateCounter("hyssopjunction_coordinator_starts_total"),
+		stops:          metrics.GetOrCreateCounter("hyssopjunction_coordinator_stops_total"),
+		withheldStarts: metrics.GetOrCreateCounter("hyssopjunction_coordinator_withheld_starts_total"),
+		rejections:     metrics.GetOrCreateCounter("hyssopjunction_coordinator_rejections_total"),
+		finished:       metrics.GetOrCreateCounter(`hyssopjunction_coordinator_ends_total{cause="Finished"}`),
+		faulted:        metrics.GetOrCreateCounter(`hyssopjunction_coordinator_ends_total{cause="Faulted"}`),
+		interrupted:    metrics.GetOrCreateCounter(`hyssopjunction_coordinator_ends_total{cause="Interrupted"}`),
+		roundMillis:    metrics.GetOrCreateHistogram("hyssopjunction_coordinator_round_millis"),
 	}
 }
 
--- a/coordinator/write.go
+++ b/coordinator/write.go
@@ -22,7 +22,8 @@
 	if coordinator.writing || coordinator.ctx.Err() != nil || now.Sub(coordinator.roundEndedAt) < minRoundPause {
 		return
 	}
-	if coordinator.updateOutDataCentres() {
+	if coordinator.maySendStarts(now) && coordinator.updateOutDataCentres() {
+		coordinator.resumeStarts()
 		coordinator.scheduler.Plan(now, coordinator.deps.TimeOfDay())
 	}
 	jobs, orders := coordinator.scheduler.TakeChanges()
