Start tasks only with a known inbox

Cause: a leader went on placing and starting tasks however long it heard nothing of the inbox. The change feed waited for 2 s, so a silent one was noticed after 2.3 to 3.5 s (the timeout of a call doubles while the store is silent), while the leader's transactions were stored, by way of other entries if need be.

Change: the feed waits for 0.4 s, and the leader notes of what time its knowledge of the inbox is: the sending of the last answered call, or the end of the wait of one that brought nothing. Once that is over 1 s ago it neither places nor starts anything. 1 s is what 3 s leave beside the 1.8 s for which an agent attempts a start, and 0.2 s for the messages. Weighed: to list the inbox after each failed call (16 reads each, and the next call is relayed anyway); agents that ask for cancellations before each start (a call to an entry for each start, and they know no more than the leader).

Reads of the leader rise by up to 2 a second.

--- a/coordinator/agents_test.go
+++ b/coordinator/agents_test.go
@@ -24,6 +24,7 @@
 		deps: Dependencies{Clock: source}, scheduler: scheduler.New(), sessions: map[string]*agentSession{}, grants: map[string]leaseGrant{}, ctx: t.Context(), counters: newCounters(), withheld: set.New[scheduler.Incarnation](),
 	}
 	coordinator.validUntil.Store(int64(source.Now().Add(election.LeaderLease)))
+	coordinator.inboxAsOf = source.Now()
 	return coordinator, source
 }
 
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -108,6 +108,8 @@
 	roundEndedAt clock.Time
 	// onceStored holds actions that must wait until the scheduler's present state is stored.
 	onceStored []func()
+	// inboxAsOf is a time before which no row was stored in the inbox that this leader has not read.
+	inboxAsOf clock.Time
 	// withheld holds the workers with stored runs whose starts were not sent.
 	withheld set.Set[scheduler.Incarnation]
 	// sendsStarts is the last result of maySendStarts.
--- a/coordinator/inbox.go
+++ b/coordinator/inbox.go
@@ -16,9 +16,9 @@
 
 // Times of reading the store.
 const (
-	// changesWait is how long a call to the change feed waits for changes. It limits the time after which
-	// a dead connection is noticed.
-	changesWait = 2 * clock.Second
+	// changesWait is how long a call to the change feed waits for changes. Together with the timeout of a call it limits
+	// the time after which a silent feed is noticed, and must be well below maxInboxAge.
+	changesWait = 400 * clock.Millisecond
 	// storeRetryPause is the pause between attempts while the store does not answer.
 	storeRetryPause = 150 * clock.Millisecond
 )
@@ -29,6 +29,7 @@
 // load reads jobs, states and learned weights, and returns the version after which the inbox must be
 // followed. The tables can be read concurrently, because only the leader writes states and weights.
 func (coordinator *Coordinator) load(ctx context.Context) (store.Version, error) {
+	asOf := coordinator.deps.Clock.Now()
 	var inbox, stateRows, weights store.Rows
 	group, ctx := errgroup.WithContext(ctx)
 	for table, rows := range map[store.Table]*store.Rows{intake.Table: &inbox, stateTable: &stateRows, weightsTable: &weights} {
@@ -49,6 +50,7 @@
 		coordinator.loadWeights(weights.Rows)
 		coordinator.applyInbox(inbox.Rows, states)
 		coordinator.addOrphanedStates(states)
+		coordinator.inboxAsOf = asOf
 	})
 	return inbox.Version, nil
 }
@@ -152,22 +154,22 @@
 func (coordinator *Coordinator) followInbox(after store.Version) {
 	healthy := true
 	for coordinator.ctx.Err() == nil {
+		sent := coordinator.deps.Clock.Now()
 		changes, err := coordinator.deps.Store.Changes(coordinator.ctx, intake.Table, after, changesWait)
 		if err == nil {
 			if !healthy {
 				klog.InfoS("Change feed of the inbox restored")
 			}
 			healthy, after = true, changes.Version
-			if len(changes.Rows) > 0 {
-				coordinator.post(func() { coordinator.applyInbox(changes.Rows, nil) })
-			}
+			coordinator.postInbox(changes.Rows, changesAsOf(sent, coordinator.deps.Clock.Now(), len(changes.Rows)))
 			continue
 		}
 		if store.IsErrHistoryGone(err) {
 			klog.InfoS("Inbox listed again: its change history is gone", "After", after)
+			sent = coordinator.deps.Clock.Now()
 			if inbox, err := coordinator.listAll(coordinator.ctx, intake.Table); err == nil {
 				after = inbox.Version
-				coordinator.post(func() { coordinator.applyInbox(inbox.Rows, nil) })
+				coordinator.postInbox(inbox.Rows, sent)
 			}
 			continue
 		}
@@ -181,3 +183,20 @@
 		}
 	}
 }
+
+// postInbox passes rows of the inbox to the control loop. They include all rows that were stored before asOf.
+func (coordinator *Coordinator) postInbox(rows []store.Row, asOf clock.Time) {
+	coordinator.post(func() {
+		coordinator.applyInbox(rows, nil)
+		coordinator.inboxAsOf = max(coordinator.inboxAsOf, asOf)
+	})
+}
+
+// changesAsOf returns a time before which no row was stored that an answer of the change feed lacks. An answer without
+// changes that took changesWait was given after the store had waited as long.
+func changesAsOf(sent, answered clock.Time, changes int) clock.Time {
+	if changes == 0 && answered.Sub(sent) >= changesWait {
+		return sent.Add(changesWait)
+	}
+	return sent
+}
--- a/coordinator/starts.go
+++ b/coordinator/starts.go
@@ -8,14 +8,21 @@
 	"hyssopjunction/set"
 )
 
+// maxInboxAge is how old the leader's knowledge of the inbox may be while it starts tasks. A job's tasks must not be
+// started later than 3 s after its cancellation was acknowledged, and an agent attempts a start for up to 1.8 s.
+const maxInboxAge = clock.Second
+
 // maySendStarts reports whether tasks may be placed and started: only while no other entry can lead, because a later
-// leader knows of cancellations, ends and data centres of which this one does not.
+// leader knows of cancellations, ends and data centres of which this one does not, and while this leader follows the
+// inbox.
 func (coordinator *Coordinator) maySendStarts(now clock.Time) bool {
 	leaseEnd := clock.Time(coordinator.validUntil.Load())
-	may := now.Before(leaseEnd)
+	inboxAge := now.Sub(coordinator.inboxAsOf)
+	may := now.Before(leaseEnd) && inboxAge <= maxInboxAge
 	if may != coordinator.sendsStarts {
 		coordinator.sendsStarts = may
-		klog.InfoS("Starts allowed", "Allowed", may, "Term", coordinator.leadership.Term.Number, "LeaseLeftMillis", int64(leaseEnd.Sub(now)), "WithheldWorkers", coordinator.withheld.Len())
+		klog.InfoS("Starts allowed", "Allowed", may, "Term", coordinator.leadership.Term.Number,
+			"LeaseLeftMillis", int64(leaseEnd.Sub(now)), "InboxAgeMillis", int64(inboxAge), "WithheldWorkers", coordinator.withheld.Len())
 	}
 	return may
 }
