Decide a worker's call when it has a call slot

Cause: an agent decided to start a run, then waited for one of its six call slots, and then made the call whatever had happened meanwhile. While a worker hangs, the calls of other runs hold the slots for up to 0.5 s each, so a start could go out seconds after the run was stopped, the worker began to drain or the order was overdue: neither a stop nor maxStartAge held it back.

Change: the slot is taken first, the call decided then. A run that waits for a lease or for a silent worker holds no slot.

TestStartThatWaitedForCallSlotIsDecidedAgain failed before in its three cases, "run is stopped", "worker drains" and "order is old" ("a rejection did not happen within 5s": the run was started), and passes after. ./supervisor passes with the race detector.

--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -104,11 +104,13 @@
 	run.callPending = true
 	supervisor.background(func() {
 		timeout := firstCallTimeout
-		for retry := true; retry && supervisor.baseContext.Err() == nil; {
+		for retry := true; retry && supervisor.takeCallSlot(); {
 			var call func(context.Context) error
 			var stop bool
+			// Decided only now, because the run may have been stopped or become overdue while it waited for the slot.
 			supervisor.loop.Call(func() { call, stop = supervisor.nextCall(worker, run) })
 			if call == nil {
+				supervisor.releaseCallSlot()
 				supervisor.loop.Call(func() { retry = supervisor.worker == worker && run.phase == phaseStarting })
 				if retry {
 					supervisor.sleep(callRetryInterval)
@@ -116,6 +118,7 @@
 				continue
 			}
 			err, timedOut := supervisor.callWithTimeout(call, timeout)
+			supervisor.releaseCallSlot()
 			retry = false
 			supervisor.loop.Call(func() { retry = supervisor.handleAnswer(worker, run, stop, err) })
 			switch {
@@ -129,15 +132,24 @@
 	})
 }
 
-// callWithTimeout makes a call and reports whether it got no answer within the timeout. The time spent waiting for
-// a call slot does not count.
-func (supervisor *Supervisor) callWithTimeout(call func(context.Context) error, timeout clock.Millis) (err error, timedOut bool) {
+// takeCallSlot waits for a call slot. It returns false if the supervisor is closed before it has one.
+func (supervisor *Supervisor) takeCallSlot() bool {
+	if supervisor.baseContext.Err() != nil {
+		return false
+	}
 	select {
 	case supervisor.callSlots <- struct{}{}:
+		return true
 	case <-supervisor.baseContext.Done():
-		return supervisor.baseContext.Err(), false
+		return false
 	}
-	defer func() { <-supervisor.callSlots }()
+}
+
+func (supervisor *Supervisor) releaseCallSlot() { <-supervisor.callSlots }
+
+// callWithTimeout makes a call, for which the caller holds a call slot, and reports whether it got no answer within the
+// timeout.
+func (supervisor *Supervisor) callWithTimeout(call func(context.Context) error, timeout clock.Millis) (err error, timedOut bool) {
 	ctx, cancel := context.WithTimeout(supervisor.baseContext, timeout.Duration())
 	defer cancel()
 	err = call(ctx)
@@ -234,7 +246,11 @@
 	run.callPending = true
 	call := PaceCall{Incarnation: worker.announcement.Incarnation, Task: run.order.Task, Run: run.order.Run, Percent: pace, Token: supervisor.grant.term}
 	supervisor.background(func() {
+		if !supervisor.takeCallSlot() {
+			return
+		}
 		err, _ := supervisor.callWithTimeout(func(ctx context.Context) error { return supervisor.runtime.Pace(ctx, call) }, firstCallTimeout)
+		supervisor.releaseCallSlot()
 		supervisor.loop.Call(func() {
 			if err == nil {
 				run.pacePercent = pace
