relay: calls that wait for changes are no trials of the direct way

What callers saw: nothing by itself. A leader whose machine the store doesn't answer now withholds starts while it hears nothing of the inbox, and heard nothing of it again and again.

Cause: a second after a direct call failed, the next call tries the direct way again. If that is the change feed's and the store is silent, it takes the wait and the timeout of a call to fail, up to 1.9 s; then it is relayed for a second, and so on, as long as the store is silent for that machine.

Change: while the store doesn't answer directly, calls that wait for changes are always relayed. The other calls, at least one a second by each entry (polls of the election, renewals), find out when it answers again.

TestWaitingCallIsNoTrial failed before ("1 direct calls that wait for changes, want none while the store does not answer directly").

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -23,7 +23,7 @@
 	// It covers the store's longest response time when it is slow and the latency between entries.
 	relayTimeout = 900 * clock.Millisecond
 	// closeDelay is the time after which a replaced connection is closed. It exceeds the duration of the
-	// calls that may still be active on it: the change feed waits for 2 s.
+	// calls that may still be active on it: change feeds wait for up to 0.9 s.
 	closeDelay = 3 * clock.Second
 )
 
@@ -110,7 +110,7 @@
 // decides whether to repeat the call, which then takes another path.
 func (relay *Store) call(ctx context.Context, request *session.RelayRequest, directCall func() (*session.RelayReply, error)) (*session.RelayReply, error) {
 	var lastErr error = store.ErrUnavailable{Reason: "the store did not answer a moment ago"}
-	if !relay.bypassesDirect() {
+	if !relay.bypassesDirect(request) {
 		reply, err := directCall()
 		if !store.IsErrUnavailable(err) && !store.IsErrUnknown(err) {
 			relay.setDirectFailure(0)
@@ -140,10 +140,14 @@
 	return nil, lastErr
 }
 
-// bypassesDirect reports whether calls are relayed without a direct attempt.
-func (relay *Store) bypassesDirect() bool {
+// bypassesDirect reports whether a call is relayed without a direct attempt. Other calls than those that wait for changes
+// find out whether the store answers directly again: a silent store shows sooner in them.
+func (relay *Store) bypassesDirect(request *session.RelayRequest) bool {
 	failedAt := clock.Time(relay.failedAt.Load())
-	return failedAt != 0 && len(relay.addresses) > 0 && relay.clock.Now().Sub(failedAt) < directRetryDelay
+	if failedAt == 0 || len(relay.addresses) == 0 {
+		return false
+	}
+	return request.Changes != nil || relay.clock.Now().Sub(failedAt) < directRetryDelay
 }
 
 // setDirectFailure records the time of a failed direct call, or 0 after a successful one, and logs a change
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -140,6 +140,37 @@
 	}
 }
 
+// TestWaitingCallIsNoTrial guards against a change feed that is silent again and again, because each of its calls tries
+// whether the store answers directly, which takes as long as the call may wait for changes.
+func TestWaitingCallIsNoTrial(t *testing.T) {
+	t.Parallel()
+	relay, direct, _ := newRelay(t)
+	source := clock.NewFake(clock.Time(clock.Minute))
+	relay.clock = source
+	calls := func(call func() error) int64 {
+		t.Helper()
+		before := direct.calls.Load()
+		if err := call(); err != nil {
+			t.Fatal(err)
+		}
+		return direct.calls.Load() - before
+	}
+	list := func() error { _, err := relay.List(t.Context(), "table", "", ""); return err }
+	changes := func() error { _, err := relay.Changes(t.Context(), "table", 3, 400); return err }
+	direct.fail(errUnavailable)
+	if got := calls(list); got != 1 {
+		t.Fatalf("%d direct calls, want 1", got)
+	}
+	source.Advance(directRetryDelay + 1)
+	if got := calls(changes); got != 0 {
+		t.Errorf("%d direct calls that wait for changes, want none while the store does not answer directly", got)
+	}
+	direct.err.Store(nil)
+	if got := calls(list) + calls(changes); got != 2 {
+		t.Errorf("%d direct calls after the store answers directly again, want 2", got)
+	}
+}
+
 // TestCloseEndsReplacedConnections guards against connections that are still open after Close, because they were
 // replaced a moment before and wait for calls that may still be active.
 func TestCloseEndsReplacedConnections(t *testing.T) {
