Log what tells the causes of a start after a cancellation apart

Change: one line for each cancellation of a job that isn't open, and one for each run that an agent starts more than 0.5 s after its order arrived, with the leader's term. Both are bounded by callers' requests and by runs.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -210,6 +210,7 @@
 	}
 	if submissionRow.Version == 0 {
 		_, err := intake.readEnded(ctx, id)
+		klog.InfoS("Cancellation of a job that is not open", "Job", id, "Archived", err == nil, "Error", err)
 		return err
 	}
 	outcome, reason := intake.commitUntilDecided(ctx, store.Tx{
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -11,6 +11,9 @@
 	"hyssopjunction/session"
 )
 
+// lateStartAge is the time from the arrival of an order to its start above which the start is logged.
+const lateStartAge = 500 * clock.Millisecond
+
 // applyOrders applies orders of the leader to the worker. Orders for another incarnation are ignored.
 func (supervisor *Supervisor) applyOrders(orders *session.Orders) {
 	worker := supervisor.worker
@@ -224,6 +227,9 @@
 		return run.phase == phaseStopping // The run was stopped or listed before its start was answered.
 	case err == nil:
 		run.phase, run.confirmedAt = phaseStarted, now
+		if age := now.Sub(run.orderedAt); age > lateStartAge {
+			klog.InfoS("Run started late", "Task", run.order.Task, "Run", run.order.Run, "AgeMillis", int64(age), "Term", supervisor.grant.term)
+		}
 		return false
 	case errors.As(err, &refused):
 		klog.InfoS("Worker refused a start", "Task", run.order.Task, "Run", run.order.Run, "Refusal", refused.Refusal, "Detail", refused.Detail)
