--- a/coordinator/counters.go
+++ b/coordinator/counters.go
@@ -9,6 +9,7 @@
 // counters are the metrics of the coordinator. All terms of a process share them.
 type counters struct {
 	terms, rounds, starts, stops, rejections *metrics.Counter
+	withheldStarts                           *metrics.Counter
 	finished, faulted, interrupted           *metrics.Counter
 	workerEnds, workersAwaited               *metrics.Counter
 	roundMillis                              *metrics.Histogram
@@ -20,6 +21,7 @@
 		rounds:         metrics.GetOrCreateCounter("hyssopjunction_coordinator_rounds_total"),
 		starts:         metrics.GetOrCreateCounter("hyssopjunction_coordinator_starts_total"),
 		stops:          metrics.GetOrCreateCounter("hyssopjunction_coordinator_stops_total"),
+		withheldStarts: metrics.GetOrCreateCounter("hyssopjunction_coordinator_withheld_starts_total"),
 		rejections:     metrics.GetOrCreateCounter("hyssopjunction_coordinator_rejections_total"),
 		finished:       metrics.GetOrCreateCounter(`hyssopjunction_coordinator_ends_total{cause="Finished"}`),
 		faulted:        metrics.GetOrCreateCounter(`hyssopjunction_coordinator_ends_total{cause="Faulted"}`),
--- a/coordinator/write.go
+++ b/coordinator/write.go
@@ -24,7 +24,8 @@
 		return
 	}
 	coordinator.updateOverdue(now)
-	if coordinator.updateOutDataCentres() {
+	if coordinator.maySendStarts(now) && coordinator.updateOutDataCentres() {
+		coordinator.resumeStarts()
 		coordinator.scheduler.Plan(now, coordinator.deps.TimeOfDay())
 	}
 	jobs, orders := coordinator.scheduler.TakeChanges()
