coordinator: count every grant that a worker may use towards its lapse

Two runs of one task are possible (TWICE). Cause: an agent that was restarted reports no worker until it has listed one. Its leader grants a lease all the same, and the agent extends its worker's lease with that grant. The leader kept only grants to sessions with a worker: if the session broke before the worker was reported, a lapse was counted from the grant before, and the wait for workers of earlier terms ignored it. Ruled out: granting nothing without a worker. A restarted agent would extend its worker's lease one round trip later. Change: the last grant is kept by node, and the checks of lapsed and of inherited workers count from it. Incarnation.Node names the node. Before: TestGrantWithoutWorkerDelaysLapse failed, "the run ended 2700ms after a grant to its node, want more than 10600ms" (worker reported before) and 5700ms (worker of an earlier term). After: both pass.

--- a/coordinator/agents.go
+++ b/coordinator/agents.go
@@ -183,9 +183,12 @@
 		return
 	}
 	agent.grantedAt = now
+	grant := coordinator.grants[agent.node]
+	grant.at = now
 	if agent.incarnation != "" {
-		coordinator.grants[agent.node] = leaseGrant{incarnation: agent.incarnation, at: now}
+		grant.incarnation, grant.lapsed = agent.incarnation, false
 	}
+	coordinator.grants[agent.node] = grant
 	orders := &session.Orders{
 		Sequence: agent.lastSequence, Lease: coordinator.workerLease, StoredEnds: agent.storedEnd, Incarnation: string(agent.incarnation),
 	}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -80,7 +80,7 @@
 	// The fields below, except jobStates, are used on the control loop only.
 	scheduler *scheduler.Scheduler
 	sessions  map[string]*agentSession
-	// grants holds the last lease of each worker by node.
+	// grants holds the last lease by node.
 	grants map[string]leaseGrant
 	// stateVersions holds the versions of the state rows of jobs.
 	stateVersions map[workflow.ID]store.Version
@@ -118,8 +118,10 @@
 	jobStates   map[workflow.ID]workflow.State
 }
 
-// leaseGrant is the last lease that was granted to a node's worker.
+// leaseGrant is the last lease that was granted to a node's agent.
 type leaseGrant struct {
+	// incarnation is the node's last worker, or empty. The agent extends the lease of any worker of the node with the
+	// grant, also of one that it has not reported yet.
 	incarnation scheduler.Incarnation
 	at          clock.Time
 	lapsed      bool
@@ -238,7 +240,7 @@
 	}
 	coordinator.archive(now)
 	for node, grant := range coordinator.grants {
-		if grant.lapsed || now.Sub(grant.at) <= election.WorkerStoppedAfter(coordinator.workerLease) {
+		if grant.lapsed || grant.incarnation == "" || now.Sub(grant.at) <= election.WorkerStoppedAfter(coordinator.workerLease) {
 			continue
 		}
 		klog.InfoS("Worker lapsed", "Node", node, "Worker", grant.incarnation, "SilentMillis", int64(now.Sub(grant.at)))
@@ -248,6 +250,9 @@
 	}
 	if now.Sub(coordinator.startedAt) > election.InheritedLeaseWait(coordinator.workerLease) {
 		for _, incarnation := range coordinator.scheduler.Orphans() {
+			if now.Sub(coordinator.grants[incarnation.Node()].at) <= election.WorkerStoppedAfter(coordinator.workerLease) {
+				continue
+			}
 			klog.InfoS("Worker did not return", "Worker", incarnation, "Term", coordinator.leadership.Term.Number)
 			coordinator.scheduler.RemoveWorker(incarnation)
 		}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -5,7 +5,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	"hyssopjunction/clock"
 	"hyssopjunction/ident"
@@ -422,19 +421,17 @@
 	return runs
 }
 
-// OtherIncarnations returns the incarnations of a node's worker other than the current one. They are found
-// by the suffix "@" and node of their names, so that those that only the jobs of an earlier leader name are
-// included.
+// OtherIncarnations returns the incarnations of a node's worker other than the current one, including those that
+// only the jobs of an earlier leader name.
 func (scheduler *Scheduler) OtherIncarnations(node string, current Incarnation) []Incarnation {
 	var others []Incarnation
-	suffix := "@" + node
 	for incarnation := range scheduler.workers {
-		if incarnation != current && strings.HasSuffix(string(incarnation), suffix) {
+		if incarnation != current && incarnation.Node() == node {
 			others = append(others, incarnation)
 		}
 	}
 	for incarnation := range scheduler.orphans {
-		if incarnation != current && strings.HasSuffix(string(incarnation), suffix) {
+		if incarnation != current && incarnation.Node() == node {
 			others = append(others, incarnation)
 		}
 	}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"hyssopjunction/clock"
 	"hyssopjunction/ident"
@@ -13,6 +14,15 @@
 // Incarnation identifies the period between a start of a worker and its end. No run outlives it.
 type Incarnation string
 
+// Node returns the node whose agent has the worker, or an empty string if the name of the incarnation has none.
+func (incarnation Incarnation) Node() string {
+	position := strings.LastIndexByte(string(incarnation), '@')
+	if position < 0 {
+		return ""
+	}
+	return string(incarnation[position+1:])
+}
+
 // Profile describes a worker, as reported by its agent.
 type Profile struct {
 	Incarnation Incarnation
