coordinator: grants of earlier leaders count towards the lapse of attached workers

Two runs of one task are possible (TWICE). Cause: a leader counted the lapse of an attached worker from its own last grant alone. If that grant did not reach the agent, the agent knows no term of this leader. It then asks the seeds for any leader and takes the first answer, which may be that of the earlier leader, whose extension lasts for 3 s of the new term. That one's grant may be up to 3 s younger. Ruled out: an agent that got one message of the new leader. It refuses orders of earlier terms. Change: the last grant of a node is at least the end of the extension of earlier leaders, for attached workers as for those that did not return. One function says so, and election.InheritedLeaseWait is gone. Before: TestEarlierLeaderDelaysLapse failed, "the run ended 10700ms after the takeover, want at least 13600ms". After: it passes. A worker that goes silent in the first 3 s of a term waits up to 3 s longer.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -240,25 +240,29 @@
 	}
 	coordinator.archive(now)
 	for node, grant := range coordinator.grants {
-		if grant.lapsed || grant.incarnation == "" || now.Sub(grant.at) <= election.WorkerStoppedAfter(coordinator.workerLease) {
+		silent := now.Sub(coordinator.lastGrant(node))
+		if grant.lapsed || grant.incarnation == "" || silent <= election.WorkerStoppedAfter(coordinator.workerLease) {
 			continue
 		}
-		klog.InfoS("Worker lapsed", "Node", node, "Worker", grant.incarnation, "SilentMillis", int64(now.Sub(grant.at)))
+		klog.InfoS("Worker lapsed", "Node", node, "Worker", grant.incarnation, "SilentMillis", int64(silent))
 		grant.lapsed = true
 		coordinator.grants[node] = grant
 		coordinator.scheduler.RecordLeaseLapse(grant.incarnation)
 	}
-	if now.Sub(coordinator.startedAt) > election.InheritedLeaseWait(coordinator.workerLease) {
-		for _, incarnation := range coordinator.scheduler.Orphans() {
-			if now.Sub(coordinator.grants[incarnation.Node()].at) <= election.WorkerStoppedAfter(coordinator.workerLease) {
-				continue
-			}
+	for _, incarnation := range coordinator.scheduler.Orphans() {
+		if now.Sub(coordinator.lastGrant(incarnation.Node())) > election.WorkerStoppedAfter(coordinator.workerLease) {
 			klog.InfoS("Worker did not return", "Worker", incarnation, "Term", coordinator.leadership.Term.Number)
 			coordinator.scheduler.RemoveWorker(incarnation)
 		}
 	}
 }
 
+// lastGrant returns when the node was last granted a lease, by this leader or possibly by an earlier one. The agent may
+// have returned to an earlier leader after a grant of this one did not arrive.
+func (coordinator *Coordinator) lastGrant(node string) clock.Time {
+	return max(coordinator.grants[node].at, coordinator.startedAt.Add(election.GrantExtension))
+}
+
 // updateOutDataCentres passes the data centres that are out to the scheduler and reports whether they are
 // known. No task is placed before they are.
 func (coordinator *Coordinator) updateOutDataCentres() bool {
--- a/coordinator/lapse_test.go
+++ b/coordinator/lapse_test.go
@@ -77,3 +77,14 @@
 		})
 	}
 }
+
+// TestEarlierLeaderDelaysLapse guards against two runs of one task: an agent whose session with a new leader broke
+// before the first grant arrived returns to the earlier leader, which grants leases until its extension ends.
+func TestEarlierLeaderDelaysLapse(t *testing.T) {
+	coordinator, source := newLapseLeader(t)
+	coordinator.restoreRun()
+	coordinator.handleReport(newTestSession("side-1"), newWorkerReport())
+	if got, want := coordinator.lapsesAfter(t, source), election.GrantExtension+election.WorkerStoppedAfter(testLease); got < want {
+		t.Errorf("the run ended %s after the takeover, want at least %s", got, want)
+	}
+}
--- a/election/election.go
+++ b/election/election.go
@@ -174,9 +174,3 @@
 
 // workerStopMargin is the time that a worker may take to stop its tasks after its lease has ended.
 const workerStopMargin = 300 * clock.Millisecond
-
-// InheritedLeaseWait returns the time from a leader's takeover until all worker leases granted by earlier
-// leaders have certainly ended. Until then the leader must wait for workers without a session.
-func InheritedLeaseWait(lease clock.Millis) clock.Millis {
-	return GrantExtension + WorkerStoppedAfter(lease)
-}
