election: the heartbeat lists silent nodes, and waits count from their last grant

Cause: a leader knew nothing of the grants of former leaders. It assumed one at the end of their extension for every worker without a session, counted from its own start. Ruled out: a list of the last grants of all nodes, which each grant makes untrue; asking the former leader, which may be gone; listing all workers in the heartbeat that releases a term, because the next leader could then grant none of them a lease before its first write. The heartbeat's version tells enough there: all grants were made before it was read. Change: the heartbeat lists the nodes with active runs that had neither a grant nor a report for 2.1 s, with the age of the last grant. A leader grants no lease to a node that is listed in the stored heartbeat or in one whose outcome is not known; when such a node reports, it stores a heartbeat without the node at once and then grants. The next leader counts the age from when it first read the version that its takeover has as a condition, and passes the list on in the takeover. For other nodes it counts from the end of the last leader's extension since that reading, with drift (5.665 s), or, if the leader had released its term or was a process of the same entry, from the reading and for how long leaders before that one may still grant, which the heartbeat tells too. Leaders list inherited workers as well, from 2.1 s after their takeover. Rows without the list, of an earlier version, give the full wait. A listed node gets no new runs. `Workers inherited` and `Worker did not return` say what was known and for how long the leader waited. A worker that comes back while the store is away, after 2.1 s of silence, gets no lease until the store is back.

--- a/coordinator/agents.go
+++ b/coordinator/agents.go
@@ -70,8 +70,8 @@
 	storedEnd int64
 	// lastSequence is the sequence number of the newest report.
 	lastSequence uint64
-	// grantedAt is when the lease of the present incarnation was last granted, or 0.
-	grantedAt clock.Time
+	// answeredAt is when the agent was last answered for the present incarnation, or 0.
+	answeredAt clock.Time
 	// weightsSentAt is when interference weights were last compared with those that were sent, sentWeights.
 	weightsSentAt clock.Time
 	sentWeights   map[[2]pacing.Image]float64
@@ -161,6 +161,7 @@
 	}
 	now := coordinator.deps.Clock.Now()
 	agent.lastSequence = report.Sequence
+	coordinator.ledger.RecordReport(agent.node, now)
 	if report.Worker != nil {
 		coordinator.updateWorker(agent, report.Worker, now)
 	}
@@ -177,20 +178,19 @@
 }
 
 // grantLease extends the lease of the agent's worker unless that was done within grantInterval. The lease counts from
-// the moment at which the agent sent its newest report.
+// the moment at which the agent sent its newest report. The agent extends the lease of any worker of its node with it,
+// also of one that it has not reported yet.
 func (coordinator *Coordinator) grantLease(agent *agentSession, now clock.Time) {
-	if !coordinator.canGrantLeases() || agent.grantedAt != 0 && now.Sub(agent.grantedAt) < grantInterval {
+	if !coordinator.canGrantLeases() || agent.answeredAt != 0 && now.Sub(agent.answeredAt) < grantInterval {
 		return
 	}
-	agent.grantedAt = now
-	grant := coordinator.grants[agent.node]
-	grant.at = now
-	if agent.incarnation != "" {
-		grant.incarnation, grant.lapsed = agent.incarnation, false
-	}
-	coordinator.grants[agent.node] = grant
-	orders := &session.Orders{
-		Sequence: agent.lastSequence, Lease: coordinator.workerLease, StoredEnds: agent.storedEnd, Incarnation: string(agent.incarnation),
+	agent.answeredAt = now
+	orders := &session.Orders{Sequence: agent.lastSequence, StoredEnds: agent.storedEnd, Incarnation: string(agent.incarnation)}
+	if coordinator.ledger.Grant(agent.node, now) {
+		orders.Lease = coordinator.workerLease
+		if agent.incarnation != "" {
+			coordinator.workers[agent.node] = attachedWorker{incarnation: agent.incarnation}
+		}
 	}
 	orders.LeaderLeaseEnded = now.After(clock.Time(coordinator.validUntil.Load()))
 	if now.Sub(agent.weightsSentAt) >= weightsInterval {
@@ -236,7 +236,7 @@
 		coordinator.onceStored = append(coordinator.onceStored, func() { coordinator.sendExpected(agent) })
 		return
 	}
-	coordinator.scheduler.SetReachable(incarnation, worker.Responsive)
+	coordinator.updateReachable(agent)
 }
 
 // replaceWorker records that the node's worker has a new incarnation, which ends all other incarnations.
@@ -246,15 +246,16 @@
 		klog.InfoS("Worker replaced", "Node", agent.node, "Worker", earlier)
 		coordinator.scheduler.RemoveWorker(earlier)
 	}
-	agent.incarnation, agent.storedEnd, agent.expectedSent, agent.grantedAt = incarnation, 0, false, 0
+	agent.incarnation, agent.storedEnd, agent.expectedSent, agent.answeredAt = incarnation, 0, false, 0
 	clear(agent.sentWeights)
+	coordinator.workers[agent.node] = attachedWorker{incarnation: incarnation}
 }
 
 // sendExpected sends start orders for all runs that the agent's worker should have. For a run that is
 // active already, the agent only updates its description.
 func (coordinator *Coordinator) sendExpected(agent *agentSession) {
 	coordinator.sendOrders(coordinator.scheduler.ExpectedOrders(agent.incarnation))
-	coordinator.scheduler.SetReachable(agent.incarnation, agent.responsive)
+	coordinator.updateReachable(agent)
 }
 
 // recordEnds passes new ends of runs to the scheduler. Once they are stored, the next message to the agent acknowledges
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -56,6 +56,8 @@
 	HeartbeatVersion store.Version
 	// Sent is when the transaction that won the term was sent.
 	Sent clock.Time
+	// Inherited holds what is known of the grants of earlier leaders.
+	Inherited election.InheritedGrants
 }
 
 // Coordinator is the control loop of the leader during one term. Create it with Start.
@@ -80,8 +82,10 @@
 	// The fields below, except jobStates, are used on the control loop only.
 	scheduler *scheduler.Scheduler
 	sessions  map[string]*agentSession
-	// grants holds the last lease by node.
-	grants map[string]leaseGrant
+	// workers holds the last worker by node.
+	workers map[string]attachedWorker
+	// ledger holds the last grants by node.
+	ledger election.GrantLedger
 	// stateVersions holds the versions of the state rows of jobs.
 	stateVersions map[workflow.ID]store.Version
 	// inboxVersions holds the versions of the rows of the inbox of jobs that are not archived.
@@ -118,12 +122,9 @@
 	jobStates   map[workflow.ID]workflow.State
 }
 
-// leaseGrant is the last lease that was granted to a node's agent.
-type leaseGrant struct {
-	// incarnation is the node's last worker, or empty. The agent extends the lease of any worker of the node with the
-	// grant, also of one that it has not reported yet.
+// attachedWorker is a worker that an agent reported in this term.
+type attachedWorker struct {
 	incarnation scheduler.Incarnation
-	at          clock.Time
 	lapsed      bool
 }
 
@@ -133,11 +134,12 @@
 	runCtx, cancel := context.WithCancel(context.Background())
 	coordinator := &Coordinator{
 		deps: deps, leadership: leadership, workerLease: workerLease, loop: loop.New(), ctx: runCtx, cancel: cancel, lost: make(chan struct{}),
-		scheduler: scheduler.New(), sessions: map[string]*agentSession{}, grants: map[string]leaseGrant{},
+		scheduler: scheduler.New(), sessions: map[string]*agentSession{}, workers: map[string]attachedWorker{},
 		stateVersions: map[workflow.ID]store.Version{}, inboxVersions: map[workflow.ID]intake.Versions{}, endedAt: map[workflow.ID]clock.Time{}, heartbeat: election.Heartbeat{Term: leadership.Term.Number}, heartbeatVersion: leadership.HeartbeatVersion,
 		counters: newCounters(), renewedAt: leadership.Sent, startedAt: deps.Clock.Now(), jobStates: map[workflow.ID]workflow.State{},
 	}
 	coordinator.validUntil.Store(int64(leadership.Sent.Add(election.LeaderLease)))
+	coordinator.ledger = election.NewGrantLedger(leadership.Inherited, coordinator.startedAt)
 	version, err := coordinator.load(ctx)
 	if err != nil {
 		cancel()
@@ -161,6 +163,7 @@
 	})
 	coordinator.counters.terms.Inc()
 	klog.InfoS("Leading", "Term", leadership.Term.Number, "Jobs", len(coordinator.stateVersions), "LoadMillis", int64(deps.Clock.Now().Sub(coordinator.startedAt)))
+	coordinator.loop.Call(coordinator.logInherited)
 	return coordinator, nil
 }
 
@@ -198,6 +201,7 @@
 	heartbeat := coordinator.heartbeat
 	heartbeat.Count++
 	heartbeat.Released = true
+	heartbeat.Grants = coordinator.ledger.Compose(coordinator.scheduler.BusyNodes(), coordinator.deps.Clock.Now())
 	tx, err := coordinator.renewalTx(heartbeat)
 	if err == nil {
 		_, err = coordinator.deps.Store.Commit(ctx, tx)
@@ -220,7 +224,7 @@
 
 // canGrantLeases reports whether worker leases may still be granted: until election.GrantExtension after the end
 // of the leader's own lease, so that workers keep their tasks during an outage of the store. Every successor
-// waits until leases that were granted in that time have ended.
+// takes that time into account.
 func (coordinator *Coordinator) canGrantLeases() bool {
 	if coordinator.ctx.Err() != nil {
 		return false
@@ -239,28 +243,7 @@
 		}
 	}
 	coordinator.archive(now)
-	for node, grant := range coordinator.grants {
-		silent := now.Sub(coordinator.lastGrant(node))
-		if grant.lapsed || grant.incarnation == "" || silent <= election.WorkerStoppedAfter(coordinator.workerLease) {
-			continue
-		}
-		klog.InfoS("Worker lapsed", "Node", node, "Worker", grant.incarnation, "SilentMillis", int64(silent))
-		grant.lapsed = true
-		coordinator.grants[node] = grant
-		coordinator.scheduler.RecordLeaseLapse(grant.incarnation)
-	}
-	for _, incarnation := range coordinator.scheduler.Orphans() {
-		if now.Sub(coordinator.lastGrant(incarnation.Node())) > election.WorkerStoppedAfter(coordinator.workerLease) {
-			klog.InfoS("Worker did not return", "Worker", incarnation, "Term", coordinator.leadership.Term.Number)
-			coordinator.scheduler.RemoveWorker(incarnation)
-		}
-	}
-}
-
-// lastGrant returns when the node was last granted a lease, by this leader or possibly by an earlier one. The agent may
-// have returned to an earlier leader after a grant of this one did not arrive.
-func (coordinator *Coordinator) lastGrant(node string) clock.Time {
-	return max(coordinator.grants[node].at, coordinator.startedAt.Add(election.GrantExtension))
+	coordinator.detectLapses(now)
 }
 
 // updateOutDataCentres passes the data centres that are out to the scheduler and reports whether they are
--- a/coordinator/lapse_test.go
+++ b/coordinator/lapse_test.go
@@ -16,13 +16,21 @@
 // testWorker is the worker of newWorkerReport.
 const testWorker scheduler.Incarnation = "i-1@1@side-1"
 
-// newLapseLeader returns a test leader that grants leases of testLease and archives nothing.
-func newLapseLeader(t *testing.T) (*Coordinator, *clock.Fake) {
+// newLapseLeader returns a test leader that grants leases of testLease and archives nothing. It has just taken over from
+// a leader that was silent and whose heartbeat told the grants.
+func newLapseLeader(t *testing.T, grants *election.Grants) (*Coordinator, *clock.Fake) {
 	t.Helper()
 	coordinator, source := newTestLeader(t)
 	coordinator.workerLease = testLease
 	coordinator.deps.Store = unreachedStore{}
+	candidate := election.NewCandidate("edge-2", "edge-2")
+	reading := election.Reading{Term: election.Term{Number: 1, Holder: "edge-1"}, TermVersion: 1, Heartbeat: election.Heartbeat{Term: 1, Grants: grants}, HeartbeatVersion: 1}
+	for !candidate.Observe(reading, source.Now()) {
+		source.Advance(1)
+	}
 	coordinator.startedAt = source.Now()
+	coordinator.ledger = election.NewGrantLedger(candidate.InheritedGrants(), coordinator.startedAt)
+	coordinator.keepLeading(source)
 	return coordinator, source
 }
 
@@ -63,7 +71,7 @@
 func TestGrantWithoutWorkerDelaysLapse(t *testing.T) {
 	for name, attached := range map[string]bool{"worker reported before": true, "worker of an earlier term": false} {
 		t.Run(name, func(t *testing.T) {
-			coordinator, source := newLapseLeader(t)
+			coordinator, source := newLapseLeader(t, nil)
 			coordinator.restoreRun()
 			if attached {
 				coordinator.handleReport(newTestSession("side-1"), newWorkerReport())
@@ -81,10 +89,63 @@
 // TestEarlierLeaderDelaysLapse guards against two runs of one task: an agent whose session with a new leader broke
 // before the first grant arrived returns to the earlier leader, which grants leases until its extension ends.
 func TestEarlierLeaderDelaysLapse(t *testing.T) {
-	coordinator, source := newLapseLeader(t)
+	coordinator, source := newLapseLeader(t, nil)
 	coordinator.restoreRun()
 	coordinator.handleReport(newTestSession("side-1"), newWorkerReport())
 	if got, want := coordinator.lapsesAfter(t, source), election.GrantExtension+election.WorkerStoppedAfter(testLease); got < want {
 		t.Errorf("the run ended %s after the takeover, want at least %s", got, want)
 	}
 }
+
+// TestListedWorkerGetsNoLease guards against two runs of one task: a worker that the heartbeat lists as silent is granted
+// a lease, and the next leader counts from the age in the heartbeat. It also guards against a task that waits for ever
+// for a listed worker that attached and left again before it was granted a lease.
+func TestListedWorkerGetsNoLease(t *testing.T) {
+	coordinator, source := newLapseLeader(t, &election.Grants{Silent: map[string]clock.Millis{"side-1": 5 * clock.Second}})
+	coordinator.restoreRun()
+	agent := newTestSession("side-1")
+	coordinator.handleReport(agent, newWorkerReport())
+	coordinator.finishRound(nil, coordinator.takeOnceStored())
+	for _, message := range agent.takeMessages() {
+		if message.Lease != 0 {
+			t.Errorf("granted a lease of %s, want none", message.Lease)
+		}
+	}
+	coordinator.scheduler.Submit(workflow.Spec{
+		ID: "0123456789abcdee", Queue: "queue", Service: "desk", Steps: []workflow.Step{{Count: 1, Need: unit.Resources{CPU: 100, Memory: 10}}},
+	}, source.Now())
+	coordinator.scheduler.Plan(source.Now(), 0)
+	if _, orders := coordinator.scheduler.TakeChanges(); len(orders) > 0 {
+		t.Errorf("placed %+v on a worker without a lease, want nothing", orders)
+	}
+	if !coordinator.ledger.NeedsRenewal(source.Now()) {
+		t.Error("no heartbeat without the worker is due, want one at once")
+	}
+	if got, want := coordinator.lapsesAfter(t, source), election.WorkerStoppedAfter(testLease)-5*clock.Second; got > want {
+		t.Errorf("the run ended %s after the takeover, want at most %s", got, want)
+	}
+}
+
+// TestLeaseFollowsHeartbeat guards against a worker that came back and gets no lease although a heartbeat without it is
+// stored, until its agent reports again.
+func TestLeaseFollowsHeartbeat(t *testing.T) {
+	coordinator, source := newLapseLeader(t, &election.Grants{Silent: map[string]clock.Millis{"side-1": 5 * clock.Second}})
+	coordinator.restoreRun()
+	agent := newTestSession("side-1")
+	coordinator.sessions["side-1"] = agent
+	coordinator.handleReport(agent, newWorkerReport())
+	agent.takeMessages()
+	if _, err := coordinator.prepareRound(nil, true); err != nil {
+		t.Fatal(err)
+	}
+	source.Advance(20)
+	coordinator.handleReport(agent, &session.Report{Sequence: 2, Node: "side-1"})
+	if messages := agent.takeMessages(); len(messages) > 0 {
+		t.Errorf("got %+v before the heartbeat is stored, want nothing", messages)
+	}
+	coordinator.recordStored(roundTx{renewsLease: true}, 2, source.Now())
+	messages := agent.takeMessages()
+	if len(messages) != 1 || messages[0].Lease != testLease || messages[0].Sequence != 2 {
+		t.Errorf("got %+v, want a lease from the second report on", messages)
+	}
+}
--- a/coordinator/write.go
+++ b/coordinator/write.go
@@ -26,7 +26,7 @@
 		coordinator.scheduler.Plan(now, coordinator.deps.TimeOfDay())
 	}
 	jobs, orders := coordinator.scheduler.TakeChanges()
-	renew := now.Sub(coordinator.renewedAt) >= election.RenewalInterval
+	renew := now.Sub(coordinator.renewedAt) >= election.RenewalInterval || coordinator.ledger.NeedsRenewal(now)
 	if len(jobs) == 0 && !renew {
 		coordinator.finishRound(orders, coordinator.takeOnceStored())
 		return
@@ -72,6 +72,7 @@
 	if renew {
 		heartbeat := coordinator.heartbeat
 		heartbeat.Count++
+		heartbeat.Grants = coordinator.ledger.Compose(coordinator.scheduler.BusyNodes(), coordinator.deps.Clock.Now())
 		tx, err := coordinator.renewalTx(heartbeat)
 		if err != nil {
 			return nil, err
@@ -186,6 +187,7 @@
 func (coordinator *Coordinator) recordStored(tx roundTx, version store.Version, sent clock.Time) {
 	if tx.renewsLease {
 		coordinator.heartbeatVersion, coordinator.renewedAt = version, sent
+		coordinator.recordRenewal()
 	}
 	if tx.storesWeights {
 		coordinator.weightsVersion = version
--- a/election/election.go
+++ b/election/election.go
@@ -54,6 +54,8 @@
 	Count int64
 	// Released reports that the leader stopped, so that another entry may take over at once.
 	Released bool `json:",omitempty"`
+	// Grants is nil in a row of a leader of an earlier version.
+	Grants *Grants `json:",omitempty"`
 }
 
 // ErrCorrupt reports a row that cannot be decoded.
@@ -124,15 +126,14 @@
 		candidate.renewalSeenAt = now
 	}
 	candidate.reading, candidate.hasReading = reading, true
-	switch {
-	case reading.TermVersion == 0 || reading.Heartbeat.Released:
-		return true
-	case reading.Term.Holder == candidate.node && reading.Term.Address == candidate.address:
-		// The holder is an earlier process of this entry, which has ended.
-		return true
-	default:
-		return now.Sub(candidate.renewalSeenAt) >= takeOverWait()
-	}
+	return reading.TermVersion == 0 || candidate.hasLeaderEnded() || now.Sub(candidate.renewalSeenAt) >= takeOverWait()
+}
+
+// hasLeaderEnded reports whether the last leader had stopped granting leases when its heartbeat was first read: it
+// released its term, or it was an earlier process or coordinator of this entry.
+func (candidate *Candidate) hasLeaderEnded() bool {
+	reading := candidate.reading
+	return reading.Heartbeat.Released || reading.Term.Holder == candidate.node && reading.Term.Address == candidate.address
 }
 
 // RenewalSeenAt returns when the present renewal was first read. ReadFailed may set a later time.
@@ -142,16 +143,17 @@
 func (candidate *Candidate) LastTerm() Term { return candidate.reading.Term }
 
 // takeOverWait returns how long a candidate must read the same renewal before it takes over.
-func takeOverWait() clock.Millis { return LeaderLease + LeaderLease*maxClockDriftPercent/100 }
+func takeOverWait() clock.Millis { return withDrift(LeaderLease) }
 
-// TakeOver returns the transaction that makes the candidate the leader, and the new term.
-func (candidate *Candidate) TakeOver() (store.Tx, Term, error) {
+// TakeOver returns the transaction that makes the candidate the leader, and the new term. Its heartbeat passes on what
+// is known of earlier grants.
+func (candidate *Candidate) TakeOver(now clock.Time) (store.Tx, Term, error) {
 	term := Term{Number: candidate.reading.Term.Number + 1, Holder: candidate.node, Address: candidate.address}
 	termValue, err := json.Marshal(term)
 	if err != nil {
 		return store.Tx{}, Term{}, fmt.Errorf("encoding the term: %w", err)
 	}
-	heartbeatValue, err := json.Marshal(Heartbeat{Term: term.Number})
+	heartbeatValue, err := json.Marshal(Heartbeat{Term: term.Number, Grants: candidate.InheritedGrants().compose(now)})
 	if err != nil {
 		return store.Tx{}, Term{}, fmt.Errorf("encoding the heartbeat: %w", err)
 	}
@@ -169,7 +171,7 @@
 // WorkerStoppedAfter returns the time after which a worker has certainly stopped its tasks, counted from the
 // last grant of its lease on the clock of the leader that granted it.
 func WorkerStoppedAfter(lease clock.Millis) clock.Millis {
-	return lease + lease*maxClockDriftPercent/100 + workerStopMargin
+	return withDrift(lease) + workerStopMargin
 }
 
 // workerStopMargin is the time that a worker may take to stop its tasks after its lease has ended.
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -98,7 +98,7 @@
 			case rapid.IntRange(0, 4).Draw(t, "fails") == 0:
 				actor.candidate.ReadFailed(now)
 			case actor.candidate.Observe(fake.read(t), now):
-				tx, term, err := actor.candidate.TakeOver()
+				tx, term, err := actor.candidate.TakeOver(now)
 				if err != nil {
 					t.Fatal(err)
 				}
--- a/leadership/elector.go
+++ b/leadership/elector.go
@@ -96,21 +96,22 @@
 		}
 		return coordinator.Leadership{}, false
 	}
-	tx, term, err := elector.candidate.TakeOver()
+	sent := elector.deps.Clock.Now()
+	inherited := elector.candidate.InheritedGrants()
+	tx, term, err := elector.candidate.TakeOver(sent)
 	if err != nil {
 		klog.ErrorS(err, "Cannot take over")
 		return coordinator.Leadership{}, false
 	}
 	callCtx, cancel := context.WithTimeout(ctx, takeOverTimeout.Duration())
 	defer cancel()
-	sent := elector.deps.Clock.Now()
 	version, err := store.CommitUntilKnown(callCtx, elector.deps.Store, elector.deps.Clock, tx)
 	if err != nil {
 		klog.InfoS("Takeover failed", "Term", term.Number, "Reason", err.Error())
 		return coordinator.Leadership{}, false
 	}
 	elector.observedTerm.Store(&term)
-	return coordinator.Leadership{Term: term, TermVersion: version, HeartbeatVersion: version, Sent: sent}, true
+	return coordinator.Leadership{Term: term, TermVersion: version, HeartbeatVersion: version, Sent: sent, Inherited: inherited}, true
 }
 
 // observe reads the rows of the election and reports whether the entry may take over.
--- /dev/null
+++ b/leadership/takeover_test.go
@@ -0,0 +1,79 @@
+package leadership
+
+import (
+	"testing"
+	"time"
+
+	"hyssopjunction/election"
+)
+
+// recoveryMargin is the time that reports, rounds and checks may add to the wait for a worker's lease.
+const recoveryMargin = time.Second
+
+// TestSilentWorkerAfterTakeover guards against standing tasks that wait for a whole lease after each change of leaders,
+// although their worker was silent long before (issue 25).
+func TestSilentWorkerAfterTakeover(t *testing.T) {
+	release := func(cluster *cluster) {
+		leader := cluster.leader()
+		cluster.entries[leader].Load().Close()
+		cluster.startEntry(leader)
+	}
+	cutOffLeader := func(cluster *cluster) { cluster.stores[cluster.leader()].setFault(cutOff) }
+	cases := map[string]struct {
+		changes []func(*cluster)
+		pause   time.Duration
+	}{
+		"leader stops":                        {[]func(*cluster){release}, 0},
+		"leader is cut off":                   {[]func(*cluster){cutOffLeader}, 0},
+		"leaders stop in turn":                {[]func(*cluster){release, release}, 1500 * time.Millisecond},
+		"leaders are cut off in turn":         {[]func(*cluster){cutOffLeader, cutOffLeader}, 3500 * time.Millisecond},
+		"leader stops, next one dies at once": {[]func(*cluster){release, cutOffLeader}, 500 * time.Millisecond},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			runCluster(t, 3, 2, func(cluster *cluster) {
+				silent := cluster.holder(nil)
+				time.Sleep(5 * time.Second)
+				silent.setSilent(true)
+				silentSince := time.Now()
+				time.Sleep((election.SilentAfter + election.RenewalInterval + 200).Duration())
+				for _, change := range test.changes {
+					change(cluster)
+					time.Sleep(test.pause)
+				}
+				cluster.holder(silent)
+				want := election.WorkerStoppedAfter(testLease).Duration() + recoveryMargin
+				if got := time.Since(silentSince); got > want {
+					t.Errorf("the task was placed again %s after the worker went silent, want at most %s", got, want)
+				}
+			})
+		})
+	}
+}
+
+// TestReturningWorkerWaitsForHeartbeat guards against two runs of one task: a worker that comes back while the store is
+// away is granted a lease, although a heartbeat that lists it as silent is stored or may be stored late. It also guards
+// against such a worker that gets no lease once the store is back.
+func TestReturningWorkerWaitsForHeartbeat(t *testing.T) {
+	for name, fault := range map[string]commitFault{"store works": works, "store away": cutOff, "unknown outcome": lateAndUnanswered} {
+		t.Run(name, func(t *testing.T) {
+			// The last heartbeat before the fault, or the one in flight since, is the first that lists the worker.
+			for faultAfter := election.SilentAfter - election.RenewalInterval; faultAfter <= election.SilentAfter+election.RenewalInterval; faultAfter += 100 {
+				runCluster(t, 1, 1, func(cluster *cluster) {
+					agent := cluster.holder(nil)
+					agent.setSilent(true)
+					time.Sleep(faultAfter.Duration())
+					cluster.stores[0].setFault(fault)
+					time.Sleep((election.SilentAfter + 2*election.RenewalInterval - faultAfter).Duration())
+					agent.setSilent(false)
+					time.Sleep(time.Second)
+					cluster.stores[0].setFault(works)
+					time.Sleep(recoveryMargin)
+					if got, want := time.Until(agent.leaseEnd()), testLease.Duration()-recoveryMargin; got < want {
+						t.Errorf("fault after %s: the lease lasts for %s more, want %s or more", faultAfter, got, want)
+					}
+				})
+			}
+		})
+	}
+}
--- a/scheduler/queries.go
+++ b/scheduler/queries.go
@@ -2,6 +2,7 @@
 
 import (
 	"hyssopjunction/clock"
+	"hyssopjunction/set"
 	"hyssopjunction/workflow"
 )
 
@@ -14,6 +15,21 @@
 	return record.job.State, record.job.Spec.Queue, record.job.Spec.Service
 }
 
+// BusyNodes returns the nodes whose worker has active runs, including workers that have not been reported.
+func (scheduler *Scheduler) BusyNodes() []string {
+	nodes := set.New[string]()
+	for incarnation, worker := range scheduler.workers {
+		if len(worker.runs) > 0 {
+			nodes.Add(incarnation.Node())
+		}
+	}
+	for incarnation := range scheduler.orphans {
+		nodes.Add(incarnation.Node())
+	}
+	nodes.Remove("")
+	return set.Sorted(nodes)
+}
+
 // OpenJobCount returns the number of jobs whose state is not final.
 func (scheduler *Scheduler) OpenJobCount() int { return len(scheduler.open) }
 
