election: failed reads of the rows no longer lengthen the wait for workers

Cause: a candidate delays its takeover after a failed read by moving the time at which it saw the renewal. The ages in the heartbeat and the end of the extension were counted from that later time. Ruled out: that the later time is needed. The row was stored, and so composed, before it was first read; the takeover's condition on its version shows that no later one was stored, and a renewal that is not stored extends nothing. Change: the candidate keeps the first reading of a version apart from the time that delays the takeover; grants count from the first reading. Before: the new case "store is away before the takeover" (worker silent for 3 s, store away for 6 s, takeover) failed, "the task was placed again 15.3s after the worker went silent, want at most 11.6s". After: it passes, the worker counts as gone 10.6 s after its last grant, 0.6 s after the takeover. TestNoWorkerIsGoneDuringItsLease passed 30,000 random histories again.

--- a/election/election.go
+++ b/election/election.go
@@ -105,7 +105,9 @@
 	reading Reading
 	// renewalSeenAt is when the renewal in reading was first read, or later after a failed read.
 	renewalSeenAt clock.Time
-	hasReading    bool
+	// firstReadAt is when the renewal in reading was first read.
+	firstReadAt clock.Time
+	hasReading  bool
 }
 
 // NewCandidate returns a candidate for the node, which serves sessions at the address.
@@ -123,7 +125,7 @@
 // Observe records a reading and reports whether the entry may take over now.
 func (candidate *Candidate) Observe(reading Reading, now clock.Time) bool {
 	if !candidate.hasReading || reading.HeartbeatVersion != candidate.reading.HeartbeatVersion || reading.TermVersion != candidate.reading.TermVersion {
-		candidate.renewalSeenAt = now
+		candidate.renewalSeenAt, candidate.firstReadAt = now, now
 	}
 	candidate.reading, candidate.hasReading = reading, true
 	return reading.TermVersion == 0 || candidate.hasLeaderEnded() || now.Sub(candidate.renewalSeenAt) >= takeOverWait()
--- a/election/grants.go
+++ b/election/grants.go
@@ -58,19 +58,19 @@
 	if candidate.reading.TermVersion == 0 {
 		return InheritedGrants{}
 	}
-	seenAt, grants := candidate.renewalSeenAt, candidate.reading.Heartbeat.Grants
-	inherited := InheritedGrants{silent: map[string]clock.Time{}, others: seenAt.Add(withDrift(LeaderLease + GrantExtension))}
+	readAt, grants := candidate.firstReadAt, candidate.reading.Heartbeat.Grants
+	inherited := InheritedGrants{silent: map[string]clock.Time{}, others: readAt.Add(withDrift(LeaderLease + GrantExtension))}
 	if candidate.hasLeaderEnded() {
-		inherited.others = seenAt.Add(withDrift(GrantExtension))
+		inherited.others = readAt.Add(withDrift(GrantExtension))
 	}
 	if grants == nil {
 		return inherited // The leader has an earlier version.
 	}
 	if candidate.hasLeaderEnded() {
-		inherited.others = seenAt.Add(grants.EarlierLeaders)
+		inherited.others = readAt.Add(grants.EarlierLeaders)
 	}
 	for node, age := range grants.Silent {
-		inherited.silent[node] = seenAt.Add(-age)
+		inherited.silent[node] = readAt.Add(-age)
 	}
 	return inherited
 }
--- a/leadership/takeover_test.go
+++ b/leadership/takeover_test.go
@@ -19,6 +19,18 @@
 		cluster.startEntry(leader)
 	}
 	cutOffLeader := func(cluster *cluster) { cluster.stores[cluster.leader()].setFault(cutOff) }
+	storeAway := func(cluster *cluster) {
+		leader := cluster.leader()
+		for _, store := range cluster.stores {
+			store.setFault(cutOff)
+		}
+		time.Sleep(6 * time.Second)
+		for number, store := range cluster.stores {
+			if number != leader {
+				store.setFault(works)
+			}
+		}
+	}
 	cases := map[string]struct {
 		changes []func(*cluster)
 		pause   time.Duration
@@ -27,6 +39,7 @@
 		"leader is cut off":                   {[]func(*cluster){cutOffLeader}, 0},
 		"leaders stop in turn":                {[]func(*cluster){release, release}, 1500 * time.Millisecond},
 		"leaders are cut off in turn":         {[]func(*cluster){cutOffLeader, cutOffLeader}, 3500 * time.Millisecond},
+		"store is away before the takeover":   {[]func(*cluster){storeAway}, 0},
 		"leader stops, next one dies at once": {[]func(*cluster){release, cutOffLeader}, 500 * time.Millisecond},
 	}
 	for name, test := range cases {
