--- a/coordinator/workerend.go
+++ b/coordinator/workerend.go
@@ -43,6 +43,9 @@
 		return
 	}
 	ended := coordinator.scheduler.EndWorker(incarnation, coordinator.convertEnds(incarnation, end.Ends), coordinator.deps.Clock.Now())
+	if coordinator.workers[end.Node].incarnation == incarnation {
+		delete(coordinator.workers, end.Node)
+	}
 	if ended > 0 { // The same report may arrive from several entries.
 		coordinator.counters.workerEnds.Inc()
 		klog.InfoS("Worker ended", "Node", end.Node, "Worker", incarnation, "EndedRuns", ended, "ReportedEnds", len(end.Ends), "Term", coordinator.leadership.Term.Number)
--- a/supervisor/staleorder_random_test.go
+++ b/supervisor/staleorder_random_test.go
@@ -119,7 +119,7 @@
 	switch {
 	case leader.grantedAt != 0 && now.Sub(leader.grantedAt) > election.WorkerStoppedAfter(staleLease):
 		leader.end("lapse")
-	case leader.grantedAt == 0 && now.Sub(leader.startedAt) > election.InheritedLeaseWait(staleLease):
+	case leader.grantedAt == 0 && now.Sub(leader.startedAt) > election.GrantExtension+election.WorkerStoppedAfter(staleLease):
 		leader.end("lapse of the former leader's lease")
 	}
 }
