An entry is ready once it has published its services

Seen by callers: in the first moments of a restarted entry 404 UnknownService, "was not run", for services that exist; nothing tells the caller to come again. Cause: the entry counted as ready when its configuration was loaded, while the control goroutine had not yet published the services of that configuration. Ruled out: a configuration without the service (the same entry serves it a moment later; other entries do all the time). Change: readiness, the callers' API and the lookup of services wait for the first publication. The publisher stores a configuration before it says that it is ready, so that nobody takes the empty one for it. Conclusion: such callers get 503 NotReady with a time to come again.

--- a/config/publisher.go
+++ b/config/publisher.go
@@ -84,11 +84,11 @@
 		klog.ErrorS(err, "configuration refused because it would lower a version")
 		return err
 	}
-	becameReady := !publisher.ready.Swap(true)
-	if next.version == view.version && !becameReady {
+	if next.version == view.version && publisher.ready.Load() {
 		return nil
 	}
 	publisher.current.Store(next)
+	publisher.ready.Store(true)
 	versionsApplied.Inc()
 	versionInForce.Set(float64(next.version))
 	klog.InfoS("configuration in force", "Version", uint64(next.version), "Before", uint64(view.version))
--- a/entry/configure.go
+++ b/entry/configure.go
@@ -40,8 +40,8 @@
 	applied := ident.Version(0)
 	for {
 		changed := entry.configPublisher.Changed()
-		view := entry.configPublisher.Current()
-		if entry.configPublisher.Ready() && (view.Version() > applied || applied == 0) {
+		ready, view := entry.configPublisher.Ready(), entry.configPublisher.Current()
+		if ready && (view.Version() > applied || applied == 0) {
 			entry.control.Call(func() {
 				entry.applyConfig(view)
 				entry.pushConfig(applied, view)
@@ -72,6 +72,7 @@
 	}
 	entry.applyPreset(view)
 	entry.refresh()
+	entry.servicesPublished.Store(true)
 	klog.InfoS("Configuration in force", "Entry", entry.settings.ID, "Version", view.Version())
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -80,14 +80,16 @@
 	link                *regionLink
 	membershipPublisher *membership.Publisher
 	services            atomic.Pointer[serviceTable]
-	router              *routing.Router
-	dispatcher          *dispatch.Dispatcher
-	sweeper             *dedup.Sweeper
-	control             *loop.Loop
-	agentCalls          *callQueues
-	idCount             atomic.Uint64
-	incarnation         ident.Incarnation
-	shuttingDown        atomic.Bool
+	// servicesPublished is set once services holds those of a configuration in force.
+	servicesPublished atomic.Bool
+	router            *routing.Router
+	dispatcher        *dispatch.Dispatcher
+	sweeper           *dedup.Sweeper
+	control           *loop.Loop
+	agentCalls        *callQueues
+	idCount           atomic.Uint64
+	incarnation       ident.Incarnation
+	shuttingDown      atomic.Bool
 
 	// The fields below belong to the control goroutine.
 	entries *membership.Entries
@@ -294,9 +296,9 @@
 	return context.WithTimeout(context.Background(), timeout.Duration())
 }
 
-// Ready reports whether the entry has a configuration in force and is not shutting down.
+// Ready reports whether the entry serves callers and is not shutting down.
 func (entry *Entry) Ready() bool {
-	return entry.configPublisher.Ready() && !entry.shuttingDown.Load()
+	return entry.servicesPublished.Load() && !entry.shuttingDown.Load()
 }
 
 // Dispatcher returns the dispatcher of callers' requests.
--- a/entry/server.go
+++ b/entry/server.go
@@ -109,14 +109,14 @@
 }
 
 // newCallerHandler returns the callers' API, which answers with NotReady until the configuration is
-// loaded.
+// in force.
 func (server *Server) newCallerHandler(entry *Entry) http.Handler {
 	// A cleaned path would be answered with a redirect instead of a typed error.
 	router := mux.NewRouter().UseEncodedPath().SkipClean(true)
 	router.Use(func(next http.Handler) http.Handler {
 		notReady := caller.NotReady(server.settings, "the configuration is not loaded", next)
 		return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-			if entry.configPublisher.Ready() {
+			if entry.servicesPublished.Load() {
 				next.ServeHTTP(writer, request)
 				return
 			}
--- a/entry/services.go
+++ b/entry/services.go
@@ -24,7 +24,7 @@
 
 // Service returns the settings and candidate endpoints of a service, or false if there is none.
 func (entry *Entry) Service(name ident.Service) (dispatch.Service, *routing.View, bool) {
-	if !entry.configPublisher.Ready() {
+	if !entry.servicesPublished.Load() {
 		return dispatch.Service{}, nil, false
 	}
 	view, ok := entry.services.Load().services[name]
