Endpoints that join are used with the next tick

Cause: an entry publishes its view for requests once a second, and at once for a new configuration. If the configuration comes first, or after a stall in which all workers expired, it publishes a view without endpoints and uses those that announce themselves within milliseconds a second later. A stream tries after 0, 50, 150, 350 and 750 ms and is refused before. A run of the known red test logged it: nothing known when the configuration came, the second entry asked 0.69 s later, endpoints published 0.5 s after that; it passed at its last attempt. Ruled out: connections in back-off, ejection and refusals of agents: each failed attempt says "0 known, 0 usable, 0 ejected". Change: a worker that joins or begins a new incarnation is published with the next tick. While nobody joins, a view is still published once a second. Open: an entry that stood still drops its workers before it reads what they sent meanwhile; the pause after a stream's last attempt is of no use.

--- a/entry/tick.go
+++ b/entry/tick.go
@@ -23,7 +23,7 @@
 		entry.workerUnresponsive(worker)
 	}
 	entry.expireReports(entry.time.Now())
-	if entry.time.Now().Sub(entry.refreshedAt) >= refreshInterval {
+	if entry.workers.Joined() || entry.time.Now().Sub(entry.refreshedAt) >= refreshInterval {
 		entry.refresh()
 	}
 	entry.logHealth()
@@ -32,7 +32,8 @@
 }
 
 // refreshInterval is how often the views are published if only loads may have changed, because
-// publishing copies all workers. A leaving endpoint and a new configuration are published at once.
+// publishing copies all workers. A leaving endpoint and a new configuration are published at once,
+// and a worker that joined with the next tick.
 const refreshInterval = clock.Second
 
 // refresh publishes the views if they changed.
--- a/membership/snapshot.go
+++ b/membership/snapshot.go
@@ -80,7 +80,7 @@
 			snapshot.Endpoints[endpoint.Service] = append(snapshot.Endpoints[endpoint.Service], endpoint)
 		}
 	}
-	workers.dirty = false
+	workers.dirty, workers.joined = false, false
 	return snapshot
 }
 
@@ -89,6 +89,12 @@
 	return workers.dirty
 }
 
+// Joined reports whether a worker was added or began a new incarnation since the last Snapshot. Until the next one no
+// request reaches it.
+func (workers *Workers) Joined() bool {
+	return workers.joined
+}
+
 func (record *record) place() Place {
 	return Place{Region: ident.Region(record.state.GetRegion()), DataCentre: ident.DataCentre(record.state.GetDataCentre())}
 }
--- a/membership/workers.go
+++ b/membership/workers.go
@@ -32,8 +32,10 @@
 	urgentChange ident.Sequence
 	// ownCount is the number of own workers.
 	ownCount int
-	// dirty is set if the view changed since the last Snapshot.
-	dirty bool
+	// dirty is set if the view changed since the last Snapshot, and joined if a worker was added or began a new
+	// incarnation since then.
+	dirty  bool
+	joined bool
 }
 
 // record is the last known state of one worker.
@@ -163,6 +165,7 @@
 	}
 	workers.records[id] = next
 	workers.dirty = true
+	workers.joined = workers.joined || !exists || freshness == Restarted
 	return freshness
 }
 
--- a/standalone/stream_test.go
+++ b/standalone/stream_test.go
@@ -100,3 +100,33 @@
 	}
 	fixture.assertStream("watch", data)
 }
+
+// awaitReady waits until the entry at the address accepts requests. Its answer about a service that doesn't exist then
+// changes from "not ready" to "not found".
+func (fixture *fixture) awaitReady(address string) {
+	fixture.test.Helper()
+	fixture.must(fixture.until(fixture.ctx, "the entry to be ready", func() (bool, error) {
+		request, err := http.NewRequestWithContext(fixture.ctx, http.MethodGet, "http://"+address+"/v1/services/none/streams/none", nil)
+		if err != nil {
+			return false, err
+		}
+		request.Header.Set("Team", string(contestTeam))
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			return false, nil //nolint:nilerr // The entry doesn't listen yet.
+		}
+		return response.StatusCode == http.StatusNotFound, response.Body.Close()
+	}))
+}
+
+// TestStreamStartsAtRestartedEntry guards against a stream that is refused with Outage by an entry that has just
+// started, because it publishes the endpoints that announce themselves a second after it is ready.
+func TestStreamStartsAtRestartedEntry(t *testing.T) {
+	t.Parallel()
+	fixture := newFixture(t)
+	fixture.deployment.CrashEntry(EntryID("gent"))
+	fixture.must(fixture.deployment.StartEntry(fixture.ctx, EntryID("gent"), "gent"))
+	address := fixture.deployment.CallerAddresses()[1]
+	fixture.awaitReady(address)
+	fixture.assertStream("watch", fixture.readStream(address, "watch", 0, func(int) {}))
+}
