Late filling jobs ask for less speed the later they are

Cause: since a filling task starts only where it reaches 0.75 of its speed, also when its job is late and no worker is that fast. Late jobs came in the order of their latest start, whatever work they had left. Change: late jobs come in the order of their remaining work, like those in time. The speed they ask for falls evenly to 0.25 until they are late by their objective. Jobs that earn nothing more ask for 0.25 only while no other filling task waits. A need that found no room is remembered with the speed asked for. Before: TestLateJobIsNotStarved and the four tests of late_test.go fail. After: they and all tests of scheduler, coordinator and standin pass. Open: occurrences of scheduled jobs never count as late and ask for 0.75.

--- a/scheduler/movethrottled.go
+++ b/scheduler/movethrottled.go
@@ -44,7 +44,7 @@
 				continue
 			}
 			record := scheduler.jobs[run.name.Job]
-			worker := scheduler.chooseWorker(record, run.step, run.name, false, now)
+			worker := scheduler.chooseWorker(record, run.step, run.name, false, minFillingSpeed, now)
 			if worker == nil || worker == run.worker || scheduler.expectedSpeed(run.step, worker, now) < minMoveSpeed {
 				continue
 			}
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -33,6 +33,10 @@
 	// that would be slower wait: while filling tasks request more cores than there are, more jobs meet their objective
 	// if fewer of them run at a time.
 	minFillingSpeed = 0.75
+	// minLateSpeed is that share for a job that is late by its objective or more. Until then the share falls evenly, so
+	// that no late job waits for good for a worker on which it would be fast. Jobs that are worth nothing more ask for as
+	// little only while no others wait, because they would take room from jobs that are.
+	minLateSpeed = 0.25
 	// fillingSpeedWeight makes the expected speed of a filling task count more than a worker's free cores.
 	fillingSpeedWeight = 2.0
 	// imageAffinityWeight favours placing standing tasks beside those of the same image, because the same
@@ -51,9 +55,11 @@
 	// latestStart is the last time at which the remaining steps can start to meet the job's objective.
 	latestStart clock.Time
 	// remainingWork is that of the occurrence in thousandths of a core times milliseconds. It is set only
-	// for filling tasks, of which those with less remaining work come first.
+	// for filling tasks, of which those with less remaining work come first, also among those that are late.
 	remainingWork int64
 	indices       []int
+	// minSpeed is the share of its full speed that a filling task must be expected to reach on a worker.
+	minSpeed float64
 }
 
 // Ranks of candidates, in the order in which they are placed.
@@ -82,14 +88,37 @@
 		return
 	}
 	scheduler.dirty, scheduler.plannedAt = false, now
-	// Once a task found no room, other tasks with the same requirements are not tried.
-	blocked := map[blockKey]bool{}
+	blocked := blockedNeeds{}
+	valuableWaits := false
 	for _, candidate := range scheduler.candidates(now) {
+		switch {
+		case candidate.rank == rankFilling || candidate.rank == rankLate:
+			valuableWaits = true
+		case candidate.rank == rankWorthless && !valuableWaits:
+			candidate.minSpeed = minLateSpeed
+		}
 		scheduler.placeStep(candidate, blocked, now)
 	}
 }
 
-// blockKey holds the requirements that decide whether a task finds room on any worker.
+// blockedNeeds holds, for requirements with which a task found no room, the lowest speed that was asked for. Other
+// tasks with the same requirements that ask for this speed or a higher one are not tried.
+type blockedNeeds map[blockKey]float64
+
+// has reports whether a task with the requirements that asks for the speed would find no room.
+func (blocked blockedNeeds) has(key blockKey, minSpeed float64) bool {
+	lowest, ok := blocked[key]
+	return ok && minSpeed >= lowest
+}
+
+// add records that a task with the requirements that asked for the speed found no room.
+func (blocked blockedNeeds) add(key blockKey, minSpeed float64) {
+	if !blocked.has(key, minSpeed) {
+		blocked[key] = minSpeed
+	}
+}
+
+// blockKey holds the requirements, other than a speed, that decide whether a task finds room on any worker.
 type blockKey struct {
 	need     unit.Resources
 	fills    bool
@@ -176,7 +205,7 @@
 	latestStart := acceptedAt.Add(objective - record.job.RemainingCriticalPath(occurrence, func(number int) float64 {
 		return capacity.expectedSlowdown(&spec.Steps[number], occurrence.Unfinished(number))
 	}))
-	candidate := candidate{record: record, occurrence: occurrence, step: step, indices: indices, latestStart: latestStart}
+	candidate := candidate{record: record, occurrence: occurrence, step: step, indices: indices, latestStart: latestStart, minSpeed: minFillingSpeed}
 	switch stepSpec := spec.Steps[step]; {
 	case stepSpec.Standing:
 		candidate.rank = rankStanding
@@ -185,16 +214,24 @@
 	case spec.Repetitions > 0 || !now.After(latestStart):
 		candidate.rank, candidate.remainingWork = rankFilling, record.job.RemainingWork(occurrence)
 	case now.Sub(acceptedAt) < worthlessFactor*objective:
-		candidate.rank = rankLate
+		candidate.rank, candidate.remainingWork = rankLate, record.job.RemainingWork(occurrence)
+		candidate.minSpeed = lateSpeed(now.Sub(latestStart), objective)
 	default:
 		candidate.rank = rankWorthless
 	}
 	return candidate
 }
 
+// lateSpeed returns the share of its full speed that a filling task must be expected to reach if its job is late by the
+// given time.
+func lateSpeed(late, objective clock.Millis) float64 {
+	share := float64(late) / float64(max(1, objective))
+	return minFillingSpeed - (minFillingSpeed-minLateSpeed)*min(share, 1)
+}
+
 // placeStep places the waiting tasks of a step until one finds no room, and records the requirements of that
 // task in blocked. Standing tasks that are being moved are placed where room is held for them.
-func (scheduler *Scheduler) placeStep(candidate candidate, blocked map[blockKey]bool, now clock.Time) {
+func (scheduler *Scheduler) placeStep(candidate candidate, blocked blockedNeeds, now clock.Time) {
 	job := candidate.record.job
 	step := &job.Spec.Steps[candidate.step]
 	if step.Gang {
@@ -213,11 +250,13 @@
 		if waits {
 			continue
 		}
-		if worker == nil && (dependsOnJob || !blocked[key]) {
-			worker = scheduler.chooseWorker(candidate.record, step, name, starved, now)
+		if worker == nil && (dependsOnJob || !blocked.has(key, candidate.minSpeed)) {
+			worker = scheduler.chooseWorker(candidate.record, step, name, starved, candidate.minSpeed, now)
 		}
 		if worker == nil {
-			blocked[key] = blocked[key] || !dependsOnJob
+			if !dependsOnJob {
+				blocked.add(key, candidate.minSpeed)
+			}
 			if step.Standing {
 				continue // The room for the others may be held.
 			}
@@ -240,7 +279,7 @@
 	for index := range step.Count {
 		name := first
 		name.Index = index
-		worker := scheduler.chooseWorker(candidate.record, step, name, false, now)
+		worker := scheduler.chooseWorker(candidate.record, step, name, false, candidate.minSpeed, now)
 		if worker == nil {
 			for _, run := range members {
 				run.worker.remove(run)
@@ -268,7 +307,9 @@
 }
 
 // chooseWorker returns the eligible worker with the highest score for the task, or nil.
-func (scheduler *Scheduler) chooseWorker(record *jobRecord, step *workflow.Step, name workflow.Name, starved bool, now clock.Time) *workerState {
+func (scheduler *Scheduler) chooseWorker(
+	record *jobRecord, step *workflow.Step, name workflow.Name, starved bool, minSpeed float64, now clock.Time,
+) *workerState {
 	var best *workerState
 	bestScore := 0.0
 	for _, worker := range scheduler.workers {
@@ -284,7 +325,7 @@
 		score := score(record, step, worker)
 		if step.Fills {
 			speed := scheduler.expectedSpeed(step, worker, now)
-			if speed < minFillingSpeed && !starved {
+			if speed < minSpeed && !starved {
 				continue
 			}
 			score += speed * fillingSpeedWeight
