soak: standing jobs, series of planned changes and open connections

Ruled out: a check from a measured figure; the bound is that of the users' rules (3 s without running after 4 s of calm). Change: TestSoak keeps its seeds, draws and checks, and gets standing jobs. TestSoakSeries draws 2 to 5 faults near each other: workers that drain and leave, others that join, entries restarted in turn, a leader that is replaced, configurations in a row, a data centre that is taken out. Even seeds draw planned changes only and check that no connection ends 200 ms or more after a request without a complete response. Callers keep connections open until the entry ends them. HYSSOPJUNCTION_SOAK_ENTRIES and HYSSOPJUNCTION_SOAK_WORKERS set the size. The series use a lease of 6 s, as the users' settings do; with 3 s the wait after a change of leaders stays below the bound.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -18,18 +19,21 @@
 	maxSubmitAttempts = 4
 	// taskAttempts is the number of failures of a task after which its job fails.
 	taskAttempts = 3
+	// stateInterval is the time between two questions of a caller for a state.
+	stateInterval = 40 * time.Millisecond
 )
 
 // submission is the state of a job as its caller sees it.
 type submission struct {
 	// accepted, refused and unknown count the outcomes of the attempts to submit it.
 	accepted, refused, unknown int
-	cancelled                  bool
+	cancelled, isStanding      bool
 }
 
 // callers submits jobs, cancels some of them and records the outcomes.
 type callers struct {
-	deployment *deployment
+	deployment  *deployment
+	connections *connections
 
 	mu          sync.Mutex
 	submissions map[string]*submission
@@ -41,19 +45,24 @@
 
 const twoStepJob = `{"Spec":"text","Steps":[{"Count":3,"Cpu":300,"MemoryLimitMb":64,"EstimatedMs":500},{"Count":2,"Cpu":500,"MemoryLimitMb":64,"EstimatedMs":500,"After":[0],"Checkpointing":true}]}`
 
+// call sends a request about a job to an entry.
+func (callers *callers) call(method string, entry int, id, body string) (int, string) {
+	entries := callers.deployment.entries
+	return callers.connections.call(callers.deployment.ctx, method, entries[entry%len(entries)].ip, "/quick/"+id, body)
+}
+
 // submit submits a job until it is accepted, and returns false if no attempt succeeded. Each attempt goes to the
 // next entry.
-func (callers *callers) submit(name string, entry int) bool {
+func (callers *callers) submit(name string, entry int, body string) bool {
 	id := jobID(name)
 	callers.mu.Lock()
 	if callers.submissions[id] == nil {
-		callers.submissions[id] = &submission{}
+		callers.submissions[id] = &submission{isStanding: strings.HasPrefix(name, standingPrefix)}
 	}
 	submission := callers.submissions[id]
 	callers.mu.Unlock()
 	for attempt := range maxSubmitAttempts {
-		node := callers.deployment.entries[(entry+attempt)%entryCount]
-		status, _ := callers.deployment.call(http.MethodPost, "http://"+node.ip+":8161/quick/"+id, twoStepJob)
+		status, _ := callers.call(http.MethodPost, entry+attempt, id, body)
 		callers.mu.Lock()
 		switch status {
 		case http.StatusOK:
@@ -80,11 +89,11 @@
 		case <-stop:
 			group.Wait()
 			return
-		case <-time.After(submitInterval):
+		case <-time.After(submitInterval * defaultWorkers / time.Duration(callers.deployment.layout.workers)):
 		}
-		name, entry, cancels := fmt.Sprintf("j%06d", number), random.IntN(entryCount), random.Float64() < cancelProbability
+		name, entry, cancels := fmt.Sprintf("j%06d", number), random.IntN(len(callers.deployment.entries)), random.Float64() < cancelProbability
 		group.Go(func() {
-			if callers.submit(name, entry) && cancels {
+			if callers.submit(name, entry, twoStepJob) && cancels {
 				time.Sleep(300 * time.Millisecond)
 				callers.cancel(jobID(name), entry)
 			}
@@ -99,8 +108,7 @@
 	callers.submissions[id].cancelled = true
 	callers.mu.Unlock()
 	for attempt := range 50 * maxSubmitAttempts {
-		node := callers.deployment.entries[(entry+attempt)%entryCount]
-		if status, _ := callers.deployment.call(http.MethodDelete, "http://"+node.ip+":8161/quick/"+id, ""); status == http.StatusOK || status == http.StatusGone {
+		if status, _ := callers.call(http.MethodDelete, entry+attempt, id, ""); status == http.StatusOK || status == http.StatusGone {
 			return
 		}
 		time.Sleep(200 * time.Millisecond)
@@ -108,8 +116,7 @@
 }
 
 func (callers *callers) state(id string, entry int) string {
-	node := callers.deployment.entries[entry%entryCount]
-	status, text := callers.deployment.call(http.MethodGet, "http://"+node.ip+":8161/quick/"+id, "")
+	status, text := callers.call(http.MethodGet, entry, id, "")
 	if status == http.StatusGone {
 		return "gone"
 	}
@@ -121,6 +128,18 @@
 	return ""
 }
 
+// watchStates asks an entry for states of jobs on open connections until stop is closed.
+func (callers *callers) watchStates(entry int, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(stateInterval):
+			_ = callers.state(jobID("first"), entry)
+		}
+	}
+}
+
 func (callers *callers) await(t *testing.T, what string, condition func() bool) bool {
 	t.Helper()
 	for deadline := time.Now().Add(settleTimeout); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
@@ -132,24 +151,26 @@
 	return false
 }
 
-// check waits for the end of all accepted jobs and fails on every contradiction between the outcomes that callers
-// saw and the runs on the workers.
-func (callers *callers) check(t *testing.T) {
-	t.Helper()
-	acceptedCount := 0
-	unfinished, endStates := map[string]string{}, map[string]string{}
+// acceptedJobs returns the accepted jobs that fulfil the condition, without their states.
+func (callers *callers) acceptedJobs(condition func(submission *submission) bool) map[string]string {
+	states := map[string]string{}
 	for id, submission := range callers.submissions {
-		if submission.accepted > 0 {
-			acceptedCount++
-			unfinished[id] = ""
+		if submission.accepted > 0 && condition(submission) {
+			states[id] = ""
 		}
 	}
+	return states
+}
+
+// awaitEnds waits for the end of the jobs in states and replaces their states.
+func (callers *callers) awaitEnds(t *testing.T, states map[string]string) {
+	t.Helper()
+	unfinished := maps.Clone(states)
 	callers.await(t, "the end of all jobs", func() bool {
 		for id := range unfinished {
 			state := callers.state(id, len(unfinished))
-			unfinished[id] = state
+			unfinished[id], states[id] = state, state
 			if state == "completed" || state == "failed" || callers.submissions[id].cancelled && state == "cancelled" {
-				endStates[id] = state
 				delete(unfinished, id)
 			}
 		}
@@ -158,13 +179,21 @@
 	for id, state := range unfinished {
 		t.Errorf("job %s was accepted and has the state %q", id, state)
 	}
+}
+
+// check waits for the end of all accepted jobs and fails on every contradiction between the outcomes that callers
+// saw and the runs on the workers.
+func (callers *callers) check(t *testing.T) {
+	t.Helper()
+	endStates := callers.acceptedJobs(func(*submission) bool { return true })
+	callers.awaitEnds(t, endStates)
 	callers.await(t, "the end of all runs", func() bool {
 		for _, worker := range callers.deployment.workers {
-			worker.runner.Advance()
+			worker.current().Advance()
 		}
 		return !slices.ContainsFunc(callers.deployment.log.Runs(), func(run platformtest.Run) bool { return run.Ended.IsZero() })
 	})
-	t.Logf("%d jobs accepted of %d, %d runs", acceptedCount, len(callers.submissions), len(callers.deployment.log.Runs()))
+	t.Logf("%d jobs accepted of %d, %d runs", len(endStates), len(callers.submissions), len(callers.deployment.log.Runs()))
 	byTask := map[string][]platformtest.Run{}
 	for _, run := range callers.deployment.log.Runs() {
 		byTask[run.Task] = append(byTask[run.Task], run)
@@ -177,6 +206,9 @@
 		checkRuns(t, task, runs)
 	}
 	for id, state := range endStates {
+		if callers.submissions[id].isStanding {
+			continue // Their tasks have no end of their own.
+		}
 		checkEnd(t, id, state, byTask)
 	}
 }
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -20,19 +21,33 @@
 )
 
 const (
-	entryCount  = 3
-	workerCount = 4
-	host        = "desk.example"
+	host = "desk.example"
 	// announcementInterval is the time between two announcements of a worker.
 	announcementInterval = 250 * time.Millisecond
-	// leaseMillis is the longest lease that workers accept.
-	leaseMillis = 3000
+	// workerCPU is the capacity of a worker in thousandths of a processor.
+	workerCPU = 4000
+	// grace is the time between the signal to stop and the kill.
+	grace = 2 * time.Second
+	// leaveTimeout limits how long a worker that leaves waits for the acknowledgement.
+	leaveTimeout = 200 * time.Millisecond
 	// firstSubnet and subnetCount define the loopback networks 127.N.0.0 of deployments. The process id chooses
 	// N, so that tests in parallel processes rarely share addresses.
 	firstSubnet = 50
 	subnetCount = 150
+	// addressesPerNetwork is the number of nodes that share the first three bytes of their addresses.
+	addressesPerNetwork = 200
+	// firstWorkerNumber is the number of the address of the first worker, if there are not more entries.
+	firstWorkerNumber = 20
 )
 
+// layout is the size of a deployment. Its nodes take the zones in turn.
+type layout struct {
+	entries, workers int
+	zones            []string
+	// lease is the longest lease that workers accept.
+	lease time.Duration
+}
+
 // programPath is the path of the program that TestMain builds.
 var programPath string //nolint:gochecknoglobals // TestMain builds it once for all tests.
 
@@ -58,10 +73,13 @@
 	name      string
 	role      string
 	ip        string
+	zone      string
 	storeLink *proxy
 
 	mu      sync.Mutex
 	process *exec.Cmd
+	// isRetired is set if the process must not be started again.
+	isRetired bool
 }
 
 // testWorker is a worker that the agent beside it reaches through a proxy.
@@ -72,6 +90,11 @@
 	mu          sync.Mutex
 	incarnation int
 	runner      *platformtest.Runner
+	// isLeaving is set once it is certain that the worker leaves, endsAt when it drains, and hasLeft when it has
+	// ended for good.
+	isLeaving bool
+	endsAt    time.Time
+	hasLeft   bool
 }
 
 // deployment runs entries and agents as processes, and workers and the store in the test process.
@@ -80,55 +103,61 @@
 	dir     string
 	store   *platformtest.Store
 	log     *platformtest.Log
+	layout  layout
 	entries []*node
-	workers []*testWorker
+	seeds   []string
 	runPlan func(task string) (time.Duration, bool)
 	cancel  context.CancelFunc
 	ctx     context.Context
+	// subnet holds the first two bytes of all addresses, and storeAddress is that behind the links to the store.
+	subnet, storeAddress string
+
+	mu      sync.Mutex
+	workers []*testWorker
+	// disturbedAt is when a fault last began or ended, or a process started, and faults counts those in progress.
+	disturbedAt time.Time
+	faults      int
 }
 
-func newDeployment(t *testing.T, runPlan func(task string) (time.Duration, bool)) *deployment {
+func newDeployment(t *testing.T, layout layout, runPlan func(task string) (time.Duration, bool)) *deployment {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	deployment := &deployment{t: t, dir: t.TempDir(), store: platformtest.NewStore(), log: &platformtest.Log{}, runPlan: runPlan, ctx: ctx, cancel: cancel}
+	deployment := &deployment{t: t, dir: t.TempDir(), store: platformtest.NewStore(), log: &platformtest.Log{}, layout: layout, runPlan: runPlan, ctx: ctx, cancel: cancel}
 	t.Cleanup(deployment.close)
 	server := httptest.NewServer(deployment.store)
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
-	subnet := fmt.Sprintf("127.%d.0.", firstSubnet+os.Getpid()%subnetCount)
-	var seeds []string
-	for number := range entryCount {
-		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s%d:8166", subnet, 11+number)))
-	}
-	storeAddress := strings.TrimPrefix(server.URL, "http://")
-	for number := range entryCount {
-		deployment.entries = append(deployment.entries, deployment.newNode("entry", fmt.Sprintf("%s%d", subnet, 11+number), storeAddress))
+	deployment.subnet = fmt.Sprintf("127.%d", firstSubnet+os.Getpid()%subnetCount)
+	deployment.storeAddress = strings.TrimPrefix(server.URL, "http://")
+	for number := range layout.entries {
+		deployment.entries = append(deployment.entries, deployment.newNode("entry", number))
+		deployment.seeds = append(deployment.seeds, fmt.Sprintf("%q", deployment.entries[number].ip+":8166"))
 	}
-	for number := range workerCount {
-		deployment.newWorker(deployment.newNode("agent", fmt.Sprintf("%s%d", subnet, 31+number), storeAddress))
+	for range layout.workers {
+		deployment.newWorker()
 	}
 	deployment.configure(1)
-	for _, node := range deployment.nodes() {
-		app := ""
-		for _, worker := range deployment.workers {
-			if worker.agent == node {
-				app = worker.agentLink.address()
-			}
-		}
-		deployment.writeSettings(node, seeds, app)
-		deployment.start(node)
+	for _, entry := range deployment.entries {
+		deployment.writeSettings(entry, "")
+		deployment.start(entry)
 	}
 	for _, worker := range deployment.workers {
-		go deployment.announce(worker)
+		deployment.join(worker)
 	}
 	return deployment
 }
 
-func (deployment *deployment) newNode(role, ip, storeAddress string) *node {
-	return &node{name: role + "-" + ip, role: role, ip: ip, storeLink: newProxy(deployment.t, ip+":8170", storeAddress)}
+func (deployment *deployment) newNode(role string, number int) *node {
+	ip := fmt.Sprintf("%s.%d.%d", deployment.subnet, number/addressesPerNetwork, 11+number%addressesPerNetwork)
+	return &node{
+		name: role + "-" + ip, role: role, ip: ip, zone: deployment.layout.zones[number%len(deployment.layout.zones)],
+		storeLink: newProxy(deployment.t, ip+":8170", deployment.storeAddress),
+	}
 }
 
-func (deployment *deployment) newWorker(agent *node) {
-	worker := &testWorker{agent: agent}
+// newWorker prepares a worker and its agent for join. Only the test's own goroutine may call it.
+func (deployment *deployment) newWorker() *testWorker {
+	number := max(firstWorkerNumber, deployment.layout.entries) + len(deployment.workers)
+	worker := &testWorker{agent: deployment.newNode("agent", number)}
 	worker.restart(deployment)
 	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		worker.mu.Lock()
@@ -137,8 +166,40 @@
 		runner.ServeHTTP(writer, request)
 	}))
 	deployment.t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
-	worker.agentLink = newProxy(deployment.t, agent.ip+":8165", strings.TrimPrefix(server.URL, "http://"))
+	worker.agentLink = newProxy(deployment.t, worker.agent.ip+":8165", strings.TrimPrefix(server.URL, "http://"))
+	deployment.writeSettings(worker.agent, worker.agentLink.address())
+	deployment.mu.Lock()
+	defer deployment.mu.Unlock()
 	deployment.workers = append(deployment.workers, worker)
+	return worker
+}
+
+// join starts a worker and its agent.
+func (deployment *deployment) join(worker *testWorker) {
+	deployment.start(worker.agent)
+	go deployment.announce(worker)
+}
+
+// leave drains the worker for a while and ends it for good. It returns before its agent ends.
+func (deployment *deployment) leave(worker *testWorker, notice time.Duration) {
+	worker.mu.Lock()
+	worker.endsAt = time.Now().Add(notice)
+	worker.mu.Unlock()
+	time.Sleep(notice)
+	acknowledged := make(chan struct{})
+	go func() {
+		defer close(acknowledged)
+		_, _ = deployment.call(http.MethodDelete, "http://"+worker.agent.ip+":8166/api/instances/"+worker.id(), "") // The agent may be down.
+	}()
+	select {
+	case <-acknowledged:
+	case <-time.After(leaveTimeout):
+	}
+	worker.mu.Lock()
+	worker.hasLeft = true
+	worker.runner.Crash()
+	worker.mu.Unlock()
+	worker.agentLink.close()
 }
 
 // restart crashes the worker and starts its next incarnation.
@@ -157,35 +218,97 @@
 }
 func (worker *testWorker) startedAt() int64 { return 1000 + int64(worker.incarnation) }
 
-// announce sends a worker's announcements to its agent until the deployment ends.
+// announce sends a worker's announcements to its agent until the worker leaves or the deployment ends.
 func (deployment *deployment) announce(worker *testWorker) {
 	for sequence := 1; deployment.ctx.Err() == nil; sequence++ {
 		worker.mu.Lock()
-		id := worker.id()
-		body := fmt.Sprintf(`{"Service":"desk","Address":"10.0.0.1:1","Zone":"zone-a","State":"ready","Capacity":{"Cpu":4000,"MemoryLimitMb":8000,"Gpu":0},"Labels":["a","r1"],"Sequence":%d,"born":%d}`, sequence, worker.startedAt())
+		if worker.hasLeft {
+			worker.mu.Unlock()
+			return
+		}
+		id, state := worker.id(), `"ready"`
+		if !worker.endsAt.IsZero() {
+			state = fmt.Sprintf(`"draining","RemainingMs":%d`, max(0, time.Until(worker.endsAt).Milliseconds()))
+		}
+		body := fmt.Sprintf(`{"Service":"desk","Address":"10.0.0.1:1","Zone":%q,"State":%s,"Capacity":{"Cpu":%d,"MemoryLimitMb":8000,"Gpu":0},"Labels":["a","r1"],"Sequence":%d,"born":%d}`,
+			worker.agent.zone, state, workerCPU, sequence, worker.startedAt())
 		worker.mu.Unlock()
 		_, _ = deployment.call(http.MethodPut, "http://"+worker.agent.ip+":8166/api/instances/"+id, body) // The agent may be down.
 		time.Sleep(announcementInterval)
 	}
 }
 
+// reserve keeps the worker from being chosen for another fault before it leaves.
+func (worker *testWorker) reserve() {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	worker.isLeaving = true
+}
+
+func (worker *testWorker) current() *platformtest.Runner {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	return worker.runner
+}
+
+// readyWorkers returns the workers that are there to stay.
+func (deployment *deployment) readyWorkers() []*testWorker {
+	deployment.mu.Lock()
+	defer deployment.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(deployment.workers), func(worker *testWorker) bool {
+		worker.mu.Lock()
+		defer worker.mu.Unlock()
+		return worker.isLeaving
+	})
+}
+
+// nodes returns the nodes that are there to stay.
 func (deployment *deployment) nodes() []*node {
-	all := append([]*node{}, deployment.entries...)
-	for _, worker := range deployment.workers {
+	all := slices.Clone(deployment.entries)
+	for _, worker := range deployment.readyWorkers() {
 		all = append(all, worker.agent)
 	}
 	return all
 }
 
+// disturb records that a fault begins, ends or takes place, by the change in the number of faults in progress.
+func (deployment *deployment) disturb(change int) {
+	deployment.mu.Lock()
+	defer deployment.mu.Unlock()
+	deployment.disturbedAt = time.Now()
+	deployment.faults += change
+}
+
+// calmTime returns for how long nothing was disturbed.
+func (deployment *deployment) calmTime() time.Duration {
+	deployment.mu.Lock()
+	defer deployment.mu.Unlock()
+	if deployment.faults > 0 {
+		return 0
+	}
+	return time.Since(deployment.disturbedAt)
+}
+
+// leader returns the entry that the store names as the leader, or the first one.
+func (deployment *deployment) leader() *node {
+	value, _ := deployment.store.Row("lead", "main", "term")
+	for _, entry := range deployment.entries {
+		if strings.Contains(string(value), fmt.Sprintf("%q", entry.name)) {
+			return entry
+		}
+	}
+	return deployment.entries[0]
+}
+
 func (deployment *deployment) settingsPath(node *node) string {
 	return filepath.Join(deployment.dir, node.name+".toml")
 }
 
-func (deployment *deployment) writeSettings(node *node, seeds []string, app string) {
+func (deployment *deployment) writeSettings(node *node, app string) {
 	deployment.t.Helper()
 	text := fmt.Sprintf(`NodeName = %q
 Ip = %q
-Zone = "zone-a"
+Zone = %q
 Region = "region"
 InternalPortRange = [7720, 7735]
 Seeds = [%s]
@@ -199,14 +322,14 @@
 [Limits]
 MemoryMb = 152
 [Bounds]
-GraceS = 2
+GraceS = %d
 HoldMaxMs = %d
 ImpactMs = 4000
 [platform]
 Address = %q
 WritesPerS = 800
 ReadsPerS = 2000
-`, node.name, node.ip, strings.Join(seeds, ", "), app, node.ip, node.ip, node.ip, leaseMillis, node.storeLink.address())
+`, node.name, node.ip, node.zone, strings.Join(deployment.seeds, ", "), app, node.ip, node.ip, node.ip, int(grace.Seconds()), deployment.layout.lease.Milliseconds(), node.storeLink.address())
 	if node.role == "agent" {
 		text = strings.ReplaceAll(text, fmt.Sprintf("Frontend = \"%s:8161\"\n", node.ip), "")
 	}
@@ -215,16 +338,17 @@
 	}
 }
 
-// configure writes the operators' configuration.
+// configure writes the operators' configuration. Those with odd versions have another route.
 func (deployment *deployment) configure(version int) {
-	value, err := json.Marshal(map[string]any{
-		"Version": version,
-		"Routes": []any{map[string]any{
-			"Name": "route", "Host": host, "PathPrefix": "/quick/", "TimeoutMs": 3000, "TargetLatencyMs": 250,
+	prefixes := []string{"/quick/", "/spare/"}
+	var routes []any
+	for number, prefix := range prefixes[:1+version%2] {
+		routes = append(routes, map[string]any{
+			"Name": fmt.Sprintf("route%d", number), "Host": host, "PathPrefix": prefix, "TimeoutMs": 3000, "TargetLatencyMs": 250,
 			"Priority": 0, "Service": "desk", "MaxAttempts": taskAttempts, "SlackFactor": 1.5,
-		}},
-		"Limits": map[string]any{"MaxBodyBytes": 262144},
-	})
+		})
+	}
+	value, err := json.Marshal(map[string]any{"Version": version, "Routes": routes, "Limits": map[string]any{"MaxBodyBytes": 262144}})
 	if err != nil {
 		deployment.t.Error(err)
 	}
@@ -235,7 +359,7 @@
 func (deployment *deployment) start(node *node) {
 	node.mu.Lock()
 	defer node.mu.Unlock()
-	if node.process != nil || deployment.ctx.Err() != nil {
+	if node.process != nil || node.isRetired || deployment.ctx.Err() != nil {
 		return
 	}
 	output, err := os.OpenFile(filepath.Join(deployment.dir, node.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -252,6 +376,7 @@
 		return
 	}
 	node.process = process
+	deployment.disturb(0)
 	go func() {
 		_ = process.Wait() // Killed processes end with an error.
 		node.mu.Lock()
@@ -271,21 +396,50 @@
 	}
 }
 
+// terminate asks the node's process to stop and kills it after the grace period, as the platform does.
+func (node *node) terminate() {
+	node.mu.Lock()
+	process := node.process
+	node.mu.Unlock()
+	node.signal(syscall.SIGTERM)
+	if !node.awaitEnd(process, grace) {
+		node.signal(syscall.SIGKILL)
+	}
+}
+
+// awaitEnd waits until the process is not the node's any more. It returns false after the timeout.
+func (node *node) awaitEnd(process *exec.Cmd, timeout time.Duration) bool {
+	for deadline := time.Now().Add(timeout); ; time.Sleep(10 * time.Millisecond) {
+		node.mu.Lock()
+		hasEnded := process == nil || node.process != process
+		node.mu.Unlock()
+		if hasEnded || time.Now().After(deadline) {
+			return hasEnded
+		}
+	}
+}
+
+// retire keeps the node's process from being started again.
+func (node *node) retire() {
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	node.isRetired = true
+}
+
 func (deployment *deployment) close() {
 	deployment.cancel()
-	for _, node := range deployment.nodes() {
+	all := slices.Clone(deployment.entries)
+	for _, worker := range deployment.workers {
+		all = append(all, worker.agent)
+	}
+	for _, node := range all {
 		node.signal(syscall.SIGKILL)
 	}
-	for _, node := range deployment.nodes() {
-		for range 100 {
-			node.mu.Lock()
-			gone := node.process == nil
-			node.mu.Unlock()
-			if gone {
-				break
-			}
-			time.Sleep(10 * time.Millisecond)
-		}
+	for _, node := range all {
+		node.mu.Lock()
+		process := node.process
+		node.mu.Unlock()
+		node.awaitEnd(process, time.Second)
 	}
 }
 
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -26,7 +26,7 @@
 		t.Fatal(err)
 	}
 	proxy := &proxy{target: target, listener: listener, conns: map[net.Conn]struct{}{}}
-	t.Cleanup(func() { _ = listener.Close(); proxy.reset() })
+	t.Cleanup(proxy.close)
 	go func() {
 		for {
 			connection, err := listener.Accept()
@@ -108,6 +108,12 @@
 	proxy.silent, proxy.delay = silent, delay
 }
 
+// close refuses new connections and breaks all others.
+func (proxy *proxy) close() {
+	_ = proxy.listener.Close()
+	proxy.reset()
+}
+
 // reset breaks all connections.
 func (proxy *proxy) reset() {
 	proxy.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,10 +1,12 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,9 +22,14 @@
 	// secondsVariable the one with the seconds of fault injection per seed.
 	seedsVariable   = "HYSSOPJUNCTION_SOAK_SEEDS"
 	secondsVariable = "HYSSOPJUNCTION_SOAK_SECONDS"
+	// entriesVariable and workersVariable are the environment variables with the size of a deployment in a manual run.
+	entriesVariable = "HYSSOPJUNCTION_SOAK_ENTRIES"
+	workersVariable = "HYSSOPJUNCTION_SOAK_WORKERS"
+	defaultEntries  = 3
+	defaultWorkers  = 4
 	// ciSeconds is the time of fault injection per seed in CI.
 	ciSeconds = 8
-	// submitInterval is the time between two submissions.
+	// submitInterval is the time between two submissions to a deployment with defaultWorkers.
 	submitInterval = 70 * time.Millisecond
 	// cancelProbability is the share of jobs that are cancelled shortly after they were accepted.
 	cancelProbability = 0.1
@@ -37,11 +44,23 @@
 func ciSeeds() []uint64 { return []uint64{1, 2} }
 
 // TestSoak guards against jobs that are lost, run twice, run although their submission was refused, reported
-// in a state that contradicts their runs, or not ended after their cancellation, while processes are killed,
-// paused and stopped, links are silenced, slowed and reset, the store fails in several ways, and workers
-// crash.
+// in a state that contradicts their runs, or not ended after their cancellation, and against lasting tasks that
+// are not started again, while processes are killed, paused and stopped, links are silenced, slowed and reset, the
+// store fails in several ways, and workers crash.
 func TestSoak(t *testing.T) {
-	seeds, seconds := ciSeeds(), ciSeconds
+	forSeeds(t, func(t *testing.T, seed uint64, duration time.Duration) {
+		t.Helper()
+		soak(t, seed, duration, layout{zones: []string{"zone-a"}, lease: 3 * time.Second}, func(run *run) {
+			run.injectFault(t)
+			time.Sleep(time.Duration(200+run.random.IntN(900)) * time.Millisecond)
+		}, nil)
+	})
+}
+
+// forSeeds runs a test for the seeds of CI or of a manual run.
+func forSeeds(t *testing.T, test func(t *testing.T, seed uint64, duration time.Duration)) {
+	t.Helper()
+	seeds, seconds := ciSeeds(), numberSetting(t, secondsVariable, ciSeconds)
 	if text := os.Getenv(seedsVariable); text != "" {
 		from, to, _ := strings.Cut(text, "-")
 		first, err := strconv.ParseUint(from, 10, 64)
@@ -59,65 +78,123 @@
 			seeds = append(seeds, seed)
 		}
 	}
-	if text := os.Getenv(secondsVariable); text != "" {
-		var err error
-		if seconds, err = strconv.Atoi(text); err != nil {
-			t.Fatal(err)
-		}
-	}
 	if testing.Short() {
 		t.Skip("starts seven processes")
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { soak(t, seed, time.Duration(seconds)*time.Second) })
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { test(t, seed, time.Duration(seconds)*time.Second) })
 	}
 }
 
-func soak(t *testing.T, seed uint64, duration time.Duration) {
+func numberSetting(t *testing.T, variable string, byDefault int) int {
 	t.Helper()
-	random := rand.New(rand.NewPCG(seed, 0))
-	deployment := newDeployment(t, planRun)
-	callers := &callers{deployment: deployment, submissions: map[string]*submission{}}
-	callers.await(t, "the first job", func() bool { return callers.submit("first", 0) })
-	stop := make(chan struct{})
-	var group sync.WaitGroup
-	group.Go(func() { callers.submitJobs(rand.New(rand.NewPCG(seed, 1)), stop) })
+	text := os.Getenv(variable)
+	if text == "" {
+		return byDefault
+	}
+	number, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return number
+}
+
+// run is a soak with one seed. group holds the faults that are not over.
+type run struct {
+	deployment *deployment
+	random     *rand.Rand
+	group      sync.WaitGroup
+}
+
+// start carries out a part of a fault, during which nothing is calm.
+func (run *run) start(action func()) {
+	run.deployment.disturb(1)
+	run.group.Go(func() {
+		defer run.deployment.disturb(-1)
+		action()
+	})
+}
+
+// soak injects faults with inject for the duration while callers are busy, and checks the promises. checkMore may
+// be nil.
+func soak(t *testing.T, seed uint64, duration time.Duration, size layout, inject func(run *run), checkMore func(callers *callers)) {
+	t.Helper()
+	size.entries, size.workers = numberSetting(t, entriesVariable, defaultEntries), numberSetting(t, workersVariable, defaultWorkers)
+	deployment := newDeployment(t, size, planRun)
+	run := &run{deployment: deployment, random: rand.New(rand.NewPCG(seed, 0))}
+	callers := &callers{deployment: deployment, connections: &connections{idle: map[string][]*connection{}}, submissions: map[string]*submission{}}
+	callers.await(t, "the first job", func() bool { return callers.submit("first", 0, twoStepJob) })
+	stop, settled := make(chan struct{}), make(chan struct{})
+	var traffic, watch sync.WaitGroup
+	traffic.Go(func() { callers.submitJobs(rand.New(rand.NewPCG(seed, 1)), stop) })
+	traffic.Go(func() { callers.submitStanding(rand.New(rand.NewPCG(seed, 3)), stop) })
+	for entry := range deployment.entries {
+		traffic.Go(func() { callers.watchStates(entry, stop) })
+	}
+	watch.Go(func() { callers.watchStanding(t, settled) })
 	for start := time.Now(); time.Since(start) < duration; {
-		deployment.injectFault(t, random, &group)
-		time.Sleep(time.Duration(200+random.IntN(900)) * time.Millisecond)
+		inject(run)
 	}
 	close(stop)
-	group.Wait()
+	run.group.Wait()
+	traffic.Wait()
+	callers.settleStanding(t)
+	close(settled)
+	watch.Wait()
 	callers.check(t)
+	if checkMore != nil {
+		checkMore(callers)
+	}
+	t.Logf("%d requests answered, %d connections ended before the response", callers.connections.answered, len(callers.connections.losses))
 	if t.Failed() {
-		savedDir, err := os.MkdirTemp("", "soak-failed")
-		if err == nil {
-			err = os.CopyFS(savedDir, os.DirFS(deployment.dir))
-		}
-		t.Logf("seed %d: logs in %s (%v)", seed, savedDir, err)
+		deployment.keepLogs(t, seed)
+	}
+}
+
+// keepLogs copies the logs of all processes and the list of all runs to a directory that outlives the test.
+func (deployment *deployment) keepLogs(t *testing.T, seed uint64) {
+	t.Helper()
+	dir, err := os.MkdirTemp("", "soak-failed")
+	if err == nil {
+		err = os.CopyFS(dir, os.DirFS(deployment.dir))
 	}
+	var lines strings.Builder
+	for _, run := range deployment.log.Runs() {
+		fmt.Fprintf(&lines, "%s to %s: %s run %d on %s %s, acknowledged %t\n", run.Started.Format("05.000"), run.Ended.Format("05.000"),
+			run.Task, run.Run, run.Runner, run.Result, run.Acknowledged)
+	}
+	err = errors.Join(err, os.WriteFile(filepath.Join(dir, "runs.txt"), []byte(lines.String()), 0o600))
+	t.Logf("seed %d: logs in %s (%v)", seed, dir, err)
 }
 
-// planRun derives from a task's name how long it runs and whether it fails.
+// planRun derives from a task's name how long it runs and whether it fails. Most standing tasks run until they are
+// stopped, and some fail after some seconds.
 func planRun(task string) (time.Duration, bool) {
 	sum := 0
 	for _, letter := range task {
 		sum = (sum*31 + int(letter)) % 1000
 	}
+	if isStandingTask(task) {
+		if sum%8 == 0 {
+			return 4*time.Second + time.Duration(sum)*time.Millisecond, true
+		}
+		return 0, false
+	}
 	return time.Duration(100+sum) * time.Millisecond, float64(sum) < failureProbability*1000
 }
 
 // injectFault starts a random fault, which ends by itself.
-func (deployment *deployment) injectFault(t *testing.T, random *rand.Rand, group *sync.WaitGroup) {
+func (run *run) injectFault(t *testing.T) {
 	t.Helper()
+	deployment, random, workers := run.deployment, run.random, run.deployment.readyWorkers()
 	nodes := deployment.nodes()
 	node := nodes[random.IntN(len(nodes))]
 	entry := deployment.entries[random.IntN(len(deployment.entries))]
-	worker := deployment.workers[random.IntN(len(deployment.workers))]
+	worker := workers[random.IntN(len(workers))]
 	duration := time.Duration(300+random.IntN(3000)) * time.Millisecond
 	during := func(begin, end func()) {
 		begin()
-		group.Go(func() {
+		run.start(func() {
 			time.Sleep(duration)
 			end()
 		})
@@ -157,10 +234,11 @@
 		{"store slow", func() {
 			during(func() { deployment.store.SetTransactionTime(150 * time.Millisecond) }, func() { deployment.store.SetTransactionTime(0) })
 		}},
-		{"configure", func() { deployment.configure(int(time.Now().UnixMilli() % 1e9)) }},
+		{"configure", func() { deployment.configure(nextVersion()) }},
 	}
 	fault := faults[random.IntN(len(faults))]
 	t.Logf("%s: %s on %s, %s, %s", time.Now().Format("05.000"), fault.name, node.name, entry.name, worker.agent.ip)
+	deployment.disturb(0)
 	fault.run()
 }
 
--- a/standin/platformtest/store.go
+++ b/standin/platformtest/store.go
@@ -140,6 +140,13 @@
 	store.apply([]storedRow{{Table: table, Partition: partition, Key: key, Value: value}}, nil)
 }
 
+// Remove removes a row as an operator does, without conditions and faults.
+func (store *Store) Remove(table, partition, key string) {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	store.apply(nil, []storedRow{{Table: table, Partition: partition, Key: key}})
+}
+
 // Row returns the value of a row and whether it exists.
 func (store *Store) Row(table, partition, key string) ([]byte, bool) {
 	store.mu.Lock()
