--- a/soak/series_test.go
+++ b/soak/series_test.go
@@ -26,7 +26,7 @@
 func ciSeriesSeeds() []uint64 {
 	return []uint64{
 		1, 2,
-		23, 55, // An agent told only a leader without the store that its worker had ended, and stopped.
+		23, 55, 77, // An agent told only a leader without the store that its worker had ended, and stopped.
 	}
 }
 
