coordinator: count and log an awaited worker once

Callers would see: hyssopjunction_coordinator_workers_awaited_total rises by two for each worker that did not return, so on-call engineers take one lost worker for two. Runs are not affected. Ruled out: a worker that is awaited in two terms; the test has one term. Evidence: TestAwaitedWorkerIsCountedOnce failed before: "got 2 awaited workers, want 1". It passes now.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -261,14 +261,6 @@
 		coordinator.grants[node] = grant
 		coordinator.scheduler.RecordLeaseLapse(grant.incarnation)
 	}
-	if now.Sub(coordinator.startedAt) > election.InheritedLeaseWait(coordinator.workerLease) {
-		for _, incarnation := range coordinator.scheduler.Orphans() {
-			coordinator.counters.workersAwaited.Inc()
-			coordinator.counters.workersAwaited.Inc()
-			klog.InfoS("Worker did not return", "Worker", incarnation, "Term", coordinator.leadership.Term.Number)
-			coordinator.scheduler.RemoveWorker(incarnation)
-		}
-	}
 }
 
 // updateOutDataCentres passes the data centres that are out to the scheduler and reports whether they are
--- a/coordinator/workerend_test.go
+++ b/coordinator/workerend_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"testing"
 
+	"hyssopjunction/clock"
+	"hyssopjunction/election"
 	"hyssopjunction/loop"
 	"hyssopjunction/scheduler"
 	"hyssopjunction/session"
@@ -101,3 +103,30 @@
 		}
 	}
 }
+
+// restoreStandingRun adds a job whose only task runs on the worker of newWorkerReport, as an earlier leader stored it.
+func (coordinator *Coordinator) restoreStandingRun() {
+	job := workflow.New(workflow.Spec{
+		ID: "0123456789abcdef", Queue: "queue", Service: "desk",
+		Steps: []workflow.Step{{Count: 1, Standing: true, Need: unit.Resources{CPU: 1000, Memory: 1000}}},
+	})
+	job.AddDueOccurrences(0)
+	name := workflow.Name{Job: job.Spec.ID}
+	job.Place(name, job.NextRun(name), "i-1@1@side-1")
+	coordinator.scheduler.Restore(job, coordinator.deps.Clock.Now())
+}
+
+// TestAwaitedWorkerIsCountedOnce guards against a metric that shows more workers that did not return than there were.
+func TestAwaitedWorkerIsCountedOnce(t *testing.T) {
+	coordinator, source := newTestLeader(t)
+	coordinator.workerLease = 10 * clock.Second
+	coordinator.startedAt = source.Now()
+	coordinator.restoreStandingRun()
+	before := coordinator.counters.workersAwaited.Get()
+	source.Advance(election.InheritedLeaseWait(coordinator.workerLease) + 1)
+	coordinator.archivedAt = source.Now()
+	coordinator.runPeriodicChecks()
+	if got := coordinator.counters.workersAwaited.Get() - before; got != 1 {
+		t.Errorf("got %d awaited workers, want 1", got)
+	}
+}
