coordinator: a worker that has lapsed does not answer its agent

Callers would see: starts on a worker whose process has ended, which wait until the next worker of the node registers, and the end of a worker that is acknowledged but ignored. Cause: an agent whose worker's address is answered by a later process reports both Responsive and Lapsed. In the first report of a session the leader ended the runs, but made the worker reachable once the round was stored, because sendExpected looks at Responsive alone. endWorker did so too. Ruled out: the lapse that the leader finds itself; it comes after a silence, and TestWorkerIsUsedAgainAfterLapse covers the return from it. Change: a session counts as responsive only if its worker has not lapsed. Evidence: TestLapsedWorkerDoesNotCountAsAnswering failed before: "got 1 starts on the lapsed worker, want none" and "got workers [i-1@1@side-1] after the end of the worker, want none". It passes now.

--- a/coordinator/agents.go
+++ b/coordinator/agents.go
@@ -61,7 +61,7 @@
 	closed   bool
 	// overrun reports that the session ended because queue was full.
 	overrun bool
-	// responsive reports that the worker answers its agent.
+	// responsive reports that the worker answers its agent and has not lapsed.
 	responsive bool
 	// expectedSent reports that the orders for the runs that the worker should have were sent, or will be sent
 	// once the present state is stored.
@@ -250,13 +250,13 @@
 		Incarnation: incarnation, Node: agent.node, Service: worker.Service, DataCentre: worker.DataCentre,
 		Labels: worker.Labels, Capacity: worker.Capacity, Draining: worker.Draining,
 	}, now)
-	agent.responsive = worker.Responsive
+	agent.responsive = worker.Responsive && !worker.Lapsed
 	if !agent.expectedSent {
 		agent.expectedSent = true
 		coordinator.onceStored = append(coordinator.onceStored, func() { coordinator.sendExpected(agent) })
 		return
 	}
-	coordinator.scheduler.SetReachable(incarnation, worker.Responsive)
+	coordinator.scheduler.SetReachable(incarnation, agent.responsive)
 }
 
 // recordLapse records that all runs of the agent's worker have ended.
--- a/coordinator/workerend_test.go
+++ b/coordinator/workerend_test.go
@@ -130,3 +130,27 @@
 		t.Errorf("got %d awaited workers, want 1", got)
 	}
 }
+
+// TestLapsedWorkerDoesNotCountAsAnswering guards against starts on a worker whose process has ended: a later process
+// answers its agent's listings, so that the first report of a session says both that it answers and that it has lapsed.
+func TestLapsedWorkerDoesNotCountAsAnswering(t *testing.T) {
+	coordinator, source := newTestLeader(t)
+	agent := newTestSession("side-1")
+	coordinator.sessions["side-1"] = agent
+	report := newWorkerReport()
+	report.Worker.Lapsed = true
+	coordinator.handleReport(agent, report)
+	coordinator.finishRound(nil, coordinator.takeOnceStored())
+	coordinator.scheduler.Submit(workflow.Spec{
+		ID: "0123456789abcdef", Service: "desk", Policy: workflow.Policy{MaxAttempts: 2},
+		Steps: []workflow.Step{{Count: 1, Need: unit.Resources{CPU: 1000, Memory: 1000}}},
+	}, source.Now())
+	coordinator.scheduler.Plan(source.Now(), 0)
+	if _, starts := coordinator.scheduler.TakeChanges(); len(starts) != 0 {
+		t.Errorf("got %d starts on the lapsed worker, want none", len(starts))
+	}
+	coordinator.endWorker(&session.WorkerEnd{Node: "side-1", Incarnation: "i-1@1@side-1"})
+	if got := coordinator.scheduler.OtherIncarnations("side-1", "none"); len(got) != 0 {
+		t.Errorf("got workers %v after the end of the worker, want none", got)
+	}
+}
