coordinator: the end of a worker counts while its agent is silent

Callers would see: standing tasks that wait for 10.6 s after their worker ended, with a leader that has the store and got the report of the end. Cause: an agent that is cut off from the leader reports the end of its worker by way of other entries. The leader ignored it, because the session, of which it does not know yet that it is cut, said that the worker answers. It acknowledged the report all the same, so the entries dropped it; if the agent's machine went then, only the lapse of the lease told the leader. Ruled out: a worker that answered again; its agent's reports arrive, and TestWorkerThatAnswersIsNotEnded holds unchanged. A leader that itself stood still: isOverdue does not count its own pause. Change: an agent whose next report is missing does not outweigh the report of the end. The log line of an ignored end has the age of the last report. Evidence: TestEndOfWorkerOfSilentAgentCounts failed before: "got workers [i-1@1@side-1], want none". It passes now. Left: an ignored report is still acknowledged within the 1.2 s until a session counts as silent, also to an agent that reports directly.

--- a/coordinator/workerend.go
+++ b/coordinator/workerend.go
@@ -34,15 +34,17 @@
 	}
 }
 
-// endWorker removes a worker's incarnation from the scheduler. An agent that is attached and reaches the worker knows
-// better than a report that was kept by another entry.
+// endWorker removes a worker's incarnation from the scheduler. An agent that is attached, reports and reaches the worker
+// knows better than a report that was kept by another entry.
 func (coordinator *Coordinator) endWorker(end *session.WorkerEnd) {
+	now := coordinator.deps.Clock.Now()
 	incarnation := scheduler.Incarnation(end.Incarnation)
-	if agent, ok := coordinator.sessions[end.Node]; ok && agent.incarnation == incarnation && agent.responsive {
-		klog.InfoS("End of a worker ignored: it answers its agent", "Node", end.Node, "Worker", incarnation)
+	agent, ok := coordinator.sessions[end.Node]
+	if ok && agent.incarnation == incarnation && agent.responsive && !coordinator.attention.isOverdue(agent.reportedAt, now) {
+		klog.InfoS("End of a worker ignored: it answers its agent", "Node", end.Node, "Worker", incarnation, "ReportAgeMillis", int64(now.Sub(agent.reportedAt)))
 		return
 	}
-	ended := coordinator.scheduler.EndWorker(incarnation, coordinator.convertEnds(incarnation, end.Ends), coordinator.deps.Clock.Now())
+	ended := coordinator.scheduler.EndWorker(incarnation, coordinator.convertEnds(incarnation, end.Ends), now)
 	if ended > 0 { // The same report may arrive from several entries.
 		coordinator.counters.workerEnds.Inc()
 		klog.InfoS("Worker ended", "Node", end.Node, "Worker", incarnation, "EndedRuns", ended, "ReportedEnds", len(end.Ends), "Term", coordinator.leadership.Term.Number)
--- a/coordinator/workerend_test.go
+++ b/coordinator/workerend_test.go
@@ -154,3 +154,19 @@
 		t.Errorf("got workers %v after the end of the worker, want none", got)
 	}
 }
+
+// TestEndOfWorkerOfSilentAgentCounts guards against tasks that wait until a lease has lapsed although the end of their
+// worker was reported: the worker's agent was cut off from the leader, whose session still said that the worker answers.
+func TestEndOfWorkerOfSilentAgentCounts(t *testing.T) {
+	coordinator, source := newTestLeader(t)
+	agent := newTestSession("side-1")
+	coordinator.sessions["side-1"] = agent
+	coordinator.handleReport(agent, newWorkerReport())
+	for source.Advance(checkInterval); !coordinator.attention.isOverdue(agent.reportedAt, source.Now()); source.Advance(checkInterval) {
+		coordinator.attention.observe(source.Now())
+	}
+	coordinator.endWorker(&session.WorkerEnd{Node: "side-1", Incarnation: "i-1@1@side-1"})
+	if got := coordinator.scheduler.OtherIncarnations("side-1", "none"); len(got) != 0 {
+		t.Errorf("got workers %v, want none", got)
+	}
+}
