coordinator: a repeated report of a worker's end is logged and counted once

Callers would see: nothing. On-call engineers would see counted ends of runs that never were, and a leader without the store that logs each end of each reported worker about twice a second for every entry: its agent repeats the report and every entry passes it on until it is stored. Cause: convertEnds logs and counts before the scheduler finds that it has removed the worker. Ruled out: the reports of sessions; they skip ends up to the number of the last one that is stored, and an agent lists each end once a session. Change: a report for a worker that the scheduler does not have is not converted. Evidence: TestRepeatedWorkerEndIsCountedOnce failed before: "got 5 counted ends, want 1". It passes now. Conclusion: an end that a session reported just before the worker's end may still be counted twice.

--- a/coordinator/workerend.go
+++ b/coordinator/workerend.go
@@ -44,8 +44,11 @@
 		klog.InfoS("End of a worker ignored: it answers its agent", "Node", end.Node, "Worker", incarnation, "ReportAgeMillis", int64(now.Sub(agent.reportedAt)))
 		return
 	}
+	if !coordinator.scheduler.HasWorker(incarnation) {
+		return // The same report may arrive from several entries.
+	}
 	ended := coordinator.scheduler.EndWorker(incarnation, coordinator.convertEnds(incarnation, end.Ends), now)
-	if ended > 0 { // The same report may arrive from several entries.
+	if ended > 0 {
 		coordinator.counters.workerEnds.Inc()
 		klog.InfoS("Worker ended", "Node", end.Node, "Worker", incarnation, "EndedRuns", ended, "ReportedEnds", len(end.Ends), "Term", coordinator.leadership.Term.Number)
 	}
--- a/coordinator/workerend_test.go
+++ b/coordinator/workerend_test.go
@@ -170,3 +170,20 @@
 		t.Errorf("got workers %v, want none", got)
 	}
 }
+
+// TestRepeatedWorkerEndIsCountedOnce guards against log lines and counted ends that grow with the number of entries that
+// pass on the same report, and with its repetitions while the store is away.
+func TestRepeatedWorkerEndIsCountedOnce(t *testing.T) {
+	coordinator, _ := newTestLeader(t)
+	coordinator.restoreStandingRun()
+	before := coordinator.counters.faulted.Get()
+	end := &session.WorkerEnd{Node: "side-1", Incarnation: "i-1@1@side-1", Ends: []session.End{
+		{Number: 1, Task: "0123456789abcdef.0.0.0", Run: 1, Cause: workflow.Faulted},
+	}}
+	for range 5 {
+		coordinator.endWorker(end)
+	}
+	if got := coordinator.counters.faulted.Get() - before; got != 1 {
+		t.Errorf("got %d counted ends, want 1", got)
+	}
+}
--- a/scheduler/queries.go
+++ b/scheduler/queries.go
@@ -61,3 +61,10 @@
 	}
 	return counts
 }
+
+// HasWorker reports whether the incarnation was reported, or has runs of restored jobs, and was not removed since.
+func (scheduler *Scheduler) HasWorker(incarnation Incarnation) bool {
+	_, reported := scheduler.workers[incarnation]
+	_, restored := scheduler.orphans[incarnation]
+	return reported || restored
+}
