supervisor: an agent that stops waits until it is certain that its worker ended

Callers would see: standing tasks that wait for a lapsed lease, 10.6 s or 13.6 s after a change of leaders, when a worker crashes and its agent is told to stop within the next quarter of a second. Cause: nothing must listen for 250 ms before the worker counts as ended. Until then Shutdown saw no end to report and stopped at once. Ruled out: a worker that shuts down; Shutdown waits for it since. Change: Shutdown also goes on while nothing listens at the worker's address. That turns into the end of the worker or into an answer within 250 ms or little more. Evidence: TestShutdownWaitsForWorkerThatStopsListening failed before: "the end of the worker was not reported". It passes now; all tests named Shutdown passed 10 times.

--- a/supervisor/workerend.go
+++ b/supervisor/workerend.go
@@ -88,14 +88,15 @@
 	return stored
 }
 
-// Shutdown stops the supervisor. It goes on until ctx ends while its worker shuts down too or the worker's end is not
-// stored yet, because nobody else can tell.
+// Shutdown stops the supervisor. It goes on until ctx ends while its worker shuts down too, does not listen, or has an end
+// that is not stored yet, because nobody else can tell.
 func (supervisor *Supervisor) Shutdown(ctx context.Context) {
 	for ctx.Err() == nil {
 		waits := false
 		supervisor.loop.Call(func() {
 			worker := supervisor.worker
-			waits = worker != nil && (worker.endReport == endPending || worker.announcement.Draining && !worker.lapsed)
+			mayEnd := worker != nil && !worker.lapsed && (worker.announcement.Draining || worker.notListeningSince != 0)
+			waits = mayEnd || worker != nil && worker.endReport == endPending
 		})
 		if !waits {
 			break
--- a/supervisor/workerend_test.go
+++ b/supervisor/workerend_test.go
@@ -108,3 +108,19 @@
 		t.Errorf("got %d more reports of a worker that answers", got-reports)
 	}
 }
+
+// TestShutdownWaitsForWorkerThatStopsListening guards against an agent that stops in the moment between the end of its
+// worker and the time when that is certain: nobody reports the end then.
+func TestShutdownWaitsForWorkerThatStopsListening(t *testing.T) {
+	fake, directory := newRuntime(), &fakeDirectory{}
+	directory.stores.Store(true)
+	supervisor := newSupervisor(t, fake)
+	supervisor.Follow(directory)
+	await(t, supervisor, "a listing", func() bool { return supervisor.worker.clockReadAt != 0 })
+	fake.update(func() { fake.refusedListings = -1 })
+	await(t, supervisor, "a refused listing", func() bool { return supervisor.worker.notListeningSince != 0 })
+	assertStopped(t, shutDown(t, supervisor))
+	if directory.reports.Load() == 0 {
+		t.Error("the end of the worker was not reported")
+	}
+}
