supervisor: the end of a worker is reported also if the next one is announced first

Cause: a worker that crashes and starts again announces its next life often before nothing listened for 250 ms. The agent then dropped the earlier worker with the ends of runs that no leader had acknowledged. Only the registration of the next worker told that the earlier one had ended, in memory of the leader of the time, and to no one if the agent stopped before a leader stored it. Ruled out: an agent that lives on; it registers the next worker with each leader, which ends the earlier one. Change: an announced worker ends the earlier incarnation in the way of the other signs, and Shutdown waits for the reports of all workers, not only the last. Evidence: TestEndOfReplacedWorkerIsReported failed before: "the report did not happen within 5s". It passes now; the tests of the package passed twice with the race detector. If the registration reaches the leader first, or the leader ignores the report because the earlier worker answered a moment ago, unacknowledged ends still count as interrupted runs.

--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -75,6 +75,8 @@
 	session    sessionState
 	// directory is nil before Follow is called.
 	directory Directory
+	// pendingEnds counts the workers, including earlier ones, whose endReport is endPending.
+	pendingEnds int
 }
 
 // grant is the leader's permission to extend the worker's lease until a time, and the leader's term.
@@ -218,6 +220,9 @@
 		klog.InfoS("Announcement of an earlier incarnation ignored", "ID", announcement.Incarnation.ID, "Born", announcement.Incarnation.StartedAt)
 		return false
 	}
+	if worker != nil {
+		supervisor.endIncarnation(worker, "a later incarnation is announced")
+	}
 	supervisor.worker = &workerState{
 		announcement: announcement, incarnation: fmt.Sprintf("%s@%d@%s", announcement.Incarnation.ID, announcement.Incarnation.StartedAt, supervisor.node),
 		governor: pacing.NewGovernor(supervisor.maxOverTarget), runs: map[runKey]*runState{}, weights: map[[2]pacing.Image]float64{},
--- a/supervisor/workerend.go
+++ b/supervisor/workerend.go
@@ -35,6 +35,7 @@
 	supervisor.requestReport()
 	if worker.endReport != endPending {
 		worker.endReport = endPending
+		supervisor.pendingEnds++
 		supervisor.reportEnd(worker)
 	}
 }
@@ -51,7 +52,7 @@
 			supervisor.loop.Call(func() {
 				directory, leader = supervisor.directory, supervisor.session.leader
 				if !worker.lapsed {
-					worker.endReport = endNotReported
+					supervisor.finishEndReport(worker, endNotReported)
 					return
 				}
 				end = supervisor.newWorkerEnd(worker)
@@ -60,7 +61,7 @@
 				return
 			}
 			if directory != nil && supervisor.sendEnd(directory, leader, end, attempt) {
-				supervisor.loop.Call(func() { worker.endReport = endStored })
+				supervisor.loop.Call(func() { supervisor.finishEndReport(worker, endStored) })
 				return
 			}
 			supervisor.sleep(endRetryInterval)
@@ -68,6 +69,12 @@
 	})
 }
 
+// finishEndReport records the outcome of a pending report.
+func (supervisor *Supervisor) finishEndReport(worker *workerState, outcome endReport) {
+	worker.endReport = outcome
+	supervisor.pendingEnds--
+}
+
 // newWorkerEnd returns the report that the worker's incarnation has ended.
 func (supervisor *Supervisor) newWorkerEnd(worker *workerState) *session.WorkerEnd {
 	end := &session.WorkerEnd{Node: supervisor.node, Incarnation: worker.incarnation}
@@ -88,15 +95,15 @@
 	return stored
 }
 
-// Shutdown stops the supervisor. It goes on until ctx ends while its worker shuts down too, does not listen, or has an end
-// that is not stored yet, because nobody else can tell.
+// Shutdown stops the supervisor. It goes on until ctx ends while its worker shuts down too or does not listen, or the
+// end of a worker is not stored yet, because nobody else can tell.
 func (supervisor *Supervisor) Shutdown(ctx context.Context) {
 	for ctx.Err() == nil {
 		waits := false
 		supervisor.loop.Call(func() {
 			worker := supervisor.worker
 			mayEnd := worker != nil && !worker.lapsed && (worker.announcement.Draining || worker.notListeningSince != 0)
-			waits = mayEnd || worker != nil && worker.endReport == endPending
+			waits = mayEnd || supervisor.pendingEnds > 0
 		})
 		if !waits {
 			break
--- a/supervisor/workerend_test.go
+++ b/supervisor/workerend_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hyssopjunction/session"
+	"hyssopjunction/unit"
 )
 
 // fakeDirectory is a directory without a leader whose entries store or only keep the ends of workers.
@@ -124,3 +125,22 @@
 		t.Error("the end of the worker was not reported")
 	}
 }
+
+// TestEndOfReplacedWorkerIsReported guards against ends of runs that are forgotten because the next worker of the node
+// is announced before the end of the last one was noticed.
+func TestEndOfReplacedWorkerIsReported(t *testing.T) {
+	directory := &fakeDirectory{}
+	supervisor := newSupervisor(t, newRuntime())
+	supervisor.Follow(directory)
+	await(t, supervisor, "a listing", func() bool { return supervisor.worker.clockReadAt != 0 })
+	supervisor.Announce(Announcement{Incarnation: Incarnation{ID: "i-2", StartedAt: 11}, Sequence: 1, Capacity: unit.Resources{CPU: 4000, Memory: 4000}})
+	await(t, supervisor, "the report", func() bool { return directory.reports.Load() > 0 })
+	done := shutDown(t, supervisor)
+	select {
+	case <-done:
+		t.Fatal("the supervisor stopped before the end of its earlier worker was stored")
+	case <-supervisor.clock.After(2 * endRetryInterval):
+	}
+	directory.stores.Store(true)
+	assertStopped(t, done)
+}
