supervisor: the end of a worker is reported with the checkpoints of its runs

Callers would see: jobs that checkpoint and start from an older checkpoint, or from the beginning, after their worker and their leader ended close together. A leader keeps the checkpoints that agents report in memory and stores them when something else changes its job, so a job of one long task has none in the store. The next leader learns them from a worker's listing, but the worker has ended. Its agent had the last listing and did not report its checkpoints. Ruled out: a leader that goes on; it keeps them when it records the end. A stop or a drain: those ends carry the checkpoint. Change: the report of a worker's end has an interrupted end for each run that was active with a checkpoint. Evidence: TestWorkerEndHasCheckpoints failed before: "got [], want the interrupted run with its checkpoint". It passes now. A worker that ends together with its agent still loses them.

--- a/session/message.go
+++ b/session/message.go
@@ -133,7 +133,8 @@
 type WorkerEnd struct {
 	Node        string
 	Incarnation string
-	// Ends lists the ends of runs that no leader has acknowledged, in ascending order of Number.
+	// Ends lists the ends of runs that no leader has acknowledged, in ascending order of Number, and after them those of
+	// runs that were active with a checkpoint. The latter have numbers that the worker never gave.
 	Ends []End `json:",omitempty"`
 }
 
--- a/supervisor/workerend.go
+++ b/supervisor/workerend.go
@@ -7,6 +7,7 @@
 
 	"hyssopjunction/clock"
 	"hyssopjunction/session"
+	"hyssopjunction/workflow"
 )
 
 const (
@@ -16,6 +17,9 @@
 	shutdownCheckInterval = 20 * clock.Millisecond
 )
 
+// reasonWorkerGone is why a run was interrupted that was active when its worker ended.
+const reasonWorkerGone = "WorkerGone"
+
 // endReport is the progress of the report that a worker's incarnation has ended.
 type endReport int
 
@@ -75,7 +79,8 @@
 	supervisor.pendingEnds--
 }
 
-// newWorkerEnd returns the report that the worker's incarnation has ended.
+// newWorkerEnd returns the report that the worker's incarnation has ended. Runs that were active count as interrupted; their
+// checkpoints may not be stored yet.
 func (supervisor *Supervisor) newWorkerEnd(worker *workerState) *session.WorkerEnd {
 	end := &session.WorkerEnd{Node: supervisor.node, Incarnation: worker.incarnation}
 	for _, item := range worker.listing.Ended {
@@ -83,6 +88,15 @@
 			end.Ends = append(end.Ends, newSessionEnd(item))
 		}
 	}
+	number := max(worker.recordedEnd, lastEndNumber(worker.listing.Ended))
+	for _, item := range worker.listing.Active {
+		if item.Saved != "" {
+			number++
+			end.Ends = append(end.Ends, session.End{
+				Number: number, Task: item.Task, Run: item.Run, Cause: workflow.Interrupted, Reason: reasonWorkerGone, Saved: item.Saved,
+			})
+		}
+	}
 	return end
 }
 
--- a/supervisor/workerend_test.go
+++ b/supervisor/workerend_test.go
@@ -9,6 +9,7 @@
 
 	"hyssopjunction/session"
 	"hyssopjunction/unit"
+	"hyssopjunction/workflow"
 )
 
 // fakeDirectory is a directory without a leader whose entries store or only keep the ends of workers.
@@ -144,3 +145,18 @@
 	directory.stores.Store(true)
 	assertStopped(t, done)
 }
+
+// TestWorkerEndHasCheckpoints guards against work that is done again: a new leader does not know the checkpoints that
+// were reported to the last one only, and the worker that has them is gone.
+func TestWorkerEndHasCheckpoints(t *testing.T) {
+	supervisor := newSupervisor(t, newRuntime())
+	worker := &workerState{incarnation: "i-1@10@node", recordedEnd: 1, listing: Listing{
+		Active: []Active{{Task: "0123456789abcdef.0.0.0", Run: 2, Saved: "c2"}, {Task: "0123456789abcdef.0.0.1", Run: 1}},
+		Ended:  []Ended{{Number: 1, Task: "0123456789abcdef.0.0.2", Run: 1, Cause: workflow.Finished}},
+	}}
+	var end *session.WorkerEnd
+	supervisor.loop.Call(func() { end = supervisor.newWorkerEnd(worker) })
+	if len(end.Ends) != 1 || end.Ends[0].Run != 2 || end.Ends[0].Cause != workflow.Interrupted || end.Ends[0].Saved != "c2" {
+		t.Errorf("got %+v, want the interrupted run with its checkpoint", end.Ends)
+	}
+}
