supervisor: grants count after more than 32 reports without one

Callers would see: a worker whose runs all lapse and that gets no lease for the rest of the session; starts on it are given up with LeaseEnded, so tasks wait although there is room. Cause: an agent kept the times of at most 32 reports and dropped those of newer ones. Only a grant removed times. After 32 reports without a grant, each later grant named a report whose time was not kept and was ignored. A burst of ends, each of which is reported at once, could do the same before an answer of a busy leader. Ruled out: dropping the oldest time instead; behind a leader that lags by more than 32 reports no grant would count. Change: each message of the leader removes the times of the reports before the one that it names, and all others are kept. A leader that names none for 2 s loses the session, which bounds them. Evidence: TestGrantAfterManyReportsCounts failed before in both cases: "got a lease that ends in -1ms after a grant of 60000ms" and "the times of 32 reports are kept after all were answered". It passes now.

--- a/supervisor/leadersession.go
+++ b/supervisor/leadersession.go
@@ -25,8 +25,6 @@
 	openTimeout = 600 * clock.Millisecond
 	// findRetryInterval is the time between two attempts to find the leader.
 	findRetryInterval = 80 * clock.Millisecond
-	// maxSentReports is the maximum number of unanswered reports whose time is kept.
-	maxSentReports = 32
 )
 
 // Directory returns the addresses of entries that may be the leader.
@@ -51,7 +49,7 @@
 	hasListing bool
 	// sequence is the number of the last report.
 	sequence uint64
-	// sentAt holds the times at which reports were sent, by sequence.
+	// sentAt holds the times at which the last report that the leader received and all later ones were sent, by sequence.
 	sentAt map[uint64]clock.Time
 	// reportedWorker is the last profile of the worker that was reported.
 	reportedWorker *session.Worker
@@ -236,10 +234,10 @@
 	}
 	if sentAt, ok := supervisor.session.sentAt[orders.Sequence]; ok && orders.Lease > 0 {
 		supervisor.extendGrant(sentAt.Add(orders.Lease))
-		for sequence := range supervisor.session.sentAt {
-			if sequence < orders.Sequence {
-				delete(supervisor.session.sentAt, sequence)
-			}
+	}
+	for sequence := range supervisor.session.sentAt {
+		if sequence < orders.Sequence {
+			delete(supervisor.session.sentAt, sequence)
 		}
 	}
 	supervisor.applyOrders(orders)
@@ -269,9 +267,7 @@
 	now := supervisor.clock.Now()
 	state := &supervisor.session
 	state.sequence++
-	if len(state.sentAt) < maxSentReports {
-		state.sentAt[state.sequence] = now
-	}
+	state.sentAt[state.sequence] = now
 	report := &session.Report{Sequence: state.sequence, Node: supervisor.node}
 	worker := supervisor.worker
 	if worker == nil || worker.clockReadAt == 0 {
--- a/supervisor/workerend_test.go
+++ b/supervisor/workerend_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"hyssopjunction/clock"
 	"hyssopjunction/session"
 	"hyssopjunction/unit"
 	"hyssopjunction/workflow"
@@ -160,3 +161,31 @@
 		t.Errorf("got %+v, want the interrupted run with its checkpoint", end.Ends)
 	}
 }
+
+// TestGrantAfterManyReportsCounts guards against a worker that loses its lease for the rest of a session: its agent kept
+// the times of the first 32 reports without a grant only, and ignored each grant for a later one.
+func TestGrantAfterManyReportsCounts(t *testing.T) {
+	for name, answered := range map[string]bool{"leader may not grant leases for a while": true, "burst of ends": false} {
+		t.Run(name, func(t *testing.T) {
+			supervisor := newSupervisor(t, newRuntime())
+			await(t, supervisor, "a listing", func() bool { return supervisor.worker.clockReadAt != 0 })
+			supervisor.loop.Call(func() {
+				supervisor.beginSession()
+				supervisor.grant.until = supervisor.clock.Now()
+				for range 40 {
+					report := supervisor.nextReport()
+					if answered {
+						supervisor.acceptOrders(&session.Orders{Term: 1, Sequence: report.Sequence, LeaderLeaseEnded: true})
+					}
+				}
+				supervisor.acceptOrders(&session.Orders{Term: 1, Sequence: supervisor.session.sequence, Lease: clock.Minute})
+				if left := supervisor.grant.until.Sub(supervisor.clock.Now()); left <= 0 {
+					t.Errorf("got a lease that ends in %s after a grant of %s", left, clock.Minute)
+				}
+				if got := len(supervisor.session.sentAt); got != 1 {
+					t.Errorf("the times of %d reports are kept after all were answered, want that of the last", got)
+				}
+			})
+		})
+	}
+}
