supervisor: no report of a worker's end begins while Close waits

Callers would see: nothing. An announcement that arrives while an agent stops can add a goroutine after Close has begun to wait for all of them; sync.WaitGroup may panic then, or the goroutine outlives Close. Cause: reports the end of an earlier worker from announce, which is called from the registry's requests. All other reports begin in goroutines that Close waits for anyway. Ruled out: reports that began before; they end with the context. Change: Close cancels on the control loop, and no report begins after that. Evidence: TestNoReportBeginsDuringClose failed before: "got 1 pending reports, want none". It passes now.

--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -187,8 +187,8 @@
 			klog.InfoS("Worker is left", "Worker", worker.incarnation, "Draining", worker.announcement.Draining, "Lapsed", worker.lapsed,
 				"EndStored", worker.endReport == endStored, "Term", supervisor.grant.term)
 		}
+		supervisor.cancel() // On the control loop, so that no event after it adds a goroutine.
 	})
-	supervisor.cancel()
 	supervisor.goroutines.Wait()
 	supervisor.loop.Close()
 }
--- a/supervisor/workerend.go
+++ b/supervisor/workerend.go
@@ -37,7 +37,7 @@
 	klog.InfoS("Worker is gone", "Worker", worker.incarnation, "Reason", reason)
 	worker.lapsed = true
 	supervisor.requestReport()
-	if worker.endReport != endPending {
+	if worker.endReport != endPending && supervisor.baseContext.Err() == nil {
 		worker.endReport = endPending
 		supervisor.pendingEnds++
 		supervisor.reportEnd(worker)
--- a/supervisor/workerend_test.go
+++ b/supervisor/workerend_test.go
@@ -189,3 +189,16 @@
 		})
 	}
 }
+
+// TestNoReportBeginsDuringClose guards against a goroutine that outlives Close: an announcement that arrives meanwhile
+// ends the earlier worker, whose report would begin while Close waits for all others.
+func TestNoReportBeginsDuringClose(t *testing.T) {
+	supervisor := newSupervisor(t, newRuntime())
+	supervisor.cancel()
+	supervisor.Announce(Announcement{Incarnation: Incarnation{ID: "i-2", StartedAt: 11}, Sequence: 1, Capacity: unit.Resources{CPU: 4000, Memory: 4000}})
+	supervisor.loop.Call(func() {
+		if supervisor.pendingEnds != 0 {
+			t.Errorf("got %d pending reports, want none", supervisor.pendingEnds)
+		}
+	})
+}
