coordinator: repeated reports of a worker's end wait for the store once

Callers would see: nothing at first; a leader that cannot store grows by one action for each repetition, about 1.4 a second from each agent and up to 27 a second from each entry (16 calls at a time, 0.5 s and a pause each), as long as the store is away. Cause: each call of EndWorker added an action to onceStored, also when it changed nothing, and the action stayed when the call timed out. Ruled out: the reports that entries keep; they are limited to 1,000. Change: calls that change nothing share the channel of the call that did. A worker that was reported again and ended again gets a channel of its own, because the first round does not have its second end. Evidence: TestRepeatedWorkerEndsDoNotPileUp failed before: "100 actions wait for the store after 100 repetitions of one report, want 1". Conclusion: the rates above are computed from the constants, not measured.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -109,7 +109,10 @@
 	renewedAt    clock.Time
 	roundEndedAt clock.Time
 	// onceStored holds actions that must wait until the scheduler's present state is stored.
-	onceStored     []func()
+	onceStored []func()
+	// endsToStore holds the reported ends of workers that are not stored yet, by incarnation. Each channel is closed when
+	// that end is stored.
+	endsToStore    map[string]chan struct{}
 	startedAt      clock.Time
 	attention      attention
 	outDataCentres set.Set[ident.DataCentre]
--- a/coordinator/workerend_test.go
+++ b/coordinator/workerend_test.go
@@ -187,3 +187,46 @@
 		t.Errorf("got %d counted ends, want 1", got)
 	}
 }
+
+// TestRepeatedWorkerEndsDoNotPileUp guards against memory that grows for as long as the store is away: agents and entries
+// repeat the report of a worker's end until it is stored.
+func TestRepeatedWorkerEndsDoNotPileUp(t *testing.T) {
+	coordinator, _ := newTestLeader(t)
+	coordinator.loop = loop.New()
+	defer coordinator.loop.Close()
+	coordinator.writing = true
+	agent := newTestSession("side-1")
+	coordinator.handleReport(agent, newWorkerReport())
+	coordinator.takeOnceStored()
+	end := &session.WorkerEnd{Node: "side-1", Incarnation: "i-1@1@side-1"}
+	canceled, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 100 {
+		_ = coordinator.EndWorker(canceled, end)
+	}
+	var actions []func()
+	coordinator.loop.Call(func() { actions = coordinator.takeOnceStored() })
+	if len(actions) != 1 {
+		t.Errorf("%d actions wait for the store, want 1", len(actions))
+	}
+	// The worker is reported once more and ends again while the first end is being stored.
+	coordinator.loop.Call(func() { coordinator.handleReport(agent, newWorkerReport()) })
+	coordinator.loop.Call(func() { agent.responsive = false; coordinator.takeOnceStored() })
+	again := endAsync(t.Context(), coordinator, end.Incarnation)
+	for waits := false; !waits; {
+		coordinator.loop.Call(func() { waits = len(coordinator.onceStored) == 1 })
+	}
+	coordinator.loop.Call(func() { coordinator.finishRound(nil, actions) })
+	select {
+	case err := <-again:
+		t.Errorf("the second end was acknowledged with the first, with %v", err)
+	default:
+	}
+	coordinator.loop.Call(func() { coordinator.finishRound(nil, coordinator.takeOnceStored()) })
+	if err := <-again; err != nil {
+		t.Error(err)
+	}
+	if got := len(coordinator.endsToStore); got != 0 {
+		t.Errorf("%d ends wait after all were stored, want none", got)
+	}
+}
