--- a/coordinator/agents.go
+++ b/coordinator/agents.go
@@ -73,8 +73,8 @@
 	reportedAt   clock.Time
 	// overdue reports that the next report is missing.
 	overdue bool
-	// grantedAt is when the lease of the present incarnation was last granted or denied, or 0.
-	grantedAt clock.Time
+	// answeredAt is when the agent was last answered for the present incarnation, or 0.
+	answeredAt clock.Time
 	// weightsSentAt is when interference weights were last compared with those that were sent, sentWeights.
 	weightsSentAt clock.Time
 	sentWeights   map[[2]pacing.Image]float64
@@ -164,6 +164,7 @@
 	}
 	now := coordinator.deps.Clock.Now()
 	agent.lastSequence, agent.reportedAt = report.Sequence, now
+	coordinator.ledger.RecordReport(agent.node, now)
 	if report.Worker != nil {
 		coordinator.updateWorker(agent, report.Worker, now)
 	}
@@ -183,13 +184,14 @@
 }
 
 // grantLease extends the lease of the agent's worker unless that was done within grantInterval. The lease counts from
-// the moment at which the agent sent its newest report. A leader that may not extend leases any more says that its own
-// has ended, so that the agent looks for the next leader.
+// the moment at which the agent sent its newest report. The agent extends the lease of any worker of its node with it,
+// also of one that it has not reported yet. A leader that may not extend leases any more says that its own has ended, so
+// that the agent looks for the next leader.
 func (coordinator *Coordinator) grantLease(agent *agentSession, now clock.Time) {
-	if agent.grantedAt != 0 && now.Sub(agent.grantedAt) < grantInterval {
+	if agent.answeredAt != 0 && now.Sub(agent.answeredAt) < grantInterval {
 		return
 	}
-	agent.grantedAt = now
+	agent.answeredAt = now
 	orders := &session.Orders{
 		StoredEnds: agent.storedEnd, Incarnation: string(agent.incarnation),
 		LeaderLeaseEnded: now.After(clock.Time(coordinator.validUntil.Load())),
@@ -198,13 +200,9 @@
 		coordinator.enqueue(agent, orders)
 		return
 	}
-	orders.Lease = coordinator.workerLease
-	if agent.incarnation != "" {
-		if previous := coordinator.grants[agent.node]; previous.lapsed && previous.incarnation == agent.incarnation {
-			klog.InfoS("Worker returns after its lapse", "Node", agent.node, "Worker", agent.incarnation, "Responsive", agent.responsive)
-			coordinator.scheduler.SetReachable(agent.incarnation, agent.responsive)
-		}
-		coordinator.grants[agent.node] = leaseGrant{incarnation: agent.incarnation, at: now}
+	if coordinator.ledger.Grant(agent.node, now) {
+		orders.Lease = coordinator.workerLease
+		coordinator.recordGrant(agent)
 	}
 	if now.Sub(agent.weightsSentAt) >= weightsInterval {
 		agent.weightsSentAt = now
@@ -213,6 +211,19 @@
 	coordinator.enqueue(agent, orders)
 }
 
+// recordGrant records that the agent's worker has a lease again, if it had lapsed.
+func (coordinator *Coordinator) recordGrant(agent *agentSession) {
+	if agent.incarnation == "" {
+		return
+	}
+	previous := coordinator.workers[agent.node]
+	coordinator.workers[agent.node] = attachedWorker{incarnation: agent.incarnation}
+	if previous.lapsed && previous.incarnation == agent.incarnation {
+		klog.InfoS("Worker returns after its lapse", "Node", agent.node, "Worker", agent.incarnation, "Responsive", agent.responsive)
+		coordinator.updateReachable(agent)
+	}
+}
+
 // updateGrantsEnded reports whether leases may not be extended any more, and logs when that begins.
 func (coordinator *Coordinator) updateGrantsEnded(now clock.Time) bool {
 	ended := !coordinator.canGrantLeases()
@@ -256,7 +267,7 @@
 		coordinator.onceStored = append(coordinator.onceStored, func() { coordinator.sendExpected(agent) })
 		return
 	}
-	coordinator.scheduler.SetReachable(incarnation, agent.responsive)
+	coordinator.updateReachable(agent)
 }
 
 // recordLapse records that all runs of the agent's worker have ended.
@@ -280,15 +291,16 @@
 		klog.InfoS("Worker replaced", "Node", agent.node, "Worker", earlier)
 		coordinator.scheduler.RemoveWorker(earlier)
 	}
-	agent.incarnation, agent.storedEnd, agent.expectedSent, agent.grantedAt = incarnation, 0, false, 0
+	agent.incarnation, agent.storedEnd, agent.expectedSent, agent.answeredAt = incarnation, 0, false, 0
 	clear(agent.sentWeights)
+	coordinator.workers[agent.node] = attachedWorker{incarnation: incarnation}
 }
 
 // sendExpected sends start orders for all runs that the agent's worker should have. For a run that is
 // active already, the agent only updates its description.
 func (coordinator *Coordinator) sendExpected(agent *agentSession) {
 	coordinator.sendOrders(coordinator.scheduler.ExpectedOrders(agent.incarnation))
-	coordinator.scheduler.SetReachable(agent.incarnation, agent.responsive)
+	coordinator.updateReachable(agent)
 }
 
 // recordEnds passes new ends of runs to the scheduler. Once they are stored, the next message to the agent acknowledges
@@ -369,6 +381,7 @@
 	if len(orders) == 0 {
 		return
 	}
+	maySendStarts := coordinator.maySendStarts(coordinator.deps.Clock.Now())
 	byWorker := map[scheduler.Incarnation]*session.Orders{}
 	// placed holds the index, run number and worker of the placed tasks by step. One line for each run would take a
 	// tenth of the leader's processor time when wide steps start.
@@ -385,6 +398,10 @@
 			batch.Stops = append(batch.Stops, session.Stop{Incarnation: string(order.Worker), Task: order.Name.String(), Run: order.Run})
 			continue
 		}
+		if !maySendStarts {
+			coordinator.withholdStart(order.Worker)
+			continue
+		}
 		if start, ok := newStart(order); ok {
 			coordinator.counters.starts.Inc()
 			step := order.Name
--- a/coordinator/agents_test.go
+++ b/coordinator/agents_test.go
@@ -21,9 +21,10 @@
 	t.Helper()
 	source := clock.NewFake(clock.Time(clock.Minute))
 	coordinator := &Coordinator{
-		deps: Dependencies{Clock: source}, scheduler: scheduler.New(), sessions: map[string]*agentSession{}, grants: map[string]leaseGrant{}, ctx: t.Context(), counters: newCounters(),
+		deps: Dependencies{Clock: source}, scheduler: scheduler.New(), sessions: map[string]*agentSession{}, workers: map[string]attachedWorker{}, ctx: t.Context(), counters: newCounters(), withheld: set.New[scheduler.Incarnation](),
 	}
 	coordinator.validUntil.Store(int64(source.Now().Add(election.LeaderLease)))
+	coordinator.inboxAsOf = source.Now()
 	return coordinator, source
 }
 
@@ -200,8 +201,8 @@
 			coordinator.finishRound(nil, coordinator.takeOnceStored())
 			source.Advance(election.WorkerStoppedAfter(coordinator.workerLease) + 1)
 			coordinator.validUntil.Store(int64(source.Now().Add(election.LeaderLease)))
-			coordinator.recordLapses(source.Now())
-			if !coordinator.grants[agent.node].lapsed {
+			coordinator.detectLapses(source.Now())
+			if !coordinator.workers[agent.node].lapsed {
 				t.Fatal("the lease has not lapsed")
 			}
 			coordinator.handleReport(agent, &session.Report{Sequence: 2, Node: "side-1"})
--- /dev/null
+++ b/coordinator/lapse_test.go
@@ -0,0 +1,151 @@
+package coordinator
+
+import (
+	"testing"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/election"
+	"hyssopjunction/scheduler"
+	"hyssopjunction/session"
+	"hyssopjunction/unit"
+	"hyssopjunction/workflow"
+)
+
+const testLease = 10 * clock.Second
+
+// testWorker is the worker of newWorkerReport.
+const testWorker scheduler.Incarnation = "i-1@1@side-1"
+
+// newLapseLeader returns a test leader that grants leases of testLease and archives nothing. It has just taken over from
+// a leader that was silent and whose heartbeat told the grants.
+func newLapseLeader(t *testing.T, grants *election.Grants) (*Coordinator, *clock.Fake) {
+	t.Helper()
+	coordinator, source := newTestLeader(t)
+	coordinator.workerLease = testLease
+	coordinator.deps.Store = unreachedStore{}
+	candidate := election.NewCandidate("edge-2", "edge-2")
+	reading := election.Reading{Term: election.Term{Number: 1, Holder: "edge-1"}, TermVersion: 1, Heartbeat: election.Heartbeat{Term: 1, Grants: grants}, HeartbeatVersion: 1}
+	for !candidate.Observe(reading, source.Now()) {
+		source.Advance(1)
+	}
+	coordinator.startedAt = source.Now()
+	coordinator.ledger = election.NewGrantLedger(candidate.InheritedGrants(), coordinator.startedAt)
+	coordinator.keepLeading(source)
+	return coordinator, source
+}
+
+// restoreRun adds a job with a task that runs on testWorker.
+func (coordinator *Coordinator) restoreRun() {
+	job := workflow.New(workflow.Spec{
+		ID: "0123456789abcdef", Queue: "queue", Service: "desk",
+		Steps: []workflow.Step{{Count: 1, Standing: true, Need: unit.Resources{CPU: 1000, Memory: 1000}}},
+	})
+	job.AddDueOccurrences(0)
+	name := workflow.Name{Job: job.Spec.ID}
+	job.Place(name, job.NextRun(name), string(testWorker))
+	coordinator.scheduler.Restore(job, coordinator.startedAt)
+}
+
+// lapsesAfter runs the periodic checks until no run is active on testWorker, and returns how long that took.
+func (coordinator *Coordinator) lapsesAfter(t *testing.T, source *clock.Fake) clock.Millis {
+	t.Helper()
+	start := source.Now()
+	for source.Now().Sub(start) < clock.Minute {
+		coordinator.runPeriodicChecks()
+		if len(coordinator.scheduler.ExpectedOrders(testWorker)) == 0 && len(coordinator.scheduler.Orphans()) == 0 {
+			return source.Now().Sub(start)
+		}
+		source.Advance(checkInterval)
+	}
+	t.Fatal("the run did not end within a minute")
+	return 0
+}
+
+// keepLeading renews the test leader's lease, as a round that stores a heartbeat does.
+func (coordinator *Coordinator) keepLeading(source *clock.Fake) {
+	coordinator.validUntil.Store(int64(source.Now().Add(election.LeaderLease)))
+}
+
+// TestGrantWithoutWorkerDelaysLapse guards against two runs of one task: an agent that was restarted is granted a lease
+// before it knows its worker, and extends the worker's lease with that grant.
+func TestGrantWithoutWorkerDelaysLapse(t *testing.T) {
+	for name, attached := range map[string]bool{"worker reported before": true, "worker of an earlier term": false} {
+		t.Run(name, func(t *testing.T) {
+			coordinator, source := newLapseLeader(t, nil)
+			coordinator.restoreRun()
+			if attached {
+				coordinator.handleReport(newTestSession("side-1"), newWorkerReport())
+			}
+			source.Advance(8 * clock.Second)
+			coordinator.keepLeading(source)
+			coordinator.handleReport(newTestSession("side-1"), &session.Report{Sequence: 1, Node: "side-1"})
+			if got, want := coordinator.lapsesAfter(t, source), election.WorkerStoppedAfter(testLease); got <= want {
+				t.Errorf("the run ended %s after a grant to its node, want more than %s", got, want)
+			}
+		})
+	}
+}
+
+// TestEarlierLeaderDelaysLapse guards against two runs of one task: an agent whose session with a new leader broke
+// before the first grant arrived returns to the earlier leader, which grants leases until its extension ends.
+func TestEarlierLeaderDelaysLapse(t *testing.T) {
+	coordinator, source := newLapseLeader(t, nil)
+	coordinator.restoreRun()
+	coordinator.handleReport(newTestSession("side-1"), newWorkerReport())
+	if got, want := coordinator.lapsesAfter(t, source), election.GrantExtension+election.WorkerStoppedAfter(testLease); got < want {
+		t.Errorf("the run ended %s after the takeover, want at least %s", got, want)
+	}
+}
+
+// TestListedWorkerGetsNoLease guards against two runs of one task: a worker that the heartbeat lists as silent is granted
+// a lease, and the next leader counts from the age in the heartbeat. It also guards against a task that waits for ever
+// for a listed worker that attached and left again before it was granted a lease.
+func TestListedWorkerGetsNoLease(t *testing.T) {
+	coordinator, source := newLapseLeader(t, &election.Grants{Silent: map[string]clock.Millis{"side-1": 5 * clock.Second}})
+	coordinator.restoreRun()
+	agent := newTestSession("side-1")
+	coordinator.handleReport(agent, newWorkerReport())
+	coordinator.finishRound(nil, coordinator.takeOnceStored())
+	for _, message := range agent.takeMessages() {
+		if message.Lease != 0 {
+			t.Errorf("granted a lease of %s, want none", message.Lease)
+		}
+	}
+	coordinator.scheduler.Submit(workflow.Spec{
+		ID: "0123456789abcdee", Queue: "queue", Service: "desk", Steps: []workflow.Step{{Count: 1, Need: unit.Resources{CPU: 100, Memory: 10}}},
+	}, source.Now())
+	coordinator.scheduler.Plan(source.Now(), 0)
+	if _, orders := coordinator.scheduler.TakeChanges(); len(orders) > 0 {
+		t.Errorf("placed %+v on a worker without a lease, want nothing", orders)
+	}
+	if !coordinator.ledger.NeedsRenewal(source.Now()) {
+		t.Error("no heartbeat without the worker is due, want one at once")
+	}
+	if got, want := coordinator.lapsesAfter(t, source), election.WorkerStoppedAfter(testLease)-5*clock.Second; got > want {
+		t.Errorf("the run ended %s after the takeover, want at most %s", got, want)
+	}
+}
+
+// TestLeaseFollowsHeartbeat guards against a worker that came back and gets no lease although a heartbeat without it is
+// stored, until its agent reports again.
+func TestLeaseFollowsHeartbeat(t *testing.T) {
+	coordinator, source := newLapseLeader(t, &election.Grants{Silent: map[string]clock.Millis{"side-1": 5 * clock.Second}})
+	coordinator.restoreRun()
+	agent := newTestSession("side-1")
+	coordinator.sessions["side-1"] = agent
+	coordinator.handleReport(agent, newWorkerReport())
+	agent.takeMessages()
+	if _, err := coordinator.prepareRound(nil, true); err != nil {
+		t.Fatal(err)
+	}
+	source.Advance(20)
+	coordinator.handleReport(agent, &session.Report{Sequence: 2, Node: "side-1"})
+	if messages := agent.takeMessages(); len(messages) > 0 {
+		t.Errorf("got %+v before the heartbeat is stored, want nothing", messages)
+	}
+	coordinator.recordStored(roundTx{renewsLease: true}, 2, source.Now())
+	messages := agent.takeMessages()
+	if len(messages) != 1 || messages[0].Lease != testLease || messages[0].Sequence != 2 {
+		t.Errorf("got %+v, want a lease from the second report on", messages)
+	}
+}
--- a/coordinator/workerend.go
+++ b/coordinator/workerend.go
@@ -62,6 +62,9 @@
 		klog.InfoS("End of a worker ignored: it answers its agent", "Node", end.Node, "Worker", incarnation, "ReportAgeMillis", int64(now.Sub(agent.reportedAt)))
 		return false
 	}
+	if coordinator.workers[end.Node].incarnation == incarnation {
+		delete(coordinator.workers, end.Node)
+	}
 	if !coordinator.scheduler.HasWorker(incarnation) {
 		return false // The same report may arrive from several entries.
 	}
--- a/coordinator/workerend_test.go
+++ b/coordinator/workerend_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"testing"
 
-	"hyssopjunction/clock"
-	"hyssopjunction/election"
 	"hyssopjunction/loop"
 	"hyssopjunction/scheduler"
 	"hyssopjunction/session"
@@ -104,28 +102,12 @@
 	}
 }
 
-// restoreStandingRun adds a job whose only task runs on the worker of newWorkerReport, as an earlier leader stored it.
-func (coordinator *Coordinator) restoreStandingRun() {
-	job := workflow.New(workflow.Spec{
-		ID: "0123456789abcdef", Queue: "queue", Service: "desk",
-		Steps: []workflow.Step{{Count: 1, Standing: true, Need: unit.Resources{CPU: 1000, Memory: 1000}}},
-	})
-	job.AddDueOccurrences(0)
-	name := workflow.Name{Job: job.Spec.ID}
-	job.Place(name, job.NextRun(name), "i-1@1@side-1")
-	coordinator.scheduler.Restore(job, coordinator.deps.Clock.Now())
-}
-
 // TestAwaitedWorkerIsCountedOnce guards against a metric that shows more workers that did not return than there were.
 func TestAwaitedWorkerIsCountedOnce(t *testing.T) {
-	coordinator, source := newTestLeader(t)
-	coordinator.workerLease = 10 * clock.Second
-	coordinator.startedAt = source.Now()
-	coordinator.restoreStandingRun()
+	coordinator, source := newLapseLeader(t, nil)
+	coordinator.restoreRun()
 	before := coordinator.counters.workersAwaited.Get()
-	source.Advance(election.InheritedLeaseWait(coordinator.workerLease) + 1)
-	coordinator.archivedAt = source.Now()
-	coordinator.runPeriodicChecks()
+	coordinator.lapsesAfter(t, source)
 	if got := coordinator.counters.workersAwaited.Get() - before; got != 1 {
 		t.Errorf("got %d awaited workers, want 1", got)
 	}
@@ -175,7 +157,7 @@
 // pass on the same report, and with its repetitions while the store is away.
 func TestRepeatedWorkerEndIsCountedOnce(t *testing.T) {
 	coordinator, _ := newTestLeader(t)
-	coordinator.restoreStandingRun()
+	coordinator.restoreRun()
 	before := coordinator.counters.faulted.Get()
 	end := &session.WorkerEnd{Node: "side-1", Incarnation: "i-1@1@side-1", Ends: []session.End{
 		{Number: 1, Task: "0123456789abcdef.0.0.0", Run: 1, Cause: workflow.Faulted},
