--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -114,6 +114,9 @@
 	roundEndedAt clock.Time
 	// onceStored holds actions that must wait until the scheduler's present state is stored.
 	onceStored []func()
+	// endsToStore holds the reported ends of workers that are not stored yet, by incarnation. Each channel is closed when
+	// that end is stored.
+	endsToStore map[string]chan struct{}
 	// inboxAsOf is a time before which no row was stored in the inbox that this leader has not read.
 	inboxAsOf clock.Time
 	// withheld holds the workers with stored runs whose starts were not sent.
--- a/supervisor/workerend.go
+++ b/supervisor/workerend.go
@@ -7,6 +7,7 @@
 
 	"hyssopjunction/clock"
 	"hyssopjunction/session"
+	"hyssopjunction/workflow"
 )
 
 const (
@@ -16,6 +17,9 @@
 	shutdownCheckInterval = 20 * clock.Millisecond
 )
 
+// reasonWorkerGone is why a run was interrupted that was active when its worker ended.
+const reasonWorkerGone = "WorkerGone"
+
 // endReport is the progress of the report that a worker's incarnation has ended.
 type endReport int
 
@@ -33,8 +37,9 @@
 	klog.InfoS("Worker is gone", "Worker", worker.incarnation, "Reason", reason)
 	worker.lapsed = true
 	supervisor.requestReport()
-	if worker.endReport != endPending {
+	if worker.endReport != endPending && supervisor.baseContext.Err() == nil {
 		worker.endReport = endPending
+		supervisor.pendingEnds++
 		supervisor.reportEnd(worker)
 	}
 }
@@ -51,7 +56,7 @@
 			supervisor.loop.Call(func() {
 				directory, leader = supervisor.directory, supervisor.session.leader
 				if !worker.lapsed {
-					worker.endReport = endNotReported
+					supervisor.finishEndReport(worker, endNotReported)
 					return
 				}
 				end = supervisor.newWorkerEnd(worker)
@@ -60,7 +65,7 @@
 				return
 			}
 			if directory != nil && supervisor.sendEnd(directory, leader, end, attempt) {
-				supervisor.loop.Call(func() { worker.endReport = endStored })
+				supervisor.loop.Call(func() { supervisor.finishEndReport(worker, endStored) })
 				return
 			}
 			supervisor.sleep(endRetryInterval)
@@ -68,7 +73,14 @@
 	})
 }
 
-// newWorkerEnd returns the report that the worker's incarnation has ended.
+// finishEndReport records the outcome of a pending report.
+func (supervisor *Supervisor) finishEndReport(worker *workerState, outcome endReport) {
+	worker.endReport = outcome
+	supervisor.pendingEnds--
+}
+
+// newWorkerEnd returns the report that the worker's incarnation has ended. Runs that were active count as interrupted; their
+// checkpoints may not be stored yet.
 func (supervisor *Supervisor) newWorkerEnd(worker *workerState) *session.WorkerEnd {
 	end := &session.WorkerEnd{Node: supervisor.node, Incarnation: worker.incarnation}
 	for _, item := range worker.listing.Ended {
@@ -76,6 +88,15 @@
 			end.Ends = append(end.Ends, newSessionEnd(item))
 		}
 	}
+	number := max(worker.recordedEnd, lastEndNumber(worker.listing.Ended))
+	for _, item := range worker.listing.Active {
+		if item.Saved != "" {
+			number++
+			end.Ends = append(end.Ends, session.End{
+				Number: number, Task: item.Task, Run: item.Run, Cause: workflow.Interrupted, Reason: reasonWorkerGone, Saved: item.Saved,
+			})
+		}
+	}
 	return end
 }
 
@@ -88,14 +109,15 @@
 	return stored
 }
 
-// Shutdown stops the supervisor. It goes on until ctx ends while its worker shuts down too or the worker's end is not
-// stored yet, because nobody else can tell.
+// Shutdown stops the supervisor. It goes on until ctx ends while its worker shuts down too or does not listen, or the
+// end of a worker is not stored yet, because nobody else can tell.
 func (supervisor *Supervisor) Shutdown(ctx context.Context) {
 	for ctx.Err() == nil {
 		waits := false
 		supervisor.loop.Call(func() {
 			worker := supervisor.worker
-			waits = worker != nil && (worker.endReport == endPending || worker.announcement.Draining && !worker.lapsed)
+			mayEnd := worker != nil && !worker.lapsed && (worker.announcement.Draining || worker.notListeningSince != 0)
+			waits = mayEnd || supervisor.pendingEnds > 0
 		})
 		if !waits {
 			break
--- a/supervisor/workerend_test.go
+++ b/supervisor/workerend_test.go
@@ -7,7 +7,10 @@
 	"testing"
 	"time"
 
+	"hyssopjunction/clock"
 	"hyssopjunction/session"
+	"hyssopjunction/unit"
+	"hyssopjunction/workflow"
 )
 
 // fakeDirectory is a directory without a leader whose entries store or only keep the ends of workers.
@@ -108,3 +111,94 @@
 		t.Errorf("got %d more reports of a worker that answers", got-reports)
 	}
 }
+
+// TestShutdownWaitsForWorkerThatStopsListening guards against an agent that stops in the moment between the end of its
+// worker and the time when that is certain: nobody reports the end then.
+func TestShutdownWaitsForWorkerThatStopsListening(t *testing.T) {
+	fake, directory := newRuntime(), &fakeDirectory{}
+	directory.stores.Store(true)
+	supervisor := newSupervisor(t, fake)
+	supervisor.Follow(directory)
+	await(t, supervisor, "a listing", func() bool { return supervisor.worker.clockReadAt != 0 })
+	fake.update(func() { fake.refusedListings = -1 })
+	await(t, supervisor, "a refused listing", func() bool { return supervisor.worker.notListeningSince != 0 })
+	assertStopped(t, shutDown(t, supervisor))
+	if directory.reports.Load() == 0 {
+		t.Error("the end of the worker was not reported")
+	}
+}
+
+// TestEndOfReplacedWorkerIsReported guards against ends of runs that are forgotten because the next worker of the node
+// is announced before the end of the last one was noticed.
+func TestEndOfReplacedWorkerIsReported(t *testing.T) {
+	directory := &fakeDirectory{}
+	supervisor := newSupervisor(t, newRuntime())
+	supervisor.Follow(directory)
+	await(t, supervisor, "a listing", func() bool { return supervisor.worker.clockReadAt != 0 })
+	supervisor.Announce(Announcement{Incarnation: Incarnation{ID: "i-2", StartedAt: 11}, Sequence: 1, Capacity: unit.Resources{CPU: 4000, Memory: 4000}})
+	await(t, supervisor, "the report", func() bool { return directory.reports.Load() > 0 })
+	done := shutDown(t, supervisor)
+	select {
+	case <-done:
+		t.Fatal("the supervisor stopped before the end of its earlier worker was stored")
+	case <-supervisor.clock.After(2 * endRetryInterval):
+	}
+	directory.stores.Store(true)
+	assertStopped(t, done)
+}
+
+// TestWorkerEndHasCheckpoints guards against work that is done again: a new leader does not know the checkpoints that
+// were reported to the last one only, and the worker that has them is gone.
+func TestWorkerEndHasCheckpoints(t *testing.T) {
+	supervisor := newSupervisor(t, newRuntime())
+	worker := &workerState{incarnation: "i-1@10@node", recordedEnd: 1, listing: Listing{
+		Active: []Active{{Task: "0123456789abcdef.0.0.0", Run: 2, Saved: "c2"}, {Task: "0123456789abcdef.0.0.1", Run: 1}},
+		Ended:  []Ended{{Number: 1, Task: "0123456789abcdef.0.0.2", Run: 1, Cause: workflow.Finished}},
+	}}
+	var end *session.WorkerEnd
+	supervisor.loop.Call(func() { end = supervisor.newWorkerEnd(worker) })
+	if len(end.Ends) != 1 || end.Ends[0].Run != 2 || end.Ends[0].Cause != workflow.Interrupted || end.Ends[0].Saved != "c2" {
+		t.Errorf("got %+v, want the interrupted run with its checkpoint", end.Ends)
+	}
+}
+
+// TestGrantAfterManyReportsCounts guards against a worker that loses its lease for the rest of a session: its agent kept
+// the times of the first 32 reports without a grant only, and ignored each grant for a later one.
+func TestGrantAfterManyReportsCounts(t *testing.T) {
+	for name, answered := range map[string]bool{"leader may not grant leases for a while": true, "burst of ends": false} {
+		t.Run(name, func(t *testing.T) {
+			supervisor := newSupervisor(t, newRuntime())
+			await(t, supervisor, "a listing", func() bool { return supervisor.worker.clockReadAt != 0 })
+			supervisor.loop.Call(func() {
+				supervisor.beginSession()
+				supervisor.grant.until = supervisor.clock.Now()
+				for range 40 {
+					report := supervisor.nextReport()
+					if answered {
+						supervisor.acceptOrders(&session.Orders{Term: 1, Sequence: report.Sequence, LeaderLeaseEnded: true})
+					}
+				}
+				supervisor.acceptOrders(&session.Orders{Term: 1, Sequence: supervisor.session.sequence, Lease: clock.Minute})
+				if left := supervisor.grant.until.Sub(supervisor.clock.Now()); left <= 0 {
+					t.Errorf("got a lease that ends in %s after a grant of %s", left, clock.Minute)
+				}
+				if got := len(supervisor.session.sentAt); got != 1 {
+					t.Errorf("the times of %d reports are kept after all were answered, want that of the last", got)
+				}
+			})
+		})
+	}
+}
+
+// TestNoReportBeginsDuringClose guards against a goroutine that outlives Close: an announcement that arrives meanwhile
+// ends the earlier worker, whose report would begin while Close waits for all others.
+func TestNoReportBeginsDuringClose(t *testing.T) {
+	supervisor := newSupervisor(t, newRuntime())
+	supervisor.cancel()
+	supervisor.Announce(Announcement{Incarnation: Incarnation{ID: "i-2", StartedAt: 11}, Sequence: 1, Capacity: unit.Resources{CPU: 4000, Memory: 4000}})
+	supervisor.loop.Call(func() {
+		if supervisor.pendingEnds != 0 {
+			t.Errorf("got %d pending reports, want none", supervisor.pendingEnds)
+		}
+	})
+}
