--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -28,10 +29,11 @@
 	workerCPU = 4000
 	// leaveTimeout limits how long a worker that leaves waits for the acknowledgement.
 	leaveTimeout = 200 * time.Millisecond
-	// firstSubnet and subnetCount define the loopback networks 127.N.0.0 of deployments. The process id chooses
-	// N, so that tests in parallel processes rarely share addresses.
+	// firstSubnet and subnetCount define the loopback networks 127.N.0.0 of deployments.
 	firstSubnet = 50
 	subnetCount = 150
+	// subnetGuard is the port that reserves a network for a deployment.
+	subnetGuard = 8150
 	// addressesPerNetwork is the number of nodes that share the first three bytes of their addresses.
 	addressesPerNetwork = 200
 	// firstWorkerNumber is the number of the address of the first worker, if there are not more entries.
@@ -129,7 +131,7 @@
 	t.Cleanup(deployment.close)
 	server := httptest.NewServer(deployment.store)
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
-	deployment.subnet = fmt.Sprintf("127.%d", firstSubnet+os.Getpid()%subnetCount)
+	deployment.subnet = reserveSubnet(t)
 	deployment.storeAddress = strings.TrimPrefix(server.URL, "http://")
 	for number := range layout.entries {
 		deployment.entries = append(deployment.entries, deployment.newNode("entry", number))
@@ -149,6 +151,23 @@
 	return deployment
 }
 
+// reserveSubnet returns the first two bytes of addresses that no other deployment uses, also of tests in other processes.
+func reserveSubnet(t *testing.T) string {
+	t.Helper()
+	var lastErr error
+	for number := range subnetCount {
+		subnet := fmt.Sprintf("127.%d", firstSubnet+(os.Getpid()+number)%subnetCount)
+		listener, err := net.Listen("tcp", fmt.Sprintf("%s.255.1:%d", subnet, subnetGuard))
+		if err == nil {
+			t.Cleanup(func() { _ = listener.Close() })
+			return subnet
+		}
+		lastErr = err
+	}
+	t.Fatalf("no free network: %s", lastErr)
+	return ""
+}
+
 func (deployment *deployment) newNode(role string, number int) *node {
 	ip := fmt.Sprintf("%s.%d.%d", deployment.subnet, number/addressesPerNetwork, 11+number%addressesPerNetwork)
 	return &node{
