platformtest: an end counts as acknowledged unless the lease lapsed before

The soak failed at times with 'run 1 finished and was acknowledged, and run 2 followed'. The users' rule TWICE takes such an end for not noted, for good, because the leader may have placed the task elsewhere by then. The stand-in left that out. It now records whether its lease lapsed between the two; the check of the soak stays as it is, and still fails for an end that was acknowledged within the lease. Conclusion: the check says what the rule says, no more and no less.

--- a/standin/platformtest/runner.go
+++ b/standin/platformtest/runner.go
@@ -29,7 +29,8 @@
 	Ended time.Time
 	// Result is how the run ended: "done", "failed", "stopped", "lapsed" or "crashed".
 	Result string
-	// Acknowledged reports whether the agent has acknowledged the end.
+	// Acknowledged reports whether the agent has acknowledged the end, and the runner's lease did not lapse between the two.
+	// After a lapse the task may run elsewhere, so its end does not count.
 	Acknowledged bool
 }
 
@@ -63,8 +64,9 @@
 	clockStart time.Time
 	// token is the highest fencing token of all calls.
 	token int64
-	// deadline is the end of the lease.
+	// deadline is the end of the lease, and lapsedAt the time at which it last lapsed.
 	deadline time.Duration
+	lapsedAt time.Time
 	// tasks holds the runs in progress, runs the records of the last runs, and highestRun the numbers up to
 	// which a start is refused, all by task.
 	tasks      map[string]*runnerTask
@@ -229,7 +231,8 @@
 			continue
 		}
 		runner.log.mu.Lock()
-		runner.unacknowledged[number].Acknowledged = true
+		record := runner.unacknowledged[number]
+		record.Acknowledged = !runner.lapsedAt.After(record.Ended)
 		runner.log.mu.Unlock()
 		delete(runner.unacknowledged, number)
 	}
@@ -249,6 +252,9 @@
 // advance ends the runs that are over, with the time at which they were. The caller must hold the lock.
 func (runner *Runner) advance() {
 	leaseEnd := runner.clockStart.Add(runner.deadline)
+	if leaseEnd.Before(time.Now()) {
+		runner.lapsedAt = leaseEnd
+	}
 	for task, active := range runner.tasks {
 		runEnd := active.started.Add(active.duration)
 		lapsesFirst := active.duration == 0 || leaseEnd.Before(runEnd)
