--- a/supervisor/workerend_test.go
+++ b/supervisor/workerend_test.go
@@ -202,3 +202,20 @@
 		}
 	})
 }
+
+// TestShutdownWaitsUntilLapseIsStored guards against an agent that stops although nobody else knows that its worker's
+// lease has lapsed: after a change of leaders the worker's tasks wait for a lease that was granted for nothing.
+func TestShutdownWaitsUntilLapseIsStored(t *testing.T) {
+	fake, directory := newRuntime(), &fakeDirectory{}
+	supervisor := newSupervisor(t, fake)
+	supervisor.Follow(directory)
+	await(t, supervisor, "a listing", func() bool { return supervisor.worker.clockReadAt != 0 })
+	fake.update(func() { fake.unresponsive = true })
+	await(t, supervisor, "the lapse", func() bool { return supervisor.worker.lapsed })
+	done := shutDown(t, supervisor)
+	select {
+	case <-done:
+		t.Errorf("stopped after %d reports, before the lapse was stored", directory.reports.Load())
+	case <-supervisor.clock.After(2 * endRetryInterval):
+	}
+}
