--- /dev/null
+++ b/scheduler/chooseworker.go
@@ -0,0 +1,106 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/unit"
+	"hyssopjunction/workflow"
+)
+
+// Parameters of the choice of a worker. Penalties and weights apply to the score of a worker, which is a share of its CPU
+// capacity.
+const (
+	// servingLoadPercent is the share of its reservation that a standing task is expected to use.
+	servingLoadPercent = 60
+	// headroomPercent is the share of a worker's CPU capacity that is kept free of standing tasks, for quick ones.
+	headroomPercent = 6
+	// headroomWait is how long a standing task waits before it may use the headroom too. It must start within
+	// 3 s after it became ready if any worker has room for it.
+	headroomWait = 1200 * clock.Millisecond
+	// remoteDataPenalty lowers the score of a worker outside the rack that holds the task's data.
+	remoteDataPenalty = 0.5
+	// fillingSpeedWeight makes the expected speed of a filling task count more than a worker's free cores.
+	fillingSpeedWeight = 2.0
+	// imageAffinityWeight favours placing standing tasks beside those of the same image, because the same
+	// filling images slow them.
+	imageAffinityWeight = 0.5
+	// failurePenalty lowers the score of a worker by each failure of the same job there.
+	failurePenalty = 1.0
+)
+
+// chooseWorker returns the eligible worker with the highest score for the task, or nil.
+func (scheduler *Scheduler) chooseWorker(
+	record *jobRecord, step *workflow.Step, name workflow.Name, starved bool, minSpeed float64, now clock.Time,
+) *workerState {
+	var best *workerState
+	bestScore := 0.0
+	for _, worker := range scheduler.workers {
+		if !scheduler.mayPlace(record, step, worker, now) || !worker.hasRoom(step, record.headroom(step, worker, now)) {
+			continue
+		}
+		if step.PerWorker > 0 && worker.stepRuns(name) >= step.PerWorker {
+			continue
+		}
+		if step.Fills && !starved && !hasIdleCores(step, worker) {
+			continue
+		}
+		score := score(record, step, worker)
+		if step.Fills {
+			speed := scheduler.expectedSpeed(step, worker, now)
+			if speed < minSpeed && !starved {
+				continue
+			}
+			score += speed * fillingSpeedWeight
+		}
+		if step.Standing {
+			score += imageAffinityWeight*imageAffinity(step, worker) - lostCoresWeight*scheduler.fillingView(now).lossByAdding(step, worker)
+		}
+		if best == nil || score > bestScore || (score == bestScore && worker.Incarnation < best.Incarnation) {
+			best, bestScore = worker, score
+		}
+	}
+	return best
+}
+
+// mayPlace reports whether tasks of the step may be placed on the worker, whether or not there is room.
+func (scheduler *Scheduler) mayPlace(record *jobRecord, step *workflow.Step, worker *workerState, now clock.Time) bool {
+	return worker.isEligible(step, record.job.Spec.Service) && !scheduler.outDataCentres.Has(worker.DataCentre) && worker.acceptsRuns(now)
+}
+
+// headroom returns the resources that a task of the step must leave free on a worker. Only standing tasks
+// must, and only during the first headroomWait.
+func (record *jobRecord) headroom(step *workflow.Step, worker *workerState, now clock.Time) unit.Resources {
+	if !step.Standing || record.standingWaitSince != 0 && now.Sub(record.standingWaitSince) >= headroomWait {
+		return unit.Resources{}
+	}
+	return unit.Resources{CPU: worker.Capacity.CPU * headroomPercent / 100}
+}
+
+// hasIdleCores reports whether a worker has idle cores for a filling task. A worker without filling tasks
+// takes a first one of any size.
+func hasIdleCores(step *workflow.Step, worker *workerState) bool {
+	idle := worker.idleCPU()
+	return worker.fillingCPU == 0 && idle > 0 || worker.fillingCPU+step.Need.CPU <= idle
+}
+
+// score favours workers with a large share of free cores, workers in the rack that holds the data, and
+// workers on which the job has not failed.
+func score(record *jobRecord, step *workflow.Step, worker *workerState) float64 {
+	capacity := float64(max(1, worker.Capacity.CPU))
+	free := float64(worker.idleCPU()-worker.fillingCPU) / capacity
+	if step.Standing {
+		free = float64(worker.Capacity.CPU-worker.reserved.CPU) / capacity
+	}
+	if step.DataRack != "" && !slices.Contains(worker.Labels, step.DataRack) {
+		free -= remoteDataPenalty
+	}
+	return free - failurePenalty*float64(record.failuresByWorker[worker.Incarnation])
+}
+
+func compareNames(left, right workflow.Name) int {
+	return cmp.Or(strings.Compare(string(left.Job), string(right.Job)), cmp.Compare(left.Occurrence, right.Occurrence),
+		cmp.Compare(left.Step, right.Step), cmp.Compare(left.Index, right.Index))
+}
