scheduler, pacing: types shared by the parts of the contention work

Urgency and commitment are used by several parts that are built side by side. All runs are normal and all jobs committed until those parts land, so nothing changes.

--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -84,6 +84,8 @@
 	baselineAt   clock.Time
 	// throttledSince is the time since which the run is throttled by throttledPercent or more, or 0.
 	throttledSince clock.Time
+	// urgency is the level at which the agent paces a filling run.
+	urgency pacing.Urgency
 }
 
 func newWorkerState() *workerState {
