--- a/pacing/model.go
+++ b/pacing/model.go
@@ -73,6 +73,8 @@
 	// Cores is the number of cores that the task requests, and Used the number that it uses.
 	Cores float64
 	Used  float64
+	// Urgency decides which tasks get the pace that the serving tasks allow.
+	Urgency Urgency
 }
 
 // Model learns the weight of each pair of images: by how much one core of a filling image increases the
--- a/pacing/urgency.go
+++ b/pacing/urgency.go
@@ -14,3 +14,6 @@
 	// Critical runs decide whether their job meets its objective.
 	Critical
 )
+
+// Valid reports whether the urgency is one of the levels.
+func (urgency Urgency) Valid() bool { return urgency >= Background && urgency <= Critical }
