urgency: levels of filling runs from the leader to the agents

Cause: agents had no way to learn which runs are urgent.

Change: session.Start has the run's level, and session.Orders the levels that changed since they were last sent in the session, at most 64, the most urgent first. They go with the regular answer to a report. The agent uses a level until 3 s after the report that the leader's last message answers, so a message that a paused leader sends late does not prolong it; a new session starts with normal levels.

--- a/coordinator/agents.go
+++ b/coordinator/agents.go
@@ -78,6 +78,8 @@
 	// weightsSentAt is when interference weights were last compared with those that were sent, sentWeights.
 	weightsSentAt clock.Time
 	sentWeights   map[[2]pacing.Image]float64
+	// sentUrgencies holds the last urgency that was sent of each filling run whose start was sent.
+	sentUrgencies map[runKey]pacing.Urgency
 }
 
 // Attend serves an agent's session until its stream or the term ends. Errors: session.ErrNotLeading,
@@ -87,7 +89,7 @@
 	if err != nil {
 		return err
 	}
-	agent := &agentSession{node: first.Node, queue: make(chan *session.Orders, maxQueuedOrders), detached: make(chan struct{}), sentWeights: map[[2]pacing.Image]float64{}}
+	agent := &agentSession{node: first.Node, queue: make(chan *session.Orders, maxQueuedOrders), detached: make(chan struct{}), sentWeights: map[[2]pacing.Image]float64{}, sentUrgencies: map[runKey]pacing.Urgency{}}
 	ok := coordinator.loop.Post(func() {
 		if previous, ok := coordinator.sessions[agent.node]; ok {
 			coordinator.detach(previous)
@@ -208,6 +210,7 @@
 		agent.weightsSentAt = now
 		orders.Weights = agent.changedWeights(coordinator.scheduler.Weights(agent.incarnation, now))
 	}
+	coordinator.addUrgencies(agent, orders)
 	coordinator.enqueue(agent, orders)
 }
 
@@ -293,6 +296,7 @@
 	}
 	agent.incarnation, agent.storedEnd, agent.expectedSent, agent.answeredAt = incarnation, 0, false, 0
 	clear(agent.sentWeights)
+	clear(agent.sentUrgencies)
 	coordinator.workers[agent.node] = attachedWorker{incarnation: incarnation}
 }
 
@@ -404,6 +408,7 @@
 		}
 		if start, ok := newStart(order); ok {
 			coordinator.counters.starts.Inc()
+			coordinator.recordSentStart(order)
 			step := order.Name
 			step.Index = 0
 			placed[step] = append(placed[step], fmt.Sprintf("%d:%d %s", order.Name.Index, order.Run, order.Worker))
@@ -430,7 +435,7 @@
 	step := order.Job.Spec.Steps[order.Name.Step]
 	return session.Start{
 		Incarnation: string(order.Worker), Task: order.Name.String(), Run: order.Run, Payload: order.Job.Spec.Payload,
-		Saved: task.Saved, Reserved: step.Reserved(), Fills: step.Fills, CPU: step.Need.CPU, Target: step.Target, Image: step.Image,
+		Saved: task.Saved, Reserved: step.Reserved(), Fills: step.Fills, CPU: step.Need.CPU, Target: step.Target, Image: step.Image, Urgency: int(order.Urgency),
 	}, true
 }
 
--- a/coordinator/counters.go
+++ b/coordinator/counters.go
@@ -12,6 +12,7 @@
 	withheldStarts                           *metrics.Counter
 	finished, faulted, interrupted           *metrics.Counter
 	workerEnds, workersAwaited               *metrics.Counter
+	urgenciesSent                            *metrics.Counter
 	roundMillis                              *metrics.Histogram
 }
 
@@ -28,6 +29,7 @@
 		interrupted:    metrics.GetOrCreateCounter(`hyssopjunction_coordinator_ends_total{cause="Interrupted"}`),
 		workerEnds:     metrics.GetOrCreateCounter("hyssopjunction_coordinator_worker_ends_total"),
 		workersAwaited: metrics.GetOrCreateCounter("hyssopjunction_coordinator_workers_awaited_total"),
+		urgenciesSent:  metrics.GetOrCreateCounter("hyssopjunction_coordinator_urgencies_sent_total"),
 		roundMillis:    metrics.GetOrCreateHistogram("hyssopjunction_coordinator_round_millis"),
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -21,6 +21,8 @@
 	Run    workflow.Run
 	Stop   bool
 	Job    *workflow.Job
+	// Urgency is the level of a run that is to be started.
+	Urgency pacing.Urgency
 	// MoveTo is the worker that the task of a stopped run is moved to, or empty.
 	MoveTo Incarnation
 }
@@ -409,7 +411,7 @@
 	var orders []Order
 	for _, run := range sortedRuns(worker) {
 		orders = append(orders, Order{
-			Worker: incarnation, Name: run.name, Run: run.number, Stop: run.stopping, Job: run.job,
+			Worker: incarnation, Name: run.name, Run: run.number, Stop: run.stopping, Job: run.job, Urgency: run.urgency,
 		})
 	}
 	return orders
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -43,6 +43,7 @@
 			supervisor.applyStart(worker, order, leaseEnd)
 		}
 	}
+	supervisor.applyUrgencies(worker, orders.Urgencies)
 }
 
 // endStarts ends the lease under which the runs were ordered that have not started yet.
@@ -63,6 +64,7 @@
 			run.order, run.hasOrder = order, true
 		}
 		run.leaseEnd = leaseEnd
+		supervisor.setUrgency(run, order.Urgency)
 		return
 	}
 	for _, end := range worker.listing.Ended {
@@ -71,6 +73,7 @@
 		}
 	}
 	run := &runState{order: order, phase: phaseStarting, pacePercent: pacing.FullPace, hasOrder: true, orderedAt: supervisor.clock.Now(), leaseEnd: leaseEnd}
+	supervisor.setUrgency(run, order.Urgency)
 	if !worker.reserved().Add(order.Reserved).FitsIn(worker.announcement.Capacity) {
 		run.order = session.Start{Task: order.Task, Run: order.Run} // It reserves nothing while it is being refused.
 		supervisor.giveUpStart(run, "Room")
@@ -126,9 +129,17 @@
 				continue
 			}
 			err, timedOut := supervisor.callWithTimeout(call, timeout)
-			supervisor.releaseCallSlot()
 			retry = false
-			supervisor.loop.Call(func() { retry = supervisor.handleAnswer(worker, run, stop, err) })
+			var paceCall func(context.Context) error
+			var pace int
+			supervisor.loop.Call(func() {
+				retry = supervisor.handleAnswer(worker, run, stop, err)
+				paceCall, pace = supervisor.firstPaceCall(worker, run)
+			})
+			if paceCall != nil {
+				supervisor.setFirstPace(run, paceCall, pace)
+			}
+			supervisor.releaseCallSlot()
 			switch {
 			case timedOut:
 				timeout = min(2*timeout, maxCallTimeout)
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -73,6 +73,7 @@
 	// rejections are the ones to be sent with the next report.
 	rejections []session.Rejection
 	session    sessionState
+	urgency    urgencyState
 	// directory is nil before Follow is called.
 	directory Directory
 	// pendingEnds counts the workers, including earlier ones, whose endReport is endPending.
@@ -154,6 +155,9 @@
 	pacedAfterStart bool
 	// startAttempts counts the starts that failed with ErrNothingDone or ErrNotListening.
 	startAttempts int
+	// urgency is the level that the leader sent at urgencyAt, or Normal.
+	urgency   pacing.Urgency
+	urgencyAt clock.Time
 	// hasOrder is false for runs that the worker listed before the leader ordered them again after a restart of
 	// the agent. Their reservation is not known yet.
 	hasOrder bool
@@ -165,7 +169,7 @@
 	baseContext, cancel := context.WithCancel(context.Background())
 	supervisor := &Supervisor{
 		node: node, clock: source, runtime: runtime, leaseLength: leaseLength, maxOverTarget: maxOverTarget, loop: loop.New(), baseContext: baseContext, cancel: cancel,
-		callSlots: make(chan struct{}, maxConcurrentCalls), reportRequests: make(chan struct{}, 1),
+		callSlots: make(chan struct{}, maxConcurrentCalls), reportRequests: make(chan struct{}, 1), urgency: urgencyState{counters: newUrgencyCounters()},
 	}
 	supervisor.background(supervisor.renewLeases)
 	return supervisor
@@ -426,18 +430,23 @@
 
 // updatePaces decides the paces of the filling tasks by the latest samples and sets them.
 func (supervisor *Supervisor) updatePaces(worker *workerState) {
-	serving, filling := worker.samples()
+	serving, filling := worker.samples(supervisor.areUrgenciesCurrent(worker))
 	worker.governor.Decide(serving, filling, worker.weight, supervisor.clock.Now())
 	supervisor.setPaces(worker)
 }
 
 // paceNewRun sets the paces of the filling tasks after one has started, before there is a sample of it.
 func (supervisor *Supervisor) paceNewRun(worker *workerState) {
-	serving, filling := worker.samples()
-	worker.governor.Allocate(serving, filling, worker.weight)
+	supervisor.allocatePaces(worker)
 	supervisor.setPaces(worker)
 }
 
+// allocatePaces decides the paces of the filling tasks when their set has changed between two listings.
+func (supervisor *Supervisor) allocatePaces(worker *workerState) {
+	serving, filling := worker.samples(supervisor.areUrgenciesCurrent(worker))
+	worker.governor.Allocate(serving, filling, worker.weight)
+}
+
 // setPaces sets the decided paces of the filling runs where they differ from the current ones.
 func (supervisor *Supervisor) setPaces(worker *workerState) {
 	for _, run := range worker.runs {
@@ -448,8 +457,8 @@
 }
 
 // samples returns the latest samples of the serving tasks and of all started filling tasks. The usage of filling
-// tasks that are not listed yet is 0.
-func (worker *workerState) samples() ([]pacing.ServingSample, []pacing.FillingSample) {
+// tasks that are not listed yet is 0. If withUrgencies is false, all filling tasks are normal.
+func (worker *workerState) samples(withUrgencies bool) ([]pacing.ServingSample, []pacing.FillingSample) {
 	var serving []pacing.ServingSample
 	used := map[runKey]int64{}
 	for _, item := range worker.listing.Active {
@@ -465,9 +474,13 @@
 	var filling []pacing.FillingSample
 	for key, run := range worker.runs {
 		if run.order.Fills && run.phase == phaseStarted {
-			filling = append(filling, pacing.FillingSample{
+			sample := pacing.FillingSample{
 				Task: key.task, Image: pacing.Image(run.order.Image), Cores: float64(run.order.CPU) / milliPerCore, Used: float64(used[key]) / milliPerCore,
-			})
+			}
+			if withUrgencies {
+				sample.Urgency = run.urgency
+			}
+			filling = append(filling, sample)
 		}
 	}
 	return serving, filling
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -38,6 +38,9 @@
 	stoppedRuns     map[runKey]bool
 	starts          int
 	paces           map[string]int
+	// samples holds the listed samples by task, and onPace is called before a pace is set, if it is not nil.
+	samples map[string]int64
+	onPace  func(call PaceCall)
 }
 
 func newRuntime() *fakeRuntime {
@@ -92,6 +95,12 @@
 }
 
 func (fake *fakeRuntime) Pace(_ context.Context, call PaceCall) error {
+	fake.mu.Lock()
+	onPace := fake.onPace
+	fake.mu.Unlock()
+	if onPace != nil {
+		onPace(call)
+	}
 	fake.mu.Lock()
 	defer fake.mu.Unlock()
 	fake.paces[call.Task] = call.Percent
@@ -125,7 +134,7 @@
 	}
 	listing := Listing{Clock: WorkerTime(time.Since(fake.startedAt).Milliseconds()), StartedAt: call.Incarnation.StartedAt}
 	for key := range fake.runs {
-		listing.Active = append(listing.Active, Active{Task: key.task, Run: key.number})
+		listing.Active = append(listing.Active, Active{Task: key.task, Run: key.number, Sample: fake.samples[key.task]})
 	}
 	for _, end := range fake.ends {
 		if end.Number > call.RecordedEnd {
