urgency: the leader decides the levels of filling runs

Cause: all runs were normal, so agents had nothing to divide the pace by.

The scheduler decides the levels of a job's runs when a worker with one of them reports, at most once every 500 ms for a job and a worker. New runs start at the job's level. A job's active runs are indexed by job, so nothing passes over the runs of all workers. Levels, times of finished siblings and measured speeds are not stored; a new leader starts without them, and a run that it did not place is not taken for slow because of that. One log line for each decision that changed levels, with rest, slack and age of the reports.

--- a/coordinator/agents.go
+++ b/coordinator/agents.go
@@ -180,6 +180,7 @@
 		}
 		if report.Listed {
 			coordinator.scheduler.RecordProgress(agent.incarnation, coordinator.convertProgress(report.Progress), now)
+			coordinator.updateUrgencies(agent, now)
 		}
 	}
 	coordinator.grantLease(agent, now)
--- a/coordinator/counters.go
+++ b/coordinator/counters.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/VictoriaMetrics/metrics"
 
+	"hyssopjunction/pacing"
 	"hyssopjunction/workflow"
 )
 
@@ -12,7 +13,8 @@
 	withheldStarts                           *metrics.Counter
 	finished, faulted, interrupted           *metrics.Counter
 	workerEnds, workersAwaited               *metrics.Counter
-	urgenciesSent                            *metrics.Counter
+	urgenciesSent, urgencyDecisions          *metrics.Counter
+	urgencyChanges                           map[pacing.Urgency]*metrics.Counter
 	roundMillis                              *metrics.Histogram
 }
 
@@ -30,7 +32,15 @@
 		workerEnds:     metrics.GetOrCreateCounter("hyssopjunction_coordinator_worker_ends_total"),
 		workersAwaited: metrics.GetOrCreateCounter("hyssopjunction_coordinator_workers_awaited_total"),
 		urgenciesSent:  metrics.GetOrCreateCounter("hyssopjunction_coordinator_urgencies_sent_total"),
-		roundMillis:    metrics.GetOrCreateHistogram("hyssopjunction_coordinator_round_millis"),
+
+		urgencyDecisions: metrics.GetOrCreateCounter("hyssopjunction_urgency_decisions_total"),
+		urgencyChanges: map[pacing.Urgency]*metrics.Counter{
+			pacing.Background: metrics.GetOrCreateCounter(`hyssopjunction_urgency_changes_total{level="Background"}`),
+			pacing.Normal:     metrics.GetOrCreateCounter(`hyssopjunction_urgency_changes_total{level="Normal"}`),
+			pacing.Elevated:   metrics.GetOrCreateCounter(`hyssopjunction_urgency_changes_total{level="Elevated"}`),
+			pacing.Critical:   metrics.GetOrCreateCounter(`hyssopjunction_urgency_changes_total{level="Critical"}`),
+		},
+		roundMillis: metrics.GetOrCreateHistogram("hyssopjunction_coordinator_round_millis"),
 	}
 }
 
--- a/coordinator/urgency.go
+++ b/coordinator/urgency.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"hyssopjunction/clock"
 	"hyssopjunction/pacing"
 	"hyssopjunction/scheduler"
 	"hyssopjunction/session"
@@ -30,6 +31,20 @@
 	}
 }
 
+// updateUrgencies decides the levels of the runs on the agent's worker after its report of progress.
+func (coordinator *Coordinator) updateUrgencies(agent *agentSession, now clock.Time) {
+	for _, decision := range coordinator.scheduler.UpdateUrgencies(agent.incarnation, now) {
+		coordinator.counters.urgencyDecisions.Inc()
+		for level, count := range decision.Changed {
+			coordinator.counters.urgencyChanges[level].Add(count)
+		}
+		klog.InfoS("Urgency", "Job", decision.Job, "Committed", decision.Committed, "AgeMillis", int64(decision.Age), "ObjectiveMillis", int64(decision.Objective),
+			"RestMillis", int64(decision.Rest), "SlackMillis", int64(decision.Slack), "ReportAgeMillis", int64(decision.ReportAge), "Runs", decision.Runs,
+			"ToCritical", decision.Changed[pacing.Critical], "ToElevated", decision.Changed[pacing.Elevated],
+			"ToNormal", decision.Changed[pacing.Normal], "ToBackground", decision.Changed[pacing.Background])
+	}
+}
+
 // addUrgencies adds the changed urgencies to a message to the agent.
 func (coordinator *Coordinator) addUrgencies(agent *agentSession, orders *session.Orders) {
 	orders.Urgencies = agent.changedUrgencies(coordinator.scheduler.Urgencies(agent.incarnation))
--- a/coordinator/urgency_test.go
+++ b/coordinator/urgency_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"testing"
 
+	"hyssopjunction/clock"
 	"hyssopjunction/pacing"
 	"hyssopjunction/scheduler"
 	"hyssopjunction/session"
+	"hyssopjunction/unit"
 	"hyssopjunction/workflow"
 )
 
@@ -77,3 +79,48 @@
 		t.Errorf("the first levels of the messages are %d and %d, want the most urgent ones first", first[0].Level, second[0].Level)
 	}
 }
+
+// TestLevelsGoWithTheAnswer guards against levels that are decided but not sent, against more messages than one for each
+// report, and against starts without the level of their run.
+func TestLevelsGoWithTheAnswer(t *testing.T) {
+	coordinator, source := newTestLeader(t)
+	agent := newTestSession("side-1")
+	coordinator.sessions[agent.node] = agent
+	coordinator.handleReport(agent, newWorkerReport())
+	coordinator.finishRound(nil, coordinator.takeOnceStored())
+	submit := func(id workflow.ID, acceptedAt clock.Time) {
+		coordinator.scheduler.Submit(workflow.Spec{
+			ID: id, Service: "desk", Policy: workflow.Policy{MaxAttempts: 1, Slack: 2},
+			Steps: []workflow.Step{{Count: 1, Need: unit.Resources{CPU: 1000, Memory: 1000}, Estimate: clock.Second, Fills: true}},
+		}, acceptedAt)
+	}
+	submit("0123456789abcdef", source.Now())
+	submit("fedcba9876543210", source.Now().Add(-5*clock.Second))
+	coordinator.scheduler.Plan(source.Now(), 0)
+	_, orders := coordinator.scheduler.TakeChanges()
+	agent.takeMessages()
+	coordinator.sendOrders(orders)
+	levels := map[string]int{}
+	for _, message := range agent.takeMessages() {
+		for _, start := range message.Starts {
+			levels[start.Task] = start.Urgency
+		}
+	}
+	if got, want := fmt.Sprint(levels), "map[0123456789abcdef.0.0.0:0 fedcba9876543210.0.0.0:-1]"; got != want {
+		t.Fatalf("the starts have the levels %s, want %s", got, want)
+	}
+	report := func(sequence uint64) []*session.Orders {
+		source.Advance(600 * clock.Millisecond)
+		coordinator.handleReport(agent, &session.Report{Sequence: sequence, Node: "side-1", Listed: true, Progress: []session.Progress{
+			{Task: "0123456789abcdef.0.0.0", Run: 1, Percent: 10, ThrottlePercent: 90}, {Task: "fedcba9876543210.0.0.0", Run: 1, Percent: 10},
+		}})
+		return agent.takeMessages()
+	}
+	messages := report(2)
+	if len(messages) != 1 || fmt.Sprint(messages[0].Urgencies) != "[{0123456789abcdef.0.0.0 1 2}]" {
+		t.Errorf("got %+v, want one message with the level of the run that became critical", messages)
+	}
+	if messages := report(3); len(messages) != 1 || len(messages[0].Urgencies) != 0 {
+		t.Errorf("got %+v, want one message without levels", messages)
+	}
+}
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -177,7 +177,7 @@
 	record.activeRuns++
 	run := &activeRun{name: name, number: number, job: record.job, step: step, worker: worker, placedAt: now, progressAt: now}
 	worker.add(run)
-	scheduler.setStartUrgency(record, run)
+	scheduler.setStartUrgency(record, run, now)
 	scheduler.dirtyJobs[record.job.Spec.ID] = record
 	scheduler.orders = append(scheduler.orders, Order{Worker: worker.Incarnation, Name: name, Run: number, Job: record.job, Urgency: run.urgency})
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -76,6 +76,10 @@
 	transfers map[workflow.Name]*transfer
 	// movedAt is when moves of throttled runs were last considered.
 	movedAt clock.Time
+	// urgencies is reused by decideUrgencies.
+	urgencies urgencyBuffers
+	// urgencyDecisions holds decisions that UpdateUrgencies has not returned yet.
+	urgencyDecisions []UrgencyDecision
 }
 
 // jobRecord is a job with the scheduler's own state about it, which is not stored.
@@ -89,6 +93,7 @@
 	activeRuns int
 	// standingWaitSince is the time since which the job has a waiting standing task, or 0.
 	standingWaitSince clock.Time
+	urgency           jobUrgency
 }
 
 // New returns an empty Scheduler.
@@ -123,6 +128,7 @@
 		}
 		record.activeRuns++
 		run := &activeRun{name: name, number: task.Run, job: job, step: &job.Spec.Steps[name.Step], placedAt: acceptedAt, progressAt: acceptedAt}
+		record.urgency.add(run)
 		incarnation := Incarnation(task.Worker)
 		if worker, ok := scheduler.workers[incarnation]; ok {
 			run.worker = worker
@@ -301,6 +307,7 @@
 			continue
 		}
 		run.sample, run.sampledAt = item.Sample, now
+		run.pace.record(item, now)
 		switch {
 		case item.ThrottlePercent < throttledPercent:
 			run.throttledSince = 0
@@ -330,6 +337,7 @@
 	switch end.Cause {
 	case workflow.Finished:
 		worker.health.recordFinished()
+		scheduler.recordFinishedTime(run, now)
 	case workflow.Faulted:
 		if record, ok := scheduler.jobs[end.Name.Job]; ok {
 			record.failuresByWorker[incarnation]++
@@ -372,6 +380,7 @@
 		return
 	}
 	record.activeRuns--
+	delete(record.urgency.runs, run)
 	task := record.job.Task(run.name)
 	if task == nil || task.Phase != workflow.Active || task.Run != run.number {
 		return
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -58,6 +58,8 @@
 	rooms      []servingRoom
 	roomsValid bool
 	health     health
+	// urgenciesAt is when the levels of the jobs on the worker were last decided.
+	urgenciesAt clock.Time
 	// refusalDelayEnd is the time until which the worker gets no new runs after it refused a start.
 	refusalDelayEnd clock.Time
 }
@@ -86,6 +88,9 @@
 	throttledSince clock.Time
 	// urgency is the level at which the agent paces a filling run.
 	urgency pacing.Urgency
+	// leftover reports that the run was placed while its job was not committed.
+	leftover bool
+	pace     runPace
 }
 
 func newWorkerState() *workerState {
