forecast: room beside serving tasks follows from the forecast of their load

Cause: the governor used the last half second, so it gave capacity back only after a load had risen and kept a fixed margin for noise and rise. Placement used a recent peak whose logarithm decays by 0.15 per second, so it waited for that decay after each rise.

Change: package forecast fits level and slope to a run's samples, weighted by age, with the uncertainty of both and of a sample. It assumes no period and starts anew at a jump of three standard deviations or after 3 s without samples. The governor uses the forecast of the next sample, placement that of 0.6 to 1.5 s after the report. A task that is near its target for a reason other than its own load is paced by the last sample, because the weights that its samples are corrected by are then in doubt.

--- a/pacing/governor.go
+++ b/pacing/governor.go
@@ -54,12 +54,14 @@
 	halted    bool
 	haltAfter clock.Millis
 	paces     map[string]int
+	// baselines holds the baseline tail latency of each serving task with a sample.
+	baselines map[string]*Baseline
 }
 
 // NewGovernor returns a governor that starts with full paces. The parameter maxOverTarget is how long serving
 // tasks may exceed their target through filling tasks.
 func NewGovernor(maxOverTarget clock.Millis) *Governor {
-	return &Governor{haltAfter: maxOverTarget * haltPercent / FullPace, trust: map[string]float64{}, overSince: map[string]clock.Time{}, paces: map[string]int{}}
+	return &Governor{haltAfter: maxOverTarget * haltPercent / FullPace, trust: map[string]float64{}, overSince: map[string]clock.Time{}, paces: map[string]int{}, baselines: map[string]*Baseline{}}
 }
 
 // Pace returns the pace of a filling task in percent.
@@ -78,6 +80,7 @@
 		return
 	}
 	governor.decidedAt = now
+	governor.observeBaselines(serving, filling, weights, now)
 	governor.adjustTrust(serving, filling, weights)
 	governor.halted = governor.trackOverTarget(serving, now)
 	governor.Allocate(serving, filling, weights)
@@ -107,6 +110,32 @@
 	governor.paces = paces
 }
 
+// observeBaselines adds the samples to the baselines of the serving tasks, and removes those of tasks that have ended.
+func (governor *Governor) observeBaselines(serving []ServingSample, filling []FillingSample, weights WeightFunc, now clock.Time) {
+	baselines := map[string]*Baseline{}
+	for _, task := range serving {
+		baseline, ok := governor.baselines[task.Task]
+		if !ok {
+			baseline = &Baseline{}
+		}
+		baselines[task.Task] = baseline
+		if task.Tail > 0 {
+			baseline.Observe(BaselineTail(task, filling, weights), now)
+		}
+	}
+	governor.baselines = baselines
+}
+
+// room returns by how much the tail latency of a serving task may be increased. The parameter increase is by how much
+// filling tasks increase the last sample. The forecast is not used for a task near its target for another reason than its
+// own load: the weights that its samples were corrected by are then in doubt.
+func (governor *Governor) room(task ServingSample, increase float64, suspect bool) float64 {
+	if baseline, ok := governor.baselines[task.Task]; ok && baseline.series.Ready() && !suspect {
+		return baseline.pacingRoom()
+	}
+	return math.Log(setpointShare) - math.Log(task.ratio()) + increase
+}
+
 // trackOverTarget updates since when serving tasks are over their target and reports whether one has been for
 // haltAfter or longer. It reduces the trust for such tasks to minTrust.
 func (governor *Governor) trackOverTarget(serving []ServingSample, now clock.Time) bool {
@@ -187,8 +216,8 @@
 	if !ok {
 		trust = 1
 	}
-	minWeight := 0.0
-	if task.ratio() > lowerTrustAbove && !isOwnLoad(task, filling, weights) {
+	minWeight, suspect := 0.0, task.ratio() > lowerTrustAbove && !isOwnLoad(task, filling, weights)
+	if suspect {
 		minWeight = minSuspectWeight
 	}
 	currentIncrease := 0.0
@@ -208,7 +237,7 @@
 	if requestedIncrease <= 0 {
 		return
 	}
-	allowedIncrease := (math.Log(setpointShare)-math.Log(task.ratio())+currentIncrease)*trust - reservedIncrease
+	allowedIncrease := governor.room(task, currentIncrease, suspect)*trust - reservedIncrease
 	if requestedIncrease <= allowedIncrease && trust >= 1 {
 		return
 	}
--- a/scheduler/interference.go
+++ b/scheduler/interference.go
@@ -13,12 +13,8 @@
 // milliPerCore is the number of thousandths of a core in one core.
 const milliPerCore = 1000
 
-// baselineDecayPerSecond is how much the baseline log tail latency of a serving run decays per second. The load of
-// serving tasks varies by a factor of about three within 10 to 20 s.
-const baselineDecayPerSecond = 0.15
-
-// learnFromListing passes the samples of a worker's latest listing to the model and updates the baseline tail
-// latency of its serving runs. The baseline follows increases at once and decays slowly.
+// learnFromListing passes the samples of a worker's latest listing to the model and adds them to the baseline tail
+// latencies of its serving runs.
 func (scheduler *Scheduler) learnFromListing(worker *workerState, now clock.Time) {
 	serving, filling := workerSamples(worker)
 	if len(serving) == 0 {
@@ -30,12 +26,7 @@
 		if run.step.Target == 0 || run.sample == 0 {
 			continue
 		}
-		tail := pacing.BaselineTail(servingSample(run), filling, scheduler.weightsAt(now))
-		baseline := run.baselineTail - baselineDecayPerSecond*float64(now.Sub(run.baselineAt))/float64(clock.Second)
-		if run.baselineAt == 0 || tail > baseline {
-			baseline = tail
-		}
-		run.baselineTail, run.baselineAt = baseline, now
+		run.baseline.Observe(pacing.BaselineTail(servingSample(run), filling, scheduler.weightsAt(now)), now)
 	}
 }
 
@@ -118,10 +109,10 @@
 	}
 	worker.rooms, worker.roomsValid = worker.rooms[:0], true
 	for _, run := range worker.runs {
-		if run.step.Target == 0 || run.baselineAt == 0 {
+		if run.step.Target == 0 || !run.baseline.IsKnown() {
 			continue
 		}
-		image, room := pacing.Image(run.step.Image), pacing.Room(run.baselineTail)
+		image, room := pacing.Image(run.step.Image), run.baseline.PlacementRoom()
 		index := slices.IndexFunc(worker.rooms, func(other servingRoom) bool { return other.image == image })
 		if index < 0 {
 			worker.rooms = append(worker.rooms, servingRoom{image: image, room: room})
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -80,10 +80,8 @@
 	// thousandths of a core, as reported at sampledAt.
 	sample    int64
 	sampledAt clock.Time
-	// baselineTail is the recent peak of the tail latency that a serving run would have without filling
-	// runs on its worker, as the logarithm of its share of the target. It was updated at baselineAt.
-	baselineTail float64
-	baselineAt   clock.Time
+	// baseline is the tail latency that a serving run would have without filling runs on its worker.
+	baseline pacing.Baseline
 	// throttledSince is the time since which the run is throttled by throttledPercent or more, or 0.
 	throttledSince clock.Time
 	// urgency is the level at which the agent paces a filling run.
