--- a/pacing/governor.go
+++ b/pacing/governor.go
@@ -54,10 +54,34 @@
 	halted    bool
 	haltAfter clock.Millis
 	paces     map[string]int
+	// limit describes what limited the paces most.
+	limit Limit
 	// baselines holds the baseline tail latency of each serving task with a sample.
 	baselines map[string]*Baseline
 }
 
+// Limit describes the serving task that limited the paces of the last decision most.
+type Limit struct {
+	// Task is empty if no task limited the paces.
+	Task  string
+	Image Image
+	// TailPercent is the last tail latency as a percentage of the target.
+	TailPercent int
+	// RoomPercent is by how many percent the tail latency could be increased by filling tasks, and TrustPercent how much
+	// of that is allowed.
+	RoomPercent  int
+	TrustPercent int
+	// Forecast reports that the room follows from a forecast and not from the last sample.
+	Forecast bool
+	// Halted reports that all filling tasks are paused because a target was exceeded for too long.
+	Halted bool
+
+	factor float64
+}
+
+// Limit returns what limited the paces of the last decision most.
+func (governor *Governor) Limit() Limit { return governor.limit }
+
 // NewGovernor returns a governor that starts with full paces. The parameter maxOverTarget is how long serving
 // tasks may exceed their target through filling tasks.
 func NewGovernor(maxOverTarget clock.Millis) *Governor {
@@ -94,6 +118,7 @@
 	for position := range filling {
 		shares[position] = 1
 	}
+	governor.limit = Limit{Halted: governor.halted}
 	for _, group := range groupsByUrgency(filling) {
 		for _, task := range serving {
 			governor.limitShares(task, filling, group, shares, weights)
@@ -130,12 +155,18 @@
 // filling tasks increase the last sample. The forecast is not used for a task near its target for another reason than its
 // own load: the weights that its samples were corrected by are then in doubt.
 func (governor *Governor) room(task ServingSample, increase float64, suspect bool) float64 {
-	if baseline, ok := governor.baselines[task.Task]; ok && baseline.series.Ready() && !suspect {
-		return baseline.pacingRoom()
+	if governor.hasForecast(task, suspect) {
+		return governor.baselines[task.Task].pacingRoom()
 	}
 	return math.Log(setpointShare) - math.Log(task.ratio()) + increase
 }
 
+// hasForecast reports whether room uses the forecast of a task.
+func (governor *Governor) hasForecast(task ServingSample, suspect bool) bool {
+	baseline, ok := governor.baselines[task.Task]
+	return ok && baseline.series.Ready() && !suspect
+}
+
 // trackOverTarget updates since when serving tasks are over their target and reports whether one has been for
 // haltAfter or longer. It reduces the trust for such tasks to minTrust.
 func (governor *Governor) trackOverTarget(serving []ServingSample, now clock.Time) bool {
@@ -237,11 +268,18 @@
 	if requestedIncrease <= 0 {
 		return
 	}
-	allowedIncrease := governor.room(task, currentIncrease, suspect)*trust - reservedIncrease
+	room := governor.room(task, currentIncrease, suspect)
+	allowedIncrease := room*trust - reservedIncrease
 	if requestedIncrease <= allowedIncrease && trust >= 1 {
 		return
 	}
 	factor := math.Max(0, math.Min(1, allowedIncrease/requestedIncrease))
+	if factor < 1 && (governor.limit.Task == "" || factor < governor.limit.factor) {
+		governor.limit = Limit{
+			Task: task.Task, Image: task.Image, TailPercent: int(math.Round(FullPace * task.ratio())), RoomPercent: int(math.Round(FullPace * (math.Exp(room) - 1))),
+			TrustPercent: int(math.Round(FullPace * trust)), Forecast: governor.hasForecast(task, suspect), Halted: governor.halted, factor: factor,
+		}
+	}
 	// Tasks that contribute little, compared with the group and all more urgent ones, keep their share.
 	littleIncrease := (requestedIncrease + reservedIncrease) / float64(4*(len(group.members)+len(group.moreUrgent)))
 	for _, position := range group.members {
--- a/scheduler/random_test.go
+++ b/scheduler/random_test.go
@@ -132,9 +132,27 @@
 	cluster.checkPlacement(t)
 }
 
+// checkRunsOfJobs fails the test if a job's index of its active runs, by which their urgency is decided, lacks a run or
+// has one that ended.
+func (cluster *randomCluster) checkRunsOfJobs(t *rapid.T) {
+	for id, record := range cluster.scheduler.jobs {
+		if record.urgency.runs.Len() != record.activeRuns {
+			t.Fatalf("job %s has %d active runs, %d of them are indexed", id, record.activeRuns, record.urgency.runs.Len())
+		}
+	}
+	for incarnation, worker := range cluster.scheduler.workers {
+		for name, run := range worker.runs {
+			if record, ok := cluster.scheduler.jobs[name.Job]; ok && !record.urgency.runs.Has(run) {
+				t.Fatalf("run %d of %s on %s is not indexed", run.number, name, incarnation)
+			}
+		}
+	}
+}
+
 // checkPlacement fails the test if a worker exceeds its capacity or the limit of tasks per worker, or if the
 // active members of a gang belong to different runs.
 func (cluster *randomCluster) checkPlacement(t *rapid.T) {
+	cluster.checkRunsOfJobs(t)
 	for worker, runs := range cluster.running {
 		var reserved unit.Resources
 		stepCounts := map[string]int{}
--- a/scheduler/urgency.go
+++ b/scheduler/urgency.go
@@ -27,6 +27,8 @@
 	// decidedAt is when the levels were last decided, and startLevel the level of new runs since then.
 	decidedAt  clock.Time
 	startLevel pacing.Urgency
+	// committed reports that the job was committed then.
+	committed bool
 	// finishedTimes holds times of finished filling runs in ascending order, by step.
 	finishedTimes map[int][]clock.Millis
 }
@@ -95,16 +97,16 @@
 }
 
 // setStartUrgency sets the urgency of a run that is being placed, and records the run for later decisions. It is called
-// for each placed run. The levels of the job are decided at most once in urgencyInterval.
+// for each placed run. The levels of the job are decided at most once in urgencyInterval, unless its commitment changed.
 func (scheduler *Scheduler) setStartUrgency(record *jobRecord, run *activeRun, now clock.Time) {
 	run.pace.begunAt = now
 	if run.step.Fills {
-		if now.Sub(record.urgency.decidedAt) >= urgencyInterval {
+		if now.Sub(record.urgency.decidedAt) >= urgencyInterval || record.isCommitted() != record.urgency.committed {
 			scheduler.decideUrgencies(record, now)
 		}
 		task := record.job.Task(run.name)
 		run.pace.isWhole = task != nil && task.Saved == ""
-		run.leftover = !record.isCommitted()
+		run.leftover = !record.urgency.committed
 		run.urgency = record.urgency.startLevel
 	}
 	record.urgency.add(run)
@@ -152,8 +154,8 @@
 
 // decideUrgencies decides the levels of all active runs of a job.
 func (scheduler *Scheduler) decideUrgencies(record *jobRecord, now clock.Time) {
-	record.urgency.decidedAt = now
-	outcome := UrgencyDecision{Job: record.job.Spec.ID, Committed: record.isCommitted(), Objective: record.job.Spec.Objective(), Age: now.Sub(record.acceptedAt)}
+	record.urgency.decidedAt, record.urgency.committed = now, record.isCommitted()
+	outcome := UrgencyDecision{Job: record.job.Spec.ID, Committed: record.urgency.committed, Objective: record.job.Spec.Objective(), Age: now.Sub(record.acceptedAt)}
 	for _, occurrence := range record.job.Occurrences {
 		scheduler.decideOccurrence(record, occurrence, &outcome, now)
 	}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -108,6 +108,8 @@
 	recordedEnd int64
 	weights     map[[2]pacing.Image]float64
 	listing     Listing
+	// pacesLoggedAt is when paces were last logged.
+	pacesLoggedAt clock.Time
 }
 
 // phase is the progress of a run at the worker.
@@ -432,6 +434,7 @@
 func (supervisor *Supervisor) updatePaces(worker *workerState) {
 	serving, filling := worker.samples(supervisor.areUrgenciesCurrent(worker))
 	worker.governor.Decide(serving, filling, worker.weight, supervisor.clock.Now())
+	supervisor.logPaces(worker, filling)
 	supervisor.setPaces(worker)
 }
 
--- a/supervisor/urgency.go
+++ b/supervisor/urgency.go
@@ -15,6 +15,9 @@
 // limit, a leader that is silent or was replaced would starve other runs for good.
 const urgencyLifetime = 3 * clock.Second
 
+// pacesLogInterval is the shortest time between two log lines about the paces of a worker.
+const pacesLogInterval = 2 * clock.Second
+
 // urgencyCounters are the metrics about levels of urgency.
 type urgencyCounters struct {
 	applied, ignored, resets *metrics.Counter
@@ -109,6 +112,32 @@
 		"Critical", counts[pacing.Critical], "Elevated", counts[pacing.Elevated], "Normal", counts[pacing.Normal], "Background", counts[pacing.Background])
 }
 
+// logPaces logs the paces of the worker's filling runs while one of them is throttled, with what limits them most.
+func (supervisor *Supervisor) logPaces(worker *workerState, filling []pacing.FillingSample) {
+	now := supervisor.clock.Now()
+	if now.Sub(worker.pacesLoggedAt) < pacesLogInterval {
+		return
+	}
+	runs, paces, throttled := map[pacing.Urgency]int{}, map[pacing.Urgency]int{}, false
+	for _, sample := range filling {
+		pace := worker.governor.Pace(sample.Task)
+		runs[sample.Urgency]++
+		paces[sample.Urgency] += pace
+		throttled = throttled || pace < pacing.FullPace
+	}
+	if !throttled {
+		return
+	}
+	worker.pacesLoggedAt = now
+	meanPace := func(urgency pacing.Urgency) int { return paces[urgency] / max(1, runs[urgency]) }
+	limit := worker.governor.Limit()
+	klog.InfoS("Paces", "Worker", worker.incarnation, "Runs", len(filling),
+		"Critical", runs[pacing.Critical], "CriticalPace", meanPace(pacing.Critical), "Elevated", runs[pacing.Elevated], "ElevatedPace", meanPace(pacing.Elevated),
+		"Normal", runs[pacing.Normal], "NormalPace", meanPace(pacing.Normal), "Background", runs[pacing.Background], "BackgroundPace", meanPace(pacing.Background),
+		"Limit", limit.Task, "Image", limit.Image, "TailPercent", limit.TailPercent, "RoomPercent", limit.RoomPercent, "TrustPercent", limit.TrustPercent,
+		"Forecast", limit.Forecast, "Halted", limit.Halted, "LeaderMessageAgeMillis", int64(now.Sub(supervisor.urgency.heardAt)))
+}
+
 // firstPaceCall returns the call that sets the pace of a filling run whose start was just answered, and the pace, or nil
 // if the run may work at full pace. It is made in the call slot of the start: until then the run works at full pace, and
 // waiting for another slot would prolong that.
