--- a/pacing/governor.go
+++ b/pacing/governor.go
@@ -1,7 +1,9 @@
 package pacing
 
 import (
+	"cmp"
 	"math"
+	"slices"
 
 	"hyssopjunction/clock"
 )
@@ -52,12 +54,38 @@
 	halted    bool
 	haltAfter clock.Millis
 	paces     map[string]int
+	// limit describes what limited the paces most.
+	limit Limit
+	// baselines holds the baseline tail latency of each serving task with a sample.
+	baselines map[string]*Baseline
 }
 
+// Limit describes the serving task that limited the paces of the last decision most.
+type Limit struct {
+	// Task is empty if no task limited the paces.
+	Task  string
+	Image Image
+	// TailPercent is the last tail latency as a percentage of the target.
+	TailPercent int
+	// RoomPercent is by how many percent the tail latency could be increased by filling tasks, and TrustPercent how much
+	// of that is allowed.
+	RoomPercent  int
+	TrustPercent int
+	// Forecast reports that the room follows from a forecast and not from the last sample.
+	Forecast bool
+	// Halted reports that all filling tasks are paused because a target was exceeded for too long.
+	Halted bool
+
+	factor float64
+}
+
+// Limit returns what limited the paces of the last decision most.
+func (governor *Governor) Limit() Limit { return governor.limit }
+
 // NewGovernor returns a governor that starts with full paces. The parameter maxOverTarget is how long serving
 // tasks may exceed their target through filling tasks.
 func NewGovernor(maxOverTarget clock.Millis) *Governor {
-	return &Governor{haltAfter: maxOverTarget * haltPercent / FullPace, trust: map[string]float64{}, overSince: map[string]clock.Time{}, paces: map[string]int{}}
+	return &Governor{haltAfter: maxOverTarget * haltPercent / FullPace, trust: map[string]float64{}, overSince: map[string]clock.Time{}, paces: map[string]int{}, baselines: map[string]*Baseline{}}
 }
 
 // Pace returns the pace of a filling task in percent.
@@ -76,20 +104,25 @@
 		return
 	}
 	governor.decidedAt = now
+	governor.observeBaselines(serving, filling, weights, now)
 	governor.adjustTrust(serving, filling, weights)
 	governor.halted = governor.trackOverTarget(serving, now)
 	governor.Allocate(serving, filling, weights)
 }
 
 // Allocate updates the paces without updating the trust. It is called when a filling task has started, which
-// must not run at full pace until the next sample.
+// must not run at full pace until the next sample. What the serving tasks allow goes to the most urgent filling tasks
+// first; within one urgency it is shared.
 func (governor *Governor) Allocate(serving []ServingSample, filling []FillingSample, weights WeightFunc) {
 	shares := make([]float64, len(filling))
 	for position := range filling {
 		shares[position] = 1
 	}
-	for _, task := range serving {
-		governor.limitShares(task, filling, shares, weights)
+	governor.limit = Limit{Halted: governor.halted}
+	for _, group := range groupsByUrgency(filling) {
+		for _, task := range serving {
+			governor.limitShares(task, filling, group, shares, weights)
+		}
 	}
 	if governor.halted {
 		clear(shares)
@@ -102,6 +135,38 @@
 	governor.paces = paces
 }
 
+// observeBaselines adds the samples to the baselines of the serving tasks, and removes those of tasks that have ended.
+func (governor *Governor) observeBaselines(serving []ServingSample, filling []FillingSample, weights WeightFunc, now clock.Time) {
+	baselines := map[string]*Baseline{}
+	for _, task := range serving {
+		baseline, ok := governor.baselines[task.Task]
+		if !ok {
+			baseline = &Baseline{}
+		}
+		baselines[task.Task] = baseline
+		if task.Tail > 0 {
+			baseline.Observe(BaselineTail(task, filling, weights), now)
+		}
+	}
+	governor.baselines = baselines
+}
+
+// room returns by how much the tail latency of a serving task may be increased. The parameter increase is by how much
+// filling tasks increase the last sample. The forecast is not used for a task near its target for another reason than its
+// own load: the weights that its samples were corrected by are then in doubt.
+func (governor *Governor) room(task ServingSample, increase float64, suspect bool) float64 {
+	if governor.hasForecast(task, suspect) {
+		return governor.baselines[task.Task].pacingRoom()
+	}
+	return math.Log(setpointShare) - math.Log(task.ratio()) + increase
+}
+
+// hasForecast reports whether room uses the forecast of a task.
+func (governor *Governor) hasForecast(task ServingSample, suspect bool) bool {
+	baseline, ok := governor.baselines[task.Task]
+	return ok && baseline.series.Ready() && !suspect
+}
+
 // trackOverTarget updates since when serving tasks are over their target and reports whether one has been for
 // haltAfter or longer. It reduces the trust for such tasks to minTrust.
 func (governor *Governor) trackOverTarget(serving []ServingSample, now clock.Time) bool {
@@ -149,36 +214,76 @@
 	return BaselineTail(task, filling, weights) > math.Log(ownLoadRatio)
 }
 
-// limitShares lowers the shares, from 0 to 1, of the filling tasks' requested cores until the serving task is
-// expected to stay at setpointShare.
-func (governor *Governor) limitShares(task ServingSample, filling []FillingSample, shares []float64, weights WeightFunc) {
+// urgencyGroup holds the positions of the filling tasks of one urgency, and of all more urgent ones.
+type urgencyGroup struct {
+	members    []int
+	moreUrgent []int
+}
+
+// groupsByUrgency returns the groups of the filling tasks, the most urgent first.
+func groupsByUrgency(filling []FillingSample) []urgencyGroup {
+	positions := make([]int, len(filling))
+	for position := range positions {
+		positions[position] = position
+	}
+	slices.SortStableFunc(positions, func(left, right int) int { return cmp.Compare(filling[right].Urgency, filling[left].Urgency) })
+	var groups []urgencyGroup
+	for begin := 0; begin < len(positions); {
+		end := begin + 1
+		for end < len(positions) && filling[positions[end]].Urgency == filling[positions[begin]].Urgency {
+			end++
+		}
+		groups = append(groups, urgencyGroup{members: positions[begin:end], moreUrgent: positions[:begin]})
+		begin = end
+	}
+	return groups
+}
+
+// limitShares lowers the shares, from 0 to 1, of the requested cores of a group's tasks until the serving task is
+// expected to stay at setpointShare. The shares of more urgent tasks are decided already, and less urgent tasks get
+// what the group leaves.
+func (governor *Governor) limitShares(task ServingSample, filling []FillingSample, group urgencyGroup, shares []float64, weights WeightFunc) {
 	trust, ok := governor.trust[task.Task]
 	if !ok {
 		trust = 1
 	}
-	minWeight := 0.0
-	if task.ratio() > lowerTrustAbove && !isOwnLoad(task, filling, weights) {
+	minWeight, suspect := 0.0, task.ratio() > lowerTrustAbove && !isOwnLoad(task, filling, weights)
+	if suspect {
 		minWeight = minSuspectWeight
 	}
-	currentIncrease, requestedIncrease := 0.0, 0.0
+	currentIncrease := 0.0
 	increases := make([]float64, len(filling))
 	for position, other := range filling {
 		weight := math.Max(minWeight, weights(task.Image, other.Image))
 		currentIncrease += weight * other.Used
 		increases[position] = weight * other.Cores * shares[position]
+	}
+	requestedIncrease, reservedIncrease := 0.0, 0.0
+	for _, position := range group.members {
 		requestedIncrease += increases[position]
 	}
+	for _, position := range group.moreUrgent {
+		reservedIncrease += increases[position]
+	}
 	if requestedIncrease <= 0 {
 		return
 	}
-	allowedIncrease := (math.Log(setpointShare) - math.Log(task.ratio()) + currentIncrease) * trust
+	room := governor.room(task, currentIncrease, suspect)
+	allowedIncrease := room*trust - reservedIncrease
 	if requestedIncrease <= allowedIncrease && trust >= 1 {
 		return
 	}
 	factor := math.Max(0, math.Min(1, allowedIncrease/requestedIncrease))
-	for position := range filling {
-		// Tasks that contribute little keep their share.
-		if increases[position] > 0 && increases[position] >= requestedIncrease/float64(4*len(filling)) {
+	if factor < 1 && (governor.limit.Task == "" || factor < governor.limit.factor) {
+		governor.limit = Limit{
+			Task: task.Task, Image: task.Image, TailPercent: int(math.Round(FullPace * task.ratio())), RoomPercent: int(math.Round(FullPace * (math.Exp(room) - 1))),
+			TrustPercent: int(math.Round(FullPace * trust)), Forecast: governor.hasForecast(task, suspect), Halted: governor.halted, factor: factor,
+		}
+	}
+	// Tasks that contribute little, compared with the group and all more urgent ones, keep their share.
+	littleIncrease := (requestedIncrease + reservedIncrease) / float64(4*(len(group.members)+len(group.moreUrgent)))
+	for _, position := range group.members {
+		if increases[position] > 0 && increases[position] >= littleIncrease {
 			shares[position] *= factor
 		}
 	}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -58,6 +58,8 @@
 	rooms      []servingRoom
 	roomsValid bool
 	health     health
+	// urgenciesAt is when the levels of the jobs on the worker were last decided.
+	urgenciesAt clock.Time
 	// refusalDelayEnd is the time until which the worker gets no new runs after it refused a start.
 	refusalDelayEnd clock.Time
 }
@@ -78,14 +80,15 @@
 	// thousandths of a core, as reported at sampledAt.
 	sample    int64
 	sampledAt clock.Time
-	// baselineTail is the recent peak of the tail latency that a serving run would have without filling
-	// runs on its worker, as the logarithm of its share of the target. It was updated at baselineAt.
-	baselineTail float64
-	baselineAt   clock.Time
+	// baseline is the tail latency that a serving run would have without filling runs on its worker.
+	baseline pacing.Baseline
 	// throttledSince is the time since which the run is throttled by throttledPercent or more, or 0.
 	throttledSince clock.Time
 	// urgency is the level at which the agent paces a filling run.
 	urgency pacing.Urgency
+	// leftover reports that the run was placed while its job was not committed.
+	leftover bool
+	pace     runPace
 }
 
 func newWorkerState() *workerState {
