assignment: tasks wait for the rack of their data if they end sooner there

A worker outside the rack of a task's data had a fixed penalty of 0.5. When most quick jobs prefer one rack, their tasks ran elsewhere as soon as the rack was full, at 1.5 or 3 times their time, even if a run there was about to end. Tasks without data took the room of that rack.

Package assignment now estimates when a task starts on the rack, from the expected ends of the runs there and the tasks ahead. The task waits if it ends sooner there. If its job can also meet its objective elsewhere, the wait counts three times, because it delays all that come until the queue is empty. No task waits longer than its remote run takes while another rack has room. Tasks that need no data avoid a rack for which others wait. RemoteFactor, RestoreMs and StopTimeoutMs are read from the settings file, with defaults.

--- a/cluster/settings.go
+++ b/cluster/settings.go
@@ -43,6 +43,11 @@
 	Grace clock.Millis
 	// Impact is how long filling tasks may keep a serving task above its target latency.
 	Impact clock.Millis
+	// RemoteFactor is by how much longer a task takes on a rack that does not hold its data.
+	RemoteFactor float64
+	// Restore is how long a run takes to resume from a checkpoint, and StopTimeout how long it may take to stop.
+	Restore     clock.Millis
+	StopTimeout clock.Millis
 	// OrdersByHeartbeat is set if workers take their orders from the responses to their heartbeats.
 	OrdersByHeartbeat bool
 	// MemoryBytes is the memory limit of the daemon; 0 means no limit.
@@ -69,6 +74,9 @@
 // minLease is the shortest worker lease that does not lapse during a change of leaders.
 const minLease = 2 * clock.Second
 
+// maxRemoteFactor is the highest factor that is taken for a setting rather than an error of the settings file.
+const maxRemoteFactor = 100
+
 // CheckEntry checks the settings of an entry. Error: ErrBadSetting.
 func (settings Settings) CheckEntry() error {
 	if err := settings.check(); err != nil {
@@ -95,6 +103,15 @@
 	if settings.Lease < minLease {
 		return ErrBadSetting{Name: "Lease", Reason: fmt.Sprintf("%s is shorter than %s", settings.Lease, minLease)}
 	}
+	if !(settings.RemoteFactor >= 1 && settings.RemoteFactor <= maxRemoteFactor) { // Also rejects NaN.
+		return ErrBadSetting{Name: "RemoteFactor", Reason: fmt.Sprintf("%v is not between 1 and %d", settings.RemoteFactor, maxRemoteFactor)}
+	}
+	if settings.Restore < 0 {
+		return ErrBadSetting{Name: "RestoreMs", Reason: fmt.Sprintf("%s is negative", settings.Restore)}
+	}
+	if settings.StopTimeout < 0 {
+		return ErrBadSetting{Name: "StopTimeoutMs", Reason: fmt.Sprintf("%s is negative", settings.StopTimeout)}
+	}
 	return checkRequired([]namedValue{{"Node", settings.Node}, {"Address", settings.Address}, {"Store", settings.Store}})
 }
 
--- a/cmd/cluster.go
+++ b/cmd/cluster.go
@@ -16,6 +16,7 @@
 	"google.golang.org/grpc"
 	"k8s.io/klog/v2"
 
+	"hyssopjunction/assignment"
 	"hyssopjunction/clock"
 	"hyssopjunction/cluster"
 	"hyssopjunction/coordinator"
@@ -169,6 +170,7 @@
 	}
 	elector := leadership.New(coordinator.Dependencies{
 		Retention: coordinator.DefaultRetention(),
+		Bounds:    assignment.Bounds{RemoteFactor: settings.RemoteFactor, Restore: settings.Restore, StopTimeout: settings.StopTimeout},
 		Store:     relayStore, Clock: source, TimeOfDay: func() int64 { return time.Now().UnixMilli() }, Out: follower.Out,
 	}, settings.Node, settings.Session(settings.Address), settings.Lease)
 	callerListener, err := net.Listen("tcp", settings.Callers)
--- /dev/null
+++ b/coordinator/assignment.go
@@ -0,0 +1,41 @@
+package coordinator
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+	"k8s.io/klog/v2"
+
+	"hyssopjunction/clock"
+)
+
+// assignmentsLogInterval is the time between two log lines about assignments, so that the volume does not grow with the
+// load. Rounds are at least minRoundPause apart.
+const assignmentsLogInterval = 500 * clock.Millisecond
+
+// assignmentCounters are the metrics of package assignment.
+type assignmentCounters struct {
+	rackWaits, remoteRuns *metrics.Counter
+}
+
+func newAssignmentCounters() assignmentCounters {
+	return assignmentCounters{
+		rackWaits:  metrics.GetOrCreateCounter("hyssopjunction_assignment_rack_waits_total"),
+		remoteRuns: metrics.GetOrCreateCounter("hyssopjunction_assignment_remote_runs_total"),
+	}
+}
+
+// reportAssignments logs and counts the decisions on where tasks go, at most once per assignmentsLogInterval.
+func (coordinator *Coordinator) reportAssignments(now clock.Time) {
+	if now.Sub(coordinator.assignmentsLoggedAt) < assignmentsLogInterval {
+		return
+	}
+	since := now.Sub(coordinator.assignmentsLoggedAt)
+	coordinator.assignmentsLoggedAt = now
+	taken := coordinator.scheduler.TakeAssignments()
+	if taken.IsEmpty() {
+		return
+	}
+	coordinator.counters.assignment.rackWaits.Add(taken.RackWaits)
+	coordinator.counters.assignment.remoteRuns.Add(taken.RemoteRuns)
+	klog.InfoS("Assignments", "SinceMillis", int64(since), "RackWaits", taken.RackWaits, "LongestRackWaitMillis", int64(taken.LongestRackWait),
+		"RemoteRuns", taken.RemoteRuns, "HotRacks", taken.HotRacks())
+}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -9,6 +9,7 @@
 
 	"k8s.io/klog/v2"
 
+	"hyssopjunction/assignment"
 	"hyssopjunction/clock"
 	"hyssopjunction/election"
 	"hyssopjunction/ident"
@@ -47,6 +48,8 @@
 	Out func() (set.Set[ident.DataCentre], bool)
 	// Retention is how long records of jobs that ended are kept.
 	Retention Retention
+	// Bounds are the limits of the platform for the assignment of tasks. The zero value means the defaults.
+	Bounds assignment.Bounds
 }
 
 // Leadership is a term that this entry won, with the versions of its rows in the store.
@@ -128,6 +131,8 @@
 	outDataCentres set.Set[ident.DataCentre]
 	// waitingLoggedAt is when the numbers of waiting tasks were last logged.
 	waitingLoggedAt clock.Time
+	// assignmentsLoggedAt is when assignments were last logged.
+	assignmentsLoggedAt clock.Time
 
 	// jobStates holds the stored states of jobs, including archived ones. It is guarded by jobStatesMu.
 	jobStatesMu sync.Mutex
@@ -151,6 +156,9 @@
 		counters: newCounters(), withheld: set.New[scheduler.Incarnation](), renewedAt: leadership.Sent, startedAt: deps.Clock.Now(), jobStates: map[workflow.ID]workflow.State{},
 	}
 	coordinator.validUntil.Store(int64(leadership.Sent.Add(election.LeaderLease)))
+	if deps.Bounds != (assignment.Bounds{}) {
+		coordinator.scheduler.SetBounds(deps.Bounds)
+	}
 	coordinator.ledger = election.NewGrantLedger(leadership.Inherited, coordinator.startedAt)
 	version, err := coordinator.load(ctx)
 	if err != nil {
--- a/coordinator/counters.go
+++ b/coordinator/counters.go
@@ -13,6 +13,7 @@
 	finished, faulted, interrupted           *metrics.Counter
 	workerEnds, workersAwaited               *metrics.Counter
 	roundMillis                              *metrics.Histogram
+	assignment                               assignmentCounters
 }
 
 func newCounters() counters {
@@ -28,6 +29,7 @@
 		interrupted:    metrics.GetOrCreateCounter(`hyssopjunction_coordinator_ends_total{cause="Interrupted"}`),
 		workerEnds:     metrics.GetOrCreateCounter("hyssopjunction_coordinator_worker_ends_total"),
 		workersAwaited: metrics.GetOrCreateCounter("hyssopjunction_coordinator_workers_awaited_total"),
+		assignment:     newAssignmentCounters(),
 		roundMillis:    metrics.GetOrCreateHistogram("hyssopjunction_coordinator_round_millis"),
 	}
 }
--- a/coordinator/write.go
+++ b/coordinator/write.go
@@ -27,6 +27,7 @@
 	if coordinator.maySendStarts(now) && coordinator.updateOutDataCentres() {
 		coordinator.resumeStarts()
 		coordinator.scheduler.Plan(now, coordinator.deps.TimeOfDay())
+		coordinator.reportAssignments(now)
 	}
 	jobs, orders := coordinator.scheduler.TakeChanges()
 	renew := now.Sub(coordinator.renewedAt) >= election.RenewalInterval || coordinator.ledger.NeedsRenewal(now)
--- /dev/null
+++ b/scheduler/assignments.go
@@ -0,0 +1,39 @@
+package scheduler
+
+import (
+	"hyssopjunction/clock"
+	"hyssopjunction/set"
+)
+
+// Assignments sums up decisions on where tasks go, for the log and the counters of the leader.
+type Assignments struct {
+	// RackWaits is the number of tasks that began to wait for the rack that holds their data, and RemoteRuns that of runs
+	// placed outside it because it has no room. LongestRackWait is the longest time that a task is expected to wait in all.
+	RackWaits       int
+	RemoteRuns      int
+	LongestRackWait clock.Millis
+	hotRacks        set.Set[string]
+}
+
+func newAssignments() Assignments { return Assignments{hotRacks: set.New[string]()} }
+
+// maxListedRacks bounds the racks in a log line, because callers choose their names.
+const maxListedRacks = 8
+
+// HotRacks returns up to maxListedRacks racks that had no room for a task whose data they hold.
+func (assignments Assignments) HotRacks() []string {
+	racks := set.Sorted(assignments.hotRacks)
+	return racks[:min(len(racks), maxListedRacks)]
+}
+
+// IsEmpty reports whether there was no decision.
+func (assignments Assignments) IsEmpty() bool {
+	return assignments.RackWaits == 0 && assignments.RemoteRuns == 0
+}
+
+// TakeAssignments returns and resets the summary.
+func (scheduler *Scheduler) TakeAssignments() Assignments {
+	taken := scheduler.assignments
+	scheduler.assignments = newAssignments()
+	return taken
+}
--- a/scheduler/chooseworker.go
+++ b/scheduler/chooseworker.go
@@ -20,8 +20,6 @@
 	// headroomWait is how long a standing task waits before it may use the headroom too. It must start within
 	// 3 s after it became ready if any worker has room for it.
 	headroomWait = 1200 * clock.Millisecond
-	// remoteDataPenalty lowers the score of a worker outside the rack that holds the task's data.
-	remoteDataPenalty = 0.5
 	// fillingSpeedWeight makes the expected speed of a filling task count more than a worker's free cores.
 	fillingSpeedWeight = 2.0
 	// imageAffinityWeight favours placing standing tasks beside those of the same image, because the same
@@ -29,14 +27,18 @@
 	imageAffinityWeight = 0.5
 	// failurePenalty lowers the score of a worker by each failure of the same job there.
 	failurePenalty = 1.0
+	// hotRackPenalty lowers the score of a worker on a rack for which tasks wait, for tasks whose data is not there. It is
+	// worth half of a worker's cores: other racks are preferred until they are almost full.
+	hotRackPenalty = 0.5
 )
 
-// chooseWorker returns the eligible worker with the highest score for the task, or nil.
+// chooseWorker returns the eligible worker with the highest score for the task, or nil. A worker on the rack of the task's
+// data is preferred to all others, because a run with reserved cores ends sooner there.
 func (scheduler *Scheduler) chooseWorker(
 	record *jobRecord, step *workflow.Step, name workflow.Name, starved bool, minSpeed float64, now clock.Time,
 ) *workerState {
 	var best *workerState
-	bestScore := 0.0
+	bestScore, bestRemote := 0.0, false
 	for _, worker := range scheduler.workers {
 		if !scheduler.mayPlace(record, step, worker, now) || !worker.hasRoom(step, record.headroom(step, worker, now)) {
 			continue
@@ -47,7 +49,7 @@
 		if step.Fills && !starved && !hasIdleCores(step, worker) {
 			continue
 		}
-		score := score(record, step, worker)
+		score, remote := scheduler.score(record, step, worker, now), isRemote(step, worker)
 		if step.Fills {
 			speed := scheduler.expectedSpeed(step, worker, now)
 			if speed < minSpeed && !starved {
@@ -58,8 +60,14 @@
 		if step.Standing {
 			score += imageAffinityWeight*imageAffinity(step, worker) - lostCoresWeight*scheduler.fillingView(now).lossByAdding(step, worker)
 		}
+		if best != nil && remote != bestRemote && !step.Fills {
+			if remote {
+				continue
+			}
+			best = nil
+		}
 		if best == nil || score > bestScore || (score == bestScore && worker.Incarnation < best.Incarnation) {
-			best, bestScore = worker, score
+			best, bestScore, bestRemote = worker, score, remote
 		}
 	}
 	return best
@@ -86,20 +94,29 @@
 	return worker.fillingCPU == 0 && idle > 0 || worker.fillingCPU+step.Need.CPU <= idle
 }
 
-// score favours workers with a large share of free cores, workers in the rack that holds the data, and
-// workers on which the job has not failed.
-func score(record *jobRecord, step *workflow.Step, worker *workerState) float64 {
+// score favours workers with a large share of free cores, workers in the rack that holds the data, and workers on which
+// the job has not failed. It keeps tasks that need no data away from racks for which other tasks wait.
+func (scheduler *Scheduler) score(record *jobRecord, step *workflow.Step, worker *workerState, now clock.Time) float64 {
 	capacity := float64(max(1, worker.Capacity.CPU))
 	free := float64(worker.idleCPU()-worker.fillingCPU) / capacity
 	if step.Standing {
 		free = float64(worker.Capacity.CPU-worker.reserved.CPU) / capacity
 	}
-	if step.DataRack != "" && !slices.Contains(worker.Labels, step.DataRack) {
-		free -= remoteDataPenalty
+	remote := isRemote(step, worker)
+	if remote {
+		free -= scheduler.bounds.RemoteFactor - 1
+	}
+	if !step.Fills && (remote || step.DataRack == "") && scheduler.racks.isHot(worker, now) {
+		free -= hotRackPenalty
 	}
 	return free - failurePenalty*float64(record.failuresByWorker[worker.Incarnation])
 }
 
+// isRemote reports whether the worker is outside the rack that holds the step's data.
+func isRemote(step *workflow.Step, worker *workerState) bool {
+	return step.DataRack != "" && !slices.Contains(worker.Labels, step.DataRack)
+}
+
 func compareNames(left, right workflow.Name) int {
 	return cmp.Or(strings.Compare(string(left.Job), string(right.Job)), cmp.Compare(left.Occurrence, right.Occurrence),
 		cmp.Compare(left.Step, right.Step), cmp.Compare(left.Index, right.Index))
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -33,6 +33,7 @@
 		return
 	}
 	scheduler.dirty, scheduler.plannedAt = false, now
+	scheduler.racks.startRound(now)
 	blocked := blockedNeeds{}
 	valuableWaits := false
 	for _, candidate := range scheduler.candidates(now) {
@@ -126,7 +127,10 @@
 			continue
 		}
 		if worker == nil && (dependsOnJob || !blocked.has(key, candidate.minSpeed)) {
-			worker = scheduler.chooseWorker(candidate.record, step, name, starved, candidate.minSpeed, now)
+			worker, waits = scheduler.chooseOrWait(candidate, step, name, key, now)
+		}
+		if waits {
+			continue
 		}
 		if worker == nil {
 			if !dependsOnJob {
@@ -174,6 +178,7 @@
 // placeTask places a run of the task on the worker and orders its start.
 func (scheduler *Scheduler) placeTask(record *jobRecord, step *workflow.Step, name workflow.Name, number workflow.Run, worker *workerState, now clock.Time) {
 	record.job.Place(name, number, string(worker.Incarnation))
+	delete(record.rackWaits, name)
 	record.activeRuns++
 	run := &activeRun{name: name, number: number, job: record.job, step: step, worker: worker, placedAt: now, progressAt: now}
 	worker.add(run)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -6,6 +6,7 @@
 import (
 	"slices"
 
+	"hyssopjunction/assignment"
 	"hyssopjunction/clock"
 	"hyssopjunction/ident"
 	"hyssopjunction/pacing"
@@ -74,6 +75,12 @@
 	transfers map[workflow.Name]*transfer
 	// movedAt is when moves of throttled runs were last considered.
 	movedAt clock.Time
+	// bounds are the limits of the platform.
+	bounds assignment.Bounds
+	// racks holds what is known of the racks that hold data.
+	racks dataRacks
+	// assignments sums up the decisions since the last call of TakeAssignments.
+	assignments Assignments
 }
 
 // jobRecord is a job with the scheduler's own state about it, which is not stored.
@@ -87,6 +94,8 @@
 	activeRuns int
 	// standingWaitSince is the time since which the job has a waiting standing task, or 0.
 	standingWaitSince clock.Time
+	// rackWaits holds since when tasks wait for the rack that holds their data.
+	rackWaits map[workflow.Name]clock.Time
 }
 
 // New returns an empty Scheduler.
@@ -95,9 +104,13 @@
 		jobs: map[workflow.ID]*jobRecord{}, workers: map[Incarnation]*workerState{}, open: map[workflow.ID]*jobRecord{},
 		orphans: map[Incarnation]map[workflow.Name]*activeRun{}, dirtyJobs: map[workflow.ID]*jobRecord{},
 		outDataCentres: set.New[ident.DataCentre](), model: pacing.NewModel(), transfers: map[workflow.Name]*transfer{},
+		bounds: assignment.DefaultBounds(), racks: newDataRacks(), assignments: newAssignments(),
 	}
 }
 
+// SetBounds replaces the limits of the platform, which are those of assignment.DefaultBounds at first.
+func (scheduler *Scheduler) SetBounds(bounds assignment.Bounds) { scheduler.bounds = bounds }
+
 // Submit adds a job that was accepted at the given time. It does nothing if the job exists.
 func (scheduler *Scheduler) Submit(spec workflow.Spec, acceptedAt clock.Time) {
 	if _, ok := scheduler.jobs[spec.ID]; ok {
@@ -328,6 +341,7 @@
 	switch end.Cause {
 	case workflow.Finished:
 		worker.health.recordFinished()
+		scheduler.observeDuration(run, now)
 	case workflow.Faulted:
 		if record, ok := scheduler.jobs[end.Name.Job]; ok {
 			record.failuresByWorker[incarnation]++
