assignment: the waiting filling tasks of a round are assigned together

Each filling task went to the worker with the highest score for it alone. An image that interferes with all serving tasks took workers on which another image could have run, and a harmless one took the idle cores beside tolerant serving tasks although it is as fast beside sensitive ones. The expected speed counted runs that yield their pace.

A run on a worker is now worth the cores that it uses at its expected speed, with the location of its data, less the cores that the images of unfinished tasks lose there, as far as cores are scarce. The speed counts only runs of the same or a higher urgency. Equal tasks form a group: a worker's value is computed once for it, and again after a placement there. The order of the candidates stays as it was.

--- /dev/null
+++ b/assignment/joint.go
@@ -0,0 +1,204 @@
+package assignment
+
+import (
+	"math"
+
+	"hyssopjunction/pacing"
+)
+
+// Parameters of the joint assignment of filling tasks.
+const (
+	// levels is the number of urgencies.
+	levels = int(pacing.Critical-pacing.Background) + 1
+	// freeWeight makes a worker's share of free cores count half as much as the speed of the run: loads change while a run
+	// lasts, and a worker with more free cores bears a higher one.
+	freeWeight = 0.5
+	// failureCost is the value that a worker loses by each failure of the same job there, in units of the run's cores. It is
+	// more than the difference between the fastest and the slowest worker.
+	failureCost = 2
+)
+
+// Room is by how much the tail latencies of the serving tasks of one image on a worker may still rise.
+type Room struct {
+	// Left holds the room, as a logarithm, that the filling runs of each urgency and all higher ones leave, the lowest urgency
+	// first. Runs of lower urgency yield their pace, so they take no room from the others.
+	Left [levels]float64
+	// Weights holds the increase per core of each filling image, by the image's position.
+	Weights []float64
+}
+
+// NewRoom returns the room beside serving tasks without filling runs.
+func NewRoom(left float64, weights []float64) Room {
+	room := Room{Weights: weights}
+	for level := range room.Left {
+		room.Left[level] = left
+	}
+	return room
+}
+
+// Take takes the room of a filling run.
+func (room *Room) Take(urgency pacing.Urgency, increase float64) {
+	for level := range int(urgency-pacing.Background) + 1 {
+		room.Left[level] -= increase
+	}
+}
+
+// Of returns the room that runs of the urgency and all higher ones leave.
+func (room *Room) Of(urgency pacing.Urgency) float64 { return room.Left[urgency-pacing.Background] }
+
+// Worker is a worker as filling tasks see it. Cores are numbers of cores.
+type Worker struct {
+	Capacity float64
+	// Idle is what tasks with reservations leave unused, and Filling what filling tasks request of it.
+	Idle    float64
+	Filling float64
+	// Speed is at which share of the usual speed runs proceed on the worker.
+	Speed float64
+	Rooms []Room
+	// usable holds how many more cores each filling image could use, by the image's position, while known is set.
+	usable []float64
+	known  bool
+}
+
+// Group is a group of equal waiting filling tasks.
+type Group struct {
+	// Image is the position of the image.
+	Image   int
+	Cores   float64
+	Urgency pacing.Urgency
+	// MinSpeed is the share of its full speed that a run must be expected to reach. Anywhere ignores it, and idle cores.
+	MinSpeed float64
+	Anywhere bool
+}
+
+// Round assigns the waiting filling tasks of a round. Create it with NewRound.
+type Round struct {
+	workers []Worker
+	demand  []float64
+	// prices holds the value of one core that an image could use, by the image's position. It is nil until it is needed: in
+	// a round without room no worker is compared with others.
+	prices []float64
+}
+
+// NewRound returns a round with workers. The parameter demand holds the cores that the unfinished tasks of each image
+// request, by the image's position: those that are active stand for the ones that come next. The round takes over the
+// workers.
+func NewRound(workers []Worker, demand []float64) *Round {
+	return &Round{workers: workers, demand: demand}
+}
+
+// setPrices sets the prices.
+func (round *Round) setPrices() {
+	images := len(round.demand)
+	round.prices = make([]float64, images)
+	backing := make([]float64, len(round.workers)*images)
+	for position := range round.workers {
+		round.workers[position].usable = backing[position*images : (position+1)*images]
+	}
+	total, usable := 0.0, 0.0
+	for _, cores := range round.demand {
+		total += cores
+	}
+	if total == 0 {
+		return
+	}
+	for position := range round.workers {
+		beside := round.usable(position)
+		for image, cores := range round.demand {
+			usable += beside[image] * cores / total
+		}
+	}
+	// While there is capacity for all, a core that an image loses costs it little.
+	scarcity := math.Min(1, total/math.Max(usable, 1))
+	for image, cores := range round.demand {
+		round.prices[image] = scarcity * cores / total
+	}
+}
+
+// usable returns how many more cores each image could use on a worker.
+func (round *Round) usable(position int) []float64 {
+	worker := &round.workers[position]
+	if !worker.known {
+		for image := range worker.usable {
+			worker.usable[image] = worker.usableAfter(image, 0, nil)
+		}
+		worker.known = true
+	}
+	return worker.usable
+}
+
+// usableAfter returns how many more cores an image could use once a run of the group, which may be nil, takes some.
+func (worker *Worker) usableAfter(image int, cores float64, group *Group) float64 {
+	usable := worker.Idle - worker.Filling - cores
+	for index := range worker.Rooms {
+		room := &worker.Rooms[index]
+		weight := room.Weights[image]
+		if weight <= 0 {
+			continue
+		}
+		left := room.Of(pacing.Normal)
+		if group != nil {
+			left -= room.Weights[group.Image] * cores
+		}
+		usable = math.Min(usable, left/weight)
+	}
+	return math.Max(0, usable)
+}
+
+// HasIdleCores reports whether a worker has idle cores for a run of the group. A worker without filling runs takes a first
+// one of any size.
+func (worker *Worker) HasIdleCores(group Group) bool {
+	return worker.Filling == 0 && worker.Idle > 0 || worker.Filling+group.Cores <= worker.Idle
+}
+
+// PaceShare returns the share of its requested cores that a run of the group could use on a worker while the tail latencies
+// of the serving tasks there stay at the share of their target that the governor aims at.
+func (worker *Worker) PaceShare(group Group) float64 {
+	share := 1.0
+	for index := range worker.Rooms {
+		room := &worker.Rooms[index]
+		if weight := room.Weights[group.Image]; weight > 0 && group.Cores > 0 {
+			share = math.Min(share, math.Max(0, room.Of(group.Urgency))/(weight*group.Cores))
+		}
+	}
+	return share
+}
+
+// Value returns what a run of the group on a worker is worth, in cores: the cores that it uses at its expected speed, less
+// those that the waiting images lose there. It reports whether the run may be placed. The parameter dataFactor is by how much
+// longer it takes because of its data's location, and failures is the number of failures of the job there.
+func (round *Round) Value(position int, group Group, dataFactor float64, failures int) (value float64, ok bool) {
+	worker := &round.workers[position]
+	share := worker.PaceShare(group)
+	if !group.Anywhere && (share < group.MinSpeed || !worker.HasIdleCores(group)) {
+		return 0, false
+	}
+	free := (worker.Idle - worker.Filling) / math.Max(worker.Capacity, 1)
+	value = group.Cores * (share*worker.Speed/dataFactor + freeWeight*free - failureCost*float64(failures))
+	return value - round.displaced(position, group), true
+}
+
+// displaced returns the value of the cores that the waiting images lose if a run of the group is placed on a worker.
+func (round *Round) displaced(position int, group Group) float64 {
+	if round.prices == nil {
+		round.setPrices()
+	}
+	worker, lost := &round.workers[position], 0.0
+	for image, cores := range round.usable(position) {
+		if cores > 0 && round.prices[image] > 0 {
+			lost += round.prices[image] * (cores - worker.usableAfter(image, group.Cores, &group))
+		}
+	}
+	return lost
+}
+
+// Place takes the capacity of a run of the group on a worker.
+func (round *Round) Place(position int, group Group) {
+	worker := &round.workers[position]
+	worker.Filling += group.Cores
+	worker.known = false
+	for index := range worker.Rooms {
+		room := &worker.Rooms[index]
+		room.Take(group.Urgency, room.Weights[group.Image]*group.Cores)
+	}
+}
--- a/coordinator/assignment.go
+++ b/coordinator/assignment.go
@@ -13,13 +13,16 @@
 
 // assignmentCounters are the metrics of package assignment.
 type assignmentCounters struct {
-	rackWaits, remoteRuns *metrics.Counter
+	rackWaits, remoteRuns      *metrics.Counter
+	placedRuns, unplacedGroups *metrics.Counter
 }
 
 func newAssignmentCounters() assignmentCounters {
 	return assignmentCounters{
-		rackWaits:  metrics.GetOrCreateCounter("hyssopjunction_assignment_rack_waits_total"),
-		remoteRuns: metrics.GetOrCreateCounter("hyssopjunction_assignment_remote_runs_total"),
+		placedRuns:     metrics.GetOrCreateCounter("hyssopjunction_assignment_placed_runs_total"),
+		unplacedGroups: metrics.GetOrCreateCounter("hyssopjunction_assignment_unplaced_groups_total"),
+		rackWaits:      metrics.GetOrCreateCounter("hyssopjunction_assignment_rack_waits_total"),
+		remoteRuns:     metrics.GetOrCreateCounter("hyssopjunction_assignment_remote_runs_total"),
 	}
 }
 
@@ -36,6 +39,9 @@
 	}
 	coordinator.counters.assignment.rackWaits.Add(taken.RackWaits)
 	coordinator.counters.assignment.remoteRuns.Add(taken.RemoteRuns)
+	coordinator.counters.assignment.placedRuns.Add(taken.Placed)
+	coordinator.counters.assignment.unplacedGroups.Add(taken.Unplaced)
 	klog.InfoS("Assignments", "SinceMillis", int64(since), "RackWaits", taken.RackWaits, "LongestRackWaitMillis", int64(taken.LongestRackWait),
-		"RemoteRuns", taken.RemoteRuns, "HotRacks", taken.HotRacks())
+		"RemoteRuns", taken.RemoteRuns, "HotRacks", taken.HotRacks(),
+		"Rounds", taken.Rounds, "Placed", taken.Placed, "UnplacedGroups", taken.Unplaced, "DemandAgeMillis", int64(taken.DemandAge))
 }
--- /dev/null
+++ b/scheduler/assignfilling.go
@@ -0,0 +1,144 @@
+package scheduler
+
+import (
+	"slices"
+
+	"hyssopjunction/assignment"
+	"hyssopjunction/clock"
+	"hyssopjunction/pacing"
+	"hyssopjunction/workflow"
+)
+
+// roomsPerWorker is the usual number of serving images on a worker, for which a round allocates.
+const roomsPerWorker = 4
+
+// fillingRound is the joint assignment of the waiting filling tasks of a round.
+type fillingRound struct {
+	*assignment.Round
+	// workers holds the workers that take filling tasks, by their position in the round.
+	workers []*workerState
+	// values and eligible are those of the workers for the present group.
+	values   []float64
+	eligible []bool
+}
+
+// assignFilling places the waiting tasks of filling steps that are not gangs, in the order of the candidates. Their workers
+// are chosen together: where tasks end early, and where they take little capacity from the others that wait.
+func (scheduler *Scheduler) assignFilling(candidates []candidate, blocked blockedNeeds, now clock.Time) {
+	if len(candidates) == 0 {
+		return
+	}
+	round := scheduler.newFillingRound(candidates, now)
+	scheduler.assignments.Rounds++
+	scheduler.assignments.DemandAge = max(scheduler.assignments.DemandAge, now.Sub(scheduler.view.at))
+	for _, candidate := range candidates {
+		scheduler.assignGroup(round, candidate, blocked, now)
+	}
+}
+
+// newFillingRound returns a round with the workers that may take filling tasks now.
+func (scheduler *Scheduler) newFillingRound(candidates []candidate, now clock.Time) *fillingRound {
+	view := scheduler.fillingView(now)
+	for _, candidate := range candidates {
+		if image := pacing.Image(candidate.spec().Image); !slices.Contains(view.images, image) {
+			scheduler.view = nil // A job came after the view was made.
+			view = scheduler.fillingView(now)
+			break
+		}
+	}
+	round := &fillingRound{workers: make([]*workerState, 0, len(scheduler.workers))}
+	workers := make([]assignment.Worker, 0, len(scheduler.workers))
+	rooms := make([]assignment.Room, 0, roomsPerWorker*len(scheduler.workers))
+	for _, incarnation := range scheduler.sortedWorkers() {
+		worker := scheduler.workers[incarnation]
+		if !worker.reachable || worker.overdue || worker.Draining || scheduler.outDataCentres.Has(worker.DataCentre) || !worker.acceptsRuns(now) {
+			continue
+		}
+		round.workers = append(round.workers, worker)
+		first := len(rooms)
+		for _, room := range scheduler.servingRooms(worker, now) {
+			rooms = append(rooms, assignment.Room{Left: room.Left, Weights: view.weightsBeside(room.image)})
+		}
+		workers = append(workers, assignment.Worker{
+			Capacity: float64(worker.Capacity.CPU) / milliPerCore, Idle: float64(worker.idleCPU()) / milliPerCore,
+			Filling: float64(worker.fillingCPU) / milliPerCore, Speed: 1, Rooms: rooms[first:len(rooms):len(rooms)],
+		})
+	}
+	round.values, round.eligible = make([]float64, len(workers)), make([]bool, len(workers))
+	round.Round = assignment.NewRound(workers, view.demand)
+	return round
+}
+
+// assignGroup places the waiting tasks of a step until one finds no room, and records the requirements of that task in
+// blocked. The value of a worker is computed once for all tasks, and again after each task that is placed there.
+func (scheduler *Scheduler) assignGroup(round *fillingRound, candidate candidate, blocked blockedNeeds, now clock.Time) {
+	record, step, job := candidate.record, candidate.spec(), candidate.record.job
+	starved := record.activeRuns == 0 && now.Sub(record.acceptedAt) > starvationAge && scheduler.isMostlyUnreserved(job.Spec.Service)
+	key := newBlockKey(job.Spec.Service, step, starved)
+	dependsOnJob := step.PerWorker > 0 || len(record.failuresByWorker) > 0
+	if !dependsOnJob && blocked.has(key, candidate.minSpeed) {
+		scheduler.assignments.Unplaced++
+		return
+	}
+	group := assignment.Group{
+		Image: scheduler.view.position(step.Image), Cores: cores(step), Urgency: record.startUrgency(), MinSpeed: candidate.minSpeed, Anywhere: starved,
+	}
+	values, eligible := round.values, round.eligible
+	rate := func(position int) {
+		worker := round.workers[position]
+		eligible[position] = false
+		if !worker.isEligible(step, job.Spec.Service) || !worker.hasRoom(step, record.headroom(step, worker, now)) {
+			return
+		}
+		values[position], eligible[position] = round.Value(position, group, scheduler.bounds.DataFactor(isRemote(step, worker)), record.failuresByWorker[worker.Incarnation])
+	}
+	for position := range round.workers {
+		rate(position)
+	}
+	for _, index := range candidate.indices {
+		name := workflow.Name{Job: job.Spec.ID, Occurrence: candidate.occurrence.Number, Step: candidate.step, Index: index}
+		best := -1
+		for position, worker := range round.workers {
+			if eligible[position] && (best < 0 || values[position] > values[best]) && (step.PerWorker == 0 || worker.stepRuns(name) < step.PerWorker) {
+				best = position
+			}
+		}
+		if best < 0 {
+			scheduler.assignments.Unplaced++
+			if !dependsOnJob {
+				blocked.add(key, candidate.minSpeed)
+			}
+			return
+		}
+		if worker := round.workers[best]; isRemote(step, worker) {
+			if scheduler.waitsForRack(record, step, name, candidate.latestStart, now) {
+				continue
+			}
+			scheduler.assignments.RemoteRuns++
+		}
+		scheduler.assignments.Placed++
+		round.Place(best, group)
+		scheduler.placeTask(record, step, name, job.NextRun(name), round.workers[best], now)
+		if !round.workers[best].acceptsRuns(now) {
+			eligible[best] = false
+			continue
+		}
+		rate(best)
+	}
+}
+
+// startUrgency returns the urgency at which filling runs of the job start.
+func (record *jobRecord) startUrgency() pacing.Urgency {
+	if record.isCommitted() {
+		return pacing.Normal
+	}
+	return pacing.Background
+}
+
+// spec returns the specification of the candidate's step.
+func (candidate *candidate) spec() *workflow.Step {
+	return &candidate.record.job.Spec.Steps[candidate.step]
+}
+
+// cores returns the cores that a task of the step requests.
+func cores(step *workflow.Step) float64 { return float64(step.Need.CPU) / milliPerCore }
--- a/scheduler/assignments.go
+++ b/scheduler/assignments.go
@@ -13,6 +13,13 @@
 	RemoteRuns      int
 	LongestRackWait clock.Millis
 	hotRacks        set.Set[string]
+	// Rounds is the number of joint assignments of filling tasks, Placed that of the runs that they placed, and Unplaced that
+	// of groups of equal tasks of which some found no worker, counted in each round.
+	Rounds   int
+	Placed   int
+	Unplaced int
+	// DemandAge is the highest age of the demand by image that was used.
+	DemandAge clock.Millis
 }
 
 func newAssignments() Assignments { return Assignments{hotRacks: set.New[string]()} }
@@ -28,7 +35,7 @@
 
 // IsEmpty reports whether there was no decision.
 func (assignments Assignments) IsEmpty() bool {
-	return assignments.RackWaits == 0 && assignments.RemoteRuns == 0
+	return assignments.RackWaits == 0 && assignments.RemoteRuns == 0 && assignments.Rounds == 0
 }
 
 // TakeAssignments returns and resets the summary.
--- a/scheduler/chooseworker.go
+++ b/scheduler/chooseworker.go
@@ -51,7 +51,7 @@
 		}
 		score, remote := scheduler.score(record, step, worker, now), isRemote(step, worker)
 		if step.Fills {
-			speed := scheduler.expectedSpeed(step, worker, now)
+			speed := scheduler.expectedSpeed(step, record.startUrgency(), worker, now)
 			if speed < minSpeed && !starved {
 				continue
 			}
--- a/scheduler/fillingview.go
+++ b/scheduler/fillingview.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"hyssopjunction/clock"
 	"hyssopjunction/pacing"
@@ -24,7 +25,9 @@
 	// usableShares holds, by serving image, the share of a worker's idle cores that each filling image can use
 	// beside it.
 	usableShares map[pacing.Image][]float64
-	model        *pacing.Model
+	// weights holds, by serving image, the weight of each filling image.
+	weights map[pacing.Image][]float64
+	model   *pacing.Model
 }
 
 // fillingView returns a view that is at most fillingViewInterval old.
@@ -42,7 +45,7 @@
 			}
 		}
 	}
-	view := &fillingView{at: now, model: scheduler.model, images: set.SortedKeys(demand), usableShares: map[pacing.Image][]float64{}}
+	view := &fillingView{at: now, model: scheduler.model, images: set.SortedKeys(demand), usableShares: map[pacing.Image][]float64{}, weights: map[pacing.Image][]float64{}}
 	for _, image := range view.images {
 		view.demand = append(view.demand, demand[image])
 		view.totalDemand += demand[image]
@@ -64,6 +67,25 @@
 	return shares
 }
 
+// weightsBeside returns the weights of the filling images for a serving image.
+func (view *fillingView) weightsBeside(serving pacing.Image) []float64 {
+	weights, ok := view.weights[serving]
+	if !ok {
+		weights = make([]float64, len(view.images))
+		for position, filling := range view.images {
+			weights[position] = view.model.Weight(serving, filling, view.at)
+		}
+		view.weights[serving] = weights
+	}
+	return weights
+}
+
+// position returns the position of the filling image of an open job.
+func (view *fillingView) position(image string) int {
+	position, _ := slices.BinarySearch(view.images, pacing.Image(image))
+	return position
+}
+
 // neighbourhood is the set of serving tasks on a worker, possibly after a change.
 type neighbourhood struct {
 	idleCores float64
--- a/scheduler/interference.go
+++ b/scheduler/interference.go
@@ -4,6 +4,7 @@
 	"math"
 	"slices"
 
+	"hyssopjunction/assignment"
 	"hyssopjunction/clock"
 	"hyssopjunction/pacing"
 	"hyssopjunction/set"
@@ -104,10 +105,10 @@
 }
 
 // servingRoom is how much the tail latencies of the serving tasks of one image on a worker may still increase until
-// the worst of them reaches the share of its target that the governor aims at, as a logarithm.
+// the worst of them reaches the share of its target that the governor aims at.
 type servingRoom struct {
 	image pacing.Image
-	room  float64
+	assignment.Room
 }
 
 // servingRooms returns the rooms of the serving images on a worker, assuming that its filling runs work at full speed.
@@ -124,9 +125,9 @@
 		image, room := pacing.Image(run.step.Image), pacing.Room(run.baselineTail)
 		index := slices.IndexFunc(worker.rooms, func(other servingRoom) bool { return other.image == image })
 		if index < 0 {
-			worker.rooms = append(worker.rooms, servingRoom{image: image, room: room})
-		} else {
-			worker.rooms[index].room = math.Min(worker.rooms[index].room, room)
+			worker.rooms = append(worker.rooms, servingRoom{image: image, Room: assignment.NewRoom(room, nil)})
+		} else if room < worker.rooms[index].Of(pacing.Background) {
+			worker.rooms[index].Room = assignment.NewRoom(room, nil)
 		}
 	}
 	for _, run := range worker.runs {
@@ -135,23 +136,24 @@
 		}
 		for index := range worker.rooms {
 			room := &worker.rooms[index]
-			room.room -= scheduler.model.Weight(room.image, pacing.Image(run.step.Image), now) * float64(run.step.Need.CPU) / milliPerCore
+			room.Take(run.urgency, scheduler.model.Weight(room.image, pacing.Image(run.step.Image), now)*cores(run.step))
 		}
 	}
 	return worker.rooms
 }
 
 // expectedSpeed returns the share of its requested cores that a filling task could use on a worker while the
-// tail latencies of the serving tasks there stay at the share of their target that the governor aims at.
-func (scheduler *Scheduler) expectedSpeed(step *workflow.Step, worker *workerState, now clock.Time) float64 {
-	cores := float64(step.Need.CPU) / milliPerCore
+// tail latencies of the serving tasks there stay at the share of their target that the governor aims at. Runs of a lower
+// urgency yield their pace to it.
+func (scheduler *Scheduler) expectedSpeed(step *workflow.Step, urgency pacing.Urgency, worker *workerState, now clock.Time) float64 {
+	cores := cores(step)
 	if cores <= 0 {
 		return 1
 	}
 	speed := 1.0
 	for _, room := range scheduler.servingRooms(worker, now) {
 		if weight := scheduler.model.Weight(room.image, pacing.Image(step.Image), now); weight > 0 {
-			speed = math.Min(speed, math.Max(0, room.room)/(weight*cores))
+			speed = math.Min(speed, math.Max(0, room.Of(urgency))/(weight*cores))
 		}
 	}
 	return speed
--- a/scheduler/loadpattern_test.go
+++ b/scheduler/loadpattern_test.go
@@ -69,3 +69,54 @@
 		})
 	}
 }
+
+// batchStep returns a step of filling tasks of an image that take 2 s on 1.8 cores.
+func batchStep(count int, image string) workflow.Step {
+	step := fillingStep(count, image)
+	step.Need.CPU, step.Estimate = 1800, 2*clock.Second
+	return step
+}
+
+// playHarshImages plays jobs of an image that interferes everywhere beside jobs of one that interferes with the serving
+// tasks of half of the workers only.
+func playHarshImages(t *testing.T) *loadPlay {
+	t.Helper()
+	play := newLoadPlay(t, 1.5)
+	for range 8 {
+		play.addPlayWorker("rack-0", 16, 1, math.Log(0.2))
+	}
+	for image, weights := range map[string][2]float64{"harsh": {0.12, 0.12}, "choosy": {0.02, 0.4}} {
+		play.knowWeight("robust", image, weights[0])
+		play.knowWeight("tender", image, weights[1])
+	}
+	for _, image := range []string{"robust", "tender"} {
+		serving := servingStep(4, image)
+		serving.Need.CPU, serving.PerWorker = 9000, 1
+		play.submitJob(image, 1, serving)
+	}
+	play.run(2*clock.Second, nil)
+	number := 0
+	play.run(12*clock.Second, func(elapsed clock.Millis) {
+		if elapsed%250 != 0 {
+			return
+		}
+		image := []string{"harsh", "choosy"}[number%2]
+		play.submitJob(fmt.Sprintf("filling-%s-%02d", image, number), 2, batchStep(8, image))
+		number++
+	})
+	play.run(30*clock.Second, nil)
+	return play
+}
+
+// TestHarshImages guards against an image that interferes everywhere taking the only workers on which another image can run,
+// although it is as fast on the others. The ends are compared with those at commit 41dba3f, which rated each worker for each
+// task alone.
+func TestHarshImages(t *testing.T) {
+	const beforeMean, beforeWithin = 9766, 15
+	play := playHarshImages(t)
+	got := play.result("filling")
+	t.Logf("%+v; harsh %+v; choosy %+v", got, play.result("filling-harsh"), play.result("filling-choosy"))
+	if got.meanMillis >= beforeMean || got.withinObjective <= beforeWithin {
+		t.Errorf("jobs end after %d ms on average and %d meet their objective, want less than %d ms and more than %d", got.meanMillis, got.withinObjective, beforeMean, beforeWithin)
+	}
+}
--- a/scheduler/movethrottled.go
+++ b/scheduler/movethrottled.go
@@ -45,7 +45,7 @@
 			}
 			record := scheduler.jobs[run.name.Job]
 			worker := scheduler.chooseWorker(record, run.step, run.name, false, minFillingSpeed, now)
-			if worker == nil || worker == run.worker || scheduler.expectedSpeed(run.step, worker, now) < minMoveSpeed {
+			if worker == nil || worker == run.worker || scheduler.expectedSpeed(run.step, run.urgency, worker, now) < minMoveSpeed {
 				continue
 			}
 			// The room stays reserved while the other moves of the round are considered.
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -36,6 +36,7 @@
 	scheduler.racks.startRound(now)
 	blocked := blockedNeeds{}
 	valuableWaits := false
+	var filling []candidate
 	for _, candidate := range scheduler.candidates(now) {
 		switch {
 		case candidate.rank == rankFilling || candidate.rank == rankLate:
@@ -43,8 +44,13 @@
 		case candidate.rank == rankWorthless && !valuableWaits:
 			candidate.minSpeed = minLateSpeed
 		}
+		if step := candidate.spec(); step.Fills && !step.Gang {
+			filling = append(filling, candidate)
+			continue
+		}
 		scheduler.placeStep(candidate, blocked, now)
 	}
+	scheduler.assignFilling(filling, blocked, now)
 }
 
 // blockedNeeds holds, for requirements with which a task found no room, the lowest speed that was asked for. Other
@@ -76,6 +82,13 @@
 	dataRack string
 }
 
+// newBlockKey returns the requirements of a step of a job of the service.
+func newBlockKey(service workflow.Service, step *workflow.Step, starved bool) blockKey {
+	return blockKey{
+		need: step.Need, fills: step.Fills, starved: starved, standing: step.Standing, service: service, label: step.Label, image: step.Image, dataRack: step.DataRack,
+	}
+}
+
 // quarantineStalled quarantines workers with several stalled runs and no run that makes progress, and stops
 // the stalled runs.
 func (scheduler *Scheduler) quarantineStalled(now clock.Time) {
@@ -105,7 +118,7 @@
 	}
 }
 
-// placeStep places the waiting tasks of a step until one finds no room, and records the requirements of that
+// placeStep places the waiting tasks of a step that does not fill, or is a gang, until one finds no room, and records the requirements of that
 // task in blocked. Standing tasks that are being moved are placed where room is held for them.
 func (scheduler *Scheduler) placeStep(candidate candidate, blocked blockedNeeds, now clock.Time) {
 	job := candidate.record.job
@@ -114,10 +127,7 @@
 		scheduler.placeGang(candidate, now)
 		return
 	}
-	starved := step.Fills && candidate.record.activeRuns == 0 && now.Sub(candidate.record.acceptedAt) > starvationAge && scheduler.isMostlyUnreserved(job.Spec.Service)
-	key := blockKey{
-		need: step.Need, fills: step.Fills, starved: starved, standing: step.Standing, service: job.Spec.Service, label: step.Label, image: step.Image, dataRack: step.DataRack,
-	}
+	key := newBlockKey(job.Spec.Service, step, false)
 	// A limit per worker, and workers that are avoided after failures, depend on the job.
 	dependsOnJob := step.PerWorker > 0 || len(candidate.record.failuresByWorker) > 0
 	for _, index := range candidate.indices {
