assignment: runs move if their task ends sooner elsewhere, and slow workers are avoided

A run that was throttled by 65% for 0.7 s moved to any worker where it was expected to reach 80% of its speed. Its progress since the checkpoint, the time to stop and to resume did not count, a run without checkpoints beyond 15% stayed for good, and a task could move back at once: between two workers whose loads rise in turn it moved every 4 s and never ended. All workers counted as equally fast.

A move now needs a gain in the expected end of at least the stop and the restore. The remaining work follows from the progress at the pace that was allowed, so a task that is long by itself stays. A task moves at most twice in 10 s and not back within that time, and its room on the target is held until it starts there. The history may be lost with the leader. The leader learns how fast runs proceed on each worker relative to their pace (median of at least three runs) and uses it for filling and quick tasks and for moves.

--- a/assignment/joint.go
+++ b/assignment/joint.go
@@ -192,13 +192,24 @@
 	return lost
 }
 
+// Speed returns the share of its full speed that a run of the group is expected to reach on a worker that holds its data.
+func (round *Round) Speed(position int, group Group) float64 {
+	worker := &round.workers[position]
+	return worker.PaceShare(group) * worker.Speed
+}
+
 // Place takes the capacity of a run of the group on a worker.
-func (round *Round) Place(position int, group Group) {
+func (round *Round) Place(position int, group Group) { round.take(position, group, group.Cores) }
+
+// Release gives back the capacity of a run of the group on a worker.
+func (round *Round) Release(position int, group Group) { round.take(position, group, -group.Cores) }
+
+func (round *Round) take(position int, group Group, cores float64) {
 	worker := &round.workers[position]
-	worker.Filling += group.Cores
+	worker.Filling += cores
 	worker.known = false
 	for index := range worker.Rooms {
 		room := &worker.Rooms[index]
-		room.Take(group.Urgency, room.Weights[group.Image]*group.Cores)
+		room.Take(group.Urgency, room.Weights[group.Image]*cores)
 	}
 }
--- a/coordinator/assignment.go
+++ b/coordinator/assignment.go
@@ -15,14 +15,17 @@
 type assignmentCounters struct {
 	rackWaits, remoteRuns      *metrics.Counter
 	placedRuns, unplacedGroups *metrics.Counter
+	moves, movesWithoutGain    *metrics.Counter
 }
 
 func newAssignmentCounters() assignmentCounters {
 	return assignmentCounters{
-		placedRuns:     metrics.GetOrCreateCounter("hyssopjunction_assignment_placed_runs_total"),
-		unplacedGroups: metrics.GetOrCreateCounter("hyssopjunction_assignment_unplaced_groups_total"),
-		rackWaits:      metrics.GetOrCreateCounter("hyssopjunction_assignment_rack_waits_total"),
-		remoteRuns:     metrics.GetOrCreateCounter("hyssopjunction_assignment_remote_runs_total"),
+		moves:            metrics.GetOrCreateCounter("hyssopjunction_assignment_moves_total"),
+		movesWithoutGain: metrics.GetOrCreateCounter("hyssopjunction_assignment_moves_without_gain_total"),
+		placedRuns:       metrics.GetOrCreateCounter("hyssopjunction_assignment_placed_runs_total"),
+		unplacedGroups:   metrics.GetOrCreateCounter("hyssopjunction_assignment_unplaced_groups_total"),
+		rackWaits:        metrics.GetOrCreateCounter("hyssopjunction_assignment_rack_waits_total"),
+		remoteRuns:       metrics.GetOrCreateCounter("hyssopjunction_assignment_remote_runs_total"),
 	}
 }
 
@@ -41,7 +44,10 @@
 	coordinator.counters.assignment.remoteRuns.Add(taken.RemoteRuns)
 	coordinator.counters.assignment.placedRuns.Add(taken.Placed)
 	coordinator.counters.assignment.unplacedGroups.Add(taken.Unplaced)
+	coordinator.counters.assignment.moves.Add(taken.Moves)
+	coordinator.counters.assignment.movesWithoutGain.Add(taken.NoGain)
 	klog.InfoS("Assignments", "SinceMillis", int64(since), "RackWaits", taken.RackWaits, "LongestRackWaitMillis", int64(taken.LongestRackWait),
 		"RemoteRuns", taken.RemoteRuns, "HotRacks", taken.HotRacks(),
-		"Rounds", taken.Rounds, "Placed", taken.Placed, "UnplacedGroups", taken.Unplaced, "DemandAgeMillis", int64(taken.DemandAge))
+		"Rounds", taken.Rounds, "Placed", taken.Placed, "UnplacedGroups", taken.Unplaced, "DemandAgeMillis", int64(taken.DemandAge), "Moves", taken.Moves, "MovesWithoutGain", taken.NoGain,
+		"GainMillis", int64(taken.Gain), "MoveList", taken.MoveList)
 }
--- a/scheduler/assignfilling.go
+++ b/scheduler/assignfilling.go
@@ -61,11 +61,12 @@
 		}
 		workers = append(workers, assignment.Worker{
 			Capacity: float64(worker.Capacity.CPU) / milliPerCore, Idle: float64(worker.idleCPU()) / milliPerCore,
-			Filling: float64(worker.fillingCPU) / milliPerCore, Speed: 1, Rooms: rooms[first:len(rooms):len(rooms)],
+			Filling: float64(worker.fillingCPU) / milliPerCore, Speed: worker.speedFor(true, now), Rooms: rooms[first:len(rooms):len(rooms)],
 		})
 	}
 	round.values, round.eligible = make([]float64, len(workers)), make([]bool, len(workers))
 	round.Round = assignment.NewRound(workers, view.demand)
+	scheduler.holdMoves(round)
 	return round
 }
 
@@ -76,13 +77,12 @@
 	starved := record.activeRuns == 0 && now.Sub(record.acceptedAt) > starvationAge && scheduler.isMostlyUnreserved(job.Spec.Service)
 	key := newBlockKey(job.Spec.Service, step, starved)
 	dependsOnJob := step.PerWorker > 0 || len(record.failuresByWorker) > 0
-	if !dependsOnJob && blocked.has(key, candidate.minSpeed) {
+	if !dependsOnJob && blocked.has(key, candidate.minSpeed) && len(record.moves) == 0 {
 		scheduler.assignments.Unplaced++
 		return
 	}
-	group := assignment.Group{
-		Image: scheduler.view.position(step.Image), Cores: cores(step), Urgency: record.startUrgency(), MinSpeed: candidate.minSpeed, Anywhere: starved,
-	}
+	group := scheduler.groupOf(step, record.startUrgency(), candidate.minSpeed)
+	group.Anywhere = starved
 	values, eligible := round.values, round.eligible
 	rate := func(position int) {
 		worker := round.workers[position]
@@ -97,12 +97,18 @@
 	}
 	for _, index := range candidate.indices {
 		name := workflow.Name{Job: job.Spec.ID, Occurrence: candidate.occurrence.Number, Step: candidate.step, Index: index}
-		best := -1
-		for position, worker := range round.workers {
-			if eligible[position] && (best < 0 || values[position] > values[best]) && (step.PerWorker == 0 || worker.stepRuns(name) < step.PerWorker) {
-				best = position
+		best, history := scheduler.moveTarget(round, record, step, name, now), record.moves[name]
+		if best < 0 {
+			for position, worker := range round.workers {
+				if eligible[position] && (best < 0 || values[position] > values[best]) && (step.PerWorker == 0 || worker.stepRuns(name) < step.PerWorker) &&
+					!history.Left(string(worker.Incarnation), now) {
+					best = position
+				}
 			}
 		}
+		if best < 0 && len(record.moves) > 0 {
+			continue // Other tasks may return to the workers that this one left, or have room held for them.
+		}
 		if best < 0 {
 			scheduler.assignments.Unplaced++
 			if !dependsOnJob {
@@ -110,7 +116,7 @@
 			}
 			return
 		}
-		if worker := round.workers[best]; isRemote(step, worker) {
+		if worker := round.workers[best]; isRemote(step, worker) && len(history) == 0 {
 			if scheduler.waitsForRack(record, step, name, candidate.latestStart, now) {
 				continue
 			}
@@ -127,6 +133,11 @@
 	}
 }
 
+// groupOf returns the group of the equal tasks of a step of an open job.
+func (scheduler *Scheduler) groupOf(step *workflow.Step, urgency pacing.Urgency, minSpeed float64) assignment.Group {
+	return assignment.Group{Image: scheduler.view.position(step.Image), Cores: cores(step), Urgency: urgency, MinSpeed: minSpeed}
+}
+
 // startUrgency returns the urgency at which filling runs of the job start.
 func (record *jobRecord) startUrgency() pacing.Urgency {
 	if record.isCommitted() {
--- a/scheduler/assignments.go
+++ b/scheduler/assignments.go
@@ -20,6 +20,40 @@
 	Unplaced int
 	// DemandAge is the highest age of the demand by image that was used.
 	DemandAge clock.Millis
+	// Moves is the number of filling runs that were stopped to run elsewhere, Gain the sum of the times by which their tasks
+	// are expected to end sooner, and NoGain the number of slow runs for which no worker was worth a move, in each round.
+	Moves  int
+	Gain   clock.Millis
+	NoGain int
+	// MoveList describes the first maxListedMoves moves.
+	MoveList []MoveDecision
+}
+
+// maxListedMoves bounds the moves in a log line.
+const maxListedMoves = 4
+
+// MoveDecision is a move of a filling task with its expected gain.
+type MoveDecision struct {
+	Task       string
+	From, To   Incarnation
+	GainMillis int64
+	// Percent is the progress of the run, SavedPercent that of its checkpoint, and SpeedPercent its speed.
+	Percent, SavedPercent, SpeedPercent int
+	// ReportAgeMillis is the age of the report with these figures.
+	ReportAgeMillis int64
+}
+
+// addMove records a move.
+func (assignments *Assignments) addMove(candidate moveCandidate, target Incarnation, gain clock.Millis, now clock.Time) {
+	assignments.Moves++
+	assignments.Gain += gain
+	if len(assignments.MoveList) < maxListedMoves {
+		assignments.MoveList = append(assignments.MoveList, MoveDecision{
+			Task: candidate.name.String(), From: candidate.worker.Incarnation, To: target, GainMillis: int64(gain),
+			Percent: int(100 * candidate.course.Done), SavedPercent: int(100 * candidate.course.Saved), SpeedPercent: int(100 * candidate.course.Speed),
+			ReportAgeMillis: int64(now.Sub(candidate.activeRun.course.reportedAt)),
+		})
+	}
 }
 
 func newAssignments() Assignments { return Assignments{hotRacks: set.New[string]()} }
@@ -35,7 +69,7 @@
 
 // IsEmpty reports whether there was no decision.
 func (assignments Assignments) IsEmpty() bool {
-	return assignments.RackWaits == 0 && assignments.RemoteRuns == 0 && assignments.Rounds == 0
+	return assignments.RackWaits == 0 && assignments.RemoteRuns == 0 && assignments.Rounds == 0 && assignments.Moves == 0
 }
 
 // TakeAssignments returns and resets the summary.
--- a/scheduler/chooseworker.go
+++ b/scheduler/chooseworker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 
@@ -32,13 +33,13 @@
 	hotRackPenalty = 0.5
 )
 
-// chooseWorker returns the eligible worker with the highest score for the task, or nil. A worker on the rack of the task's
-// data is preferred to all others, because a run with reserved cores ends sooner there.
+// chooseWorker returns the eligible worker with the highest score for the task, or nil. A task with reserved cores goes to a
+// worker on which it ends soonest: on the rack of its data, and not on a slow worker.
 func (scheduler *Scheduler) chooseWorker(
 	record *jobRecord, step *workflow.Step, name workflow.Name, starved bool, minSpeed float64, now clock.Time,
 ) *workerState {
 	var best *workerState
-	bestScore, bestRemote := 0.0, false
+	bestScore, bestDuration := 0.0, 0
 	for _, worker := range scheduler.workers {
 		if !scheduler.mayPlace(record, step, worker, now) || !worker.hasRoom(step, record.headroom(step, worker, now)) {
 			continue
@@ -49,7 +50,7 @@
 		if step.Fills && !starved && !hasIdleCores(step, worker) {
 			continue
 		}
-		score, remote := scheduler.score(record, step, worker, now), isRemote(step, worker)
+		score, duration := scheduler.score(record, step, worker, now), scheduler.relativeDuration(step, worker, now)
 		if step.Fills {
 			speed := scheduler.expectedSpeed(step, record.startUrgency(), worker, now)
 			if speed < minSpeed && !starved {
@@ -60,19 +61,23 @@
 		if step.Standing {
 			score += imageAffinityWeight*imageAffinity(step, worker) - lostCoresWeight*scheduler.fillingView(now).lossByAdding(step, worker)
 		}
-		if best != nil && remote != bestRemote && !step.Fills {
-			if remote {
-				continue
-			}
-			best = nil
-		}
-		if best == nil || score > bestScore || (score == bestScore && worker.Incarnation < best.Incarnation) {
-			best, bestScore, bestRemote = worker, score, remote
+		if best == nil || duration < bestDuration || duration == bestDuration && (score > bestScore || score == bestScore && worker.Incarnation < best.Incarnation) {
+			best, bestScore, bestDuration = worker, score, duration
 		}
 	}
 	return best
 }
 
+// relativeDuration returns the expected duration of a run with reserved cores as a multiple of half of its estimate, so that
+// small differences between workers leave the choice to the score. It is 0 for filling tasks, whose score holds their speed,
+// and for standing ones.
+func (scheduler *Scheduler) relativeDuration(step *workflow.Step, worker *workerState, now clock.Time) int {
+	if step.Fills || step.Standing {
+		return 0
+	}
+	return int(math.Round(2 * scheduler.bounds.DataFactor(isRemote(step, worker)) / worker.speedFor(false, now)))
+}
+
 // mayPlace reports whether tasks of the step may be placed on the worker, whether or not there is room.
 func (scheduler *Scheduler) mayPlace(record *jobRecord, step *workflow.Step, worker *workerState, now clock.Time) bool {
 	return worker.isEligible(step, record.job.Spec.Service) && !scheduler.outDataCentres.Has(worker.DataCentre) && worker.acceptsRuns(now)
--- a/scheduler/loadplay_test.go
+++ b/scheduler/loadplay_test.go
@@ -39,7 +39,8 @@
 	longTasks map[workflow.Name]float64
 	jobs      map[workflow.ID]clock.Time
 	ends      map[workflow.ID]clock.Time
-	stops     map[workflow.Name]int
+	// stops holds when runs of each task were ordered to stop.
+	stops map[workflow.Name][]clock.Time
 	// visits holds the workers of each task in the order of its runs.
 	visits map[workflow.Name][]Incarnation
 	// waits holds for how long each task waited for its first run.
@@ -73,7 +74,7 @@
 	play := &loadPlay{
 		fixture: newFixture(t, 0), remoteFactor: remoteFactor, weights: map[[2]string]float64{}, workers: map[Incarnation]*playWorker{},
 		longTasks: map[workflow.Name]float64{}, jobs: map[workflow.ID]clock.Time{}, ends: map[workflow.ID]clock.Time{},
-		stops: map[workflow.Name]int{}, visits: map[workflow.Name][]Incarnation{}, waits: map[workflow.Name]clock.Millis{},
+		stops: map[workflow.Name][]clock.Time{}, visits: map[workflow.Name][]Incarnation{}, waits: map[workflow.Name]clock.Millis{},
 	}
 	bounds := assignment.DefaultBounds()
 	bounds.RemoteFactor = remoteFactor
@@ -152,7 +153,7 @@
 	if order.Stop {
 		if run, ok := worker.runs[order.Name]; ok && run.stopAt == 0 {
 			run.stopAt = play.now.Add(playStop)
-			play.stops[order.Name]++
+			play.stops[order.Name] = append(play.stops[order.Name], play.now)
 		}
 		return
 	}
@@ -335,7 +336,7 @@
 	for name, wait := range play.waits {
 		if string(name.Job[:min(len(name.Job), len(prefix))]) == prefix {
 			result.worstWaitMillis = max(result.worstWaitMillis, int(wait))
-			result.stops += play.stops[name]
+			result.stops += len(play.stops[name])
 		}
 	}
 	result.meanMillis = int(total) / max(1, result.jobs)
--- a/scheduler/movethrottled.go
+++ b/scheduler/movethrottled.go
@@ -1,17 +1,21 @@
 package scheduler
 
 import (
+	"cmp"
+	"slices"
+
+	"hyssopjunction/assignment"
 	"hyssopjunction/clock"
 	"hyssopjunction/workflow"
 )
 
-// Parameters of moving throttled filling runs.
+// Parameters of moving slow filling runs.
 const (
-	// throttledPercent is the throttling from which a run may be moved.
-	throttledPercent = 65
-	// minThrottledTime is how long the throttling must last before the run is moved: more than one listing, so that
-	// short load peaks move little. A job is late with its slowest task, and wide steps always have a throttled one.
-	minThrottledTime = 700 * clock.Millisecond
+	// slowPercent is the share of its full speed, in percent, below which a run may be moved.
+	slowPercent = 35
+	// minSlowTime is how long a run must be throttled before it is moved: more than one listing, so that short load peaks
+	// move little. A job is late with its slowest task, and wide steps always have a throttled one.
+	minSlowTime = 700 * clock.Millisecond
 	// moveInterval is the time between two rounds of moves. The effect of a round shows in the samples after
 	// about a second.
 	moveInterval = 600 * clock.Millisecond
@@ -19,55 +23,156 @@
 	// of runs on few workers.
 	workersPerThrottledMove = 6
 	minMovesPerRound        = 4
-	// minMoveSpeed is the share of its full speed that a run must be expected to reach on another worker.
-	minMoveSpeed = 0.8
-	// maxLostProgressPercent is the progress above which a run without checkpoints is not moved, because it
-	// would start over.
-	maxLostProgressPercent = 15
+	// moveReserve is for how long after the time to stop the room for a moved task is held.
+	moveReserve = clock.Second
 )
 
-// moveThrottled stops heavily throttled filling runs if another worker has room for them and lets them run
-// at minMoveSpeed or faster. Their tasks wait to be placed again and resume from their checkpoints.
-func (scheduler *Scheduler) moveThrottled(now clock.Time) {
+// fillingMove is the move of a filling task whose run is being stopped. Its room on the target is held.
+type fillingMove struct {
+	target *workerState
+	until  clock.Time
+}
+
+// moveCandidate is a slow run with the highest gain that a move can have.
+type moveCandidate struct {
+	*activeRun
+	course assignment.Course
+	gain   clock.Millis
+}
+
+// moveSlow stops filling runs that are throttled, or on slow workers, if their task ends sooner on another worker, counting
+// the stop, the restore and the lost progress. Their tasks resume there from their checkpoints.
+func (scheduler *Scheduler) moveSlow(now clock.Time) {
 	if now.Sub(scheduler.movedAt) < moveInterval {
 		return
 	}
 	scheduler.movedAt = now
-	moveCount, moveLimit := 0, max(minMovesPerRound, len(scheduler.workers)/workersPerThrottledMove)
-	var reservations []*activeRun
-	for _, incarnation := range scheduler.sortedWorkers() {
-		for _, run := range sortedRuns(scheduler.workers[incarnation]) {
-			if moveCount >= moveLimit {
-				break
-			}
-			if !scheduler.isMovable(run, now) {
+	scheduler.expireFillingMoves(now)
+	candidates := scheduler.moveCandidates(now)
+	if len(candidates) == 0 {
+		return
+	}
+	moveLimit := max(minMovesPerRound, len(scheduler.workers)/workersPerThrottledMove)
+	round := scheduler.newFillingRound(nil, now)
+	moveCount := 0
+	for _, candidate := range candidates {
+		if moveCount >= moveLimit {
+			break
+		}
+		record := scheduler.jobs[candidate.name.Job]
+		position, gain := scheduler.bestMove(round, candidate, record, now)
+		if position < 0 {
+			scheduler.assignments.NoGain++
+			continue
+		}
+		target := round.workers[position]
+		round.Place(position, scheduler.groupOf(candidate.step, candidate.urgency, minFillingSpeed))
+		if record.moves == nil {
+			record.moves = map[workflow.Name]assignment.History{}
+		}
+		record.moves[candidate.name] = record.moves[candidate.name].Add(string(candidate.worker.Incarnation), now)
+		scheduler.fillingMoves[candidate.name] = &fillingMove{target: target, until: now.Add(scheduler.bounds.StopTimeout + moveReserve)}
+		scheduler.assignments.addMove(candidate, target.Incarnation, gain, now)
+		scheduler.stopRun(candidate.activeRun)
+		moveCount++
+	}
+}
+
+// moveCandidates returns the filling runs that may be moved: the most urgent first, then those with most to gain.
+func (scheduler *Scheduler) moveCandidates(now clock.Time) []moveCandidate {
+	var list []moveCandidate
+	for _, worker := range scheduler.workers {
+		for _, run := range worker.runs {
+			if !run.step.Fills || run.step.Gang || run.stopping || run.course.reportedAt == 0 || run.job.State.Final() {
 				continue
 			}
-			record := scheduler.jobs[run.name.Job]
-			worker := scheduler.chooseWorker(record, run.step, run.name, false, minFillingSpeed, now)
-			if worker == nil || worker == run.worker || scheduler.expectedSpeed(run.step, run.urgency, worker, now) < minMoveSpeed {
+			course := scheduler.courseOf(run, now)
+			if course.Speed*100 >= slowPercent || now.Sub(max(run.placedAt, run.throttledSince)) < minSlowTime {
 				continue
 			}
-			// The room stays reserved while the other moves of the round are considered.
-			reservation := &activeRun{name: run.name, job: run.job, step: run.step, worker: worker}
-			if _, ok := worker.runs[run.name]; ok {
+			gain := scheduler.bounds.Gain(course, 1)
+			if record := scheduler.jobs[run.name.Job]; gain < scheduler.bounds.MinGain() || !record.moves[run.name].MayMove(now) {
 				continue
 			}
-			worker.add(reservation)
-			reservations = append(reservations, reservation)
-			scheduler.stopRun(run)
-			moveCount++
+			list = append(list, moveCandidate{activeRun: run, course: course, gain: gain})
 		}
 	}
-	for _, reservation := range reservations {
-		reservation.worker.remove(reservation)
+	slices.SortFunc(list, func(left, right moveCandidate) int {
+		return cmp.Or(cmp.Compare(right.urgency, left.urgency), cmp.Compare(right.gain, left.gain), compareNames(left.name, right.name))
+	})
+	return list
+}
+
+// bestMove returns the position of the worker on which the task of a run ends soonest and its gain there, or a negative
+// position if no worker is worth the move.
+func (scheduler *Scheduler) bestMove(round *fillingRound, candidate moveCandidate, record *jobRecord, now clock.Time) (best int, gain clock.Millis) {
+	best, gain = -1, scheduler.bounds.MinGain()
+	bestValue := 0.0
+	step, group := candidate.step, scheduler.groupOf(candidate.step, candidate.urgency, minFillingSpeed)
+	history := record.moves[candidate.name]
+	for position, worker := range round.workers {
+		if worker == candidate.worker || !worker.isEligible(step, record.job.Spec.Service) || !worker.hasRoom(step, record.headroom(step, worker, now)) ||
+			step.PerWorker > 0 && worker.stepRuns(candidate.name) >= step.PerWorker || history.Left(string(worker.Incarnation), now) {
+			continue
+		}
+		dataFactor := scheduler.bounds.DataFactor(isRemote(step, worker))
+		value, ok := round.Value(position, group, dataFactor, record.failuresByWorker[worker.Incarnation])
+		if !ok || best >= 0 && value <= bestValue {
+			continue
+		}
+		if got := scheduler.bounds.Gain(candidate.course, round.Speed(position, group)/dataFactor); got >= scheduler.bounds.MinGain() {
+			best, bestValue, gain = position, value, got
+		}
+	}
+	return best, gain
+}
+
+// expireFillingMoves gives up the room of moved tasks whose run took too long to stop, or whose job ended.
+func (scheduler *Scheduler) expireFillingMoves(now clock.Time) {
+	for name, move := range scheduler.fillingMoves {
+		_, open := scheduler.open[name.Job]
+		if !open || !now.Before(move.until) || scheduler.workers[move.target.Incarnation] != move.target {
+			delete(scheduler.fillingMoves, name)
+		}
+	}
+}
+
+// holdMoves takes the room of moved tasks whose run has not stopped yet.
+func (scheduler *Scheduler) holdMoves(round *fillingRound) {
+	for name, move := range scheduler.fillingMoves {
+		record, open := scheduler.open[name.Job]
+		if !open {
+			continue
+		}
+		if position := slices.Index(round.workers, move.target); position >= 0 {
+			round.Place(position, scheduler.groupOf(&record.job.Spec.Steps[name.Step], record.startUrgency(), 0))
+		}
 	}
 }
 
-// isMovable reports whether a filling run has been throttled for long enough and would lose little progress.
-func (scheduler *Scheduler) isMovable(run *activeRun, now clock.Time) bool {
-	return run.step.Fills && !run.stopping && run.throttledSince != 0 && now.Sub(run.throttledSince) >= minThrottledTime &&
-		(run.step.Checkpoints || run.progressPercent <= maxLostProgressPercent)
+// moveTarget returns the position of the worker to which a waiting task is moved, or a negative position. The room that is
+// held for the task is released. The task may be slower there than expected, because a wait would cost it more.
+func (scheduler *Scheduler) moveTarget(round *fillingRound, record *jobRecord, step *workflow.Step, name workflow.Name, now clock.Time) int {
+	move, ok := scheduler.fillingMoves[name]
+	if !ok {
+		return -1
+	}
+	delete(scheduler.fillingMoves, name)
+	worker := move.target
+	position := slices.Index(round.workers, worker)
+	if position < 0 {
+		return -1
+	}
+	group := scheduler.groupOf(step, record.startUrgency(), minLateSpeed)
+	round.Release(position, group)
+	if !worker.isEligible(step, record.job.Spec.Service) || !worker.hasRoom(step, record.headroom(step, worker, now)) ||
+		step.PerWorker > 0 && worker.stepRuns(name) >= step.PerWorker {
+		return -1
+	}
+	if _, ok := round.Value(position, group, 1, 0); !ok {
+		return -1
+	}
+	return position
 }
 
 // isMostlyUnreserved reports whether less than half of the CPU capacity of a service is reserved.
--- a/scheduler/movethrottled_test.go
+++ b/scheduler/movethrottled_test.go
@@ -37,7 +37,7 @@
 	if throttled == 0 {
 		t.Fatal("no filling task shares a worker with a serving task")
 	}
-	assertMoves(t, fixture, minThrottledTime-clock.Millisecond, 0)
+	assertMoves(t, fixture, minSlowTime-clock.Millisecond, 0)
 	assertMoves(t, fixture, clock.Millisecond, min(throttled, workers/workersPerThrottledMove))
 }
 
@@ -46,7 +46,7 @@
 	t.Helper()
 	fixture.now = fixture.now.Add(after)
 	fixture.scheduler.movedAt = 0
-	fixture.scheduler.moveThrottled(fixture.now)
+	fixture.scheduler.moveSlow(fixture.now)
 	_, orders := fixture.scheduler.TakeChanges()
 	stopped := map[workflow.Name]bool{}
 	for _, order := range orders {
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -27,7 +27,7 @@
 	}
 	scheduler.learnFromReplicas(now)
 	scheduler.quarantineStalled(now)
-	scheduler.moveThrottled(now)
+	scheduler.moveSlow(now)
 	scheduler.rebalanceServing(now)
 	if !scheduler.dirty && now.Sub(scheduler.plannedAt) < replanInterval {
 		return
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -73,8 +73,10 @@
 	rebalancedAt clock.Time
 	// transfers holds the serving tasks that are being moved.
 	transfers map[workflow.Name]*transfer
-	// movedAt is when moves of throttled runs were last considered.
+	// movedAt is when moves of slow filling runs were last considered.
 	movedAt clock.Time
+	// fillingMoves holds the filling tasks that are being moved.
+	fillingMoves map[workflow.Name]*fillingMove
 	// bounds are the limits of the platform.
 	bounds assignment.Bounds
 	// racks holds what is known of the racks that hold data.
@@ -94,6 +96,8 @@
 	activeRuns int
 	// standingWaitSince is the time since which the job has a waiting standing task, or 0.
 	standingWaitSince clock.Time
+	// moves holds the latest moves of filling tasks. It may be lost: a new leader then allows them a few more.
+	moves map[workflow.Name]assignment.History
 	// rackWaits holds since when tasks wait for the rack that holds their data.
 	rackWaits map[workflow.Name]clock.Time
 }
@@ -104,7 +108,7 @@
 		jobs: map[workflow.ID]*jobRecord{}, workers: map[Incarnation]*workerState{}, open: map[workflow.ID]*jobRecord{},
 		orphans: map[Incarnation]map[workflow.Name]*activeRun{}, dirtyJobs: map[workflow.ID]*jobRecord{},
 		outDataCentres: set.New[ident.DataCentre](), model: pacing.NewModel(), transfers: map[workflow.Name]*transfer{},
-		bounds: assignment.DefaultBounds(), racks: newDataRacks(), assignments: newAssignments(),
+		fillingMoves: map[workflow.Name]*fillingMove{}, bounds: assignment.DefaultBounds(), racks: newDataRacks(), assignments: newAssignments(),
 	}
 }
 
@@ -125,6 +129,9 @@
 	record := &jobRecord{job: job, acceptedAt: acceptedAt, failuresByWorker: map[Incarnation]int{}}
 	scheduler.jobs[job.Spec.ID] = record
 	scheduler.dirty = true
+	if len(job.Occurrences) > 0 {
+		scheduler.view = nil // It lacks the images of the job's runs.
+	}
 	if !job.State.Final() {
 		scheduler.open[job.Spec.ID] = record
 	}
@@ -184,6 +191,9 @@
 	if transfer, ok := scheduler.transfers[run.name]; ok {
 		order.MoveTo = transfer.target.Incarnation
 	}
+	if move, ok := scheduler.fillingMoves[run.name]; ok {
+		order.MoveTo = move.target.Incarnation
+	}
 	scheduler.orders = append(scheduler.orders, order)
 }
 
@@ -311,9 +321,10 @@
 			}
 			continue
 		}
+		scheduler.observeProgress(run, item, now)
 		run.sample, run.sampledAt = item.Sample, now
 		switch {
-		case item.ThrottlePercent < throttledPercent:
+		case pacing.FullPace-item.ThrottlePercent >= slowPercent:
 			run.throttledSince = 0
 		case run.throttledSince == 0:
 			run.throttledSince = now
@@ -342,6 +353,7 @@
 	case workflow.Finished:
 		worker.health.recordFinished()
 		scheduler.observeDuration(run, now)
+		scheduler.observeSpeed(run, now)
 	case workflow.Faulted:
 		if record, ok := scheduler.jobs[end.Name.Job]; ok {
 			record.failuresByWorker[incarnation]++
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -58,6 +58,8 @@
 	rooms      []servingRoom
 	roomsValid bool
 	health     health
+	// speeds holds what is known of the speed of the worker. It may be lost.
+	speeds workerSpeeds
 	// refusalDelayEnd is the time until which the worker gets no new runs after it refused a start.
 	refusalDelayEnd clock.Time
 }
@@ -82,8 +84,10 @@
 	// runs on its worker, as the logarithm of its share of the target. It was updated at baselineAt.
 	baselineTail float64
 	baselineAt   clock.Time
-	// throttledSince is the time since which the run is throttled by throttledPercent or more, or 0.
+	// throttledSince is the time since which the run is throttled to less than slowPercent, or 0.
 	throttledSince clock.Time
+	// course is what reports tell of the run's speed.
+	course runCourse
 	// urgency is the level at which the agent paces a filling run.
 	urgency pacing.Urgency
 }
