--- a/coordinator/counters.go
+++ b/coordinator/counters.go
@@ -16,6 +16,7 @@
 	urgenciesSent, urgencyDecisions          *metrics.Counter
 	urgencyChanges                           map[pacing.Urgency]*metrics.Counter
 	roundMillis                              *metrics.Histogram
+	assignment                               assignmentCounters
 }
 
 func newCounters() counters {
@@ -40,6 +41,7 @@
 			pacing.Elevated:   metrics.GetOrCreateCounter(`hyssopjunction_urgency_changes_total{level="Elevated"}`),
 			pacing.Critical:   metrics.GetOrCreateCounter(`hyssopjunction_urgency_changes_total{level="Critical"}`),
 		},
+		assignment:  newAssignmentCounters(),
 		roundMillis: metrics.GetOrCreateHistogram("hyssopjunction_coordinator_round_millis"),
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -6,6 +6,7 @@
 import (
 	"slices"
 
+	"hyssopjunction/assignment"
 	"hyssopjunction/clock"
 	"hyssopjunction/ident"
 	"hyssopjunction/pacing"
@@ -74,12 +75,20 @@
 	rebalancedAt clock.Time
 	// transfers holds the serving tasks that are being moved.
 	transfers map[workflow.Name]*transfer
-	// movedAt is when moves of throttled runs were last considered.
+	// movedAt is when moves of slow filling runs were last considered.
 	movedAt clock.Time
 	// urgencies is reused by decideUrgencies.
 	urgencies urgencyBuffers
 	// urgencyDecisions holds decisions that UpdateUrgencies has not returned yet.
 	urgencyDecisions []UrgencyDecision
+	// fillingMoves holds the filling tasks that are being moved.
+	fillingMoves map[workflow.Name]*fillingMove
+	// bounds are the limits of the platform.
+	bounds assignment.Bounds
+	// racks holds what is known of the racks that hold data.
+	racks dataRacks
+	// assignments sums up the decisions since the last call of TakeAssignments.
+	assignments Assignments
 }
 
 // jobRecord is a job with the scheduler's own state about it, which is not stored.
@@ -94,6 +103,10 @@
 	// standingWaitSince is the time since which the job has a waiting standing task, or 0.
 	standingWaitSince clock.Time
 	urgency           jobUrgency
+	// moves holds the latest moves of filling tasks. It may be lost: a new leader then allows them a few more.
+	moves map[workflow.Name]assignment.History
+	// rackWaits holds since when tasks wait for the rack that holds their data.
+	rackWaits map[workflow.Name]clock.Time
 }
 
 // New returns an empty Scheduler.
@@ -102,9 +115,13 @@
 		jobs: map[workflow.ID]*jobRecord{}, workers: map[Incarnation]*workerState{}, open: map[workflow.ID]*jobRecord{},
 		orphans: map[Incarnation]map[workflow.Name]*activeRun{}, dirtyJobs: map[workflow.ID]*jobRecord{},
 		outDataCentres: set.New[ident.DataCentre](), model: pacing.NewModel(), transfers: map[workflow.Name]*transfer{},
+		fillingMoves: map[workflow.Name]*fillingMove{}, bounds: assignment.DefaultBounds(), racks: newDataRacks(), assignments: newAssignments(),
 	}
 }
 
+// SetBounds replaces the limits of the platform, which are those of assignment.DefaultBounds at first.
+func (scheduler *Scheduler) SetBounds(bounds assignment.Bounds) { scheduler.bounds = bounds }
+
 // Submit adds a job that was accepted at the given time. It does nothing if the job exists.
 func (scheduler *Scheduler) Submit(spec workflow.Spec, acceptedAt clock.Time) {
 	if _, ok := scheduler.jobs[spec.ID]; ok {
@@ -119,6 +136,9 @@
 	record := &jobRecord{job: job, acceptedAt: acceptedAt, failuresByWorker: map[Incarnation]int{}}
 	scheduler.jobs[job.Spec.ID] = record
 	scheduler.dirty = true
+	if len(job.Occurrences) > 0 {
+		scheduler.view = nil // It lacks the images of the job's runs.
+	}
 	if !job.State.Final() {
 		scheduler.open[job.Spec.ID] = record
 	}
@@ -179,6 +199,9 @@
 	if transfer, ok := scheduler.transfers[run.name]; ok {
 		order.MoveTo = transfer.target.Incarnation
 	}
+	if move, ok := scheduler.fillingMoves[run.name]; ok {
+		order.MoveTo = move.target.Incarnation
+	}
 	scheduler.orders = append(scheduler.orders, order)
 }
 
@@ -306,10 +329,11 @@
 			}
 			continue
 		}
+		scheduler.observeProgress(run, item, now)
 		run.sample, run.sampledAt = item.Sample, now
 		run.pace.record(item, now)
 		switch {
-		case item.ThrottlePercent < throttledPercent:
+		case pacing.FullPace-item.ThrottlePercent >= slowPercent:
 			run.throttledSince = 0
 		case run.throttledSince == 0:
 			run.throttledSince = now
@@ -338,6 +362,8 @@
 	case workflow.Finished:
 		worker.health.recordFinished()
 		scheduler.recordFinishedTime(run, now)
+		scheduler.observeDuration(run, now)
+		scheduler.observeSpeed(run, now)
 	case workflow.Faulted:
 		if record, ok := scheduler.jobs[end.Name.Job]; ok {
 			record.failuresByWorker[incarnation]++
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -60,6 +60,8 @@
 	health     health
 	// urgenciesAt is when the levels of the jobs on the worker were last decided.
 	urgenciesAt clock.Time
+	// speeds holds what is known of the speed of the worker. It may be lost.
+	speeds workerSpeeds
 	// refusalDelayEnd is the time until which the worker gets no new runs after it refused a start.
 	refusalDelayEnd clock.Time
 }
@@ -83,7 +85,14 @@
 	// baseline is the tail latency that a serving run would have without filling runs on its worker.
 	baseline pacing.Baseline
 	// throttledSince is the time since which the run is throttled by throttledPercent or more, or 0.
+	// baselineTail is the recent peak of the tail latency that a serving run would have without filling
+	// runs on its worker, as the logarithm of its share of the target. It was updated at baselineAt.
+	baselineTail float64
+	baselineAt   clock.Time
+	// throttledSince is the time since which the run is throttled to less than slowPercent, or 0.
 	throttledSince clock.Time
+	// course is what reports tell of the run's speed.
+	course runCourse
 	// urgency is the level at which the agent paces a filling run.
 	urgency pacing.Urgency
 	// leftover reports that the run was placed while its job was not committed.
