assignment: a round without idle cores costs less, and moves are part of the random test

In a round in which no task finds room, each group was rated on each worker, though most workers have no idle cores. A step whose image the view of the demand lacks is skipped; no such case was seen.

--- a/assignment/joint.go
+++ b/assignment/joint.go
@@ -147,7 +147,8 @@
 
 // HasIdleCores reports whether a worker has idle cores for a run of the group. A worker without filling runs takes a first
 // one of any size.
-func (worker *Worker) HasIdleCores(group Group) bool {
+func (round *Round) HasIdleCores(position int, group Group) bool {
+	worker := &round.workers[position]
 	return worker.Filling == 0 && worker.Idle > 0 || worker.Filling+group.Cores <= worker.Idle
 }
 
@@ -169,8 +170,11 @@
 // longer it takes because of its data's location, and failures is the number of failures of the job there.
 func (round *Round) Value(position int, group Group, dataFactor float64, failures int) (value float64, ok bool) {
 	worker := &round.workers[position]
+	if !group.Anywhere && !round.HasIdleCores(position, group) {
+		return 0, false
+	}
 	share := worker.PaceShare(group)
-	if !group.Anywhere && (share < group.MinSpeed || !worker.HasIdleCores(group)) {
+	if !group.Anywhere && share < group.MinSpeed {
 		return 0, false
 	}
 	free := (worker.Idle - worker.Filling) / math.Max(worker.Capacity, 1)
--- a/scheduler/assignfilling.go
+++ b/scheduler/assignfilling.go
@@ -1,11 +1,10 @@
 package scheduler
 
 import (
-	"slices"
-
 	"hyssopjunction/assignment"
 	"hyssopjunction/clock"
 	"hyssopjunction/pacing"
+	"hyssopjunction/unit"
 	"hyssopjunction/workflow"
 )
 
@@ -40,7 +39,7 @@
 func (scheduler *Scheduler) newFillingRound(candidates []candidate, now clock.Time) *fillingRound {
 	view := scheduler.fillingView(now)
 	for _, candidate := range candidates {
-		if image := pacing.Image(candidate.spec().Image); !slices.Contains(view.images, image) {
+		if _, ok := view.position(candidate.spec().Image); !ok {
 			scheduler.view = nil // A job came after the view was made.
 			view = scheduler.fillingView(now)
 			break
@@ -81,13 +80,16 @@
 		scheduler.assignments.Unplaced++
 		return
 	}
-	group := scheduler.groupOf(step, record.startUrgency(), candidate.minSpeed)
+	group, ok := scheduler.groupOf(step, record.startUrgency(), candidate.minSpeed)
+	if !ok {
+		return
+	}
 	group.Anywhere = starved
 	values, eligible := round.values, round.eligible
 	rate := func(position int) {
 		worker := round.workers[position]
 		eligible[position] = false
-		if !worker.isEligible(step, job.Spec.Service) || !worker.hasRoom(step, record.headroom(step, worker, now)) {
+		if !starved && !round.HasIdleCores(position, group) || !worker.isEligible(step, job.Spec.Service) || !worker.hasRoom(step, unit.Resources{}) {
 			return
 		}
 		values[position], eligible[position] = round.Value(position, group, scheduler.bounds.DataFactor(isRemote(step, worker)), record.failuresByWorker[worker.Incarnation])
@@ -133,9 +135,10 @@
 	}
 }
 
-// groupOf returns the group of the equal tasks of a step of an open job.
-func (scheduler *Scheduler) groupOf(step *workflow.Step, urgency pacing.Urgency, minSpeed float64) assignment.Group {
-	return assignment.Group{Image: scheduler.view.position(step.Image), Cores: cores(step), Urgency: urgency, MinSpeed: minSpeed}
+// groupOf returns the group of the equal tasks of a step, or false if the view of the round lacks their image.
+func (scheduler *Scheduler) groupOf(step *workflow.Step, urgency pacing.Urgency, minSpeed float64) (assignment.Group, bool) {
+	image, ok := scheduler.view.position(step.Image)
+	return assignment.Group{Image: image, Cores: cores(step), Urgency: urgency, MinSpeed: minSpeed}, ok
 }
 
 // startUrgency returns the urgency at which filling runs of the job start.
--- a/scheduler/fillingview.go
+++ b/scheduler/fillingview.go
@@ -80,10 +80,9 @@
 	return weights
 }
 
-// position returns the position of the filling image of an open job.
-func (view *fillingView) position(image string) int {
-	position, _ := slices.BinarySearch(view.images, pacing.Image(image))
-	return position
+// position returns the position of a filling image, or false if no job that was open when the view was made has it.
+func (view *fillingView) position(image string) (int, bool) {
+	return slices.BinarySearch(view.images, pacing.Image(image))
 }
 
 // neighbourhood is the set of serving tasks on a worker, possibly after a change.
--- a/scheduler/movethrottled.go
+++ b/scheduler/movethrottled.go
@@ -66,7 +66,9 @@
 			continue
 		}
 		target := round.workers[position]
-		round.Place(position, scheduler.groupOf(candidate.step, candidate.urgency, minFillingSpeed))
+		if group, ok := scheduler.groupOf(candidate.step, candidate.urgency, minFillingSpeed); ok {
+			round.Place(position, group)
+		}
 		if record.moves == nil {
 			record.moves = map[workflow.Name]assignment.History{}
 		}
@@ -107,8 +109,11 @@
 // position if no worker is worth the move.
 func (scheduler *Scheduler) bestMove(round *fillingRound, candidate moveCandidate, record *jobRecord, now clock.Time) (best int, gain clock.Millis) {
 	best, gain = -1, scheduler.bounds.MinGain()
-	bestValue := 0.0
-	step, group := candidate.step, scheduler.groupOf(candidate.step, candidate.urgency, minFillingSpeed)
+	bestValue, step := 0.0, candidate.step
+	group, ok := scheduler.groupOf(step, candidate.urgency, minFillingSpeed)
+	if !ok {
+		return -1, 0
+	}
 	history := record.moves[candidate.name]
 	for position, worker := range round.workers {
 		if worker == candidate.worker || !worker.isEligible(step, record.job.Spec.Service) || !worker.hasRoom(step, record.headroom(step, worker, now)) ||
@@ -144,8 +149,9 @@
 		if !open {
 			continue
 		}
-		if position := slices.Index(round.workers, move.target); position >= 0 {
-			round.Place(position, scheduler.groupOf(&record.job.Spec.Steps[name.Step], record.startUrgency(), 0))
+		group, ok := scheduler.groupOf(&record.job.Spec.Steps[name.Step], record.startUrgency(), 0)
+		if position := slices.Index(round.workers, move.target); ok && position >= 0 {
+			round.Place(position, group)
 		}
 	}
 }
@@ -163,7 +169,10 @@
 	if position < 0 {
 		return -1
 	}
-	group := scheduler.groupOf(step, record.startUrgency(), minLateSpeed)
+	group, ok := scheduler.groupOf(step, record.startUrgency(), minLateSpeed)
+	if !ok {
+		return -1
+	}
 	round.Release(position, group)
 	if !worker.isEligible(step, record.job.Spec.Service) || !worker.hasRoom(step, record.headroom(step, worker, now)) ||
 		step.PerWorker > 0 && worker.stepRuns(name) >= step.PerWorker {
--- a/scheduler/random_test.go
+++ b/scheduler/random_test.go
@@ -49,7 +49,7 @@
 func (cluster *randomCluster) profile(number int, draining bool) Profile {
 	return Profile{
 		Incarnation: cluster.incarnation(number), Node: cluster.nodeName(number), Service: testService, DataCentre: ident.DataCentre(fmt.Sprint("dc-", number%2)),
-		Labels: []string{"r1"}, Capacity: unit.Resources{CPU: 4000, Memory: 8000}, Draining: draining,
+		Labels: []string{fmt.Sprint("r", number/2)}, Capacity: unit.Resources{CPU: 4000, Memory: 8000}, Draining: draining,
 	}
 }
 
@@ -76,6 +76,7 @@
 			Need:      unit.Resources{CPU: unit.MilliCPU(rapid.IntRange(1, 30).Draw(t, "cpu") * 100), Memory: unit.Mebibytes(rapid.IntRange(1, 30).Draw(t, "memory") * 100)},
 			PerWorker: rapid.IntRange(0, 2).Draw(t, "per worker"), Gang: rapid.IntRange(0, 4).Draw(t, "gang") == 0,
 			Fills: rapid.Bool().Draw(t, "fills"), Checkpoints: rapid.Bool().Draw(t, "checkpoints"),
+			DataRack: rapid.SampledFrom([]string{"", "r0", "r1", "missing"}).Draw(t, "data rack"),
 		}
 		step.Standing = !step.Gang && !step.Fills && rapid.IntRange(0, 4).Draw(t, "standing") == 0
 		if step.Standing {
@@ -168,6 +169,25 @@
 	}
 }
 
+// reportThrottled reports the runs of a worker, filling ones as paused, so that the scheduler moves some.
+func (cluster *randomCluster) reportThrottled(t *rapid.T) {
+	worker := cluster.incarnation(rapid.IntRange(0, nodeCount-1).Draw(t, "throttled"))
+	var progress []Progress
+	for _, run := range sortedRuns(cluster.scheduler.workers[worker]) {
+		if number, ok := cluster.running[worker][run.name]; ok {
+			item := Progress{Name: run.name, Run: number, Percent: rapid.IntRange(run.progressPercent, 99).Draw(t, "percent"), Sample: 50}
+			if run.step.Fills {
+				item.ThrottlePercent = 100
+			}
+			if run.step.Checkpoints {
+				item.Saved = workflow.Checkpoint(fmt.Sprint("at-", item.Percent))
+			}
+			progress = append(progress, item)
+		}
+	}
+	cluster.scheduler.RecordProgress(worker, progress, cluster.now)
+}
+
 // endRun reports the end of a random run of a random worker.
 func (cluster *randomCluster) endRun(t *rapid.T) {
 	number := rapid.IntRange(0, nodeCount-1).Draw(t, "node")
@@ -275,7 +295,7 @@
 		cluster := newRandomCluster()
 		draining, out := set.New[string](), set.New[string]()
 		for range rapid.IntRange(5, 60).Draw(t, "events") {
-			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			switch rapid.IntRange(0, 11).Draw(t, "event") {
 			case 0, 1:
 				cluster.submit(t)
 			case 2, 3, 4:
@@ -307,7 +327,9 @@
 					}
 					cluster.scheduler.SetOut(centres)
 				}
-			case 9:
+			case 9, 10:
+				cluster.reportThrottled(t)
+			case 11:
 				cluster.changeLeader(t, draining)
 				out = set.New[string]()
 			}
