assignment: only clearly slow workers are avoided by quick tasks; test of a hot rack of filling tasks

A worker counted as slow from 0.8 of the usual speed, so quick tasks would have left usual workers by chance. The limit is now 0.7.

--- a/scheduler/chooseworker.go
+++ b/scheduler/chooseworker.go
@@ -28,6 +28,9 @@
 	imageAffinityWeight = 0.5
 	// failurePenalty lowers the score of a worker by each failure of the same job there.
 	failurePenalty = 1.0
+	// slowWorkerSpeed is the speed up to which a worker counts as slow for tasks with reserved cores. Their durations are
+	// known to about a quarter, because ends are listed twice a second.
+	slowWorkerSpeed = 0.7
 	// hotRackPenalty lowers the score of a worker on a rack for which tasks wait, for tasks whose data is not there. It is
 	// worth half of a worker's cores: other racks are preferred until they are almost full.
 	hotRackPenalty = 0.5
@@ -75,7 +78,11 @@
 	if step.Fills || step.Standing {
 		return 0
 	}
-	return int(math.Round(2 * scheduler.bounds.DataFactor(isRemote(step, worker)) / worker.speedFor(false, now)))
+	speed := worker.speedFor(false, now)
+	if speed > slowWorkerSpeed {
+		speed = 1
+	}
+	return int(math.Round(2 * scheduler.bounds.DataFactor(isRemote(step, worker)) / speed))
 }
 
 // mayPlace reports whether tasks of the step may be placed on the worker, whether or not there is room.
--- a/scheduler/loadpattern_test.go
+++ b/scheduler/loadpattern_test.go
@@ -280,3 +280,53 @@
 		}
 	}
 }
+
+// TestHotRackOfFillingTasks guards against filling tasks that wait for the rack of their data for longer than a remote run
+// takes, and against the opposite. The ends are compared with those at commit 41dba3f.
+func TestHotRackOfFillingTasks(t *testing.T) {
+	for name, test := range map[string]struct {
+		factor                   float64
+		beforeMean, beforeWithin int
+	}{
+		"factor 1.5": {1.5, 2681, 16},
+		"factor 3":   {3, 5050, 7},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := playHotRackOfFilling(t, test.factor).result("filling")
+			t.Logf("%+v", got)
+			if got.meanMillis > test.beforeMean || got.withinObjective < test.beforeWithin {
+				t.Errorf("jobs end after %d ms on average and %d meet their objective, want at most %d ms and at least %d", got.meanMillis, got.withinObjective, test.beforeMean, test.beforeWithin)
+			}
+			if limit := int(test.factor * 2000); got.worstWaitMillis > limit {
+				t.Errorf("a task waited for %d ms, want at most the %d ms of its remote run", got.worstWaitMillis, limit)
+			}
+		})
+	}
+}
+
+// playHotRackOfFilling plays 8 s in which 60% of the filling jobs prefer one of four racks.
+func playHotRackOfFilling(t *testing.T, factor float64) *loadPlay {
+	t.Helper()
+	play := newLoadPlay(t, factor)
+	for number := range 16 {
+		play.addPlayWorker(fmt.Sprint("rack-", number/4), 16, 1, math.Log(0.2))
+	}
+	serving := servingStep(64, "serving")
+	serving.Need.CPU, serving.PerWorker = 3200, 4
+	play.submitJob("serving", 1, serving)
+	play.run(3*clock.Second, nil)
+	number := 0
+	play.run(8*clock.Second, func(elapsed clock.Millis) {
+		if elapsed%500 != 0 {
+			return
+		}
+		step := batchStep(12, "light")
+		if number%5 < 3 {
+			step.DataRack = "rack-0"
+		}
+		play.submitJob(fmt.Sprintf("filling-%03d", number), 2, step)
+		number++
+	})
+	play.run(15*clock.Second, nil)
+	return play
+}
