A lapse of a worker's lease outlives the leader that cannot store it

Cause: an agent whose worker's lease had lapsed told only the leader of its session. Seen in TestShutdownWaitsUntilLapseIsStored, which failed each time.

Change: the agent reports a lapse like the end of a worker, to the leader and to all seeds, until a leader has stored it or the worker answers again. Entries keep it and pass it on. The report names the runs that have ended. A run has one number, and a worker refuses to start a run again that has ended on it, so a late copy is still true and ends no later run. Runs whose start the worker has not confirmed are left out: a later process of the agent may start them. The report has a gRPC method of its own, because an entry of an earlier version would take it for the end of the incarnation. A leader acknowledges an end with a round that began after it was applied; before, a report that changed nothing itself could be acknowledged with an earlier round, and was lost if the term ended in between.

New tests for late copies, a change of leaders, earlier versions and the acknowledgement pass. TestWorkerEndHasCheckpoints sets the new field that tells an end from a lapse.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -114,8 +114,8 @@
 	roundEndedAt clock.Time
 	// onceStored holds actions that must wait until the scheduler's present state is stored.
 	onceStored []func()
-	// endsToStore holds the reported ends of workers that are not stored yet, by incarnation. Each channel is closed when
-	// that end is stored.
+	// endsToStore holds the reported ends of workers that the next round stores, by session.WorkerEnd.Key. Each channel is
+	// closed when that end is stored.
 	endsToStore map[string]chan struct{}
 	// inboxAsOf is a time before which no row was stored in the inbox that this leader has not read.
 	inboxAsOf clock.Time
--- a/coordinator/counters.go
+++ b/coordinator/counters.go
@@ -11,7 +11,7 @@
 	terms, rounds, starts, stops, rejections *metrics.Counter
 	withheldStarts                           *metrics.Counter
 	finished, faulted, interrupted           *metrics.Counter
-	workerEnds, workersAwaited               *metrics.Counter
+	workerEnds, workerLapses, workersAwaited *metrics.Counter
 	roundMillis                              *metrics.Histogram
 }
 
@@ -27,6 +27,7 @@
 		faulted:        metrics.GetOrCreateCounter(`hyssopjunction_coordinator_ends_total{cause="Faulted"}`),
 		interrupted:    metrics.GetOrCreateCounter(`hyssopjunction_coordinator_ends_total{cause="Interrupted"}`),
 		workerEnds:     metrics.GetOrCreateCounter("hyssopjunction_coordinator_worker_ends_total"),
+		workerLapses:   metrics.GetOrCreateCounter("hyssopjunction_coordinator_worker_lapses_total"),
 		workersAwaited: metrics.GetOrCreateCounter("hyssopjunction_coordinator_workers_awaited_total"),
 		roundMillis:    metrics.GetOrCreateHistogram("hyssopjunction_coordinator_round_millis"),
 	}
--- a/coordinator/lapse_test.go
+++ b/coordinator/lapse_test.go
@@ -149,3 +149,97 @@
 		t.Errorf("got %+v, want a lease from the second report on", messages)
 	}
 }
+
+// newLapseReport returns the report that the run of restoreRun ended when the lease of testWorker lapsed.
+func newLapseReport() *session.WorkerEnd {
+	return &session.WorkerEnd{Node: "side-1", Incarnation: string(testWorker), Lapsed: true, Ends: []session.End{
+		{Number: 1, Task: "0123456789abcdef.0.0.0", Run: 1, Cause: workflow.Interrupted, Reason: "WorkerLapsed"},
+	}}
+}
+
+// placements returns the run numbers and workers of the starts that the scheduler orders now.
+func (coordinator *Coordinator) placements(now clock.Time) map[workflow.Run]scheduler.Incarnation {
+	coordinator.scheduler.Plan(now, 0)
+	_, orders := coordinator.scheduler.TakeChanges()
+	placed := map[workflow.Run]scheduler.Incarnation{}
+	for _, order := range orders {
+		if !order.Stop {
+			placed[order.Run] = order.Worker
+		}
+	}
+	return placed
+}
+
+// TestLapseOutlivesLeader guards against tasks that wait for a lease which the last leader granted to a lapsed worker: the
+// worker's agent has stopped, and only its report of the lapse is left. A run that the report does not name still waits.
+func TestLapseOutlivesLeader(t *testing.T) {
+	for name, attached := range map[string]bool{"worker of an earlier term": false, "worker reported in this term": true} {
+		t.Run(name, func(t *testing.T) {
+			coordinator, source := newLapseLeader(t, nil)
+			coordinator.restoreRun()
+			if attached {
+				coordinator.handleReport(newTestSession("side-1"), newWorkerReport())
+			}
+			late := newLapseReport()
+			late.Ends[0].Run = 2
+			coordinator.storeWorkerEnd(late)
+			if !coordinator.scheduler.IsActive(testWorker, workflow.Name{Job: "0123456789abcdef"}, 1) {
+				t.Fatal("run 1 was ended by a report of run 2")
+			}
+			coordinator.storeWorkerEnd(newLapseReport())
+			if got := coordinator.lapsesAfter(t, source); got != 0 {
+				t.Errorf("the run ended %s after the report, want at once", got)
+			}
+		})
+	}
+}
+
+// TestLateLapseEndsNoLaterRun guards against two runs of one task: a copy of the report of a lapse that an entry has kept
+// arrives when the worker has returned and has got another run of the task.
+func TestLateLapseEndsNoLaterRun(t *testing.T) {
+	coordinator, source := newLapseLeader(t, nil)
+	coordinator.restoreRun()
+	agent := newTestSession("side-1")
+	coordinator.handleReport(agent, newWorkerReport())
+	coordinator.finishRound(nil, coordinator.takeOnceStored())
+	coordinator.storeWorkerEnd(newLapseReport())
+	if got := coordinator.placements(source.Now()); got[2] != testWorker {
+		t.Fatalf("got starts %v, want run 2 on the worker that has returned", got)
+	}
+	for name, change := range map[string]func(){"worker answers": func() {}, "agent is gone": func() { coordinator.detach(agent) }} {
+		change()
+		coordinator.storeWorkerEnd(newLapseReport())
+		if !coordinator.scheduler.IsActive(testWorker, workflow.Name{Job: "0123456789abcdef"}, 2) {
+			t.Errorf("%s: a late copy ended the run that was placed after the lapse", name)
+		}
+	}
+}
+
+// TestLapseIsAcknowledgedWithItsRound guards against a lapse that is lost with the term: the session reported it first, so
+// that the report itself changed nothing, and it was acknowledged with an earlier round that does not have the ends.
+func TestLapseIsAcknowledgedWithItsRound(t *testing.T) {
+	coordinator, _ := newLapseLeader(t, nil)
+	coordinator.restoreRun()
+	agent := newTestSession("side-1")
+	coordinator.handleReport(agent, newWorkerReport())
+	empty := newLapseReport()
+	empty.Ends = nil
+	coordinator.storeWorkerEnd(empty)
+	inFlight := coordinator.takeOnceStored()
+	lapsed := newWorkerReport()
+	lapsed.Sequence, lapsed.Worker.Responsive, lapsed.Worker.Lapsed = 2, false, true
+	coordinator.handleReport(agent, lapsed)
+	stored := coordinator.storeWorkerEnd(newLapseReport())
+	coordinator.finishRound(nil, inFlight)
+	select {
+	case <-stored:
+		t.Error("acknowledged with a round that began before the lapse was known")
+	default:
+	}
+	coordinator.finishRound(nil, coordinator.takeOnceStored())
+	select {
+	case <-stored:
+	default:
+		t.Error("not acknowledged with its own round")
+	}
+}
--- a/coordinator/write.go
+++ b/coordinator/write.go
@@ -44,10 +44,12 @@
 	coordinator.background(func() { coordinator.writeRound(txs, orders, actions) })
 }
 
-// takeOnceStored returns the actions that wait for the next round and removes them from the list.
+// takeOnceStored returns the actions that wait for the next round and removes them from the list. Ends that are reported
+// from now on belong to a later round.
 func (coordinator *Coordinator) takeOnceStored() []func() {
 	actions := coordinator.onceStored
 	coordinator.onceStored = nil
+	clear(coordinator.endsToStore)
 	return actions
 }
 
--- a/leadership/fixture_test.go
+++ b/leadership/fixture_test.go
@@ -273,6 +273,15 @@
 	return agent.runNumber > 0 && time.Now().Before(agent.grantUntil)
 }
 
+// lapse ends the worker's lease and returns the number of the run that ended with it.
+func (agent *testAgent) lapse() workflow.Run {
+	agent.mu.Lock()
+	defer agent.mu.Unlock()
+	number := agent.runNumber
+	agent.runNumber, agent.grantUntil = 0, time.Time{}
+	return number
+}
+
 func (agent *testAgent) leaseEnd() time.Time {
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
--- a/leadership/takeover_test.go
+++ b/leadership/takeover_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"hyssopjunction/election"
+	"hyssopjunction/session"
+	"hyssopjunction/workflow"
 )
 
 // recoveryMargin is the time that reports, rounds and checks may add to the wait for a worker's lease.
@@ -90,3 +92,28 @@
 		})
 	}
 }
+
+// TestLapseOutlivesLeaderWithoutStore guards against standing tasks that wait for a lease which was granted to a lapsed
+// worker: the leader had no store when the worker's agent reported the lapse and stopped, and another entry leads now.
+func TestLapseOutlivesLeaderWithoutStore(t *testing.T) {
+	runCluster(t, 2, 2, func(cluster *cluster) {
+		lapsed := cluster.holder(nil)
+		time.Sleep(5 * time.Second)
+		leader := cluster.leader()
+		cluster.stores[leader].setFault(cutOff)
+		time.Sleep((election.LeaderLease - 300).Duration()) // The leader still grants leases, and the other entry does not lead yet.
+		end := &session.WorkerEnd{Node: lapsed.node, Incarnation: "i@1@" + lapsed.node, Lapsed: true, Ends: []session.End{
+			{Number: 1, Task: testTask, Run: lapsed.lapse(), Cause: workflow.Interrupted},
+		}}
+		lapsed.setSilent(true)
+		if reply, err := cluster.entries[1-leader].Load().EndWorker(t.Context(), end); err != nil || reply.Stored {
+			t.Fatalf("got %+v and %v, want a report that is kept", reply, err)
+		}
+		reportedAt := time.Now()
+		cluster.holder(lapsed)
+		want := election.LeaderLease.Duration() + 2*recoveryMargin
+		if got := time.Since(reportedAt); got > want {
+			t.Errorf("the task was placed again %s after the lapse was reported, want at most %s", got, want)
+		}
+	})
+}
--- a/leadership/workerends.go
+++ b/leadership/workerends.go
@@ -24,41 +24,44 @@
 	maxWorkerEnds = 1000
 )
 
-// workerEnds keeps the reports of workers' ends that no leader has stored yet, by incarnation. The agents that sent
-// them may have ended too, so nobody else may know. It is safe for concurrent use.
+// workerEnds keeps the reports of workers' ends and lapses that no leader has stored yet, by session.WorkerEnd.Key. The
+// agents that sent them may have ended too, so nobody else may know. It is safe for concurrent use.
 type workerEnds struct {
 	mu   sync.Mutex
 	kept map[string]*session.WorkerEnd
 }
 
-// keep adds a report or replaces that of the same incarnation. Error: ErrTooManyWorkerEnds.
+// keep adds a report or replaces that of the same key. Error: ErrTooManyWorkerEnds.
 func (ends *workerEnds) keep(end *session.WorkerEnd) error {
 	ends.mu.Lock()
 	defer ends.mu.Unlock()
-	if _, ok := ends.kept[end.Incarnation]; !ok {
+	key := end.Key()
+	if _, ok := ends.kept[key]; !ok {
 		if len(ends.kept) >= maxWorkerEnds {
 			return ErrTooManyWorkerEnds{}
 		}
-		klog.InfoS("End of a worker kept for the leader", "Node", end.Node, "Worker", end.Incarnation)
+		klog.InfoS("End of a worker kept for the leader", "Node", end.Node, "Worker", end.Incarnation, "Lapsed", end.Lapsed)
 	}
-	ends.kept[end.Incarnation] = end
+	ends.kept[key] = end
 	return nil
 }
 
-// drop removes a report that is stored.
-func (ends *workerEnds) drop(incarnation string) {
+// drop removes a report that is stored, unless a later one has replaced it since.
+func (ends *workerEnds) drop(end *session.WorkerEnd) {
 	ends.mu.Lock()
 	defer ends.mu.Unlock()
-	delete(ends.kept, incarnation)
+	if key := end.Key(); ends.kept[key] == end {
+		delete(ends.kept, key)
+	}
 }
 
-// list returns the kept reports in the order of their incarnations.
+// list returns the kept reports in the order of their keys.
 func (ends *workerEnds) list() []*session.WorkerEnd {
 	ends.mu.Lock()
 	defer ends.mu.Unlock()
 	listed := make([]*session.WorkerEnd, 0, len(ends.kept))
-	for _, incarnation := range set.SortedKeys(ends.kept) {
-		listed = append(listed, ends.kept[incarnation])
+	for _, key := range set.SortedKeys(ends.kept) {
+		listed = append(listed, ends.kept[key])
 	}
 	return listed
 }
@@ -69,7 +72,7 @@
 // Error returns the message.
 func (ErrTooManyWorkerEnds) Error() string { return "too many ends of workers are kept" }
 
-// EndWorker stores the end of a worker if this entry leads. Otherwise, or if the leader cannot store it in time, the
+// EndWorker stores the end or the lapse of a worker if this entry leads. Otherwise, or if the leader cannot store it in time, the
 // entry keeps the report and passes it on to each leader until one has stored it. Error: ErrTooManyWorkerEnds.
 func (elector *Elector) EndWorker(ctx context.Context, end *session.WorkerEnd) (*session.WorkerEndReply, error) {
 	if coord := elector.coordinator.Load(); coord != nil {
@@ -77,7 +80,6 @@
 		err := coord.EndWorker(callCtx, end)
 		cancel()
 		if err == nil {
-			elector.workerEnds.drop(end.Incarnation)
 			return &session.WorkerEndReply{Stored: true}, nil
 		}
 		klog.V(1).InfoS("End of a worker not stored yet", "Worker", end.Incarnation, "Reason", err.Error())
@@ -113,7 +115,7 @@
 		group.Go(func() error {
 			reply, err := query(ctx, elector, end, (*Elector).storeWorkerEnd, (*session.Client).EndWorker)
 			if err == nil && reply.Stored {
-				elector.workerEnds.drop(end.Incarnation)
+				elector.workerEnds.drop(end)
 			}
 			return err
 		})
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -319,6 +319,7 @@
 func (scheduler *Scheduler) RecordEnd(incarnation Incarnation, end End, now clock.Time) {
 	worker, ok := scheduler.workers[incarnation]
 	if !ok {
+		scheduler.recordOrphanEnd(incarnation, end)
 		return
 	}
 	run, ok := worker.runs[end.Name]
--- a/session/client.go
+++ b/session/client.go
@@ -87,9 +87,14 @@
 	return invoke[LeaderReply](ctx, client, leaderMethod, &LeaderRequest{})
 }
 
-// EndWorker reports the end of a worker's incarnation. Error: that of the connection.
+// EndWorker reports the end of a worker's incarnation or lease. Error: that of the connection. An entry of an earlier
+// version would take a lapse for the end of the incarnation, so lapses have a method of their own, which it refuses.
 func (client *Client) EndWorker(ctx context.Context, end *WorkerEnd) (*WorkerEndReply, error) {
-	return invoke[WorkerEndReply](ctx, client, endMethod, end)
+	name := endMethod
+	if end.Lapsed {
+		name = lapseMethod
+	}
+	return invoke[WorkerEndReply](ctx, client, name, end)
 }
 
 // Relay requests the entry to make a call to the store. It returns errors of the connection; an error of the
--- a/session/message.go
+++ b/session/message.go
@@ -129,15 +129,29 @@
 	Run         workflow.Run
 }
 
-// WorkerEnd reports that an incarnation of a worker has ended for good, and all of its runs with it.
+// WorkerEnd reports that an incarnation of a worker has ended for good, and all of its runs with it. If Lapsed is set, it
+// reports only that the listed runs have ended, because the lease of a worker that may still return has lapsed. A worker
+// never starts a run again that has ended on it, so a late copy of such a report is still true.
 type WorkerEnd struct {
 	Node        string
 	Incarnation string
+	// Lapsed limits the report to Ends. Entries of an earlier version do not know the field; they do not have the gRPC
+	// method for such reports either.
+	Lapsed bool `json:",omitempty"`
 	// Ends lists the ends of runs that no leader has acknowledged, in ascending order of Number, and after them those of
-	// runs that were active with a checkpoint. The latter have numbers that the worker never gave.
+	// runs that were active: all of them if Lapsed is set, otherwise those with a checkpoint. The latter have numbers that
+	// the worker never gave.
 	Ends []End `json:",omitempty"`
 }
 
+// Key identifies the reports of which the latest replaces the earlier ones.
+func (end *WorkerEnd) Key() string {
+	if end.Lapsed {
+		return end.Incarnation + " lapsed"
+	}
+	return end.Incarnation
+}
+
 // WorkerEndReply acknowledges a WorkerEnd. If Stored is false, the entry keeps the report until a leader has stored it.
 type WorkerEndReply struct {
 	Stored bool
--- a/session/server.go
+++ b/session/server.go
@@ -19,6 +19,7 @@
 	leaderMethod  = "Leader"
 	relayMethod   = "Relay"
 	endMethod     = "EndWorker"
+	lapseMethod   = "LapseWorker"
 )
 
 // Stream is the leader's side of an agent's session.
@@ -38,7 +39,7 @@
 	Pending(ctx context.Context, request *PendingRequest) (*PendingReply, error)
 	// Leader returns the newest term that the entry has seen, or an empty reply.
 	Leader(ctx context.Context, request *LeaderRequest) (*LeaderReply, error)
-	// EndWorker stores the end of a worker's incarnation, or keeps the report until a leader has stored it.
+	// EndWorker stores the end of a worker's incarnation or lease, or keeps the report until a leader has stored it.
 	EndWorker(ctx context.Context, end *WorkerEnd) (*WorkerEndReply, error)
 	// Relay makes a call to the store for another entry.
 	Relay(ctx context.Context, request *RelayRequest) (*RelayReply, error)
@@ -68,6 +69,7 @@
 			{MethodName: leaderMethod, Handler: unary(Handler.Leader)},
 			{MethodName: relayMethod, Handler: unary(Handler.Relay)},
 			{MethodName: endMethod, Handler: unary(Handler.EndWorker)},
+			{MethodName: lapseMethod, Handler: unary(Handler.EndWorker)},
 		},
 		Streams: []grpc.StreamDesc{{
 			StreamName: attendMethod, ServerStreams: true, ClientStreams: true,
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"testing"
 
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 )
@@ -61,3 +62,40 @@
 		})
 	}
 }
+
+// endHandler stores all ends of workers.
+type endHandler struct {
+	Handler
+}
+
+func (endHandler) EndWorker(context.Context, *WorkerEnd) (*WorkerEndReply, error) {
+	return &WorkerEndReply{Stored: true}, nil
+}
+
+// TestEarlierVersionRefusesLapse guards against an entry of an earlier version that takes the lapse of a worker for the end
+// of its incarnation, because it does not know the field that tells them apart: a late copy then ends runs that are active.
+func TestEarlierVersionRefusesLapse(t *testing.T) {
+	t.Parallel()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := grpc.NewServer(grpc.ForceServerCodec(codec{}))
+	server.RegisterService(&grpc.ServiceDesc{
+		ServiceName: serviceName, HandlerType: (*Handler)(nil),
+		Methods: []grpc.MethodDesc{{MethodName: endMethod, Handler: unary(Handler.EndWorker)}},
+	}, endHandler{})
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+	client, err := Dial(listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = client.Close() })
+	if _, err := client.EndWorker(t.Context(), &WorkerEnd{Node: "node", Incarnation: "i-1"}); err != nil {
+		t.Errorf("got %v for an end, want none", err)
+	}
+	if reply, err := client.EndWorker(t.Context(), &WorkerEnd{Node: "node", Incarnation: "i-1", Lapsed: true}); err == nil {
+		t.Errorf("got %+v for a lapse, want an error", reply)
+	}
+}
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -236,15 +236,16 @@
 	switch {
 	case stop && (err == nil || errors.As(err, &refused) && refused.Refusal != RefusedToken):
 		if run.phase == phaseStopping {
-			run.phase, run.confirmedAt = phaseStopped, now
+			run.phase, run.confirmedAt, run.known = phaseStopped, now, run.known || err == nil
 		}
 		return false
 	case stop:
 		return run.phase == phaseStopping
 	case run.phase != phaseStarting:
+		run.known = run.known || err == nil
 		return run.phase == phaseStopping // The run was stopped or listed before its start was answered.
 	case err == nil:
-		run.phase, run.confirmedAt = phaseStarted, now
+		run.phase, run.confirmedAt, run.known = phaseStarted, now, true
 		if age := now.Sub(run.orderedAt); age > lateStartAge {
 			klog.InfoS("Run started late", "Task", run.order.Task, "Run", run.order.Run, "AgeMillis", int64(age), "Term", supervisor.grant.term)
 		}
--- a/supervisor/staleorder_random_test.go
+++ b/supervisor/staleorder_random_test.go
@@ -28,6 +28,8 @@
 	// over holds the runs that the leader has ended. The worker's lock guards it.
 	over map[workflow.Run]bool
 	held chan StartCall
+	// lapses holds the reports of the worker's lapses so far. Entries may pass on a copy at any later time.
+	lapses []*session.WorkerEnd
 }
 
 func newRandomLeader(t *testing.T) *randomLeader {
@@ -124,6 +126,27 @@
 	}
 }
 
+// keepLapse keeps the report of a lapse that the agent would send now.
+func (leader *randomLeader) keepLapse() {
+	leader.supervisor.loop.Call(func() {
+		if worker := leader.supervisor.worker; worker.lapsed && !worker.ended {
+			leader.lapses = append(leader.lapses, leader.supervisor.newWorkerEnd(worker))
+		}
+	})
+}
+
+// handleLapse processes one of the kept reports of lapses.
+func (leader *randomLeader) handleLapse(random *rand.Rand) {
+	if len(leader.lapses) == 0 {
+		return
+	}
+	for _, end := range leader.lapses[random.IntN(len(leader.lapses))].Ends {
+		if end.Run == leader.run {
+			leader.end("late copy of a lapse")
+		}
+	}
+}
+
 // restartAgent replaces the agent's process.
 func (leader *randomLeader) restartAgent() {
 	leader.supervisor.Close()
@@ -200,15 +223,15 @@
 }
 
 // TestRandomOrdersKeepOneRun guards against a run that is active on the worker after its leader has ended it and may have
-// placed the task elsewhere, under any order of pauses and restarts of the agent, delays of orders, reports and starts, new
-// sessions, new leaders and a worker that does not answer.
+// placed the task elsewhere, under any order of pauses and restarts of the agent, delays of orders, reports and starts, late
+// copies of reports of lapses, new sessions, new leaders and a worker that does not answer.
 func TestRandomOrdersKeepOneRun(t *testing.T) {
 	t.Parallel()
 	const seeds, events = 30, 150
 	for seed := range uint64(seeds) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			random := rand.New(rand.NewPCG(seed, 0))
+			random, lapseRandom := rand.New(rand.NewPCG(seed, 0)), rand.New(rand.NewPCG(seed, 1))
 			leader := newRandomLeader(t)
 			var played []string
 			for range events {
@@ -216,6 +239,10 @@
 					played = append(played, event)
 				}
 				leader.recordLapse()
+				leader.keepLapse()
+				if lapseRandom.IntN(5) == 0 {
+					leader.handleLapse(lapseRandom)
+				}
 				if t.Failed() {
 					t.Fatalf("after %q", played[max(0, len(played)-20):])
 				}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -75,7 +75,7 @@
 	session    sessionState
 	// directory is nil before Follow is called.
 	directory Directory
-	// pendingEnds counts the workers, including earlier ones, whose endReport is endPending.
+	// pendingEnds counts the workers, including earlier ones, whose endReport is endPending. A lapse counts like an end.
 	pendingEnds int
 }
 
@@ -98,9 +98,10 @@
 	leaseSentAt clock.Time
 	// unansweredListings is the number of consecutive listings without an answer.
 	unansweredListings int
-	// lapsed reports that no run is active on the worker, because its lease or its process ended.
-	lapsed    bool
-	endReport endReport
+	// lapsed reports that no run is active on the worker, because its lease or its process ended. ended reports that it was
+	// the process.
+	lapsed, ended bool
+	endReport     endReport
 	// notListeningSince is the time since which nothing listens at the worker's address, or 0.
 	notListeningSince clock.Time
 	// recordedEnd is the number of the last end that the leader has stored.
@@ -157,6 +158,9 @@
 	// hasOrder is false for runs that the worker listed before the leader ordered them again after a restart of
 	// the agent. Their reservation is not known yet.
 	hasOrder bool
+	// known reports that the worker has listed the run, or has confirmed its start or its stop. Once the run has ended, the
+	// worker refuses to start it again, also if a later process of the agent attempts it.
+	known bool
 }
 
 // New starts the supervisor of the node's worker. The parameter leaseLength is the longest lease that the worker
@@ -334,6 +338,7 @@
 			klog.InfoS("Worker lapsed", "Worker", worker.incarnation)
 			worker.lapsed = true
 			supervisor.requestReport()
+			supervisor.startEndReport(worker)
 		}
 		return false
 	}
@@ -343,7 +348,7 @@
 	}
 	if !wasResponsive || worker.lapsed {
 		klog.InfoS("Worker answers again", "Worker", worker.incarnation)
-		worker.lapsed = false
+		worker.lapsed, worker.ended = false, false
 		supervisor.requestReport()
 	}
 	worker.unansweredListings, worker.notListeningSince = 0, 0
@@ -384,9 +389,10 @@
 		activeKeys[key] = struct{}{}
 		run, ok := worker.runs[key]
 		if !ok {
-			worker.runs[key] = &runState{order: session.Start{Task: item.Task, Run: item.Run}, phase: phaseStarted, pacePercent: unknownPacePercent}
+			worker.runs[key] = &runState{order: session.Start{Task: item.Task, Run: item.Run}, phase: phaseStarted, pacePercent: unknownPacePercent, known: true}
 			continue
 		}
+		run.known = true
 		if run.phase == phaseStarting {
 			run.phase, run.confirmedAt = phaseStarted, sentAt
 		}
--- a/supervisor/workerend.go
+++ b/supervisor/workerend.go
@@ -1,7 +1,9 @@
 package supervisor
 
 import (
+	"cmp"
 	"context"
+	"slices"
 
 	"k8s.io/klog/v2"
 
@@ -17,10 +19,13 @@
 	shutdownCheckInterval = 20 * clock.Millisecond
 )
 
-// reasonWorkerGone is why a run was interrupted that was active when its worker ended.
-const reasonWorkerGone = "WorkerGone"
+// Reasons why a run was interrupted that was active when its worker ended or lapsed.
+const (
+	reasonWorkerGone   = "WorkerGone"
+	reasonWorkerLapsed = "WorkerLapsed"
+)
 
-// endReport is the progress of the report that a worker's incarnation has ended.
+// endReport is the progress of the report that a worker's incarnation has ended, or that its lease has lapsed.
 type endReport int
 
 const (
@@ -31,12 +36,17 @@
 
 // endIncarnation records that the worker's process has ended, and its incarnation with it.
 func (supervisor *Supervisor) endIncarnation(worker *workerState, reason string) {
-	if worker.lapsed && worker.endReport != endNotReported {
+	if worker.ended && worker.endReport != endNotReported {
 		return
 	}
 	klog.InfoS("Worker is gone", "Worker", worker.incarnation, "Reason", reason)
-	worker.lapsed = true
+	worker.lapsed, worker.ended = true, true
 	supervisor.requestReport()
+	supervisor.startEndReport(worker)
+}
+
+// startEndReport starts the report of a worker that has ended or lapsed, unless it is in progress.
+func (supervisor *Supervisor) startEndReport(worker *workerState) {
 	if worker.endReport != endPending && supervisor.baseContext.Err() == nil {
 		worker.endReport = endPending
 		supervisor.pendingEnds++
@@ -44,9 +54,9 @@
 	}
 }
 
-// reportEnd reports in the background that the worker's incarnation has ended, until a leader has stored it or the worker
-// answers again. The session's reports are not enough: a leader that cannot store them takes them along when its term
-// ends, and by then this process may have ended too.
+// reportEnd reports in the background that the worker's incarnation has ended or its lease has lapsed, until a leader has
+// stored it or the worker answers again. The session's reports are not enough: a leader that cannot store them takes them
+// along when its term ends, and by then this process may have ended too.
 func (supervisor *Supervisor) reportEnd(worker *workerState) {
 	supervisor.background(func() {
 		for attempt := 1; supervisor.baseContext.Err() == nil; attempt++ {
@@ -65,8 +75,17 @@
 				return
 			}
 			if directory != nil && supervisor.sendEnd(directory, leader, end, attempt) {
-				supervisor.loop.Call(func() { supervisor.finishEndReport(worker, endStored) })
-				return
+				finished := false
+				supervisor.loop.Call(func() {
+					finished = !end.Lapsed || !worker.ended // The worker's process may have ended since.
+					if finished {
+						supervisor.finishEndReport(worker, endStored)
+					}
+				})
+				if finished {
+					return
+				}
+				continue
 			}
 			supervisor.sleep(endRetryInterval)
 		}
@@ -79,38 +98,66 @@
 	supervisor.pendingEnds--
 }
 
-// newWorkerEnd returns the report that the worker's incarnation has ended. Runs that were active count as interrupted; their
-// checkpoints may not be stored yet.
+// newWorkerEnd returns the report that the worker's incarnation has ended, or that its lease has lapsed. Runs that were
+// active count as interrupted; their checkpoints may not be stored yet. The report of a lapse lists all of them but those
+// that the worker may not have started yet: a later process of the agent may start them if the leader orders it again.
 func (supervisor *Supervisor) newWorkerEnd(worker *workerState) *session.WorkerEnd {
-	end := &session.WorkerEnd{Node: supervisor.node, Incarnation: worker.incarnation}
+	end := &session.WorkerEnd{Node: supervisor.node, Incarnation: worker.incarnation, Lapsed: !worker.ended}
 	for _, item := range worker.listing.Ended {
 		if item.Number > worker.recordedEnd {
 			end.Ends = append(end.Ends, newSessionEnd(item))
 		}
 	}
 	number := max(worker.recordedEnd, lastEndNumber(worker.listing.Ended))
+	saved := map[runKey]workflow.Checkpoint{}
 	for _, item := range worker.listing.Active {
-		if item.Saved != "" {
+		key := runKey{item.Task, item.Run}
+		saved[key] = item.Saved
+		if worker.ended && item.Saved != "" {
 			number++
-			end.Ends = append(end.Ends, session.End{
-				Number: number, Task: item.Task, Run: item.Run, Cause: workflow.Interrupted, Reason: reasonWorkerGone, Saved: item.Saved,
-			})
+			end.Ends = append(end.Ends, newInterruptedEnd(number, key, reasonWorkerGone, item.Saved))
 		}
 	}
+	if worker.ended {
+		return end
+	}
+	for _, key := range worker.sortedKnownRuns() {
+		number++
+		end.Ends = append(end.Ends, newInterruptedEnd(number, key, reasonWorkerLapsed, saved[key]))
+	}
 	return end
 }
 
-// sendEnd reports the end of a worker and returns whether it is stored.
+// newInterruptedEnd returns the end of a run that the worker did not list.
+func newInterruptedEnd(number int64, key runKey, reason string, saved workflow.Checkpoint) session.End {
+	return session.End{Number: number, Task: key.task, Run: key.number, Cause: workflow.Interrupted, Reason: reason, Saved: saved}
+}
+
+// sortedKnownRuns returns the runs that the worker refuses to start again once they have ended.
+func (worker *workerState) sortedKnownRuns() []runKey {
+	var keys []runKey
+	for key, run := range worker.runs {
+		if run.known {
+			keys = append(keys, key)
+		}
+	}
+	slices.SortFunc(keys, func(left, right runKey) int {
+		return cmp.Or(cmp.Compare(left.task, right.task), cmp.Compare(left.number, right.number))
+	})
+	return keys
+}
+
+// sendEnd reports the end or the lapse of a worker and returns whether it is stored.
 func (supervisor *Supervisor) sendEnd(directory Directory, leader string, end *session.WorkerEnd, attempt int) bool {
 	stored, err := directory.EndWorker(supervisor.baseContext, leader, end)
 	if stored || attempt == 1 {
-		klog.InfoS("End of the worker reported", "Worker", end.Incarnation, "Attempt", attempt, "Stored", stored, "UnacknowledgedEnds", len(end.Ends), "Error", err)
+		klog.InfoS("End of the worker reported", "Worker", end.Incarnation, "Lapsed", end.Lapsed, "Attempt", attempt, "Stored", stored, "Ends", len(end.Ends), "Error", err)
 	}
 	return stored
 }
 
 // Shutdown stops the supervisor. It goes on until ctx ends while its worker shuts down too or does not listen, or the
-// end of a worker is not stored yet, because nobody else can tell.
+// end or the lapse of a worker is not stored yet, because nobody else can tell.
 func (supervisor *Supervisor) Shutdown(ctx context.Context) {
 	for ctx.Err() == nil {
 		waits := false
--- a/supervisor/workerend_test.go
+++ b/supervisor/workerend_test.go
@@ -17,6 +17,8 @@
 type fakeDirectory struct {
 	stores  atomic.Bool
 	reports atomic.Int64
+	// latest is the report that arrived last.
+	latest atomic.Pointer[session.WorkerEnd]
 }
 
 func (*fakeDirectory) NextEntry(context.Context, string) (string, error) {
@@ -25,8 +27,9 @@
 
 func (*fakeDirectory) LeaderAfter(context.Context, int64) (string, bool) { return "", false }
 
-func (fake *fakeDirectory) EndWorker(context.Context, string, *session.WorkerEnd) (bool, error) {
+func (fake *fakeDirectory) EndWorker(_ context.Context, _ string, end *session.WorkerEnd) (bool, error) {
 	fake.reports.Add(1)
+	fake.latest.Store(end)
 	return fake.stores.Load(), nil
 }
 
@@ -151,7 +154,7 @@
 // were reported to the last one only, and the worker that has them is gone.
 func TestWorkerEndHasCheckpoints(t *testing.T) {
 	supervisor := newSupervisor(t, newRuntime())
-	worker := &workerState{incarnation: "i-1@10@node", recordedEnd: 1, listing: Listing{
+	worker := &workerState{incarnation: "i-1@10@node", lapsed: true, ended: true, recordedEnd: 1, listing: Listing{
 		Active: []Active{{Task: "0123456789abcdef.0.0.0", Run: 2, Saved: "c2"}, {Task: "0123456789abcdef.0.0.1", Run: 1}},
 		Ended:  []Ended{{Number: 1, Task: "0123456789abcdef.0.0.2", Run: 1, Cause: workflow.Finished}},
 	}}
@@ -219,3 +222,52 @@
 	case <-supervisor.clock.After(2 * endRetryInterval):
 	}
 }
+
+// TestLapseNamesRuns guards against a report of a lapse whose late copy ends runs that were placed after the worker's
+// return: it names the runs that have ended. It must not name a run that may not have started, because the leader may order
+// it again and a later process of the agent then starts it.
+func TestLapseNamesRuns(t *testing.T) {
+	fake, directory := newRuntime(), &fakeDirectory{}
+	supervisor := newSupervisor(t, fake)
+	supervisor.Follow(directory)
+	await(t, supervisor, "a listing", func() bool { return supervisor.worker.clockReadAt != 0 })
+	supervisor.sendOrder(1, false)
+	await(t, supervisor, "a start", func() bool { return len(supervisor.worker.listing.Active) == 1 })
+	fake.update(func() { fake.unresponsive = true })
+	supervisor.loop.Call(func() {
+		supervisor.applyOrders(&session.Orders{Term: 1, Starts: []session.Start{{
+			Incarnation: supervisor.worker.incarnation, Task: "0123456789abcdef.0.0.1", Run: 4, Reserved: unit.Resources{CPU: 100, Memory: 10},
+		}}})
+	})
+	await(t, supervisor, "the report", func() bool { return directory.latest.Load() != nil })
+	end := directory.latest.Load()
+	if !end.Lapsed || len(end.Ends) != 1 || end.Ends[0].Task != "0123456789abcdef.0.0.0" || end.Ends[0].Run != 1 || end.Ends[0].Cause != workflow.Interrupted {
+		t.Errorf("got %+v, want a lapse with the end of the run that was active", end)
+	}
+}
+
+// TestEndAfterLapseIsReported guards against an agent that has the lapse of its worker stored and stops, although the
+// worker's process has ended since: its runs that the lapse does not name then wait for a lease.
+func TestEndAfterLapseIsReported(t *testing.T) {
+	for name, stored := range map[string]bool{"lapse is stored": true, "lapse is not stored yet": false} {
+		t.Run(name, func(t *testing.T) {
+			fake, directory := newRuntime(), &fakeDirectory{}
+			directory.stores.Store(stored)
+			supervisor := newSupervisor(t, fake)
+			supervisor.Follow(directory)
+			await(t, supervisor, "a listing", func() bool { return supervisor.worker.clockReadAt != 0 })
+			fake.update(func() { fake.unresponsive = true })
+			await(t, supervisor, "the lapse", func() bool {
+				end := directory.latest.Load()
+				return end != nil && end.Lapsed && (supervisor.worker.endReport == endStored) == stored
+			})
+			fake.update(func() { fake.refusedListings = -1 })
+			await(t, supervisor, "the report of the end", func() bool { return !directory.latest.Load().Lapsed })
+			directory.stores.Store(true)
+			assertStopped(t, shutDown(t, supervisor))
+			if directory.latest.Load().Lapsed {
+				t.Error("the last report is that of the lapse, want the end")
+			}
+		})
+	}
+}
