cmd: an entry that stops answers its requests within its grace

It also closed idle connections when it began to stop. A request that a caller sent on one at that moment lost its connection without an answer.

Change: requests are bounded by what is left of the grace, less a margin of 1 s and at most a quarter, and then get 504 if their outcome is open. The connections are closed half of that margin later. Times count from the signal. Idle connections stay open during the drain; responses announce the end of their connection.

Result: TestRequestsAreAnsweredWhileEntryStops failed before (graces of 2 and 4 s, 5 and 6 of 8 requests unanswered when the process would have ended, shutdown "context deadline exceeded") and passes. TestIdleConnectionIsServedWhileEntryStops failed before (EOF) and passes.

--- a/cmd/cluster.go
+++ b/cmd/cluster.go
@@ -157,7 +157,8 @@
 }
 
 // startClusterEntry starts an entry of a deployment. When the application stops, the entry first reports that
-// it is not ready and gives up the leadership, and then drains its connections.
+// it is not ready and gives up the leadership, and then drains its connections. Requests are answered until the margin at the
+// end of the grace period, with 504 if their outcome is still open then.
 func startClusterEntry(lifecycle fx.Lifecycle, settings cluster.Settings, path string) error {
 	source := clock.NewBoot()
 	directStore := platform.NewStore(settings.Store, source, settings.StoreWrites, settings.StoreReads)
@@ -178,8 +179,9 @@
 	jobIntake := intake.New(relayStore, source, elector.Queries())
 	sessionServer := session.NewServer(leadership.NewHandler(elector, directStore))
 	serveSessions(sessionServer, sessionListener)
+	requests := newRequestDrain()
 	callerServer := &http.Server{
-		Handler:           platform.NewIngress(follower.Config, jobIntake),
+		Handler:           requests.wrap(platform.NewIngress(follower.Config, jobIntake)),
 		ReadHeaderTimeout: (3 * clock.Second).Duration(), IdleTimeout: (30 * clock.Second).Duration(),
 	}
 	go func() {
@@ -187,10 +189,9 @@
 			klog.ErrorS(err, "Callers' server ended")
 		}
 	}()
-	stopping := newOnceFlag()
-	ready := func() bool { return !stopping.isSet() && follower.Fresh() }
+	ready := func() bool { return !requests.stopping.isSet() && follower.Fresh() }
 	pages := http.NewServeMux()
-	pages.Handle("/v1/", jobapi.New(follower.Config, jobIntake))
+	pages.Handle("/v1/", requests.wrap(jobapi.New(follower.Config, jobIntake)))
 	pages.Handle("/", probe.New(ready))
 	if err := listenAndServe(lifecycle, settings.Metrics, pages); err != nil {
 		return err
@@ -204,13 +205,16 @@
 	watchSettings(lifecycle, path, settings, cluster.Settings.CheckEntry, func(cluster.Settings) {})
 	lifecycle.Append(fx.StopHook(func(ctx context.Context) error {
 		klog.InfoS("Draining")
-		stopping.set()
-		elector.Release()
-		callerServer.SetKeepAlivesEnabled(false)
-		<-source.After(min(drainDelay, settings.Grace/2))
-		shutdownCtx, cancel := context.WithTimeout(ctx, (settings.Grace/2 - stopMargin).Duration())
+		begun, times := source.Now(), newShutdownTimes(settings.Grace)
+		requests.stopping.set()
+		timer := time.AfterFunc(times.answers.Duration(), requests.end)
+		defer timer.Stop()
+		shutdownCtx, cancel := context.WithTimeout(ctx, times.closes.Duration())
 		defer cancel()
+		elector.Release()
+		<-source.After(max(0, begun.Add(times.accepts).Sub(source.Now())))
 		err := callerServer.Shutdown(shutdownCtx)
+		requests.end()
 		sessionServer.Stop()
 		elector.Close()
 		follower.Close()
