Tasks of a worker that is gone do not wait for ever after a restart of its agent

Three faults, found by reading:

A leader granted leases to an agent that had reported no worker. If the worker ended while its agent was restarted, or never answered the new process, each grant delayed the lapse, and the worker's tasks were never placed again. An agent is now granted a lease from its first report of a worker on. This removes the hazard that TestGrantWithoutWorkerDelaysLapse guarded against (a grant before the worker is known must delay the lapse). TestNoLeaseWithoutWorker and TestGrantOnFirstReportDelaysLapse replace it: no such grant, a lapse not before and at most 1 s after that of the last grant, and a grant at once with the first report of the worker, which delays the lapse. 2. An agent that had sent its worker no renewal itself never counted the worker as lapsed. It now counts from when it got to know the worker. 3. A leader ignored the end of a worker, but acknowledged it, while its agent seemed to be attached: the agent had stopped since, or reported on without a profile because the node's next worker did not answer yet. Reports and ends now tell the time on the agent's clock; an end is ignored only if the agent has reported later that the worker answers. Messages of an earlier version keep the old rule.

Result: TestNoLeaseWithoutWorker, TestHungWorkerOfRestartedAgentLapses, TestEndAfterLastProfileCounts and TestProfileFollowsEnd failed before (a lease on the first report; no lapse within 5 s at a lease of 0.6 s; the worker was kept; no profile after the end) and pass.

--- a/coordinator/agents.go
+++ b/coordinator/agents.go
@@ -61,8 +61,10 @@
 	closed   bool
 	// overrun reports that the session ended because queue was full.
 	overrun bool
-	// responsive reports that the worker answers its agent and has not lapsed.
+	// responsive reports that the worker answers its agent and has not lapsed. The agent reported that at profileAt, on its
+	// own clock, or 0 if it has an earlier version.
 	responsive bool
+	profileAt  clock.Time
 	// expectedSent reports that the orders for the runs that the worker should have were sent, or will be sent
 	// once the present state is stored.
 	expectedSent bool
@@ -166,6 +168,7 @@
 	agent.lastSequence, agent.reportedAt = report.Sequence, now
 	coordinator.ledger.RecordReport(agent.node, now)
 	if report.Worker != nil {
+		agent.profileAt = report.At
 		coordinator.updateWorker(agent, report.Worker, now)
 	}
 	if agent.incarnation != "" {
@@ -185,8 +188,9 @@
 
 // grantLease extends the lease of the agent's worker unless that was done within grantInterval. The lease counts from
 // the moment at which the agent sent its newest report. The agent extends the lease of any worker of its node with it,
-// also of one that it has not reported yet. A leader that may not extend leases any more says that its own has ended, so
-// that the agent looks for the next leader.
+// also of one that it has not reported yet. An agent that has reported no worker is granted none: it may have been restarted
+// when its worker was gone already, and then the lease of that worker must lapse. A leader that may not extend leases any
+// more says that its own has ended, so that the agent looks for the next leader.
 func (coordinator *Coordinator) grantLease(agent *agentSession, now clock.Time) {
 	if agent.answeredAt != 0 && now.Sub(agent.answeredAt) < grantInterval {
 		return
@@ -200,7 +204,7 @@
 		coordinator.enqueue(agent, orders)
 		return
 	}
-	if coordinator.ledger.Grant(agent.node, now) {
+	if agent.incarnation != "" && coordinator.ledger.Grant(agent.node, now) {
 		orders.Lease = coordinator.workerLease
 		coordinator.recordGrant(agent)
 	}
--- a/coordinator/lapse_test.go
+++ b/coordinator/lapse_test.go
@@ -66,9 +66,44 @@
 	coordinator.validUntil.Store(int64(source.Now().Add(election.LeaderLease)))
 }
 
-// TestGrantWithoutWorkerDelaysLapse guards against two runs of one task: an agent that was restarted is granted a lease
-// before it knows its worker, and extends the worker's lease with that grant.
-func TestGrantWithoutWorkerDelaysLapse(t *testing.T) {
+// TestNoLeaseWithoutWorker guards against two runs of one task: an agent that was restarted is granted a lease before it
+// knows its worker, and extends the worker's lease with that grant after the leader has ended the worker's runs. It also
+// guards against tasks that wait for ever: the worker ended while its agent was restarted, the agent never learns of it, and
+// each grant to it delayed the lapse.
+func TestNoLeaseWithoutWorker(t *testing.T) {
+	for name, attached := range map[string]bool{"worker reported before": true, "worker of an earlier term": false} {
+		t.Run(name, func(t *testing.T) {
+			coordinator, source := newLapseLeader(t, nil)
+			coordinator.restoreRun()
+			if attached {
+				coordinator.handleReport(newTestSession("side-1"), newWorkerReport())
+			}
+			granted, _ := coordinator.ledger.LastGrant("side-1")
+			restarted := newTestSession("side-1")
+			for number := uint64(1); len(coordinator.scheduler.ExpectedOrders(testWorker))+len(coordinator.scheduler.Orphans()) > 0; number++ {
+				coordinator.keepLeading(source)
+				coordinator.handleReport(restarted, &session.Report{Sequence: number, Node: "side-1"})
+				for _, message := range restarted.takeMessages() {
+					if message.Lease != 0 {
+						t.Fatalf("report %d: granted a lease of %s without a worker", number, message.Lease)
+					}
+				}
+				coordinator.runPeriodicChecks()
+				source.Advance(checkInterval)
+				if source.Now().Sub(granted) > election.WorkerStoppedAfter(testLease)+clock.Second {
+					t.Fatalf("the run has not ended %s after the last grant", source.Now().Sub(granted))
+				}
+			}
+			if got, want := source.Now().Sub(granted), election.WorkerStoppedAfter(testLease); got <= want {
+				t.Errorf("the run ended %s after the last grant, want more than %s", got, want)
+			}
+		})
+	}
+}
+
+// TestGrantOnFirstReportDelaysLapse guards against two runs of one task: a restarted agent is granted a lease with its
+// first report of the worker, and the leader counts from an earlier grant.
+func TestGrantOnFirstReportDelaysLapse(t *testing.T) {
 	for name, attached := range map[string]bool{"worker reported before": true, "worker of an earlier term": false} {
 		t.Run(name, func(t *testing.T) {
 			coordinator, source := newLapseLeader(t, nil)
@@ -78,7 +113,19 @@
 			}
 			source.Advance(8 * clock.Second)
 			coordinator.keepLeading(source)
-			coordinator.handleReport(newTestSession("side-1"), &session.Report{Sequence: 1, Node: "side-1"})
+			restarted := newTestSession("side-1")
+			coordinator.handleReport(restarted, &session.Report{Sequence: 1, Node: "side-1"})
+			source.Advance(10)
+			report := newWorkerReport()
+			report.Sequence = 2
+			coordinator.handleReport(restarted, report)
+			lease := clock.Millis(0)
+			for _, message := range restarted.takeMessages() {
+				lease = max(lease, message.Lease)
+			}
+			if lease != testLease {
+				t.Errorf("got a lease of %s with the first report of the worker, want %s at once", lease, testLease)
+			}
 			if got, want := coordinator.lapsesAfter(t, source), election.WorkerStoppedAfter(testLease); got <= want {
 				t.Errorf("the run ended %s after a grant to its node, want more than %s", got, want)
 			}
--- a/coordinator/workerend.go
+++ b/coordinator/workerend.go
@@ -5,6 +5,7 @@
 
 	"k8s.io/klog/v2"
 
+	"hyssopjunction/clock"
 	"hyssopjunction/scheduler"
 	"hyssopjunction/session"
 	"hyssopjunction/workflow"
@@ -77,13 +78,13 @@
 	}
 }
 
-// endWorker removes a worker's incarnation from the scheduler. An agent that is attached, reports and reaches the worker
-// knows better than a report that was kept by another entry.
+// endWorker removes a worker's incarnation from the scheduler. An agent that has reported later than it noticed the end that
+// the worker answers knows better than a report that was kept by another entry.
 func (coordinator *Coordinator) endWorker(end *session.WorkerEnd) {
 	now := coordinator.deps.Clock.Now()
 	incarnation := scheduler.Incarnation(end.Incarnation)
 	agent, ok := coordinator.sessions[end.Node]
-	if ok && agent.incarnation == incarnation && agent.responsive && !coordinator.attention.isOverdue(agent.reportedAt, now) {
+	if ok && agent.incarnation == incarnation && agent.responsive && coordinator.answeredAfter(agent, end, now) {
 		klog.InfoS("End of a worker ignored: it answers its agent", "Node", end.Node, "Worker", incarnation, "ReportAgeMillis", int64(now.Sub(agent.reportedAt)))
 		return
 	}
@@ -99,3 +100,13 @@
 		klog.InfoS("Worker ended", "Node", end.Node, "Worker", incarnation, "EndedRuns", ended, "ReportedEnds", len(end.Ends), "Term", coordinator.leadership.Term.Number)
 	}
 }
+
+// answeredAfter reports whether the agent's last profile of the worker is later than the report of its end. Agents of an
+// earlier version do not report the times. Then it counts whether the agent reports at present, although its worker may have
+// ended since its last profile.
+func (coordinator *Coordinator) answeredAfter(agent *agentSession, end *session.WorkerEnd, now clock.Time) bool {
+	if end.At == 0 || agent.profileAt == 0 {
+		return !coordinator.attention.isOverdue(agent.reportedAt, now)
+	}
+	return agent.profileAt > end.At
+}
--- a/coordinator/workerend_test.go
+++ b/coordinator/workerend_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"testing"
 
+	"hyssopjunction/clock"
 	"hyssopjunction/loop"
 	"hyssopjunction/scheduler"
 	"hyssopjunction/session"
@@ -212,3 +213,37 @@
 		t.Errorf("%d ends wait after all were stored, want none", got)
 	}
 }
+
+// TestEndAfterLastProfileCounts guards against the end of a worker that is acknowledged but ignored, because its agent still
+// seems to be attached to a worker that answers: the agent has stopped and its last reports are lost, or the node's next
+// worker does not answer yet, so that the reports name none. It also guards against a late copy that ends a worker which
+// has answered again since.
+func TestEndAfterLastProfileCounts(t *testing.T) {
+	const endedAt = 5000
+	cases := map[string]struct {
+		profileAt clock.Time
+		reports   int
+		want      int
+	}{
+		"the last profile is older":                           {endedAt - 100, 0, 0},
+		"reports without a profile follow":                    {endedAt - 100, 5, 0},
+		"the worker answered again after its end was noticed": {endedAt + 100, 0, 1},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			coordinator, _ := newTestLeader(t)
+			agent := newTestSession("side-1")
+			coordinator.sessions["side-1"] = agent
+			report := newWorkerReport()
+			report.At = test.profileAt
+			coordinator.handleReport(agent, report)
+			for number := range test.reports {
+				coordinator.handleReport(agent, &session.Report{Sequence: uint64(number + 2), Node: "side-1", At: endedAt + clock.Time(number)})
+			}
+			coordinator.endWorker(&session.WorkerEnd{Node: "side-1", Incarnation: "i-1@1@side-1", At: endedAt})
+			if got := len(coordinator.scheduler.OtherIncarnations("side-1", "none")); got != test.want {
+				t.Errorf("got %d workers, want %d", got, test.want)
+			}
+		})
+	}
+}
--- a/session/message.go
+++ b/session/message.go
@@ -18,6 +18,8 @@
 	// Sequence numbers the reports of a stream from 1.
 	Sequence uint64
 	Node     string
+	// At is when the report was composed, on the clock of the agent's machine, or 0 from an agent of an earlier version.
+	At clock.Time `json:",omitempty"`
 	// Worker is the agent's worker, or nil while it has none.
 	Worker *Worker `json:",omitempty"`
 	// Listed reports that Progress lists all active runs, of which there may be none.
@@ -135,6 +137,8 @@
 type WorkerEnd struct {
 	Node        string
 	Incarnation string
+	// At is when the agent noticed the end, on the clock of Report.At, or 0 from an agent of an earlier version.
+	At clock.Time `json:",omitempty"`
 	// Lapsed limits the report to Ends. Entries of an earlier version do not know the field; they do not have the gRPC
 	// method for such reports either.
 	Lapsed bool `json:",omitempty"`
--- a/supervisor/leadersession.go
+++ b/supervisor/leadersession.go
@@ -268,7 +268,7 @@
 	state := &supervisor.session
 	state.sequence++
 	state.sentAt[state.sequence] = now
-	report := &session.Report{Sequence: state.sequence, Node: supervisor.node}
+	report := &session.Report{Sequence: state.sequence, Node: supervisor.node, At: now}
 	worker := supervisor.worker
 	if worker == nil || worker.clockReadAt == 0 {
 		return report
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -94,14 +94,17 @@
 	// workerClock is the last reading of the worker's clock, received at clockReadAt, or 0.
 	workerClock WorkerTime
 	clockReadAt clock.Time
-	// leaseSentAt is the time of the last call that may have extended the lease, whether it was answered or not.
+	// leaseSentAt is the time of the last call that may have extended the lease, whether it was answered or not. An earlier
+	// process of the agent may have made one until this process got to know the worker.
 	leaseSentAt clock.Time
 	// unansweredListings is the number of consecutive listings without an answer.
 	unansweredListings int
 	// lapsed reports that no run is active on the worker, because its lease or its process ended. ended reports that it was
 	// the process.
 	lapsed, ended bool
-	endReport     endReport
+	// endedAt is when the end of the process was last noticed.
+	endedAt   clock.Time
+	endReport endReport
 	// notListeningSince is the time since which nothing listens at the worker's address, or 0.
 	notListeningSince clock.Time
 	// recordedEnd is the number of the last end that the leader has stored.
@@ -230,6 +233,7 @@
 	supervisor.worker = &workerState{
 		announcement: announcement, incarnation: fmt.Sprintf("%s@%d@%s", announcement.Incarnation.ID, announcement.Incarnation.StartedAt, supervisor.node),
 		governor: pacing.NewGovernor(supervisor.maxOverTarget), runs: map[runKey]*runState{}, weights: map[[2]pacing.Image]float64{},
+		leaseSentAt: supervisor.clock.Now(),
 	}
 	klog.InfoS("Worker announced", "Worker", supervisor.worker.incarnation, "Service", announcement.Service, "CPU", int64(announcement.Capacity.CPU), "Labels", announcement.Labels)
 	supervisor.requestReport()
@@ -334,7 +338,7 @@
 		if worker.trackGone(err, now) || IsErrOtherIncarnation(err) {
 			supervisor.endIncarnation(worker, err.Error())
 		}
-		if !worker.lapsed && worker.leaseSentAt != 0 && now.Sub(worker.leaseSentAt) > election.WorkerStoppedAfter(supervisor.leaseLength) {
+		if !worker.lapsed && now.Sub(worker.leaseSentAt) > election.WorkerStoppedAfter(supervisor.leaseLength) {
 			klog.InfoS("Worker lapsed", "Worker", worker.incarnation)
 			worker.lapsed = true
 			supervisor.requestReport()
--- a/supervisor/workerend.go
+++ b/supervisor/workerend.go
@@ -40,7 +40,9 @@
 		return
 	}
 	klog.InfoS("Worker is gone", "Worker", worker.incarnation, "Reason", reason)
-	worker.lapsed, worker.ended = true, true
+	worker.lapsed, worker.ended, worker.endedAt = true, true, supervisor.clock.Now()
+	// The next report has the worker's profile, also if it answers again by then: the profile shows which is the newer.
+	supervisor.session.reportedWorker = nil
 	supervisor.requestReport()
 	supervisor.startEndReport(worker)
 }
@@ -103,6 +105,9 @@
 // that the worker may not have started yet: a later process of the agent may start them if the leader orders it again.
 func (supervisor *Supervisor) newWorkerEnd(worker *workerState) *session.WorkerEnd {
 	end := &session.WorkerEnd{Node: supervisor.node, Incarnation: worker.incarnation, Lapsed: !worker.ended}
+	if worker.ended {
+		end.At = worker.endedAt
+	}
 	for _, item := range worker.listing.Ended {
 		if item.Number > worker.recordedEnd {
 			end.Ends = append(end.Ends, newSessionEnd(item))
--- a/supervisor/workerend_test.go
+++ b/supervisor/workerend_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hyssopjunction/clock"
+	"hyssopjunction/election"
 	"hyssopjunction/session"
 	"hyssopjunction/unit"
 	"hyssopjunction/workflow"
@@ -271,3 +272,52 @@
 		})
 	}
 }
+
+// TestHungWorkerOfRestartedAgentLapses guards against tasks that wait for ever: an agent that was restarted has sent its
+// worker no call that extends the lease, and the worker never answers it, or only its first listing.
+func TestHungWorkerOfRestartedAgentLapses(t *testing.T) {
+	for name, answersOnce := range map[string]bool{"worker never answers": false, "worker answers one listing": true} {
+		t.Run(name, func(t *testing.T) {
+			fake, directory := newRuntime(), &fakeDirectory{}
+			fake.unresponsive = !answersOnce
+			supervisor := New(clock.NewSystem(), fake, "node", testLease, 4*clock.Second)
+			t.Cleanup(supervisor.Close)
+			supervisor.Follow(directory)
+			startedAt := time.Now()
+			supervisor.Announce(Announcement{Incarnation: Incarnation{ID: "i-1", StartedAt: 10}, Sequence: 1, Capacity: unit.Resources{CPU: 4000, Memory: 4000}})
+			if answersOnce {
+				await(t, supervisor, "a listing", func() bool { return supervisor.worker.clockReadAt != 0 })
+				fake.update(func() { fake.unresponsive = true })
+			}
+			await(t, supervisor, "the lapse", func() bool { return supervisor.worker.lapsed })
+			if got, want := time.Since(startedAt), election.WorkerStoppedAfter(testLease).Duration(); got < want {
+				t.Errorf("the worker lapsed after %s, want %s or more: an earlier process may have extended its lease", got, want)
+			}
+			await(t, supervisor, "the report", func() bool { return directory.reports.Load() > 0 })
+		})
+	}
+}
+
+// TestProfileFollowsEnd guards against a late copy of the end of a worker that has answered again: the leader tells it from
+// a true one by a profile that was reported later.
+func TestProfileFollowsEnd(t *testing.T) {
+	fake := newRuntime()
+	supervisor := newSupervisor(t, fake)
+	await(t, supervisor, "a listing", func() bool { return supervisor.worker.clockReadAt != 0 })
+	supervisor.loop.Call(func() {
+		supervisor.beginSession()
+		supervisor.nextReport()
+	})
+	fake.update(func() { fake.refusedListings = -1 })
+	await(t, supervisor, "the end", func() bool { return supervisor.worker.ended })
+	var end *session.WorkerEnd
+	supervisor.loop.Call(func() { end = supervisor.newWorkerEnd(supervisor.worker) })
+	fake.update(func() { fake.refusedListings = 0 })
+	await(t, supervisor, "the return", func() bool { return !supervisor.worker.lapsed })
+	supervisor.loop.Call(func() {
+		report := supervisor.nextReport()
+		if report.Worker == nil || report.Worker.Lapsed || report.At <= end.At || end.At == 0 {
+			t.Errorf("got the profile %+v at %d after an end at %d, want one that is later", report.Worker, report.At, end.At)
+		}
+	})
+}
