workflow: a submission cannot take the leader down

Cause: two submissions that an entry accepted ended every leader that read them. Counts of tasks whose sum overflows passed the check of at most 1,000 tasks, and the leader then made a slice of 2^62 tasks, which panics. A scheduled job of 400 tasks and 1,000 repetitions 1 ms apart had 400,000 tasks due at once, beyond the leader's memory and the store's limit of 64 KiB for a row. Requirements near the largest integer overflowed the sum of a worker's reservations. Found by reading.

Change: the count is compared without a sum, and requirements and times are limited to 2^40. An occurrence that would raise the tasks that are due above 1,000 waits until earlier ones are complete.

--- a/workflow/check.go
+++ b/workflow/check.go
@@ -15,6 +15,8 @@
 	maxPayloadBytes = 4000
 	// maxRepetitions limits the occurrences of a scheduled job.
 	maxRepetitions = 1000
+	// maxNumber limits requirements and times, so that sums over all tasks of a worker or steps of a job do not overflow.
+	maxNumber = 1 << 40
 )
 
 // ErrInvalid reports a field of a submission that cannot be accepted.
@@ -45,11 +47,11 @@
 		if err := step.check(position); err != nil {
 			return err
 		}
+		if step.Count > maxTasks-tasks { // The sum may overflow.
+			return ErrInvalid{Field: "Steps", Reason: fmt.Sprintf("hold more than %d tasks", maxTasks)}
+		}
 		tasks += step.Count
 	}
-	if tasks > maxTasks {
-		return ErrInvalid{Field: "Steps", Reason: fmt.Sprintf("hold more than %d tasks", maxTasks)}
-	}
 	return nil
 }
 
@@ -59,11 +61,11 @@
 	if step.Count < 1 {
 		return ErrInvalid{Field: field + "Count", Reason: "must be positive"}
 	}
-	if step.Need.CPU < 0 || step.Need.Memory < 0 || step.Need.Accelerators < 0 {
-		return ErrInvalid{Field: field + "Need", Reason: "must not be negative"}
+	if !inRange(step.Need.CPU) || !inRange(step.Need.Memory) || !inRange(step.Need.Accelerators) {
+		return ErrInvalid{Field: field + "Need", Reason: fmt.Sprintf("must be 0 to %d", maxNumber)}
 	}
-	if step.Estimate < 0 || step.Target < 0 || step.PerWorker < 0 || step.MayMiss < 0 {
-		return ErrInvalid{Field: field + "Estimate, Target, PerWorker, MayMiss", Reason: "must not be negative"}
+	if !inRange(step.Estimate) || !inRange(step.Target) || step.PerWorker < 0 || step.MayMiss < 0 {
+		return ErrInvalid{Field: field + "Estimate, Target, PerWorker, MayMiss", Reason: fmt.Sprintf("must be 0 to %d", maxNumber)}
 	}
 	for _, earlier := range step.After {
 		if earlier < 0 || earlier >= position {
@@ -73,6 +75,9 @@
 	return nil
 }
 
+// inRange reports whether a number is neither negative nor above maxNumber.
+func inRange[Number ~int64](number Number) bool { return number >= 0 && number <= maxNumber }
+
 // CriticalPath returns the length of the critical path: the longest sum of the submitter's estimates along a
 // chain of dependent steps.
 func (spec Spec) CriticalPath() clock.Millis {
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -135,12 +135,13 @@
 }
 
 // AddDueOccurrences adds the occurrences that are due at the time of day, in Unix milliseconds, and reports
-// whether it added any.
+// whether it added any. An occurrence that would raise the number of tasks above maxTasks waits until earlier ones are
+// complete: the job's state is one row, and the leader holds all tasks in memory.
 func (job *Job) AddDueOccurrences(timeOfDay int64) bool {
 	added := false
 	for !job.State.Final() {
 		due, ok := job.DueAt()
-		if !ok || due > timeOfDay {
+		if !ok || due > timeOfDay || !job.hasRoomForOccurrence() {
 			break
 		}
 		job.Occurrences = append(job.Occurrences, job.newOccurrence(job.Next))
@@ -150,6 +151,15 @@
 	return added
 }
 
+// hasRoomForOccurrence reports whether another occurrence keeps the number of tasks within maxTasks.
+func (job *Job) hasRoomForOccurrence() bool {
+	tasks := 0
+	for _, step := range job.Spec.Steps {
+		tasks += step.Count
+	}
+	return len(job.Occurrences) == 0 || (len(job.Occurrences)+1)*tasks <= maxTasks
+}
+
 // newOccurrence returns an occurrence whose tasks had no run yet.
 func (job *Job) newOccurrence(number int) *Occurrence {
 	occurrence := &Occurrence{Number: number, Steps: make([][]Task, len(job.Spec.Steps)), unfinished: make([]int, len(job.Spec.Steps))}
--- a/workflow/workflow_test.go
+++ b/workflow/workflow_test.go
@@ -1,6 +1,8 @@
 package workflow
 
 import (
+	"math"
+	"slices"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -182,6 +184,10 @@
 		"no steps":        {func(spec *Spec) { spec.Steps = nil }, "Steps"},
 		"no tasks":        {func(spec *Spec) { spec.Steps[0].Count = 0 }, "Steps[0].Count"},
 		"too many tasks":  {func(spec *Spec) { spec.Steps[0].Count = maxTasks }, "Steps"},
+		"tasks overflow":  {func(spec *Spec) { spec.Steps[0].Count, spec.Steps[1].Count = 1<<62, 1<<62 }, "Steps"},
+		"CPU overflows":   {func(spec *Spec) { spec.Steps[1].Need.CPU = math.MaxInt64 }, "Steps[1].Need"},
+		"memory overflow": {func(spec *Spec) { spec.Steps[1].Need.Memory = math.MaxInt64 }, "Steps[1].Need"},
+		"long estimate":   {func(spec *Spec) { spec.Steps[0].Estimate = math.MaxInt64 }, "Steps[0].Estimate, Target, PerWorker, MayMiss"},
 		"later step":      {func(spec *Spec) { spec.Steps[0].After = []int{1} }, "Steps[0].After"},
 		"itself":          {func(spec *Spec) { spec.Steps[1].After = []int{1} }, "Steps[1].After"},
 		"negative memory": {func(spec *Spec) { spec.Steps[1].Need.Memory = -1 }, "Steps[1].Need"},
@@ -201,3 +207,46 @@
 		})
 	}
 }
+
+// maxRowBytes is the store's limit on the size of a row.
+const maxRowBytes = 64 << 10
+
+// TestDueOccurrencesAreLimited guards against a leader that runs out of memory, and against a state row beyond the store's
+// limit, because all occurrences of a wide job fall due at once: each later leader met the same job.
+func TestDueOccurrencesAreLimited(t *testing.T) {
+	spec := Spec{ID: "0123456789abcdef", Repetitions: maxRepetitions, Interval: 1, Steps: []Step{{Count: 400}}}
+	if err := spec.Check(); err != nil {
+		t.Fatal(err)
+	}
+	job := New(spec)
+	completed := 0
+	for job.AddDueOccurrences(math.MaxInt64 / 2) {
+		tasks := 0
+		job.EachTask(func(name Name, task *Task) {
+			tasks++
+			if task.Phase == Waiting {
+				job.Place(name, job.NextRun(name), "i-127.72.0.160-1@1733306400000@agent-127.72.0.160")
+			}
+		})
+		if tasks > maxTasks {
+			t.Fatalf("%d tasks are due, want at most %d", tasks, maxTasks)
+		}
+		if data, err := EncodeState(job); err != nil || len(data) > maxRowBytes {
+			t.Fatalf("the state takes %d bytes (%v), want at most %d", len(data), err, maxRowBytes)
+		}
+		first := job.Occurrences[0]
+		for index := range first.Steps[0] {
+			job.EndRun(Name{Job: spec.ID, Occurrence: first.Number, Index: index}, Finished, "")
+		}
+		completed++
+	}
+	for _, occurrence := range slices.Clone(job.Occurrences) {
+		for index := range occurrence.Steps[0] {
+			job.EndRun(Name{Job: spec.ID, Occurrence: occurrence.Number, Index: index}, Finished, "")
+		}
+		completed++
+	}
+	if completed != maxRepetitions || job.State != Completed {
+		t.Errorf("%d of %d occurrences were run, and the job is %s", completed, maxRepetitions, job.State)
+	}
+}
