scheduler: silence is no sign that runs have stalled

Cause: a worker counted as stalled when no report had shown progress for 2.5 s, also if no report had come at all. The leader then stopped all its runs, and started them again elsewhere, because its agent or the leader itself had been paused; the session stays attached meanwhile. A run that the last report showed throttled was stopped likewise. Found by reading.

Change: time counts as far as reports reach, and anew after a gap of two report intervals. Runs of workers that are overdue or detached are not moved.

--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -21,6 +21,9 @@
 	// stallTimeout is the time without progress after which a run counts as stalled. Progress is reported
 	// about once a second in whole percent; a task of 20 s advances by 5 percent per second.
 	stallTimeout = 2500 * clock.Millisecond
+	// maxListingGap is the time between two reports of a worker's runs from which the progress of the runs counts anew:
+	// the worker, its agent or the leader was paused. It is two report intervals.
+	maxListingGap = 1200 * clock.Millisecond
 	// maxStallThrottlePercent is the throttling above which a run is not expected to make progress.
 	maxStallThrottlePercent = 60
 	// minStalledRuns is the number of stalled runs that quarantines a worker without any progress.
--- a/scheduler/movethrottled.go
+++ b/scheduler/movethrottled.go
@@ -66,6 +66,9 @@
 
 // isMovable reports whether a filling run has been throttled for long enough and would lose little progress.
 func (scheduler *Scheduler) isMovable(run *activeRun, now clock.Time) bool {
+	if !run.worker.reachable || run.worker.overdue {
+		return false // It may not be throttled any more.
+	}
 	return run.step.Fills && !run.stopping && run.throttledSince != 0 && now.Sub(run.throttledSince) >= minThrottledTime &&
 		(run.step.Checkpoints || run.progressPercent <= maxLostProgressPercent)
 }
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -76,7 +76,7 @@
 }
 
 // quarantineStalled quarantines workers with several stalled runs and no run that makes progress, and stops
-// the stalled runs.
+// the stalled runs. Time without reports does not count.
 func (scheduler *Scheduler) quarantineStalled(now clock.Time) {
 	for _, worker := range scheduler.workers {
 		if !worker.reachable || now.Before(worker.health.quarantinedUntil) {
@@ -87,7 +87,7 @@
 			if run.step.Standing || run.stopping || run.step.Gang {
 				continue
 			}
-			if now.Sub(max(run.placedAt, run.progressAt)) > stallTimeout {
+			if worker.listedAt.Sub(max(run.placedAt, run.progressAt)) > stallTimeout {
 				stalledRuns = append(stalledRuns, run)
 			} else if run.progressPercent > 0 {
 				hasProgress = true
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -290,6 +290,12 @@
 	if !ok {
 		return
 	}
+	if now.Sub(worker.listedAt) > maxListingGap {
+		for _, run := range worker.runs {
+			run.progressAt = now
+		}
+	}
+	worker.listedAt = now
 	for _, item := range progress {
 		run, ok := worker.runs[item.Name]
 		if !ok || run.number != item.Run {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -43,7 +43,9 @@
 	// reachable workers accept orders.
 	reachable bool
 	// overdue workers get no new runs, because their agent's next report is missing.
-	overdue  bool
+	overdue bool
+	// listedAt is when the worker's runs were last reported.
+	listedAt clock.Time
 	runs     map[workflow.Name]*activeRun
 	reserved unit.Resources
 	// fillingCPU is the CPU requested by filling tasks, which is not reserved.
