--- a/coordinator/lapse_test.go
+++ b/coordinator/lapse_test.go
@@ -66,9 +66,44 @@
 	coordinator.validUntil.Store(int64(source.Now().Add(election.LeaderLease)))
 }
 
-// TestGrantWithoutWorkerDelaysLapse guards against two runs of one task: an agent that was restarted is granted a lease
-// before it knows its worker, and extends the worker's lease with that grant.
-func TestGrantWithoutWorkerDelaysLapse(t *testing.T) {
+// TestNoLeaseWithoutWorker guards against two runs of one task: an agent that was restarted is granted a lease before it
+// knows its worker, and extends the worker's lease with that grant after the leader has ended the worker's runs. It also
+// guards against tasks that wait for ever: the worker ended while its agent was restarted, the agent never learns of it, and
+// each grant to it delayed the lapse.
+func TestNoLeaseWithoutWorker(t *testing.T) {
+	for name, attached := range map[string]bool{"worker reported before": true, "worker of an earlier term": false} {
+		t.Run(name, func(t *testing.T) {
+			coordinator, source := newLapseLeader(t, nil)
+			coordinator.restoreRun()
+			if attached {
+				coordinator.handleReport(newTestSession("side-1"), newWorkerReport())
+			}
+			granted, _ := coordinator.ledger.LastGrant("side-1")
+			restarted := newTestSession("side-1")
+			for number := uint64(1); len(coordinator.scheduler.ExpectedOrders(testWorker))+len(coordinator.scheduler.Orphans()) > 0; number++ {
+				coordinator.keepLeading(source)
+				coordinator.handleReport(restarted, &session.Report{Sequence: number, Node: "side-1"})
+				for _, message := range restarted.takeMessages() {
+					if message.Lease != 0 {
+						t.Fatalf("report %d: granted a lease of %s without a worker", number, message.Lease)
+					}
+				}
+				coordinator.runPeriodicChecks()
+				source.Advance(checkInterval)
+				if source.Now().Sub(granted) > election.WorkerStoppedAfter(testLease)+clock.Second {
+					t.Fatalf("the run has not ended %s after the last grant", source.Now().Sub(granted))
+				}
+			}
+			if got, want := source.Now().Sub(granted), election.WorkerStoppedAfter(testLease); got <= want {
+				t.Errorf("the run ended %s after the last grant, want more than %s", got, want)
+			}
+		})
+	}
+}
+
+// TestGrantOnFirstReportDelaysLapse guards against two runs of one task: a restarted agent is granted a lease with its
+// first report of the worker, and the leader counts from an earlier grant.
+func TestGrantOnFirstReportDelaysLapse(t *testing.T) {
 	for name, attached := range map[string]bool{"worker reported before": true, "worker of an earlier term": false} {
 		t.Run(name, func(t *testing.T) {
 			coordinator, source := newLapseLeader(t, nil)
@@ -78,7 +113,19 @@
 			}
 			source.Advance(8 * clock.Second)
 			coordinator.keepLeading(source)
-			coordinator.handleReport(newTestSession("side-1"), &session.Report{Sequence: 1, Node: "side-1"})
+			restarted := newTestSession("side-1")
+			coordinator.handleReport(restarted, &session.Report{Sequence: 1, Node: "side-1"})
+			source.Advance(10)
+			report := newWorkerReport()
+			report.Sequence = 2
+			coordinator.handleReport(restarted, report)
+			lease := clock.Millis(0)
+			for _, message := range restarted.takeMessages() {
+				lease = max(lease, message.Lease)
+			}
+			if lease != testLease {
+				t.Errorf("got a lease of %s with the first report of the worker, want %s at once", lease, testLease)
+			}
 			if got, want := coordinator.lapsesAfter(t, source), election.WorkerStoppedAfter(testLease); got <= want {
 				t.Errorf("the run ended %s after a grant to its node, want more than %s", got, want)
 			}
@@ -149,3 +196,97 @@
 		t.Errorf("got %+v, want a lease from the second report on", messages)
 	}
 }
+
+// newLapseReport returns the report that the run of restoreRun ended when the lease of testWorker lapsed.
+func newLapseReport() *session.WorkerEnd {
+	return &session.WorkerEnd{Node: "side-1", Incarnation: string(testWorker), Lapsed: true, Ends: []session.End{
+		{Number: 1, Task: "0123456789abcdef.0.0.0", Run: 1, Cause: workflow.Interrupted, Reason: "WorkerLapsed"},
+	}}
+}
+
+// placements returns the run numbers and workers of the starts that the scheduler orders now.
+func (coordinator *Coordinator) placements(now clock.Time) map[workflow.Run]scheduler.Incarnation {
+	coordinator.scheduler.Plan(now, 0)
+	_, orders := coordinator.scheduler.TakeChanges()
+	placed := map[workflow.Run]scheduler.Incarnation{}
+	for _, order := range orders {
+		if !order.Stop {
+			placed[order.Run] = order.Worker
+		}
+	}
+	return placed
+}
+
+// TestLapseOutlivesLeader guards against tasks that wait for a lease which the last leader granted to a lapsed worker: the
+// worker's agent has stopped, and only its report of the lapse is left. A run that the report does not name still waits.
+func TestLapseOutlivesLeader(t *testing.T) {
+	for name, attached := range map[string]bool{"worker of an earlier term": false, "worker reported in this term": true} {
+		t.Run(name, func(t *testing.T) {
+			coordinator, source := newLapseLeader(t, nil)
+			coordinator.restoreRun()
+			if attached {
+				coordinator.handleReport(newTestSession("side-1"), newWorkerReport())
+			}
+			late := newLapseReport()
+			late.Ends[0].Run = 2
+			coordinator.storeWorkerEnd(late)
+			if !coordinator.scheduler.IsActive(testWorker, workflow.Name{Job: "0123456789abcdef"}, 1) {
+				t.Fatal("run 1 was ended by a report of run 2")
+			}
+			coordinator.storeWorkerEnd(newLapseReport())
+			if got := coordinator.lapsesAfter(t, source); got != 0 {
+				t.Errorf("the run ended %s after the report, want at once", got)
+			}
+		})
+	}
+}
+
+// TestLateLapseEndsNoLaterRun guards against two runs of one task: a copy of the report of a lapse that an entry has kept
+// arrives when the worker has returned and has got another run of the task.
+func TestLateLapseEndsNoLaterRun(t *testing.T) {
+	coordinator, source := newLapseLeader(t, nil)
+	coordinator.restoreRun()
+	agent := newTestSession("side-1")
+	coordinator.handleReport(agent, newWorkerReport())
+	coordinator.finishRound(nil, coordinator.takeOnceStored())
+	coordinator.storeWorkerEnd(newLapseReport())
+	if got := coordinator.placements(source.Now()); got[2] != testWorker {
+		t.Fatalf("got starts %v, want run 2 on the worker that has returned", got)
+	}
+	for name, change := range map[string]func(){"worker answers": func() {}, "agent is gone": func() { coordinator.detach(agent) }} {
+		change()
+		coordinator.storeWorkerEnd(newLapseReport())
+		if !coordinator.scheduler.IsActive(testWorker, workflow.Name{Job: "0123456789abcdef"}, 2) {
+			t.Errorf("%s: a late copy ended the run that was placed after the lapse", name)
+		}
+	}
+}
+
+// TestLapseIsAcknowledgedWithItsRound guards against a lapse that is lost with the term: the session reported it first, so
+// that the report itself changed nothing, and it was acknowledged with an earlier round that does not have the ends.
+func TestLapseIsAcknowledgedWithItsRound(t *testing.T) {
+	coordinator, _ := newLapseLeader(t, nil)
+	coordinator.restoreRun()
+	agent := newTestSession("side-1")
+	coordinator.handleReport(agent, newWorkerReport())
+	empty := newLapseReport()
+	empty.Ends = nil
+	coordinator.storeWorkerEnd(empty)
+	inFlight := coordinator.takeOnceStored()
+	lapsed := newWorkerReport()
+	lapsed.Sequence, lapsed.Worker.Responsive, lapsed.Worker.Lapsed = 2, false, true
+	coordinator.handleReport(agent, lapsed)
+	stored := coordinator.storeWorkerEnd(newLapseReport())
+	coordinator.finishRound(nil, inFlight)
+	select {
+	case <-stored:
+		t.Error("acknowledged with a round that began before the lapse was known")
+	default:
+	}
+	coordinator.finishRound(nil, coordinator.takeOnceStored())
+	select {
+	case <-stored:
+	default:
+		t.Error("not acknowledged with its own round")
+	}
+}
--- a/scheduler/movethrottled.go
+++ b/scheduler/movethrottled.go
@@ -84,6 +84,9 @@
 func (scheduler *Scheduler) moveCandidates(now clock.Time) []moveCandidate {
 	var list []moveCandidate
 	for _, worker := range scheduler.workers {
+		if !worker.reachable || worker.overdue {
+			continue // Its runs may not be slow any more.
+		}
 		for _, run := range worker.runs {
 			if !run.step.Fills || run.step.Gang || run.stopping || run.course.reportedAt == 0 || run.job.State.Final() {
 				continue
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -321,6 +321,12 @@
 	if !ok {
 		return
 	}
+	if now.Sub(worker.listedAt) > maxListingGap {
+		for _, run := range worker.runs {
+			run.progressAt = now
+		}
+	}
+	worker.listedAt = now
 	for _, item := range progress {
 		run, ok := worker.runs[item.Name]
 		if !ok || run.number != item.Run {
@@ -352,6 +358,7 @@
 func (scheduler *Scheduler) RecordEnd(incarnation Incarnation, end End, now clock.Time) {
 	worker, ok := scheduler.workers[incarnation]
 	if !ok {
+		scheduler.recordOrphanEnd(incarnation, end)
 		return
 	}
 	run, ok := worker.runs[end.Name]
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -76,7 +76,7 @@
 	urgency    urgencyState
 	// directory is nil before Follow is called.
 	directory Directory
-	// pendingEnds counts the workers, including earlier ones, whose endReport is endPending.
+	// pendingEnds counts the workers, including earlier ones, whose endReport is endPending. A lapse counts like an end.
 	pendingEnds int
 }
 
@@ -95,12 +95,16 @@
 	// workerClock is the last reading of the worker's clock, received at clockReadAt, or 0.
 	workerClock WorkerTime
 	clockReadAt clock.Time
-	// leaseSentAt is the time of the last call that may have extended the lease, whether it was answered or not.
+	// leaseSentAt is the time of the last call that may have extended the lease, whether it was answered or not. An earlier
+	// process of the agent may have made one until this process got to know the worker.
 	leaseSentAt clock.Time
 	// unansweredListings is the number of consecutive listings without an answer.
 	unansweredListings int
-	// lapsed reports that no run is active on the worker, because its lease or its process ended.
-	lapsed    bool
+	// lapsed reports that no run is active on the worker, because its lease or its process ended. ended reports that it was
+	// the process.
+	lapsed, ended bool
+	// endedAt is when the end of the process was last noticed.
+	endedAt   clock.Time
 	endReport endReport
 	// notListeningSince is the time since which nothing listens at the worker's address, or 0.
 	notListeningSince clock.Time
@@ -163,6 +167,9 @@
 	// hasOrder is false for runs that the worker listed before the leader ordered them again after a restart of
 	// the agent. Their reservation is not known yet.
 	hasOrder bool
+	// known reports that the worker has listed the run, or has confirmed its start or its stop. Once the run has ended, the
+	// worker refuses to start it again, also if a later process of the agent attempts it.
+	known bool
 }
 
 // New starts the supervisor of the node's worker. The parameter leaseLength is the longest lease that the worker
@@ -232,6 +239,7 @@
 	supervisor.worker = &workerState{
 		announcement: announcement, incarnation: fmt.Sprintf("%s@%d@%s", announcement.Incarnation.ID, announcement.Incarnation.StartedAt, supervisor.node),
 		governor: pacing.NewGovernor(supervisor.maxOverTarget), runs: map[runKey]*runState{}, weights: map[[2]pacing.Image]float64{},
+		leaseSentAt: supervisor.clock.Now(),
 	}
 	klog.InfoS("Worker announced", "Worker", supervisor.worker.incarnation, "Service", announcement.Service, "CPU", int64(announcement.Capacity.CPU), "Labels", announcement.Labels)
 	supervisor.requestReport()
@@ -336,10 +344,11 @@
 		if worker.trackGone(err, now) || IsErrOtherIncarnation(err) {
 			supervisor.endIncarnation(worker, err.Error())
 		}
-		if !worker.lapsed && worker.leaseSentAt != 0 && now.Sub(worker.leaseSentAt) > election.WorkerStoppedAfter(supervisor.leaseLength) {
+		if !worker.lapsed && now.Sub(worker.leaseSentAt) > election.WorkerStoppedAfter(supervisor.leaseLength) {
 			klog.InfoS("Worker lapsed", "Worker", worker.incarnation)
 			worker.lapsed = true
 			supervisor.requestReport()
+			supervisor.startEndReport(worker)
 		}
 		return false
 	}
@@ -349,7 +358,7 @@
 	}
 	if !wasResponsive || worker.lapsed {
 		klog.InfoS("Worker answers again", "Worker", worker.incarnation)
-		worker.lapsed = false
+		worker.lapsed, worker.ended = false, false
 		supervisor.requestReport()
 	}
 	worker.unansweredListings, worker.notListeningSince = 0, 0
@@ -390,9 +399,10 @@
 		activeKeys[key] = struct{}{}
 		run, ok := worker.runs[key]
 		if !ok {
-			worker.runs[key] = &runState{order: session.Start{Task: item.Task, Run: item.Run}, phase: phaseStarted, pacePercent: unknownPacePercent}
+			worker.runs[key] = &runState{order: session.Start{Task: item.Task, Run: item.Run}, phase: phaseStarted, pacePercent: unknownPacePercent, known: true}
 			continue
 		}
+		run.known = true
 		if run.phase == phaseStarting {
 			run.phase, run.confirmedAt = phaseStarted, sentAt
 		}
