--- a/scheduler/stall_test.go
+++ b/scheduler/stall_test.go
@@ -77,13 +77,13 @@
 				t.Fatalf("placed on %s", starts[0].Worker)
 			}
 			fixture.scheduler.RecordProgress(starts[0].Worker, []Progress{{Name: starts[0].Name, Run: starts[0].Run, ThrottlePercent: 100}}, fixture.now)
-			run := fixture.scheduler.workers[starts[0].Worker].runs[starts[0].Name]
-			if !fixture.scheduler.isMovable(run, fixture.now.Add(minThrottledTime)) {
-				t.Fatal("a throttled run of an agent that reports is not movable")
+			later := fixture.now.Add(minSlowTime)
+			if len(fixture.scheduler.moveCandidates(later)) != 1 {
+				t.Fatal("a throttled run of an agent that reports is no candidate for a move")
 			}
 			silence(fixture.scheduler)
-			if fixture.scheduler.isMovable(run, fixture.now.Add(minThrottledTime)) {
-				t.Error("the run of a silent agent is movable")
+			if len(fixture.scheduler.moveCandidates(later)) != 0 {
+				t.Error("the run of a silent agent is a candidate for a move")
 			}
 		})
 	}
