store, intake: submissions are retried within a budget until the deadline

Cause: a submission was refused with 503 at its first attempt if the store was not available, although the caller had up to 3 s left.

Change: store.Retrier repeats a transaction until the store decides or the caller's time ends, with exponential backoff, jitter and one token bucket for each partition. It returns ErrUnavailable only if no attempt can have had an effect, and starts no attempt that would be cut off.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -19,14 +19,6 @@
 // Most disruptions last for a few seconds, and callers wait for 3 s.
 const storeRetryAfter = clock.Second
 
-// Times of storing a row.
-const (
-	// attemptTimeout limits a call of store.CommitUntilKnown.
-	attemptTimeout = 1300 * clock.Millisecond
-	// attemptPause is the pause between such calls while the outcome is not known.
-	attemptPause = 200 * clock.Millisecond
-)
-
 // Leader queries the leader, which answers from memory. Errors of any type mean that there was no answer.
 type Leader interface {
 	// State returns the state of the job, or false if the leader does not have it.
@@ -37,18 +29,21 @@
 
 // Intake serves submissions, cancellations and queries of callers. It is safe for concurrent use.
 type Intake struct {
-	store  store.Store
-	clock  clock.Clock
-	leader Leader
+	store   store.Store
+	retrier *store.Retrier
+	clock   clock.Clock
+	leader  Leader
 }
 
 // New returns an Intake that stores rows in jobStore. Concurrent submissions share transactions.
 func New(jobStore store.Store, timeSource clock.Clock, leader Leader) *Intake {
-	return &Intake{store: store.NewGroup(jobStore), clock: timeSource, leader: leader}
+	group := store.NewGroup(jobStore)
+	return &Intake{store: group, retrier: store.NewRetrier(group, timeSource), clock: timeSource, leader: leader}
 }
 
 // Submit stores a job. If a job with the same id is stored already, the submission counts as a repetition and
-// succeeds. Errors: workflow.ErrInvalid, ErrNotAccepted, ErrUndecided.
+// succeeds. While the store is not available, it is tried until ctx ends. Errors: workflow.ErrInvalid, ErrNotAccepted,
+// ErrUndecided.
 func (intake *Intake) Submit(ctx context.Context, spec workflow.Spec) error {
 	if err := spec.Check(); err != nil {
 		return err
@@ -58,12 +53,14 @@
 	if err != nil {
 		return err
 	}
+	begun := intake.clock.Now()
 	outcome, reason := intake.commitUntilDecided(ctx, store.Tx{
 		Conditions: []store.Condition{{Ref: ref(Submission, spec.ID)}, {Ref: endedRef(spec.ID)}},
 		Puts:       []store.Put{{Ref: ref(Submission, spec.ID), Value: value}},
 	})
 	metrics.GetOrCreateCounter(fmt.Sprintf(`hyssopjunction_intake_submissions_total{outcome=%q}`, outcome)).Inc()
-	klog.InfoS("Job submitted", "Job", spec.ID, "Queue", spec.Queue, "Steps", len(spec.Steps), "Outcome", outcome, "Reason", reason)
+	klog.InfoS("Job submitted", "Job", spec.ID, "Queue", spec.Queue, "Steps", len(spec.Steps), "Outcome", outcome, "Reason", reason,
+		"Millis", int64(intake.clock.Now().Sub(begun)), "Ended", endOf(ctx))
 	switch outcome {
 	case Stored:
 		return nil
@@ -74,6 +71,14 @@
 	}
 }
 
+// endOf returns why ctx has ended, or an empty string.
+func endOf(ctx context.Context) string {
+	if err := context.Cause(ctx); err != nil {
+		return err.Error()
+	}
+	return ""
+}
+
 // Outcome is the outcome of storing a row.
 type Outcome string
 
@@ -87,28 +92,18 @@
 	Undecided Outcome = "Undecided"
 )
 
-// commitUntilDecided commits a transaction that stores one row. A conflict means that the row is stored already
-// or no longer needed. Once an attempt may have had an effect, the commit is repeated until the store decides
-// or ctx ends. It returns the outcome and the reason of the last failure.
+// commitUntilDecided commits a transaction that stores one row, and repeats it until the store decides or ctx ends. A
+// conflict means that the row is stored already or no longer needed. It returns the outcome and the reason of the last
+// failure.
 func (intake *Intake) commitUntilDecided(ctx context.Context, tx store.Tx) (Outcome, string) {
-	mayBeStored := false
-	for {
-		attemptCtx, cancel := context.WithTimeout(ctx, attemptTimeout.Duration())
-		_, err := store.CommitUntilKnown(attemptCtx, intake.store, intake.clock, tx)
-		cancel()
-		switch {
-		case err == nil || errors.As(err, new(store.ErrConflict)):
-			return Stored, ""
-		case !store.IsErrUnavailable(err):
-			mayBeStored = true
-		case !mayBeStored:
-			return Refused, err.Error()
-		}
-		select {
-		case <-intake.clock.After(attemptPause):
-		case <-ctx.Done():
-			return Undecided, err.Error()
-		}
+	_, err := intake.retrier.Commit(ctx, tx)
+	switch {
+	case err == nil || errors.As(err, new(store.ErrConflict)):
+		return Stored, ""
+	case store.IsErrUnavailable(err):
+		return Refused, err.Error()
+	default:
+		return Undecided, err.Error()
 	}
 }
 
--- /dev/null
+++ b/store/retrier.go
@@ -0,0 +1,106 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"hyssopjunction/clock"
+)
+
+// attemptTimeout limits an attempt of Retrier.Commit. It exceeds the longest answer of a slow store (0.7 s) and the wait for
+// the transaction in progress before it.
+const attemptTimeout = 1300 * clock.Millisecond
+
+// Retrier repeats transactions until the store has decided on them, within one retry budget for each partition. It is safe
+// for concurrent use.
+type Retrier struct {
+	store   Store
+	clock   clock.Clock
+	budgets *RetryBudgets
+	retries *metrics.Counter
+	// exhausted counts the waits for the budget.
+	exhausted *metrics.Counter
+}
+
+// NewRetrier returns a Retrier that commits to store.
+func NewRetrier(store Store, timeSource clock.Clock) *Retrier {
+	return &Retrier{
+		store: store, clock: timeSource, budgets: NewRetryBudgets(),
+		retries:   metrics.GetOrCreateCounter("hyssopjunction_store_retries_total"),
+		exhausted: metrics.GetOrCreateCounter("hyssopjunction_store_retry_waits_total"),
+	}
+}
+
+// Commit commits tx and repeats it until the store decides or ctx ends, also while the store is unavailable. Each Put must
+// have a Condition on the same row, as for CommitUntilKnown: a conflict reads back the outcome of an earlier attempt.
+// Errors: ErrConflict; ErrUnavailable if no attempt can have had an effect; ErrUnknown otherwise.
+func (retrier *Retrier) Commit(ctx context.Context, tx Tx) (Version, error) {
+	partition := retrier.store.Partition(tx.Conditions[0].Ref)
+	retrier.budgets.RecordCall(partition, retrier.clock.Now())
+	pause, mayBeApplied := minRetryPause, false
+	for {
+		begun := retrier.clock.Now()
+		version, err := retrier.attempt(ctx, tx)
+		var conflict ErrConflict
+		switch {
+		case err == nil:
+			return version, nil
+		case errors.As(err, &conflict):
+			if version, ok := appliedVersion(tx, conflict); mayBeApplied && ok {
+				return version, nil
+			}
+			return 0, err
+		case !IsErrUnavailable(err):
+			mayBeApplied = true
+		}
+		// An attempt that is cut off leaves the outcome open, so none begins that would take longer than the rest of the time.
+		reserve := clock.Millis(0)
+		if !mayBeApplied {
+			reserve = retrier.clock.Now().Sub(begun)
+		}
+		if !retrier.awaitRetry(ctx, partition, jittered(pause), reserve) {
+			if mayBeApplied {
+				return 0, ErrUnknown{Reason: unknownReason(err)}
+			}
+			return 0, err
+		}
+		retrier.retries.Inc()
+		pause = min(2*pause, maxRetryPause)
+	}
+}
+
+func (retrier *Retrier) attempt(ctx context.Context, tx Tx) (Version, error) {
+	attemptCtx, cancel := context.WithTimeout(ctx, attemptTimeout.Duration())
+	defer cancel()
+	return retrier.store.Commit(attemptCtx, tx)
+}
+
+// awaitRetry waits for the pause and then for the budget of the partition. It returns false if ctx ends before, or less
+// than the reserve after the wait.
+func (retrier *Retrier) awaitRetry(ctx context.Context, partition string, pause, reserve clock.Millis) bool {
+	for pause > 0 {
+		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < (pause+reserve).Duration() {
+			return false
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-retrier.clock.After(pause):
+		}
+		pause = retrier.budgets.Take(partition, retrier.clock.Now())
+		if pause > 0 {
+			retrier.exhausted.Inc()
+		}
+	}
+	return ctx.Err() == nil
+}
+
+// jittered returns a random time between half of the pause and the pause, so that callers that failed together do not
+// return together.
+func jittered(pause clock.Millis) clock.Millis {
+	return pause - rand.N(pause/2+1)
+}
