platform: requests go on when the caller closes its side of the connection

Cause: net/http cancels the context of a request when it reads the end of the caller's side. A caller that closes its side after the request and waits for the response got 504, or 503 if its transaction still waited, within milliseconds while the store was slow. It is the only path in which the entry gives up before its own deadline.

Change: Detached removes the cancellation by the connection. The timeout of the request, at most 3 s, remains.

--- a/cmd/cluster.go
+++ b/cmd/cluster.go
@@ -181,7 +181,7 @@
 	sessionServer := session.NewServer(leadership.NewHandler(elector, directStore))
 	serveSessions(sessionServer, sessionListener)
 	callerServer := &http.Server{
-		Handler:           platform.NewIngress(follower.Config, jobIntake),
+		Handler:           platform.Detached(platform.NewIngress(follower.Config, jobIntake)),
 		ReadHeaderTimeout: (3 * clock.Second).Duration(), IdleTimeout: (30 * clock.Second).Duration(),
 	}
 	go func() {
