relay: calls go through the entries that reached the store last

Cause: a rejected entry tried the others in a fixed order, also those that were rejected too or were gone, and a call through an entry that was gone counted as an unknown outcome: the submission then ended with 504.

A call is sent only on an established connection, so that an entry that is gone or frozen is passed over as not available.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -22,6 +22,9 @@
 	// relayTimeout limits a relayed call, not counting the time for which the call itself waits for changes.
 	// It covers the store's longest response time when it is slow and the latency between entries.
 	relayTimeout = 900 * clock.Millisecond
+	// connectTimeout limits the time to connect to another entry. A running one accepts within 10 ms, or some times that under
+	// load; callers wait for 3 s, in which several entries that are gone may have to be tried.
+	connectTimeout = 300 * clock.Millisecond
 	// closeDelay is the time after which a replaced connection is closed. It exceeds the duration of the
 	// calls that may still be active on it: change feeds wait for up to 0.9 s.
 	closeDelay = 3 * clock.Second
@@ -30,14 +33,11 @@
 // Store is a store.Store that calls the store directly, or through other entries if that fails. It is safe for
 // concurrent use.
 type Store struct {
-	direct    store.Store
-	clock     clock.Clock
-	addresses []string
+	direct store.Store
+	clock  clock.Clock
+	peers  *peers
 	// failedAt is when a direct call last failed, or 0 if one has succeeded since. It is a clock.Time.
 	failedAt atomic.Int64
-	// nextEntry is the position in addresses of the entry that is called first: the one after the last that
-	// failed.
-	nextEntry atomic.Int64
 
 	mu      sync.Mutex
 	clients map[string]*session.Client
@@ -50,13 +50,9 @@
 // New returns a Store. Addresses are the session addresses of entries; ownAddress is that of this entry, which
 // is skipped.
 func New(direct store.Store, timeSource clock.Clock, ownAddress string, addresses []string) *Store {
-	relay := &Store{direct: direct, clock: timeSource, clients: map[string]*session.Client{}, closed: make(chan struct{})}
-	for _, address := range addresses {
-		if address != ownAddress {
-			relay.addresses = append(relay.addresses, address)
-		}
+	return &Store{
+		direct: direct, clock: timeSource, peers: newPeers(ownAddress, addresses), clients: map[string]*session.Client{}, closed: make(chan struct{}),
 	}
-	return relay
 }
 
 // Partition implements store.Store.
@@ -106,8 +102,8 @@
 }
 
 // call makes a direct call unless one failed within directRetryDelay. If the store is unavailable directly, the
-// other entries are called in turn until one of them reaches it. store.ErrUnknown is returned at once: the caller
-// decides whether to repeat the call, which then takes another path.
+// other entries are called in turn until one of them reaches it, those that reached it last first. store.ErrUnknown is
+// returned at once: the caller decides whether to repeat the call, which then takes another path.
 func (relay *Store) call(ctx context.Context, request *session.RelayRequest, directCall func() (*session.RelayReply, error)) (*session.RelayReply, error) {
 	var lastErr error = store.ErrUnavailable{Reason: "the store did not answer a moment ago"}
 	if !relay.bypassesDirect(request) {
@@ -125,14 +121,13 @@
 		}
 		lastErr = err
 	}
-	first := int(relay.nextEntry.Load())
-	for offset := range relay.addresses {
-		position := (first + offset) % len(relay.addresses)
-		reply, err := relay.callEntry(ctx, relay.addresses[position], request)
-		if err != nil && (store.IsErrUnavailable(err) || store.IsErrUnknown(err)) {
-			relay.nextEntry.Store(int64(position + 1))
+	for _, address := range relay.peers.order(relay.clock.Now()) {
+		reply, err := relay.callEntry(ctx, address, request)
+		failed := store.IsErrUnavailable(err) || store.IsErrUnknown(err)
+		if ctx.Err() == nil || !failed {
+			relay.peers.record(address, !failed, relay.clock.Now())
 		}
-		if !store.IsErrUnavailable(err) {
+		if !store.IsErrUnavailable(err) || ctx.Err() != nil {
 			return reply, err
 		}
 		lastErr = err
@@ -144,7 +139,7 @@
 // find out whether the store answers directly again: a silent store shows sooner in them.
 func (relay *Store) bypassesDirect(request *session.RelayRequest) bool {
 	failedAt := clock.Time(relay.failedAt.Load())
-	if failedAt == 0 || len(relay.addresses) == 0 {
+	if failedAt == 0 || len(relay.peers.list) == 0 {
 		return false
 	}
 	return request.Changes != nil || relay.clock.Now().Sub(failedAt) < directRetryDelay
@@ -156,7 +151,7 @@
 	previous := relay.failedAt.Swap(int64(failedAt))
 	switch {
 	case previous == 0 && failedAt != 0:
-		klog.InfoS("Store accessed through other entries", "Entries", relay.addresses)
+		klog.InfoS("Store accessed through other entries", "Entries", relay.peers.order(failedAt))
 	case previous != 0 && failedAt == 0:
 		klog.InfoS("Store accessed directly again")
 	}
@@ -172,6 +167,10 @@
 	if request.Changes != nil {
 		timeout += request.Changes.Wait
 	}
+	if err := relay.connect(ctx, client); err != nil {
+		relay.discard(address, client)
+		return nil, store.ErrUnavailable{Reason: err.Error()}
+	}
 	callCtx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
 	reply, err := client.Relay(callCtx, request)
@@ -182,6 +181,14 @@
 	return reply, reply.Err()
 }
 
+// connect waits until the connection is established. An entry that is gone or stands still is told from one that may have
+// carried out the call: nothing is sent before.
+func (relay *Store) connect(ctx context.Context, client *session.Client) error {
+	connectCtx, cancel := context.WithTimeout(ctx, connectTimeout.Duration())
+	defer cancel()
+	return client.Connect(connectCtx)
+}
+
 // client returns the connection to the entry at the address.
 func (relay *Store) client(address string) (*session.Client, error) {
 	relay.mu.Lock()
--- a/session/client.go
+++ b/session/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"time"
@@ -9,6 +10,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 )
@@ -43,6 +45,39 @@
 // Close ends the connection.
 func (client *Client) Close() error { return client.connection.Close() }
 
+// Connect waits until the connection is established. Errors: ErrNotConnected.
+func (client *Client) Connect(ctx context.Context) error {
+	for {
+		state := client.connection.GetState()
+		switch state {
+		case connectivity.Ready:
+			return nil
+		case connectivity.Idle:
+			client.connection.Connect()
+		case connectivity.TransientFailure, connectivity.Shutdown:
+			return ErrNotConnected{Address: client.connection.Target(), State: state.String()}
+		case connectivity.Connecting:
+		}
+		if !client.connection.WaitForStateChange(ctx, state) {
+			return ErrNotConnected{Address: client.connection.Target(), State: state.String()}
+		}
+	}
+}
+
+// ErrNotConnected reports a connection that could not be established.
+type ErrNotConnected struct {
+	Address string
+	State   string
+}
+
+// Error returns a message with the address and the state of the connection.
+func (err ErrNotConnected) Error() string {
+	return fmt.Sprintf("not connected to %s: state %s", err.Address, err.State)
+}
+
+// IsErrNotConnected reports whether err is or wraps an ErrNotConnected.
+func IsErrNotConnected(err error) bool { return errors.As(err, new(ErrNotConnected)) }
+
 // AgentStream is the agent's side of its session with the leader.
 type AgentStream struct {
 	stream grpc.ClientStream
