session, scheduler: the leader explains the state of a job

Change: ExplainJob answers from the scheduler's state: commitment, rank, expected end and objective, waiting tasks with the count of workers by their first obstacle, runs with pace and urgency, moves, and the latest 8 decisions. Equal decisions within 500 ms count as one. 'hyssopjunction cluster job explain ID' asks the leader that the store names. The reasons are computed when asked; a placement only appends to the list of decisions. Decisions may be lost with the leader.

Result: go test ./scheduler ./session ./cmd passes, and go test -race ./platform -run Explains.

--- a/cmd/clusterctl.go
+++ b/cmd/clusterctl.go
@@ -50,7 +50,13 @@
 				return err
 			}
 		}
-		return nil
+		jobs, err := command.AddCommand("job", "Explain a job", "Commands that ask the leader about one job.", &struct{}{})
+		if err != nil {
+			return err
+		}
+		_, err = jobs.AddCommand("explain", "Explain the state of a job",
+			"Asks the leader why a job waits or is paced, moved or copied, with its latest decisions.", &clusterExplain{options: options})
+		return err
 	})
 }
 
--- a/cmd/clusterctl_test.go
+++ b/cmd/clusterctl_test.go
@@ -17,7 +17,14 @@
 // settings and their folder.
 func deploymentFiles(t *testing.T) (settings, folder string) {
 	t.Helper()
-	service := platformtest.NewStore()
+	settings, folder, _ = deploymentStore(t)
+	return settings, folder
+}
+
+// deploymentStore does the same as deploymentFiles and also returns the stand-in.
+func deploymentStore(t *testing.T) (settings, folder string, service *platformtest.Store) {
+	t.Helper()
+	service = platformtest.NewStore()
 	service.Put("op", "", "config", []byte(`{"Version":7,"Routes":[{"Name":"r-1","Host":"desk.example","PathPrefix":"/a/","Service":"desk","MaxAttempts":2,"SlackFactor":1.5,"TargetLatencyMs":250}]}`))
 	service.Put("op", "", "evacuate/zone-b", []byte(`{}`))
 	server := httptest.NewServer(service)
@@ -29,7 +36,7 @@
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	return settings, folder
+	return settings, folder, service
 }
 
 // run executes a command, checks its exit code and returns its output and log.
--- a/leadership/elector.go
+++ b/leadership/elector.go
@@ -234,6 +234,19 @@
 	return &session.PendingReply{Count: count}, nil
 }
 
+// ExplainJob serves a query for the explanation of a job's state. Error: session.ErrNotLeading.
+func (elector *Elector) ExplainJob(_ context.Context, request *session.ExplainRequest) (*session.ExplainReply, error) {
+	coord := elector.coordinator.Load()
+	if coord == nil {
+		return nil, session.ErrNotLeading{Leader: elector.otherLeader()}
+	}
+	reply, ok := coord.Explain(request.ID)
+	if !ok {
+		return nil, session.ErrNotLeading{Leader: elector.otherLeader()}
+	}
+	return reply, nil
+}
+
 // Leader serves queries of other daemons for the leader. The reply is empty if none is known to be alive.
 func (elector *Elector) Leader(context.Context, *session.LeaderRequest) (*session.LeaderReply, error) {
 	term := elector.observedTerm.Load()
--- a/pacing/urgency.go
+++ b/pacing/urgency.go
@@ -1,5 +1,7 @@
 package pacing
 
+import "strconv"
+
 // Urgency orders the filling runs of a worker by what depends on their end. The pace that the worker allows goes to the
 // most urgent runs first.
 type Urgency int
@@ -15,5 +17,21 @@
 	Critical
 )
 
+// String returns the name of the level.
+func (urgency Urgency) String() string {
+	switch urgency {
+	case Background:
+		return "background"
+	case Normal:
+		return "normal"
+	case Elevated:
+		return "elevated"
+	case Critical:
+		return "critical"
+	default:
+		return strconv.Itoa(int(urgency))
+	}
+}
+
 // Valid reports whether the urgency is one of the levels.
 func (urgency Urgency) Valid() bool { return urgency >= Background && urgency <= Critical }
--- a/scheduler/datarack.go
+++ b/scheduler/datarack.go
@@ -5,6 +5,7 @@
 
 	"hyssopjunction/assignment"
 	"hyssopjunction/clock"
+	"hyssopjunction/explanation"
 	"hyssopjunction/workflow"
 )
 
@@ -112,6 +113,7 @@
 			record.rackWaits = map[workflow.Name]clock.Time{}
 		}
 		record.rackWaits[name] = now
+		record.recordDecision(explanation.RackWait, "last for rack "+step.DataRack, now)
 	}
 	return true
 }
--- a/scheduler/movethrottled.go
+++ b/scheduler/movethrottled.go
@@ -2,10 +2,12 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"hyssopjunction/assignment"
 	"hyssopjunction/clock"
+	"hyssopjunction/explanation"
 	"hyssopjunction/workflow"
 )
 
@@ -75,6 +77,7 @@
 		record.moves[candidate.name] = record.moves[candidate.name].Add(string(candidate.worker.Incarnation), now)
 		scheduler.fillingMoves[candidate.name] = &fillingMove{target: target, until: now.Add(scheduler.bounds.StopTimeout + moveReserve)}
 		scheduler.assignments.addMove(candidate, target.Incarnation, gain, now)
+		record.recordDecision(explanation.Moved, fmt.Sprintf("%s from %s to %s, gain %d ms", candidate.name, candidate.worker.Incarnation, target.Incarnation, gain), now)
 		scheduler.stopRun(candidate.activeRun)
 		moveCount++
 	}
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"hyssopjunction/clock"
+	"hyssopjunction/explanation"
 	"hyssopjunction/unit"
 	"hyssopjunction/workflow"
 )
@@ -194,5 +195,6 @@
 	worker.add(run)
 	scheduler.setStartUrgency(record, run, now)
 	scheduler.dirtyJobs[record.job.Spec.ID] = record
+	record.recordDecision(explanation.Placed, "last on "+string(worker.Incarnation), now)
 	scheduler.orders = append(scheduler.orders, Order{Worker: worker.Incarnation, Name: name, Run: number, Job: record.job, Urgency: run.urgency})
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -4,10 +4,12 @@
 package scheduler
 
 import (
+	"fmt"
 	"slices"
 
 	"hyssopjunction/assignment"
 	"hyssopjunction/clock"
+	"hyssopjunction/explanation"
 	"hyssopjunction/ident"
 	"hyssopjunction/pacing"
 	"hyssopjunction/set"
@@ -107,6 +109,8 @@
 	moves map[workflow.Name]assignment.History
 	// rackWaits holds since when tasks wait for the rack that holds their data.
 	rackWaits map[workflow.Name]clock.Time
+	// decisions holds the latest decisions about the job. It may be lost: a new leader explains its own ones.
+	decisions []jobDecision
 }
 
 // New returns an empty Scheduler.
@@ -367,6 +371,7 @@
 	case workflow.Faulted:
 		if record, ok := scheduler.jobs[end.Name.Job]; ok {
 			record.failuresByWorker[incarnation]++
+			record.recordDecision(explanation.Failed, fmt.Sprintf("%s on %s", run.name, incarnation), now)
 		}
 		if !run.step.Standing {
 			worker.health.recordFailure(end.Name.Job, now)
@@ -385,6 +390,7 @@
 	if run, ok := worker.runs[name]; ok && run.number == number {
 		if record, ok := scheduler.jobs[name.Job]; ok {
 			record.failuresByWorker[incarnation]++
+			record.recordDecision(explanation.Rejected, fmt.Sprintf("%s by %s", name, incarnation), now)
 		}
 		worker.refusalDelayEnd = now.Add(refusalDelay)
 		scheduler.endRun(run, workflow.Interrupted, "")
--- a/scheduler/urgency.go
+++ b/scheduler/urgency.go
@@ -1,9 +1,11 @@
 package scheduler
 
 import (
+	"fmt"
 	"slices"
 
 	"hyssopjunction/clock"
+	"hyssopjunction/explanation"
 	"hyssopjunction/pacing"
 	"hyssopjunction/set"
 	"hyssopjunction/urgency"
@@ -154,12 +156,16 @@
 
 // decideUrgencies decides the levels of all active runs of a job.
 func (scheduler *Scheduler) decideUrgencies(record *jobRecord, now clock.Time) {
+	if committed := record.isCommitted(); record.urgency.decidedAt != 0 && committed != record.urgency.committed {
+		record.recordDecision(explanation.Committed, fmt.Sprintf("committed %t", committed), now)
+	}
 	record.urgency.decidedAt, record.urgency.committed = now, record.isCommitted()
 	outcome := UrgencyDecision{Job: record.job.Spec.ID, Committed: record.urgency.committed, Objective: record.job.Spec.Objective(), Age: now.Sub(record.acceptedAt)}
 	for _, occurrence := range record.job.Occurrences {
 		scheduler.decideOccurrence(record, occurrence, &outcome, now)
 	}
 	if len(outcome.Changed) > 0 {
+		record.recordDecision(explanation.Paced, fmt.Sprintf("runs by new level %v, slack %d ms", outcome.Changed, outcome.Slack), now)
 		scheduler.urgencyDecisions = append(scheduler.urgencyDecisions, outcome)
 	}
 }
--- a/session/client.go
+++ b/session/client.go
@@ -116,6 +116,11 @@
 	return invoke[PendingReply](ctx, client, pendingMethod, request)
 }
 
+// ExplainJob requests the explanation of a job's state. Errors: ErrNotLeading, or the error of the connection.
+func (client *Client) ExplainJob(ctx context.Context, request *ExplainRequest) (*ExplainReply, error) {
+	return invoke[ExplainReply](ctx, client, explainMethod, request)
+}
+
 // Leader requests the newest term that the entry has seen and the address of its leader. Error: that of the
 // connection.
 func (client *Client) Leader(ctx context.Context) (*LeaderReply, error) {
--- a/session/message.go
+++ b/session/message.go
@@ -4,6 +4,7 @@
 
 import (
 	"hyssopjunction/clock"
+	"hyssopjunction/explanation"
 	"hyssopjunction/ident"
 	"hyssopjunction/unit"
 	"hyssopjunction/workflow"
@@ -170,6 +171,18 @@
 	State workflow.State
 }
 
+// ExplainRequest requests the explanation of a job's state.
+type ExplainRequest struct {
+	ID workflow.ID
+}
+
+// ExplainReply holds the explanation, as of the leader's Term. Known is false if the leader has no open job with the id.
+type ExplainReply struct {
+	Known bool
+	Term  int64
+	Job   explanation.Job
+}
+
 // LeaderRequest requests the leader.
 type LeaderRequest struct{}
 
--- a/session/server.go
+++ b/session/server.go
@@ -19,6 +19,7 @@
 	leaderMethod  = "Leader"
 	relayMethod   = "Relay"
 	endMethod     = "EndWorker"
+	explainMethod = "ExplainJob"
 )
 
 // Stream is the leader's side of an agent's session.
@@ -36,6 +37,8 @@
 	// State and Pending return ErrNotLeading if the entry does not lead.
 	State(ctx context.Context, request *StateRequest) (*StateReply, error)
 	Pending(ctx context.Context, request *PendingRequest) (*PendingReply, error)
+	// ExplainJob returns ErrNotLeading if the entry does not lead.
+	ExplainJob(ctx context.Context, request *ExplainRequest) (*ExplainReply, error)
 	// Leader returns the newest term that the entry has seen, or an empty reply.
 	Leader(ctx context.Context, request *LeaderRequest) (*LeaderReply, error)
 	// EndWorker stores the end of a worker's incarnation, or keeps the report until a leader has stored it.
@@ -65,6 +68,7 @@
 		Methods: []grpc.MethodDesc{
 			{MethodName: stateMethod, Handler: unary(Handler.State)},
 			{MethodName: pendingMethod, Handler: unary(Handler.Pending)},
+			{MethodName: explainMethod, Handler: unary(Handler.ExplainJob)},
 			{MethodName: leaderMethod, Handler: unary(Handler.Leader)},
 			{MethodName: relayMethod, Handler: unary(Handler.Relay)},
 			{MethodName: endMethod, Handler: unary(Handler.EndWorker)},
