--- a/cmd/cluster.go
+++ b/cmd/cluster.go
@@ -183,7 +183,7 @@
 	serveSessions(sessionServer, sessionListener)
 	requests := newRequestDrain()
 	callerServer := &http.Server{
-		Handler:           requests.wrap(platform.NewIngress(follower.Config, jobIntake)),
+		Handler:           platform.Detached(requests.wrap(platform.NewIngress(follower.Config, jobIntake))),
 		ReadHeaderTimeout: (3 * clock.Second).Duration(), IdleTimeout: (30 * clock.Second).Duration(),
 	}
 	go func() {
--- a/session/server.go
+++ b/session/server.go
@@ -20,6 +20,7 @@
 	relayMethod   = "Relay"
 	endMethod     = "EndWorker"
 	lapseMethod   = "LapseWorker"
+	explainMethod = "ExplainJob"
 )
 
 // Stream is the leader's side of an agent's session.
@@ -37,6 +38,8 @@
 	// State and Pending return ErrNotLeading if the entry does not lead.
 	State(ctx context.Context, request *StateRequest) (*StateReply, error)
 	Pending(ctx context.Context, request *PendingRequest) (*PendingReply, error)
+	// ExplainJob returns ErrNotLeading if the entry does not lead.
+	ExplainJob(ctx context.Context, request *ExplainRequest) (*ExplainReply, error)
 	// Leader returns the newest term that the entry has seen, or an empty reply.
 	Leader(ctx context.Context, request *LeaderRequest) (*LeaderReply, error)
 	// EndWorker stores the end of a worker's incarnation or lease, or keeps the report until a leader has stored it.
@@ -66,6 +69,7 @@
 		Methods: []grpc.MethodDesc{
 			{MethodName: stateMethod, Handler: unary(Handler.State)},
 			{MethodName: pendingMethod, Handler: unary(Handler.Pending)},
+			{MethodName: explainMethod, Handler: unary(Handler.ExplainJob)},
 			{MethodName: leaderMethod, Handler: unary(Handler.Leader)},
 			{MethodName: relayMethod, Handler: unary(Handler.Relay)},
 			{MethodName: endMethod, Handler: unary(Handler.EndWorker)},
