workflow: a task of a step with copies may have two runs in its row

Cause: steps with Speculative may have a copy of a slow run, and the row of a job holds one run for each task. Change: the row holds the run before the last one too, and the runs that are active although their task is done; a leader of the previous version ignores both, sees the last run only and stops runs that it does not know. A failure counts and leaves the other run going, the first end that finished completes the task. The scheduler restores, stops and ends each run by its number. No copy is placed yet.

--- a/cmd/clusterctl.go
+++ b/cmd/clusterctl.go
@@ -302,7 +302,7 @@
 		}
 		tasks := table{header: []string{"TASK", "PHASE", "RUN", "FAILURES", "WORKER"}}
 		job.EachTask(func(name workflow.Name, task *workflow.Task) {
-			tasks.add(name.String(), task.Phase.String(), strconv.Itoa(int(task.Run)), strconv.Itoa(task.Failures), task.Worker)
+			tasks.add(name.String(), task.Phase.String(), strconv.Itoa(int(task.Run)), strconv.Itoa(task.Failures), task.Workers())
 		})
 		return tasks.print(command.options.std.out)
 	})
--- a/coordinator/agents.go
+++ b/coordinator/agents.go
@@ -423,10 +423,10 @@
 
 // newStart returns the message for a start order, or false if the run has ended since.
 func newStart(order scheduler.Order) (session.Start, bool) {
-	task := order.Job.Task(order.Name)
-	if task == nil || task.Run != order.Run || task.Phase != workflow.Active || order.Job.State.Final() {
+	if !order.Job.HasRun(order.Name, order.Run) || order.Job.State.Final() {
 		return session.Start{}, false
 	}
+	task := order.Job.Task(order.Name)
 	step := order.Job.Spec.Steps[order.Name.Step]
 	return session.Start{
 		Incarnation: string(order.Worker), Task: order.Name.String(), Run: order.Run, Payload: order.Job.Spec.Payload,
--- a/jobapi/handler.go
+++ b/jobapi/handler.go
@@ -165,7 +165,7 @@
 	body := Job{ID: job.Spec.ID, Queue: job.Spec.Queue, State: job.State, ObjectiveMillis: job.Spec.Objective(), Steps: job.Spec.Steps}
 	job.EachTask(func(name workflow.Name, task *workflow.Task) {
 		body.Tasks = append(body.Tasks, Task{
-			Name: name.String(), Phase: task.Phase.String(), Run: task.Run, Failures: task.Failures, Worker: task.Worker,
+			Name: name.String(), Phase: task.Phase.String(), Run: task.Run, Failures: task.Failures, Worker: task.Workers(),
 		})
 	})
 	writeJSON(writer, http.StatusOK, body)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -115,17 +115,14 @@
 	if !job.State.Final() {
 		scheduler.open[job.Spec.ID] = record
 	}
-	job.EachTask(func(name workflow.Name, task *workflow.Task) {
-		if task.Phase != workflow.Active {
-			return
-		}
+	job.EachRun(func(name workflow.Name, active workflow.ActiveRun) {
 		record.activeRuns++
-		run := &activeRun{name: name, number: task.Run, job: job, step: &job.Spec.Steps[name.Step], placedAt: acceptedAt, progressAt: acceptedAt}
-		incarnation := Incarnation(task.Worker)
+		run := &activeRun{name: name, number: active.Run, job: job, step: &job.Spec.Steps[name.Step], placedAt: acceptedAt, progressAt: acceptedAt}
+		incarnation := Incarnation(active.Worker)
 		if worker, ok := scheduler.workers[incarnation]; ok {
 			run.worker = worker
 			worker.add(run)
-			if job.State.Final() {
+			if !run.isNeeded() {
 				scheduler.stopRun(run)
 			}
 			return
@@ -195,7 +192,7 @@
 	for _, run := range scheduler.orphans[profile.Incarnation] {
 		run.worker, run.progressAt = worker, now
 		worker.add(run)
-		if run.job.State.Final() {
+		if !run.isNeeded() {
 			scheduler.stopRun(run)
 		}
 	}
@@ -308,7 +305,7 @@
 		if item.Percent != run.progressPercent || item.ThrottlePercent > maxStallThrottlePercent {
 			run.progressPercent, run.progressAt = item.Percent, now
 		}
-		if item.Saved != "" && !run.job.State.Final() {
+		if item.Saved != "" && !run.job.State.Final() && scheduler.isAhead(run) {
 			run.job.SaveCheckpoint(item.Name, item.Saved)
 		}
 	}
@@ -370,20 +367,24 @@
 		return
 	}
 	record.activeRuns--
-	task := record.job.Task(run.name)
-	if task == nil || task.Phase != workflow.Active || task.Run != run.number {
+	if record.job.State.Final() {
+		if record.job.EndRunOfFinalJob(run.name, run.number) {
+			scheduler.dirtyJobs[record.job.Spec.ID] = record
+		}
 		return
 	}
-	if record.job.State.Final() {
-		record.job.EndRunOfFinalJob(run.name)
-		scheduler.dirtyJobs[record.job.Spec.ID] = record
+	if !scheduler.isAhead(run) {
+		saved = ""
+	}
+	if !record.job.EndRun(run.name, run.number, cause, saved) {
 		return
 	}
-	record.job.EndRun(run.name, cause, saved)
 	scheduler.dirtyJobs[record.job.Spec.ID] = record
 	if record.job.State.Final() {
 		scheduler.closeJob(record)
+		return
 	}
+	scheduler.stopSuperseded(record.job, run.name)
 }
 
 // TakeChanges returns and resets the changed jobs and the orders since the last call. The jobs must be
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -88,6 +88,11 @@
 	urgency pacing.Urgency
 }
 
+// isNeeded reports whether the run counts for its job: the job is not final and the task not done.
+func (run *activeRun) isNeeded() bool {
+	return !run.job.State.Final() && run.job.HasRun(run.name, run.number)
+}
+
 func newWorkerState() *workerState {
 	return &workerState{runs: map[workflow.Name]*activeRun{}, servingImages: map[pacing.Image]int{}}
 }
--- a/workflow/codec.go
+++ b/workflow/codec.go
@@ -14,6 +14,17 @@
 	// Workers holds the worker incarnations to which taskRow.Worker refers by position.
 	Workers     []string        `json:"W,omitempty"`
 	Occurrences []occurrenceRow `json:"O,omitempty"`
+	// Superseded holds runs that a leader of an earlier version does not see. It stops runs that it does not know.
+	Superseded []supersededRow `json:"X,omitempty"`
+}
+
+// supersededRow is the stored form of a superseded run.
+type supersededRow struct {
+	Occurrence int `json:"K,omitempty"`
+	Step       int `json:"s,omitempty"`
+	Index      int `json:"i,omitempty"`
+	Run        Run `json:"r"`
+	Worker     int `json:"w,omitempty"`
 }
 
 // occurrenceRow is the stored form of an occurrence.
@@ -22,7 +33,8 @@
 	Tasks  []taskRow `json:"T,omitempty"`
 }
 
-// taskRow is the stored form of a task. Tasks that never had a run are not stored.
+// taskRow is the stored form of a task. Tasks that never had a run are not stored. A leader of an earlier version sees
+// only the last run: while another one is active and the last run is not, it sees a waiting task.
 type taskRow struct {
 	Step     int        `json:"s,omitempty"`
 	Index    int        `json:"i,omitempty"`
@@ -31,6 +43,9 @@
 	Worker   int        `json:"w,omitempty"`
 	Failures int        `json:"f,omitempty"`
 	Saved    Checkpoint `json:"c,omitempty"`
+	// Other is the number of Task.Other, and OtherWorker its worker as Worker is that of Run.
+	Other       Run `json:"o,omitempty"`
+	OtherWorker int `json:"u,omitempty"`
 }
 
 // ErrCorrupt reports a stored job that cannot be decoded.
@@ -75,11 +90,15 @@
 				if task.Phase != Done {
 					encodedTask.Saved = task.Saved
 				}
-				if task.Phase == Active {
-					if encodedTask.Worker = slices.Index(row.Workers, task.Worker); encodedTask.Worker < 0 {
-						encodedTask.Worker = len(row.Workers)
-						row.Workers = append(row.Workers, task.Worker)
-					}
+				if task.Other.Run != 0 {
+					encodedTask.Other, encodedTask.OtherWorker = task.Other.Run, row.workerIndex(task.Other.Worker)
+				}
+				switch {
+				case task.Phase != Active:
+				case task.Worker == "":
+					encodedTask.Phase = Waiting
+				default:
+					encodedTask.Worker = row.workerIndex(task.Worker)
 				}
 				encodedOccurrence.Tasks = append(encodedOccurrence.Tasks, encodedTask)
 			}
@@ -88,9 +107,32 @@
 			row.Occurrences = append(row.Occurrences, encodedOccurrence)
 		}
 	}
+	for _, run := range job.Superseded {
+		row.Superseded = append(row.Superseded, supersededRow{
+			Occurrence: run.Name.Occurrence, Step: run.Name.Step, Index: run.Name.Index, Run: run.Run, Worker: row.workerIndex(run.Worker),
+		})
+	}
 	return json.Marshal(row)
 }
 
+// workerIndex returns the position of a worker in the list of the row, to which it adds the worker if needed.
+func (row *stateRow) workerIndex(worker string) int {
+	position := slices.Index(row.Workers, worker)
+	if position < 0 {
+		position = len(row.Workers)
+		row.Workers = append(row.Workers, worker)
+	}
+	return position
+}
+
+// worker returns the worker at a position in the list of the row.
+func (row *stateRow) worker(position int) (string, bool) {
+	if position < 0 || position >= len(row.Workers) || row.Workers[position] == "" {
+		return "", false
+	}
+	return row.Workers[position], true
+}
+
 // DecodeState decodes only the job's State from its stored state. Error: ErrCorrupt.
 func DecodeState(id ID, data []byte) (State, error) {
 	var row stateRow
@@ -121,11 +163,8 @@
 				return nil, ErrCorrupt{ID: spec.ID, Reason: "has a task without a run, in no known phase, or twice"}
 			}
 			task := Task{Phase: storedTask.Phase, Run: storedTask.Run, Failures: storedTask.Failures, Saved: storedTask.Saved}
-			if task.Phase == Active {
-				if storedTask.Worker < 0 || storedTask.Worker >= len(row.Workers) {
-					return nil, ErrCorrupt{ID: spec.ID, Reason: "refers to a worker that it does not list"}
-				}
-				task.Worker = row.Workers[storedTask.Worker]
+			if reason := row.restoreRuns(&task, storedTask, spec.Steps[storedTask.Step].Copies); reason != "" {
+				return nil, ErrCorrupt{ID: spec.ID, Reason: reason}
 			}
 			if task.Phase == Done {
 				occurrence.unfinished[storedTask.Step]--
@@ -134,5 +173,37 @@
 		}
 		job.Occurrences = append(job.Occurrences, occurrence)
 	}
+	for _, stored := range row.Superseded {
+		worker, ok := row.worker(stored.Worker)
+		if !ok || stored.Run < 1 || stored.Occurrence < 0 || stored.Occurrence >= row.Next ||
+			stored.Step < 0 || stored.Step >= len(spec.Steps) || stored.Index < 0 || stored.Index >= spec.Steps[stored.Step].Count {
+			return nil, ErrCorrupt{ID: spec.ID, Reason: "has a superseded run of no task, without a number or on no worker"}
+		}
+		name := Name{Job: spec.ID, Occurrence: stored.Occurrence, Step: stored.Step, Index: stored.Index}
+		job.Superseded = append(job.Superseded, SupersededRun{Name: name, ActiveRun: ActiveRun{Run: stored.Run, Worker: worker}})
+	}
 	return job, nil
 }
+
+// restoreRuns sets the active runs of a task from its stored form. It returns what is wrong with that, or an empty string.
+func (row *stateRow) restoreRuns(task *Task, stored taskRow, copies bool) string {
+	if task.Phase == Active {
+		worker, ok := row.worker(stored.Worker)
+		if !ok {
+			return "refers to a worker that it does not list"
+		}
+		task.Worker = worker
+	}
+	if stored.Other == 0 {
+		return ""
+	}
+	if !copies || task.Phase == Done || stored.Other < 0 || stored.Other >= stored.Run {
+		return "has a second run of a task that is done or must have one run, or one whose number is not lower than that of the last run"
+	}
+	worker, ok := row.worker(stored.OtherWorker)
+	task.Phase, task.Other = Active, ActiveRun{Run: stored.Other, Worker: worker}
+	if !ok || worker == task.Worker {
+		return "has a second run on the worker of the last run, or on one that it does not list"
+	}
+	return ""
+}
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -64,19 +64,71 @@
 	Interrupted
 )
 
-// Task is the state of one task.
+// ActiveRun is a run that has not ended, and the incarnation of its worker.
+type ActiveRun struct {
+	Run    Run
+	Worker string
+}
+
+// SupersededRun is an active run of a task that is done, because its other run finished first. Its end changes nothing.
+type SupersededRun struct {
+	Name Name
+	ActiveRun
+}
+
+// Task is the state of one task. An active task has one run, or two if its step permits copies.
 type Task struct {
 	Phase Phase
 	// Run is the number of the last run, or 0 if there was none.
 	Run Run
-	// Worker is the incarnation of the worker that an active task runs on.
+	// Worker is the incarnation of the worker of the last run while that is active, or empty.
 	Worker string
+	// Other is the active run that was placed before the last run, which is a copy of it. Its number is 0 if there is
+	// none.
+	Other ActiveRun
 	// Failures counts the runs that ended as Faulted.
 	Failures int
 	// Saved is the newest checkpoint.
 	Saved Checkpoint
 }
 
+// ActiveRuns returns the active runs of the task by ascending number.
+func (task *Task) ActiveRuns() []ActiveRun {
+	var runs []ActiveRun
+	if task.Other.Run != 0 {
+		runs = append(runs, task.Other)
+	}
+	if task.Phase == Active && task.Worker != "" {
+		runs = append(runs, ActiveRun{Run: task.Run, Worker: task.Worker})
+	}
+	return runs
+}
+
+// Workers returns the workers of the active runs, separated by commas.
+func (task *Task) Workers() string {
+	if task.Other.Run != 0 && task.Worker != "" {
+		return task.Other.Worker + "," + task.Worker
+	}
+	return task.Other.Worker + task.Worker
+}
+
+// HasRun reports whether the run with the number is active.
+func (task *Task) HasRun(number Run) bool {
+	return task.Phase == Active && number != 0 && (number == task.Other.Run || number == task.Run && task.Worker != "")
+}
+
+// removeRun removes an active run. The task waits if it was the only one.
+func (task *Task) removeRun(number Run) {
+	if number == task.Other.Run {
+		task.Other = ActiveRun{}
+	} else {
+		task.Worker = ""
+	}
+	if task.Other.Run == 0 && task.Worker == "" {
+		task.Phase = Waiting
+	}
+}
+
 // Occurrence is one repetition of all steps of a job.
 type Occurrence struct {
 	Number int
@@ -112,6 +164,8 @@
 	Occurrences []*Occurrence
 	// Next is the number of the first occurrence that is not due yet.
 	Next int
+	// Superseded holds the runs that are active although their task is done. Their occurrence may be complete.
+	Superseded []SupersededRun
 }
 
 // New returns a queued job without occurrences. AddDueOccurrences adds them.
@@ -203,24 +257,41 @@
 	return highest + 1
 }
 
-// Place records the start of a run on a worker.
+// Place records the start of a run on a worker. An active task gets a copy of its only run.
 func (job *Job) Place(name Name, run Run, worker string) {
 	task := job.Task(name)
+	if task.Phase == Active && task.Worker != "" {
+		task.Other = ActiveRun{Run: task.Run, Worker: task.Worker}
+	}
 	task.Phase, task.Run, task.Worker = Active, run, worker
 	if job.State == Queued {
 		job.State = Running
 	}
 }
 
-// EndRun records the end of the run of an active task, with the last checkpoint that it saved.
-func (job *Job) EndRun(name Name, cause Cause, saved Checkpoint) {
+// HasRun reports whether the run is an active run of a task that is not done.
+func (job *Job) HasRun(name Name, number Run) bool {
+	task := job.Task(name)
+	return task != nil && task.HasRun(number)
+}
+
+// EndRun records the end of an active run, with the last checkpoint that it saved. If it finished, the other run of the
+// task becomes a superseded one. If not, the other run goes on. It reports whether the job had the run.
+func (job *Job) EndRun(name Name, number Run, cause Cause, saved Checkpoint) bool {
+	if !job.HasRun(name, number) {
+		return job.endSuperseded(name, number)
+	}
 	task := job.Task(name)
 	if saved != "" {
 		job.SaveCheckpoint(name, saved)
 	}
-	task.Phase, task.Worker = Waiting, ""
+	task.removeRun(number)
 	switch cause {
 	case Finished:
+		for _, other := range task.ActiveRuns() {
+			job.Superseded = append(job.Superseded, SupersededRun{Name: name, ActiveRun: other})
+			task.removeRun(other.Run)
+		}
 		job.finishTask(name)
 	case Faulted:
 		task.Failures++
@@ -229,12 +300,24 @@
 		}
 	case Interrupted:
 	}
+	return true
 }
 
-// EndRunOfFinalJob records the end of a run of a final job, whose state does not change.
-func (job *Job) EndRunOfFinalJob(name Name) {
-	task := job.Task(name)
-	task.Phase, task.Worker = Waiting, ""
+// EndRunOfFinalJob records the end of a run of a final job, whose state does not change. It reports whether the job had
+// the run.
+func (job *Job) EndRunOfFinalJob(name Name, number Run) bool {
+	if !job.HasRun(name, number) {
+		return job.endSuperseded(name, number)
+	}
+	job.Task(name).removeRun(number)
+	return true
+}
+
+// endSuperseded removes a superseded run and reports whether there was one.
+func (job *Job) endSuperseded(name Name, number Run) bool {
+	before := len(job.Superseded)
+	job.Superseded = slices.DeleteFunc(job.Superseded, func(run SupersededRun) bool { return run.Name == name && run.Run == number })
+	return len(job.Superseded) < before
 }
 
 // SaveCheckpoint records a checkpoint of a task. A checkpoint of a gang's member is recorded for all members,
@@ -291,6 +374,18 @@
 	}
 }
 
+// EachRun calls visit for every active run, including superseded ones.
+func (job *Job) EachRun(visit func(name Name, run ActiveRun)) {
+	job.EachTask(func(name Name, task *Task) {
+		for _, run := range task.ActiveRuns() {
+			visit(name, run)
+		}
+	})
+	for _, run := range job.Superseded {
+		visit(run.Name, run.ActiveRun)
+	}
+}
+
 // RemainingCriticalPath returns the length of the critical path of the steps that are not done: the longest sum of the
 // submitter's estimates, each multiplied by the slowdown factor of its step. It ignores the progress of active tasks.
 func (job *Job) RemainingCriticalPath(occurrence *Occurrence, slowdown func(step int) float64) clock.Millis {
--- a/workflow/workflow.go
+++ b/workflow/workflow.go
@@ -44,7 +44,7 @@
 	DataRack string `json:",omitempty"`
 	// PerWorker limits the tasks of the step on one worker; 0 means no limit.
 	PerWorker int `json:",omitempty"`
-	// Copies reports that several runs of a task may be active concurrently.
+	// Copies reports that two runs of a task may be active concurrently.
 	Copies bool `json:",omitempty"`
 	// Standing reports that the tasks run until the job is cancelled.
 	Standing bool `json:",omitempty"`
--- a/workflow/workflow_test.go
+++ b/workflow/workflow_test.go
@@ -1,6 +1,8 @@
 package workflow
 
 import (
+	"encoding/json"
+	"slices"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -22,6 +24,7 @@
 			Count: rapid.IntRange(1, 4).Draw(t, "count"), Estimate: clock.Millis(rapid.IntRange(0, 5000).Draw(t, "estimate")),
 			Need: unit.Resources{CPU: 100, Memory: 10}, Gang: rapid.Bool().Draw(t, "gang"),
 		}
+		step.Copies = !step.Gang && rapid.Bool().Draw(t, "copies")
 		for earlier := range number {
 			if rapid.Bool().Draw(t, "after") {
 				step.After = append(step.After, earlier)
@@ -63,6 +66,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		assertReadableByEarlierVersion(t, job, data)
 		if job.State.Final() {
 			job.Occurrences, restored.Occurrences = nil, nil // Of a final job only the active tasks are stored.
 		}
@@ -83,12 +87,18 @@
 
 // placeOrEndTask places a random task that is ready, or ends a random active one.
 func placeOrEndTask(t *rapid.T, job *Job) {
-	var waiting, active []Name
+	type activeRun struct {
+		name   Name
+		number Run
+	}
+	var waiting []Name
+	var active []activeRun
+	job.EachRun(func(name Name, run ActiveRun) { active = append(active, activeRun{name, run.Run}) })
 	job.EachTask(func(name Name, task *Task) {
 		occurrence, _ := job.Occurrence(name.Occurrence)
 		switch {
-		case task.Phase == Active:
-			active = append(active, name)
+		case task.Phase == Active && job.Spec.Steps[name.Step].Copies && len(task.ActiveRuns()) == 1:
+			waiting = append(waiting, name) // For a copy.
 		case task.Phase == Waiting && job.Ready(occurrence, name.Step) && !isGangWithActiveTask(job, occurrence, name.Step):
 			waiting = append(waiting, name)
 		}
@@ -113,14 +123,154 @@
 			}
 		}
 		for _, member := range members {
-			job.Place(member, run, rapid.SampledFrom([]string{"w1", "w2", "w3"}).Draw(t, "worker"))
+			workers := slices.DeleteFunc([]string{"w1", "w2", "w3"}, func(worker string) bool { return worker == job.Task(member).Workers() })
+			job.Place(member, run, rapid.SampledFrom(workers).Draw(t, "worker"))
 		}
 		return
 	}
 	if len(active) > 0 {
-		name := rapid.SampledFrom(active).Draw(t, "task")
+		run := rapid.SampledFrom(active).Draw(t, "run")
 		cause := rapid.SampledFrom([]Cause{Finished, Faulted, Interrupted}).Draw(t, "cause")
-		job.EndRun(name, cause, Checkpoint(rapid.SampledFrom([]string{"", "c1", "c2"}).Draw(t, "saved")))
+		job.EndRun(run.name, run.number, cause, Checkpoint(rapid.SampledFrom([]string{"", "c1", "c2"}).Draw(t, "saved")))
+	}
+}
+
+// earlierStateRow is the stored form that the version without copies reads.
+type earlierStateRow struct {
+	State       State    `json:"S"`
+	Next        int      `json:"N"`
+	Workers     []string `json:"W,omitempty"`
+	Occurrences []struct {
+		Number int `json:"K,omitempty"`
+		Tasks  []struct {
+			Step   int   `json:"s,omitempty"`
+			Index  int   `json:"i,omitempty"`
+			Phase  Phase `json:"p,omitempty"`
+			Run    Run   `json:"r"`
+			Worker int   `json:"w,omitempty"`
+		} `json:"T,omitempty"`
+	} `json:"O,omitempty"`
+}
+
+// assertReadableByEarlierVersion fails unless a leader of the version without copies finds the last run of each task, on
+// its worker while it is active: the next run must get a higher number than any run before.
+func assertReadableByEarlierVersion(t *rapid.T, job *Job, data []byte) {
+	var row earlierStateRow
+	if err := json.Unmarshal(data, &row); err != nil {
+		t.Fatal(err)
+	}
+	if row.State != job.State || row.Next != job.Next {
+		t.Fatalf("got state %s and next %d, want %s and %d", row.State, row.Next, job.State, job.Next)
+	}
+	for _, occurrence := range row.Occurrences {
+		for _, stored := range occurrence.Tasks {
+			task := job.Task(Name{Job: job.Spec.ID, Occurrence: occurrence.Number, Step: stored.Step, Index: stored.Index})
+			if task == nil || stored.Run != task.Run {
+				t.Fatalf("got run %d of step %d, index %d, want that of %+v", stored.Run, stored.Step, stored.Index, task)
+			}
+			if active := task.HasRun(task.Run); active != (stored.Phase == Active) || active && row.Workers[stored.Worker] != task.Worker {
+				t.Fatalf("got phase %s on worker %d of %v, want that of %+v", stored.Phase, stored.Worker, row.Workers, task)
+			}
+		}
+	}
+}
+
+// TestRestoreReadsEarlierVersion guards against a new leader that cannot read the rows of the version without copies.
+func TestRestoreReadsEarlierVersion(t *testing.T) {
+	spec := Spec{ID: "0123456789abcdef", Steps: []Step{{Count: 3, Copies: true}}, Policy: Policy{MaxAttempts: 2}}
+	job, err := Restore(spec, []byte(`{"S":"running","N":1,"W":["w1"],"O":[{"T":[{"p":1,"r":2,"f":1,"c":"saved"},{"i":1,"p":2,"r":1}]}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []Task{{Phase: Active, Run: 2, Worker: "w1", Failures: 1, Saved: "saved"}, {Phase: Done, Run: 1}, {}}
+	if diff := cmp.Diff(want, job.Occurrences[0].Steps[0]); diff != "" {
+		t.Errorf("restored tasks differ:\n%s", diff)
+	}
+}
+
+// newCopiedJob returns a job whose only task has run 1 on w1 and its copy, run 2, on w2.
+func newCopiedJob(attempts int) (*Job, Name) {
+	job := New(Spec{ID: "0123456789abcdef", Steps: []Step{{Count: 1, Copies: true}}, Policy: Policy{MaxAttempts: attempts}})
+	job.AddDueOccurrences(0)
+	name := Name{Job: job.Spec.ID}
+	job.Place(name, 1, "w1")
+	job.Place(name, 2, "w2")
+	return job, name
+}
+
+// TestEndsOfTwoRuns guards against a task that is lost, fails too early or is done twice because one of its two runs
+// ended, and against a run that no leader stops because the row does not hold it any more.
+func TestEndsOfTwoRuns(t *testing.T) {
+	type end struct {
+		run   Run
+		cause Cause
+	}
+	cases := map[string]struct {
+		attempts  int
+		ends      []end
+		wantState State
+		wantRuns  []ActiveRun
+	}{
+		"the copy finishes":           {2, []end{{2, Finished}}, Completed, []ActiveRun{{1, "w1"}}},
+		"the first run finishes":      {2, []end{{1, Finished}}, Completed, []ActiveRun{{2, "w2"}}},
+		"both finish":                 {2, []end{{1, Finished}, {2, Finished}}, Completed, nil},
+		"the copy fails":              {2, []end{{2, Faulted}}, Running, []ActiveRun{{1, "w1"}}},
+		"the first run fails":         {2, []end{{1, Faulted}}, Running, []ActiveRun{{2, "w2"}}},
+		"the first run fails at last": {1, []end{{1, Faulted}}, Failed, []ActiveRun{{2, "w2"}}},
+		"one fails after the other":   {1, []end{{1, Finished}, {2, Faulted}}, Completed, nil},
+		"the first run is lost":       {1, []end{{1, Interrupted}}, Running, []ActiveRun{{2, "w2"}}},
+		"both are lost":               {1, []end{{1, Interrupted}, {2, Interrupted}}, Running, nil},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			job, task := newCopiedJob(test.attempts)
+			for _, end := range test.ends {
+				if !job.EndRun(task, end.run, end.cause, "") {
+					t.Errorf("the job does not have run %d", end.run)
+				}
+				if job.EndRun(task, end.run, end.cause, "") {
+					t.Errorf("the end of run %d counts twice", end.run)
+				}
+			}
+			data, err := EncodeState(job)
+			if err != nil {
+				t.Fatal(err)
+			}
+			restored, err := Restore(job.Spec, data)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for version, job := range map[string]*Job{"decided": job, "restored": restored} {
+				var runs []ActiveRun
+				job.EachRun(func(_ Name, run ActiveRun) { runs = append(runs, run) })
+				if diff := cmp.Diff(test.wantRuns, runs); diff != "" || job.State != test.wantState {
+					t.Errorf("%s: got state %s, want %s; runs differ:\n%s", version, job.State, test.wantState, diff)
+				}
+			}
+		})
+	}
+}
+
+// TestMalformedCopiesAreRejected guards against a stored job that places two runs of a task where one is allowed, or on
+// one worker.
+func TestMalformedCopiesAreRejected(t *testing.T) {
+	cases := map[string]struct {
+		copies bool
+		row    string
+	}{
+		"step without copies":      {false, `{"p":1,"r":2,"o":1,"u":1}`},
+		"one worker":               {true, `{"p":1,"r":2,"o":1}`},
+		"task that is done":        {true, `{"p":2,"r":2,"o":1,"u":1}`},
+		"numbers that do not rise": {true, `{"p":1,"r":2,"o":2,"u":1}`},
+		"unknown worker":           {true, `{"p":1,"r":2,"o":1,"u":7}`},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			spec := Spec{ID: "0123456789abcdef", Steps: []Step{{Count: 1, Copies: test.copies}}}
+			if _, err := Restore(spec, []byte(`{"S":"running","N":1,"W":["w1","w2"],"O":[{"T":[`+test.row+`]}]}`)); err == nil {
+				t.Error("the row is accepted")
+			}
+		})
 	}
 }
 
@@ -151,16 +301,17 @@
 // stored again.
 func FuzzRestore(f *testing.F) {
 	f.Add([]byte(`{"S":"running","N":1,"W":["w"],"O":[{"T":[{"p":1,"r":1},{"i":1,"p":2,"r":1}]}]}`))
+	f.Add([]byte(`{"S":"running","N":1,"W":["w","v"],"O":[{"T":[{"p":1,"r":2,"o":1,"u":1}]}],"X":[{"i":1,"r":1}]}`))
 	f.Add([]byte(`{"S":"running","O":[{"K":-1,"T":[{"s":-1,"i":-1,"w":-1,"p":1}]}]}`))
-	spec := Spec{ID: "0123456789abcdef", Steps: []Step{{Count: 2, Need: unit.Resources{CPU: 1}}}, Policy: Policy{MaxAttempts: 1}}
+	spec := Spec{ID: "0123456789abcdef", Steps: []Step{{Count: 2, Copies: true, Need: unit.Resources{CPU: 1}}}, Policy: Policy{MaxAttempts: 1}}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		job, err := Restore(spec, data)
 		if err != nil {
 			return
 		}
 		job.EachTask(func(name Name, task *Task) {
-			if task.Phase == Active && task.Worker == "" && task.Run == 0 {
-				t.Errorf("%s is active without a run", name)
+			if runs := len(task.ActiveRuns()); task.Phase == Active && runs == 0 || task.Phase != Active && runs > 0 || runs > 2 {
+				t.Errorf("%s is %s with %d runs", name, task.Phase, runs)
 			}
 		})
 		if _, err := EncodeState(job); err != nil {
