supervisor: starts of tasks that may have two runs are attempted for 0.8 s after their sending

Cause: when one run of a task finishes, no other may start more than 1 s after that end was stored. The stop order gives up a start that waits, but it may be late with the start in a slow connection, and a start is attempted for 1.8 s. Change: messages with such starts tell how old the leader's newest report of the agent was when they were sent, so that the agent knows a time before which they were not sent, and gives the start up 0.8 s after it.

--- a/coordinator/agents.go
+++ b/coordinator/agents.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 
 	"k8s.io/klog/v2"
 
@@ -416,6 +417,9 @@
 	for _, agent := range coordinator.sessions {
 		if batch, ok := byWorker[agent.incarnation]; ok {
 			batch.StoredEnds, batch.Incarnation = agent.storedEnd, string(agent.incarnation)
+			if slices.ContainsFunc(batch.Starts, func(start session.Start) bool { return start.Copies }) {
+				batch.ReportAge = max(0, coordinator.deps.Clock.Now().Sub(agent.reportedAt))
+			}
 			coordinator.enqueue(agent, batch)
 		}
 	}
@@ -431,6 +435,7 @@
 	return session.Start{
 		Incarnation: string(order.Worker), Task: order.Name.String(), Run: order.Run, Payload: order.Job.Spec.Payload,
 		Saved: task.Saved, Reserved: step.Reserved(), Fills: step.Fills, CPU: step.Need.CPU, Target: step.Target, Image: step.Image,
+		Copies: step.MayHaveCopies(),
 	}, true
 }
 
--- a/session/message.go
+++ b/session/message.go
@@ -89,6 +89,9 @@
 	// for Lease from the moment at which the agent sent that report.
 	Sequence uint64       `json:",omitempty"`
 	Lease    clock.Millis `json:",omitempty"`
+	// ReportAge is how long after the arrival of that report the message was sent. It is set in messages with a start of a
+	// task that may have two runs.
+	ReportAge clock.Millis `json:",omitempty"`
 	// StoredEnds acknowledges the ends of runs of the worker's Incarnation up to this number: they are stored.
 	StoredEnds  int64   `json:"Recorded,omitempty"`
 	Incarnation string  `json:",omitempty"`
@@ -120,6 +123,9 @@
 	CPU    unit.MilliCPU `json:",omitempty"`
 	Target clock.Millis  `json:",omitempty"`
 	Image  string        `json:",omitempty"`
+	// Copies reports that the task may have two runs. The start must be made soon after the order was sent, because the
+	// other run may finish.
+	Copies bool `json:",omitempty"`
 }
 
 // Stop orders the end of a run.
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -39,10 +39,25 @@
 		leaseEnd = min(leaseEnd, supervisor.clock.Now())
 	}
 	for _, order := range orders.Starts {
-		if order.Incarnation == worker.incarnation {
-			supervisor.applyStart(worker, order, leaseEnd)
+		if order.Incarnation != worker.incarnation {
+			continue
+		}
+		limits := startLimits{leaseEnd: leaseEnd}
+		if order.Copies {
+			limits.startBy = supervisor.earliestSending(orders).Add(maxCopiesStartAge)
 		}
+		supervisor.applyStart(worker, order, limits)
+	}
+}
+
+// earliestSending returns a time before which the leader did not send the orders: it had received a report of this agent,
+// and sent them ReportAge after that. If the time of that report is not known any more, it is that of the session.
+func (supervisor *Supervisor) earliestSending(orders *session.Orders) clock.Time {
+	sentAt, ok := supervisor.session.sentAt[orders.Sequence]
+	if !ok {
+		sentAt = supervisor.session.startedAt
 	}
+	return sentAt.Add(orders.ReportAge)
 }
 
 // endStarts ends the lease under which the runs were ordered that have not started yet.
@@ -54,15 +69,14 @@
 	}
 }
 
-// applyStart starts a run if it is new and fits on the worker, and gives it up otherwise. leaseEnd is the end of the lease
-// under which it was ordered.
-func (supervisor *Supervisor) applyStart(worker *workerState, order session.Start, leaseEnd clock.Time) {
+// applyStart starts a run if it is new and fits on the worker, and gives it up otherwise.
+func (supervisor *Supervisor) applyStart(worker *workerState, order session.Start, limits startLimits) {
 	key := runKey{order.Task, order.Run}
 	if run, ok := worker.runs[key]; ok {
 		if !run.hasOrder {
 			run.order, run.hasOrder = order, true
 		}
-		run.leaseEnd = leaseEnd
+		run.startLimits = limits
 		return
 	}
 	for _, end := range worker.listing.Ended {
@@ -70,7 +84,7 @@
 			return // The leader has not received the end of the run yet.
 		}
 	}
-	run := &runState{order: order, phase: phaseStarting, pacePercent: pacing.FullPace, hasOrder: true, orderedAt: supervisor.clock.Now(), leaseEnd: leaseEnd}
+	run := &runState{order: order, phase: phaseStarting, pacePercent: pacing.FullPace, hasOrder: true, orderedAt: supervisor.clock.Now(), startLimits: limits}
 	if !worker.reserved().Add(order.Reserved).FitsIn(worker.announcement.Capacity) {
 		run.order = session.Start{Task: order.Task, Run: order.Run} // It reserves nothing while it is being refused.
 		supervisor.giveUpStart(run, "Room")
@@ -193,7 +207,7 @@
 			// The leader may have declared the lapse of the lease and placed the task elsewhere. A later grant does not
 			// tell whether it has.
 			supervisor.giveUpStart(run, reasonLeaseEnded)
-		case now.Sub(run.orderedAt) > maxStartAge:
+		case now.Sub(run.orderedAt) > maxStartAge, run.startBy != 0 && !now.Before(run.startBy):
 			supervisor.giveUpStart(run, "Overdue")
 		}
 	}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -44,6 +44,9 @@
 	// task again, because the worker may be draining or its data centre out by then. Runs must not be started more
 	// than 2 s after the worker begins to drain or 5 s after its data centre is out.
 	maxStartAge = 1800 * clock.Millisecond
+	// maxCopiesStartAge is how long after its sending the start of a run is attempted if its task may have two runs. No run
+	// may start more than 1 s after the end of the other one was stored; the rest is for the call to the worker.
+	maxCopiesStartAge = 800 * clock.Millisecond
 	// unresponsiveListings is the number of consecutive unanswered listings after which the worker gets no new runs
 	// and its lease is not extended. Unanswered calls may still take effect, so a lease that is extended by them
 	// might never lapse.
@@ -140,10 +143,7 @@
 	confirmedAt clock.Time
 	// orderedAt is when the start order arrived.
 	orderedAt clock.Time
-	// leaseEnd is the end of the last lease that was granted before the leader last ordered the start, or the time at
-	// which a lapse was reported that the leader did not know of then. The leader may place the task elsewhere only after
-	// it, so the run must not be started from then on.
-	leaseEnd clock.Time
+	startLimits
 	// reason is why the run is being stopped.
 	reason string
 	// pacePercent is the pace that the worker last confirmed, or unknownPacePercent.
@@ -159,6 +159,17 @@
 	hasOrder bool
 }
 
+// startLimits are the times from which a run must not be started any more.
+type startLimits struct {
+	// leaseEnd is the end of the last lease that was granted before the leader last ordered the start, or the time at
+	// which a lapse was reported that the leader did not know of then. The leader may place the task elsewhere only after
+	// it, so the run must not be started from then on.
+	leaseEnd clock.Time
+	// startBy is set if the task may have two runs: the other one may have finished after the order was sent, and the order
+	// to stop this one may not have arrived. Otherwise it is 0.
+	startBy clock.Time
+}
+
 // New starts the supervisor of the node's worker. The parameter leaseLength is the longest lease that the worker
 // accepts, and maxOverTarget how long serving tasks may exceed their target through filling tasks.
 func New(source clock.Clock, runtime Runtime, node string, leaseLength, maxOverTarget clock.Millis) *Supervisor {
--- a/workflow/codec.go
+++ b/workflow/codec.go
@@ -163,7 +163,7 @@
 				return nil, ErrCorrupt{ID: spec.ID, Reason: "has a task without a run, in no known phase, or twice"}
 			}
 			task := Task{Phase: storedTask.Phase, Run: storedTask.Run, Failures: storedTask.Failures, Saved: storedTask.Saved}
-			if reason := row.restoreRuns(&task, storedTask, spec.Steps[storedTask.Step].Copies); reason != "" {
+			if reason := row.restoreRuns(&task, storedTask, spec.Steps[storedTask.Step].MayHaveCopies()); reason != "" {
 				return nil, ErrCorrupt{ID: spec.ID, Reason: reason}
 			}
 			if task.Phase == Done {
--- a/workflow/workflow.go
+++ b/workflow/workflow.go
@@ -44,7 +44,7 @@
 	DataRack string `json:",omitempty"`
 	// PerWorker limits the tasks of the step on one worker; 0 means no limit.
 	PerWorker int `json:",omitempty"`
-	// Copies reports that two runs of a task may be active concurrently.
+	// Copies reports that two runs of a task may be active concurrently; see MayHaveCopies.
 	Copies bool `json:",omitempty"`
 	// Standing reports that the tasks run until the job is cancelled.
 	Standing bool `json:",omitempty"`
@@ -60,6 +60,12 @@
 	MayMiss int `json:",omitempty"`
 }
 
+// MayHaveCopies reports whether a task of the step may have two runs. The members of a gang run together, a standing task
+// ends only when its job is cancelled, and filling tasks are paced by task.
+func (step Step) MayHaveCopies() bool {
+	return step.Copies && !step.Gang && !step.Standing && !step.Fills
+}
+
 // Reserved returns the resources that a task of the step reserves on its worker.
 func (step Step) Reserved() unit.Resources {
 	need := step.Need
