scheduler: copies of runs that are expected to end late

Cause: a step with Speculative waited for its last run, also if that was slow or its worker silent for up to the length of a lease. Change: scheduler/copies.go places a copy of such a run on another worker, in another rack if possible, within the budget of the package speculation, never where waiting quick tasks could run, and never if its failure would fail the job. When one run finishes, the other one is ordered to stop; its resources stay reserved and its job is kept until its end is listed. chooseWorker can leave out workers. The leader logs each copy with its evidence and its outcome, and counts both.

--- a/coordinator/counters.go
+++ b/coordinator/counters.go
@@ -1,8 +1,12 @@
 package coordinator
 
 import (
+	"fmt"
+
 	"github.com/VictoriaMetrics/metrics"
 
+	"hyssopjunction/scheduler"
+	"hyssopjunction/speculation"
 	"hyssopjunction/workflow"
 )
 
@@ -13,10 +17,22 @@
 	finished, faulted, interrupted           *metrics.Counter
 	workerEnds, workersAwaited               *metrics.Counter
 	roundMillis                              *metrics.Histogram
+	copies                                   map[speculation.Evidence]*metrics.Counter
+	copyOutcomes                             map[scheduler.CopyOutcome]*metrics.Counter
+	copyMillis                               *metrics.Counter
 }
 
 func newCounters() counters {
+	copies, copyOutcomes := map[speculation.Evidence]*metrics.Counter{}, map[scheduler.CopyOutcome]*metrics.Counter{}
+	for _, evidence := range speculation.AllEvidence {
+		copies[evidence] = metrics.GetOrCreateCounter(fmt.Sprintf(`hyssopjunction_speculation_copies_total{evidence=%q}`, evidence.String()))
+	}
+	for _, outcome := range scheduler.CopyOutcomes {
+		copyOutcomes[outcome] = metrics.GetOrCreateCounter(fmt.Sprintf(`hyssopjunction_speculation_outcomes_total{outcome=%q}`, outcome))
+	}
 	return counters{
+		copies: copies, copyOutcomes: copyOutcomes,
+		copyMillis:     metrics.GetOrCreateCounter("hyssopjunction_speculation_core_milliseconds_total"),
 		terms:          metrics.GetOrCreateCounter("hyssopjunction_coordinator_terms_total"),
 		rounds:         metrics.GetOrCreateCounter("hyssopjunction_coordinator_rounds_total"),
 		starts:         metrics.GetOrCreateCounter("hyssopjunction_coordinator_starts_total"),
--- a/coordinator/write.go
+++ b/coordinator/write.go
@@ -29,6 +29,7 @@
 		coordinator.scheduler.Plan(now, coordinator.deps.TimeOfDay())
 	}
 	jobs, orders := coordinator.scheduler.TakeChanges()
+	coordinator.logCopies()
 	renew := now.Sub(coordinator.renewedAt) >= election.RenewalInterval || coordinator.ledger.NeedsRenewal(now)
 	if len(jobs) == 0 && !renew {
 		coordinator.finishRound(orders, coordinator.takeOnceStored())
--- a/scheduler/chooseworker.go
+++ b/scheduler/chooseworker.go
@@ -34,11 +34,19 @@
 // chooseWorker returns the eligible worker with the highest score for the task, or nil.
 func (scheduler *Scheduler) chooseWorker(
 	record *jobRecord, step *workflow.Step, name workflow.Name, starved bool, minSpeed float64, now clock.Time,
+) *workerState {
+	return scheduler.chooseWorkerAmong(record, step, name, starved, minSpeed, now, func(*workerState) bool { return true })
+}
+
+// chooseWorkerAmong returns the eligible worker with the highest score for the task among those that mayUse accepts, or
+// nil.
+func (scheduler *Scheduler) chooseWorkerAmong(
+	record *jobRecord, step *workflow.Step, name workflow.Name, starved bool, minSpeed float64, now clock.Time, mayUse func(*workerState) bool,
 ) *workerState {
 	var best *workerState
 	bestScore := 0.0
 	for _, worker := range scheduler.workers {
-		if !scheduler.mayPlace(record, step, worker, now) || !worker.hasRoom(step, record.headroom(step, worker, now)) {
+		if !mayUse(worker) || !scheduler.mayPlace(record, step, worker, now) || !worker.hasRoom(step, record.headroom(step, worker, now)) {
 			continue
 		}
 		if step.PerWorker > 0 && worker.stepRuns(name) >= step.PerWorker {
--- a/scheduler/copies.go
+++ b/scheduler/copies.go
@@ -1,9 +1,377 @@
 package scheduler
 
 import (
+	"cmp"
+	"slices"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/speculation"
+	"hyssopjunction/unit"
 	"hyssopjunction/workflow"
 )
 
+// Parameters of copies.
+const (
+	// copyInterval is the time between two considerations of copies. Evidence comes with reports, of which each agent sends
+	// one every 600 ms.
+	copyInterval = 200 * clock.Millisecond
+	// maxCopiesPerRound limits the processor time of one consideration: the choice of a worker looks at all workers.
+	maxCopiesPerRound = 8
+	// maxWaitingNeeds is the number of different requirements of waiting quick tasks that are told apart. Beyond it nothing
+	// is copied.
+	maxWaitingNeeds = 16
+	// unreachableGrace is how long a worker must be unreachable before its runs are copied: an agent that lost its session
+	// opens the next one within a report interval.
+	unreachableGrace = 600 * clock.Millisecond
+	// orphanGrace is how long a new leader waits for the agents before it copies runs whose worker none has reported. It
+	// is the silence from which the heartbeat lists a node.
+	orphanGrace = 2100 * clock.Millisecond
+	// remoteDataFactor is how much longer a copy outside the rack of its data is expected to take.
+	remoteDataFactor = 1.5
+)
+
+// CopyOutcome is how a copy ended.
+type CopyOutcome string
+
+// Outcomes of copies.
+const (
+	// CopyFirst: the copy finished first.
+	CopyFirst CopyOutcome = "first"
+	// CopySecond: the other run of the task finished first.
+	CopySecond CopyOutcome = "second"
+	// CopyFailed: the copy ended with an error.
+	CopyFailed CopyOutcome = "failed"
+	// CopyLost: the copy was rejected, stopped for another reason or lost with its worker.
+	CopyLost CopyOutcome = "lost"
+	// CopyClosed: the job was cancelled or failed first.
+	CopyClosed CopyOutcome = "closed"
+)
+
+// CopyOutcomes holds all outcomes.
+var CopyOutcomes = []CopyOutcome{CopyFirst, CopySecond, CopyFailed, CopyLost, CopyClosed}
+
+// CopyEvent is the decision for a copy or, if Outcome is set, its end.
+type CopyEvent struct {
+	Name     workflow.Name
+	Run      workflow.Run
+	Worker   Incarnation
+	Evidence speculation.Evidence
+	// OtherRun and OtherWorker are the run that is copied, State and Siblings what was known of it and of its step, and
+	// Duration the expected duration of the copy.
+	OtherRun    workflow.Run
+	OtherWorker Incarnation
+	State       speculation.Run
+	Siblings    speculation.Step
+	Duration    clock.Millis
+	// Left is the budget that is left.
+	Left speculation.Work
+	// Successes is how many of the latest SlowOutcomes copies for slowness finished first.
+	Successes, SlowOutcomes int
+	Outcome                 CopyOutcome
+	// Took is the work that a copy took that has ended.
+	Took speculation.Work
+}
+
+// copyState is the scheduler's state about copies. It is not stored: after a change of leader the runs are in the rows,
+// and budget and feedback start anew.
+type copyState struct {
+	// runs holds the active runs of tasks that may have two.
+	runs map[*activeRun]struct{}
+	// placed holds the decisions for the active copies.
+	placed   map[speculation.Key]CopyEvent
+	budget   *speculation.Budget
+	feedback speculation.Feedback
+	events   []CopyEvent
+	// now is the time of the newest event. Ends without a time of their own count from it.
+	now clock.Time
+	// consideredAt is when copies were last considered.
+	consideredAt clock.Time
+	// waiting holds the requirements of quick tasks that found no room when tasks were last planned, at waitingAt.
+	waiting   []waitingNeed
+	waitingAt clock.Time
+}
+
+// waitingNeed holds the requirements of a waiting quick task.
+type waitingNeed struct {
+	need    unit.Resources
+	label   string
+	service workflow.Service
+}
+
+func newCopyState() copyState {
+	return copyState{runs: map[*activeRun]struct{}{}, placed: map[speculation.Key]CopyEvent{}, budget: speculation.NewBudget()}
+}
+
+// add records an active run.
+func (state *copyState) add(run *activeRun) {
+	if run.step.MayHaveCopies() {
+		state.runs[run] = struct{}{}
+	}
+}
+
+// recordWaiting records that tasks of a candidate found no room.
+func (state *copyState) recordWaiting(candidate candidate, now clock.Time) {
+	if candidate.rank != rankQuick {
+		return
+	}
+	if state.waitingAt != now {
+		state.waiting, state.waitingAt = state.waiting[:0], now
+	}
+	spec := &candidate.record.job.Spec
+	step := &spec.Steps[candidate.step]
+	need := waitingNeed{need: step.Reserved(), label: step.Label, service: spec.Service}
+	if len(state.waiting) <= maxWaitingNeeds && !slices.Contains(state.waiting, need) {
+		state.waiting = append(state.waiting, need)
+	}
+}
+
+// isWanted reports whether a waiting quick task could run on the worker if there were room.
+func (state *copyState) isWanted(worker *workerState) bool {
+	return slices.ContainsFunc(state.waiting, func(waiting waitingNeed) bool {
+		return worker.Service == waiting.service && waiting.need.FitsIn(worker.Capacity) && (waiting.label == "" || slices.Contains(worker.Labels, waiting.label))
+	})
+}
+
+// recordCopyEnd records the end of a run of a task that may have two, before its job does.
+func (scheduler *Scheduler) recordCopyEnd(run *activeRun, cause workflow.Cause) {
+	state := &scheduler.copies
+	if _, ok := state.runs[run]; !ok {
+		return
+	}
+	delete(state.runs, run)
+	needed := run.isNeeded()
+	key := speculation.Key{Name: run.name, Run: run.number}
+	event, isCopy := state.placed[key]
+	if !isCopy {
+		if !run.restored {
+			state.budget.RecordRun(speculation.WorkOf(run.step.Need.CPU, state.now.Sub(run.placedAt)), state.now)
+		}
+	} else {
+		delete(state.placed, key)
+		event.Outcome, event.Took = copyOutcome(run, cause, needed), state.budget.End(key, state.now)
+		if event.Evidence == speculation.Slow && (event.Outcome == CopyFirst || event.Outcome == CopySecond) {
+			state.feedback.RecordOutcome(event.Outcome == CopyFirst, state.now)
+		}
+		state.events = append(state.events, event)
+	}
+	if record, ok := scheduler.jobs[run.name.Job]; ok && needed && cause == workflow.Finished && !run.restored {
+		record.addDuration(run.name, state.now.Sub(run.placedAt))
+	}
+}
+
+// copyOutcome returns how a copy ended.
+func copyOutcome(run *activeRun, cause workflow.Cause, needed bool) CopyOutcome {
+	switch {
+	case !needed && run.job.IsSuperseded(run.name, run.number):
+		return CopySecond
+	case !needed:
+		return CopyClosed
+	case cause == workflow.Finished:
+		return CopyFirst
+	case cause == workflow.Faulted:
+		return CopyFailed
+	default:
+		return CopyLost
+	}
+}
+
+// addDuration records the duration of a finished run of a step, named by any of its tasks.
+func (record *jobRecord) addDuration(name workflow.Name, duration clock.Millis) {
+	if record.durations == nil {
+		record.durations = map[workflow.Name][]clock.Millis{}
+	}
+	name.Index = 0
+	durations := record.durations[name]
+	position, _ := slices.BinarySearch(durations, duration)
+	record.durations[name] = slices.Insert(durations, position, duration)
+}
+
+// siblings returns what is known of the step of a run.
+func (record *jobRecord) siblings(run *activeRun) speculation.Step {
+	name := run.name
+	name.Index = 0
+	durations := record.durations[name]
+	step := speculation.Step{Tasks: run.step.Count, Finished: len(durations), Estimate: run.step.Estimate}
+	if len(durations) > 0 {
+		step.Median = durations[len(durations)/2]
+	}
+	return step
+}
+
+// dropDurations forgets the durations of the step of a task once the step is done.
+func (record *jobRecord) dropDurations(name workflow.Name) {
+	if occurrence, ok := record.job.Occurrence(name.Occurrence); !ok || occurrence.Unfinished(name.Step) == 0 {
+		name.Index = 0
+		delete(record.durations, name)
+	}
+}
+
+// workWithCopies returns the work of the job's tasks that may have two runs.
+func (record *jobRecord) workWithCopies() speculation.Work {
+	total := speculation.Work(0)
+	for _, step := range record.job.Spec.Steps {
+		if step.MayHaveCopies() {
+			total += speculation.Work(step.Count) * speculation.WorkOf(step.Need.CPU, speculation.Step{Estimate: step.Estimate}.Duration())
+		}
+	}
+	return total
+}
+
+// lateRun is a run for which there is evidence that it ends late.
+type lateRun struct {
+	*activeRun
+	record   *jobRecord
+	state    speculation.Run
+	siblings speculation.Step
+	evidence speculation.Evidence
+}
+
+// placeCopies places copies of runs that are expected to end late, as far as the budget and the workers have room.
+func (scheduler *Scheduler) placeCopies(now clock.Time) {
+	state := &scheduler.copies
+	state.now = now
+	if now.Sub(state.consideredAt) < copyInterval {
+		return
+	}
+	state.consideredAt = now
+	if state.waitingAt != now {
+		state.waiting = state.waiting[:0]
+	}
+	if len(state.waiting) > maxWaitingNeeds {
+		return
+	}
+	runs := scheduler.lateRuns(now)
+	slices.SortFunc(runs, func(left, right lateRun) int {
+		return cmp.Or(cmp.Compare(left.copyTriedAt, right.copyTriedAt), cmp.Compare(right.state.Remaining(), left.state.Remaining()), compareNames(left.name, right.name))
+	})
+	tries := 0
+	for _, run := range runs {
+		if scheduler.isWorthCopy(run, now) && tries < maxCopiesPerRound {
+			tries++
+			scheduler.placeCopy(run, now)
+		}
+	}
+}
+
+// lateRuns returns the runs that have no copy and for which there is evidence that they end late.
+func (scheduler *Scheduler) lateRuns(now clock.Time) []lateRun {
+	var runs []lateRun
+	for run := range scheduler.copies.runs {
+		record, ok := scheduler.open[run.name.Job]
+		if !ok || !run.isNeeded() {
+			continue
+		}
+		task := run.job.Task(run.name)
+		// The failure of a copy must not fail a job whose first run could still finish.
+		if task.Other.Run != 0 && task.Worker != "" || task.Failures+1 >= run.job.Spec.Policy.MaxAttempts {
+			continue
+		}
+		state := run.observe(now)
+		if run.stopping && !state.Unreachable && !state.Overdue {
+			continue // Its end is listed soon, and the task is placed again.
+		}
+		siblings := record.siblings(run)
+		if evidence := speculation.Assess(state, siblings); evidence != speculation.None {
+			runs = append(runs, lateRun{activeRun: run, record: record, state: state, siblings: siblings, evidence: evidence})
+		}
+	}
+	return runs
+}
+
+// observe returns what is known of a run. The time of a restored run counts from when it was first observed.
+func (run *activeRun) observe(now clock.Time) speculation.Run {
+	if run.observedAt == 0 {
+		run.observedAt = now
+	}
+	state := speculation.Run{Elapsed: now.Sub(run.observedAt), Percent: run.progressPercent, ProgressAge: now.Sub(max(run.observedAt, run.progressAt))}
+	worker := run.worker
+	if worker == nil {
+		state.Unreachable = state.Elapsed >= orphanGrace
+		return state
+	}
+	state.ReportAge = now.Sub(worker.listedAt)
+	state.Unreachable = !worker.reachable && now.Sub(max(worker.unreachableSince, run.observedAt)) >= unreachableGrace
+	state.Overdue = worker.reachable && worker.overdue
+	state.Probation = worker.health.probation
+	return state
+}
+
+// isWorthCopy reports whether the budget allows a copy of the run and its evidence counts.
+func (scheduler *Scheduler) isWorthCopy(run lateRun, now clock.Time) bool {
+	if run.evidence == speculation.Slow && !scheduler.copies.feedback.AllowsSlow(now) {
+		return false
+	}
+	return scheduler.leftAfterCopy(run, now) >= 0
+}
+
+// leftAfterCopy returns the budget that is left after a copy of the run.
+func (scheduler *Scheduler) leftAfterCopy(run lateRun, now clock.Time) speculation.Work {
+	return scheduler.copies.budget.Left(run.record.workWithCopies(), now) - speculation.WorkOf(run.step.Need.CPU, run.siblings.Duration())
+}
+
+// placeCopy places a copy of a run if a worker has room on which it is expected to end first.
+func (scheduler *Scheduler) placeCopy(run lateRun, now clock.Time) {
+	run.copyTriedAt = now
+	state, left, duration := &scheduler.copies, scheduler.leftAfterCopy(run, now), run.siblings.Duration()
+	worker := scheduler.chooseCopyWorker(run.activeRun, run.record, now)
+	if worker == nil {
+		return
+	}
+	if !hasData(run.step, worker) {
+		duration = clock.Millis(remoteDataFactor * float64(duration))
+	}
+	if run.evidence == speculation.Slow {
+		if !speculation.EndsSooner(run.state, duration) {
+			return
+		}
+		state.feedback.RecordPlaced(now)
+	}
+	number := run.job.NextRun(run.name)
+	event := CopyEvent{
+		Name: run.name, Run: number, Worker: worker.Incarnation, Evidence: run.evidence, OtherRun: run.number,
+		State: run.state, Siblings: run.siblings, Duration: duration, Left: left,
+	}
+	if run.worker != nil {
+		event.OtherWorker = run.worker.Incarnation
+	}
+	event.Successes, event.SlowOutcomes = state.feedback.Successes()
+	key := speculation.Key{Name: run.name, Run: number}
+	state.placed[key] = event
+	state.budget.Place(key, run.step.Need.CPU, duration, now)
+	state.events = append(state.events, event)
+	scheduler.placeTask(run.record, run.step, run.name, number, worker, now)
+}
+
+// chooseCopyWorker returns a worker for a copy of a run, or nil. A worker on another rack is preferred, unless the data is
+// in the rack of the run.
+func (scheduler *Scheduler) chooseCopyWorker(run *activeRun, record *jobRecord, now clock.Time) *workerState {
+	mayUse := func(worker *workerState) bool {
+		return worker != run.worker && !worker.health.probation && !scheduler.copies.isWanted(worker)
+	}
+	if run.worker != nil && (run.step.DataRack == "" || !hasData(run.step, run.worker)) {
+		rack := run.worker.rack()
+		worker := scheduler.chooseWorkerAmong(record, run.step, run.name, false, 0, now, func(worker *workerState) bool {
+			return worker.rack() != rack && mayUse(worker)
+		})
+		if worker != nil {
+			return worker
+		}
+	}
+	return scheduler.chooseWorkerAmong(record, run.step, run.name, false, 0, now, mayUse)
+}
+
+// hasData reports whether the worker is in the rack that holds the step's data, if there is one.
+func hasData(step *workflow.Step, worker *workerState) bool {
+	return step.DataRack == "" || slices.Contains(worker.Labels, step.DataRack)
+}
+
+// TakeCopyEvents returns and resets the decisions for copies and their ends since the last call.
+func (scheduler *Scheduler) TakeCopyEvents() []CopyEvent {
+	events := scheduler.copies.events
+	scheduler.copies.events = nil
+	return events
+}
+
 // stopSuperseded stops the runs of a task that are active although the task is done. A run whose worker is unknown is
 // stopped once the worker is reported.
 func (scheduler *Scheduler) stopSuperseded(job *workflow.Job, name workflow.Name) {
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -44,6 +44,7 @@
 		}
 		scheduler.placeStep(candidate, blocked, now)
 	}
+	scheduler.placeCopies(now)
 }
 
 // blockedNeeds holds, for requirements with which a task found no room, the lowest speed that was asked for. Other
@@ -129,6 +130,7 @@
 			worker = scheduler.chooseWorker(candidate.record, step, name, starved, candidate.minSpeed, now)
 		}
 		if worker == nil {
+			scheduler.copies.recordWaiting(candidate, now)
 			if !dependsOnJob {
 				blocked.add(key, candidate.minSpeed)
 			}
@@ -156,6 +158,7 @@
 		name.Index = index
 		worker := scheduler.chooseWorker(candidate.record, step, name, false, candidate.minSpeed, now)
 		if worker == nil {
+			scheduler.copies.recordWaiting(candidate, now)
 			for _, run := range members {
 				run.worker.remove(run)
 			}
@@ -175,8 +178,9 @@
 func (scheduler *Scheduler) placeTask(record *jobRecord, step *workflow.Step, name workflow.Name, number workflow.Run, worker *workerState, now clock.Time) {
 	record.job.Place(name, number, string(worker.Incarnation))
 	record.activeRuns++
-	run := &activeRun{name: name, number: number, job: record.job, step: step, worker: worker, placedAt: now, progressAt: now}
+	run := &activeRun{name: name, number: number, job: record.job, step: step, worker: worker, placedAt: now, observedAt: now, progressAt: now}
 	worker.add(run)
+	scheduler.copies.add(run)
 	scheduler.dirtyJobs[record.job.Spec.ID] = record
 	scheduler.orders = append(scheduler.orders, Order{Worker: worker.Incarnation, Name: name, Run: number, Job: record.job})
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -74,6 +74,7 @@
 	transfers map[workflow.Name]*transfer
 	// movedAt is when moves of throttled runs were last considered.
 	movedAt clock.Time
+	copies  copyState
 }
 
 // jobRecord is a job with the scheduler's own state about it, which is not stored.
@@ -87,6 +88,9 @@
 	activeRuns int
 	// standingWaitSince is the time since which the job has a waiting standing task, or 0.
 	standingWaitSince clock.Time
+	// durations holds the durations of the finished runs of steps whose tasks may have two runs, in ascending order, by the
+	// name of the first task of the step.
+	durations map[workflow.Name][]clock.Millis
 }
 
 // New returns an empty Scheduler.
@@ -94,7 +98,7 @@
 	return &Scheduler{
 		jobs: map[workflow.ID]*jobRecord{}, workers: map[Incarnation]*workerState{}, open: map[workflow.ID]*jobRecord{},
 		orphans: map[Incarnation]map[workflow.Name]*activeRun{}, dirtyJobs: map[workflow.ID]*jobRecord{},
-		outDataCentres: set.New[ident.DataCentre](), model: pacing.NewModel(), transfers: map[workflow.Name]*transfer{},
+		outDataCentres: set.New[ident.DataCentre](), model: pacing.NewModel(), transfers: map[workflow.Name]*transfer{}, copies: newCopyState(),
 	}
 }
 
@@ -117,7 +121,8 @@
 	}
 	job.EachRun(func(name workflow.Name, active workflow.ActiveRun) {
 		record.activeRuns++
-		run := &activeRun{name: name, number: active.Run, job: job, step: &job.Spec.Steps[name.Step], placedAt: acceptedAt, progressAt: acceptedAt}
+		run := &activeRun{name: name, number: active.Run, job: job, step: &job.Spec.Steps[name.Step], placedAt: acceptedAt, progressAt: acceptedAt, restored: true}
+		scheduler.copies.add(run)
 		incarnation := Incarnation(active.Worker)
 		if worker, ok := scheduler.workers[incarnation]; ok {
 			run.worker = worker
@@ -182,6 +187,7 @@
 	worker, exists := scheduler.workers[profile.Incarnation]
 	if !exists {
 		worker = newWorkerState()
+		worker.unreachableSince, worker.listedAt = now, now
 		scheduler.workers[profile.Incarnation] = worker
 	}
 	if !exists || worker.Draining != profile.Draining || worker.Capacity != profile.Capacity {
@@ -206,7 +212,7 @@
 // SetReachable records whether the worker accepts orders.
 func (scheduler *Scheduler) SetReachable(incarnation Incarnation, reachable bool) {
 	if worker, ok := scheduler.workers[incarnation]; ok && worker.reachable != reachable {
-		worker.reachable = reachable
+		worker.reachable, worker.unreachableSince = reachable, scheduler.copies.now
 		scheduler.dirty = true
 	}
 }
@@ -287,6 +293,7 @@
 	if !ok {
 		return
 	}
+	worker.listedAt = now
 	for _, item := range progress {
 		run, ok := worker.runs[item.Name]
 		if !ok || run.number != item.Run {
@@ -322,6 +329,7 @@
 	if !ok || run.number != end.Run {
 		return
 	}
+	scheduler.copies.now = now
 	switch end.Cause {
 	case workflow.Finished:
 		worker.health.recordFinished()
@@ -362,6 +370,7 @@
 // recordJobEnd records the end of a run in its job.
 func (scheduler *Scheduler) recordJobEnd(run *activeRun, cause workflow.Cause, saved workflow.Checkpoint) {
 	scheduler.dirty = true
+	scheduler.recordCopyEnd(run, cause)
 	record, ok := scheduler.jobs[run.name.Job]
 	if !ok {
 		return
@@ -384,6 +393,7 @@
 		scheduler.closeJob(record)
 		return
 	}
+	record.dropDurations(run.name)
 	scheduler.stopSuperseded(record.job, run.name)
 }
 
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -43,7 +43,11 @@
 	// reachable workers accept orders.
 	reachable bool
 	// overdue workers get no new runs, because their agent's next report is missing.
-	overdue  bool
+	overdue bool
+	// unreachableSince is when an unreachable worker was reported or was last reachable.
+	unreachableSince clock.Time
+	// listedAt is when the active runs of the worker were last reported.
+	listedAt clock.Time
 	runs     map[workflow.Name]*activeRun
 	reserved unit.Resources
 	// fillingCPU is the CPU requested by filling tasks, which is not reserved.
@@ -71,6 +75,12 @@
 	worker   *workerState
 	placedAt clock.Time
 	stopping bool
+	// restored reports that an earlier leader placed the run, at a time that is not known.
+	restored bool
+	// observedAt is the time from which the duration of a run counts whose task may have two, or 0 before it is considered.
+	observedAt clock.Time
+	// copyTriedAt is when a worker for a copy of the run was last sought.
+	copyTriedAt clock.Time
 	// progressPercent is the last reported progress, and progressAt the time at which it last changed.
 	progressPercent int
 	progressAt      clock.Time
@@ -129,6 +139,14 @@
 	}
 }
 
+// rack returns the rack of the worker, the last of its labels, or an empty string.
+func (worker *workerState) rack() string {
+	if len(worker.Labels) == 0 {
+		return ""
+	}
+	return worker.Labels[len(worker.Labels)-1]
+}
+
 // stepRuns returns the number of active runs on the worker that belong to the same step and occurrence as
 // the named task.
 func (worker *workerState) stepRuns(name workflow.Name) int {
--- a/speculation/budget.go
+++ b/speculation/budget.go
@@ -22,6 +22,9 @@
 // Work is processor time in thousandths of a core times milliseconds.
 type Work int64
 
+// CoreMillis returns the work in thousandths of a core-second.
+func (work Work) CoreMillis() int64 { return int64(work) / 1000 }
+
 // CoreSeconds returns the work in core-seconds.
 func (work Work) CoreSeconds() float64 { return float64(work) / 1e6 }
 
--- a/speculation/evidence.go
+++ b/speculation/evidence.go
@@ -20,6 +20,9 @@
 	maxSiblings = 10
 	// stallTime is the time without progress from which a run is doubtful. Progress is reported about once a second.
 	stallTime = 2500 * clock.Millisecond
+	// maxReportAge is the age of the newest report from which a run without progress or an end says nothing about the run:
+	// the leader itself may have stood still. It is that from which an agent counts as overdue.
+	maxReportAge = 1200 * clock.Millisecond
 	// defaultDuration is the expected duration of a run if neither siblings nor the submitter tell it.
 	defaultDuration = clock.Second
 )
@@ -42,8 +45,8 @@
 	Slow
 )
 
-// Doubts holds the evidence of which there is at least some.
-var Doubts = []Evidence{Unreachable, Overdue, Stalled, Probation, Slow}
+// AllEvidence holds all evidence but None.
+var AllEvidence = []Evidence{Unreachable, Overdue, Stalled, Probation, Slow}
 
 // String returns the name of the evidence for logs and metrics.
 func (evidence Evidence) String() string {
@@ -73,6 +76,8 @@
 	// ProgressAge is the time since the run was placed.
 	Percent     int
 	ProgressAge clock.Millis
+	// ReportAge is the age of the newest report of the worker's active runs.
+	ReportAge clock.Millis
 	// Unreachable, Overdue and Probation describe the worker.
 	Unreachable, Overdue, Probation bool
 }
@@ -122,6 +127,8 @@
 		return Unreachable
 	case run.Overdue:
 		return Overdue
+	case run.ReportAge > maxReportAge:
+		return None
 	case run.ProgressAge >= stallTime:
 		return Stalled
 	case run.Probation && run.Elapsed > step.Duration():
--- a/speculation/speculation_test.go
+++ b/speculation/speculation_test.go
@@ -24,6 +24,7 @@
 		"too few siblings":                             {Run{Elapsed: 2400, ProgressAge: 2400}, young, None},
 		"a single task":                                {Run{Elapsed: 2400, ProgressAge: 2400}, Step{Tasks: 1, Estimate: clock.Second}, None},
 		"no progress":                                  {Run{Elapsed: 9000, Percent: 50, ProgressAge: stallTime}, young, Stalled},
+		"leader stood still":                           {Run{Elapsed: 5000, Percent: 10, ProgressAge: 4000, ReportAge: 3000}, wide, None},
 		"agent silent":                                 {Run{Elapsed: 300, Overdue: true}, young, Overdue},
 		"agent lost":                                   {Run{Elapsed: 300, Unreachable: true, Overdue: true}, young, Unreachable},
 		"trial run on a worker where others failed":    {Run{Elapsed: 900, Probation: true}, young, None},
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -313,6 +313,11 @@
 	return true
 }
 
+// IsSuperseded reports whether the run is active although another one of its task finished.
+func (job *Job) IsSuperseded(name Name, number Run) bool {
+	return slices.ContainsFunc(job.Superseded, func(run SupersededRun) bool { return run.Name == name && run.Run == number })
+}
+
 // endSuperseded removes a superseded run and reports whether there was one.
 func (job *Job) endSuperseded(name Name, number Run) bool {
 	before := len(job.Superseded)
