scheduler, coordinator: refused copies are not repeated at once, and late runs without one are counted

Cause: a copy that a worker refuses costs a start but no work, so the budget did not limit its repetitions; and nothing told why a late run got no copy.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -253,6 +253,9 @@
 		if waiting := coordinator.scheduler.Waiting(now); waiting != (scheduler.WaitingCounts{}) {
 			klog.InfoS("Tasks wait", "Quick", waiting.Quick, "Standing", waiting.Standing, "Filling", waiting.Filling, "Late", waiting.Late)
 		}
+		if withheld := coordinator.scheduler.WithheldCopies(); withheld != (scheduler.WithheldCopies{}) {
+			klog.InfoS("Late runs without copies", "Budget", withheld.Budget, "Feedback", withheld.Feedback, "Worker", withheld.Worker)
+		}
 	}
 	coordinator.archive(now)
 	coordinator.detectLapses(now)
--- a/scheduler/copies.go
+++ b/scheduler/copies.go
@@ -20,6 +20,9 @@
 	// maxWaitingNeeds is the number of different requirements of waiting quick tasks that are told apart. Beyond it nothing
 	// is copied.
 	maxWaitingNeeds = 16
+	// copyRetryInterval is the shortest time between two copies of a run. Refused starts are repeated after refusalDelay at
+	// the earliest, and a copy that was refused costs a start although it took no work.
+	copyRetryInterval = 2 * refusalDelay
 	// unreachableGrace is how long a worker must be unreachable before its runs are copied: an agent that lost its session
 	// opens the next one within a report interval.
 	unreachableGrace = 600 * clock.Millisecond
@@ -89,6 +92,18 @@
 	// waiting holds the requirements of quick tasks that found no room when tasks were last planned, at waitingAt.
 	waiting   []waitingNeed
 	waitingAt clock.Time
+	withheld  WithheldCopies
+}
+
+// WithheldCopies counts the late runs that got no copy when copies were last considered, by reason.
+type WithheldCopies struct {
+	// Budget: the budget is used up.
+	Budget int
+	// Feedback: the runs are slow, and too few copies for slowness finish first.
+	Feedback int
+	// Worker: no worker has room on which the copy is expected to end first, quick tasks wait for the room, or the run has
+	// its turn later.
+	Worker int
 }
 
 // waitingNeed holds the requirements of a waiting quick task.
@@ -233,26 +248,37 @@
 	if now.Sub(state.consideredAt) < copyInterval {
 		return
 	}
-	state.consideredAt = now
+	state.consideredAt, state.withheld = now, WithheldCopies{}
 	if state.waitingAt != now {
 		state.waiting = state.waiting[:0]
 	}
+	runs := scheduler.lateRuns(now)
 	if len(state.waiting) > maxWaitingNeeds {
+		state.withheld.Worker = len(runs)
 		return
 	}
-	runs := scheduler.lateRuns(now)
 	slices.SortFunc(runs, func(left, right lateRun) int {
 		return cmp.Or(cmp.Compare(left.copyTriedAt, right.copyTriedAt), cmp.Compare(right.state.Remaining(), left.state.Remaining()), compareNames(left.name, right.name))
 	})
 	tries := 0
 	for _, run := range runs {
-		if scheduler.isWorthCopy(run, now) && tries < maxCopiesPerRound {
+		switch {
+		case run.evidence == speculation.Slow && !state.feedback.AllowsSlow(now):
+			state.withheld.Feedback++
+		case scheduler.leftAfterCopy(run, now) < 0:
+			state.withheld.Budget++
+		case tries >= maxCopiesPerRound || !scheduler.placeCopy(run, now):
+			state.withheld.Worker++
+			tries++
+		default:
 			tries++
-			scheduler.placeCopy(run, now)
 		}
 	}
 }
 
+// WithheldCopies returns the counts of the late runs that got no copy.
+func (scheduler *Scheduler) WithheldCopies() WithheldCopies { return scheduler.copies.withheld }
+
 // lateRuns returns the runs that have no copy and for which there is evidence that they end late.
 func (scheduler *Scheduler) lateRuns(now clock.Time) []lateRun {
 	var runs []lateRun
@@ -266,6 +292,9 @@
 		if task.Other.Run != 0 && task.Worker != "" || task.Failures+1 >= run.job.Spec.Policy.MaxAttempts {
 			continue
 		}
+		if run.copiedAt != 0 && now.Sub(run.copiedAt) < copyRetryInterval {
+			continue
+		}
 		state := run.observe(now)
 		if run.stopping && !state.Unreachable && !state.Overdue {
 			continue // Its end is listed soon, and the task is placed again.
@@ -296,36 +325,29 @@
 	return state
 }
 
-// isWorthCopy reports whether the budget allows a copy of the run and its evidence counts.
-func (scheduler *Scheduler) isWorthCopy(run lateRun, now clock.Time) bool {
-	if run.evidence == speculation.Slow && !scheduler.copies.feedback.AllowsSlow(now) {
-		return false
-	}
-	return scheduler.leftAfterCopy(run, now) >= 0
-}
-
 // leftAfterCopy returns the budget that is left after a copy of the run.
 func (scheduler *Scheduler) leftAfterCopy(run lateRun, now clock.Time) speculation.Work {
 	return scheduler.copies.budget.Left(run.record.workWithCopies(), now) - speculation.WorkOf(run.step.Need.CPU, run.siblings.Duration())
 }
 
-// placeCopy places a copy of a run if a worker has room on which it is expected to end first.
-func (scheduler *Scheduler) placeCopy(run lateRun, now clock.Time) {
+// placeCopy places a copy of a run if a worker has room on which it is expected to end first, and reports whether it did.
+func (scheduler *Scheduler) placeCopy(run lateRun, now clock.Time) bool {
 	run.copyTriedAt = now
 	state, left, duration := &scheduler.copies, scheduler.leftAfterCopy(run, now), run.siblings.Duration()
 	worker := scheduler.chooseCopyWorker(run.activeRun, run.record, now)
 	if worker == nil {
-		return
+		return false
 	}
 	if !hasData(run.step, worker) {
 		duration = clock.Millis(remoteDataFactor * float64(duration))
 	}
 	if run.evidence == speculation.Slow {
 		if !speculation.EndsSooner(run.state, duration) {
-			return
+			return false
 		}
 		state.feedback.RecordPlaced(now)
 	}
+	run.copiedAt = now
 	number := run.job.NextRun(run.name)
 	event := CopyEvent{
 		Name: run.name, Run: number, Worker: worker.Incarnation, Evidence: run.evidence, OtherRun: run.number,
@@ -340,6 +362,7 @@
 	state.budget.Place(key, run.step.Need.CPU, duration, now)
 	state.events = append(state.events, event)
 	scheduler.placeTask(run.record, run.step, run.name, number, worker, now)
+	return true
 }
 
 // chooseCopyWorker returns a worker for a copy of a run, or nil. A worker on another rack is preferred, unless the data is
--- a/scheduler/copies_test.go
+++ b/scheduler/copies_test.go
@@ -384,16 +384,33 @@
 	}
 	starts := fixture.plan(0)
 	assertStartCount(t, starts, jobs*tasks)
-	copies := 0
+	copies, withheld := 0, 0
 	for range 20 {
 		fixture.reportRuns(starts, func(int) int { return 0 })
 		copies += len(fixture.plan(replanInterval))
+		withheld = max(withheld, fixture.scheduler.WithheldCopies().Budget)
+	}
+	if withheld != jobs*tasks-copies {
+		t.Errorf("got %d copies withheld for the budget, want %d", withheld, jobs*tasks-copies)
 	}
 	if copies == 0 || copies > tasks {
 		t.Errorf("got %d copies, want some, and at most the work of one job, %d", copies, tasks)
 	}
 }
 
+// TestRefusedCopyIsNotRepeatedAtOnce guards against a loop of copies that workers refuse, each of which costs a start.
+func TestRefusedCopyIsNotRepeatedAtOnce(t *testing.T) {
+	fixture := newRackFixture(t)
+	late, second := fixture.startWithCopy()
+	fixture.scheduler.RecordRejection(second.Worker, second.Name, second.Run, fixture.now)
+	for passed := clock.Millis(0); passed < copyRetryInterval-replanInterval; passed += replanInterval {
+		fixture.reportRuns([]Order{late}, func(int) int { return 20 })
+		assertStartCount(t, fixture.plan(replanInterval), 0)
+	}
+	fixture.reportRuns([]Order{late}, func(int) int { return 20 })
+	assertStartCount(t, fixture.plan(replanInterval), 1)
+}
+
 // TestCheckpointOfRunAhead guards against lost progress: the checkpoint of the run that is behind replaces that of the run
 // that is ahead.
 func TestCheckpointOfRunAhead(t *testing.T) {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -79,8 +79,9 @@
 	restored bool
 	// observedAt is the time from which the duration of a run counts whose task may have two, or 0 before it is considered.
 	observedAt clock.Time
-	// copyTriedAt is when a worker for a copy of the run was last sought.
+	// copyTriedAt is when a worker for a copy of the run was last sought, and copiedAt when the last copy was placed.
 	copyTriedAt clock.Time
+	copiedAt    clock.Time
 	// progressPercent is the last reported progress, and progressAt the time at which it last changed.
 	progressPercent int
 	progressAt      clock.Time
