soak: jobs whose tasks may have two runs

Cause: the soak, which runs the real programs under faults, had no job with Speculative. Change: beside every fourth job one with Speculative is submitted; the first runs of a third of its tasks take long. The soak fails if three runs of such a task overlap, two on one worker, a number is given twice, or one starts more than 1 s after the acknowledged end of one that finished. The checks of other jobs are unchanged. The stand-in of runners notes when an end was acknowledged.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -28,6 +28,8 @@
 	// accepted, refused and unknown count the outcomes of the attempts to submit it.
 	accepted, refused, unknown int
 	cancelled, isStanding      bool
+	// hasCopies reports that a task of the job may have two runs.
+	hasCopies bool
 }
 
 // callers submits jobs, cancels some of them and records the outcomes.
@@ -43,6 +45,17 @@
 	return fmt.Sprintf("%016x", []byte(name + "--------")[:8])
 }
 
+const (
+	// copiedPrefix begins the names of jobs whose tasks may have two runs.
+	copiedPrefix = "c"
+	// copiedInterval is the number of other jobs for each job with copies.
+	copiedInterval = 4
+	// lateStartBound is how long after the end of one run was acknowledged, and thus stored, another one may start.
+	lateStartBound = time.Second
+)
+
+const copiedJob = `{"Spec":"text","Steps":[{"Count":3,"Cpu":300,"MemoryLimitMb":64,"EstimatedMs":300,"Speculative":true},{"Count":2,"Cpu":500,"MemoryLimitMb":64,"EstimatedMs":300,"After":[0],"Checkpointing":true,"Speculative":true}]}`
+
 const twoStepJob = `{"Spec":"text","Steps":[{"Count":3,"Cpu":300,"MemoryLimitMb":64,"EstimatedMs":500},{"Count":2,"Cpu":500,"MemoryLimitMb":64,"EstimatedMs":500,"After":[0],"Checkpointing":true}]}`
 
 // call sends a request about a job to an entry.
@@ -57,7 +70,7 @@
 	id := jobID(name)
 	callers.mu.Lock()
 	if callers.submissions[id] == nil {
-		callers.submissions[id] = &submission{isStanding: strings.HasPrefix(name, standingPrefix)}
+		callers.submissions[id] = &submission{isStanding: strings.HasPrefix(name, standingPrefix), hasCopies: strings.HasPrefix(name, copiedPrefix)}
 	}
 	submission := callers.submissions[id]
 	callers.mu.Unlock()
@@ -98,6 +111,9 @@
 				callers.cancel(jobID(name), entry)
 			}
 		})
+		if number%copiedInterval == 0 {
+			group.Go(func() { callers.submit(strings.Replace(name, "j", copiedPrefix, 1), entry, copiedJob) })
+		}
 	}
 }
 
@@ -194,6 +210,7 @@
 		return !slices.ContainsFunc(callers.deployment.log.Runs(), func(run platformtest.Run) bool { return run.Ended.IsZero() })
 	})
 	t.Logf("%d jobs accepted of %d, %d runs", len(endStates), len(callers.submissions), len(callers.deployment.log.Runs()))
+	copies := 0
 	byTask := map[string][]platformtest.Run{}
 	for _, run := range callers.deployment.log.Runs() {
 		byTask[run.Task] = append(byTask[run.Task], run)
@@ -203,8 +220,17 @@
 		if submission == nil || submission.accepted == 0 && submission.unknown == 0 {
 			t.Errorf("task %s ran, but its job was never submitted or refused each time", task)
 		}
+		if submission != nil && submission.hasCopies {
+			faults, beside := copiedRunFaults(runs)
+			for _, fault := range faults {
+				t.Errorf("task %s: %s", task, fault)
+			}
+			copies += beside
+			continue
+		}
 		checkRuns(t, task, runs)
 	}
+	t.Logf("%d copies", copies)
 	for id, state := range endStates {
 		if callers.submissions[id].isStanding {
 			continue // Their tasks have no end of their own.
@@ -259,3 +285,64 @@
 		}
 	}
 }
+
+// copiedRunFaults returns what is wrong with the runs of a task that may have two: more than two overlap or two on one
+// worker, a number is given twice, or a run starts later than lateStartBound after the acknowledged end of one that
+// finished. It also returns the number of runs that started beside another one.
+func copiedRunFaults(runs []platformtest.Run) (faults []string, copies int) {
+	for position, run := range runs {
+		var beside []platformtest.Run
+		for other, second := range runs {
+			if other == position {
+				continue
+			}
+			if !second.Started.After(run.Started) && second.Ended.After(run.Started) {
+				beside = append(beside, second)
+			}
+			if second.Run == run.Run {
+				faults = append(faults, fmt.Sprintf("run %d on %s and on %s", run.Run, run.Runner, second.Runner))
+			}
+			if late := run.Started.Sub(second.AcknowledgedAt); second.Result == "done" && second.Acknowledged && late > lateStartBound {
+				faults = append(faults, fmt.Sprintf("run %d started %s after the end of run %d on %s was acknowledged", run.Run, late, second.Run, second.Runner))
+			}
+		}
+		if len(beside) > 0 {
+			copies++
+		}
+		if len(beside) > 1 || len(beside) == 1 && beside[0].Runner == run.Runner {
+			faults = append(faults, fmt.Sprintf("run %d on %s started beside %+v", run.Run, run.Runner, beside))
+		}
+	}
+	return faults, copies
+}
+
+// TestCopiedRunFaults guards against a soak that overlooks a fault of copies.
+func TestCopiedRunFaults(t *testing.T) {
+	start := time.Now()
+	newRun := func(number int, runner string, started, ended time.Duration, acknowledged time.Duration) platformtest.Run {
+		run := platformtest.Run{Run: number, Runner: runner, Started: start.Add(started), Ended: start.Add(ended), Result: "done"}
+		if acknowledged > 0 {
+			run.Acknowledged, run.AcknowledgedAt = true, start.Add(acknowledged)
+		}
+		return run
+	}
+	cases := map[string]struct {
+		runs []platformtest.Run
+		want int
+	}{
+		"run and copy":             {[]platformtest.Run{newRun(1, "a", 0, 3, 0), newRun(2, "b", 1, 2, 0)}, 0},
+		"copy after a lost run":    {[]platformtest.Run{newRun(1, "a", 0, 1, 0), newRun(2, "a", 2, 3, 0)}, 0},
+		"three runs":               {[]platformtest.Run{newRun(1, "a", 0, 5, 0), newRun(2, "b", 1, 5, 0), newRun(3, "c", 2, 5, 0)}, 1},
+		"two runs on one worker":   {[]platformtest.Run{newRun(1, "a", 0, 5, 0), newRun(2, "a", 1, 5, 0)}, 1},
+		"number given twice":       {[]platformtest.Run{newRun(1, "a", 0, 1, 0), newRun(1, "b", 2, 3, 0)}, 2},
+		"start after the end":      {[]platformtest.Run{newRun(1, "a", 0, 1, 2), newRun(2, "b", 2+lateStartBound, 3+lateStartBound, 0)}, 0},
+		"late start after the end": {[]platformtest.Run{newRun(1, "a", 0, 1, 2), newRun(2, "b", 3+lateStartBound, 4+lateStartBound, 0)}, 1},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			if faults, _ := copiedRunFaults(test.runs); len(faults) != test.want {
+				t.Errorf("got faults %v, want %d", faults, test.want)
+			}
+		})
+	}
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -120,7 +120,7 @@
 func soak(t *testing.T, seed uint64, duration time.Duration, size layout, inject func(run *run), checkMore func(callers *callers)) {
 	t.Helper()
 	size.entries, size.workers = numberSetting(t, entriesVariable, defaultEntries), numberSetting(t, workersVariable, defaultWorkers)
-	deployment := newDeployment(t, size, planRun)
+	deployment := newDeployment(t, size, newRunPlan())
 	run := &run{deployment: deployment, random: rand.New(rand.NewPCG(seed, 0))}
 	callers := &callers{deployment: deployment, connections: &connections{idle: map[string][]*connection{}}, submissions: map[string]*submission{}}
 	callers.await(t, "the first job", func() bool { return callers.submit("first", 0, twoStepJob) })
@@ -184,6 +184,27 @@
 	t.Logf("seed %d: logs in %s (%v)", seed, dir, err)
 }
 
+// newRunPlan returns planRun, but for tasks that may have two runs: the first run of every third one takes several seconds,
+// all others 0.3 s.
+func newRunPlan() func(task string) (time.Duration, bool) {
+	var mu sync.Mutex
+	started := map[string]bool{}
+	return func(task string) (time.Duration, bool) {
+		if !strings.HasPrefix(task, fmt.Sprintf("%x", copiedPrefix)) {
+			return planRun(task)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		isFirst := !started[task]
+		started[task] = true
+		duration, fails := planRun(task)
+		if isFirst && duration.Milliseconds()%3 == 0 {
+			return 5 * duration, fails
+		}
+		return 300 * time.Millisecond, fails && isFirst
+	}
+}
+
 // planRun derives from a task's name how long it runs and whether it fails. Most standing tasks run until they are
 // stopped, and some fail after some seconds.
 func planRun(task string) (time.Duration, bool) {
--- a/standin/platformtest/runner.go
+++ b/standin/platformtest/runner.go
@@ -32,6 +32,8 @@
 	// Acknowledged reports whether the agent has acknowledged the end, and the runner's lease did not lapse between the two.
 	// After a lapse the task may run elsewhere, so its end does not count.
 	Acknowledged bool
+	// AcknowledgedAt is when the agent acknowledged the end, or zero if Acknowledged is false.
+	AcknowledgedAt time.Time
 }
 
 // Log holds the runs of all runners of a deployment. It is safe for concurrent use.
@@ -232,7 +234,9 @@
 		}
 		runner.log.mu.Lock()
 		record := runner.unacknowledged[number]
-		record.Acknowledged = !runner.lapsedAt.After(record.Ended)
+		if !runner.lapsedAt.After(record.Ended) {
+			record.Acknowledged, record.AcknowledgedAt = true, time.Now()
+		}
 		runner.log.mu.Unlock()
 		delete(runner.unacknowledged, number)
 	}
