--- a/coordinator/counters.go
+++ b/coordinator/counters.go
@@ -5,6 +5,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"hyssopjunction/pacing"
 	"hyssopjunction/scheduler"
 	"hyssopjunction/speculation"
 	"hyssopjunction/workflow"
@@ -16,7 +17,10 @@
 	withheldStarts                           *metrics.Counter
 	finished, faulted, interrupted           *metrics.Counter
 	workerEnds, workersAwaited               *metrics.Counter
+	urgenciesSent, urgencyDecisions          *metrics.Counter
+	urgencyChanges                           map[pacing.Urgency]*metrics.Counter
 	roundMillis                              *metrics.Histogram
+	assignment                               assignmentCounters
 	copies                                   map[speculation.Evidence]*metrics.Counter
 	copyOutcomes                             map[scheduler.CopyOutcome]*metrics.Counter
 	copyMillis                               *metrics.Counter
@@ -44,7 +48,17 @@
 		interrupted:    metrics.GetOrCreateCounter(`hyssopjunction_coordinator_ends_total{cause="Interrupted"}`),
 		workerEnds:     metrics.GetOrCreateCounter("hyssopjunction_coordinator_worker_ends_total"),
 		workersAwaited: metrics.GetOrCreateCounter("hyssopjunction_coordinator_workers_awaited_total"),
-		roundMillis:    metrics.GetOrCreateHistogram("hyssopjunction_coordinator_round_millis"),
+		urgenciesSent:  metrics.GetOrCreateCounter("hyssopjunction_coordinator_urgencies_sent_total"),
+
+		urgencyDecisions: metrics.GetOrCreateCounter("hyssopjunction_urgency_decisions_total"),
+		urgencyChanges: map[pacing.Urgency]*metrics.Counter{
+			pacing.Background: metrics.GetOrCreateCounter(`hyssopjunction_urgency_changes_total{level="Background"}`),
+			pacing.Normal:     metrics.GetOrCreateCounter(`hyssopjunction_urgency_changes_total{level="Normal"}`),
+			pacing.Elevated:   metrics.GetOrCreateCounter(`hyssopjunction_urgency_changes_total{level="Elevated"}`),
+			pacing.Critical:   metrics.GetOrCreateCounter(`hyssopjunction_urgency_changes_total{level="Critical"}`),
+		},
+		assignment:  newAssignmentCounters(),
+		roundMillis: metrics.GetOrCreateHistogram("hyssopjunction_coordinator_round_millis"),
 	}
 }
 
--- a/scheduler/copies.go
+++ b/scheduler/copies.go
@@ -29,8 +29,6 @@
 	// orphanGrace is how long a new leader waits for the agents before it copies runs whose worker none has reported. It
 	// is the silence from which the heartbeat lists a node.
 	orphanGrace = 2100 * clock.Millisecond
-	// remoteDataFactor is how much longer a copy outside the rack of its data is expected to take.
-	remoteDataFactor = 1.5
 )
 
 // CopyOutcome is how a copy ended.
@@ -106,10 +104,12 @@
 	Worker int
 }
 
-// waitingNeed holds the requirements of a waiting quick task.
+// waitingNeed holds the requirements of a waiting quick task. The rack is set if the task waits for the one that holds its
+// data, although it could run elsewhere.
 type waitingNeed struct {
 	need    unit.Resources
 	label   string
+	rack    string
 	service workflow.Service
 }
 
@@ -124,8 +124,8 @@
 	}
 }
 
-// recordWaiting records that tasks of a candidate found no room.
-func (state *copyState) recordWaiting(candidate candidate, now clock.Time) {
+// recordWaiting records that tasks of a candidate found no room on the rack or, if that is empty, on any worker.
+func (state *copyState) recordWaiting(candidate candidate, rack string, now clock.Time) {
 	if candidate.rank != rankQuick {
 		return
 	}
@@ -134,7 +134,7 @@
 	}
 	spec := &candidate.record.job.Spec
 	step := &spec.Steps[candidate.step]
-	need := waitingNeed{need: step.Reserved(), label: step.Label, service: spec.Service}
+	need := waitingNeed{need: step.Reserved(), label: step.Label, rack: rack, service: spec.Service}
 	if len(state.waiting) <= maxWaitingNeeds && !slices.Contains(state.waiting, need) {
 		state.waiting = append(state.waiting, need)
 	}
@@ -143,7 +143,8 @@
 // isWanted reports whether a waiting quick task could run on the worker if there were room.
 func (state *copyState) isWanted(worker *workerState) bool {
 	return slices.ContainsFunc(state.waiting, func(waiting waitingNeed) bool {
-		return worker.Service == waiting.service && waiting.need.FitsIn(worker.Capacity) && (waiting.label == "" || slices.Contains(worker.Labels, waiting.label))
+		return worker.Service == waiting.service && waiting.need.FitsIn(worker.Capacity) &&
+			(waiting.label == "" || slices.Contains(worker.Labels, waiting.label)) && (waiting.rack == "" || slices.Contains(worker.Labels, waiting.rack))
 	})
 }
 
@@ -338,9 +339,7 @@
 	if worker == nil {
 		return false
 	}
-	if !hasData(run.step, worker) {
-		duration = clock.Millis(remoteDataFactor * float64(duration))
-	}
+	duration = clock.Millis(scheduler.bounds.DataFactor(isRemote(run.step, worker)) * float64(duration))
 	if run.evidence == speculation.Slow {
 		if !speculation.EndsSooner(run.state, duration) {
 			return false
@@ -371,7 +370,7 @@
 	mayUse := func(worker *workerState) bool {
 		return worker != run.worker && !worker.health.probation && !scheduler.copies.isWanted(worker)
 	}
-	if run.worker != nil && (run.step.DataRack == "" || !hasData(run.step, run.worker)) {
+	if run.worker != nil && (run.step.DataRack == "" || isRemote(run.step, run.worker)) {
 		rack := run.worker.rack()
 		worker := scheduler.chooseWorkerAmong(record, run.step, run.name, false, 0, now, func(worker *workerState) bool {
 			return worker.rack() != rack && mayUse(worker)
@@ -383,11 +382,6 @@
 	return scheduler.chooseWorkerAmong(record, run.step, run.name, false, 0, now, mayUse)
 }
 
-// hasData reports whether the worker is in the rack that holds the step's data, if there is one.
-func hasData(step *workflow.Step, worker *workerState) bool {
-	return step.DataRack == "" || slices.Contains(worker.Labels, step.DataRack)
-}
-
 // TakeCopyEvents returns and resets the decisions for copies and their ends since the last call.
 func (scheduler *Scheduler) TakeCopyEvents() []CopyEvent {
 	events := scheduler.copies.events
--- a/scheduler/copies_test.go
+++ b/scheduler/copies_test.go
@@ -236,6 +236,73 @@
 	}
 }
 
+// TestCopyDoesNotWaitForRackOfData guards against a late run whose copy waits until the rack of its data has room.
+func TestCopyDoesNotWaitForRackOfData(t *testing.T) {
+	fixture := newRackFixture(t)
+	step := copiedStep(10)
+	step.DataRack = "rack-1"
+	late := fixture.startWithLateRun(step)
+	for _, worker := range fixture.scheduler.workers {
+		if worker.rack() == "rack-1" {
+			profile := worker.Profile
+			profile.Capacity.CPU = worker.reserved.CPU
+			fixture.scheduler.UpdateWorker(profile, fixture.now)
+		}
+	}
+	starts := fixture.plan(copyInterval)
+	assertStartCount(t, starts, 1)
+	if got := fixture.scheduler.workers[starts[0].Worker].rack(); starts[0].Name != late.Name || got != "rack-0" {
+		t.Errorf("got run %d of %s in %s, want a copy of %s in rack-0", starts[0].Run, starts[0].Name, got, late.Name)
+	}
+	if waits := fixture.scheduler.jobs["job"].rackWaits; len(waits) > 0 {
+		t.Errorf("got waits %v for the rack, want none", waits)
+	}
+}
+
+// TestCopyLeavesRackToWaitingTasks guards against a copy that takes the room for which quick tasks wait on the rack of
+// their data, although they could run elsewhere.
+func TestCopyLeavesRackToWaitingTasks(t *testing.T) {
+	fixture := newRackFixture(t)
+	late := fixture.startWithLateRun(copiedStep(10))
+	rack := "rack-0"
+	if fixture.scheduler.workers[late.Worker].rack() == rack {
+		rack = "rack-1"
+	}
+	active := oneCoreStep(2)
+	active.Need.CPU, active.Label = 20_000, rack
+	fixture.scheduler.copies.consideredAt = fixture.now // No copy is placed in the next round.
+	fixture.submit("active", active)
+	assertStartCount(t, fixture.plan(0), 2)
+	waiting := oneCoreStep(1)
+	waiting.Need.CPU, waiting.DataRack, waiting.Estimate = 20_000, rack, 30*clock.Second
+	fixture.submit("waiting", waiting)
+	starts := fixture.plan(copyInterval)
+	assertStartCount(t, starts, 1)
+	if len(fixture.scheduler.jobs["waiting"].rackWaits) != 1 {
+		t.Fatal("the task does not wait for the rack")
+	}
+	if got := fixture.scheduler.workers[starts[0].Worker].rack(); starts[0].Name != late.Name || got == rack {
+		t.Errorf("got run %d of %s in %s, want a copy of %s in the other rack", starts[0].Run, starts[0].Name, got, late.Name)
+	}
+}
+
+// TestTaskWithTwoRunsCountsOnce guards against a wrong urgency of a job's filling runs: the late run would be taken for
+// the end of its task, and the copy for that of another one that waits.
+func TestTaskWithTwoRunsCountsOnce(t *testing.T) {
+	fixture := newRackFixture(t)
+	late, second := fixture.startWithCopy()
+	for order, want := range map[*Order]bool{&late: false, &second: true} {
+		if got := fixture.scheduler.workers[order.Worker].runs[order.Name].decidesEnd(); got != want {
+			t.Errorf("run %d decides the end of its task: %t, want %t", order.Run, got, want)
+		}
+	}
+	lateRun := fixture.scheduler.workers[late.Worker].runs[late.Name]
+	fixture.end(second, workflow.Interrupted)
+	if !lateRun.decidesEnd() {
+		t.Error("the run that is left does not decide the end of its task")
+	}
+}
+
 // TestOtherRunIsStopped guards against a run that goes on after the other one of its task finished, whose worker is used
 // for other tasks before its end is listed, or whose job is removed before.
 func TestOtherRunIsStopped(t *testing.T) {
--- a/scheduler/interference.go
+++ b/scheduler/interference.go
@@ -4,6 +4,7 @@
 	"math"
 	"slices"
 
+	"hyssopjunction/assignment"
 	"hyssopjunction/clock"
 	"hyssopjunction/pacing"
 	"hyssopjunction/set"
@@ -13,12 +14,8 @@
 // milliPerCore is the number of thousandths of a core in one core.
 const milliPerCore = 1000
 
-// baselineDecayPerSecond is how much the baseline log tail latency of a serving run decays per second. The load of
-// serving tasks varies by a factor of about three within 10 to 20 s.
-const baselineDecayPerSecond = 0.15
-
-// learnFromListing passes the samples of a worker's latest listing to the model and updates the baseline tail
-// latency of its serving runs. The baseline follows increases at once and decays slowly.
+// learnFromListing passes the samples of a worker's latest listing to the model and adds them to the baseline tail
+// latencies of its serving runs.
 func (scheduler *Scheduler) learnFromListing(worker *workerState, now clock.Time) {
 	serving, filling := workerSamples(worker)
 	if len(serving) == 0 {
@@ -30,12 +27,7 @@
 		if run.step.Target == 0 || run.sample == 0 {
 			continue
 		}
-		tail := pacing.BaselineTail(servingSample(run), filling, scheduler.weightsAt(now))
-		baseline := run.baselineTail - baselineDecayPerSecond*float64(now.Sub(run.baselineAt))/float64(clock.Second)
-		if run.baselineAt == 0 || tail > baseline {
-			baseline = tail
-		}
-		run.baselineTail, run.baselineAt = baseline, now
+		run.baseline.Observe(pacing.BaselineTail(servingSample(run), filling, scheduler.weightsAt(now)), now)
 	}
 }
 
@@ -104,10 +96,10 @@
 }
 
 // servingRoom is how much the tail latencies of the serving tasks of one image on a worker may still increase until
-// the worst of them reaches the share of its target that the governor aims at, as a logarithm.
+// the worst of them reaches the share of its target that the governor aims at.
 type servingRoom struct {
 	image pacing.Image
-	room  float64
+	assignment.Room
 }
 
 // servingRooms returns the rooms of the serving images on a worker, assuming that its filling runs work at full speed.
@@ -118,15 +110,15 @@
 	}
 	worker.rooms, worker.roomsValid = worker.rooms[:0], true
 	for _, run := range worker.runs {
-		if run.step.Target == 0 || run.baselineAt == 0 {
+		if run.step.Target == 0 || !run.baseline.IsKnown() {
 			continue
 		}
-		image, room := pacing.Image(run.step.Image), pacing.Room(run.baselineTail)
+		image, room := pacing.Image(run.step.Image), run.baseline.PlacementRoom()
 		index := slices.IndexFunc(worker.rooms, func(other servingRoom) bool { return other.image == image })
 		if index < 0 {
-			worker.rooms = append(worker.rooms, servingRoom{image: image, room: room})
-		} else {
-			worker.rooms[index].room = math.Min(worker.rooms[index].room, room)
+			worker.rooms = append(worker.rooms, servingRoom{image: image, Room: assignment.NewRoom(room, nil)})
+		} else if room < worker.rooms[index].Of(pacing.Background) {
+			worker.rooms[index].Room = assignment.NewRoom(room, nil)
 		}
 	}
 	for _, run := range worker.runs {
@@ -135,23 +127,24 @@
 		}
 		for index := range worker.rooms {
 			room := &worker.rooms[index]
-			room.room -= scheduler.model.Weight(room.image, pacing.Image(run.step.Image), now) * float64(run.step.Need.CPU) / milliPerCore
+			room.Take(run.urgency, scheduler.model.Weight(room.image, pacing.Image(run.step.Image), now)*cores(run.step))
 		}
 	}
 	return worker.rooms
 }
 
 // expectedSpeed returns the share of its requested cores that a filling task could use on a worker while the
-// tail latencies of the serving tasks there stay at the share of their target that the governor aims at.
-func (scheduler *Scheduler) expectedSpeed(step *workflow.Step, worker *workerState, now clock.Time) float64 {
-	cores := float64(step.Need.CPU) / milliPerCore
+// tail latencies of the serving tasks there stay at the share of their target that the governor aims at. Runs of a lower
+// urgency yield their pace to it.
+func (scheduler *Scheduler) expectedSpeed(step *workflow.Step, urgency pacing.Urgency, worker *workerState, now clock.Time) float64 {
+	cores := cores(step)
 	if cores <= 0 {
 		return 1
 	}
 	speed := 1.0
 	for _, room := range scheduler.servingRooms(worker, now) {
 		if weight := scheduler.model.Weight(room.image, pacing.Image(step.Image), now); weight > 0 {
-			speed = math.Min(speed, math.Max(0, room.room)/(weight*cores))
+			speed = math.Min(speed, math.Max(0, room.Of(urgency))/(weight*cores))
 		}
 	}
 	return speed
--- a/scheduler/random_test.go
+++ b/scheduler/random_test.go
@@ -55,7 +55,7 @@
 func (cluster *randomCluster) profile(number int, draining bool) Profile {
 	return Profile{
 		Incarnation: cluster.incarnation(number), Node: cluster.nodeName(number), Service: testService, DataCentre: ident.DataCentre(fmt.Sprint("dc-", number%2)),
-		Labels: []string{"r1"}, Capacity: unit.Resources{CPU: 4000, Memory: 8000}, Draining: draining,
+		Labels: []string{fmt.Sprint("r", number/2)}, Capacity: unit.Resources{CPU: 4000, Memory: 8000}, Draining: draining,
 	}
 }
 
@@ -85,6 +85,7 @@
 			Need:      unit.Resources{CPU: unit.MilliCPU(rapid.IntRange(1, 30).Draw(t, "cpu") * 100), Memory: unit.Mebibytes(rapid.IntRange(1, 30).Draw(t, "memory") * 100)},
 			PerWorker: rapid.IntRange(0, 2).Draw(t, "per worker"), Gang: rapid.IntRange(0, 4).Draw(t, "gang") == 0,
 			Fills: rapid.Bool().Draw(t, "fills"), Checkpoints: rapid.Bool().Draw(t, "checkpoints"), Copies: rapid.Bool().Draw(t, "copies"),
+			DataRack: rapid.SampledFrom([]string{"", "r0", "r1", "missing"}).Draw(t, "data rack"),
 		}
 		if cluster.speculative {
 			step.Copies, step.Gang, step.Fills = true, step.Gang && step.Fills, step.Fills && !step.Checkpoints
@@ -198,9 +199,27 @@
 	}
 }
 
+// checkRunsOfJobs fails the test if a job's index of its active runs, by which their urgency is decided, lacks a run or
+// has one that ended.
+func (cluster *randomCluster) checkRunsOfJobs(t *rapid.T) {
+	for id, record := range cluster.scheduler.jobs {
+		if record.urgency.runs.Len() != record.activeRuns {
+			t.Fatalf("job %s has %d active runs, %d of them are indexed", id, record.activeRuns, record.urgency.runs.Len())
+		}
+	}
+	for incarnation, worker := range cluster.scheduler.workers {
+		for name, run := range worker.runs {
+			if record, ok := cluster.scheduler.jobs[name.Job]; ok && !record.urgency.runs.Has(run) {
+				t.Fatalf("run %d of %s on %s is not indexed", run.number, name, incarnation)
+			}
+		}
+	}
+}
+
 // checkPlacement fails the test if a worker exceeds its capacity or the limit of tasks per worker, or if the
 // active members of a gang belong to different runs.
 func (cluster *randomCluster) checkPlacement(t *rapid.T) {
+	cluster.checkRunsOfJobs(t)
 	for worker, runs := range cluster.running {
 		var reserved unit.Resources
 		stepCounts := map[string]int{}
@@ -234,6 +253,25 @@
 	}
 }
 
+// reportThrottled reports the runs of a worker, filling ones as paused, so that the scheduler moves some.
+func (cluster *randomCluster) reportThrottled(t *rapid.T) {
+	worker := cluster.incarnation(rapid.IntRange(0, nodeCount-1).Draw(t, "throttled"))
+	var progress []Progress
+	for _, run := range sortedRuns(cluster.scheduler.workers[worker]) {
+		if number, ok := cluster.running[worker][run.name]; ok {
+			item := Progress{Name: run.name, Run: number, Percent: rapid.IntRange(min(run.progressPercent, 99), 99).Draw(t, "percent"), Sample: 50}
+			if run.step.Fills {
+				item.ThrottlePercent = 100
+			}
+			if run.step.Checkpoints {
+				item.Saved = workflow.Checkpoint(fmt.Sprint("at-", item.Percent))
+			}
+			progress = append(progress, item)
+		}
+	}
+	cluster.scheduler.RecordProgress(worker, progress, cluster.now)
+}
+
 // endRun reports the end of a random run of a random worker.
 func (cluster *randomCluster) endRun(t *rapid.T) {
 	number := rapid.IntRange(0, nodeCount-1).Draw(t, "node")
@@ -359,7 +397,7 @@
 func playRandomCluster(t *rapid.T, cluster *randomCluster) {
 	draining, out := set.New[string](), set.New[string]()
 	for range rapid.IntRange(5, 60).Draw(t, "events") {
-		switch rapid.IntRange(0, 11).Draw(t, "event") {
+		switch rapid.IntRange(0, 13).Draw(t, "event") {
 		case 0, 1:
 			cluster.submit(t)
 		case 2, 3, 4:
@@ -400,6 +438,8 @@
 			worker := cluster.incarnation(rapid.IntRange(0, nodeCount-1).Draw(t, "silent"))
 			cluster.scheduler.SetOverdue(worker, rapid.Bool().Draw(t, "overdue"))
 			cluster.scheduler.SetReachable(worker, rapid.Bool().Draw(t, "reachable"))
+		case 12, 13:
+			cluster.reportThrottled(t)
 		}
 		cluster.advance(t, draining, out)
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -6,6 +6,7 @@
 import (
 	"slices"
 
+	"hyssopjunction/assignment"
 	"hyssopjunction/clock"
 	"hyssopjunction/ident"
 	"hyssopjunction/pacing"
@@ -21,6 +22,8 @@
 	Run    workflow.Run
 	Stop   bool
 	Job    *workflow.Job
+	// Urgency is the level of a run that is to be started.
+	Urgency pacing.Urgency
 	// MoveTo is the worker that the task of a stopped run is moved to, or empty.
 	MoveTo Incarnation
 }
@@ -72,9 +75,21 @@
 	rebalancedAt clock.Time
 	// transfers holds the serving tasks that are being moved.
 	transfers map[workflow.Name]*transfer
-	// movedAt is when moves of throttled runs were last considered.
+	// movedAt is when moves of slow filling runs were last considered.
 	movedAt clock.Time
-	copies  copyState
+	// urgencies is reused by decideUrgencies.
+	urgencies urgencyBuffers
+	// urgencyDecisions holds decisions that UpdateUrgencies has not returned yet.
+	urgencyDecisions []UrgencyDecision
+	// fillingMoves holds the filling tasks that are being moved.
+	fillingMoves map[workflow.Name]*fillingMove
+	// bounds are the limits of the platform.
+	bounds assignment.Bounds
+	// racks holds what is known of the racks that hold data.
+	racks dataRacks
+	// assignments sums up the decisions since the last call of TakeAssignments.
+	assignments Assignments
+	copies      copyState
 }
 
 // jobRecord is a job with the scheduler's own state about it, which is not stored.
@@ -88,6 +103,11 @@
 	activeRuns int
 	// standingWaitSince is the time since which the job has a waiting standing task, or 0.
 	standingWaitSince clock.Time
+	urgency           jobUrgency
+	// moves holds the latest moves of filling tasks. It may be lost: a new leader then allows them a few more.
+	moves map[workflow.Name]assignment.History
+	// rackWaits holds since when tasks wait for the rack that holds their data.
+	rackWaits map[workflow.Name]clock.Time
 	// durations holds the durations of the finished runs of steps whose tasks may have two runs, in ascending order, by the
 	// name of the first task of the step.
 	durations map[workflow.Name][]clock.Millis
@@ -98,10 +118,14 @@
 	return &Scheduler{
 		jobs: map[workflow.ID]*jobRecord{}, workers: map[Incarnation]*workerState{}, open: map[workflow.ID]*jobRecord{},
 		orphans: map[Incarnation]map[workflow.Name]*activeRun{}, dirtyJobs: map[workflow.ID]*jobRecord{},
-		outDataCentres: set.New[ident.DataCentre](), model: pacing.NewModel(), transfers: map[workflow.Name]*transfer{}, copies: newCopyState(),
+		outDataCentres: set.New[ident.DataCentre](), model: pacing.NewModel(), transfers: map[workflow.Name]*transfer{},
+		fillingMoves: map[workflow.Name]*fillingMove{}, bounds: assignment.DefaultBounds(), racks: newDataRacks(), assignments: newAssignments(), copies: newCopyState(),
 	}
 }
 
+// SetBounds replaces the limits of the platform, which are those of assignment.DefaultBounds at first.
+func (scheduler *Scheduler) SetBounds(bounds assignment.Bounds) { scheduler.bounds = bounds }
+
 // Submit adds a job that was accepted at the given time. It does nothing if the job exists.
 func (scheduler *Scheduler) Submit(spec workflow.Spec, acceptedAt clock.Time) {
 	if _, ok := scheduler.jobs[spec.ID]; ok {
@@ -116,12 +140,16 @@
 	record := &jobRecord{job: job, acceptedAt: acceptedAt, failuresByWorker: map[Incarnation]int{}}
 	scheduler.jobs[job.Spec.ID] = record
 	scheduler.dirty = true
+	if len(job.Occurrences) > 0 {
+		scheduler.view = nil // It lacks the images of the job's runs.
+	}
 	if !job.State.Final() {
 		scheduler.open[job.Spec.ID] = record
 	}
 	job.EachRun(func(name workflow.Name, active workflow.ActiveRun) {
 		record.activeRuns++
 		run := &activeRun{name: name, number: active.Run, job: job, step: &job.Spec.Steps[name.Step], placedAt: acceptedAt, progressAt: acceptedAt, restored: true}
+		record.urgency.add(run)
 		scheduler.copies.add(run)
 		incarnation := Incarnation(active.Worker)
 		if worker, ok := scheduler.workers[incarnation]; ok {
@@ -173,6 +201,9 @@
 	if transfer, ok := scheduler.transfers[run.name]; ok {
 		order.MoveTo = transfer.target.Incarnation
 	}
+	if move, ok := scheduler.fillingMoves[run.name]; ok {
+		order.MoveTo = move.target.Incarnation
+	}
 	scheduler.orders = append(scheduler.orders, order)
 }
 
@@ -302,9 +333,11 @@
 			}
 			continue
 		}
+		scheduler.observeProgress(run, item, now)
 		run.sample, run.sampledAt = item.Sample, now
+		run.pace.record(item, now)
 		switch {
-		case item.ThrottlePercent < throttledPercent:
+		case pacing.FullPace-item.ThrottlePercent >= slowPercent:
 			run.throttledSince = 0
 		case run.throttledSince == 0:
 			run.throttledSince = now
@@ -333,6 +366,9 @@
 	switch end.Cause {
 	case workflow.Finished:
 		worker.health.recordFinished()
+		scheduler.recordFinishedTime(run, now)
+		scheduler.observeDuration(run, now)
+		scheduler.observeSpeed(run, now)
 	case workflow.Faulted:
 		if record, ok := scheduler.jobs[end.Name.Job]; ok {
 			record.failuresByWorker[incarnation]++
@@ -376,6 +412,7 @@
 		return
 	}
 	record.activeRuns--
+	delete(record.urgency.runs, run)
 	if record.job.State.Final() {
 		if record.job.EndRunOfFinalJob(run.name, run.number) {
 			scheduler.dirtyJobs[record.job.Spec.ID] = record
@@ -420,7 +457,7 @@
 	var orders []Order
 	for _, run := range sortedRuns(worker) {
 		orders = append(orders, Order{
-			Worker: incarnation, Name: run.name, Run: run.number, Stop: run.stopping, Job: run.job,
+			Worker: incarnation, Name: run.name, Run: run.number, Stop: run.stopping, Job: run.job, Urgency: run.urgency,
 		})
 	}
 	return orders
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -62,6 +62,10 @@
 	rooms      []servingRoom
 	roomsValid bool
 	health     health
+	// urgenciesAt is when the levels of the jobs on the worker were last decided.
+	urgenciesAt clock.Time
+	// speeds holds what is known of the speed of the worker. It may be lost.
+	speeds workerSpeeds
 	// refusalDelayEnd is the time until which the worker gets no new runs after it refused a start.
 	refusalDelayEnd clock.Time
 }
@@ -89,14 +93,17 @@
 	// thousandths of a core, as reported at sampledAt.
 	sample    int64
 	sampledAt clock.Time
-	// baselineTail is the recent peak of the tail latency that a serving run would have without filling
-	// runs on its worker, as the logarithm of its share of the target. It was updated at baselineAt.
-	baselineTail float64
-	baselineAt   clock.Time
-	// throttledSince is the time since which the run is throttled by throttledPercent or more, or 0.
+	// baseline is the tail latency that a serving run would have without filling runs on its worker.
+	baseline pacing.Baseline
+	// throttledSince is the time since which the run is throttled to less than slowPercent, or 0.
 	throttledSince clock.Time
+	// course is what reports tell of the run's speed.
+	course runCourse
 	// urgency is the level at which the agent paces a filling run.
 	urgency pacing.Urgency
+	// leftover reports that the run was placed while its job was not committed.
+	leftover bool
+	pace     runPace
 }
 
 // isNeeded reports whether the run counts for its job: the job is not final and the task not done.
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -48,6 +48,7 @@
 		}
 		supervisor.applyStart(worker, order, limits)
 	}
+	supervisor.applyUrgencies(worker, orders.Urgencies)
 }
 
 // earliestSending returns a time before which the leader did not send the orders: it had received a report of this agent,
@@ -77,6 +78,7 @@
 			run.order, run.hasOrder = order, true
 		}
 		run.startLimits = limits
+		supervisor.setUrgency(run, order.Urgency)
 		return
 	}
 	for _, end := range worker.listing.Ended {
@@ -85,6 +87,7 @@
 		}
 	}
 	run := &runState{order: order, phase: phaseStarting, pacePercent: pacing.FullPace, hasOrder: true, orderedAt: supervisor.clock.Now(), startLimits: limits}
+	supervisor.setUrgency(run, order.Urgency)
 	if !worker.reserved().Add(order.Reserved).FitsIn(worker.announcement.Capacity) {
 		run.order = session.Start{Task: order.Task, Run: order.Run} // It reserves nothing while it is being refused.
 		supervisor.giveUpStart(run, "Room")
@@ -140,9 +143,17 @@
 				continue
 			}
 			err, timedOut := supervisor.callWithTimeout(call, timeout)
-			supervisor.releaseCallSlot()
 			retry = false
-			supervisor.loop.Call(func() { retry = supervisor.handleAnswer(worker, run, stop, err) })
+			var paceCall func(context.Context) error
+			var pace int
+			supervisor.loop.Call(func() {
+				retry = supervisor.handleAnswer(worker, run, stop, err)
+				paceCall, pace = supervisor.firstPaceCall(worker, run)
+			})
+			if paceCall != nil {
+				supervisor.setFirstPace(run, paceCall, pace)
+			}
+			supervisor.releaseCallSlot()
 			switch {
 			case timedOut:
 				timeout = min(2*timeout, maxCallTimeout)
