--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -166,6 +166,7 @@
 		coordinator.loop.Close()
 		return nil, err
 	}
+	jobCount := len(coordinator.stateVersions) // Later the control loop changes the map.
 	coordinator.background(func() { coordinator.followInbox(version) })
 	coordinator.background(func() {
 		coordinator.loadEndedJobs()
@@ -182,7 +183,7 @@
 		}
 	})
 	coordinator.counters.terms.Inc()
-	klog.InfoS("Leading", "Term", leadership.Term.Number, "Jobs", len(coordinator.stateVersions), "LoadMillis", int64(deps.Clock.Now().Sub(coordinator.startedAt)))
+	klog.InfoS("Leading", "Term", leadership.Term.Number, "Jobs", jobCount, "LoadMillis", int64(deps.Clock.Now().Sub(coordinator.startedAt)))
 	coordinator.loop.Call(coordinator.logInherited)
 	return coordinator, nil
 }
