--- a/coordinator/agents.go
+++ b/coordinator/agents.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 
 	"k8s.io/klog/v2"
 
@@ -426,6 +427,9 @@
 	for _, agent := range coordinator.sessions {
 		if batch, ok := byWorker[agent.incarnation]; ok {
 			batch.StoredEnds, batch.Incarnation = agent.storedEnd, string(agent.incarnation)
+			if slices.ContainsFunc(batch.Starts, func(start session.Start) bool { return start.Copies }) {
+				batch.ReportAge = max(0, coordinator.deps.Clock.Now().Sub(agent.reportedAt))
+			}
 			coordinator.enqueue(agent, batch)
 		}
 	}
@@ -433,14 +437,15 @@
 
 // newStart returns the message for a start order, or false if the run has ended since.
 func newStart(order scheduler.Order) (session.Start, bool) {
-	task := order.Job.Task(order.Name)
-	if task == nil || task.Run != order.Run || task.Phase != workflow.Active || order.Job.State.Final() {
+	if !order.Job.HasRun(order.Name, order.Run) || order.Job.State.Final() {
 		return session.Start{}, false
 	}
+	task := order.Job.Task(order.Name)
 	step := order.Job.Spec.Steps[order.Name.Step]
 	return session.Start{
 		Incarnation: string(order.Worker), Task: order.Name.String(), Run: order.Run, Payload: order.Job.Spec.Payload,
-		Saved: task.Saved, Reserved: step.Reserved(), Fills: step.Fills, CPU: step.Need.CPU, Target: step.Target, Image: step.Image, Urgency: int(order.Urgency),
+		Saved: task.Saved, Reserved: step.Reserved(), Fills: step.Fills, CPU: step.Need.CPU, Target: step.Target, Image: step.Image,
+		Copies: step.MayHaveCopies(), Urgency: int(order.Urgency),
 	}, true
 }
 
--- a/coordinator/write.go
+++ b/coordinator/write.go
@@ -30,6 +30,7 @@
 		coordinator.reportAssignments(now)
 	}
 	jobs, orders := coordinator.scheduler.TakeChanges()
+	coordinator.logCopies()
 	renew := now.Sub(coordinator.renewedAt) >= election.RenewalInterval || coordinator.ledger.NeedsRenewal(now)
 	if len(jobs) == 0 && !renew {
 		coordinator.finishRound(orders, coordinator.takeOnceStored())
--- a/scheduler/explain.go
+++ b/scheduler/explain.go
@@ -10,6 +10,7 @@
 	"hyssopjunction/explanation"
 	"hyssopjunction/pacing"
 	"hyssopjunction/set"
+	"hyssopjunction/speculation"
 	"hyssopjunction/unit"
 	"hyssopjunction/workflow"
 )
@@ -106,6 +107,7 @@
 			Task: run.name.String(), Run: run.number, Pace: -1, Percent: run.progressPercent, Urgency: run.urgency.String(),
 			Age: now.Sub(run.placedAt), Stopping: run.stopping,
 		}
+		_, item.Copy = scheduler.copies.placed[speculation.Key{Name: run.name, Run: run.number}]
 		if run.worker != nil {
 			item.Worker = string(run.worker.Incarnation)
 		}
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -52,6 +52,7 @@
 		scheduler.placeStep(candidate, blocked, now)
 	}
 	scheduler.assignFilling(filling, blocked, now)
+	scheduler.placeCopies(now)
 }
 
 // blockedNeeds holds, for requirements with which a task found no room, the lowest speed that was asked for. Other
@@ -139,11 +140,15 @@
 		}
 		if worker == nil && (dependsOnJob || !blocked.has(key, candidate.minSpeed)) {
 			worker, waits = scheduler.chooseOrWait(candidate, step, name, key, now)
+			if waits {
+				scheduler.copies.recordWaiting(candidate, step.DataRack, now)
+			}
 		}
 		if waits {
 			continue
 		}
 		if worker == nil {
+			scheduler.copies.recordWaiting(candidate, "", now)
 			if !dependsOnJob {
 				blocked.add(key, candidate.minSpeed)
 			}
@@ -171,6 +176,7 @@
 		name.Index = index
 		worker := scheduler.chooseWorker(candidate.record, step, name, false, candidate.minSpeed, now)
 		if worker == nil {
+			scheduler.copies.recordWaiting(candidate, "", now)
 			for _, run := range members {
 				run.worker.remove(run)
 			}
@@ -191,8 +197,9 @@
 	record.job.Place(name, number, string(worker.Incarnation))
 	delete(record.rackWaits, name)
 	record.activeRuns++
-	run := &activeRun{name: name, number: number, job: record.job, step: step, worker: worker, placedAt: now, progressAt: now}
+	run := &activeRun{name: name, number: number, job: record.job, step: step, worker: worker, placedAt: now, observedAt: now, progressAt: now}
 	worker.add(run)
+	scheduler.copies.add(run)
 	scheduler.setStartUrgency(record, run, now)
 	scheduler.dirtyJobs[record.job.Spec.ID] = record
 	record.recordDecision(explanation.Placed, "last on "+string(worker.Incarnation), now)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -91,6 +91,7 @@
 	racks dataRacks
 	// assignments sums up the decisions since the last call of TakeAssignments.
 	assignments Assignments
+	copies      copyState
 }
 
 // jobRecord is a job with the scheduler's own state about it, which is not stored.
@@ -111,6 +112,9 @@
 	rackWaits map[workflow.Name]clock.Time
 	// decisions holds the latest decisions about the job. It may be lost: a new leader explains its own ones.
 	decisions []jobDecision
+	// durations holds the durations of the finished runs of steps whose tasks may have two runs, in ascending order, by the
+	// name of the first task of the step.
+	durations map[workflow.Name][]clock.Millis
 }
 
 // New returns an empty Scheduler.
@@ -119,7 +123,7 @@
 		jobs: map[workflow.ID]*jobRecord{}, workers: map[Incarnation]*workerState{}, open: map[workflow.ID]*jobRecord{},
 		orphans: map[Incarnation]map[workflow.Name]*activeRun{}, dirtyJobs: map[workflow.ID]*jobRecord{},
 		outDataCentres: set.New[ident.DataCentre](), model: pacing.NewModel(), transfers: map[workflow.Name]*transfer{},
-		fillingMoves: map[workflow.Name]*fillingMove{}, bounds: assignment.DefaultBounds(), racks: newDataRacks(), assignments: newAssignments(),
+		fillingMoves: map[workflow.Name]*fillingMove{}, bounds: assignment.DefaultBounds(), racks: newDataRacks(), assignments: newAssignments(), copies: newCopyState(),
 	}
 }
 
@@ -146,18 +150,16 @@
 	if !job.State.Final() {
 		scheduler.open[job.Spec.ID] = record
 	}
-	job.EachTask(func(name workflow.Name, task *workflow.Task) {
-		if task.Phase != workflow.Active {
-			return
-		}
+	job.EachRun(func(name workflow.Name, active workflow.ActiveRun) {
 		record.activeRuns++
-		run := &activeRun{name: name, number: task.Run, job: job, step: &job.Spec.Steps[name.Step], placedAt: acceptedAt, progressAt: acceptedAt}
+		run := &activeRun{name: name, number: active.Run, job: job, step: &job.Spec.Steps[name.Step], placedAt: acceptedAt, progressAt: acceptedAt, restored: true}
 		record.urgency.add(run)
-		incarnation := Incarnation(task.Worker)
+		scheduler.copies.add(run)
+		incarnation := Incarnation(active.Worker)
 		if worker, ok := scheduler.workers[incarnation]; ok {
 			run.worker = worker
 			worker.add(run)
-			if job.State.Final() {
+			if !run.isNeeded() {
 				scheduler.stopRun(run)
 			}
 			return
@@ -220,6 +222,7 @@
 	worker, exists := scheduler.workers[profile.Incarnation]
 	if !exists {
 		worker = newWorkerState()
+		worker.unreachableSince, worker.listedAt = now, now
 		scheduler.workers[profile.Incarnation] = worker
 	}
 	if !exists || worker.Draining != profile.Draining || worker.Capacity != profile.Capacity {
@@ -230,7 +233,7 @@
 	for _, run := range scheduler.orphans[profile.Incarnation] {
 		run.worker, run.progressAt = worker, now
 		worker.add(run)
-		if run.job.State.Final() {
+		if !run.isNeeded() {
 			scheduler.stopRun(run)
 		}
 	}
@@ -244,7 +247,7 @@
 // SetReachable records whether the worker accepts orders.
 func (scheduler *Scheduler) SetReachable(incarnation Incarnation, reachable bool) {
 	if worker, ok := scheduler.workers[incarnation]; ok && worker.reachable != reachable {
-		worker.reachable = reachable
+		worker.reachable, worker.unreachableSince = reachable, scheduler.copies.now
 		scheduler.dirty = true
 	}
 }
@@ -351,7 +354,7 @@
 		if item.Percent != run.progressPercent || item.ThrottlePercent > maxStallThrottlePercent {
 			run.progressPercent, run.progressAt = item.Percent, now
 		}
-		if item.Saved != "" && !run.job.State.Final() {
+		if item.Saved != "" && !run.job.State.Final() && scheduler.isAhead(run) {
 			run.job.SaveCheckpoint(item.Name, item.Saved)
 		}
 	}
@@ -369,6 +372,7 @@
 	if !ok || run.number != end.Run {
 		return
 	}
+	scheduler.copies.now = now
 	switch end.Cause {
 	case workflow.Finished:
 		worker.health.recordFinished()
@@ -414,26 +418,32 @@
 // recordJobEnd records the end of a run in its job.
 func (scheduler *Scheduler) recordJobEnd(run *activeRun, cause workflow.Cause, saved workflow.Checkpoint) {
 	scheduler.dirty = true
+	scheduler.recordCopyEnd(run, cause)
 	record, ok := scheduler.jobs[run.name.Job]
 	if !ok {
 		return
 	}
 	record.activeRuns--
 	delete(record.urgency.runs, run)
-	task := record.job.Task(run.name)
-	if task == nil || task.Phase != workflow.Active || task.Run != run.number {
+	if record.job.State.Final() {
+		if record.job.EndRunOfFinalJob(run.name, run.number) {
+			scheduler.dirtyJobs[record.job.Spec.ID] = record
+		}
 		return
 	}
-	if record.job.State.Final() {
-		record.job.EndRunOfFinalJob(run.name)
-		scheduler.dirtyJobs[record.job.Spec.ID] = record
+	if !scheduler.isAhead(run) {
+		saved = ""
+	}
+	if !record.job.EndRun(run.name, run.number, cause, saved) {
 		return
 	}
-	record.job.EndRun(run.name, cause, saved)
 	scheduler.dirtyJobs[record.job.Spec.ID] = record
 	if record.job.State.Final() {
 		scheduler.closeJob(record)
+		return
 	}
+	record.dropDurations(run.name)
+	scheduler.stopSuperseded(record.job, run.name)
 }
 
 // TakeChanges returns and resets the changed jobs and the orders since the last call. The jobs must be
--- a/scheduler/urgency.go
+++ b/scheduler/urgency.go
@@ -181,7 +181,7 @@
 		})
 	}
 	for run := range record.urgency.runs {
-		if run.name.Occurrence == occurrence.Number && !run.stopping {
+		if run.name.Occurrence == occurrence.Number && !run.stopping && run.decidesEnd() {
 			buffers.active = append(buffers.active, run)
 			buffers.runs = append(buffers.runs, run.urgencyInput(now))
 		}
@@ -210,6 +210,16 @@
 	}
 }
 
+// decidesEnd reports whether the end of the task is expected from the run: it is needed and has no copy, which would have
+// been placed because it is expected to end sooner. Otherwise a task with two runs would count twice.
+func (run *activeRun) decidesEnd() bool {
+	if !run.step.MayHaveCopies() {
+		return true
+	}
+	task := run.job.Task(run.name)
+	return task != nil && task.HasRun(run.number) && (run.number == task.Run || task.Worker == "")
+}
+
 // urgencyInput returns what a decision needs of the run.
 func (run *activeRun) urgencyInput(now clock.Time) urgency.Run {
 	const percent = 100
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -44,7 +44,9 @@
 	reachable bool
 	// overdue workers get no new runs, because their agent's next report is missing.
 	overdue bool
-	// listedAt is when the worker's runs were last reported.
+	// unreachableSince is when an unreachable worker was reported or was last reachable.
+	unreachableSince clock.Time
+	// listedAt is when the active runs of the worker were last reported.
 	listedAt clock.Time
 	runs     map[workflow.Name]*activeRun
 	reserved unit.Resources
@@ -77,6 +79,13 @@
 	worker   *workerState
 	placedAt clock.Time
 	stopping bool
+	// restored reports that an earlier leader placed the run, at a time that is not known.
+	restored bool
+	// observedAt is the time from which the duration of a run counts whose task may have two, or 0 before it is considered.
+	observedAt clock.Time
+	// copyTriedAt is when a worker for a copy of the run was last sought, and copiedAt when the last copy was placed.
+	copyTriedAt clock.Time
+	copiedAt    clock.Time
 	// progressPercent is the last reported progress, and progressAt the time at which it last changed.
 	progressPercent int
 	progressAt      clock.Time
@@ -86,11 +95,6 @@
 	sampledAt clock.Time
 	// baseline is the tail latency that a serving run would have without filling runs on its worker.
 	baseline pacing.Baseline
-	// throttledSince is the time since which the run is throttled by throttledPercent or more, or 0.
-	// baselineTail is the recent peak of the tail latency that a serving run would have without filling
-	// runs on its worker, as the logarithm of its share of the target. It was updated at baselineAt.
-	baselineTail float64
-	baselineAt   clock.Time
 	// throttledSince is the time since which the run is throttled to less than slowPercent, or 0.
 	throttledSince clock.Time
 	// course is what reports tell of the run's speed.
@@ -102,6 +106,11 @@
 	pace     runPace
 }
 
+// isNeeded reports whether the run counts for its job: the job is not final and the task not done.
+func (run *activeRun) isNeeded() bool {
+	return !run.job.State.Final() && run.job.HasRun(run.name, run.number)
+}
+
 func newWorkerState() *workerState {
 	return &workerState{runs: map[workflow.Name]*activeRun{}, servingImages: map[pacing.Image]int{}}
 }
@@ -138,6 +147,14 @@
 	}
 }
 
+// rack returns the rack of the worker, the last of its labels, or an empty string.
+func (worker *workerState) rack() string {
+	if len(worker.Labels) == 0 {
+		return ""
+	}
+	return worker.Labels[len(worker.Labels)-1]
+}
+
 // stepRuns returns the number of active runs on the worker that belong to the same step and occurrence as
 // the named task.
 func (worker *workerState) stepRuns(name workflow.Name) int {
