colocation: serving tasks that are sensitive to the same images share workers

Exchanges were rated by the usable cores alone. Package colocation rates by the cube of the mean share, which falls with each task that leaves, and moves up to one task in twenty a round.

--- a/scheduler/rebalance.go
+++ b/scheduler/rebalance.go
@@ -1,13 +1,11 @@
 package scheduler
 
 import (
-	"cmp"
 	"math"
-	"slices"
 
 	"hyssopjunction/clock"
+	"hyssopjunction/colocation"
 	"hyssopjunction/pacing"
-	"hyssopjunction/set"
 	"hyssopjunction/workflow"
 )
 
@@ -19,15 +17,12 @@
 	interferenceExponent = 10.0
 	// rebalanceInterval is the time between two rounds of moves.
 	rebalanceInterval = clock.Second
-	// sourcesPerRound is the number of workers from which moves are considered in a round, which limits its processor
-	// time. A worker is considered again after sourceInterval.
-	sourcesPerRound = 4
-	sourceInterval  = 4 * clock.Second
-	// workersPerMove is the number of workers for each move of a round, so that few tasks are missing at a time.
-	workersPerMove = 16
+	// workersPerMove is the number of workers for each move of a round, so that few tasks are missing at a time: of about
+	// five tasks on a worker, a round stops at most one in twenty.
+	workersPerMove = 8
 	// minGainPerTask is how many usable cores filling tasks must gain for each task that is moved. A moved task does
 	// not run for about a second.
-	minGainPerTask = 1.0
+	minGainPerTask = 0.3
 	// minServingStay is how long a serving task stays on a worker before it may be moved.
 	minServingStay = 8 * clock.Second
 	// unreachablePercent is the share of unreachable workers above which no task is moved.
@@ -37,15 +32,6 @@
 	lostCoresWeight = 0.15
 )
 
-// servingMove moves a serving task to another worker, in exchange for one of its tasks unless back is nil.
-type servingMove struct {
-	run         *activeRun
-	destination *workerState
-	back        *activeRun
-	// gain is how many usable cores filling tasks gain for each task that is moved.
-	gain float64
-}
-
 // rebalanceServing starts the moves of serving tasks that gain the most cores for filling tasks. Most workers are full,
 // so most moves are exchanges of two tasks.
 func (scheduler *Scheduler) rebalanceServing(now clock.Time) {
@@ -63,132 +49,74 @@
 	if 100*unreachable > unreachablePercent*len(scheduler.workers) {
 		return
 	}
-	moves := scheduler.servingMoves(now)
-	slices.SortStableFunc(moves, func(left, right servingMove) int { return cmp.Compare(right.gain, left.gain) })
-	involved := set.New[Incarnation]()
-	moveLimit := max(1, len(scheduler.workers)/workersPerMove)
-	for _, move := range moves {
-		if involved.Len() >= 2*moveLimit {
-			break
-		}
-		source := move.run.worker
-		if involved.Has(source.Incarnation) || involved.Has(move.destination.Incarnation) {
-			continue
-		}
-		involved.Add(source.Incarnation)
-		involved.Add(move.destination.Incarnation)
+	for _, move := range scheduler.servingMoves(now) {
 		scheduler.transferRun(move.run, move.destination, now)
 		if move.back != nil {
-			scheduler.transferRun(move.back, source, now)
+			scheduler.transferRun(move.back, move.source, now)
 		}
 	}
 }
 
-// ratedWorker is a worker with what filling tasks can use there, by position of the filling image.
-type ratedWorker struct {
-	*workerState
-	idleCores float64
-	shares    []float64
-	usable    float64
-	movable   []ratedRun
-	// highestGain is the highest gain of the movable runs.
-	highestGain float64
-}
-
-// ratedRun is a serving run that may be moved, with what filling tasks can use on its worker without it.
-type ratedRun struct {
-	*activeRun
-	idleCores float64
-	shares    []float64
-	// gain is how many usable cores filling tasks gain if the run is removed.
-	gain float64
-}
-
-// rateWorkers rates all workers and their movable runs.
-func (scheduler *Scheduler) rateWorkers(view *fillingView, now clock.Time) []ratedWorker {
-	workers := make([]ratedWorker, 0, len(scheduler.workers))
-	for _, incarnation := range scheduler.sortedWorkers() {
-		worker := scheduler.workers[incarnation]
-		tasks := view.neighbourhoodOf(worker, nil, nil)
-		rated := ratedWorker{workerState: worker, idleCores: tasks.idleCores, shares: view.smallestShares(tasks)}
-		rated.usable = view.usableCores(rated.idleCores, rated.shares, nil)
-		for _, run := range movableRuns(worker, now) {
-			without := view.neighbourhoodOf(worker, run, nil)
-			item := ratedRun{activeRun: run, idleCores: without.idleCores, shares: view.smallestShares(without)}
-			item.gain = view.usableCores(item.idleCores, item.shares, nil) - rated.usable
-			rated.highestGain = math.Max(rated.highestGain, item.gain)
-			rated.movable = append(rated.movable, item)
-		}
-		workers = append(workers, rated)
-	}
-	return workers
+// servingMove moves a serving task to another worker, in exchange for one of its tasks unless back is nil.
+type servingMove struct {
+	run                 *activeRun
+	source, destination *workerState
+	back                *activeRun
 }
 
-// servingMoves returns the best move from each of the workers from which a move can gain most, if it gains enough.
+// servingMoves returns the moves of a round.
 func (scheduler *Scheduler) servingMoves(now clock.Time) []servingMove {
 	view := scheduler.fillingView(now)
-	workers := scheduler.rateWorkers(view, now)
-	sources := make([]*ratedWorker, 0, len(workers))
-	for position := range workers {
-		// An exchange gains at most what the removal of both tasks does.
-		if source := &workers[position]; source.highestGain > minGainPerTask && now.Sub(source.consideredAt) >= sourceInterval {
-			sources = append(sources, source)
-		}
-	}
-	slices.SortStableFunc(sources, func(left, right *ratedWorker) int { return cmp.Compare(right.highestGain, left.highestGain) })
-	var moves []servingMove
-	for _, source := range sources[:min(sourcesPerRound, len(sources))] {
-		source.consideredAt = now
-		best := servingMove{gain: minGainPerTask}
-		for _, run := range source.movable {
-			for position := range workers {
-				destination := &workers[position]
-				if destination.workerState != source.workerState && (run.gain > best.gain || (run.gain+destination.highestGain)/2 > best.gain) && scheduler.mayPlaceRun(run.activeRun, destination.workerState, now) {
-					scheduler.rateMoves(view, source, run, destination, &best, now)
-				}
+	if view.totalDemand == 0 {
+		return nil
+	}
+	demand := colocation.Demand{Cores: view.demand}
+	profiles := map[string]int{}
+	var workers []colocation.Worker
+	var states []*workerState
+	var runs [][]*activeRun
+	for _, incarnation := range scheduler.sortedWorkers() {
+		state := scheduler.workers[incarnation]
+		worker := colocation.Worker{IdleCores: float64(state.idleCPU()) / milliPerCore}
+		var listed []*activeRun
+		for _, run := range sortedRuns(state) {
+			if run.step.Target == 0 {
+				continue
 			}
+			profile, ok := profiles[run.step.Image]
+			if !ok {
+				profile = len(demand.Shares)
+				profiles[run.step.Image] = profile
+				demand.Shares = append(demand.Shares, view.sharesBeside(pacing.Image(run.step.Image)))
+			}
+			worker.Tasks = append(worker.Tasks, colocation.Task{Profile: profile, Load: servingLoad(run.step), Movable: isServingRunMovable(run, now)})
+			listed = append(listed, run)
 		}
-		if best.run != nil {
-			moves = append(moves, best)
-		}
+		workers, states, runs = append(workers, worker), append(states, state), append(runs, listed)
 	}
-	return moves
-}
-
-// rateMoves replaces best by a move of the run to the destination, alone or in exchange for a run there, that gains more.
-func (scheduler *Scheduler) rateMoves(view *fillingView, source *ratedWorker, run ratedRun, destination *ratedWorker, best *servingMove, now clock.Time) {
-	shares, load := view.sharesBeside(pacing.Image(run.step.Image)), servingLoad(run.step)
-	if run.gain > best.gain && scheduler.fitsAfter(run.activeRun, destination.workerState, nil, now) {
-		gain := run.gain + view.usableCores(destination.idleCores-load, destination.shares, shares) - destination.usable
-		if gain > best.gain {
-			*best = servingMove{run: run.activeRun, destination: destination.workerState, gain: gain}
+	fits := func(from, task, to, back int) bool {
+		var leaving *activeRun
+		if back != colocation.NoTask {
+			leaving = runs[to][back]
 		}
+		return scheduler.mayPlaceRun(runs[from][task], states[to], now) && scheduler.fitsAfter(runs[from][task], states[to], leaving, now)
 	}
-	for _, back := range destination.movable {
-		if (run.gain+back.gain)/2 <= best.gain || back.step.Image == run.step.Image {
-			continue
-		}
-		gain := view.usableCores(run.idleCores-servingLoad(back.step), run.shares, view.sharesBeside(pacing.Image(back.step.Image))) - source.usable +
-			view.usableCores(back.idleCores-load, back.shares, shares) - destination.usable
-		if gain/2 > best.gain && scheduler.mayPlaceRun(back.activeRun, source.workerState, now) &&
-			scheduler.fitsAfter(run.activeRun, destination.workerState, back.activeRun, now) && scheduler.fitsAfter(back.activeRun, source.workerState, run.activeRun, now) {
-			*best = servingMove{run: run.activeRun, destination: destination.workerState, back: back.activeRun, gain: gain / 2}
+	limit := max(1, len(scheduler.workers)/workersPerMove)
+	var moves []servingMove
+	for _, move := range colocation.Choose(workers, demand, fits, minGainPerTask, limit) {
+		chosen := servingMove{run: runs[move.From][move.Task], source: states[move.From], destination: states[move.To]}
+		if move.Back != colocation.NoTask {
+			chosen.back = runs[move.To][move.Back]
 		}
+		moves = append(moves, chosen)
 	}
+	return moves
 }
 
-// movableRuns returns one run of each step on a worker that may be moved.
-func movableRuns(worker *workerState, now clock.Time) []*activeRun {
-	var runs []*activeRun
-	for _, run := range sortedRuns(worker) {
-		if !run.step.Standing || run.step.Target == 0 || run.step.MayMiss > 0 || run.step.Gang || run.stopping || now.Sub(run.placedAt) < minServingStay {
-			continue
-		}
-		if len(runs) == 0 || runs[len(runs)-1].step != run.step {
-			runs = append(runs, run)
-		}
-	}
-	return runs
+// isServingRunMovable reports whether a serving run may be moved. Steps with MayMiss limit planned interruptions, so their
+// runs stay.
+func isServingRunMovable(run *activeRun, now clock.Time) bool {
+	return run.step.Standing && run.step.MayMiss == 0 && !run.step.Gang && !run.stopping && now.Sub(run.placedAt) >= minServingStay
 }
 
 // mayPlaceRun reports whether the task of an active run may be placed on a worker, whether or not there is room.
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -56,8 +56,6 @@
 	standingCPU unit.MilliCPU
 	// servingImages counts the serving runs by image.
 	servingImages map[pacing.Image]int
-	// consideredAt is when moves of serving tasks from the worker were last considered.
-	consideredAt clock.Time
 	// rooms is the result of servingRooms while roomsValid is set.
 	rooms      []servingRoom
 	roomsValid bool
