scheduler: runs without checkpoints are moved only after 4 s, and restored runs teach no speeds

A paused run counted as proceeding at a tenth of its speed, so that nearly every pause seemed worth a move. And the runs that a new leader found counted from the acceptance of their job, so that their workers seemed slow after each change of leaders.

--- a/scheduler/movethrottled.go
+++ b/scheduler/movethrottled.go
@@ -18,6 +18,10 @@
 	// minSlowTime is how long a run must be throttled before it is moved: more than one listing, so that short load peaks
 	// move little. A job is late with its slowest task, and wide steps always have a throttled one.
 	minSlowTime = 700 * clock.Millisecond
+	// minSlowTimeWithLoss is that time for a run without checkpoints that has done more than maxLostProgressPercent, which
+	// the move would discard. Most throttled runs go on before, when the load of the serving tasks falls.
+	minSlowTimeWithLoss    = 4 * clock.Second
+	maxLostProgressPercent = 15
 	// moveInterval is the time between two rounds of moves. The effect of a round shows in the samples after
 	// about a second.
 	moveInterval = 600 * clock.Millisecond
@@ -95,7 +99,7 @@
 				continue
 			}
 			course := scheduler.courseOf(run, now)
-			if course.Speed*100 >= slowPercent || now.Sub(max(run.placedAt, run.throttledSince)) < minSlowTime {
+			if course.Speed*100 >= slowPercent || now.Sub(max(run.placedAt, run.throttledSince)) < run.minSlowTime() {
 				continue
 			}
 			gain := scheduler.bounds.Gain(course, 1)
@@ -111,6 +115,14 @@
 	return list
 }
 
+// minSlowTime returns how long the run must be slow before it may be moved.
+func (run *activeRun) minSlowTime() clock.Millis {
+	if !run.step.Checkpoints && run.progressPercent > maxLostProgressPercent {
+		return minSlowTimeWithLoss
+	}
+	return minSlowTime
+}
+
 // bestMove returns the position of the worker on which the task of a run ends soonest and its gain there, or a negative
 // position if no worker is worth the move.
 func (scheduler *Scheduler) bestMove(round *fillingRound, candidate moveCandidate, record *jobRecord, now clock.Time) (best int, gain clock.Millis) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -377,8 +377,11 @@
 	case workflow.Finished:
 		worker.health.recordFinished()
 		scheduler.recordFinishedTime(run, now)
-		scheduler.observeDuration(run, now)
-		scheduler.observeSpeed(run, now)
+		if !run.restored {
+			// An earlier leader placed a restored run, so it is not known how long it took.
+			scheduler.observeDuration(run, now)
+			scheduler.observeSpeed(run, now)
+		}
 	case workflow.Faulted:
 		if record, ok := scheduler.jobs[end.Name.Job]; ok {
 			record.failuresByWorker[incarnation]++
