pacing: no forecast of the serving load

With the forecast, the room beside serving tasks was used up to 0.72 of their target instead of 0.6 of the last sample.

--- a/pacing/governor.go
+++ b/pacing/governor.go
@@ -56,8 +56,6 @@
 	paces     map[string]int
 	// limit describes what limited the paces most.
 	limit Limit
-	// baselines holds the baseline tail latency of each serving task with a sample.
-	baselines map[string]*Baseline
 }
 
 // Limit describes the serving task that limited the paces of the last decision most.
@@ -71,8 +69,6 @@
 	// of that is allowed.
 	RoomPercent  int
 	TrustPercent int
-	// Forecast reports that the room follows from a forecast and not from the last sample.
-	Forecast bool
 	// Halted reports that all filling tasks are paused because a target was exceeded for too long.
 	Halted bool
 
@@ -85,7 +81,7 @@
 // NewGovernor returns a governor that starts with full paces. The parameter maxOverTarget is how long serving
 // tasks may exceed their target through filling tasks.
 func NewGovernor(maxOverTarget clock.Millis) *Governor {
-	return &Governor{haltAfter: maxOverTarget * haltPercent / FullPace, trust: map[string]float64{}, overSince: map[string]clock.Time{}, paces: map[string]int{}, baselines: map[string]*Baseline{}}
+	return &Governor{haltAfter: maxOverTarget * haltPercent / FullPace, trust: map[string]float64{}, overSince: map[string]clock.Time{}, paces: map[string]int{}}
 }
 
 // Pace returns the pace of a filling task in percent.
@@ -104,7 +100,6 @@
 		return
 	}
 	governor.decidedAt = now
-	governor.observeBaselines(serving, filling, weights, now)
 	governor.adjustTrust(serving, filling, weights)
 	governor.halted = governor.trackOverTarget(serving, now)
 	governor.Allocate(serving, filling, weights)
@@ -135,38 +130,6 @@
 	governor.paces = paces
 }
 
-// observeBaselines adds the samples to the baselines of the serving tasks, and removes those of tasks that have ended.
-func (governor *Governor) observeBaselines(serving []ServingSample, filling []FillingSample, weights WeightFunc, now clock.Time) {
-	baselines := map[string]*Baseline{}
-	for _, task := range serving {
-		baseline, ok := governor.baselines[task.Task]
-		if !ok {
-			baseline = &Baseline{}
-		}
-		baselines[task.Task] = baseline
-		if task.Tail > 0 {
-			baseline.Observe(BaselineTail(task, filling, weights), now)
-		}
-	}
-	governor.baselines = baselines
-}
-
-// room returns by how much the tail latency of a serving task may be increased. The parameter increase is by how much
-// filling tasks increase the last sample. The forecast is not used for a task near its target for another reason than its
-// own load: the weights that its samples were corrected by are then in doubt.
-func (governor *Governor) room(task ServingSample, increase float64, suspect bool) float64 {
-	if governor.hasForecast(task, suspect) {
-		return governor.baselines[task.Task].pacingRoom()
-	}
-	return math.Log(setpointShare) - math.Log(task.ratio()) + increase
-}
-
-// hasForecast reports whether room uses the forecast of a task.
-func (governor *Governor) hasForecast(task ServingSample, suspect bool) bool {
-	baseline, ok := governor.baselines[task.Task]
-	return ok && baseline.series.Ready() && !suspect
-}
-
 // trackOverTarget updates since when serving tasks are over their target and reports whether one has been for
 // haltAfter or longer. It reduces the trust for such tasks to minTrust.
 func (governor *Governor) trackOverTarget(serving []ServingSample, now clock.Time) bool {
@@ -247,8 +210,8 @@
 	if !ok {
 		trust = 1
 	}
-	minWeight, suspect := 0.0, task.ratio() > lowerTrustAbove && !isOwnLoad(task, filling, weights)
-	if suspect {
+	minWeight := 0.0
+	if task.ratio() > lowerTrustAbove && !isOwnLoad(task, filling, weights) {
 		minWeight = minSuspectWeight
 	}
 	currentIncrease := 0.0
@@ -268,7 +231,7 @@
 	if requestedIncrease <= 0 {
 		return
 	}
-	room := governor.room(task, currentIncrease, suspect)
+	room := math.Log(setpointShare) - math.Log(task.ratio()) + currentIncrease
 	allowedIncrease := room*trust - reservedIncrease
 	if requestedIncrease <= allowedIncrease && trust >= 1 {
 		return
@@ -277,7 +240,7 @@
 	if factor < 1 && (governor.limit.Task == "" || factor < governor.limit.factor) {
 		governor.limit = Limit{
 			Task: task.Task, Image: task.Image, TailPercent: int(math.Round(FullPace * task.ratio())), RoomPercent: int(math.Round(FullPace * (math.Exp(room) - 1))),
-			TrustPercent: int(math.Round(FullPace * trust)), Forecast: governor.hasForecast(task, suspect), Halted: governor.halted, factor: factor,
+			TrustPercent: int(math.Round(FullPace * trust)), Halted: governor.halted, factor: factor,
 		}
 	}
 	// Tasks that contribute little, compared with the group and all more urgent ones, keep their share.
--- a/supervisor/urgency.go
+++ b/supervisor/urgency.go
@@ -135,7 +135,7 @@
 		"Critical", runs[pacing.Critical], "CriticalPace", meanPace(pacing.Critical), "Elevated", runs[pacing.Elevated], "ElevatedPace", meanPace(pacing.Elevated),
 		"Normal", runs[pacing.Normal], "NormalPace", meanPace(pacing.Normal), "Background", runs[pacing.Background], "BackgroundPace", meanPace(pacing.Background),
 		"Limit", limit.Task, "Image", limit.Image, "TailPercent", limit.TailPercent, "RoomPercent", limit.RoomPercent, "TrustPercent", limit.TrustPercent,
-		"Forecast", limit.Forecast, "Halted", limit.Halted, "LeaderMessageAgeMillis", int64(now.Sub(supervisor.urgency.heardAt)))
+		"Halted", limit.Halted, "LeaderMessageAgeMillis", int64(now.Sub(supervisor.urgency.heardAt)))
 }
 
 // firstPaceCall returns the call that sets the pace of a filling run whose start was just answered, and the pace, or nil
