supervisor: which runs a worker had started when it crashed

The logs did not tell which runs a worker had at its crash, for how long they had run, and which were ordered but never started: the leader logs a number. The agent now logs 'Worker crashed' with the runs that it had started, the youngest first, and their ages. A start call that reached no process does not count, and shows that the worker is gone earlier than the next listing does.

--- a/standin/platformtest/runner.go
+++ b/standin/platformtest/runner.go
@@ -80,6 +80,10 @@
 	unacknowledged map[int64]*Run
 	lastEnd        int64
 	fault          func(request *http.Request) Fault
+	// crash is called crashDelay after the start of a task for which crashes is true.
+	crashes    func(task string) bool
+	crashDelay time.Duration
+	crash      func()
 }
 
 // NewRunner returns an idle runner. startedAt is the start of its incarnation in Unix milliseconds; runPlan
@@ -98,6 +102,15 @@
 	runner.fault = fault
 }
 
+// SetCrash makes each task for which crashes returns true crash the runner the given time after its start: crash is then
+// called once on a goroutine of its own, and is expected to call Crash.
+func (runner *Runner) SetCrash(crashes func(task string) bool, delay time.Duration, crash func()) {
+	runner.mu.Lock()
+	defer runner.mu.Unlock()
+	var once sync.Once
+	runner.crashes, runner.crashDelay, runner.crash = crashes, delay, func() { once.Do(crash) }
+}
+
 // ServeHTTP implements http.Handler.
 func (runner *Runner) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	runner.mu.Lock()
@@ -220,6 +233,9 @@
 	runner.log.mu.Lock()
 	runner.log.runs = append(runner.log.runs, record)
 	runner.log.mu.Unlock()
+	if runner.crashes != nil && runner.crashes(form.Task) {
+		time.AfterFunc(runner.crashDelay, runner.crash)
+	}
 	return http.StatusOK, runner.newAnswer()
 }
 
--- /dev/null
+++ b/supervisor/crash.go
@@ -0,0 +1,101 @@
+package supervisor
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+
+	"k8s.io/klog/v2"
+
+	"hyssopjunction/clock"
+)
+
+// maxLoggedCrashRuns limits the runs in the log line of a crash. They are the ones that started last.
+const maxLoggedCrashRuns = 16
+
+// crash describes the end of a worker's process that the worker had not announced.
+type crash struct {
+	// at is the estimated time of the end.
+	at clock.Time
+	// runs holds the runs that the worker had started or may have started, the last one first.
+	runs []crashedRun
+}
+
+// crashedRun is a run on a worker whose process ended. age is how long before that its start was sent.
+type crashedRun struct {
+	key runKey
+	age clock.Millis
+	// confirmed reports that the worker confirmed the start or listed the run.
+	confirmed bool
+}
+
+// recordFailure notes when the worker stopped answering. A listing that got no answer in time was sent to a worker that
+// may have ended at any moment since.
+func (worker *workerState) recordFailure(err error, sentAt, now clock.Time) {
+	if worker.failingSince != 0 {
+		return
+	}
+	worker.failingSince = now
+	if errors.Is(err, context.DeadlineExceeded) {
+		worker.failingSince = sentAt
+	}
+}
+
+// recordAnswer notes what the outcome of a start or stop call tells of the worker's process. A start that reached no process
+// had no effect.
+func (worker *workerState) recordAnswer(run *runState, stop bool, err error, now clock.Time) {
+	switch {
+	case err == nil || IsErrRefused(err):
+		worker.answeredAt = now
+	case IsErrNotListening(err):
+		worker.recordFailure(err, now, now)
+		if !stop {
+			run.startSentAt = run.previousStartSentAt
+		}
+	}
+}
+
+// newCrash returns the description of the end of the worker's process, which was noticed now.
+func (worker *workerState) newCrash(now clock.Time) *crash {
+	failingSince := worker.failingSince
+	if failingSince == 0 {
+		failingSince = now // Another process answers or announces itself already.
+	}
+	crash := &crash{at: max(failingSince, worker.answeredAt)}
+	listed := map[runKey]struct{}{}
+	for _, item := range worker.listing.Active {
+		listed[runKey{item.Task, item.Run}] = struct{}{}
+	}
+	for key, run := range worker.runs {
+		_, isListed := listed[key]
+		if !isListed && (run.phase == phaseStopped || run.startSentAt == 0 && !run.known) {
+			continue
+		}
+		startedAt := run.startSentAt
+		if startedAt == 0 {
+			startedAt = run.listedAt
+		}
+		crash.runs = append(crash.runs, crashedRun{key: key, age: max(0, crash.at.Sub(startedAt)), confirmed: run.known})
+	}
+	slices.SortFunc(crash.runs, func(left, right crashedRun) int {
+		return cmp.Or(cmp.Compare(left.age, right.age), cmp.Compare(left.key.task, right.key.task), cmp.Compare(left.key.number, right.key.number))
+	})
+	return crash
+}
+
+// log writes which runs the worker had started, with their ages in milliseconds.
+func (crash *crash) log(incarnation string, now clock.Time) {
+	var youngest []string
+	unconfirmed := 0
+	for position, run := range crash.runs {
+		if position < maxLoggedCrashRuns {
+			youngest = append(youngest, fmt.Sprintf("%s:%d %d", run.key.task, run.key.number, run.age))
+		}
+		if !run.confirmed {
+			unconfirmed++
+		}
+	}
+	klog.InfoS("Worker crashed", "Worker", incarnation, "AgoMillis", int64(now.Sub(crash.at)), "Runs", len(crash.runs), "Unconfirmed", unconfirmed, "Youngest", youngest)
+}
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -233,6 +233,7 @@
 			Saved: run.order.Saved, Deadline: deadline, Token: supervisor.grant.term,
 		}
 		worker.leaseSentAt = supervisor.clock.Now()
+		run.previousStartSentAt, run.startSentAt = run.startSentAt, worker.leaseSentAt
 		return func(ctx context.Context) error { return supervisor.runtime.Start(ctx, call) }, false
 	case phaseStopping:
 		call := StopCall{Incarnation: worker.announcement.Incarnation, Task: run.order.Task, Run: run.order.Run, Token: supervisor.grant.term}
@@ -258,6 +259,7 @@
 	}
 	now := supervisor.clock.Now()
 	var refused ErrRefused
+	worker.recordAnswer(run, stop, err, now)
 	switch {
 	case stop && (err == nil || errors.As(err, &refused) && refused.Refusal != RefusedToken):
 		if run.phase == phaseStopping {
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -103,6 +103,11 @@
 	leaseSentAt clock.Time
 	// unansweredListings is the number of consecutive listings without an answer.
 	unansweredListings int
+	// answeredAt is when the worker last answered a call, and failingSince when the first of the unanswered listings failed,
+	// or 0.
+	answeredAt, failingSince clock.Time
+	// crash is what the worker had started when its process ended by itself, or nil.
+	crash *crash
 	// lapsed reports that no run is active on the worker, because its lease or its process ended. ended reports that it was
 	// the process.
 	lapsed, ended bool
@@ -150,6 +155,11 @@
 	confirmedAt clock.Time
 	// orderedAt is when the start order arrived.
 	orderedAt clock.Time
+	// startSentAt is when the last start call was sent that may have taken effect, or 0, and previousStartSentAt the one
+	// before.
+	startSentAt, previousStartSentAt clock.Time
+	// listedAt is when the run was first listed, or 0.
+	listedAt clock.Time
 	startLimits
 	// reason is why the run is being stopped.
 	reason string
@@ -345,6 +355,7 @@
 	now := supervisor.clock.Now()
 	wasResponsive := supervisor.isResponsive(worker)
 	if err != nil {
+		worker.recordFailure(err, sentAt, now)
 		worker.unansweredListings++
 		if worker.unansweredListings == unresponsiveListings {
 			klog.ErrorS(err, "Worker does not answer", "Worker", worker.incarnation)
@@ -373,6 +384,7 @@
 		supervisor.requestReport()
 	}
 	worker.unansweredListings, worker.notListeningSince = 0, 0
+	worker.answeredAt, worker.failingSince = now, 0
 	if !sentAt.Before(supervisor.session.startedAt) {
 		supervisor.session.hasListing = true
 	}
@@ -410,10 +422,13 @@
 		activeKeys[key] = struct{}{}
 		run, ok := worker.runs[key]
 		if !ok {
-			worker.runs[key] = &runState{order: session.Start{Task: item.Task, Run: item.Run}, phase: phaseStarted, pacePercent: unknownPacePercent, known: true}
+			worker.runs[key] = &runState{order: session.Start{Task: item.Task, Run: item.Run}, phase: phaseStarted, pacePercent: unknownPacePercent, known: true, listedAt: sentAt}
 			continue
 		}
 		run.known = true
+		if run.listedAt == 0 {
+			run.listedAt = sentAt
+		}
 		if run.phase == phaseStarting {
 			run.phase, run.confirmedAt = phaseStarted, sentAt
 		}
--- a/supervisor/workerend.go
+++ b/supervisor/workerend.go
@@ -40,6 +40,10 @@
 		return
 	}
 	klog.InfoS("Worker is gone", "Worker", worker.incarnation, "Reason", reason)
+	if !worker.announcement.Draining && worker.crash == nil {
+		worker.crash = worker.newCrash(supervisor.clock.Now())
+		worker.crash.log(worker.incarnation, supervisor.clock.Now())
+	}
 	worker.lapsed, worker.ended, worker.endedAt = true, true, supervisor.clock.Now()
 	// The next report has the worker's profile, also if it answers again by then: the profile shows which is the newer.
 	supervisor.session.reportedWorker = nil
