supervisor: starts fit the capacity that the worker has when they are made

A worker's capacity may shrink while it runs. A start that had been ordered before, and waited for a call slot, a lease or the repetition of an unanswered call, was then made although it no longer fitted, because the agent compared it with the capacity on arrival only. The agent now decides again with each call; runs that are being stopped and starts that may have taken effect count. It tells the leader of a new capacity at once.

--- a/standin/platformtest/runner.go
+++ b/standin/platformtest/runner.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -40,6 +41,15 @@
 type Log struct {
 	mu   sync.Mutex
 	runs []*Run
+	// overloads describes the starts that exceeded the capacity of their runner.
+	overloads []string
+}
+
+// Overloads returns a line for each start that brought a runner over its capacity.
+func (log *Log) Overloads() []string {
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	return slices.Clone(log.overloads)
 }
 
 // Runs returns a copy of all runs, in the order in which they started.
@@ -80,6 +90,10 @@
 	unacknowledged map[int64]*Run
 	lastEnd        int64
 	fault          func(request *http.Request) Fault
+	// needs returns the processors that a task reserves, and capacities holds the capacities with the times until which a
+	// start may use them, the current one last. They are not checked if needs is nil.
+	needs      func(task string) int
+	capacities []runnerCapacity
 	// crash is called crashDelay after the start of a task for which crashes is true.
 	crashes    func(task string) bool
 	crashDelay time.Duration
@@ -102,6 +116,46 @@
 	runner.fault = fault
 }
 
+// runnerCapacity is a capacity in thousandths of a processor that starts may use until a time, or without end if that is zero.
+type runnerCapacity struct {
+	cpu   int
+	until time.Time
+}
+
+// SetCapacity replaces the capacity in thousandths of a processor. Starts may use a larger earlier one for the time grace. The
+// function needs returns what a task reserves.
+func (runner *Runner) SetCapacity(cpu int, grace time.Duration, needs func(task string) int) {
+	runner.mu.Lock()
+	defer runner.mu.Unlock()
+	runner.needs = needs
+	if last := len(runner.capacities) - 1; last >= 0 {
+		runner.capacities[last].until = time.Now().Add(grace)
+	}
+	runner.capacities = append(runner.capacities, runnerCapacity{cpu: cpu})
+}
+
+// checkCapacity records an overload if the runs in progress reserve more than the largest capacity that still counts. The
+// caller must hold the lock.
+func (runner *Runner) checkCapacity(started string) {
+	if runner.needs == nil || len(runner.capacities) == 0 {
+		return
+	}
+	total, allowed := 0, 0
+	for task := range runner.tasks {
+		total += runner.needs(task)
+	}
+	for _, capacity := range runner.capacities {
+		if capacity.until.IsZero() || time.Now().Before(capacity.until) {
+			allowed = max(allowed, capacity.cpu)
+		}
+	}
+	if total > allowed {
+		runner.log.mu.Lock()
+		defer runner.log.mu.Unlock()
+		runner.log.overloads = append(runner.log.overloads, fmt.Sprintf("start of %s on %s: %d of %d in use", started, runner.id, total, allowed))
+	}
+}
+
 // SetCrash makes each task for which crashes returns true crash the runner the given time after its start: crash is then
 // called once on a goroutine of its own, and is expected to call Crash.
 func (runner *Runner) SetCrash(crashes func(task string) bool, delay time.Duration, crash func()) {
@@ -233,6 +287,7 @@
 	runner.log.mu.Lock()
 	runner.log.runs = append(runner.log.runs, record)
 	runner.log.mu.Unlock()
+	runner.checkCapacity(form.Task)
 	if runner.crashes != nil && runner.crashes(form.Task) {
 		time.AfterFunc(runner.crashDelay, runner.crash)
 	}
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -11,6 +11,9 @@
 	"hyssopjunction/session"
 )
 
+// reasonRoom is why a start is given up that does not fit on the worker.
+const reasonRoom = "Room"
+
 // reasonLeaseEnded is why a start is given up that was ordered under a lease that has ended.
 const reasonLeaseEnded = "LeaseEnded"
 
@@ -89,8 +92,7 @@
 	run := &runState{order: order, phase: phaseStarting, pacePercent: pacing.FullPace, hasOrder: true, orderedAt: supervisor.clock.Now(), startLimits: limits}
 	supervisor.setUrgency(run, order.Urgency)
 	if !worker.reserved().Add(order.Reserved).FitsIn(worker.announcement.Capacity) {
-		run.order = session.Start{Task: order.Task, Run: order.Run} // It reserves nothing while it is being refused.
-		supervisor.giveUpStart(run, "Room")
+		supervisor.giveUpStart(run, reasonRoom)
 	}
 	worker.runs[key] = run
 	supervisor.callWorker(worker, run)
@@ -209,6 +211,11 @@
 	if supervisor.worker != worker {
 		return nil, false
 	}
+	if run.phase == phaseStarting {
+		if !worker.hasRoomFor(run) {
+			supervisor.giveUpStart(run, reasonRoom)
+		}
+	}
 	if run.phase == phaseStarting {
 		// Once a run is stopped, the worker refuses it, also if an earlier start arrives late.
 		switch now := supervisor.clock.Now(); {
@@ -243,6 +250,18 @@
 	return nil, false
 }
 
+// hasRoomFor reports whether the worker may be told to start a run now. Its capacity may have shrunk since the order. Runs that
+// are being stopped count, and so do those whose start was sent and not answered.
+func (worker *workerState) hasRoomFor(run *runState) bool {
+	total := run.order.Reserved
+	for _, other := range worker.runs {
+		if other != run && (other.phase != phaseStarting || other.startSentAt != 0) {
+			total = total.Add(other.order.Reserved)
+		}
+	}
+	return total.FitsIn(worker.announcement.Capacity)
+}
+
 // giveUpStart makes the next call for a run that has not started a stop. The run is rejected only after the worker has
 // confirmed it, because an earlier process of the agent may have made a start call that is carried out later.
 func (supervisor *Supervisor) giveUpStart(run *runState, reason string) {
@@ -250,6 +269,9 @@
 	klog.InfoS("Start given up", "Task", run.order.Task, "Run", run.order.Run, "Reason", reason,
 		"AgeMillis", int64(now.Sub(run.orderedAt)), "LeaseLeftMillis", int64(run.leaseEnd.Sub(now)), "GrantLeftMillis", int64(supervisor.grant.until.Sub(now)))
 	run.phase, run.reason = phaseStopping, reason
+	if run.startSentAt == 0 {
+		run.order = session.Start{Task: run.order.Task, Run: run.order.Run} // It reserves nothing while it is being refused.
+	}
 }
 
 // handleAnswer processes the outcome of a start or a stop and reports whether the run needs another call.
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -246,6 +246,11 @@
 			klog.InfoS("Worker state", "Worker", worker.incarnation, "Draining", announcement.Draining, "RemainingMillis", int64(announcement.Remaining))
 			supervisor.requestReport()
 		}
+		if announcement.Capacity != worker.announcement.Capacity {
+			klog.InfoS("Worker capacity", "Worker", worker.incarnation, "CPU", int64(announcement.Capacity.CPU), "Memory", int64(announcement.Capacity.Memory),
+				"Accelerators", int64(announcement.Capacity.Accelerators), "ReservedCPU", int64(worker.reserved().CPU), "ReservedMemory", int64(worker.reserved().Memory))
+			supervisor.requestReport()
+		}
 		if worker.announcement.Draining {
 			announcement.Draining = true
 		}
