dispatch: requests under which endpoints are lost are not sent on without limit

A request whose endpoint breaks off was attempted at the next endpoint, and again whenever its caller repeated it, so that one body could take down endpoint after endpoint of a service. The dispatcher now remembers under which content (service, team, body) endpoints broke off while their agents lived on. After two different endpoints such requests are refused at once as not run (503 EndpointsLost), for 5 s at first and twice as long after each further loss, up to 5 minutes; an answer clears the content. An endpoint that is lost with its agent, as with its rack or data centre, blames no request. The record is held by each entry for itself and bounded.

Cost without lost endpoints: one locked look at an empty map per request.

--- a/caller/errors.go
+++ b/caller/errors.go
@@ -71,6 +71,7 @@
 	dispatch.Overload:       http.StatusTooManyRequests,
 	dispatch.Patience:       http.StatusServiceUnavailable,
 	dispatch.NoEndpoint:     http.StatusServiceUnavailable,
+	dispatch.EndpointsLost:  http.StatusServiceUnavailable,
 	dispatch.Outage:         http.StatusServiceUnavailable,
 	dispatch.Stopping:       http.StatusServiceUnavailable,
 	dispatch.StillRunning:   http.StatusConflict,
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -10,6 +10,7 @@
 	"hyssopjunction/clock"
 	"hyssopjunction/controlpb"
 	"hyssopjunction/dedup"
+	"hyssopjunction/endpoint"
 	"hyssopjunction/ident"
 	"hyssopjunction/outcome"
 	"hyssopjunction/routing"
@@ -35,6 +36,8 @@
 	final bool
 	// failed is set if the endpoint or agent was unreachable or its answer was missing or invalid.
 	failed bool
+	// endpointLost is set if the endpoint broke off while it had the request, although its agent lives on.
+	endpointLost bool
 }
 
 // leaving reports whether the endpoint, or its agent's incarnation, accepts no more requests.
@@ -71,6 +74,7 @@
 		replies <- serveResponse{reply: reply, err: err}
 	}()
 	result := dispatcher.await(ctx, state, &decision, id, replies)
+	dispatcher.recordLosses(state, decision.Endpoint, result)
 	if result.reply != nil {
 		decision.Observe(routingReport(dispatcher.clock.Now(), result.reply.GetEndpoint()))
 	}
@@ -215,6 +219,7 @@
 	case outcome.Unknown:
 		result.final = !result.pending
 		result.failed = result.final
+		result.endpointLost = result.final && result.refusal == endpoint.ReasonLost
 	case outcome.NotRun:
 		result.failed = result.refusal == string(admission.EndpointDown)
 	case outcome.Ran:
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -68,6 +68,7 @@
 	newRequestID  func() ident.Request
 	unrecorded    unrecordedAnswers
 	responseTimes latencyRecorder
+	losses        *losses
 	// decisions counts the routing decisions, to log a sample of them.
 	decisions atomic.Uint64
 
@@ -87,6 +88,7 @@
 	return &Dispatcher{
 		settings: settings, clock: time, agents: agents, view: view, ledger: ledger, budget: budget,
 		limiter: limiter, newRequestID: newRequestID, stopped: make(chan struct{}),
+		losses:        newLosses(),
 		responseTimes: latencyRecorder{services: map[ident.Service]*latencyWindows{}},
 	}
 }
@@ -112,6 +114,8 @@
 	attempts   int
 	// excluded lists the endpoints that are not chosen again for this request.
 	excluded []ident.Endpoint
+	// lost counts the endpoints that were lost under this request.
+	lost int
 }
 
 // Dispatch sends the request and returns its complete answer. Errors are ErrNotRun, ErrUnknown and
@@ -168,7 +172,7 @@
 
 func (dispatcher *Dispatcher) admit(ctx context.Context, request Request, started clock.Time) (Answer, error) {
 	refuse := func(reason Reason, after clock.Millis) (Answer, error) {
-		keyUnread := request.Key != "" && (reason == Stopping || reason == Overload)
+		keyUnread := request.Key != "" && (reason == Stopping || reason == Overload || reason == EndpointsLost)
 		return Answer{}, ErrNotRun{Request: request.ID, Reason: reason, RetryAfter: after, keyUnread: keyUnread}
 	}
 	service, candidates, ok := dispatcher.view.Service(request.Service)
@@ -183,6 +187,9 @@
 		return refuse(Stopping, dispatcher.settings.RetryAfter)
 	}
 	defer dispatcher.endRequest()
+	if after, ok := dispatcher.refusedAfterLosses(&requestState{Request: request}); ok {
+		return refuse(EndpointsLost, after)
+	}
 	if after, ok := dispatcher.limiter.Acquire(request.Priority); !ok {
 		return refuse(Overload, after)
 	}
--- a/dispatch/errors.go
+++ b/dispatch/errors.go
@@ -28,6 +28,8 @@
 	Patience Reason = "Patience"
 	// NoEndpoint means that no endpoint can be chosen, or that those tried are leaving.
 	NoEndpoint Reason = "NoEndpoint"
+	// EndpointsLost means that several endpoints were lost under equal requests.
+	EndpointsLost Reason = "EndpointsLost"
 	// Outage means that the table or the endpoints could not be used.
 	Outage Reason = "Outage"
 	// StillRunning means that the request, or an earlier one with the same key, may still run.
--- a/dispatch/fixture_test.go
+++ b/dispatch/fixture_test.go
@@ -49,6 +49,8 @@
 	serviceTime       time.Duration
 	idempotent        bool
 	lastID            int
+	// crashing is the body of requests under which the endpoint breaks off; empty means none.
+	crashing string
 }
 
 type agent struct {
@@ -109,7 +111,11 @@
 func (agent *agent) Do(ctx context.Context, call endpoint.Call) (endpoint.Reply, error) {
 	agent.mu.Lock()
 	agent.runs[string(call.Body)]++
+	breaksOff := agent.crashing != "" && string(call.Body) == agent.crashing
 	agent.mu.Unlock()
+	if breaksOff {
+		return endpoint.Reply{}, endpoint.ErrLost{Request: call.Request, Cause: io.ErrUnexpectedEOF}
+	}
 	select {
 	case <-time.After(agent.serviceTime):
 		return endpoint.Reply{Status: 200, Body: []byte("answer to " + string(call.Body))}, nil
@@ -297,6 +303,14 @@
 	})
 }
 
+// sendBody sends the request that crashes endpoints, with a key of its own.
+func (entry *entry) sendBody(t *testing.T, key string, number int) (dispatch.Answer, error) {
+	t.Helper()
+	return entry.Dispatch(t.Context(), dispatch.Request{
+		ID: ident.Request(entry.id("r")), Service: "s", Team: "t", Priority: admission.Normal, Key: ident.Key(fmt.Sprint(key, number)), Body: []byte("bad"),
+	})
+}
+
 func assertAnswer(t *testing.T, answer dispatch.Answer, err error, key string) {
 	t.Helper()
 	if err != nil || string(answer.Body) != "answer to "+key {
--- a/dispatch/idempotent.go
+++ b/dispatch/idempotent.go
@@ -36,6 +36,9 @@
 			if last.outcome == outcome.Ran {
 				return dispatcher.newAnswer(state, ended), nil
 			}
+			if last.endpointLost {
+				state.lost++
+			}
 			allNotRun = allNotRun && last.outcome == outcome.NotRun
 			startAnother = retry.MayRetry(state.service.Idempotent, last.outcome) && dispatcher.mayAttempt(state, last)
 		case <-hedgeTimer:
@@ -86,7 +89,10 @@
 // budget. An attempt after the refusal of a leaving endpoint is not charged to the budget: the router
 // stops choosing the endpoint at once, so there are no more of these than requests in flight.
 func (dispatcher *Dispatcher) mayAttempt(state *requestState, last attemptResult) bool {
-	if state.attempts >= dispatcher.settings.Attempts {
+	if state.attempts >= dispatcher.settings.Attempts || state.lost >= maxLostEndpoints {
+		return false
+	}
+	if _, refused := dispatcher.refusedAfterLosses(state); refused {
 		return false
 	}
 	if state.deadline.Sub(dispatcher.clock.Now()) <= dispatcher.settings.Hop {
--- a/endpoint/traffic.go
+++ b/endpoint/traffic.go
@@ -149,6 +149,9 @@
 	gate.execute(gate.controller.Finish(gate.clock.Now(), id, answer))
 }
 
+// ReasonLost is the reason of requests whose endpoint broke off while it had them, as it does when its process ends.
+const ReasonLost = "ErrLost"
+
 func reasonOf(err error) admission.Reason {
 	switch {
 	case IsErrSilent(err):
@@ -160,7 +163,7 @@
 	case IsErrAnswerTooLarge(err):
 		return "ErrAnswerTooLarge"
 	default:
-		return "ErrLost"
+		return ReasonLost
 	}
 }
 
