placement: tasks that are lost with their worker's process soon after their start are delayed

In the product's own mode a task whose worker's process ended was recorded as stopped and placed again at once, without limit, so that one task could take down worker after worker. An agent now reports such an end as Lost, with how long the task had run. If that is at most 5 s, the task is placed again after 1 s, doubled up to a minute, by a number of failures that is stored with the job and thus holds at its next home too; a job whose tasks are lost so on three workers is parked with the backoff of other failures. Such losses never make a job fail, and blame no worker: another task may be the cause.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -93,7 +93,7 @@
 }
 
 // TestVanishedTaskEnds guards against a task that stays in the ledger forever because the worker
-// lost its record of it.
+// lost its record of it, and against a loss that looks like a stop, so that nobody counts it.
 func TestVanishedTaskEnds(t *testing.T) {
 	withFixture(t, func(fixture *fixture) {
 		fixture.launch(1)
@@ -105,6 +105,9 @@
 		if state := fixture.entry.reportedState(testTask); state != worker.Stopped {
 			fixture.Fatalf("reported as %q, want Stopped", state)
 		}
+		if status := fixture.entry.reportedStatus(testTask); status.End != worker.Lost || status.Ran <= 0 {
+			fixture.Errorf("got end %q after %d ms, want %q after a while", status.End, status.Ran, worker.Lost)
+		}
 		if entries := fixture.ledgerEntries(); len(entries) > 0 {
 			fixture.Fatalf("ledger still has %v", entries)
 		}
--- a/agent/fixture_test.go
+++ b/agent/fixture_test.go
@@ -227,15 +227,20 @@
 
 // reportedState returns the last reported state of a task, empty if there is none.
 func (entry *fakeEntry) reportedState(name ident.Task) worker.State {
+	return entry.reportedStatus(name).State
+}
+
+// reportedStatus returns the last report of a task, or one without a state if there is none.
+func (entry *fakeEntry) reportedStatus(name ident.Task) worker.Status {
 	entry.mu.Lock()
 	defer entry.mu.Unlock()
-	state := worker.State("")
+	var last worker.Status
 	for _, message := range entry.reports {
 		if status := controlpb.ToStatus(message); status.Task == name {
-			state = status.State
+			last = status
 		}
 	}
-	return state
+	return last
 }
 
 // fixture is an agent with a fake worker and fake entries on the clock of a synctest bubble.
--- a/agent/stop.go
+++ b/agent/stop.go
@@ -27,6 +27,8 @@
 	name       ident.Task
 	epoch      ident.Epoch
 	checkpoint worker.Checkpoint
+	// lost is set if the worker had started the task and does not list it any more.
+	lost bool
 	// stopConfirmed is set once the worker confirmed that the task does not run.
 	stopConfirmed bool
 	// endStatus is the end of the task, nil while unknown.
@@ -152,6 +154,9 @@
 			}
 		}
 	}
+	if task.lost && status.State == worker.Stopped && workerStatus.Epoch != task.epoch {
+		status.End = worker.Lost
+	}
 	agent.recordEnd(status, agent.time.Now())
 	if end, ok := agent.unrecorded[task.name]; ok && end.Epoch == task.epoch {
 		task.endStatus = &end
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -106,7 +106,7 @@
 		}
 		switch {
 		case task.confirmed && sent.After(task.confirmedAt):
-			vanished = append(vanished, &stoppingTask{name: entry.Task, epoch: entry.Epoch})
+			vanished = append(vanished, &stoppingTask{name: entry.Task, epoch: entry.Epoch, lost: true})
 		case !task.starting && !task.confirmed:
 			unstarted = append(unstarted, entry.Task)
 		}
--- a/dispatch/losses_test.go
+++ b/dispatch/losses_test.go
@@ -33,7 +33,7 @@
 					key := fmt.Sprint("k", second)
 					answer, err := entry.send(t.Context(), key)
 					assertAnswer(t, answer, err, key)
-					entry.sendBody(t, "repeated", second)
+					_, _ = entry.sendBody(t, "repeated", second) // Only the number of its runs counts.
 					time.Sleep(time.Second)
 				}
 				fixture.mu.Lock()
@@ -54,8 +54,8 @@
 		fixture := newFixture(t, 6, 2)
 		fixture.idempotent, fixture.crashing = true, "bad"
 		entry := fixture.entry(1, dispatch.Defaults())
-		entry.sendBody(t, "a", 0)
-		entry.sendBody(t, "b", 0)
+		_, _ = entry.sendBody(t, "a", 0) // The endpoints break off.
+		_, _ = entry.sendBody(t, "b", 0)
 		answer, err := entry.sendBody(t, "c", 0)
 		assertRefused(t, answer, err)
 		fixture.mu.Lock()
--- a/entry/models.go
+++ b/entry/models.go
@@ -94,6 +94,8 @@
 			"LimitMiB", status.Resources.Memory, "NextMiB", floor)
 	case status.State == worker.Failed:
 		models.health.Failed(status.Task, on, status.Reason, now)
+	case placement.IsEarlyLoss(status):
+		models.health.Lost(status.Task, on, "ended with the worker's process", now)
 	case status.State == worker.Stopped:
 		models.health.Stopped(status.Task, on)
 	}
--- a/placement/confirm.go
+++ b/placement/confirm.go
@@ -253,6 +253,18 @@
 	switch {
 	case status.State == worker.Finished && batch:
 		change.Step = job.StepFinish
+	case IsEarlyLoss(status):
+		scheduler.stats.Losses++
+		change.Step, change.Reason = job.StepLose, "ended with the worker's process"
+		if task.Failures+1 < scheduler.settings.MaxFailures {
+			// The stored number of failures delays the next start also at another home entry. It never makes the job fail: the
+			// process may have ended because of another task.
+			change.Step = job.StepFail
+		}
+		view.retryAt[index] = scheduler.now.Add(backoff(task.Failures))
+	case status.End == worker.Lost:
+		scheduler.stats.Losses++
+		change.Step = job.StepLose
 	case status.State == worker.Stopped:
 		change.Step = job.StepStop
 		scheduler.stats.Evictions++
@@ -273,6 +285,14 @@
 	scheduler.applyChange(view, change, event.Worker)
 }
 
+// maxEarlyLoss is the time after its start within which a task that ends with its worker's process may be the cause.
+const maxEarlyLoss = 5 * clock.Second
+
+// IsEarlyLoss reports whether a task ended with its worker's process shortly after its start.
+func IsEarlyLoss(status worker.Status) bool {
+	return status.State == worker.Stopped && status.End == worker.Lost && status.Ran <= maxEarlyLoss
+}
+
 // maxBackoff bounds the wait before a failed task is placed again.
 const maxBackoff = clock.Minute
 
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -219,6 +219,17 @@
 	tracker.evaluateJob(task.Job, job, reason, platformFault, now)
 }
 
+// Lost records a task that ended with its worker's process shortly after its start. It counts as a failure of the job only: the
+// process may have ended because of another task. Jobs whose tasks are lost on many workers are parked.
+func (tracker *Tracker) Lost(task ident.Task, worker ident.Worker, reason string, now clock.Time) {
+	tracker.now = max(tracker.now, now)
+	tracker.Stopped(task, worker)
+	job := tracker.ensureJob(task.Job, now)
+	end := taskEnd{at: now, job: task.Job, worker: worker, failed: true}
+	job.failures = appendTaskEnd(job.failures, end, now, tracker.settings.WindowMillis)
+	tracker.evaluateJob(task.Job, job, reason, tracker.updatePlatformFault(now), now)
+}
+
 // Stopped records a task that was stopped by request. It counts neither as success nor as failure, but
 // no longer as a running trial.
 func (tracker *Tracker) Stopped(task ident.Task, worker ident.Worker) {
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -61,8 +61,13 @@
 // EndCause is the cause of a task's end in more detail than its State.
 type EndCause string
 
-// OutOfMemory is the end of a failed task that needed more memory than its resources allowed.
-const OutOfMemory EndCause = "OutOfMemory"
+// Causes of ends.
+const (
+	// OutOfMemory is the end of a failed task that needed more memory than its resources allowed.
+	OutOfMemory EndCause = "OutOfMemory"
+	// Lost is the end of a task that the worker had started and has no record of any more, because its process ended.
+	Lost EndCause = "Lost"
+)
 
 // Status is a worker's record of one task.
 type Status struct {
