coordinator: an event that fails ends the term, not the process

A panic in the leader's control loop ended its process, and the agent that had sent the report, or the row of the inbox, met the next leader a moment later: one message or row could take down entry after entry. Such an agent gets no session with this entry, and such a job is left out of its next term. While tasks are planned, the job that was considered counts as the source. A call of a peer that panics is answered with an Internal status.

--- a/coordinator/agents.go
+++ b/coordinator/agents.go
@@ -92,6 +92,9 @@
 	if err != nil {
 		return err
 	}
+	if coordinator.deps.Faults.isIgnored(agentSource(first.Node)) {
+		return ErrIgnored{Node: first.Node}
+	}
 	agent := &agentSession{node: first.Node, queue: make(chan *session.Orders, maxQueuedOrders), detached: make(chan struct{}), sentWeights: map[[2]pacing.Image]float64{}, sentUrgencies: map[runKey]pacing.Urgency{}}
 	ok := coordinator.loop.Post(func() {
 		if previous, ok := coordinator.sessions[agent.node]; ok {
@@ -103,7 +106,8 @@
 	if !ok {
 		return session.ErrNotLeading{}
 	}
-	coordinator.post(func() { coordinator.handleReport(agent, first) })
+	from := agentSource(agent.node)
+	coordinator.postFrom(from, func() { coordinator.handleReport(agent, first) })
 	go func() {
 		for {
 			report, err := stream.Receive()
@@ -111,7 +115,7 @@
 				coordinator.post(func() { coordinator.detach(agent) })
 				return
 			}
-			coordinator.post(func() { coordinator.handleReport(agent, report) })
+			coordinator.postFrom(from, func() { coordinator.handleReport(agent, report) })
 		}
 	}()
 	for {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -48,6 +48,8 @@
 	Out func() (set.Set[ident.DataCentre], bool)
 	// Retention is how long records of jobs that ended are kept.
 	Retention Retention
+	// Faults remembers failed events through all terms. Nil means that each term has a record of its own.
+	Faults *Faults
 	// Bounds are the limits of the platform for the assignment of tasks. The zero value means the defaults.
 	Bounds assignment.Bounds
 }
@@ -83,6 +85,8 @@
 	validUntil atomic.Int64
 
 	// The fields below, except jobStates, are used on the control loop only.
+	// hasFailed reports that an event panicked, so that the state may be inconsistent.
+	hasFailed bool
 	scheduler *scheduler.Scheduler
 	sessions  map[string]*agentSession
 	// grantsEnded reports that the last lease was refused because of canGrantLeases.
@@ -156,6 +160,9 @@
 		counters: newCounters(), withheld: set.New[scheduler.Incarnation](), renewedAt: leadership.Sent, startedAt: deps.Clock.Now(), jobStates: map[workflow.ID]workflow.State{},
 	}
 	coordinator.validUntil.Store(int64(leadership.Sent.Add(election.LeaderLease)))
+	if deps.Faults == nil {
+		coordinator.deps.Faults = NewFaults(deps.Clock)
+	}
 	if deps.Bounds != (assignment.Bounds{}) {
 		coordinator.scheduler.SetBounds(deps.Bounds)
 	}
@@ -198,13 +205,21 @@
 }
 
 // post runs event on the control loop and then starts a round for its changes.
-func (coordinator *Coordinator) post(event func()) {
+func (coordinator *Coordinator) post(event func()) { coordinator.postFrom(sourceUnknown, event) }
+
+// postFrom is post for an event that came from an agent or a job.
+func (coordinator *Coordinator) postFrom(from source, event func()) {
 	coordinator.loop.Post(func() {
-		event()
-		coordinator.startRound()
+		coordinator.contain(from, event)
+		coordinator.contain(sourceUnknown, coordinator.startRound)
 	})
 }
 
+// call runs event on the control loop and returns false if the term has ended.
+func (coordinator *Coordinator) call(from source, event func()) bool {
+	return coordinator.loop.Call(func() { coordinator.contain(from, event) }) && coordinator.ctx.Err() == nil
+}
+
 // Lost returns a channel that is closed when the leadership is lost.
 func (coordinator *Coordinator) Lost() <-chan struct{} { return coordinator.lost }
 
@@ -305,7 +320,7 @@
 // Pending returns the number of jobs of a queue that have not started, or false if the term has ended.
 func (coordinator *Coordinator) Pending(queue workflow.Queue) (int, bool) {
 	count := 0
-	ok := coordinator.loop.Call(func() { count = coordinator.scheduler.QueuedJobCount(queue) })
+	ok := coordinator.call(sourceUnknown, func() { count = coordinator.scheduler.QueuedJobCount(queue) })
 	return count, ok
 }
 
--- a/coordinator/counters.go
+++ b/coordinator/counters.go
@@ -24,6 +24,7 @@
 	copies                                   map[speculation.Evidence]*metrics.Counter
 	copyOutcomes                             map[scheduler.CopyOutcome]*metrics.Counter
 	copyMillis                               *metrics.Counter
+	failedEvents                             *metrics.Counter
 	crashEvents                              map[scheduler.CrashEventKind]*metrics.Counter
 }
 
@@ -40,8 +41,9 @@
 		crashEvents[kind] = metrics.GetOrCreateCounter(fmt.Sprintf(`hyssopjunction_coordinator_crash_evidence_total{decision=%q}`, kind))
 	}
 	return counters{
-		crashEvents: crashEvents,
-		copies:      copies, copyOutcomes: copyOutcomes,
+		crashEvents:  crashEvents,
+		failedEvents: metrics.GetOrCreateCounter("hyssopjunction_coordinator_failed_events_total"),
+		copies:       copies, copyOutcomes: copyOutcomes,
 		copyMillis:     metrics.GetOrCreateCounter("hyssopjunction_speculation_core_milliseconds_total"),
 		terms:          metrics.GetOrCreateCounter("hyssopjunction_coordinator_terms_total"),
 		rounds:         metrics.GetOrCreateCounter("hyssopjunction_coordinator_rounds_total"),
--- a/coordinator/inbox.go
+++ b/coordinator/inbox.go
@@ -105,7 +105,11 @@
 		case intake.Cancellation:
 			cancellations[id] = row.Version
 		case intake.Submission:
-			coordinator.addJob(id, row, states[id], now)
+			if coordinator.deps.Faults.isIgnored(jobSource(id)) {
+				klog.InfoS("Job ignored: it made a leader fail", "Job", id)
+				continue
+			}
+			coordinator.contain(jobSource(id), func() { coordinator.addJob(id, row, states[id], now) })
 		}
 	}
 	for _, id := range set.SortedKeys(cancellations) {
--- a/coordinator/workerend.go
+++ b/coordinator/workerend.go
@@ -15,10 +15,8 @@
 // is stored. Errors: session.ErrNotLeading if the term ends first, or the error of ctx.
 func (coordinator *Coordinator) EndWorker(ctx context.Context, end *session.WorkerEnd) error {
 	var stored <-chan struct{}
-	ok := coordinator.loop.Call(func() {
-		stored = coordinator.storeWorkerEnd(end)
-		coordinator.startRound()
-	})
+	ok := coordinator.call(agentSource(end.Node), func() { stored = coordinator.storeWorkerEnd(end) }) &&
+		coordinator.call(sourceUnknown, coordinator.startRound)
 	if !ok {
 		return session.ErrNotLeading{}
 	}
--- a/leadership/elector.go
+++ b/leadership/elector.go
@@ -63,6 +63,9 @@
 // New starts an elector for the node, which serves sessions at address. It runs until Close. workerLease is
 // the lease that the coordinator grants to workers.
 func New(deps coordinator.Dependencies, node, address string, workerLease clock.Millis) *Elector {
+	if deps.Faults == nil {
+		deps.Faults = coordinator.NewFaults(deps.Clock)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	campaignCtx, cancelCampaign := context.WithCancel(ctx)
 	elector := &Elector{
--- a/scheduler/assignfilling.go
+++ b/scheduler/assignfilling.go
@@ -31,6 +31,7 @@
 	scheduler.assignments.Rounds++
 	scheduler.assignments.DemandAge = max(scheduler.assignments.DemandAge, now.Sub(scheduler.view.at))
 	for _, candidate := range candidates {
+		scheduler.considered = candidate.record.job.Spec.ID
 		scheduler.assignGroup(round, candidate, blocked, now)
 	}
 }
--- a/scheduler/candidates.go
+++ b/scheduler/candidates.go
@@ -53,7 +53,8 @@
 func (scheduler *Scheduler) candidates(now clock.Time) []candidate {
 	var list []candidate
 	capacity := scheduler.fillingCapacity(now)
-	for _, record := range scheduler.open {
+	for id, record := range scheduler.open {
+		scheduler.considered = id
 		standing := false
 		for _, occurrence := range record.job.Occurrences {
 			for step := range occurrence.Steps {
@@ -79,6 +80,7 @@
 			record.standingWaitSince = now
 		}
 	}
+	scheduler.considered = ""
 	slices.SortFunc(list, func(left, right candidate) int {
 		return cmp.Or(cmp.Compare(left.rank, right.rank), cmp.Compare(left.remainingWork, right.remainingWork), cmp.Compare(left.latestStart, right.latestStart),
 			strings.Compare(string(left.record.job.Spec.ID), string(right.record.job.Spec.ID)), cmp.Compare(left.step, right.step))
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -20,12 +20,19 @@
 // Plan places waiting tasks on workers. The time of day, in Unix milliseconds, decides which occurrences
 // are due.
 func (scheduler *Scheduler) Plan(now clock.Time, timeOfDay int64) {
-	for _, record := range scheduler.open {
+	scheduler.plan(now, timeOfDay)
+	scheduler.considered = ""
+}
+
+func (scheduler *Scheduler) plan(now clock.Time, timeOfDay int64) {
+	for id, record := range scheduler.open {
+		scheduler.considered = id
 		if record.job.AddDueOccurrences(timeOfDay) {
 			scheduler.dirty = true
 			scheduler.dirtyJobs[record.job.Spec.ID] = record
 		}
 	}
+	scheduler.considered = ""
 	scheduler.giveUpCulprits(now)
 	scheduler.blockNodes(now)
 	scheduler.learnFromReplicas(now)
@@ -43,6 +50,7 @@
 	candidates, suspects := scheduler.separateSuspects(scheduler.candidates(now), now)
 	scheduler.placeTrials(suspects, now)
 	for _, candidate := range candidates {
+		scheduler.considered = candidate.record.job.Spec.ID
 		switch {
 		case candidate.rank == rankFilling || candidate.rank == rankLate:
 			valuableWaits = true
@@ -56,6 +64,7 @@
 		scheduler.placeStep(candidate, blocked, now)
 	}
 	scheduler.assignFilling(filling, blocked, now)
+	scheduler.considered = ""
 	scheduler.placeCopies(now)
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -93,8 +93,13 @@
 	assignments Assignments
 	copies      copyState
 	crashes     crashState
+	// considered is the job that a decision is being made about, or empty.
+	considered workflow.ID
 }
 
+// Considered returns the job that a decision was being made about, if Plan has not returned.
+func (scheduler *Scheduler) Considered() workflow.ID { return scheduler.considered }
+
 // jobRecord is a job with the scheduler's own state about it, which is not stored.
 type jobRecord struct {
 	job *workflow.Job
--- a/scheduler/trial.go
+++ b/scheduler/trial.go
@@ -102,6 +102,7 @@
 		}
 	}
 	for _, suspects := range candidates {
+		scheduler.considered = suspects.record.job.Spec.ID
 		if suspects.spec().Gang {
 			scheduler.placeGangTrial(suspects, now)
 			continue
--- a/session/server.go
+++ b/session/server.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime/debug"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"k8s.io/klog/v2"
 )
 
 // Names of the gRPC service and its methods.
@@ -78,7 +80,7 @@
 		Streams: []grpc.StreamDesc{{
 			StreamName: attendMethod, ServerStreams: true, ClientStreams: true,
 			Handler: func(service any, stream grpc.ServerStream) error {
-				return service.(Handler).Attend(serverStream{stream})
+				return contain(func() error { return service.(Handler).Attend(serverStream{stream}) })
 			},
 		}},
 	}, handler)
@@ -93,7 +95,11 @@
 		if err := decode(request); err != nil {
 			return nil, err
 		}
-		reply, err := method(service.(Handler), ctx, request)
+		var reply *Reply
+		err := contain(func() (err error) {
+			reply, err = method(service.(Handler), ctx, request)
+			return err
+		})
 		var notLeading ErrNotLeading
 		if errors.As(err, &notLeading) {
 			return nil, status.Error(codes.FailedPrecondition, notLeading.Leader)
@@ -102,6 +108,18 @@
 	}
 }
 
+// contain returns the error of a call, or an Internal status if it panics: a message of one peer must not end the process that
+// serves them all.
+func contain(call func() error) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			klog.ErrorS(nil, "Call of a peer failed", "Cause", fmt.Sprint(cause), "Stack", string(debug.Stack()))
+			err = status.Error(codes.Internal, "the call failed")
+		}
+	}()
+	return call()
+}
+
 // serverStream implements Stream.
 type serverStream struct {
 	grpc.ServerStream
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -99,3 +99,44 @@
 		t.Errorf("got %+v for a lapse, want an error", reply)
 	}
 }
+
+// panickingHandler fails on each message of a peer.
+type panickingHandler struct {
+	Handler
+}
+
+func (panickingHandler) State(context.Context, *StateRequest) (*StateReply, error) {
+	panic("malformed request")
+}
+
+func (panickingHandler) Attend(Stream) error { panic("malformed report") }
+
+// TestMessageDoesNotEndProcess guards against a message of one peer that ends the process that serves them all, and then the
+// next one that gets it.
+func TestMessageDoesNotEndProcess(t *testing.T) {
+	t.Parallel()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := NewServer(panickingHandler{})
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+	client, err := Dial(listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = client.Close() })
+	for range 2 {
+		if _, err := client.State(t.Context(), &StateRequest{}); status.Code(errors.Unwrap(err)) != codes.Internal && status.Code(err) != codes.Internal {
+			t.Errorf("got %v from a query, want an Internal status", err)
+		}
+		stream, err := client.Attend(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := stream.Receive(); err == nil {
+			t.Error("got no error from a session, want one")
+		}
+	}
+}
