supervisor: a crash that was none is withdrawn; soak with crashing tasks and shrinking capacity

A worker at whose address nothing listened for a moment counted as crashed. If the same process answered again, its real crash later on went unreported, and the leader would have taken a report for a repetition. The agent now withdraws such a crash, and the leader takes a report of the same incarnation for a new crash after 5 s.

The soak submits up to three jobs whose first task crashes each worker, and lets workers shrink and grow. It fails if such a task is started more than five times, if its job is shown as anything but failed, if another job fails without cause, or if a start exceeds the capacity that counts.

--- a/blame/blame_test.go
+++ b/blame/blame_test.go
@@ -79,7 +79,9 @@
 	}
 }
 
-// TestSuspectsStartedLast guards against suspicion against runs that had been at work for long, while others had just started.
+// TestSuspectsStartedLast guards against suspicion against runs that had been at work for long, while others had just started,
+// against a report that counts twice, and against a crash that counts for nothing because the worker had once been taken for
+// crashed by mistake.
 func TestSuspectsStartedLast(t *testing.T) {
 	ledger := NewLedger()
 	evidence, _ := ledger.Record(Crash{Worker: "w@n", At: 1, Runs: []Run{run("old", 5000), run("new", 10), run("second", 110)}}, 1)
@@ -88,6 +90,8 @@
 	assertSuspects(t, evidence, map[string]bool{"new": true})
 	repeated, _ := ledger.Record(Crash{Worker: "w2@n2", At: 5000, Runs: []Run{run("new", 10)}}, 5100)
 	assertSuspects(t, repeated, nil)
+	later, _ := ledger.Record(Crash{Worker: "w2@n2", At: 11_000, Runs: []Run{run("later", 10)}}, 11_000)
+	assertSuspects(t, later, map[string]bool{"later": true})
 }
 
 // TestNextSuspects guards against crashes without limit by a task that works for a while before it crashes its worker: the
--- a/blame/ledger.go
+++ b/blame/ledger.go
@@ -18,6 +18,9 @@
 	coincidence = 300 * clock.Millisecond
 	// recentCrash is how long a crash without a task that caused it makes further ones likely.
 	recentCrash = 30 * clock.Second
+	// repeatedReport is the time up to which two crashes of one incarnation are the same. A worker that was taken for crashed
+	// by mistake may crash later.
+	repeatedReport = 5 * clock.Second
 	// memory is how long a crash is remembered.
 	memory = 2 * clock.Minute
 	// minUnexplained is the number of crashes of a node for which no task was found from which its worker is not used for
@@ -73,7 +76,7 @@
 func (ledger *Ledger) Record(crash Crash, now clock.Time) (evidence []workflow.Crash, sharing []string) {
 	ledger.expire(now)
 	known, ok := ledger.crashes[crash.Worker]
-	if ok && !known.isRestored {
+	if ok && !known.isRestored && crash.At.Sub(known.At) < repeatedReport {
 		return nil, nil
 	}
 	runs := slices.Clone(crash.Runs)
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -111,6 +111,7 @@
 				callers.cancel(jobID(name), entry)
 			}
 		})
+		group.Go(func() { callers.submitCrashing(number, entry) })
 		if number%copiedInterval == 0 {
 			group.Go(func() { callers.submit(strings.Replace(name, "j", copiedPrefix, 1), entry, copiedJob) })
 		}
@@ -259,6 +260,12 @@
 		}
 		maxFailures = max(maxFailures, failed)
 	}
+	if isCrashingJob(id) {
+		if state != "failed" {
+			t.Errorf("job %s, whose task crashes its workers, is shown as %s, want failed", id, state)
+		}
+		return
+	}
 	if state == "failed" && maxFailures < taskAttempts {
 		t.Errorf("job %s is shown as failed, and its tasks failed at most %d times of %d", id, maxFailures, taskAttempts)
 	}
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -95,6 +95,8 @@
 	mu          sync.Mutex
 	incarnation int
 	runner      *platformtest.Runner
+	// cpu is the capacity in thousandths of a processor.
+	cpu int
 	// isLeaving is set once it is certain that the worker leaves, endsAt when it drains, and hasLeft when it has
 	// ended for good.
 	isLeaving bool
@@ -179,7 +181,7 @@
 // newWorker prepares a worker and its agent for join. Only the test's own goroutine may call it.
 func (deployment *deployment) newWorker() *testWorker {
 	number := max(firstWorkerNumber, deployment.layout.entries) + len(deployment.workers)
-	worker := &testWorker{agent: deployment.newNode("agent", number)}
+	worker := &testWorker{agent: deployment.newNode("agent", number), cpu: workerCPU}
 	worker.restart(deployment)
 	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		worker.mu.Lock()
@@ -233,6 +235,7 @@
 	}
 	worker.incarnation++
 	worker.runner = platformtest.NewRunner(worker.id(), worker.startedAt(), deployment.log, deployment.runPlan)
+	worker.arm(deployment)
 }
 
 func (worker *testWorker) id() string {
@@ -253,7 +256,7 @@
 			state = fmt.Sprintf(`"draining","RemainingMs":%d`, max(0, time.Until(worker.endsAt).Milliseconds()))
 		}
 		body := fmt.Sprintf(`{"Service":"desk","Address":"10.0.0.1:1","Zone":%q,"State":%s,"Capacity":{"Cpu":%d,"MemoryLimitMb":8000,"Gpu":0},"Labels":["a","r1"],"Sequence":%d,"born":%d}`,
-			worker.agent.zone, state, workerCPU, sequence, worker.startedAt())
+			worker.agent.zone, state, worker.cpu, sequence, worker.startedAt())
 		worker.mu.Unlock()
 		_, _ = deployment.call(http.MethodPut, "http://"+worker.agent.ip+":8166/api/instances/"+id, body) // The agent may be down.
 		time.Sleep(announcementInterval)
--- a/soak/series_test.go
+++ b/soak/series_test.go
@@ -142,6 +142,7 @@
 				run.after(number*(1+random.IntN(200)), func() { deployment.configure(nextVersion()) })
 			}
 		}},
+		{"shrink workers", func(random *rand.Rand) { run.shrink(random, workers[:min(count, len(workers))]) }},
 		{"take a data centre out", func(random *rand.Rand) {
 			key := "evacuate/" + deployment.layout.zones[random.IntN(len(deployment.layout.zones))]
 			deployment.store.Put("op", "", key, []byte("{}"))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -143,6 +143,7 @@
 	close(settled)
 	watch.Wait()
 	callers.check(t)
+	callers.checkCrashes(t)
 	if checkMore != nil {
 		checkMore(callers)
 	}
@@ -264,6 +265,9 @@
 		}},
 		{"reset a worker's link", worker.agentLink.reset},
 		{"crash a worker", func() { worker.restart(deployment) }},
+		{"shrink a worker", func() {
+			during(func() { worker.resize(smallWorkerCPU) }, func() { worker.resize(workerCPU) })
+		}},
 		{"store busy", func() { deployment.failStore(during, platformtest.Busy, random.Float64()) }},
 		{"store resets", func() { deployment.failStore(during, platformtest.Reset, random.Float64()) }},
 		{"store loses answers", func() { deployment.failStore(during, platformtest.Lost, random.Float64()) }},
--- a/soak/standing_test.go
+++ b/soak/standing_test.go
@@ -85,7 +85,7 @@
 	}
 	hasRoom := false
 	for _, worker := range deployment.readyWorkers() {
-		hasRoom = hasRoom || used[worker.id()]+2*standingCPU <= workerCPU
+		hasRoom = hasRoom || used[worker.id()]+2*standingCPU <= worker.capacity()
 	}
 	var missing []string
 	for _, id := range callers.standingJobs() {
--- a/supervisor/crash.go
+++ b/supervisor/crash.go
@@ -105,6 +105,17 @@
 	return crashes
 }
 
+// withdrawCrash forgets the crash of a worker that answers again, so that its next one is reported.
+func (supervisor *Supervisor) withdrawCrash(worker *workerState) {
+	worker.crash = nil
+	supervisor.crashed = removeWorker(supervisor.crashed, worker)
+}
+
+// removeWorker returns the list without a worker.
+func removeWorker(list []*workerState, worker *workerState) []*workerState {
+	return slices.DeleteFunc(list, func(other *workerState) bool { return other == worker })
+}
+
 // log writes which runs the worker had started, with their ages in milliseconds.
 func (crash *crash) log(incarnation string, now clock.Time) {
 	var youngest []string
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -388,6 +388,7 @@
 	if !wasResponsive || worker.lapsed {
 		klog.InfoS("Worker answers again", "Worker", worker.incarnation)
 		worker.lapsed, worker.ended = false, false
+		supervisor.withdrawCrash(worker)
 		supervisor.requestReport()
 	}
 	worker.unansweredListings, worker.notListeningSince = 0, 0
--- a/supervisor/workerend.go
+++ b/supervisor/workerend.go
@@ -102,7 +102,7 @@
 // finishEndReport records the outcome of a pending report.
 func (supervisor *Supervisor) finishEndReport(worker *workerState, outcome endReport) {
 	worker.endReport = outcome
-	supervisor.crashed = slices.DeleteFunc(supervisor.crashed, func(other *workerState) bool { return other == worker })
+	supervisor.crashed = removeWorker(supervisor.crashed, worker)
 	supervisor.pendingEnds--
 }
 
