blame: fewer suspects, and the least likely ones are tried first

Runs that are lost with a worker are placed again together, so that the next crash made up to 14 of them suspects, each of which waits for a trial. Ages of one crash share their error, so only the difference to the run that started last matters: suspects are the runs of at most 100 ms more. Trials begin with the least likely culprits, which are needed, and one worker in four may be in a trial instead of one in five.

--- a/blame/blame.go
+++ b/blame/blame.go
@@ -16,7 +16,7 @@
 	// ageError is how much too high an age may be: the time between two listings of a worker.
 	ageError = 60 * clock.Millisecond
 	// promptAge is the age at the crash up to which a run counts as having just started.
-	promptAge = 200 * clock.Millisecond
+	promptAge = 160 * clock.Millisecond
 	// immediateAge is the age up to which two crashes suffice, and ageTolerance how far the ages of the crashes of one task may
 	// be apart, beside half of the age.
 	immediateAge = 100 * clock.Millisecond
@@ -98,6 +98,19 @@
 	return oldest <= immediateAge && aloneNodes.Len() > 0 || len(crashes) > minCrashes && aloneNodes.Len() >= minAloneCrashes
 }
 
+// Weight orders suspects by how likely they are to cause crashes: by the number of crashes, and by how shortly before them
+// they started.
+func Weight(crashes []workflow.Crash) float64 {
+	weight := 0.0
+	for _, crash := range crashes {
+		weight += 1 / (1 + float64(crash.Age)/float64(ageError))
+		if crash.Alone {
+			weight++
+		}
+	}
+	return weight
+}
+
 // Window returns how long before and after the start of a suspect no other run may start on its worker, so that a crash
 // is attributed to it.
 func Window(crashes []workflow.Crash) clock.Millis {
--- a/blame/ledger.go
+++ b/blame/ledger.go
@@ -175,7 +175,8 @@
 		}
 		return nil
 	}
-	oldest := max(promptAge, separation(crash.others[0].Age))
+	youngest := crash.others[0].Age
+	oldest := youngest + max(ageTolerance, youngest)
 	var evidence []workflow.Crash
 	for len(crash.others) > 0 && crash.others[0].Age <= oldest {
 		run := crash.others[0]
--- a/scheduler/trial.go
+++ b/scheduler/trial.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 
 	"hyssopjunction/blame"
@@ -13,7 +14,7 @@
 // shortly before or after them, so that a crash tells whether they cause it.
 const (
 	// workersPerTrial is the number of workers for each trial at a time.
-	workersPerTrial = 5
+	workersPerTrial = 4
 	// trialStartTime is how long the start of a run takes from its placement until the worker has it.
 	trialStartTime = 100 * clock.Millisecond
 	// standingRestartCost is how much work of a standing run is lost with its worker, as time.
@@ -89,9 +90,13 @@
 	return workflow.Name{Job: waiting.record.job.Spec.ID, Occurrence: waiting.occurrence.Number, Step: waiting.step, Index: index}
 }
 
-// placeTrials places tasks that may crash their worker, in the order of the candidates.
+// placeTrials places tasks that may crash their worker. Those that are least likely to do so come first: they are needed, and
+// each crash takes a worker away from the others.
 func (scheduler *Scheduler) placeTrials(candidates []candidate, now clock.Time) {
 	trials := &scheduler.crashes.trials
+	slices.SortStableFunc(candidates, func(left, right candidate) int {
+		return cmp.Compare(blame.Weight(left.crashes()), blame.Weight(right.crashes()))
+	})
 	current := map[trialKey]struct{}{}
 	for _, suspects := range candidates {
 		current[suspects.trialKey()] = struct{}{}
