scheduler: tasks that are started again and again to no avail are delayed

Standing tasks have no limit of failures, and a task that each worker refuses has none of rejections, so both were started as often as the leader plans, each time with a write of the job's row.

--- a/coordinator/agents.go
+++ b/coordinator/agents.go
@@ -373,7 +373,7 @@
 	}
 	coordinator.counters.rejections.Inc()
 	klog.InfoS("Run rejected", "Task", rejection.Task, "Run", rejection.Run, "Worker", rejection.Incarnation, "Reason", rejection.Reason)
-	coordinator.scheduler.RecordRejection(scheduler.Incarnation(rejection.Incarnation), name, rejection.Run, coordinator.deps.Clock.Now())
+	coordinator.scheduler.RecordRejection(scheduler.Incarnation(rejection.Incarnation), name, rejection.Run, rejection.Reason == session.RefusedTask, coordinator.deps.Clock.Now())
 }
 
 // convertProgress converts an agent's list of active runs for the scheduler.
--- a/scheduler/candidates.go
+++ b/scheduler/candidates.go
@@ -63,7 +63,7 @@
 				}
 				var indices []int
 				for index, task := range occurrence.Steps[step] {
-					if task.Phase == workflow.Waiting {
+					if task.Phase == workflow.Waiting && !record.isDelayed(workflow.Name{Job: id, Occurrence: occurrence.Number, Step: step, Index: index}, now) {
 						indices = append(indices, index)
 					}
 				}
--- a/scheduler/copies_test.go
+++ b/scheduler/copies_test.go
@@ -346,7 +346,7 @@
 		"run is lost": {func(fixture *fixture, start Order) { fixture.scheduler.RecordLeaseLapse(start.Worker) }, 0},
 		"worker ends": {func(fixture *fixture, start Order) { fixture.scheduler.EndWorker(start.Worker, nil, fixture.now) }, 0},
 		"run is rejected": {func(fixture *fixture, start Order) {
-			fixture.scheduler.RecordRejection(start.Worker, start.Name, start.Run, fixture.now)
+			fixture.scheduler.RecordRejection(start.Worker, start.Name, start.Run, false, fixture.now)
 		}, 0},
 	}
 	for name, test := range cases {
@@ -470,7 +470,7 @@
 func TestRefusedCopyIsNotRepeatedAtOnce(t *testing.T) {
 	fixture := newRackFixture(t)
 	late, second := fixture.startWithCopy()
-	fixture.scheduler.RecordRejection(second.Worker, second.Name, second.Run, fixture.now)
+	fixture.scheduler.RecordRejection(second.Worker, second.Name, second.Run, false, fixture.now)
 	for passed := clock.Millis(0); passed < copyRetryInterval-replanInterval; passed += replanInterval {
 		fixture.reportRuns([]Order{late}, func(int) int { return 20 })
 		assertStartCount(t, fixture.plan(replanInterval), 0)
--- a/scheduler/fixture_test.go
+++ b/scheduler/fixture_test.go
@@ -129,7 +129,7 @@
 	fixture.submit("job", oneCoreStep(1))
 	starts := fixture.plan(0)
 	assertStartCount(t, starts, 1)
-	fixture.scheduler.RecordRejection(starts[0].Worker, starts[0].Name, starts[0].Run, fixture.now)
+	fixture.scheduler.RecordRejection(starts[0].Worker, starts[0].Name, starts[0].Run, false, fixture.now)
 	assertStartCount(t, fixture.plan(1), 0)
 	assertStartCount(t, fixture.plan(refusalDelay), 1)
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -107,6 +107,8 @@
 	acceptedAt clock.Time
 	// failuresByWorker counts failed and rejected runs by worker, so that further runs go to other workers.
 	failuresByWorker map[Incarnation]int
+	// delays holds the tasks whose next start is delayed. It may be lost: the delays are short.
+	delays map[workflow.Name]restartDelay
 	// crashedAt is when a crash was last recorded or restored that a task of the job may have caused.
 	crashedAt clock.Time
 	// activeRuns is the number of runs that have not ended.
@@ -399,6 +401,9 @@
 		if record, ok := scheduler.jobs[end.Name.Job]; ok {
 			record.failuresByWorker[incarnation]++
 			record.recordDecision(explanation.Failed, fmt.Sprintf("%s on %s", run.name, incarnation), now)
+			if run.step.Standing {
+				record.recordStandingFailure(run, now)
+			}
 		}
 		if !run.step.Standing {
 			worker.health.recordFailure(end.Name.Job, now)
@@ -408,8 +413,9 @@
 	scheduler.endRun(run, end.Cause, end.Saved)
 }
 
-// RecordRejection records that a run was not started on the worker and never will be.
-func (scheduler *Scheduler) RecordRejection(incarnation Incarnation, name workflow.Name, number workflow.Run, now clock.Time) {
+// RecordRejection records that a run was not started on the worker and never will be. If the worker refused the task itself, any
+// other one may do so too, so the next start is delayed.
+func (scheduler *Scheduler) RecordRejection(incarnation Incarnation, name workflow.Name, number workflow.Run, refusesTask bool, now clock.Time) {
 	worker, ok := scheduler.workers[incarnation]
 	if !ok {
 		return
@@ -418,6 +424,9 @@
 		if record, ok := scheduler.jobs[name.Job]; ok {
 			record.failuresByWorker[incarnation]++
 			record.recordDecision(explanation.Rejected, fmt.Sprintf("%s by %s", name, incarnation), now)
+			if refusesTask {
+				record.delayRestart(name, now)
+			}
 		}
 		worker.refusalDelayEnd = now.Add(refusalDelay)
 		scheduler.endRun(run, workflow.Interrupted, "")
--- a/session/message.go
+++ b/session/message.go
@@ -91,6 +91,9 @@
 	Saved  workflow.Checkpoint `json:",omitempty"`
 }
 
+// RefusedTask is the reason of a rejection by a worker that refused the task itself, rather than for want of room or a lease.
+const RefusedTask = "Other"
+
 // Rejection describes a run that was ordered and never starts.
 type Rejection struct {
 	Incarnation string
--- a/supervisor/runtime.go
+++ b/supervisor/runtime.go
@@ -9,6 +9,7 @@
 
 	"hyssopjunction/clock"
 	"hyssopjunction/ident"
+	"hyssopjunction/session"
 	"hyssopjunction/unit"
 	"hyssopjunction/workflow"
 )
@@ -135,7 +136,7 @@
 	// RefusedCapacity: the task does not fit.
 	RefusedCapacity Refusal = "Room"
 	// RefusedOther: any other reason.
-	RefusedOther Refusal = "Other"
+	RefusedOther Refusal = session.RefusedTask
 )
 
 // ErrRefused reports a call that the worker refused.
