blame: a task that is done is no suspect, and a restored crash counts once against its node

A run that was on a crashed worker although its task was done (its copy had finished) stayed a suspect for good, so that older runs never became suspects. A crash of which only the stored suspects are known counted twice against the node once they were cleared; TestBadNode has the case and failed before.

--- a/blame/blame_test.go
+++ b/blame/blame_test.go
@@ -157,6 +157,12 @@
 	if until := ledger.BlockedUntil("bad"); !until.After(now) {
 		t.Errorf("got blocked until %d, want a time after %d", until, now)
 	}
+	restored := workflow.Crash{Name: workflow.Name{Job: "job"}, Run: 1, Worker: "w@good"}
+	for number := range minUnexplained - 1 {
+		restored.Worker = fmt.Sprintf("w%d@good", number)
+		ledger.AddSuspect(restored, now)
+		ledger.Exonerate(restored.Worker, restored.Name, now)
+	}
 	if until := ledger.BlockedUntil("good"); until != 0 {
 		t.Errorf("another node is blocked until %d, want it in use", until)
 	}
--- a/blame/ledger.go
+++ b/blame/ledger.go
@@ -87,7 +87,10 @@
 	}
 	ledger.crashes[crash.Worker] = added
 	sharing = ledger.sharing(added)
-	evidence = ledger.nextSuspects(added)
+	evidence = added.nextSuspects()
+	if len(runs) == 0 {
+		ledger.addUnexplained(added, now)
+	}
 	// A node that has crashed without a task that caused it may have done so again.
 	if len(sharing) > 0 || ledger.IsUnreliable(nodeOf(crash.Worker)) {
 		for position := range evidence {
@@ -121,7 +124,7 @@
 	if known.suspects.Len() > 0 {
 		return nil
 	}
-	evidence := ledger.nextSuspects(known)
+	evidence := known.nextSuspects()
 	if len(evidence) == 0 {
 		ledger.addUnexplained(known, now)
 	}
@@ -166,13 +169,9 @@
 // HasUnexplained reports whether any node had crashes without an explanation.
 func (ledger *Ledger) HasUnexplained() bool { return len(ledger.unexplained) > 0 }
 
-// nextSuspects moves the youngest of the other runs to the suspects and returns the evidence against them. A crash without any
-// run has no suspects.
-func (ledger *Ledger) nextSuspects(crash *entry) []workflow.Crash {
+// nextSuspects moves the youngest of the other runs to the suspects and returns the evidence against them.
+func (crash *entry) nextSuspects() []workflow.Crash {
 	if len(crash.others) == 0 {
-		if len(crash.Runs) == 0 {
-			ledger.addUnexplained(crash, crash.At)
-		}
 		return nil
 	}
 	youngest := crash.others[0].Age
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -84,6 +84,11 @@
 		if earlier := record.job.CrashesOf(crash.Name); len(earlier) > 0 && crash.Age >= blame.Survival(earlier) {
 			scheduler.clearCrashes(record, crash.Name, now)
 		}
+		if task := record.job.Task(crash.Name); task == nil || task.Phase == workflow.Done {
+			// Another run of the task finished, so it is not the cause.
+			scheduler.addEvidence(scheduler.crashes.ledger.Exonerate(crash.Worker, crash.Name, now), now)
+			continue
+		}
 		if !record.job.RecordCrash(crash) {
 			continue
 		}
