store: waiting submissions try again as soon as the store answers others

Cause: a submission whose partition has used up its retries waits for the next one, one a second, although submissions of other partitions are already stored; behind a slow start that took some of them past the 3 s of their callers. Seen in the log of a run of 2.1 s: one submission after 2,052 ms, all others after 1,080. Now a commit that the store answers wakes those that wait, and gives partitions without a retry one, at most every 250 ms, so that a store that rejects is not retried more.

TestRetriesFollowAnswers failed before (1 s after the recovery, 0.4 s wanted).

--- a/store/retrier.go
+++ b/store/retrier.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -24,12 +25,18 @@
 	retries *metrics.Counter
 	// exhausted counts the waits for the budget.
 	exhausted *metrics.Counter
+
+	mu sync.Mutex
+	// waits is the number of commits that wait for a retry, and answered is closed when the store answers another one
+	// meanwhile.
+	waits    int
+	answered chan struct{}
 }
 
 // NewRetrier returns a Retrier that commits to store.
 func NewRetrier(store Store, timeSource clock.Clock) *Retrier {
 	return &Retrier{
-		store: store, clock: timeSource, budgets: NewRetryBudgets(),
+		store: store, clock: timeSource, budgets: NewRetryBudgets(), answered: make(chan struct{}),
 		retries:   metrics.GetOrCreateCounter("hyssopjunction_store_retries_total"),
 		exhausted: metrics.GetOrCreateCounter("hyssopjunction_store_retry_waits_total"),
 	}
@@ -48,8 +55,10 @@
 		var conflict ErrConflict
 		switch {
 		case err == nil:
+			retrier.recordAnswer()
 			return version, nil
 		case errors.As(err, &conflict):
+			retrier.recordAnswer()
 			if version, ok := appliedVersion(tx, conflict); mayBeApplied && ok {
 				return version, nil
 			}
@@ -79,9 +88,11 @@
 	return retrier.store.Commit(attemptCtx, tx)
 }
 
-// awaitRetry waits for the pause and then for the budget of the partition. It returns false if ctx ends before, or less
-// than the reserve after the wait.
+// awaitRetry waits for the pause and then for the budget of the partition, or until the store answers another commit. It returns
+// false if ctx ends before, or less than the reserve after the wait.
 func (retrier *Retrier) awaitRetry(ctx context.Context, partition string, pause, reserve clock.Millis) bool {
+	answered := retrier.beginWait()
+	defer retrier.endWait()
 	for pause > 0 {
 		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < (pause+reserve).Duration() {
 			return false
@@ -90,6 +101,8 @@
 		case <-ctx.Done():
 			return false
 		case <-retrier.clock.After(pause):
+		case <-answered:
+			answered = nil
 		}
 		pause = retrier.budgets.Take(partition, retrier.clock.Now())
 		if pause > 0 {
@@ -99,6 +112,32 @@
 	return ctx.Err() == nil
 }
 
+// beginWait returns a channel that is closed when the store answers another commit.
+func (retrier *Retrier) beginWait() <-chan struct{} {
+	retrier.mu.Lock()
+	defer retrier.mu.Unlock()
+	retrier.waits++
+	return retrier.answered
+}
+
+func (retrier *Retrier) endWait() {
+	retrier.mu.Lock()
+	defer retrier.mu.Unlock()
+	retrier.waits--
+}
+
+// recordAnswer lets waiting commits try again now that the store answers: the budget protects a store that does not.
+func (retrier *Retrier) recordAnswer() {
+	retrier.mu.Lock()
+	defer retrier.mu.Unlock()
+	if retrier.waits == 0 {
+		return
+	}
+	retrier.budgets.RecordAnswer(retrier.clock.Now())
+	close(retrier.answered)
+	retrier.answered = make(chan struct{})
+}
+
 // jittered returns a random time between half of the pause and the pause, so that callers that failed together do not
 // return together.
 func jittered(pause clock.Millis) clock.Millis {
--- a/store/retrier_test.go
+++ b/store/retrier_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"hyssopjunction/clock"
@@ -84,3 +87,60 @@
 		t.Errorf("a retry that can be joined waits %d ms", wait)
 	}
 }
+
+// recovering is a store that is unavailable until it recovers, just after an attempt has failed.
+type recovering struct {
+	Store
+	recoversAfter time.Time
+	answers       atomic.Bool
+}
+
+func (fake *recovering) Commit(context.Context, Tx) (Version, error) {
+	if fake.answers.Load() {
+		return 1, nil
+	}
+	fake.answers.Store(time.Now().After(fake.recoversAfter))
+	return 0, ErrUnavailable{Reason: "rejected"}
+}
+
+func (fake *recovering) Partition(ref Ref) string { return string(ref.Table) }
+
+// TestRetriesFollowAnswers guards against callers that wait for the budget of their partition, and are answered too late,
+// although the store answers others again.
+func TestRetriesFollowAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := &recovering{recoversAfter: time.Now().Add(1200 * time.Millisecond)}
+		retrier := NewRetrier(fake, clock.NewSystem())
+		commit := func(table Table) error {
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			_, err := retrier.Commit(ctx, Tx{Conditions: []Condition{{Ref: Ref{Table: table}}}})
+			return err
+		}
+		var group sync.WaitGroup
+		done := make([]time.Time, 6)
+		for caller := range done {
+			group.Go(func() {
+				// They use up the budget of one partition.
+				time.Sleep(time.Duration(100*caller) * time.Millisecond)
+				if err := commit("waiting"); err != nil {
+					t.Errorf("caller %d: got %v, want a commit", caller, err)
+				}
+				done[caller] = time.Now()
+			})
+		}
+		for !fake.answers.Load() {
+			time.Sleep(time.Millisecond)
+		}
+		recovered := time.Now()
+		if err := commit("other"); err != nil {
+			t.Fatal(err)
+		}
+		group.Wait()
+		for caller, at := range done {
+			if after := at.Sub(recovered); after > maxRetryPause.Duration() {
+				t.Errorf("caller %d was answered %s after the store had recovered, want at most %s", caller, after, maxRetryPause)
+			}
+		}
+	})
+}
--- a/store/retrybudget.go
+++ b/store/retrybudget.go
@@ -17,6 +17,9 @@
 	// retryTokensPerSecond lets retries continue in a partition that has few calls: an entry makes about one call in 8 s to
 	// each. Nine entries and 16 partitions make 144 retries a second at most while the store is away.
 	retryTokensPerSecond = 1.0
+	// answerInterval is the shortest time between two tokens that a partition gets because the store answers. A store that
+	// answers some calls and rejects others is not retried much more often for that.
+	answerInterval = 250 * clock.Millisecond
 	// joinWindow is how long after a retry others of its partition are free. Group joins them in one transaction, or in two
 	// if the first is in progress.
 	joinWindow = 10 * clock.Millisecond
@@ -32,8 +35,8 @@
 type retryBucket struct {
 	tokens   float64
 	filledAt clock.Time
-	// takenAt is when a token was last taken, or 0.
-	takenAt clock.Time
+	// takenAt is when a token was last taken, and answeredAt when one was last added because the store answered, or 0.
+	takenAt, answeredAt clock.Time
 }
 
 // NewRetryBudgets returns full budgets.
@@ -47,6 +50,19 @@
 	bucket.tokens = min(maxRetryTokens, bucket.tokens+retryShare)
 }
 
+// RecordAnswer adds a token to the partitions without one, because the store answers calls again. Each gets one within
+// answerInterval at most.
+func (budgets *RetryBudgets) RecordAnswer(now clock.Time) {
+	budgets.mu.Lock()
+	defer budgets.mu.Unlock()
+	for partition := range budgets.buckets {
+		bucket := budgets.bucket(partition, now)
+		if bucket.tokens < 1 && (bucket.answeredAt == 0 || now.Sub(bucket.answeredAt) >= answerInterval) {
+			bucket.tokens, bucket.answeredAt = 1, now
+		}
+	}
+}
+
 // Take takes a token for a retry. It returns 0 if there was one, or the time after which there will be one.
 func (budgets *RetryBudgets) Take(partition string, now clock.Time) clock.Millis {
 	budgets.mu.Lock()
