--- a/coordinator/crash.go
+++ b/coordinator/crash.go
@@ -10,6 +10,13 @@
 	"hyssopjunction/workflow"
 )
 
+const (
+	// maxCrashAge bounds the age of a crash in a report.
+	maxCrashAge = clock.Minute
+	// coreMillisPerCoreSecond converts thousandths of a core times milliseconds to core seconds.
+	coreMillisPerCoreSecond = 1e6
+)
+
 // recordCrash passes the crash of a worker to the scheduler. The runs that it names may have ended already, or belong to a worker
 // of an earlier term.
 func (coordinator *Coordinator) recordCrash(crash session.Crash) {
@@ -26,9 +33,6 @@
 	coordinator.scheduler.RecordCrash(scheduler.Incarnation(crash.Incarnation), now.Add(-max(0, min(crash.Ago, maxCrashAge))), runs, now)
 }
 
-// maxCrashAge bounds the age of a crash in a report.
-const maxCrashAge = clock.Minute
-
 // logCrashes logs and counts the decisions about tasks after crashes once they are stored.
 func (coordinator *Coordinator) logCrashes() {
 	events := coordinator.scheduler.TakeCrashEvents()
@@ -44,6 +48,3 @@
 		}
 	})
 }
-
-// coreMillisPerCoreSecond converts thousandths of a core times milliseconds to core seconds.
-const coreMillisPerCoreSecond = 1e6
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -10,6 +10,9 @@
 	"hyssopjunction/workflow"
 )
 
+// blockedShare is the share of the workers, one in so many, that may be blocked because of crashes without explanation.
+const blockedShare = 4
+
 // CrashEventKind is what was decided about a task after a crash.
 type CrashEventKind string
 
@@ -205,9 +208,6 @@
 	}
 }
 
-// blockedShare is the share of the workers, one in so many, that may be blocked because of crashes without explanation.
-const blockedShare = 4
-
 // assess returns the verdict on a task.
 func (scheduler *Scheduler) assess(record *jobRecord, name workflow.Name, now clock.Time) blame.Verdict {
 	if len(record.job.Crashes) == 0 {
--- a/scheduler/runend.go
+++ b/scheduler/runend.go
@@ -1,6 +1,12 @@
 package scheduler
 
-import "hyssopjunction/workflow"
+import (
+	"fmt"
+
+	"hyssopjunction/clock"
+	"hyssopjunction/explanation"
+	"hyssopjunction/workflow"
+)
 
 // IsActive reports whether the run is active on the incarnation, also if the incarnation has not been reported yet.
 func (scheduler *Scheduler) IsActive(incarnation Incarnation, name workflow.Name, number workflow.Run) bool {
@@ -28,3 +34,101 @@
 	}
 	scheduler.recordJobEnd(run, end.Cause, end.Saved)
 }
+
+// RecordEnd records the end of a run that the worker reported.
+func (scheduler *Scheduler) RecordEnd(incarnation Incarnation, end End, now clock.Time) {
+	worker, ok := scheduler.workers[incarnation]
+	if !ok {
+		scheduler.recordOrphanEnd(incarnation, end)
+		return
+	}
+	run, ok := worker.runs[end.Name]
+	if !ok || run.number != end.Run {
+		return
+	}
+	scheduler.copies.now = now
+	switch end.Cause {
+	case workflow.Finished:
+		worker.health.recordFinished()
+		scheduler.recordFinishedTime(run, now)
+		if !run.restored {
+			// An earlier leader placed a restored run, so it is not known how long it took.
+			scheduler.observeDuration(run, now)
+			scheduler.observeSpeed(run, now)
+		}
+	case workflow.Faulted:
+		if record, ok := scheduler.jobs[end.Name.Job]; ok {
+			record.failuresByWorker[incarnation]++
+			record.recordDecision(explanation.Failed, fmt.Sprintf("%s on %s", run.name, incarnation), now)
+			if run.step.Standing {
+				record.recordStandingFailure(run, now)
+			}
+		}
+		if !run.step.Standing {
+			worker.health.recordFailure(end.Name.Job, now)
+		}
+	case workflow.Interrupted:
+	}
+	scheduler.endRun(run, end.Cause, end.Saved)
+}
+
+// RecordRejection records that a run was not started on the worker and never will be. If the worker refused the task itself, any
+// other one may do so too, so the next start is delayed.
+func (scheduler *Scheduler) RecordRejection(incarnation Incarnation, name workflow.Name, number workflow.Run, refusesTask bool, now clock.Time) {
+	worker, ok := scheduler.workers[incarnation]
+	if !ok {
+		return
+	}
+	if run, ok := worker.runs[name]; ok && run.number == number {
+		if record, ok := scheduler.jobs[name.Job]; ok {
+			record.failuresByWorker[incarnation]++
+			record.recordDecision(explanation.Rejected, fmt.Sprintf("%s by %s", name, incarnation), now)
+			if refusesTask {
+				record.delayRestart(name, now)
+			}
+		}
+		worker.refusalDelayEnd = now.Add(refusalDelay)
+		scheduler.endRun(run, workflow.Interrupted, "")
+	}
+}
+
+// endRun removes a run from its worker and records its end in its job.
+func (scheduler *Scheduler) endRun(run *activeRun, cause workflow.Cause, saved workflow.Checkpoint) {
+	run.worker.remove(run)
+	scheduler.model.RemoveRun(run.name.String())
+	scheduler.recordJobEnd(run, cause, saved)
+}
+
+// recordJobEnd records the end of a run in its job.
+func (scheduler *Scheduler) recordJobEnd(run *activeRun, cause workflow.Cause, saved workflow.Checkpoint) {
+	scheduler.dirty = true
+	scheduler.recordCopyEnd(run, cause)
+	record, ok := scheduler.jobs[run.name.Job]
+	if !ok {
+		return
+	}
+	record.activeRuns--
+	delete(record.urgency.runs, run)
+	if record.job.State.Final() {
+		if record.job.EndRunOfFinalJob(run.name, run.number) {
+			scheduler.dirtyJobs[record.job.Spec.ID] = record
+		}
+		return
+	}
+	if !scheduler.isAhead(run) {
+		saved = ""
+	}
+	if cause == workflow.Finished && run.isNeeded() {
+		scheduler.clearCrashes(record, run.name, scheduler.copies.now)
+	}
+	if !record.job.EndRun(run.name, run.number, cause, saved) {
+		return
+	}
+	scheduler.dirtyJobs[record.job.Spec.ID] = record
+	if record.job.State.Final() {
+		scheduler.closeJob(record)
+		return
+	}
+	record.dropDurations(run.name)
+	scheduler.stopSuperseded(record.job, run.name)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -4,12 +4,10 @@
 package scheduler
 
 import (
-	"fmt"
 	"slices"
 
 	"hyssopjunction/assignment"
 	"hyssopjunction/clock"
-	"hyssopjunction/explanation"
 	"hyssopjunction/ident"
 	"hyssopjunction/pacing"
 	"hyssopjunction/set"
@@ -376,104 +374,6 @@
 	scheduler.learnFromListing(worker, now)
 }
 
-// RecordEnd records the end of a run that the worker reported.
-func (scheduler *Scheduler) RecordEnd(incarnation Incarnation, end End, now clock.Time) {
-	worker, ok := scheduler.workers[incarnation]
-	if !ok {
-		scheduler.recordOrphanEnd(incarnation, end)
-		return
-	}
-	run, ok := worker.runs[end.Name]
-	if !ok || run.number != end.Run {
-		return
-	}
-	scheduler.copies.now = now
-	switch end.Cause {
-	case workflow.Finished:
-		worker.health.recordFinished()
-		scheduler.recordFinishedTime(run, now)
-		if !run.restored {
-			// An earlier leader placed a restored run, so it is not known how long it took.
-			scheduler.observeDuration(run, now)
-			scheduler.observeSpeed(run, now)
-		}
-	case workflow.Faulted:
-		if record, ok := scheduler.jobs[end.Name.Job]; ok {
-			record.failuresByWorker[incarnation]++
-			record.recordDecision(explanation.Failed, fmt.Sprintf("%s on %s", run.name, incarnation), now)
-			if run.step.Standing {
-				record.recordStandingFailure(run, now)
-			}
-		}
-		if !run.step.Standing {
-			worker.health.recordFailure(end.Name.Job, now)
-		}
-	case workflow.Interrupted:
-	}
-	scheduler.endRun(run, end.Cause, end.Saved)
-}
-
-// RecordRejection records that a run was not started on the worker and never will be. If the worker refused the task itself, any
-// other one may do so too, so the next start is delayed.
-func (scheduler *Scheduler) RecordRejection(incarnation Incarnation, name workflow.Name, number workflow.Run, refusesTask bool, now clock.Time) {
-	worker, ok := scheduler.workers[incarnation]
-	if !ok {
-		return
-	}
-	if run, ok := worker.runs[name]; ok && run.number == number {
-		if record, ok := scheduler.jobs[name.Job]; ok {
-			record.failuresByWorker[incarnation]++
-			record.recordDecision(explanation.Rejected, fmt.Sprintf("%s by %s", name, incarnation), now)
-			if refusesTask {
-				record.delayRestart(name, now)
-			}
-		}
-		worker.refusalDelayEnd = now.Add(refusalDelay)
-		scheduler.endRun(run, workflow.Interrupted, "")
-	}
-}
-
-// endRun removes a run from its worker and records its end in its job.
-func (scheduler *Scheduler) endRun(run *activeRun, cause workflow.Cause, saved workflow.Checkpoint) {
-	run.worker.remove(run)
-	scheduler.model.RemoveRun(run.name.String())
-	scheduler.recordJobEnd(run, cause, saved)
-}
-
-// recordJobEnd records the end of a run in its job.
-func (scheduler *Scheduler) recordJobEnd(run *activeRun, cause workflow.Cause, saved workflow.Checkpoint) {
-	scheduler.dirty = true
-	scheduler.recordCopyEnd(run, cause)
-	record, ok := scheduler.jobs[run.name.Job]
-	if !ok {
-		return
-	}
-	record.activeRuns--
-	delete(record.urgency.runs, run)
-	if record.job.State.Final() {
-		if record.job.EndRunOfFinalJob(run.name, run.number) {
-			scheduler.dirtyJobs[record.job.Spec.ID] = record
-		}
-		return
-	}
-	if !scheduler.isAhead(run) {
-		saved = ""
-	}
-	if cause == workflow.Finished && run.isNeeded() {
-		scheduler.clearCrashes(record, run.name, scheduler.copies.now)
-	}
-	if !record.job.EndRun(run.name, run.number, cause, saved) {
-		return
-	}
-	scheduler.dirtyJobs[record.job.Spec.ID] = record
-	if record.job.State.Final() {
-		scheduler.closeJob(record)
-		return
-	}
-	record.dropDurations(run.name)
-	scheduler.stopSuperseded(record.job, run.name)
-}
-
 // TakeChanges returns and resets the changed jobs and the orders since the last call. The jobs must be
 // stored before the orders are sent.
 func (scheduler *Scheduler) TakeChanges() ([]*workflow.Job, []Order) {
