blame: four crashes, alone on two nodes, suffice whatever their ages

Soak seed 924 started a task six times that crashes its workers (five allowed): its first crash was unknown, because all daemons were killed 10 ms after it, and of the next four ages one was measured as 250 ms, the others as 25 to 68 ms. So the ages did not fit together, and no verdict was reached before the limit of five known crashes. From the fourth crash on, a task that was alone on two nodes is now given up whatever the ages.

TestAssess has the case and failed before ('got verdict suspect, want culprit').

--- a/blame/blame.go
+++ b/blame/blame.go
@@ -89,6 +89,9 @@
 		}
 		youngest, oldest = min(youngest, crash.Age), max(oldest, crash.Age)
 	}
+	if len(crashes) >= maxPromptCrashes && aloneNodes.Len() >= minAloneCrashes {
+		return true // An age may be measured wrongly, but hardly so many crashes are by chance.
+	}
 	if nodes.Len() < minCrashes || oldest > youngest+youngest/2+ageTolerance {
 		return false
 	}
--- a/blame/blame_test.go
+++ b/blame/blame_test.go
@@ -33,6 +33,7 @@
 		"running for a while":                   {[]workflow.Crash{crash(1, late, true)}, Watched},
 		"twice among neighbours":                {[]workflow.Crash{crash(1, prompt, false), crash(2, prompt, false)}, Suspect},
 		"alone at the second crash":             {[]workflow.Crash{crash(1, prompt, false), crash(2, prompt, true)}, Culprit},
+		"one age measured wrongly":              {[]workflow.Crash{crash(1, 68, false), crash(2, 250, true), crash(3, 58, true), crash(3, 56, true)}, Culprit},
 		"at different ages":                     {[]workflow.Crash{crash(1, prompt, true), crash(2, 190, true)}, Suspect},
 		"twice on one node":                     {[]workflow.Crash{crash(1, prompt, true), crash(1, prompt, true)}, Suspect},
 		"a neighbour first, then much later":    {[]workflow.Crash{crash(1, prompt, false), crash(2, late, true)}, Suspect},
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -41,7 +41,12 @@
 )
 
 // ciSeeds returns the seeds of TestSoak that run in CI. Every seed that fails once must be added.
-func ciSeeds() []uint64 { return []uint64{1, 2} }
+func ciSeeds() []uint64 {
+	return []uint64{
+		1, 2,
+		924, // A task that crashes its workers was started six times, after all daemons were killed at its first crash.
+	}
+}
 
 // TestSoak guards against jobs that are lost, run twice, run although their submission was refused, reported
 // in a state that contradicts their runs, or not ended after their cancellation, and against lasting tasks that
