scheduler: accounts of jobs, use of the cores, and mechanisms that can be switched off

Change: package account splits the time of a job along the chain of tasks that decided its end; the leader logs one line for each job that ends and one every 2 s about the use of the cores. 'hyssopjunction report' (packages joblog and bound) sums them up beside the highest share that idle cores would have allowed.

--- a/cmd/cluster.go
+++ b/cmd/cluster.go
@@ -24,10 +24,12 @@
 	"hyssopjunction/intake"
 	"hyssopjunction/jobapi"
 	"hyssopjunction/leadership"
+	"hyssopjunction/mechanism"
 	"hyssopjunction/platform"
 	"hyssopjunction/probe"
 	"hyssopjunction/relay"
 	"hyssopjunction/session"
+	"hyssopjunction/set"
 	"hyssopjunction/supervisor"
 )
 
@@ -147,23 +149,30 @@
 }
 
 // runClusterEntry runs an entry of a deployment.
-func runClusterEntry(std streams, path string) error {
+func runClusterEntry(std streams, path string, disabled []string) error {
+	names, err := mechanism.Parse(disabled)
+	if err != nil {
+		return ErrExit{Code: ExitUsage, Reason: err.Error()}
+	}
 	settings, err := loadClusterSettings(std, path, cluster.Settings.CheckEntry)
 	if err != nil {
 		return err
 	}
+	if names.Len() > 0 {
+		klog.InfoS("Mechanisms disabled", "Names", set.Sorted(names))
+	}
 	return runDaemon(settings.Grace, fx.Supply(settings), fx.Invoke(func(lifecycle fx.Lifecycle) error {
-		return startClusterEntry(lifecycle, settings, path)
+		return startClusterEntry(lifecycle, settings, path, names)
 	}))
 }
 
 // startClusterEntry starts an entry of a deployment. When the application stops, the entry first reports that
 // it is not ready and gives up the leadership, and then drains its connections. Requests are answered until the margin at the
 // end of the grace period, with 504 if their outcome is still open then.
-func startClusterEntry(lifecycle fx.Lifecycle, settings cluster.Settings, path string) error {
+func startClusterEntry(lifecycle fx.Lifecycle, settings cluster.Settings, path string, disabled set.Set[mechanism.Name]) error {
 	source := clock.NewBoot()
 	directStore := platform.NewStore(settings.Store, source, settings.StoreWrites, settings.StoreReads)
-	relayStore := relay.New(directStore, source, settings.Session(settings.Address), sessionAddresses(settings))
+	relayStore := relay.New(directStore, source, settings.Session(settings.Address), relayAddresses(settings, disabled))
 	follower := directive.NewFollower(relayStore, source, platform.Operators{})
 	sessionListener, err := net.Listen("tcp", settings.Session(settings.Address))
 	if err != nil {
@@ -172,6 +181,7 @@
 	elector := leadership.New(coordinator.Dependencies{
 		Retention: coordinator.DefaultRetention(),
 		Bounds:    assignment.Bounds{RemoteFactor: settings.RemoteFactor, Restore: settings.Restore, StopTimeout: settings.StopTimeout},
+		Disabled:  disabled,
 		Store:     relayStore, Clock: source, TimeOfDay: func() int64 { return time.Now().UnixMilli() }, Out: follower.Out,
 	}, settings.Node, settings.Session(settings.Address), settings.Lease)
 	callerListener, err := net.Listen("tcp", settings.Callers)
@@ -228,6 +238,14 @@
 	return nil
 }
 
+// relayAddresses returns the session addresses of the entries by way of which the store may be reached.
+func relayAddresses(settings cluster.Settings, disabled set.Set[mechanism.Name]) []string {
+	if disabled.Has(mechanism.Relays) {
+		return nil
+	}
+	return sessionAddresses(settings)
+}
+
 func serveSessions(server *grpc.Server, listener net.Listener) {
 	go func() {
 		if err := server.Serve(listener); err != nil {
--- a/cmd/clusterentry_test.go
+++ b/cmd/clusterentry_test.go
@@ -53,7 +53,7 @@
 	if _, err := fmt.Sscan(port, &settings.SessionPort); err != nil {
 		t.Fatal(err)
 	}
-	if err := startClusterEntry(entry.lifecycle, settings, "no-such-file"); err != nil {
+	if err := startClusterEntry(entry.lifecycle, settings, "no-such-file", nil); err != nil {
 		t.Fatal(err)
 	}
 	entry.lifecycle.RequireStart()
--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -44,13 +44,15 @@
 
 type entryCommand struct {
 	daemonOptions
+	Disable []string `long:"disable" value-name:"NAME" description:"Switch a mechanism of a deployment's scheduler off; may be repeated"`
+
 	std streams
 }
 
 // Execute runs the entry until SIGINT or SIGTERM.
 func (command *entryCommand) Execute([]string) error {
 	if path, ok := clusterSettingsPath(); ok && command.Config == "" {
-		return runClusterEntry(command.std, path)
+		return runClusterEntry(command.std, path, command.Disable)
 	}
 	settings, checked, err := loadDaemon(command.std, command.daemonOptions, func(settings setting.Entry) error {
 		return checkFiles(settings.TLS, func() error { _, err := newTokens(settings, clock.NewSystem()); return err })
--- a/cmd/help_test.go
+++ b/cmd/help_test.go
@@ -27,9 +27,9 @@
 		}
 		return visited
 	}
-	// The program itself, its 7 subcommands, 3 of standin, 6 of cluster with the group job and its command, and 8 groups of ctl with 19 commands.
-	if visited := visit(nil); visited != 46 {
-		t.Errorf("%d helps, not 46", visited)
+	// The program itself, its 8 subcommands, 3 of standin, 6 of cluster with the group job and its command, and 8 groups of ctl with 19 commands.
+	if visited := visit(nil); visited != 47 {
+		t.Errorf("%d helps, not 47", visited)
 	}
 	for _, args := range [][]string{nil, {"unknown"}, {"ctl"}, {"entry"}, {"entry", "--unknown"}, {"standin"}, {"ctl", "job"}, {"cluster"}, {"cluster", "status"}} {
 		var out, log bytes.Buffer
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -15,6 +15,7 @@
 	"hyssopjunction/ident"
 	"hyssopjunction/intake"
 	"hyssopjunction/loop"
+	"hyssopjunction/mechanism"
 	"hyssopjunction/scheduler"
 	"hyssopjunction/set"
 	"hyssopjunction/store"
@@ -52,6 +53,8 @@
 	Faults *Faults
 	// Bounds are the limits of the platform for the assignment of tasks. The zero value means the defaults.
 	Bounds assignment.Bounds
+	// Disabled holds the mechanisms that are switched off.
+	Disabled set.Set[mechanism.Name]
 }
 
 // Leadership is a term that this entry won, with the versions of its rows in the store.
@@ -166,6 +169,7 @@
 	if deps.Bounds != (assignment.Bounds{}) {
 		coordinator.scheduler.SetBounds(deps.Bounds)
 	}
+	coordinator.scheduler.Disable(deps.Disabled)
 	coordinator.ledger = election.NewGrantLedger(leadership.Inherited, coordinator.startedAt)
 	version, err := coordinator.load(ctx)
 	if err != nil {
@@ -277,6 +281,7 @@
 		if waiting := coordinator.scheduler.Waiting(now); waiting != (scheduler.WaitingCounts{}) {
 			klog.InfoS("Tasks wait", "Quick", waiting.Quick, "Standing", waiting.Standing, "Filling", waiting.Filling, "Late", waiting.Late)
 		}
+		coordinator.logLoad(now)
 		if withheld := coordinator.scheduler.WithheldCopies(); withheld != (scheduler.WithheldCopies{}) {
 			klog.InfoS("Late runs without copies", "Budget", withheld.Budget, "Feedback", withheld.Feedback, "Worker", withheld.Worker)
 		}
--- a/coordinator/write.go
+++ b/coordinator/write.go
@@ -32,6 +32,7 @@
 	jobs, orders := coordinator.scheduler.TakeChanges()
 	coordinator.logCopies()
 	coordinator.logCrashes()
+	coordinator.logAccounts()
 	renew := now.Sub(coordinator.renewedAt) >= election.RenewalInterval || coordinator.ledger.NeedsRenewal(now)
 	if len(jobs) == 0 && !renew {
 		coordinator.finishRound(orders, coordinator.takeOnceStored())
--- /dev/null
+++ b/joblog/joblog.go
@@ -0,0 +1,144 @@
+// Package joblog reads what leaders log about the ends of jobs and the use of the workers, and sums it up.
+package joblog
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"hyssopjunction/account"
+	"hyssopjunction/clock"
+)
+
+// maxLineBytes is the length from which a line counts as damaged.
+const maxLineBytes = 1 << 20
+
+// End is the end of a job.
+type End struct {
+	At                      clock.Time
+	Job, Queue, State, Kind string
+	Age, Objective, Path    clock.Millis
+	// Work is in core-milliseconds.
+	Work  int64
+	Tail  clock.Millis
+	Spent account.Split
+}
+
+// Load is the use of the workers at a time, in cores.
+type Load struct {
+	At                                                         clock.Time
+	Cores, Reserved, Idle, Usable, Filling, Paced, Used, Waits int
+	Serving, Over                                              int
+}
+
+// Log is what was read. Times count from 1970.
+type Log struct {
+	Ends  []End
+	Loads []Load
+	// Lines counts all lines, Damaged those that begin like one of this program and cannot be read, and Foreign those that do not.
+	Lines, Damaged, Foreign int
+}
+
+// ErrEmpty reports that the input has no line about jobs or workers.
+type ErrEmpty struct{ Lines int }
+
+// Error tells what is missing.
+func (err ErrEmpty) Error() string {
+	return fmt.Sprintf("none of %d lines is about the end of a job or the use of the workers", err.Lines)
+}
+
+// IsErrEmpty reports whether err is or wraps an ErrEmpty.
+func IsErrEmpty(err error) bool { return errors.As(err, new(ErrEmpty)) }
+
+// line holds the fields of both kinds of lines.
+type line struct {
+	Time, Message                                                              string
+	Job, Queue, State, Kind                                                    string
+	AgeMillis, ObjectiveMillis, PathMillis, TailMillis, WorkCoreMillis         int64
+	Unseen, Stalled, Held, Rack, Room, Slow, Work, Throttled, Repeated         int64
+	Cores, Reserved, Idle, Usable, Filling, FillingPaced, FillingUsed, Serving int
+	ServingOver, Waiting                                                       int
+}
+
+// Read reads lines from all inputs. What stands before the JSON object of a line, such as the name of a process, is skipped.
+// Errors: those of reading, and ErrEmpty.
+func Read(inputs ...io.Reader) (Log, error) {
+	var log Log
+	for _, input := range inputs {
+		reader := bufio.NewReaderSize(input, maxLineBytes)
+		for {
+			text, isPrefix, err := reader.ReadLine()
+			if errors.Is(err, io.EOF) {
+				break
+			}
+			if err != nil {
+				return log, fmt.Errorf("reading line %d: %w", log.Lines+1, err)
+			}
+			log.Lines++
+			for damaged := isPrefix; isPrefix && err == nil; {
+				if _, isPrefix, err = reader.ReadLine(); damaged {
+					log.Damaged++
+					damaged, text = false, nil
+				}
+			}
+			if text != nil {
+				log.add(text)
+			}
+		}
+	}
+	if len(log.Ends) == 0 && len(log.Loads) == 0 {
+		return log, ErrEmpty{Lines: log.Lines}
+	}
+	return log, nil
+}
+
+// add adds a line.
+func (log *Log) add(text []byte) {
+	begin := bytes.IndexByte(text, '{')
+	if begin < 0 {
+		log.Foreign++
+		return
+	}
+	text = text[begin:]
+	if isOther := !bytes.Contains(text, []byte(`"Job account"`)) && !bytes.Contains(text, []byte(`"Load"`)); isOther {
+		if !json.Valid(text) {
+			log.Damaged++
+		}
+		return
+	}
+	var parsed line
+	if json.Unmarshal(text, &parsed) != nil {
+		log.Damaged++
+		return
+	}
+	at, err := time.Parse(time.RFC3339Nano, parsed.Time)
+	if err != nil {
+		log.Damaged++
+		return
+	}
+	switch parsed.Message {
+	case "Job account":
+		log.Ends = append(log.Ends, parsed.end(clock.Time(at.UnixMilli())))
+	case "Load":
+		log.Loads = append(log.Loads, Load{
+			At: clock.Time(at.UnixMilli()), Cores: parsed.Cores, Reserved: parsed.Reserved, Idle: parsed.Idle, Usable: parsed.Usable, Filling: parsed.Filling,
+			Paced: parsed.FillingPaced, Used: parsed.FillingUsed, Waits: parsed.Waiting, Serving: parsed.Serving, Over: parsed.ServingOver,
+		})
+	}
+}
+
+func (parsed *line) end(at clock.Time) End {
+	return End{
+		At: at, Job: parsed.Job, Queue: parsed.Queue, State: parsed.State, Kind: parsed.Kind, Age: clock.Millis(parsed.AgeMillis),
+		Objective: clock.Millis(parsed.ObjectiveMillis), Path: clock.Millis(parsed.PathMillis), Work: parsed.WorkCoreMillis, Tail: clock.Millis(parsed.TailMillis),
+		Spent: account.Split{
+			account.Unseen: clock.Millis(parsed.Unseen), account.Stalled: clock.Millis(parsed.Stalled), account.Held: clock.Millis(parsed.Held),
+			account.Rack: clock.Millis(parsed.Rack), account.Room: clock.Millis(parsed.Room), account.Slow: clock.Millis(parsed.Slow),
+			account.Work: clock.Millis(parsed.Work), account.Throttled: clock.Millis(parsed.Throttled), account.Repeated: clock.Millis(parsed.Repeated),
+		},
+	}
+}
--- a/pacing/factors.go
+++ b/pacing/factors.go
@@ -188,7 +188,7 @@
 
 // refitFactors updates the priors of all pairs, at most once per factorsInterval.
 func (model *Model) refitFactors(now clock.Time) {
-	if now.Sub(model.factorsAt) < factorsInterval {
+	if !model.usesFactors || now.Sub(model.factorsAt) < factorsInterval {
 		return
 	}
 	model.factorsAt = now
--- a/pacing/model.go
+++ b/pacing/model.go
@@ -95,6 +95,8 @@
 	rank      rankChoice
 	rankAt    clock.Time
 	rankPairs int
+	// usesFactors reports that factors predict the weights of pairs without evidence.
+	usesFactors bool
 }
 
 // sample is the log tail latency of a serving task, with the cores that filling tasks of each image used on its
@@ -113,9 +115,12 @@
 
 // NewModel returns a model without evidence.
 func NewModel() *Model {
-	return &Model{images: map[Image]*imageEvidence{}, positions: map[Image]int{}, lastSamples: map[string]sample{}}
+	return &Model{images: map[Image]*imageEvidence{}, positions: map[Image]int{}, lastSamples: map[string]sample{}, usesFactors: true}
 }
 
+// DisableFactors makes the model assume PriorWeight for all pairs without evidence.
+func (model *Model) DisableFactors() { model.usesFactors = false }
+
 // position returns the position of a filling image, which is new if the model has not seen the image.
 func (model *Model) position(image Image) int {
 	position, ok := model.positions[image]
--- a/scheduler/assignfilling.go
+++ b/scheduler/assignfilling.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"hyssopjunction/account"
 	"hyssopjunction/assignment"
 	"hyssopjunction/clock"
 	"hyssopjunction/pacing"
@@ -61,7 +62,7 @@
 		}
 		workers = append(workers, assignment.Worker{
 			Capacity: float64(worker.Capacity.CPU) / milliPerCore, Idle: float64(worker.idleCPU()) / milliPerCore,
-			Filling: float64(worker.fillingCPU) / milliPerCore, Speed: worker.speedFor(true, now), Rooms: rooms[first:len(rooms):len(rooms)],
+			Filling: float64(worker.fillingCPU) / milliPerCore, Speed: scheduler.speedOf(worker, true, now), Rooms: rooms[first:len(rooms):len(rooms)],
 		})
 	}
 	round.values, round.eligible = make([]float64, len(workers)), make([]bool, len(workers))
@@ -79,6 +80,7 @@
 	dependsOnJob := step.PerWorker > 0 || len(record.failuresByWorker) > 0
 	if !dependsOnJob && blocked.has(key, candidate.minSpeed) && len(record.moves) == 0 {
 		scheduler.assignments.Unplaced++
+		candidate.accountWait(blocked[key].cause, now)
 		return
 	}
 	group, ok := scheduler.groupOf(step, record.startUrgency(), candidate.minSpeed)
@@ -87,6 +89,9 @@
 	}
 	group.Anywhere = starved
 	values, eligible := round.values, round.eligible
+	candidate.accountWait(account.Room, now)
+	// cause is what the tasks wait for if no worker is eligible.
+	cause := account.Room
 	rate := func(position int) {
 		worker := round.workers[position]
 		eligible[position] = false
@@ -94,6 +99,9 @@
 			return
 		}
 		values[position], eligible[position] = round.Value(position, group, scheduler.bounds.DataFactor(isRemote(step, worker)), record.failuresByWorker[worker.Incarnation])
+		if !eligible[position] {
+			cause = account.Slow
+		}
 	}
 	for position := range round.workers {
 		rate(position)
@@ -114,13 +122,15 @@
 		}
 		if best < 0 {
 			scheduler.assignments.Unplaced++
+			candidate.accountWait(cause, now)
 			if !dependsOnJob {
-				blocked.add(key, candidate.minSpeed)
+				blocked.add(key, candidate.minSpeed, cause)
 			}
 			return
 		}
 		if worker := round.workers[best]; isRemote(step, worker) && len(history) == 0 {
 			if scheduler.waitsForRack(record, step, name, candidate.latestStart, now) {
+				candidate.accountWait(account.Rack, now)
 				continue
 			}
 			scheduler.assignments.RemoteRuns++
--- a/scheduler/assignfilling_bench_test.go
+++ b/scheduler/assignfilling_bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"hyssopjunction/account"
 	"hyssopjunction/clock"
 	"hyssopjunction/workflow"
 )
@@ -61,7 +62,7 @@
 			}
 			worker := scheduler.chooseWorker(candidate.record, step, name, false, candidate.minSpeed, now)
 			if worker == nil {
-				blocked.add(key, candidate.minSpeed)
+				blocked.add(key, candidate.minSpeed, account.Room)
 				break
 			}
 			scheduler.placeTask(candidate.record, step, name, job.NextRun(name), worker, now)
--- a/scheduler/candidates.go
+++ b/scheduler/candidates.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"hyssopjunction/clock"
+	"hyssopjunction/mechanism"
 	"hyssopjunction/workflow"
 )
 
@@ -63,13 +64,14 @@
 				}
 				var indices []int
 				for index, task := range occurrence.Steps[step] {
-					if task.Phase == workflow.Waiting && !record.isDelayed(workflow.Name{Job: id, Occurrence: occurrence.Number, Step: step, Index: index}, now) {
+					name := workflow.Name{Job: id, Occurrence: occurrence.Number, Step: step, Index: index}
+					if task.Phase == workflow.Waiting && (!scheduler.uses(mechanism.RestartDelays) || !record.isDelayed(name, now)) {
 						indices = append(indices, index)
 					}
 				}
 				if len(indices) > 0 {
 					standing = standing || record.job.Spec.Steps[step].Standing
-					list = append(list, newCandidate(record, occurrence, step, indices, capacity, now))
+					list = append(list, scheduler.newCandidate(record, occurrence, step, indices, capacity, now))
 				}
 			}
 		}
@@ -89,7 +91,7 @@
 }
 
 // newCandidate returns a candidate with the rank that follows from its step and from its job's objective.
-func newCandidate(record *jobRecord, occurrence *workflow.Occurrence, step int, indices []int, capacity coresByImage, now clock.Time) candidate {
+func (scheduler *Scheduler) newCandidate(record *jobRecord, occurrence *workflow.Occurrence, step int, indices []int, capacity coresByImage, now clock.Time) candidate {
 	spec := &record.job.Spec
 	acceptedAt := record.acceptedAt
 	objective := spec.Objective()
@@ -110,6 +112,9 @@
 	default:
 		candidate.rank = rankWorthless
 	}
+	if !scheduler.uses(mechanism.SpeedThreshold) {
+		candidate.minSpeed = minLateSpeed
+	}
 	return candidate
 }
 
--- a/scheduler/chooseworker.go
+++ b/scheduler/chooseworker.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"hyssopjunction/clock"
+	"hyssopjunction/mechanism"
 	"hyssopjunction/unit"
 	"hyssopjunction/workflow"
 )
@@ -52,7 +53,7 @@
 	var best *workerState
 	bestScore, bestDuration := 0.0, 0
 	for _, worker := range scheduler.workers {
-		if !mayUse(worker) || !scheduler.mayPlace(record, step, worker, now) || !worker.hasRoom(step, record.headroom(step, worker, now)) {
+		if !mayUse(worker) || !scheduler.mayPlace(record, step, worker, now) || !worker.hasRoom(step, scheduler.headroom(record, step, worker, now)) {
 			continue
 		}
 		if step.PerWorker > 0 && worker.stepRuns(name) >= step.PerWorker {
@@ -86,7 +87,7 @@
 	if step.Fills || step.Standing {
 		return 0
 	}
-	speed := worker.speedFor(false, now)
+	speed := scheduler.speedOf(worker, false, now)
 	if speed > slowWorkerSpeed {
 		speed = 1
 	}
@@ -98,10 +99,15 @@
 	return worker.isEligible(step, record.job.Spec.Service) && !scheduler.outDataCentres.Has(worker.DataCentre) && worker.acceptsRuns(now)
 }
 
+// waitsLong reports whether a standing task of the job has waited so long that it takes any room.
+func (record *jobRecord) waitsLong(now clock.Time) bool {
+	return record.standingWaitSince != 0 && now.Sub(record.standingWaitSince) >= headroomWait
+}
+
 // headroom returns the resources that a task of the step must leave free on a worker. Only standing tasks
 // must, and only during the first headroomWait.
-func (record *jobRecord) headroom(step *workflow.Step, worker *workerState, now clock.Time) unit.Resources {
-	if !step.Standing || record.standingWaitSince != 0 && now.Sub(record.standingWaitSince) >= headroomWait {
+func (scheduler *Scheduler) headroom(record *jobRecord, step *workflow.Step, worker *workerState, now clock.Time) unit.Resources {
+	if !step.Standing || !scheduler.uses(mechanism.QuickHeadroom) || record.waitsLong(now) {
 		return unit.Resources{}
 	}
 	return unit.Resources{CPU: worker.Capacity.CPU * headroomPercent / 100}
@@ -126,7 +132,7 @@
 	if remote {
 		free -= scheduler.bounds.RemoteFactor - 1
 	}
-	if !step.Fills && (remote || step.DataRack == "") && scheduler.racks.isHot(worker, now) {
+	if !step.Fills && (remote || step.DataRack == "") && scheduler.uses(mechanism.HotRacks) && scheduler.racks.isHot(worker, now) {
 		free -= hotRackPenalty
 	}
 	return free - failurePenalty*float64(record.failuresByWorker[worker.Incarnation])
--- a/scheduler/datarack.go
+++ b/scheduler/datarack.go
@@ -6,6 +6,7 @@
 	"hyssopjunction/assignment"
 	"hyssopjunction/clock"
 	"hyssopjunction/explanation"
+	"hyssopjunction/mechanism"
 	"hyssopjunction/workflow"
 )
 
@@ -93,6 +94,9 @@
 // waitsForRack reports whether a task without room on its data's rack ends sooner if it waits for it. A task that waits
 // joins the rack's queue.
 func (scheduler *Scheduler) waitsForRack(record *jobRecord, step *workflow.Step, name workflow.Name, latestStart, now clock.Time) bool {
+	if !scheduler.uses(mechanism.RackWaits) {
+		return false
+	}
 	queue := scheduler.rackQueue(rackKey{service: record.job.Spec.Service, rack: step.DataRack, fills: step.Fills}, now)
 	start, ok := queue.NextStart(step.Need.CPU)
 	if !ok {
--- a/scheduler/explain.go
+++ b/scheduler/explain.go
@@ -57,7 +57,7 @@
 		job.ExpectedEnd = max(job.ExpectedEnd, job.Age+rest)
 		for step := range occurrence.Steps {
 			if occurrence.Unfinished(step) > 0 && job.Rank == "" {
-				job.Rank = rankName(newCandidate(record, occurrence, step, nil, capacity, now).rank)
+				job.Rank = rankName(scheduler.newCandidate(record, occurrence, step, nil, capacity, now).rank)
 			}
 		}
 	}
--- a/scheduler/movethrottled.go
+++ b/scheduler/movethrottled.go
@@ -134,7 +134,7 @@
 	}
 	history := record.moves[candidate.name]
 	for position, worker := range round.workers {
-		if worker == candidate.worker || !worker.isEligible(step, record.job.Spec.Service) || !worker.hasRoom(step, record.headroom(step, worker, now)) ||
+		if worker == candidate.worker || !worker.isEligible(step, record.job.Spec.Service) || !worker.hasRoom(step, scheduler.headroom(record, step, worker, now)) ||
 			step.PerWorker > 0 && worker.stepRuns(candidate.name) >= step.PerWorker || history.Left(string(worker.Incarnation), now) {
 			continue
 		}
@@ -192,7 +192,7 @@
 		return -1
 	}
 	round.Release(position, group)
-	if !worker.isEligible(step, record.job.Spec.Service) || !worker.hasRoom(step, record.headroom(step, worker, now)) ||
+	if !worker.isEligible(step, record.job.Spec.Service) || !worker.hasRoom(step, scheduler.headroom(record, step, worker, now)) ||
 		step.PerWorker > 0 && worker.stepRuns(name) >= step.PerWorker {
 		return -1
 	}
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -1,8 +1,10 @@
 package scheduler
 
 import (
+	"hyssopjunction/account"
 	"hyssopjunction/clock"
 	"hyssopjunction/explanation"
+	"hyssopjunction/mechanism"
 	"hyssopjunction/unit"
 	"hyssopjunction/workflow"
 )
@@ -25,6 +27,7 @@
 }
 
 func (scheduler *Scheduler) plan(now clock.Time, timeOfDay int64) {
+	scheduler.copies.now = now
 	for id, record := range scheduler.open {
 		scheduler.considered = id
 		if record.job.AddDueOccurrences(timeOfDay) {
@@ -36,9 +39,15 @@
 	scheduler.giveUpCulprits(now)
 	scheduler.blockNodes(now)
 	scheduler.learnFromReplicas(now)
-	scheduler.quarantineStalled(now)
-	scheduler.moveSlow(now)
-	scheduler.rebalanceServing(now)
+	if scheduler.uses(mechanism.StallQuarantine) {
+		scheduler.quarantineStalled(now)
+	}
+	if scheduler.uses(mechanism.Moves) {
+		scheduler.moveSlow(now)
+	}
+	if scheduler.uses(mechanism.Colocation) {
+		scheduler.rebalanceServing(now)
+	}
 	if !scheduler.dirty && now.Sub(scheduler.plannedAt) < replanInterval {
 		return
 	}
@@ -48,6 +57,9 @@
 	valuableWaits := false
 	var filling []candidate
 	candidates, suspects := scheduler.separateSuspects(scheduler.candidates(now), now)
+	for _, suspect := range suspects {
+		suspect.accountWait(account.Held, now)
+	}
 	scheduler.placeTrials(suspects, now)
 	for _, candidate := range candidates {
 		scheduler.considered = candidate.record.job.Spec.ID
@@ -57,7 +69,7 @@
 		case candidate.rank == rankWorthless && !valuableWaits:
 			candidate.minSpeed = minLateSpeed
 		}
-		if step := candidate.spec(); step.Fills && !step.Gang {
+		if step := candidate.spec(); step.Fills && !step.Gang && scheduler.uses(mechanism.JointAssignment) {
 			filling = append(filling, candidate)
 			continue
 		}
@@ -65,23 +77,31 @@
 	}
 	scheduler.assignFilling(filling, blocked, now)
 	scheduler.considered = ""
-	scheduler.placeCopies(now)
+	if scheduler.uses(mechanism.Copies) {
+		scheduler.placeCopies(now)
+	}
 }
 
 // blockedNeeds holds, for requirements with which a task found no room, the lowest speed that was asked for. Other
 // tasks with the same requirements that ask for this speed or a higher one are not tried.
-type blockedNeeds map[blockKey]float64
+type blockedNeeds map[blockKey]blockedNeed
+
+// blockedNeed is the lowest speed with which a task found no room, and what it waits for.
+type blockedNeed struct {
+	speed float64
+	cause account.Cause
+}
 
 // has reports whether a task with the requirements that asks for the speed would find no room.
 func (blocked blockedNeeds) has(key blockKey, minSpeed float64) bool {
 	lowest, ok := blocked[key]
-	return ok && minSpeed >= lowest
+	return ok && minSpeed >= lowest.speed
 }
 
 // add records that a task with the requirements that asked for the speed found no room.
-func (blocked blockedNeeds) add(key blockKey, minSpeed float64) {
+func (blocked blockedNeeds) add(key blockKey, minSpeed float64, cause account.Cause) {
 	if !blocked.has(key, minSpeed) {
-		blocked[key] = minSpeed
+		blocked[key] = blockedNeed{speed: minSpeed, cause: cause}
 	}
 }
 
@@ -147,6 +167,7 @@
 	dependsOnJob := step.PerWorker > 0 || len(candidate.record.failuresByWorker) > 0
 	for _, index := range candidate.indices {
 		name := workflow.Name{Job: job.Spec.ID, Occurrence: candidate.occurrence.Number, Step: candidate.step, Index: index}
+		candidate.accountWait(account.Room, now)
 		worker, waits := scheduler.transferTarget(candidate.record, name, now)
 		if waits {
 			continue
@@ -154,6 +175,7 @@
 		if worker == nil && (dependsOnJob || !blocked.has(key, candidate.minSpeed)) {
 			worker, waits = scheduler.chooseOrWait(candidate, step, name, key, now)
 			if waits {
+				candidate.accountWait(account.Rack, now)
 				scheduler.copies.recordWaiting(candidate, step.DataRack, now)
 			}
 		}
@@ -163,7 +185,7 @@
 		if worker == nil {
 			scheduler.copies.recordWaiting(candidate, "", now)
 			if !dependsOnJob {
-				blocked.add(key, candidate.minSpeed)
+				blocked.add(key, candidate.minSpeed, account.Room)
 			}
 			if step.Standing {
 				continue // The room for the others may be held.
@@ -212,11 +234,13 @@
 
 // placeTask places a run of the task on the worker and orders its start.
 func (scheduler *Scheduler) placeTask(record *jobRecord, step *workflow.Step, name workflow.Name, number workflow.Run, worker *workerState, now clock.Time) {
+	isCopy := record.job.Task(name).Phase != workflow.Waiting
 	record.job.Place(name, number, string(worker.Incarnation))
 	delete(record.rackWaits, name)
 	record.activeRuns++
-	run := &activeRun{name: name, number: number, job: record.job, step: step, worker: worker, placedAt: now, observedAt: now, progressAt: now}
+	run := &activeRun{name: name, number: number, job: record.job, step: step, worker: worker, placedAt: now, observedAt: now, progressAt: now, isCopy: isCopy}
 	worker.add(run)
+	record.accountPlacement(run, now)
 	worker.lastPlacedAt = now
 	scheduler.copies.add(run)
 	scheduler.setStartUrgency(record, run, now)
--- a/scheduler/rebalance.go
+++ b/scheduler/rebalance.go
@@ -141,7 +141,7 @@
 	if !reserved.FitsIn(worker.Capacity) {
 		return false
 	}
-	headroom := scheduler.jobs[run.name.Job].headroom(run.step, worker, now)
+	headroom := scheduler.headroom(scheduler.jobs[run.name.Job], run.step, worker, now)
 	return reserved.CPU <= worker.reserved.CPU || reserved.Add(headroom).FitsIn(worker.Capacity)
 }
 
--- a/scheduler/runend.go
+++ b/scheduler/runend.go
@@ -121,6 +121,9 @@
 	if cause == workflow.Finished && run.isNeeded() {
 		scheduler.clearCrashes(record, run.name, scheduler.copies.now)
 	}
+	if record.job.HasRun(run.name, run.number) {
+		record.accountEnd(run, cause == workflow.Finished, scheduler.copies.now)
+	}
 	if !record.job.EndRun(run.name, run.number, cause, saved) {
 		return
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -6,9 +6,11 @@
 import (
 	"slices"
 
+	"hyssopjunction/account"
 	"hyssopjunction/assignment"
 	"hyssopjunction/clock"
 	"hyssopjunction/ident"
+	"hyssopjunction/mechanism"
 	"hyssopjunction/pacing"
 	"hyssopjunction/set"
 	"hyssopjunction/workflow"
@@ -91,6 +93,10 @@
 	assignments Assignments
 	copies      copyState
 	crashes     crashState
+	// accounts holds the accounts of ended jobs that TakeAccounts has not returned yet.
+	accounts []JobAccount
+	// disabled holds the mechanisms that are switched off.
+	disabled set.Set[mechanism.Name]
 	// considered is the job that a decision is being made about, or empty.
 	considered workflow.ID
 }
@@ -123,6 +129,8 @@
 	// durations holds the durations of the finished runs of steps whose tasks may have two runs, in ascending order, by the
 	// name of the first task of the step.
 	durations map[workflow.Name][]clock.Millis
+	// steps holds the accounts of the steps. They may be lost: a new leader counts from when it got to know the job.
+	steps []*account.Step
 }
 
 // New returns an empty Scheduler.
@@ -139,6 +147,17 @@
 // SetBounds replaces the limits of the platform, which are those of assignment.DefaultBounds at first.
 func (scheduler *Scheduler) SetBounds(bounds assignment.Bounds) { scheduler.bounds = bounds }
 
+// Disable switches mechanisms off.
+func (scheduler *Scheduler) Disable(names set.Set[mechanism.Name]) {
+	scheduler.disabled = names
+	if names.Has(mechanism.Factors) {
+		scheduler.model.DisableFactors()
+	}
+}
+
+// uses reports whether a mechanism is switched on.
+func (scheduler *Scheduler) uses(name mechanism.Name) bool { return !scheduler.disabled.Has(name) }
+
 // Submit adds a job that was accepted at the given time. It does nothing if the job exists.
 func (scheduler *Scheduler) Submit(spec workflow.Spec, acceptedAt clock.Time) {
 	if _, ok := scheduler.jobs[spec.ID]; ok {
@@ -196,6 +215,7 @@
 // closeJob stops the runs of a job whose state became final.
 func (scheduler *Scheduler) closeJob(record *jobRecord) {
 	id := record.job.Spec.ID
+	scheduler.accountJob(record, scheduler.copies.now)
 	delete(scheduler.open, id)
 	scheduler.dirtyJobs[id] = record
 	for _, worker := range scheduler.workers {
@@ -358,6 +378,8 @@
 		scheduler.clearSurvivor(run, now)
 		run.sample, run.sampledAt = item.Sample, now
 		run.pace.record(item, now)
+		run.account.Report(item.ThrottlePercent, item.Saved != "" && item.Saved != run.savedAs, now)
+		run.savedAs = item.Saved
 		switch {
 		case pacing.FullPace-item.ThrottlePercent >= slowPercent:
 			run.throttledSince = 0
--- a/scheduler/urgency.go
+++ b/scheduler/urgency.go
@@ -6,6 +6,7 @@
 
 	"hyssopjunction/clock"
 	"hyssopjunction/explanation"
+	"hyssopjunction/mechanism"
 	"hyssopjunction/pacing"
 	"hyssopjunction/set"
 	"hyssopjunction/urgency"
@@ -103,7 +104,7 @@
 func (scheduler *Scheduler) setStartUrgency(record *jobRecord, run *activeRun, now clock.Time) {
 	run.pace.begunAt = now
 	if run.step.Fills {
-		if now.Sub(record.urgency.decidedAt) >= urgencyInterval || record.isCommitted() != record.urgency.committed {
+		if scheduler.uses(mechanism.Urgency) && (now.Sub(record.urgency.decidedAt) >= urgencyInterval || record.isCommitted() != record.urgency.committed) {
 			scheduler.decideUrgencies(record, now)
 		}
 		task := record.job.Task(run.name)
@@ -132,7 +133,7 @@
 // recorded. It returns all decisions since the last call that changed levels.
 func (scheduler *Scheduler) UpdateUrgencies(incarnation Incarnation, now clock.Time) []UrgencyDecision {
 	worker, ok := scheduler.workers[incarnation]
-	if ok && worker.fillingCPU > 0 && now.Sub(worker.urgenciesAt) >= urgencyInterval {
+	if ok && scheduler.uses(mechanism.Urgency) && worker.fillingCPU > 0 && now.Sub(worker.urgenciesAt) >= urgencyInterval {
 		worker.urgenciesAt = now
 		for _, run := range worker.runs {
 			record, ok := scheduler.jobs[run.name.Job]
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 
+	"hyssopjunction/account"
 	"hyssopjunction/clock"
 	"hyssopjunction/ident"
 	"hyssopjunction/pacing"
@@ -85,6 +86,11 @@
 	worker   *workerState
 	placedAt clock.Time
 	stopping bool
+	// isCopy reports that the task had another run when this one was placed.
+	isCopy  bool
+	account account.Run
+	// savedAs is the checkpoint in the last report.
+	savedAs workflow.Checkpoint
 	// restored reports that an earlier leader placed the run, at a time that is not known.
 	restored bool
 	// observedAt is the time from which the duration of a run counts whose task may have two, or 0 before it is considered.
--- a/scheduler/workerspeed.go
+++ b/scheduler/workerspeed.go
@@ -6,6 +6,7 @@
 
 	"hyssopjunction/assignment"
 	"hyssopjunction/clock"
+	"hyssopjunction/mechanism"
 	"hyssopjunction/pacing"
 )
 
@@ -100,6 +101,14 @@
 	}
 }
 
+// speedOf returns the learned speed of a worker, or 1 if workers are not judged by their speed.
+func (scheduler *Scheduler) speedOf(worker *workerState, fills bool, now clock.Time) float64 {
+	if !scheduler.uses(mechanism.WorkerSpeeds) {
+		return 1
+	}
+	return worker.speedFor(fills, now)
+}
+
 // speedFor returns the median speed of a worker's filling runs, or of its runs with reserved cores, relative to their pace.
 // Where too few filling runs are known it is that of the others. A speed that is not known any more approaches 1, so that the
 // worker is tried again. The result is at most replanInterval old.
@@ -164,7 +173,7 @@
 // courseOf returns what is known of a filling run.
 func (scheduler *Scheduler) courseOf(run *activeRun, now clock.Time) assignment.Course {
 	course := &run.course
-	share, speed := float64(course.percent-course.firstPercent)/100, run.worker.speedFor(true, now)
+	share, speed := float64(course.percent-course.firstPercent)/100, scheduler.speedOf(run.worker, true, now)
 	return assignment.Course{
 		Work: assignment.ExpectedWork(run.step.Estimate, clock.Millis(course.effective*speed), share), Done: float64(course.percent) / 100, Saved: float64(course.savedPercent) / 100,
 		Speed: course.pace * speed / scheduler.bounds.DataFactor(isRemote(run.step, run.worker)),
