scheduler: workers have the idle cores that standing tasks leave on average; filling runs must be faster

Filling tasks wait for a worker on which they are expected to reach 90% of their speed instead of 75%; those of late jobs ask for 75% and less as before.

--- a/scheduler/candidates.go
+++ b/scheduler/candidates.go
@@ -17,11 +17,12 @@
 	// minFillingSpeed is the share of its full speed that a filling task must be expected to reach on a worker. Tasks
 	// that would be slower wait: while filling tasks request more cores than there are, more jobs meet their objective
 	// if fewer of them run at a time.
-	minFillingSpeed = 0.75
-	// minLateSpeed is that share for a job that is late by its objective or more. Until then the share falls evenly, so
-	// that no late job waits for good for a worker on which it would be fast. Jobs that are worth nothing more ask for as
-	// little only while no others wait, because they would take room from jobs that are.
-	minLateSpeed = 0.25
+	minFillingSpeed = 0.9
+	// firstLateSpeed is that share for a job that has just become late, and minLateSpeed for one that is late by its objective
+	// or more. It falls evenly between, so that no late job waits for good for a worker on which it would be fast. Jobs that
+	// are worth nothing more ask for as little only while no others wait, because they would take room from jobs that are.
+	firstLateSpeed = 0.75
+	minLateSpeed   = 0.25
 )
 
 // candidate is a step of an occurrence that has waiting tasks.
@@ -122,5 +123,5 @@
 // given time.
 func lateSpeed(late, objective clock.Millis) float64 {
 	share := float64(late) / float64(max(1, objective))
-	return minFillingSpeed - (minFillingSpeed-minLateSpeed)*min(share, 1)
+	return firstLateSpeed - (firstLateSpeed-minLateSpeed)*min(share, 1)
 }
--- a/scheduler/chooseworker.go
+++ b/scheduler/chooseworker.go
@@ -15,8 +15,9 @@
 // Parameters of the choice of a worker. Penalties and weights apply to the score of a worker, which is a share of its CPU
 // capacity.
 const (
-	// servingLoadPercent is the share of its reservation that a standing task is expected to use.
-	servingLoadPercent = 60
+	// servingLoadPercent is the share of its reservation that a standing task is expected to use on average. It reserves for
+	// its peaks, which do not come on all workers at the same time.
+	servingLoadPercent = 50
 	// headroomPercent is the share of a worker's CPU capacity that is kept free of standing tasks, for quick ones.
 	headroomPercent = 6
 	// headroomWait is how long a standing task waits before it may use the headroom too. It must start within
@@ -56,6 +57,9 @@
 		if !mayUse(worker) || !scheduler.mayPlace(record, step, worker, now) || !worker.hasRoom(step, scheduler.headroom(record, step, worker, now)) {
 			continue
 		}
+		if step.Standing && worker.hasShrunk(now) && scheduler.uses(mechanism.Relief) && !record.waitsLong(now) {
+			continue
+		}
 		if step.PerWorker > 0 && worker.stepRuns(name) >= step.PerWorker {
 			continue
 		}
