scheduler: workers that shrink keep their runs

Cause: the relief of workers whose capacity has shrunk moves standing tasks away, which interrupts them and takes the place of filling tasks on other workers.

--- a/mechanism/mechanism.go
+++ b/mechanism/mechanism.go
@@ -24,8 +24,6 @@
 	JointAssignment Name = "JointAssignment"
 	// Moves moves slow filling runs to other workers.
 	Moves Name = "Moves"
-	// Relief moves runs away from workers whose capacity has shrunk below what they hold.
-	Relief Name = "Relief"
 	// RackWaits keeps tasks waiting for the rack that holds their data if they end sooner there.
 	RackWaits Name = "RackWaits"
 	// HotRacks keeps tasks that need no data away from racks for which others wait.
@@ -51,7 +49,7 @@
 // All returns the names of all mechanisms in the order of the documentation.
 func All() []Name {
 	return []Name{
-		Urgency, Colocation, JointAssignment, Moves, Relief, RackWaits, HotRacks, Copies, Factors, QuickHeadroom, StallQuarantine, WorkerSpeeds,
+		Urgency, Colocation, JointAssignment, Moves, RackWaits, HotRacks, Copies, Factors, QuickHeadroom, StallQuarantine, WorkerSpeeds,
 		RestartDelays, SpeedThreshold, Relays,
 	}
 }
--- a/scheduler/chooseworker.go
+++ b/scheduler/chooseworker.go
@@ -57,9 +57,6 @@
 		if !mayUse(worker) || !scheduler.mayPlace(record, step, worker, now) || !worker.hasRoom(step, scheduler.headroom(record, step, worker, now)) {
 			continue
 		}
-		if step.Standing && worker.hasShrunk(now) && scheduler.uses(mechanism.Relief) && !record.waitsLong(now) {
-			continue
-		}
 		if step.PerWorker > 0 && worker.stepRuns(name) >= step.PerWorker {
 			continue
 		}
@@ -103,15 +100,10 @@
 	return worker.isEligible(step, record.job.Spec.Service) && !scheduler.outDataCentres.Has(worker.DataCentre) && worker.acceptsRuns(now)
 }
 
-// waitsLong reports whether a standing task of the job has waited so long that it takes any room.
-func (record *jobRecord) waitsLong(now clock.Time) bool {
-	return record.standingWaitSince != 0 && now.Sub(record.standingWaitSince) >= headroomWait
-}
-
 // headroom returns the resources that a task of the step must leave free on a worker. Only standing tasks
 // must, and only during the first headroomWait.
 func (scheduler *Scheduler) headroom(record *jobRecord, step *workflow.Step, worker *workerState, now clock.Time) unit.Resources {
-	if !step.Standing || !scheduler.uses(mechanism.QuickHeadroom) || record.waitsLong(now) {
+	if !step.Standing || !scheduler.uses(mechanism.QuickHeadroom) || record.standingWaitSince != 0 && now.Sub(record.standingWaitSince) >= headroomWait {
 		return unit.Resources{}
 	}
 	return unit.Resources{CPU: worker.Capacity.CPU * headroomPercent / 100}
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -42,9 +42,6 @@
 	if scheduler.uses(mechanism.StallQuarantine) {
 		scheduler.quarantineStalled(now)
 	}
-	if scheduler.uses(mechanism.Relief) {
-		scheduler.relieveShrunk(now)
-	}
 	if scheduler.uses(mechanism.Moves) {
 		scheduler.moveSlow(now)
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -93,8 +93,6 @@
 	assignments Assignments
 	copies      copyState
 	crashes     crashState
-	// relievedAt is when overfilled workers were last relieved.
-	relievedAt clock.Time
 	// accounts holds the accounts of ended jobs that TakeAccounts has not returned yet.
 	accounts []JobAccount
 	// disabled holds the mechanisms that are switched off.
@@ -262,9 +260,6 @@
 	if !exists || worker.Draining != profile.Draining || worker.Capacity != profile.Capacity {
 		scheduler.dirty = true
 	}
-	if exists {
-		worker.recordCapacity(profile.Capacity, now)
-	}
 	startsDraining := profile.Draining && !worker.Draining
 	worker.Profile = profile
 	for _, run := range scheduler.orphans[profile.Incarnation] {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -67,8 +67,6 @@
 	speeds workerSpeeds
 	// refusalDelayEnd is the time until which the worker gets no new runs after it refused a start.
 	refusalDelayEnd clock.Time
-	// shrunkAt is when the capacity last shrank, and overfullSince since when the runs exceed it, or 0.
-	shrunkAt, overfullSince clock.Time
 	// lastPlacedAt is when the last run was placed on the worker.
 	lastPlacedAt clock.Time
 	// isReserved reports that the worker waits for a trial, and trialUntil is when the last trial on it ends.
