scheduler, joblog: one time of the newest event, reports in the order of time

The random clusters are also played with mechanisms switched off (TestRandomClusterWithoutMechanisms). Result: no decision changes. go test ./scheduler ./mechanism ./joblog ./account ./cmd ./coordinator passes.

--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -51,6 +51,9 @@
 
 // Execute runs the entry until SIGINT or SIGTERM.
 func (command *entryCommand) Execute([]string) error {
+	if command.Config != "" && len(command.Disable) > 0 {
+		return ErrExit{Code: ExitUsage, Reason: "--disable needs the settings of a deployment, not --config"}
+	}
 	if path, ok := clusterSettingsPath(); ok && command.Config == "" {
 		return runClusterEntry(command.std, path, command.Disable)
 	}
--- a/cmd/report.go
+++ b/cmd/report.go
@@ -64,7 +64,7 @@
 	}
 	for _, queue := range log.Queues() {
 		ends.add(queue.Queue, queue.Kind, strconv.Itoa(queue.InTime), strconv.Itoa(queue.Late), strconv.Itoa(queue.Lost), strconv.Itoa(queue.Failed), strconv.Itoa(queue.Cancelled),
-			fmt.Sprintf("%.2f", queue.ShareInTimeByWork), fmt.Sprintf("%.2f", queue.MaxShareUsable), fmt.Sprintf("%.2f", queue.MaxShare))
+			fmt.Sprintf("%.2f", queue.ShareInTime), fmt.Sprintf("%.2f", queue.MaxShareUsable), fmt.Sprintf("%.2f", queue.MaxShare))
 		row := []string{queue.Queue, queue.Kind, millisText(queue.Age), millisText(queue.Objective), millisText(queue.Path), millisText(queue.Tail)}
 		for _, cause := range account.Causes() {
 			row = append(row, millisText(queue.Spent[cause]))
--- a/coordinator/account.go
+++ b/coordinator/account.go
@@ -12,7 +12,7 @@
 	for _, entry := range coordinator.scheduler.TakeAccounts() {
 		fields := []any{
 			"Job", entry.Job, "Queue", entry.Queue, "State", entry.State, "Kind", entry.Kind, "Image", entry.Image, "AgeMillis", int64(entry.Age),
-			"ObjectiveMillis", int64(entry.Objective), "PathMillis", int64(entry.Path), "WorkCoreMillis", entry.WorkCores, "TailMillis", int64(entry.Tail),
+			"ObjectiveMillis", int64(entry.Objective), "PathMillis", int64(entry.Path), "WorkCoreMillis", entry.Work, "TailMillis", int64(entry.Tail),
 		}
 		for _, cause := range account.Causes() {
 			if spent := entry.Spent[cause]; spent > 0 {
--- a/joblog/joblog.go
+++ b/joblog/joblog.go
@@ -4,10 +4,12 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"hyssopjunction/account"
@@ -35,7 +37,7 @@
 	Serving, Over                                              int
 }
 
-// Log is what was read. Times count from 1970.
+// Log is what was read, in the order of time. Times count from 1970.
 type Log struct {
 	Ends  []End
 	Loads []Load
@@ -90,6 +92,8 @@
 			}
 		}
 	}
+	slices.SortStableFunc(log.Ends, func(left, right End) int { return cmp.Compare(left.At, right.At) })
+	slices.SortStableFunc(log.Loads, func(left, right Load) int { return cmp.Compare(left.At, right.At) })
 	if len(log.Ends) == 0 && len(log.Loads) == 0 {
 		return log, ErrEmpty{Lines: log.Lines}
 	}
--- a/joblog/summary.go
+++ b/joblog/summary.go
@@ -15,11 +15,13 @@
 
 // QueueSummary sums up the ends of the jobs of a queue. Times are means in milliseconds of the jobs that completed.
 type QueueSummary struct {
-	Queue, Kind                                 string
-	InTime, Late, Lost, Failed, Cancelled       int
-	Age, Objective, Path, Tail                  clock.Millis
-	Spent                                       account.Split
-	MaxShare, MaxShareUsable, ShareInTimeByWork float64
+	Queue, Kind                           string
+	InTime, Late, Lost, Failed, Cancelled int
+	Age, Objective, Path, Tail            clock.Millis
+	Spent                                 account.Split
+	// ShareInTime is the share of the value that filling jobs earned in time, and MaxShare and MaxShareUsable the highest shares
+	// that any plan could have earned with the cores that were idle, or usable beside the serving tasks.
+	ShareInTime, MaxShare, MaxShareUsable float64
 }
 
 // Queues returns the summaries of the queues, sorted by kind and name.
@@ -67,7 +69,7 @@
 		}
 	}
 	if summary.Kind == "filling" {
-		summary.ShareInTimeByWork = inTimeShare(ends)
+		summary.ShareInTime = inTimeShare(ends)
 		summary.MaxShare = log.maxShare(ends, func(load Load) int { return load.Idle })
 		summary.MaxShareUsable = log.maxShare(ends, func(load Load) int { return load.Usable })
 	}
@@ -115,16 +117,15 @@
 // capacities returns the cores that the loads tell, one capacity for each record.
 func (log *Log) capacities(cores func(Load) int) []bound.Capacity {
 	const interval = 250 * clock.Millisecond
-	loads := slices.SortedFunc(slices.Values(log.Loads), func(left, right Load) int { return cmp.Compare(left.At, right.At) })
 	var records []bound.Capacity
-	for position, load := range loads {
-		if position == 0 || load.At.Sub(loads[position-1].At) > maxGap {
+	for position, load := range log.Loads {
+		if position == 0 || load.At.Sub(log.Loads[position-1].At) > maxGap {
 			records = append(records, bound.Capacity{From: load.At, Interval: interval})
 		}
 		record := &records[len(records)-1]
 		next := load.At.Add(2 * clock.Second)
-		if position+1 < len(loads) && loads[position+1].At.Sub(load.At) <= maxGap {
-			next = loads[position+1].At
+		if position+1 < len(log.Loads) && log.Loads[position+1].At.Sub(load.At) <= maxGap {
+			next = log.Loads[position+1].At
 		}
 		for record.From.Add(clock.Millis(len(record.Cores)) * interval).Before(next) {
 			record.Cores = append(record.Cores, float64(cores(load)))
--- a/scheduler/account.go
+++ b/scheduler/account.go
@@ -16,8 +16,8 @@
 	// Age is the time from the acceptance to the end, Objective the time within which the job should have ended, and Path the
 	// length of its longest chain by the submitter's estimates.
 	Age, Objective, Path clock.Millis
-	// WorkCores is the work of all tasks by the submitter's estimates, in core-milliseconds.
-	WorkCores int64
+	// Work is that of all tasks by the submitter's estimates, in core-milliseconds.
+	Work int64
 	// Spent is the time of the chain of tasks that decided the end. It covers less than Age if a leader before had the job.
 	Spent account.Split
 	// Tail is the time that the last halves of the steps of this chain took.
@@ -101,7 +101,7 @@
 	}
 	for position := range spec.Steps {
 		step := &spec.Steps[position]
-		entry.WorkCores += int64(step.Count) * int64(step.Need.CPU) * int64(step.Estimate) / milliPerCore
+		entry.Work += int64(step.Count) * int64(step.Need.CPU) * int64(step.Estimate) / milliPerCore
 		if step.Fills {
 			entry.Kind = "filling"
 		}
--- a/scheduler/copies.go
+++ b/scheduler/copies.go
@@ -86,8 +86,6 @@
 	budget   *speculation.Budget
 	feedback speculation.Feedback
 	events   []CopyEvent
-	// now is the time of the newest event. Ends without a time of their own count from it.
-	now clock.Time
 	// consideredAt is when copies were last considered.
 	consideredAt clock.Time
 	// waiting holds the requirements of quick tasks that found no room when tasks were last planned, at waitingAt.
@@ -163,18 +161,18 @@
 	event, isCopy := state.placed[key]
 	if !isCopy {
 		if !run.restored {
-			state.budget.RecordRun(speculation.WorkOf(run.step.Need.CPU, state.now.Sub(run.placedAt)), state.now)
+			state.budget.RecordRun(speculation.WorkOf(run.step.Need.CPU, scheduler.now.Sub(run.placedAt)), scheduler.now)
 		}
 	} else {
 		delete(state.placed, key)
-		event.Outcome, event.Took = copyOutcome(run, cause, needed), state.budget.End(key, state.now)
+		event.Outcome, event.Took = copyOutcome(run, cause, needed), state.budget.End(key, scheduler.now)
 		if event.Evidence == speculation.Slow && (event.Outcome == CopyFirst || event.Outcome == CopySecond) {
-			state.feedback.RecordOutcome(event.Outcome == CopyFirst, state.now)
+			state.feedback.RecordOutcome(event.Outcome == CopyFirst, scheduler.now)
 		}
 		state.events = append(state.events, event)
 	}
 	if record, ok := scheduler.jobs[run.name.Job]; ok && needed && cause == workflow.Finished && !run.restored {
-		record.addDuration(run.name, state.now.Sub(run.placedAt))
+		record.addDuration(run.name, scheduler.now.Sub(run.placedAt))
 	}
 }
 
@@ -248,7 +246,6 @@
 // placeCopies places copies of runs that are expected to end late, as far as the budget and the workers have room.
 func (scheduler *Scheduler) placeCopies(now clock.Time) {
 	state := &scheduler.copies
-	state.now = now
 	if now.Sub(state.consideredAt) < copyInterval {
 		return
 	}
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -27,7 +27,7 @@
 }
 
 func (scheduler *Scheduler) plan(now clock.Time, timeOfDay int64) {
-	scheduler.copies.now = now
+	scheduler.now = now
 	for id, record := range scheduler.open {
 		scheduler.considered = id
 		if record.job.AddDueOccurrences(timeOfDay) {
--- a/scheduler/random_test.go
+++ b/scheduler/random_test.go
@@ -8,6 +8,7 @@
 
 	"hyssopjunction/clock"
 	"hyssopjunction/ident"
+	"hyssopjunction/mechanism"
 	"hyssopjunction/set"
 	"hyssopjunction/unit"
 	"hyssopjunction/workflow"
@@ -31,6 +32,8 @@
 	copies     int
 	// speculative makes all steps permit copies, also those of gangs, standing and filling tasks, and most of them get some.
 	speculative bool
+	// disabled holds the mechanisms that are switched off.
+	disabled set.Set[mechanism.Name]
 }
 
 const nodeCount = 4
@@ -345,6 +348,7 @@
 		}
 	}
 	next := New()
+	next.Disable(cluster.disabled)
 	for _, id := range cluster.jobs {
 		job := cluster.scheduler.jobs[id].job
 		data, err := workflow.EncodeState(job)
@@ -393,6 +397,17 @@
 	}
 }
 
+// TestRandomClusterWithoutMechanisms guards against the same faults where some mechanisms are switched off: none of them may hold
+// a promise to callers.
+func TestRandomClusterWithoutMechanisms(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cluster := newRandomCluster()
+		cluster.disabled = set.New(rapid.SliceOfDistinct(rapid.SampledFrom(mechanism.All()), rapid.ID).Draw(t, "disabled")...)
+		cluster.scheduler.Disable(cluster.disabled)
+		playRandomCluster(t, cluster)
+	})
+}
+
 // playRandomCluster plays random events.
 func playRandomCluster(t *rapid.T, cluster *randomCluster) {
 	draining, out := set.New[string](), set.New[string]()
--- a/scheduler/runend.go
+++ b/scheduler/runend.go
@@ -46,7 +46,7 @@
 	if !ok || run.number != end.Run {
 		return
 	}
-	scheduler.copies.now = now
+	scheduler.now = now
 	switch end.Cause {
 	case workflow.Finished:
 		worker.health.recordFinished()
@@ -119,10 +119,10 @@
 		saved = ""
 	}
 	if cause == workflow.Finished && run.isNeeded() {
-		scheduler.clearCrashes(record, run.name, scheduler.copies.now)
+		scheduler.clearCrashes(record, run.name, scheduler.now)
 	}
 	if record.job.HasRun(run.name, run.number) {
-		record.accountEnd(run, cause == workflow.Finished, scheduler.copies.now)
+		record.accountEnd(run, cause == workflow.Finished, scheduler.now)
 	}
 	if !record.job.EndRun(run.name, run.number, cause, saved) {
 		return
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -64,6 +64,8 @@
 	outDataCentres set.Set[ident.DataCentre]
 	dirty          bool
 	model          *pacing.Model
+	// now is the time of the newest event. Ends without a time of their own count from it.
+	now clock.Time
 	// plannedAt is when waiting tasks were last planned.
 	plannedAt clock.Time
 	// replicasObservedAt is when the samples of replicas were last passed to the model.
@@ -215,7 +217,7 @@
 // closeJob stops the runs of a job whose state became final.
 func (scheduler *Scheduler) closeJob(record *jobRecord) {
 	id := record.job.Spec.ID
-	scheduler.accountJob(record, scheduler.copies.now)
+	scheduler.accountJob(record, scheduler.now)
 	delete(scheduler.open, id)
 	scheduler.dirtyJobs[id] = record
 	for _, worker := range scheduler.workers {
@@ -279,7 +281,7 @@
 // SetReachable records whether the worker accepts orders.
 func (scheduler *Scheduler) SetReachable(incarnation Incarnation, reachable bool) {
 	if worker, ok := scheduler.workers[incarnation]; ok && worker.reachable != reachable {
-		worker.reachable, worker.unreachableSince = reachable, scheduler.copies.now
+		worker.reachable, worker.unreachableSince = reachable, scheduler.now
 		scheduler.dirty = true
 	}
 }
