--- a/joblog/joblog.go
+++ b/joblog/joblog.go
@@ -34,7 +34,8 @@
 type Load struct {
 	At                                                         clock.Time
 	Cores, Reserved, Idle, Usable, Filling, Paced, Used, Waits int
-	Serving, Over                                              int
+	// Serving and Over count the serving runs, and those over their target.
+	Serving, Over int
 }
 
 // Log is what was read, in the order of time. Times count from 1970.
@@ -73,7 +74,7 @@
 	for _, input := range inputs {
 		reader := bufio.NewReaderSize(input, maxLineBytes)
 		for {
-			text, isPrefix, err := reader.ReadLine()
+			text, isTooLong, err := readLine(reader)
 			if errors.Is(err, io.EOF) {
 				break
 			}
@@ -81,15 +82,11 @@
 				return log, fmt.Errorf("reading line %d: %w", log.Lines+1, err)
 			}
 			log.Lines++
-			for damaged := isPrefix; isPrefix && err == nil; {
-				if _, isPrefix, err = reader.ReadLine(); damaged {
-					log.Damaged++
-					damaged, text = false, nil
-				}
-			}
-			if text != nil {
-				log.add(text)
+			if isTooLong {
+				log.Damaged++
+				continue
 			}
+			log.add(text)
 		}
 	}
 	slices.SortStableFunc(log.Ends, func(left, right End) int { return cmp.Compare(left.At, right.At) })
@@ -100,6 +97,19 @@
 	return log, nil
 }
 
+// readLine returns the next line, which is valid until the next call. The rest of a line that is longer than the reader's buffer
+// is skipped.
+func readLine(reader *bufio.Reader) (text []byte, isTooLong bool, err error) {
+	text, isPrefix, err := reader.ReadLine()
+	for isTooLong = isPrefix; isPrefix && err == nil; {
+		_, isPrefix, err = reader.ReadLine()
+	}
+	if isTooLong && errors.Is(err, io.EOF) {
+		err = nil // The line was the last one.
+	}
+	return text, isTooLong, err
+}
+
 // add adds a line.
 func (log *Log) add(text []byte) {
 	begin := bytes.IndexByte(text, '{')
@@ -108,7 +118,7 @@
 		return
 	}
 	text = text[begin:]
-	if isOther := !bytes.Contains(text, []byte(`"Job account"`)) && !bytes.Contains(text, []byte(`"Load"`)); isOther {
+	if !bytes.Contains(text, []byte(`"Job account"`)) && !bytes.Contains(text, []byte(`"Load"`)) {
 		if !json.Valid(text) {
 			log.Damaged++
 		}
