scheduler: moves count that a run saves its progress when it is stopped

Cause: the gain of a move counted the work since the last periodic checkpoint as lost. The simulated workers of loadPlay saved only periodically as well.

Change: the course of a run with checkpoints counts all its progress as saved.

--- a/scheduler/loadplay_test.go
+++ b/scheduler/loadplay_test.go
@@ -262,7 +262,7 @@
 		end := End{Name: name, Run: run.order.Run}
 		switch {
 		case run.stopAt != 0 && !play.now.Before(run.stopAt):
-			end.Cause, end.Saved = workflow.Interrupted, run.saved()
+			end.Cause, end.Saved = workflow.Interrupted, run.savedAtStop()
 		case run.done >= run.work && !run.step.Standing:
 			end.Cause = workflow.Finished
 		default:
@@ -306,6 +306,14 @@
 	return workflow.Checkpoint(strconv.Itoa(int(run.done) / int(playCheckpoint) * int(playCheckpoint)))
 }
 
+// savedAtStop returns the checkpoint of a run that is stopped, all the work that it had done.
+func (run *playRun) savedAtStop() workflow.Checkpoint {
+	if !run.step.Checkpoints || run.done < 1 {
+		return ""
+	}
+	return workflow.Checkpoint(strconv.Itoa(int(run.done)))
+}
+
 // playResult is what became of the jobs with a prefix.
 type playResult struct {
 	jobs, ended, withinObjective int
--- a/scheduler/workerspeed.go
+++ b/scheduler/workerspeed.go
@@ -174,8 +174,12 @@
 func (scheduler *Scheduler) courseOf(run *activeRun, now clock.Time) assignment.Course {
 	course := &run.course
 	share, speed := float64(course.percent-course.firstPercent)/100, scheduler.speedOf(run.worker, true, now)
+	done, saved := float64(course.percent)/100, float64(course.savedPercent)/100
+	if run.step.Checkpoints {
+		saved = done // A run that is stopped saves its progress.
+	}
 	return assignment.Course{
-		Work: assignment.ExpectedWork(run.step.Estimate, clock.Millis(course.effective*speed), share), Done: float64(course.percent) / 100, Saved: float64(course.savedPercent) / 100,
+		Work: assignment.ExpectedWork(run.step.Estimate, clock.Millis(course.effective*speed), share), Done: done, Saved: saved,
 		Speed: course.pace * speed / scheduler.bounds.DataFactor(isRemote(run.step, run.worker)),
 	}
 }
