calibration, scheduler: run times are learned against the estimates of submitters

Cause: the shifted work has estimates that are off by a factor of 2.7 either way (log scatter 0.98, and half of the run time at the median; scatter of the true times 0.42). The order of jobs by remaining work, what counted as late, the objective, the levels of urgency and the speed of workers all followed from them: a run at full pace that was only longer than estimated counted as slow and was moved.

Change: package calibration learns, by queue, a regression of log run times on log estimates. The run time of a step is the median of its tasks as soon as three are known from their progress, and the calibrated estimate before. `Load` names the waiting standing tasks and the largest free room.

--- a/coordinator/account.go
+++ b/coordinator/account.go
@@ -30,5 +30,6 @@
 		return
 	}
 	klog.InfoS("Load", "Workers", load.Workers, "Cores", load.Cores, "Reserved", load.Reserved, "Idle", load.Idle, "Usable", load.Usable, "Filling", load.Filling,
-		"FillingPaced", load.FillingPaced, "FillingUsed", load.FillingUsed, "Serving", load.Serving, "ServingOver", load.ServingOver, "Waiting", load.Waiting)
+		"FillingPaced", load.FillingPaced, "FillingUsed", load.FillingUsed, "Serving", load.Serving, "ServingOver", load.ServingOver, "Waiting", load.Waiting,
+		"StandingWaiting", load.StandingWaiting, "StandingCores", load.StandingCores, "LargestStanding", load.LargestStanding, "LargestFree", load.LargestFree)
 }
--- a/scheduler/account.go
+++ b/scheduler/account.go
@@ -97,11 +97,11 @@
 	}
 	entry := JobAccount{
 		Job: spec.ID, Queue: spec.Queue, State: record.job.State, Kind: "quick", Image: spec.Steps[0].Image,
-		Age: now.Sub(record.acceptedAt), Objective: spec.Objective(), Path: spec.CriticalPath(),
+		Age: now.Sub(record.acceptedAt), Objective: scheduler.objective(record), Path: spec.CriticalPathOf(scheduler.taskTimesOf(record)),
 	}
 	for position := range spec.Steps {
 		step := &spec.Steps[position]
-		entry.Work += int64(step.Count) * int64(step.Need.CPU) * int64(step.Estimate) / milliPerCore
+		entry.Work += int64(step.Count) * int64(step.Need.CPU) * int64(scheduler.taskTime(record, position)) / milliPerCore
 		if step.Fills {
 			entry.Kind = "filling"
 		}
--- a/scheduler/candidates.go
+++ b/scheduler/candidates.go
@@ -95,10 +95,8 @@
 func (scheduler *Scheduler) newCandidate(record *jobRecord, occurrence *workflow.Occurrence, step int, indices []int, capacity coresByImage, now clock.Time) candidate {
 	spec := &record.job.Spec
 	acceptedAt := record.acceptedAt
-	objective := spec.Objective()
-	latestStart := acceptedAt.Add(objective - record.job.RemainingCriticalPath(occurrence, func(number int) float64 {
-		return capacity.expectedSlowdown(&spec.Steps[number], occurrence.Unfinished(number))
-	}))
+	objective, times := scheduler.objective(record), scheduler.taskTimesOf(record)
+	latestStart := acceptedAt.Add(objective - scheduler.remainingPath(record, occurrence, capacity))
 	candidate := candidate{record: record, occurrence: occurrence, step: step, indices: indices, latestStart: latestStart, minSpeed: minFillingSpeed}
 	switch stepSpec := spec.Steps[step]; {
 	case stepSpec.Standing:
@@ -106,9 +104,9 @@
 	case !stepSpec.Fills && spec.Policy.Priority == 0:
 		candidate.rank = rankQuick
 	case spec.Repetitions > 0 || !now.After(latestStart):
-		candidate.rank, candidate.remainingWork = rankFilling, record.job.RemainingWork(occurrence)
+		candidate.rank, candidate.remainingWork = rankFilling, record.job.RemainingWork(occurrence, times)
 	case now.Sub(acceptedAt) < worthlessFactor*objective:
-		candidate.rank, candidate.remainingWork = rankLate, record.job.RemainingWork(occurrence)
+		candidate.rank, candidate.remainingWork = rankLate, record.job.RemainingWork(occurrence, times)
 		candidate.minSpeed = lateSpeed(now.Sub(latestStart), objective)
 	default:
 		candidate.rank = rankWorthless
--- a/scheduler/explain.go
+++ b/scheduler/explain.go
@@ -47,14 +47,11 @@
 	capacity := scheduler.fillingCapacity(now)
 	job := explanation.Job{
 		ID: id, Queue: record.job.Spec.Queue, State: record.job.State, Committed: record.isCommitted(),
-		Age: now.Sub(record.acceptedAt), Objective: record.job.Spec.Objective(),
+		Age: now.Sub(record.acceptedAt), Objective: scheduler.objective(record),
 	}
 	job.ExpectedEnd = job.Age
 	for _, occurrence := range record.job.Occurrences {
-		rest := record.job.RemainingCriticalPath(occurrence, func(step int) float64 {
-			return capacity.expectedSlowdown(&record.job.Spec.Steps[step], occurrence.Unfinished(step))
-		})
-		job.ExpectedEnd = max(job.ExpectedEnd, job.Age+rest)
+		job.ExpectedEnd = max(job.ExpectedEnd, job.Age+scheduler.remainingPath(record, occurrence, capacity))
 		for step := range occurrence.Steps {
 			if occurrence.Unfinished(step) > 0 && job.Rank == "" {
 				job.Rank = rankName(scheduler.newCandidate(record, occurrence, step, nil, capacity, now).rank)
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"hyssopjunction/clock"
-	"hyssopjunction/workflow"
 )
 
 // Load sums up how the workers that take tasks are used. Figures of cores are in whole cores.
@@ -21,18 +20,25 @@
 	Serving, ServingOver int
 	// Waiting holds the cores that waiting filling tasks request.
 	Waiting int
+	// StandingWaiting counts the waiting standing tasks, StandingCores holds the cores that they request, and LargestStanding
+	// those of the largest one.
+	StandingWaiting, StandingCores, LargestStanding int
+	// LargestFree holds the most cores that a worker has unreserved. Standing tasks that request more wait although the workers
+	// together may have room for them.
+	LargestFree int
 }
 
 // Load returns the use of the workers.
 func (scheduler *Scheduler) Load(now clock.Time) Load {
 	var load Load
 	usable, view := 0.0, scheduler.fillingView(now)
-	var cores, reserved, idle, filling, used, paced, waiting int64
+	var cores, reserved, idle, filling, used, paced, waiting, standing int64
 	for _, worker := range scheduler.workers {
 		if !worker.reachable || worker.Draining || scheduler.outDataCentres.Has(worker.DataCentre) {
 			continue
 		}
 		load.Workers++
+		load.LargestFree = max(load.LargestFree, int((worker.Capacity.CPU-worker.reserved.CPU)/milliPerCore))
 		usable += view.usableOn(worker, nil, nil)
 		cores += int64(worker.Capacity.CPU)
 		reserved += int64(worker.reserved.CPU)
@@ -55,19 +61,25 @@
 		for _, occurrence := range record.job.Occurrences {
 			for position := range record.job.Spec.Steps {
 				step := &record.job.Spec.Steps[position]
-				if !step.Fills || occurrence.Unfinished(position) == 0 || !record.job.Ready(occurrence, position) {
+				if !step.Fills && !step.Standing || occurrence.Unfinished(position) == 0 || !record.job.Ready(occurrence, position) {
 					continue
 				}
-				for _, task := range occurrence.Steps[position] {
-					if task.Phase == workflow.Waiting {
-						waiting += int64(step.Need.CPU)
-					}
+				count := occurrence.Waiting(position)
+				switch {
+				case count == 0:
+				case step.Fills:
+					waiting += int64(count) * int64(step.Need.CPU)
+				default:
+					load.StandingWaiting += count
+					standing += int64(count) * int64(step.Need.CPU)
+					load.LargestStanding = max(load.LargestStanding, int(step.Need.CPU/milliPerCore))
 				}
 			}
 		}
 	}
 	load.Cores, load.Reserved, load.Idle = int(cores/milliPerCore), int(reserved/milliPerCore), int(idle/milliPerCore)
 	load.Filling, load.FillingUsed, load.Waiting = int(filling/milliPerCore), int(used/milliPerCore), int(waiting/milliPerCore)
+	load.StandingCores = int(standing / milliPerCore)
 	load.Usable, load.FillingPaced = int(usable), int(paced/milliPerCore)
 	return load
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -8,6 +8,7 @@
 
 	"hyssopjunction/account"
 	"hyssopjunction/assignment"
+	"hyssopjunction/calibration"
 	"hyssopjunction/clock"
 	"hyssopjunction/ident"
 	"hyssopjunction/mechanism"
@@ -99,6 +100,8 @@
 	accounts []JobAccount
 	// disabled holds the mechanisms that are switched off.
 	disabled set.Set[mechanism.Name]
+	// calibration tells how long tasks run by their submitters' estimates.
+	calibration *calibration.Model
 	// considered is the job that a decision is being made about, or empty.
 	considered workflow.ID
 }
@@ -133,6 +136,8 @@
 	durations map[workflow.Name][]clock.Millis
 	// steps holds the accounts of the steps. They may be lost: a new leader counts from when it got to know the job.
 	steps []*account.Step
+	// taskTimes holds run times of tasks at full speed in ascending order, by step. They may be lost.
+	taskTimes map[int][]clock.Millis
 }
 
 // New returns an empty Scheduler.
@@ -142,7 +147,7 @@
 		orphans: map[Incarnation]map[workflow.Name]*activeRun{}, dirtyJobs: map[workflow.ID]*jobRecord{},
 		outDataCentres: set.New[ident.DataCentre](), model: pacing.NewModel(), transfers: map[workflow.Name]*transfer{},
 		fillingMoves: map[workflow.Name]*fillingMove{}, bounds: assignment.DefaultBounds(), racks: newDataRacks(), assignments: newAssignments(), copies: newCopyState(),
-		crashes: newCrashState(),
+		crashes: newCrashState(), calibration: calibration.New(),
 	}
 }
 
@@ -380,6 +385,7 @@
 		scheduler.clearSurvivor(run, now)
 		run.sample, run.sampledAt = item.Sample, now
 		run.pace.record(item, now)
+		scheduler.timeProgress(run, item.Percent)
 		run.account.Report(item.ThrottlePercent, item.Saved != "" && item.Saved != run.savedAs, now)
 		run.savedAs = item.Saved
 		switch {
--- a/scheduler/urgency.go
+++ b/scheduler/urgency.go
@@ -161,7 +161,7 @@
 		record.recordDecision(explanation.Committed, fmt.Sprintf("committed %t", committed), now)
 	}
 	record.urgency.decidedAt, record.urgency.committed = now, record.isCommitted()
-	outcome := UrgencyDecision{Job: record.job.Spec.ID, Committed: record.urgency.committed, Objective: record.job.Spec.Objective(), Age: now.Sub(record.acceptedAt)}
+	outcome := UrgencyDecision{Job: record.job.Spec.ID, Committed: record.urgency.committed, Objective: scheduler.objective(record), Age: now.Sub(record.acceptedAt)}
 	for _, occurrence := range record.job.Occurrences {
 		scheduler.decideOccurrence(record, occurrence, &outcome, now)
 	}
@@ -178,7 +178,7 @@
 	for position := range record.job.Spec.Steps {
 		step := &record.job.Spec.Steps[position]
 		buffers.steps = append(buffers.steps, urgency.Step{
-			Estimate: step.Estimate, After: step.After, Count: step.Count, Unfinished: occurrence.Unfinished(position), Median: record.urgency.median(position),
+			Estimate: scheduler.taskTime(record, position), After: step.After, Count: step.Count, Unfinished: occurrence.Unfinished(position), Median: record.urgency.median(position),
 		})
 	}
 	for run := range record.urgency.runs {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -118,6 +118,8 @@
 	// leftover reports that the run was placed while its job was not committed.
 	leftover bool
 	pace     runPace
+	// timed reports that the run's task time was recorded.
+	timed bool
 }
 
 // isNeeded reports whether the run counts for its job: the job is not final and the task not done.
--- a/scheduler/workerspeed.go
+++ b/scheduler/workerspeed.go
@@ -83,7 +83,7 @@
 	full := float64(interval) * course.pace / scheduler.bounds.DataFactor(isRemote(run.step, run.worker))
 	course.effective += full
 	if course.pace*pacing.FullPace >= minObservedPace && run.step.Estimate > 0 {
-		course.speed = float64(item.Percent-course.percent) / 100 * float64(run.step.Estimate) / full
+		course.speed = float64(item.Percent-course.percent) / 100 * float64(scheduler.runTime(run)) / full
 	}
 	course.reportedAt, course.percent, course.pacePercent = now, item.Percent, allowed
 }
@@ -95,8 +95,10 @@
 	case run.step.Fills && run.course.speed > 0:
 		speeds.filling = append(speeds.filling, finishedSpeed{at: now, speed: run.course.speed})
 	case !run.step.Fills && !run.step.Standing && run.step.Estimate > 0:
-		full := float64(run.step.Estimate) * scheduler.bounds.DataFactor(isRemote(run.step, run.worker))
+		factor := scheduler.bounds.DataFactor(isRemote(run.step, run.worker))
 		taken := float64(now.Sub(run.placedAt)) - scheduler.racks.overhead
+		scheduler.addTaskTime(run, clock.Millis(taken/factor))
+		full := float64(scheduler.runTime(run)) * factor
 		speeds.reserved = append(speeds.reserved, finishedSpeed{at: now, speed: full / max(taken, full/maxWorkerSpeed)})
 	}
 }
@@ -179,7 +181,7 @@
 		saved = done // A run that is stopped saves its progress.
 	}
 	return assignment.Course{
-		Work: assignment.ExpectedWork(run.step.Estimate, clock.Millis(course.effective*speed), share), Done: done, Saved: saved,
+		Work: assignment.ExpectedWork(scheduler.runTime(run), clock.Millis(course.effective*speed), share), Done: done, Saved: saved,
 		Speed: course.pace * speed / scheduler.bounds.DataFactor(isRemote(run.step, run.worker)),
 	}
 }
--- a/workflow/check.go
+++ b/workflow/check.go
@@ -81,6 +81,14 @@
 // CriticalPath returns the length of the critical path: the longest sum of the submitter's estimates along a
 // chain of dependent steps.
 func (spec Spec) CriticalPath() clock.Millis {
+	return spec.CriticalPathOf(func(step int) clock.Millis { return spec.Steps[step].Estimate })
+}
+
+// TimeFunc returns how long a task of a step takes.
+type TimeFunc func(step int) clock.Millis
+
+// CriticalPathOf returns the length of the critical path if the tasks take the given times.
+func (spec Spec) CriticalPathOf(times TimeFunc) clock.Millis {
 	longest := clock.Millis(0)
 	ends := make([]clock.Millis, len(spec.Steps))
 	for position, step := range spec.Steps {
@@ -88,15 +96,18 @@
 		for _, earlier := range step.After {
 			begin = max(begin, ends[earlier])
 		}
-		ends[position] = begin + step.Estimate
+		ends[position] = begin + times(position)
 		longest = max(longest, ends[position])
 	}
 	return longest
 }
 
-// Objective returns the time within which the job should finish after its acceptance.
-func (spec Spec) Objective() clock.Millis {
-	return clock.Millis(spec.Policy.Slack*float64(spec.CriticalPath())) + spec.Policy.Latency
+// Objective returns the time within which the job should finish after its acceptance, by the submitter's estimates.
+func (spec Spec) Objective() clock.Millis { return spec.ObjectiveFor(spec.CriticalPath()) }
+
+// ObjectiveFor returns the time within which the job should finish if its critical path has the given length.
+func (spec Spec) ObjectiveFor(path clock.Millis) clock.Millis {
+	return clock.Millis(spec.Policy.Slack*float64(path)) + spec.Policy.Latency
 }
 
 // idLength is the length of a job's id in digits.
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -156,6 +156,17 @@
 // Unfinished returns the number of tasks of the step that are not done.
 func (occurrence *Occurrence) Unfinished(step int) int { return occurrence.unfinished[step] }
 
+// Waiting returns the number of tasks of the step that wait.
+func (occurrence *Occurrence) Waiting(step int) int {
+	waiting := 0
+	for _, task := range occurrence.Steps[step] {
+		if task.Phase == Waiting {
+			waiting++
+		}
+	}
+	return waiting
+}
+
 // Job is a job with the state of its tasks. Its methods are not safe for concurrent use.
 type Job struct {
 	Spec  Spec
@@ -404,8 +415,8 @@
 }
 
 // RemainingCriticalPath returns the length of the critical path of the steps that are not done: the longest sum of the
-// submitter's estimates, each multiplied by the slowdown factor of its step. It ignores the progress of active tasks.
-func (job *Job) RemainingCriticalPath(occurrence *Occurrence, slowdown func(step int) float64) clock.Millis {
+// times of their tasks. It ignores the progress of active tasks.
+func (job *Job) RemainingCriticalPath(occurrence *Occurrence, times TimeFunc) clock.Millis {
 	longest := clock.Millis(0)
 	ends := make([]clock.Millis, len(job.Spec.Steps))
 	for position, step := range job.Spec.Steps {
@@ -415,7 +426,7 @@
 		}
 		ends[position] = begin
 		if occurrence.unfinished[position] > 0 {
-			ends[position] += clock.Millis(float64(step.Estimate) * slowdown(position))
+			ends[position] += times(position)
 		}
 		longest = max(longest, ends[position])
 	}
@@ -423,11 +434,11 @@
 }
 
 // RemainingWork returns the processor time of the tasks that are not done, in thousandths of a core times
-// milliseconds, from their requested CPU and the submitter's estimates.
-func (job *Job) RemainingWork(occurrence *Occurrence) int64 {
+// milliseconds, from their requested CPU and the times that they take.
+func (job *Job) RemainingWork(occurrence *Occurrence, times TimeFunc) int64 {
 	work := int64(0)
 	for position, step := range job.Spec.Steps {
-		work += int64(occurrence.unfinished[position]) * int64(step.Need.CPU) * int64(step.Estimate)
+		work += int64(occurrence.unfinished[position]) * int64(step.Need.CPU) * int64(times(position))
 	}
 	return work
 }
