pacing: runs that use less than they request are paced by what they use

Change: Usage learns the share of a run from samples at a steady pace. The agent paces by it, and the leader counts it in the rooms of serving tasks.

--- a/pacing/model.go
+++ b/pacing/model.go
@@ -70,7 +70,7 @@
 type FillingSample struct {
 	Task  string
 	Image Image
-	// Cores is the number of cores that the task requests, and Used the number that it uses.
+	// Cores is the number of cores that the task is expected to use at full pace, and Used the number that it uses.
 	Cores float64
 	Used  float64
 	// Urgency decides which tasks get the pace that the serving tasks allow.
--- a/scheduler/interference.go
+++ b/scheduler/interference.go
@@ -127,7 +127,7 @@
 		}
 		for index := range worker.rooms {
 			room := &worker.rooms[index]
-			room.Take(run.urgency, scheduler.model.Weight(room.image, pacing.Image(run.step.Image), now)*cores(run.step))
+			room.Take(run.urgency, scheduler.model.Weight(room.image, pacing.Image(run.step.Image), now)*cores(run.step)*run.usage.Share())
 		}
 	}
 	return worker.rooms
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -385,6 +385,9 @@
 		scheduler.clearSurvivor(run, now)
 		run.sample, run.sampledAt = item.Sample, now
 		run.pace.record(item, now)
+		if run.step.Fills {
+			run.usage.Observe(float64(run.step.Need.CPU), float64(item.Sample), pacing.FullPace-item.ThrottlePercent)
+		}
 		scheduler.timeProgress(run, item.Percent)
 		run.account.Report(item.ThrottlePercent, item.Saved != "" && item.Saved != run.savedAs, now)
 		run.savedAs = item.Saved
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -118,6 +118,8 @@
 	// leftover reports that the run was placed while its job was not committed.
 	leftover bool
 	pace     runPace
+	// usage is what the samples of a filling run tell of its usage at full pace.
+	usage pacing.Usage
 	// timed reports that the run's task time was recorded.
 	timed bool
 }
--- a/supervisor/paces.go
+++ b/supervisor/paces.go
@@ -55,7 +55,7 @@
 	for key, run := range worker.runs {
 		if run.order.Fills && run.phase == phaseStarted {
 			sample := pacing.FillingSample{
-				Task: key.task, Image: pacing.Image(run.order.Image), Cores: float64(run.order.CPU) / milliPerCore, Used: float64(used[key]) / milliPerCore,
+				Task: key.task, Image: pacing.Image(run.order.Image), Cores: float64(run.order.CPU) / milliPerCore * run.usage.Share(), Used: float64(used[key]) / milliPerCore,
 			}
 			if withUrgencies {
 				sample.Urgency = run.urgency
@@ -66,6 +66,15 @@
 	return serving, filling
 }
 
+// observeUsage passes the samples of the last listing to the filling runs.
+func (worker *workerState) observeUsage() {
+	for _, item := range worker.listing.Active {
+		if run, ok := worker.runs[runKey{item.Task, item.Run}]; ok && run.order.Fills {
+			run.usage.Observe(float64(run.order.CPU), float64(item.Sample), run.pacePercent)
+		}
+	}
+}
+
 // stepOf returns a task's name without its index.
 func stepOf(task string) string { return task[:max(0, strings.LastIndexByte(task, '.'))] }
 
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -166,6 +166,8 @@
 	reason string
 	// pacePercent is the pace that the worker last confirmed, or unknownPacePercent.
 	pacePercent int
+	// usage is what the samples of a filling run tell of its usage at full pace.
+	usage pacing.Usage
 	// callPending reports that a call for the run is in progress or waits to be repeated.
 	callPending bool
 	// pacedAfterStart reports that the paces were updated when the run had started.
@@ -400,6 +402,7 @@
 	hasFirstRuns := len(worker.listing.Active)+len(worker.listing.Ended) == 0 && len(listing.Active) > 0
 	worker.listing = listing
 	supervisor.reconcile(worker, sentAt)
+	worker.observeUsage()
 	supervisor.updatePaces(worker)
 	if hasNewEnds || hasFirstRuns {
 		supervisor.requestReport()
