account, joblog: repeated work by its cause, and accounts that add up

Cause: `Repeated` counted all that a stopped run had done since its periodic checkpoint, although stops save it, and did not tell failures from moves and lost workers.

Change: `Failed`, `Moved` and `Lost` replace `Repeated`; work that the end's checkpoint holds is not repeated. What is missing to the age counts as `Unseen`, so each account adds up.

--- a/account/account.go
+++ b/account/account.go
@@ -12,7 +12,7 @@
 
 // The causes, in the order of a job's life.
 const (
-	// Unseen is the time before this leader first planned the job: it was being stored, or another leader had it.
+	// Unseen is the time of which this leader knows nothing: the job was being stored, or another leader had it.
 	Unseen Cause = iota
 	// Stalled is the time in which the leader planned nothing.
 	Stalled
@@ -28,8 +28,11 @@
 	Work
 	// Throttled is the time that runs lost by being throttled.
 	Throttled
-	// Repeated is the work of runs that were lost or stopped, since their last checkpoint.
-	Repeated
+	// Failed is the work of runs that failed by themselves, Moved that of runs that were stopped, and Lost that of runs that ended
+	// with their worker or its lease, each since the last checkpoint.
+	Failed
+	Moved
+	Lost
 	causeCount
 )
 
@@ -44,7 +47,7 @@
 
 // String returns the name that log lines have for the cause.
 func (cause Cause) String() string {
-	names := []string{"Unseen", "Stalled", "Held", "Rack", "Room", "Slow", "Work", "Throttled", "Repeated"}
+	names := []string{"Unseen", "Stalled", "Held", "Rack", "Room", "Slow", "Work", "Throttled", "Failed", "Moved", "Lost"}
 	if int(cause) >= len(names) {
 		return "Unknown"
 	}
@@ -113,14 +116,24 @@
 	run.at = now
 }
 
+// Ending tells how a run ended.
+type Ending struct {
+	// Finished reports that the task is done.
+	Finished bool
+	// Saved reports that a checkpoint holds all that the run did.
+	Saved bool
+	// Repeated is the cause that the work since the last checkpoint is counted by otherwise: Failed, Moved or Lost.
+	Repeated Cause
+}
+
 // end returns the split of the run's whole time. What a run that did not finish did since its last checkpoint is repeated.
-func (run *Run) end(finished bool, now clock.Time) Split {
+func (run *Run) end(ending Ending, now clock.Time) Split {
 	run.settle(now)
-	if finished {
+	if ending.Finished || ending.Saved {
 		return run.saved.Add(run.unsaved)
 	}
 	total := run.saved
-	total[Repeated] += run.unsaved.Total()
+	total[ending.Repeated] += run.unsaved.Total()
 	return total
 }
 
@@ -174,14 +187,14 @@
 }
 
 // End records the end of a task's run. A task that did not finish waits again. Ends after that of the last task are ignored.
-func (step *Step) End(index int, run *Run, finished bool, now clock.Time) {
+func (step *Step) End(index int, run *Run, ending Ending, now clock.Time) {
 	if step.endedAt != 0 {
 		return
 	}
-	step.spent[index] = step.spent[index].Add(run.end(finished, now))
+	step.spent[index] = step.spent[index].Add(run.end(ending, now))
 	step.settle(now)
 	step.from[index] = step.waits
-	if !finished {
+	if !ending.Finished {
 		return
 	}
 	step.done++
--- a/joblog/joblog.go
+++ b/joblog/joblog.go
@@ -59,12 +59,12 @@
 
 // line holds the fields of both kinds of lines.
 type line struct {
-	Time, Message                                                              string
-	Job, Queue, State, Kind                                                    string
-	AgeMillis, ObjectiveMillis, PathMillis, TailMillis, WorkCoreMillis         int64
-	Unseen, Stalled, Held, Rack, Room, Slow, Work, Throttled, Repeated         int64
-	Cores, Reserved, Idle, Usable, Filling, FillingPaced, FillingUsed, Serving int
-	ServingOver, Waiting                                                       int
+	Time, Message                                                                 string
+	Job, Queue, State, Kind                                                       string
+	AgeMillis, ObjectiveMillis, PathMillis, TailMillis, WorkCoreMillis            int64
+	Unseen, Stalled, Held, Rack, Room, Slow, Work, Throttled, Failed, Moved, Lost int64
+	Cores, Reserved, Idle, Usable, Filling, FillingPaced, FillingUsed, Serving    int
+	ServingOver, Waiting                                                          int
 }
 
 // Read reads lines from all inputs. What stands before the JSON object of a line, such as the name of a process, is skipped.
@@ -152,7 +152,8 @@
 		Spent: account.Split{
 			account.Unseen: clock.Millis(parsed.Unseen), account.Stalled: clock.Millis(parsed.Stalled), account.Held: clock.Millis(parsed.Held),
 			account.Rack: clock.Millis(parsed.Rack), account.Room: clock.Millis(parsed.Room), account.Slow: clock.Millis(parsed.Slow),
-			account.Work: clock.Millis(parsed.Work), account.Throttled: clock.Millis(parsed.Throttled), account.Repeated: clock.Millis(parsed.Repeated),
+			account.Work: clock.Millis(parsed.Work), account.Throttled: clock.Millis(parsed.Throttled),
+			account.Failed: clock.Millis(parsed.Failed), account.Moved: clock.Millis(parsed.Moved), account.Lost: clock.Millis(parsed.Lost),
 		},
 	}
 }
--- a/scheduler/account.go
+++ b/scheduler/account.go
@@ -18,7 +18,7 @@
 	Age, Objective, Path clock.Millis
 	// Work is that of all tasks by the submitter's estimates, in core-milliseconds.
 	Work int64
-	// Spent is the time of the chain of tasks that decided the end. It covers less than Age if a leader before had the job.
+	// Spent is the time of the chain of tasks that decided the end. It adds up to Age.
 	Spent account.Split
 	// Tail is the time that the last halves of the steps of this chain took.
 	Tail clock.Millis
@@ -83,9 +83,16 @@
 }
 
 // accountEnd records the end of a run.
-func (record *jobRecord) accountEnd(run *activeRun, finished bool, now clock.Time) {
-	if step := record.stepAccount(run.name.Occurrence, run.name.Step); step != nil && (finished || !run.isCopy) {
-		step.End(run.name.Index, &run.account, finished, now)
+func (record *jobRecord) accountEnd(run *activeRun, cause workflow.Cause, saved workflow.Checkpoint, now clock.Time) {
+	ending := account.Ending{Finished: cause == workflow.Finished, Saved: saved != "" && saved != run.savedAs, Repeated: account.Lost}
+	switch {
+	case cause == workflow.Faulted:
+		ending.Repeated = account.Failed
+	case run.stopping:
+		ending.Repeated = account.Moved
+	}
+	if step := record.stepAccount(run.name.Occurrence, run.name.Step); step != nil && (ending.Finished || !run.isCopy) {
+		step.End(run.name.Index, &run.account, ending, now)
 	}
 }
 
@@ -107,6 +114,7 @@
 		}
 	}
 	entry.Spent, entry.Tail = account.Chain(record.steps, func(step int) []int { return spec.Steps[step].After })
+	entry.Spent[account.Unseen] += max(0, entry.Age-entry.Spent.Total())
 	scheduler.accounts = append(scheduler.accounts, entry)
 	record.steps = nil
 }
--- a/scheduler/runend.go
+++ b/scheduler/runend.go
@@ -122,7 +122,7 @@
 		scheduler.clearCrashes(record, run.name, scheduler.now)
 	}
 	if record.job.HasRun(run.name, run.number) {
-		record.accountEnd(run, cause == workflow.Finished, scheduler.now)
+		record.accountEnd(run, cause, saved, scheduler.now)
 	}
 	if !record.job.EndRun(run.name, run.number, cause, saved) {
 		return
