packing, scheduler: standing tasks move so that larger ones find room

Change: package packing chooses the smallest task whose move to another worker makes room for one that waits; the leader stops it and holds both rooms.

--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -76,6 +76,7 @@
 		scheduler.placeStep(candidate, blocked, now)
 	}
 	scheduler.assignFilling(filling, blocked, now)
+	scheduler.makeRoom(now)
 	scheduler.considered = ""
 	if scheduler.uses(mechanism.Copies) {
 		scheduler.placeCopies(now)
@@ -188,6 +189,7 @@
 				blocked.add(key, candidate.minSpeed, account.Room)
 			}
 			if step.Standing {
+				scheduler.unplaced = append(scheduler.unplaced, waitingTask{record: candidate.record, step: step, name: name})
 				continue // The room for the others may be held.
 			}
 			return
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -100,6 +100,9 @@
 	accounts []JobAccount
 	// disabled holds the mechanisms that are switched off.
 	disabled set.Set[mechanism.Name]
+	// unplaced holds the standing tasks that found no room in the present round, and madeRoomAt is when room was last made.
+	unplaced   []waitingTask
+	madeRoomAt clock.Time
 	// calibration tells how long tasks run by their submitters' estimates.
 	calibration *calibration.Model
 	// considered is the job that a decision is being made about, or empty.
--- a/scheduler/transfer.go
+++ b/scheduler/transfer.go
@@ -20,12 +20,17 @@
 
 // transferRun stops a run and holds room for its task on the target.
 func (scheduler *Scheduler) transferRun(run *activeRun, target *workerState, now clock.Time) {
-	held := run.step.Reserved()
-	target.reserved = target.reserved.Add(held)
-	scheduler.transfers[run.name] = &transfer{target: target, held: held, until: now.Add(transferTimeout)}
+	scheduler.holdRoom(run.name, run.step, target, now)
 	scheduler.stopRun(run)
 }
 
+// holdRoom holds room for a standing task on the target.
+func (scheduler *Scheduler) holdRoom(name workflow.Name, step *workflow.Step, target *workerState, now clock.Time) {
+	held := step.Reserved()
+	target.reserved = target.reserved.Add(held)
+	scheduler.transfers[name] = &transfer{target: target, held: held, until: now.Add(transferTimeout)}
+}
+
 // endTransfer releases what is held for a task.
 func (scheduler *Scheduler) endTransfer(name workflow.Name) {
 	if transfer, ok := scheduler.transfers[name]; ok {
