scheduler: stops name their reason

Change: `Reason` in `Stop` lines: JobEnded, Superseded, Drain, Stalled, Slow, Colocation, Room or Unknown.

--- a/coordinator/agents.go
+++ b/coordinator/agents.go
@@ -411,7 +411,7 @@
 		}
 		if order.Stop {
 			coordinator.counters.stops.Inc()
-			klog.InfoS("Stop", "Task", order.Name.String(), "Run", order.Run, "Worker", order.Worker, "MoveTo", order.MoveTo)
+			klog.InfoS("Stop", "Task", order.Name.String(), "Run", order.Run, "Worker", order.Worker, "Reason", order.Reason, "MoveTo", order.MoveTo)
 			batch.Stops = append(batch.Stops, session.Stop{Incarnation: string(order.Worker), Task: order.Name.String(), Run: order.Run})
 			continue
 		}
--- a/scheduler/copies.go
+++ b/scheduler/copies.go
@@ -407,7 +407,7 @@
 		}
 		if worker, ok := scheduler.workers[Incarnation(superseded.Worker)]; ok {
 			if run, ok := worker.runs[name]; ok && run.number == superseded.Run {
-				scheduler.stopRun(run)
+				scheduler.stopRun(run, StopSuperseded)
 			}
 		}
 	}
--- a/scheduler/makeroom.go
+++ b/scheduler/makeroom.go
@@ -81,7 +81,7 @@
 	if !ok {
 		return false
 	}
-	scheduler.transferRun(runs[move.From][move.Task], states[move.To], now)
+	scheduler.transferRun(runs[move.From][move.Task], states[move.To], StopRoom, now)
 	scheduler.holdRoom(task.name, task.step, states[move.From], now)
 	return true
 }
--- a/scheduler/movethrottled.go
+++ b/scheduler/movethrottled.go
@@ -82,7 +82,7 @@
 		scheduler.fillingMoves[candidate.name] = &fillingMove{target: target, until: now.Add(scheduler.bounds.StopTimeout + moveReserve)}
 		scheduler.assignments.addMove(candidate, target.Incarnation, gain, now)
 		record.recordDecision(explanation.Moved, fmt.Sprintf("%s from %s to %s, gain %d ms", candidate.name, candidate.worker.Incarnation, target.Incarnation, gain), now)
-		scheduler.stopRun(candidate.activeRun)
+		scheduler.stopRun(candidate.activeRun, StopSlow)
 		moveCount++
 	}
 }
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -149,7 +149,7 @@
 		worker.health.quarantine(now)
 		scheduler.dirty = true
 		for _, run := range stalledRuns {
-			scheduler.stopRun(run)
+			scheduler.stopRun(run, StopStalled)
 		}
 	}
 }
--- a/scheduler/rebalance.go
+++ b/scheduler/rebalance.go
@@ -50,9 +50,9 @@
 		return
 	}
 	for _, move := range scheduler.servingMoves(now) {
-		scheduler.transferRun(move.run, move.destination, now)
+		scheduler.transferRun(move.run, move.destination, StopColocation, now)
 		if move.back != nil {
-			scheduler.transferRun(move.back, move.source, now)
+			scheduler.transferRun(move.back, move.source, StopColocation, now)
 		}
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -24,6 +24,8 @@
 	Name   workflow.Name
 	Run    workflow.Run
 	Stop   bool
+	// Reason is that of a stop.
+	Reason StopReason
 	Job    *workflow.Job
 	// Urgency is the level of a run that is to be started.
 	Urgency pacing.Urgency
@@ -201,7 +203,7 @@
 			run.worker = worker
 			worker.add(run)
 			if !run.isNeeded() {
-				scheduler.stopRun(run)
+				scheduler.stopRun(run, run.reasonNotNeeded())
 			}
 			return
 		}
@@ -231,19 +233,19 @@
 	for _, worker := range scheduler.workers {
 		for name, run := range worker.runs {
 			if name.Job == id {
-				scheduler.stopRun(run)
+				scheduler.stopRun(run, StopJobEnded)
 			}
 		}
 	}
 }
 
 // stopRun orders the stop of a run, once. Its resources stay reserved until the worker reports the end.
-func (scheduler *Scheduler) stopRun(run *activeRun) {
+func (scheduler *Scheduler) stopRun(run *activeRun, reason StopReason) {
 	if run.stopping {
 		return
 	}
 	run.stopping = true
-	order := Order{Worker: run.worker.Incarnation, Name: run.name, Run: run.number, Stop: true, Job: run.job}
+	order := Order{Worker: run.worker.Incarnation, Name: run.name, Run: run.number, Stop: true, Reason: reason, Job: run.job}
 	if transfer, ok := scheduler.transfers[run.name]; ok {
 		order.MoveTo = transfer.target.Incarnation
 	}
@@ -276,7 +278,7 @@
 		run.worker, run.progressAt = worker, now
 		worker.add(run)
 		if !run.isNeeded() {
-			scheduler.stopRun(run)
+			scheduler.stopRun(run, run.reasonNotNeeded())
 		}
 	}
 	delete(scheduler.orphans, profile.Incarnation)
@@ -307,7 +309,7 @@
 func (scheduler *Scheduler) drain(worker *workerState) {
 	for _, run := range sortedRuns(worker) {
 		if run.step.Standing || run.step.Checkpoints {
-			scheduler.stopRun(run)
+			scheduler.stopRun(run, StopDrain)
 		}
 	}
 }
@@ -380,7 +382,7 @@
 		run, ok := worker.runs[item.Name]
 		if !ok || run.number != item.Run {
 			if !ok || item.Run < run.number {
-				scheduler.orders = append(scheduler.orders, Order{Worker: incarnation, Name: item.Name, Run: item.Run, Stop: true})
+				scheduler.orders = append(scheduler.orders, Order{Worker: incarnation, Name: item.Name, Run: item.Run, Stop: true, Reason: StopUnknown})
 			}
 			continue
 		}
--- a/scheduler/transfer.go
+++ b/scheduler/transfer.go
@@ -19,9 +19,9 @@
 }
 
 // transferRun stops a run and holds room for its task on the target.
-func (scheduler *Scheduler) transferRun(run *activeRun, target *workerState, now clock.Time) {
+func (scheduler *Scheduler) transferRun(run *activeRun, target *workerState, reason StopReason, now clock.Time) {
 	scheduler.holdRoom(run.name, run.step, target, now)
-	scheduler.stopRun(run)
+	scheduler.stopRun(run, reason)
 }
 
 // holdRoom holds room for a standing task on the target.
