report: waiting standing tasks, and the share of quick jobs in time

Cause: the report showed neither that large standing tasks wait for room that is there in pieces, nor what quick jobs earn in time.

Change: STANDING, LARGEST and FREE in the table of loads; SHARE for all kinds.

--- a/cmd/report.go
+++ b/cmd/report.go
@@ -71,10 +71,11 @@
 		}
 		times.add(row...)
 	}
-	loads := table{header: []string{"SECOND", "CORES", "RESERVED", "IDLE", "USABLE", "FILLING", "PACED", "USED", "WAITING", "SERVING", "OVER"}}
+	loads := table{header: []string{"SECOND", "CORES", "RESERVED", "IDLE", "USABLE", "FILLING", "PACED", "USED", "WAITING", "SERVING", "OVER", "STANDING", "LARGEST", "FREE"}}
 	for _, load := range log.Loads {
 		loads.add(fmt.Sprintf("%.1f", float64(load.At.Sub(log.Loads[0].At))/1000), strconv.Itoa(load.Cores), strconv.Itoa(load.Reserved), strconv.Itoa(load.Idle), strconv.Itoa(load.Usable),
-			strconv.Itoa(load.Filling), strconv.Itoa(load.Paced), strconv.Itoa(load.Used), strconv.Itoa(load.Waits), strconv.Itoa(load.Serving), strconv.Itoa(load.Over))
+			strconv.Itoa(load.Filling), strconv.Itoa(load.Paced), strconv.Itoa(load.Used), strconv.Itoa(load.Waits), strconv.Itoa(load.Serving), strconv.Itoa(load.Over),
+			strconv.Itoa(load.Standing), strconv.Itoa(load.Largest), strconv.Itoa(load.Free))
 	}
 	loads.notes = append(loads.notes, fmt.Sprintf("%d lines, %d damaged, %d of other programs.", log.Lines, log.Damaged, log.Foreign))
 	for _, output := range []table{ends, times, loads} {
--- a/joblog/joblog.go
+++ b/joblog/joblog.go
@@ -36,6 +36,9 @@
 	Cores, Reserved, Idle, Usable, Filling, Paced, Used, Waits int
 	// Serving and Over count the serving runs, and those over their target.
 	Serving, Over int
+	// Standing counts the waiting standing tasks, Largest holds the cores that the largest of them requests, and Free the most cores
+	// that are unreserved on one worker.
+	Standing, Largest, Free int
 }
 
 // Log is what was read, in the order of time. Times count from 1970.
@@ -64,7 +67,7 @@
 	AgeMillis, ObjectiveMillis, PathMillis, TailMillis, WorkCoreMillis            int64
 	Unseen, Stalled, Held, Rack, Room, Slow, Work, Throttled, Failed, Moved, Lost int64
 	Cores, Reserved, Idle, Usable, Filling, FillingPaced, FillingUsed, Serving    int
-	ServingOver, Waiting                                                          int
+	ServingOver, Waiting, StandingWaiting, LargestStanding, LargestFree           int
 }
 
 // Read reads lines from all inputs. What stands before the JSON object of a line, such as the name of a process, is skipped.
@@ -141,6 +144,7 @@
 		log.Loads = append(log.Loads, Load{
 			At: clock.Time(at.UnixMilli()), Cores: parsed.Cores, Reserved: parsed.Reserved, Idle: parsed.Idle, Usable: parsed.Usable, Filling: parsed.Filling,
 			Paced: parsed.FillingPaced, Used: parsed.FillingUsed, Waits: parsed.Waiting, Serving: parsed.Serving, Over: parsed.ServingOver,
+			Standing: parsed.StandingWaiting, Largest: parsed.LargestStanding, Free: parsed.LargestFree,
 		})
 	}
 }
--- a/joblog/summary.go
+++ b/joblog/summary.go
@@ -19,8 +19,8 @@
 	InTime, Late, Lost, Failed, Cancelled int
 	Age, Objective, Path, Tail            clock.Millis
 	Spent                                 account.Split
-	// ShareInTime is the share of the value that filling jobs earned in time, and MaxShare and MaxShareUsable the highest shares
-	// that any plan could have earned with the cores that were idle, or usable beside the serving tasks.
+	// ShareInTime is the share of the value that jobs earned in time, and MaxShare and MaxShareUsable the highest shares that any
+	// plan for filling jobs could have earned with the cores that were idle, or usable beside the serving tasks.
 	ShareInTime, MaxShare, MaxShareUsable float64
 }
 
@@ -68,8 +68,8 @@
 			summary.Spent[cause] /= completed
 		}
 	}
+	summary.ShareInTime = inTimeShare(ends)
 	if summary.Kind == "filling" {
-		summary.ShareInTime = inTimeShare(ends)
 		summary.MaxShare = log.maxShare(ends, func(load Load) int { return load.Idle })
 		summary.MaxShareUsable = log.maxShare(ends, func(load Load) int { return load.Usable })
 	}
