assignment: no prices of what other images lose on a worker

The switch `JointAssignment` kept a second path for filling tasks.

Change: the value is that of the run itself and of free cores. The mechanism's name is gone; filling tasks that are no gangs have one path.

--- a/assignment/joint.go
+++ b/assignment/joint.go
@@ -55,9 +55,6 @@
 	// Speed is at which share of the usual speed runs proceed on the worker.
 	Speed float64
 	Rooms []Room
-	// usable holds how many more cores each filling image could use, by the image's position, while known is set.
-	usable []float64
-	known  bool
 }
 
 // Group is a group of equal waiting filling tasks.
@@ -74,76 +71,10 @@
 // Round assigns the waiting filling tasks of a round. Create it with NewRound.
 type Round struct {
 	workers []Worker
-	demand  []float64
-	// prices holds the value of one core that an image could use, by the image's position. It is nil until it is needed: in
-	// a round without room no worker is compared with others.
-	prices []float64
 }
 
-// NewRound returns a round with workers. The parameter demand holds the cores that the unfinished tasks of each image
-// request, by the image's position: those that are active stand for the ones that come next. The round takes over the
-// workers.
-func NewRound(workers []Worker, demand []float64) *Round {
-	return &Round{workers: workers, demand: demand}
-}
-
-// setPrices sets the prices.
-func (round *Round) setPrices() {
-	images := len(round.demand)
-	round.prices = make([]float64, images)
-	backing := make([]float64, len(round.workers)*images)
-	for position := range round.workers {
-		round.workers[position].usable = backing[position*images : (position+1)*images]
-	}
-	total, usable := 0.0, 0.0
-	for _, cores := range round.demand {
-		total += cores
-	}
-	if total == 0 {
-		return
-	}
-	for position := range round.workers {
-		beside := round.usable(position)
-		for image, cores := range round.demand {
-			usable += beside[image] * cores / total
-		}
-	}
-	// While there is capacity for all, a core that an image loses costs it little.
-	scarcity := math.Min(1, total/math.Max(usable, 1))
-	for image, cores := range round.demand {
-		round.prices[image] = scarcity * cores / total
-	}
-}
-
-// usable returns how many more cores each image could use on a worker.
-func (round *Round) usable(position int) []float64 {
-	worker := &round.workers[position]
-	if !worker.known {
-		for image := range worker.usable {
-			worker.usable[image] = worker.usableAfter(image, 0, nil)
-		}
-		worker.known = true
-	}
-	return worker.usable
-}
-
-// usableAfter returns how many more cores an image could use once a run of the group, which may be nil, takes some.
-func (worker *Worker) usableAfter(image int, cores float64, group *Group) float64 {
-	usable := worker.Idle - worker.Filling - cores
-	for index := range worker.Rooms {
-		room := &worker.Rooms[index]
-		weight := room.Weights[image]
-		if weight <= 0 {
-			continue
-		}
-		left := room.Of(pacing.Normal)
-		if group != nil {
-			left -= room.Weights[group.Image] * cores
-		}
-		usable = math.Min(usable, left/weight)
-	}
-	return math.Max(0, usable)
-}
+// NewRound returns a round with workers. It takes them over.
+func NewRound(workers []Worker) *Round { return &Round{workers: workers} }
 
 // HasIdleCores reports whether a worker has idle cores for a run of the group. A worker without filling runs takes a first
 // one of any size.
@@ -165,8 +96,8 @@
 	return share
 }
 
-// Value returns what a run of the group on a worker is worth, in cores: the cores that it uses at its expected speed, less
-// those that the waiting images lose there. It reports whether the run may be placed. The parameter dataFactor is by how much
+// Value returns what a run of the group on a worker is worth, in cores: the cores that it uses at its expected speed, with
+// a preference for free ones. It reports whether the run may be placed. The parameter dataFactor is by how much
 // longer it takes because of its data's location, and failures is the number of failures of the job there.
 func (round *Round) Value(position int, group Group, dataFactor float64, failures int) (value float64, ok bool) {
 	worker := &round.workers[position]
@@ -179,21 +110,7 @@
 	}
 	free := (worker.Idle - worker.Filling) / math.Max(worker.Capacity, 1)
 	value = group.Cores * (share*worker.Speed/dataFactor + freeWeight*free - failureCost*float64(failures))
-	return value - round.displaced(position, group), true
-}
-
-// displaced returns the value of the cores that the waiting images lose if a run of the group is placed on a worker.
-func (round *Round) displaced(position int, group Group) float64 {
-	if round.prices == nil {
-		round.setPrices()
-	}
-	worker, lost := &round.workers[position], 0.0
-	for image, cores := range round.usable(position) {
-		if cores > 0 && round.prices[image] > 0 {
-			lost += round.prices[image] * (cores - worker.usableAfter(image, group.Cores, &group))
-		}
-	}
-	return lost
+	return value, true
 }
 
 // Speed returns the share of its full speed that a run of the group is expected to reach on a worker that holds its data.
@@ -211,7 +128,6 @@
 func (round *Round) take(position int, group Group, cores float64) {
 	worker := &round.workers[position]
 	worker.Filling += cores
-	worker.known = false
 	for index := range worker.Rooms {
 		room := &worker.Rooms[index]
 		room.Take(group.Urgency, room.Weights[group.Image]*cores)
--- a/mechanism/mechanism.go
+++ b/mechanism/mechanism.go
@@ -20,8 +20,6 @@
 	Urgency Name = "Urgency"
 	// Colocation moves serving tasks together that are sensitive to the same filling images.
 	Colocation Name = "Colocation"
-	// JointAssignment chooses the workers of all waiting filling tasks of a round together.
-	JointAssignment Name = "JointAssignment"
 	// Moves moves slow filling runs to other workers.
 	Moves Name = "Moves"
 	// RackWaits keeps tasks waiting for the rack that holds their data if they end sooner there.
@@ -49,7 +47,7 @@
 // All returns the names of all mechanisms in the order of the documentation.
 func All() []Name {
 	return []Name{
-		Urgency, Colocation, JointAssignment, Moves, RackWaits, HotRacks, Copies, Factors, QuickHeadroom, StallQuarantine, WorkerSpeeds,
+		Urgency, Colocation, Moves, RackWaits, HotRacks, Copies, Factors, QuickHeadroom, StallQuarantine, WorkerSpeeds,
 		RestartDelays, SpeedThreshold, Relays,
 	}
 }
--- a/scheduler/assignfilling.go
+++ b/scheduler/assignfilling.go
@@ -23,7 +23,7 @@
 }
 
 // assignFilling places the waiting tasks of filling steps that are not gangs, in the order of the candidates. Their workers
-// are chosen together: where tasks end early, and where they take little capacity from the others that wait.
+// are chosen from one view: where tasks end early, and where cores are free.
 func (scheduler *Scheduler) assignFilling(candidates []candidate, blocked blockedNeeds, now clock.Time) {
 	if len(candidates) == 0 {
 		return
@@ -66,7 +66,7 @@
 		})
 	}
 	round.values, round.eligible = make([]float64, len(workers)), make([]bool, len(workers))
-	round.Round = assignment.NewRound(workers, view.demand)
+	round.Round = assignment.NewRound(workers)
 	scheduler.holdMoves(round)
 	return round
 }
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -69,7 +69,7 @@
 		case candidate.rank == rankWorthless && !valuableWaits:
 			candidate.minSpeed = minLateSpeed
 		}
-		if step := candidate.spec(); step.Fills && !step.Gang && scheduler.uses(mechanism.JointAssignment) {
+		if step := candidate.spec(); step.Fills && !step.Gang {
 			filling = append(filling, candidate)
 			continue
 		}
