urgency: filling runs share the pace, levels are removed

Levels of urgency (package, messages, counters, tests) were to give pace to the runs on which a job's end depends.

Messages of earlier versions with levels are read without them.

--- a/assignment/joint.go
+++ b/assignment/joint.go
@@ -1,15 +1,9 @@
 package assignment
 
-import (
-	"math"
-
-	"hyssopjunction/pacing"
-)
+import "math"
 
 // Parameters of the joint assignment of filling tasks.
 const (
-	// levels is the number of urgencies.
-	levels = int(pacing.Critical-pacing.Background) + 1
 	// freeWeight makes a worker's share of free cores count half as much as the speed of the run: loads change while a run
 	// lasts, and a worker with more free cores bears a higher one.
 	freeWeight = 0.5
@@ -20,32 +14,12 @@
 
 // Room is by how much the tail latencies of the serving tasks of one image on a worker may still rise.
 type Room struct {
-	// Left holds the room, as a logarithm, that the filling runs of each urgency and all higher ones leave, the lowest urgency
-	// first. Runs of lower urgency yield their pace, so they take no room from the others.
-	Left [levels]float64
+	// Left is the room, as a logarithm, that the filling runs leave.
+	Left float64
 	// Weights holds the increase per core of each filling image, by the image's position.
 	Weights []float64
 }
 
-// NewRoom returns the room beside serving tasks without filling runs.
-func NewRoom(left float64, weights []float64) Room {
-	room := Room{Weights: weights}
-	for level := range room.Left {
-		room.Left[level] = left
-	}
-	return room
-}
-
-// Take takes the room of a filling run.
-func (room *Room) Take(urgency pacing.Urgency, increase float64) {
-	for level := range int(urgency-pacing.Background) + 1 {
-		room.Left[level] -= increase
-	}
-}
-
-// Of returns the room that runs of the urgency and all higher ones leave.
-func (room *Room) Of(urgency pacing.Urgency) float64 { return room.Left[urgency-pacing.Background] }
-
 // Worker is a worker as filling tasks see it. Cores are numbers of cores.
 type Worker struct {
 	Capacity float64
@@ -60,9 +34,8 @@
 // Group is a group of equal waiting filling tasks.
 type Group struct {
 	// Image is the position of the image.
-	Image   int
-	Cores   float64
-	Urgency pacing.Urgency
+	Image int
+	Cores float64
 	// MinSpeed is the share of its full speed that a run must be expected to reach. Anywhere ignores it, and idle cores.
 	MinSpeed float64
 	Anywhere bool
@@ -90,7 +63,7 @@
 	for index := range worker.Rooms {
 		room := &worker.Rooms[index]
 		if weight := room.Weights[group.Image]; weight > 0 && group.Cores > 0 {
-			share = math.Min(share, math.Max(0, room.Of(group.Urgency))/(weight*group.Cores))
+			share = math.Min(share, math.Max(0, room.Left)/(weight*group.Cores))
 		}
 	}
 	return share
@@ -130,6 +103,6 @@
 	worker.Filling += cores
 	for index := range worker.Rooms {
 		room := &worker.Rooms[index]
-		room.Take(group.Urgency, room.Weights[group.Image]*cores)
+		room.Left -= room.Weights[group.Image] * cores
 	}
 }
--- a/cmd/clusterexplain.go
+++ b/cmd/clusterexplain.go
@@ -78,7 +78,6 @@
 	if reply.Known {
 		summary.add("AgeMillis", millisText(job.Age))
 		summary.add("ExpectedEndMillis", millisText(job.ExpectedEnd))
-		summary.add("Committed", strconv.FormatBool(job.Committed))
 		summary.add("Rank", job.Rank)
 		summary.add("Runs", strconv.Itoa(job.RunCount))
 		summary.add("Term", strconv.FormatInt(reply.Term, 10))
@@ -89,13 +88,13 @@
 	for _, item := range job.Waiting {
 		waiting.add(fmt.Sprintf("%d.%d", item.Occurrence, item.Step), strconv.Itoa(item.Tasks), strconv.Itoa(item.Position), item.Reason)
 	}
-	runs := table{header: []string{"TASK", "RUN", "WORKER", "PACE", "URGENCY", "DONE", "AGE", "COPY", "STOPPING"}}
+	runs := table{header: []string{"TASK", "RUN", "WORKER", "PACE", "DONE", "AGE", "COPY", "STOPPING"}}
 	for _, run := range job.Runs {
 		pace := "-"
 		if run.Pace >= 0 {
 			pace = strconv.Itoa(run.Pace) + "%"
 		}
-		runs.add(run.Task, strconv.Itoa(int(run.Run)), run.Worker, pace, run.Urgency, strconv.Itoa(run.Percent)+"%", millisText(run.Age),
+		runs.add(run.Task, strconv.Itoa(int(run.Run)), run.Worker, pace, strconv.Itoa(run.Percent)+"%", millisText(run.Age),
 			strconv.FormatBool(run.Copy), strconv.FormatBool(run.Stopping))
 	}
 	moves := table{header: []string{"MOVED TASK", "FROM", "AGE"}}
--- a/coordinator/agents.go
+++ b/coordinator/agents.go
@@ -81,8 +81,6 @@
 	// weightsSentAt is when interference weights were last compared with those that were sent, sentWeights.
 	weightsSentAt clock.Time
 	sentWeights   map[[2]pacing.Image]float64
-	// sentUrgencies holds the last urgency that was sent of each filling run whose start was sent.
-	sentUrgencies map[runKey]pacing.Urgency
 }
 
 // Attend serves an agent's session until its stream or the term ends. Errors: session.ErrNotLeading,
@@ -95,7 +93,7 @@
 	if coordinator.deps.Faults.isIgnored(agentSource(first.Node)) {
 		return ErrIgnored{Node: first.Node}
 	}
-	agent := &agentSession{node: first.Node, queue: make(chan *session.Orders, maxQueuedOrders), detached: make(chan struct{}), sentWeights: map[[2]pacing.Image]float64{}, sentUrgencies: map[runKey]pacing.Urgency{}}
+	agent := &agentSession{node: first.Node, queue: make(chan *session.Orders, maxQueuedOrders), detached: make(chan struct{}), sentWeights: map[[2]pacing.Image]float64{}}
 	ok := coordinator.loop.Post(func() {
 		if previous, ok := coordinator.sessions[agent.node]; ok {
 			coordinator.detach(previous)
@@ -191,7 +189,6 @@
 		}
 		if report.Listed {
 			coordinator.scheduler.RecordProgress(agent.incarnation, coordinator.convertProgress(report.Progress), now)
-			coordinator.updateUrgencies(agent, now)
 		}
 	}
 	coordinator.grantLease(agent, now)
@@ -223,7 +220,6 @@
 		agent.weightsSentAt = now
 		orders.Weights = agent.changedWeights(coordinator.scheduler.Weights(agent.incarnation, now))
 	}
-	coordinator.addUrgencies(agent, orders)
 	coordinator.enqueue(agent, orders)
 }
 
@@ -309,7 +305,6 @@
 	}
 	agent.incarnation, agent.storedEnd, agent.expectedSent, agent.answeredAt = incarnation, 0, false, 0
 	clear(agent.sentWeights)
-	clear(agent.sentUrgencies)
 	coordinator.workers[agent.node] = attachedWorker{incarnation: incarnation}
 }
 
@@ -421,7 +416,6 @@
 		}
 		if start, ok := newStart(order); ok {
 			coordinator.counters.starts.Inc()
-			coordinator.recordSentStart(order)
 			step := order.Name
 			step.Index = 0
 			placed[step] = append(placed[step], fmt.Sprintf("%d:%d %s", order.Name.Index, order.Run, order.Worker))
@@ -452,7 +446,7 @@
 	return session.Start{
 		Incarnation: string(order.Worker), Task: order.Name.String(), Run: order.Run, Payload: order.Job.Spec.Payload,
 		Saved: task.Saved, Reserved: step.Reserved(), Fills: step.Fills, CPU: step.Need.CPU, Target: step.Target, Image: step.Image,
-		Copies: step.MayHaveCopies(), Urgency: int(order.Urgency),
+		Copies: step.MayHaveCopies(),
 	}, true
 }
 
--- a/coordinator/counters.go
+++ b/coordinator/counters.go
@@ -5,7 +5,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"hyssopjunction/pacing"
 	"hyssopjunction/scheduler"
 	"hyssopjunction/speculation"
 	"hyssopjunction/workflow"
@@ -17,8 +16,6 @@
 	withheldStarts                           *metrics.Counter
 	finished, faulted, interrupted           *metrics.Counter
 	workerEnds, workerLapses, workersAwaited *metrics.Counter
-	urgenciesSent, urgencyDecisions          *metrics.Counter
-	urgencyChanges                           map[pacing.Urgency]*metrics.Counter
 	roundMillis                              *metrics.Histogram
 	assignment                               assignmentCounters
 	copies                                   map[speculation.Evidence]*metrics.Counter
@@ -57,17 +54,8 @@
 		workerEnds:     metrics.GetOrCreateCounter("hyssopjunction_coordinator_worker_ends_total"),
 		workerLapses:   metrics.GetOrCreateCounter("hyssopjunction_coordinator_worker_lapses_total"),
 		workersAwaited: metrics.GetOrCreateCounter("hyssopjunction_coordinator_workers_awaited_total"),
-		urgenciesSent:  metrics.GetOrCreateCounter("hyssopjunction_coordinator_urgencies_sent_total"),
-
-		urgencyDecisions: metrics.GetOrCreateCounter("hyssopjunction_urgency_decisions_total"),
-		urgencyChanges: map[pacing.Urgency]*metrics.Counter{
-			pacing.Background: metrics.GetOrCreateCounter(`hyssopjunction_urgency_changes_total{level="Background"}`),
-			pacing.Normal:     metrics.GetOrCreateCounter(`hyssopjunction_urgency_changes_total{level="Normal"}`),
-			pacing.Elevated:   metrics.GetOrCreateCounter(`hyssopjunction_urgency_changes_total{level="Elevated"}`),
-			pacing.Critical:   metrics.GetOrCreateCounter(`hyssopjunction_urgency_changes_total{level="Critical"}`),
-		},
-		assignment:  newAssignmentCounters(),
-		roundMillis: metrics.GetOrCreateHistogram("hyssopjunction_coordinator_round_millis"),
+		assignment:     newAssignmentCounters(),
+		roundMillis:    metrics.GetOrCreateHistogram("hyssopjunction_coordinator_round_millis"),
 	}
 }
 
--- a/explanation/explanation.go
+++ b/explanation/explanation.go
@@ -20,8 +20,6 @@
 	ID    workflow.ID
 	Queue workflow.Queue
 	State workflow.State
-	// Committed reports that the job is one of those that get the capacity for filling tasks first.
-	Committed bool
 	// Rank is the rank of the job's first unfinished step among the waiting tasks of all jobs, by name.
 	Rank string `json:",omitempty"`
 	// Age is the time since the acceptance. ExpectedEnd is the age at which the job ends if its tasks find capacity at once, and
@@ -52,7 +50,6 @@
 	Task     string
 	Run      workflow.Run
 	Worker   string
-	Urgency  string
 	Pace     int
 	Percent  int
 	Age      clock.Millis
@@ -82,13 +79,11 @@
 
 // Kinds of decisions.
 const (
-	Placed    Kind = "Placed"
-	Moved     Kind = "Moved"
-	Paced     Kind = "Paced"
-	RackWait  Kind = "RackWait"
-	Failed    Kind = "Failed"
-	Rejected  Kind = "Rejected"
-	Committed Kind = "CommitmentChanged"
+	Placed   Kind = "Placed"
+	Moved    Kind = "Moved"
+	RackWait Kind = "RackWait"
+	Failed   Kind = "Failed"
+	Rejected Kind = "Rejected"
 	// Suspected: a worker crashed under a task that may have caused it. GivenUp: a task crashes its workers.
 	Suspected Kind = "Suspected"
 	GivenUp   Kind = "GivenUp"
--- a/mechanism/mechanism.go
+++ b/mechanism/mechanism.go
@@ -16,8 +16,6 @@
 
 // The mechanisms that can be switched off. No promise to callers depends on them.
 const (
-	// Urgency gives the pace that serving tasks allow to the runs on which a job's end depends.
-	Urgency Name = "Urgency"
 	// Colocation moves serving tasks together that are sensitive to the same filling images.
 	Colocation Name = "Colocation"
 	// Moves moves slow filling runs to other workers.
@@ -47,7 +45,7 @@
 // All returns the names of all mechanisms in the order of the documentation.
 func All() []Name {
 	return []Name{
-		Urgency, Colocation, Moves, RackWaits, HotRacks, Copies, Factors, QuickHeadroom, StallQuarantine, WorkerSpeeds,
+		Colocation, Moves, RackWaits, HotRacks, Copies, Factors, QuickHeadroom, StallQuarantine, WorkerSpeeds,
 		RestartDelays, SpeedThreshold, Relays,
 	}
 }
--- a/pacing/governor.go
+++ b/pacing/governor.go
@@ -1,9 +1,7 @@
 package pacing
 
 import (
-	"cmp"
 	"math"
-	"slices"
 
 	"hyssopjunction/clock"
 )
@@ -106,18 +104,15 @@
 }
 
 // Allocate updates the paces without updating the trust. It is called when a filling task has started, which
-// must not run at full pace until the next sample. What the serving tasks allow goes to the most urgent filling tasks
-// first; within one urgency it is shared.
+// must not run at full pace until the next sample. The filling tasks share what the serving tasks allow.
 func (governor *Governor) Allocate(serving []ServingSample, filling []FillingSample, weights WeightFunc) {
 	shares := make([]float64, len(filling))
 	for position := range filling {
 		shares[position] = 1
 	}
 	governor.limit = Limit{Halted: governor.halted}
-	for _, group := range groupsByUrgency(filling) {
-		for _, task := range serving {
-			governor.limitShares(task, filling, group, shares, weights)
-		}
+	for _, task := range serving {
+		governor.limitShares(task, filling, shares, weights)
 	}
 	if governor.halted {
 		clear(shares)
@@ -177,35 +172,9 @@
 	return BaselineTail(task, filling, weights) > math.Log(ownLoadRatio)
 }
 
-// urgencyGroup holds the positions of the filling tasks of one urgency, and of all more urgent ones.
-type urgencyGroup struct {
-	members    []int
-	moreUrgent []int
-}
-
-// groupsByUrgency returns the groups of the filling tasks, the most urgent first.
-func groupsByUrgency(filling []FillingSample) []urgencyGroup {
-	positions := make([]int, len(filling))
-	for position := range positions {
-		positions[position] = position
-	}
-	slices.SortStableFunc(positions, func(left, right int) int { return cmp.Compare(filling[right].Urgency, filling[left].Urgency) })
-	var groups []urgencyGroup
-	for begin := 0; begin < len(positions); {
-		end := begin + 1
-		for end < len(positions) && filling[positions[end]].Urgency == filling[positions[begin]].Urgency {
-			end++
-		}
-		groups = append(groups, urgencyGroup{members: positions[begin:end], moreUrgent: positions[:begin]})
-		begin = end
-	}
-	return groups
-}
-
-// limitShares lowers the shares, from 0 to 1, of the requested cores of a group's tasks until the serving task is
-// expected to stay at setpointShare. The shares of more urgent tasks are decided already, and less urgent tasks get
-// what the group leaves.
-func (governor *Governor) limitShares(task ServingSample, filling []FillingSample, group urgencyGroup, shares []float64, weights WeightFunc) {
+// limitShares lowers the shares, from 0 to 1, of the requested cores of the filling tasks until the serving task is expected to
+// stay at setpointShare.
+func (governor *Governor) limitShares(task ServingSample, filling []FillingSample, shares []float64, weights WeightFunc) {
 	trust, ok := governor.trust[task.Task]
 	if !ok {
 		trust = 1
@@ -214,25 +183,19 @@
 	if task.ratio() > lowerTrustAbove && !isOwnLoad(task, filling, weights) {
 		minWeight = minSuspectWeight
 	}
-	currentIncrease := 0.0
+	currentIncrease, requestedIncrease := 0.0, 0.0
 	increases := make([]float64, len(filling))
 	for position, other := range filling {
 		weight := math.Max(minWeight, weights(task.Image, other.Image))
 		currentIncrease += weight * other.Used
 		increases[position] = weight * other.Cores * shares[position]
-	}
-	requestedIncrease, reservedIncrease := 0.0, 0.0
-	for _, position := range group.members {
 		requestedIncrease += increases[position]
 	}
-	for _, position := range group.moreUrgent {
-		reservedIncrease += increases[position]
-	}
 	if requestedIncrease <= 0 {
 		return
 	}
 	room := math.Log(setpointShare) - math.Log(task.ratio()) + currentIncrease
-	allowedIncrease := room*trust - reservedIncrease
+	allowedIncrease := room * trust
 	if requestedIncrease <= allowedIncrease && trust >= 1 {
 		return
 	}
@@ -243,9 +206,9 @@
 			TrustPercent: int(math.Round(FullPace * trust)), Halted: governor.halted, factor: factor,
 		}
 	}
-	// Tasks that contribute little, compared with the group and all more urgent ones, keep their share.
-	littleIncrease := (requestedIncrease + reservedIncrease) / float64(4*(len(group.members)+len(group.moreUrgent)))
-	for _, position := range group.members {
+	// Tasks that contribute little, compared with the others, keep their share.
+	littleIncrease := requestedIncrease / float64(4*len(filling))
+	for position := range filling {
 		if increases[position] > 0 && increases[position] >= littleIncrease {
 			shares[position] *= factor
 		}
--- a/scheduler/assignfilling.go
+++ b/scheduler/assignfilling.go
@@ -4,7 +4,6 @@
 	"hyssopjunction/account"
 	"hyssopjunction/assignment"
 	"hyssopjunction/clock"
-	"hyssopjunction/pacing"
 	"hyssopjunction/unit"
 	"hyssopjunction/workflow"
 )
@@ -83,7 +82,7 @@
 		candidate.accountWait(blocked[key].cause, now)
 		return
 	}
-	group, ok := scheduler.groupOf(step, record.startUrgency(), candidate.minSpeed)
+	group, ok := scheduler.groupOf(step, candidate.minSpeed)
 	if !ok {
 		return
 	}
@@ -147,17 +146,9 @@
 }
 
 // groupOf returns the group of the equal tasks of a step, or false if the view of the round lacks their image.
-func (scheduler *Scheduler) groupOf(step *workflow.Step, urgency pacing.Urgency, minSpeed float64) (assignment.Group, bool) {
+func (scheduler *Scheduler) groupOf(step *workflow.Step, minSpeed float64) (assignment.Group, bool) {
 	image, ok := scheduler.view.position(step.Image)
-	return assignment.Group{Image: image, Cores: cores(step), Urgency: urgency, MinSpeed: minSpeed}, ok
-}
-
-// startUrgency returns the urgency at which filling runs of the job start.
-func (record *jobRecord) startUrgency() pacing.Urgency {
-	if record.isCommitted() {
-		return pacing.Normal
-	}
-	return pacing.Background
+	return assignment.Group{Image: image, Cores: cores(step), MinSpeed: minSpeed}, ok
 }
 
 // spec returns the specification of the candidate's step.
--- a/scheduler/chooseworker.go
+++ b/scheduler/chooseworker.go
@@ -65,7 +65,7 @@
 		}
 		score, duration := scheduler.score(record, step, worker, now), scheduler.relativeDuration(step, worker, now)
 		if step.Fills {
-			speed := scheduler.expectedSpeed(step, record.startUrgency(), worker, now)
+			speed := scheduler.expectedSpeed(step, worker, now)
 			if speed < minSpeed && !starved {
 				continue
 			}
--- a/scheduler/explain.go
+++ b/scheduler/explain.go
@@ -46,7 +46,7 @@
 	}
 	capacity := scheduler.fillingCapacity(now)
 	job := explanation.Job{
-		ID: id, Queue: record.job.Spec.Queue, State: record.job.State, Committed: record.isCommitted(),
+		ID: id, Queue: record.job.Spec.Queue, State: record.job.State,
 		Age: now.Sub(record.acceptedAt), Objective: scheduler.objective(record),
 	}
 	job.ExpectedEnd = job.Age
@@ -95,13 +95,13 @@
 // explainRuns returns the number of the job's active runs and the description of the first of them. Both runs of a copied
 // task are among them; Copy is to be set here.
 func (scheduler *Scheduler) explainRuns(record *jobRecord, now clock.Time) (int, []explanation.Run) {
-	runs := slices.SortedFunc(maps.Keys(record.urgency.runs), func(left, right *activeRun) int {
+	runs := slices.SortedFunc(maps.Keys(record.runs), func(left, right *activeRun) int {
 		return compareNames(left.name, right.name)
 	})
 	var list []explanation.Run
 	for _, run := range runs[:min(len(runs), explanation.MaxRuns)] {
 		item := explanation.Run{
-			Task: run.name.String(), Run: run.number, Pace: -1, Percent: run.progressPercent, Urgency: run.urgency.String(),
+			Task: run.name.String(), Run: run.number, Pace: -1, Percent: run.progressPercent,
 			Age: now.Sub(run.placedAt), Stopping: run.stopping,
 		}
 		_, item.Copy = scheduler.copies.placed[speculation.Key{Name: run.name, Run: run.number}]
@@ -147,7 +147,7 @@
 	var group assignment.Group
 	if step.Fills {
 		round = scheduler.newFillingRound([]candidate{waiting}, now)
-		group, _ = scheduler.groupOf(step, record.startUrgency(), waiting.minSpeed)
+		group, _ = scheduler.groupOf(step, waiting.minSpeed)
 	}
 	counts := map[string]int{}
 	for _, worker := range scheduler.workers {
--- a/scheduler/interference.go
+++ b/scheduler/interference.go
@@ -116,9 +116,9 @@
 		image, room := pacing.Image(run.step.Image), run.baseline.PlacementRoom()
 		index := slices.IndexFunc(worker.rooms, func(other servingRoom) bool { return other.image == image })
 		if index < 0 {
-			worker.rooms = append(worker.rooms, servingRoom{image: image, Room: assignment.NewRoom(room, nil)})
-		} else if room < worker.rooms[index].Of(pacing.Background) {
-			worker.rooms[index].Room = assignment.NewRoom(room, nil)
+			worker.rooms = append(worker.rooms, servingRoom{image: image, Room: assignment.Room{Left: room}})
+		} else if room < worker.rooms[index].Left {
+			worker.rooms[index].Left = room
 		}
 	}
 	for _, run := range worker.runs {
@@ -127,16 +127,15 @@
 		}
 		for index := range worker.rooms {
 			room := &worker.rooms[index]
-			room.Take(run.urgency, scheduler.model.Weight(room.image, pacing.Image(run.step.Image), now)*cores(run.step)*run.usage.Share())
+			room.Left -= scheduler.model.Weight(room.image, pacing.Image(run.step.Image), now) * cores(run.step) * run.usage.Share()
 		}
 	}
 	return worker.rooms
 }
 
 // expectedSpeed returns the share of its requested cores that a filling task could use on a worker while the
-// tail latencies of the serving tasks there stay at the share of their target that the governor aims at. Runs of a lower
-// urgency yield their pace to it.
-func (scheduler *Scheduler) expectedSpeed(step *workflow.Step, urgency pacing.Urgency, worker *workerState, now clock.Time) float64 {
+// tail latencies of the serving tasks there stay at the share of their target that the governor aims at.
+func (scheduler *Scheduler) expectedSpeed(step *workflow.Step, worker *workerState, now clock.Time) float64 {
 	cores := cores(step)
 	if cores <= 0 {
 		return 1
@@ -144,7 +143,7 @@
 	speed := 1.0
 	for _, room := range scheduler.servingRooms(worker, now) {
 		if weight := scheduler.model.Weight(room.image, pacing.Image(step.Image), now); weight > 0 {
-			speed = math.Min(speed, math.Max(0, room.Of(urgency))/(weight*cores))
+			speed = math.Min(speed, math.Max(0, room.Left)/(weight*cores))
 		}
 	}
 	return speed
--- a/scheduler/movethrottled.go
+++ b/scheduler/movethrottled.go
@@ -72,7 +72,7 @@
 			continue
 		}
 		target := round.workers[position]
-		if group, ok := scheduler.groupOf(candidate.step, candidate.urgency, minFillingSpeed); ok {
+		if group, ok := scheduler.groupOf(candidate.step, minFillingSpeed); ok {
 			round.Place(position, group)
 		}
 		if record.moves == nil {
@@ -87,7 +87,7 @@
 	}
 }
 
-// moveCandidates returns the filling runs that may be moved: the most urgent first, then those with most to gain.
+// moveCandidates returns the filling runs that may be moved, those with most to gain first.
 func (scheduler *Scheduler) moveCandidates(now clock.Time) []moveCandidate {
 	var list []moveCandidate
 	for _, worker := range scheduler.workers {
@@ -110,7 +110,7 @@
 		}
 	}
 	slices.SortFunc(list, func(left, right moveCandidate) int {
-		return cmp.Or(cmp.Compare(right.urgency, left.urgency), cmp.Compare(right.gain, left.gain), compareNames(left.name, right.name))
+		return cmp.Or(cmp.Compare(right.gain, left.gain), compareNames(left.name, right.name))
 	})
 	return list
 }
@@ -128,7 +128,7 @@
 func (scheduler *Scheduler) bestMove(round *fillingRound, candidate moveCandidate, record *jobRecord, now clock.Time) (best int, gain clock.Millis) {
 	best, gain = -1, scheduler.bounds.MinGain()
 	bestValue, step := 0.0, candidate.step
-	group, ok := scheduler.groupOf(step, candidate.urgency, minFillingSpeed)
+	group, ok := scheduler.groupOf(step, minFillingSpeed)
 	if !ok {
 		return -1, 0
 	}
@@ -167,7 +167,7 @@
 		if !open {
 			continue
 		}
-		group, ok := scheduler.groupOf(&record.job.Spec.Steps[name.Step], record.startUrgency(), 0)
+		group, ok := scheduler.groupOf(&record.job.Spec.Steps[name.Step], 0)
 		if position := slices.Index(round.workers, move.target); ok && position >= 0 {
 			round.Place(position, group)
 		}
@@ -187,7 +187,7 @@
 	if position < 0 {
 		return -1
 	}
-	group, ok := scheduler.groupOf(step, record.startUrgency(), minLateSpeed)
+	group, ok := scheduler.groupOf(step, minLateSpeed)
 	if !ok {
 		return -1
 	}
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -245,8 +245,8 @@
 	record.accountPlacement(run, now)
 	worker.lastPlacedAt = now
 	scheduler.copies.add(run)
-	scheduler.setStartUrgency(record, run, now)
+	record.runs.Add(run)
 	scheduler.dirtyJobs[record.job.Spec.ID] = record
 	record.recordDecision(explanation.Placed, "last on "+string(worker.Incarnation), now)
-	scheduler.orders = append(scheduler.orders, Order{Worker: worker.Incarnation, Name: name, Run: number, Job: record.job, Urgency: run.urgency})
+	scheduler.orders = append(scheduler.orders, Order{Worker: worker.Incarnation, Name: name, Run: number, Job: record.job})
 }
--- a/scheduler/runend.go
+++ b/scheduler/runend.go
@@ -50,7 +50,6 @@
 	switch end.Cause {
 	case workflow.Finished:
 		worker.health.recordFinished()
-		scheduler.recordFinishedTime(run, now)
 		if !run.restored {
 			// An earlier leader placed a restored run, so it is not known how long it took.
 			scheduler.observeDuration(run, now)
@@ -108,7 +107,7 @@
 		return
 	}
 	record.activeRuns--
-	delete(record.urgency.runs, run)
+	delete(record.runs, run)
 	if record.job.State.Final() {
 		if record.job.EndRunOfFinalJob(run.name, run.number) {
 			scheduler.dirtyJobs[record.job.Spec.ID] = record
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -27,8 +27,6 @@
 	// Reason is that of a stop.
 	Reason StopReason
 	Job    *workflow.Job
-	// Urgency is the level of a run that is to be started.
-	Urgency pacing.Urgency
 	// MoveTo is the worker that the task of a stopped run is moved to, or empty.
 	MoveTo Incarnation
 }
@@ -84,10 +82,6 @@
 	transfers map[workflow.Name]*transfer
 	// movedAt is when moves of slow filling runs were last considered.
 	movedAt clock.Time
-	// urgencies is reused by decideUrgencies.
-	urgencies urgencyBuffers
-	// urgencyDecisions holds decisions that UpdateUrgencies has not returned yet.
-	urgencyDecisions []UrgencyDecision
 	// fillingMoves holds the filling tasks that are being moved.
 	fillingMoves map[workflow.Name]*fillingMove
 	// bounds are the limits of the platform.
@@ -129,7 +123,8 @@
 	activeRuns int
 	// standingWaitSince is the time since which the job has a waiting standing task, or 0.
 	standingWaitSince clock.Time
-	urgency           jobUrgency
+	// runs holds the active runs.
+	runs set.Set[*activeRun]
 	// moves holds the latest moves of filling tasks. It may be lost: a new leader then allows them a few more.
 	moves map[workflow.Name]assignment.History
 	// rackWaits holds since when tasks wait for the rack that holds their data.
@@ -181,7 +176,7 @@
 // Restore adds a job in its stored state. Active tasks whose worker is unknown are kept as orphans until
 // the worker is reported by UpdateWorker or removed by RemoveWorker.
 func (scheduler *Scheduler) Restore(job *workflow.Job, acceptedAt clock.Time) {
-	record := &jobRecord{job: job, acceptedAt: acceptedAt, failuresByWorker: map[Incarnation]int{}}
+	record := &jobRecord{job: job, acceptedAt: acceptedAt, failuresByWorker: map[Incarnation]int{}, runs: set.New[*activeRun]()}
 	scheduler.jobs[job.Spec.ID] = record
 	scheduler.dirty = true
 	if len(job.Occurrences) > 0 {
@@ -196,7 +191,7 @@
 	job.EachRun(func(name workflow.Name, active workflow.ActiveRun) {
 		record.activeRuns++
 		run := &activeRun{name: name, number: active.Run, job: job, step: &job.Spec.Steps[name.Step], placedAt: acceptedAt, progressAt: acceptedAt, restored: true}
-		record.urgency.add(run)
+		record.runs.Add(run)
 		scheduler.copies.add(run)
 		incarnation := Incarnation(active.Worker)
 		if worker, ok := scheduler.workers[incarnation]; ok {
@@ -435,7 +430,7 @@
 	var orders []Order
 	for _, run := range sortedRuns(worker) {
 		orders = append(orders, Order{
-			Worker: incarnation, Name: run.name, Run: run.number, Stop: run.stopping, Job: run.job, Urgency: run.urgency,
+			Worker: incarnation, Name: run.name, Run: run.number, Stop: run.stopping, Job: run.job,
 		})
 	}
 	return orders
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -61,8 +61,6 @@
 	rooms      []servingRoom
 	roomsValid bool
 	health     health
-	// urgenciesAt is when the levels of the jobs on the worker were last decided.
-	urgenciesAt clock.Time
 	// speeds holds what is known of the speed of the worker. It may be lost.
 	speeds workerSpeeds
 	// refusalDelayEnd is the time until which the worker gets no new runs after it refused a start.
@@ -113,11 +111,7 @@
 	throttledSince clock.Time
 	// course is what reports tell of the run's speed.
 	course runCourse
-	// urgency is the level at which the agent paces a filling run.
-	urgency pacing.Urgency
-	// leftover reports that the run was placed while its job was not committed.
-	leftover bool
-	pace     runPace
+	pace   runPace
 	// usage is what the samples of a filling run tell of its usage at full pace.
 	usage pacing.Usage
 	// timed reports that the run's task time was recorded.
--- a/session/message.go
+++ b/session/message.go
@@ -125,20 +125,6 @@
 	Stops       []Stop  `json:",omitempty"`
 	// Weights holds the interference weights that changed since they were last sent to the agent's worker.
 	Weights []Weight `json:"WeightChanges,omitempty"`
-	// Urgencies holds the levels of runs that changed since they were last sent in the session, at most MaxUrgencies,
-	// the most urgent first. They follow from the report with the number Sequence.
-	Urgencies []Urgency `json:",omitempty"`
-}
-
-// MaxUrgencies is the most levels that one message holds. The rest follows in the next one.
-const MaxUrgencies = 64
-
-// Urgency is the level of a run, by which the agent divides the pace that serving tasks allow between filling runs. Levels
-// are those of pacing.Urgency. They hold until the agent has not heard of the leader for a while, and in one session.
-type Urgency struct {
-	Task  string
-	Run   workflow.Run
-	Level int `json:",omitempty"`
 }
 
 // Weight is the increase of the log tail latency of a serving image per core that a filling image uses.
@@ -163,8 +149,6 @@
 	CPU    unit.MilliCPU `json:",omitempty"`
 	Target clock.Millis  `json:",omitempty"`
 	Image  string        `json:",omitempty"`
-	// Urgency is the run's level when the order was made.
-	Urgency int `json:",omitempty"`
 	// Copies reports that the task may have two runs. The start must be made soon after the order was sent, because the
 	// other run may finish.
 	Copies bool `json:",omitempty"`
--- a/supervisor/leadersession.go
+++ b/supervisor/leadersession.go
@@ -121,7 +121,6 @@
 // beginSession discards what an earlier session reported.
 func (supervisor *Supervisor) beginSession() {
 	supervisor.session = sessionState{startedAt: supervisor.clock.Now(), sentAt: map[uint64]clock.Time{}}
-	supervisor.resetUrgencies()
 }
 
 // isResponsive reports whether the leader may place runs on the worker. A leader that has just taken over places
@@ -233,7 +232,6 @@
 	if orders.Term > supervisor.grant.term {
 		supervisor.grant.term = orders.Term
 	}
-	supervisor.recordLeaderMessage(orders.Sequence)
 	if sentAt, ok := supervisor.session.sentAt[orders.Sequence]; ok && orders.Lease > 0 {
 		supervisor.extendGrant(sentAt.Add(orders.Lease))
 	}
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -51,7 +51,6 @@
 		}
 		supervisor.applyStart(worker, order, limits)
 	}
-	supervisor.applyUrgencies(worker, orders.Urgencies)
 }
 
 // earliestSending returns a time before which the leader did not send the orders: it had received a report of this agent,
@@ -81,7 +80,6 @@
 			run.order, run.hasOrder = order, true
 		}
 		run.startLimits = limits
-		supervisor.setUrgency(run, order.Urgency)
 		return
 	}
 	for _, end := range worker.listing.Ended {
@@ -90,7 +88,6 @@
 		}
 	}
 	run := &runState{order: order, phase: phaseStarting, pacePercent: pacing.FullPace, hasOrder: true, orderedAt: supervisor.clock.Now(), startLimits: limits}
-	supervisor.setUrgency(run, order.Urgency)
 	if !worker.reserved().Add(order.Reserved).FitsIn(worker.announcement.Capacity) {
 		supervisor.giveUpStart(run, reasonRoom)
 	}
--- a/supervisor/paces.go
+++ b/supervisor/paces.go
@@ -9,7 +9,7 @@
 
 // updatePaces decides the paces of the filling tasks by the latest samples and sets them.
 func (supervisor *Supervisor) updatePaces(worker *workerState) {
-	serving, filling := worker.samples(supervisor.areUrgenciesCurrent(worker))
+	serving, filling := worker.samples()
 	worker.governor.Decide(serving, filling, worker.weight, supervisor.clock.Now())
 	supervisor.logPaces(worker, filling)
 	supervisor.setPaces(worker)
@@ -23,7 +23,7 @@
 
 // allocatePaces decides the paces of the filling tasks when their set has changed between two listings.
 func (supervisor *Supervisor) allocatePaces(worker *workerState) {
-	serving, filling := worker.samples(supervisor.areUrgenciesCurrent(worker))
+	serving, filling := worker.samples()
 	worker.governor.Allocate(serving, filling, worker.weight)
 }
 
@@ -37,8 +37,8 @@
 }
 
 // samples returns the latest samples of the serving tasks and of all started filling tasks. The usage of filling
-// tasks that are not listed yet is 0. If withUrgencies is false, all filling tasks are normal.
-func (worker *workerState) samples(withUrgencies bool) ([]pacing.ServingSample, []pacing.FillingSample) {
+// tasks that are not listed yet is 0.
+func (worker *workerState) samples() ([]pacing.ServingSample, []pacing.FillingSample) {
 	var serving []pacing.ServingSample
 	used := map[runKey]int64{}
 	for _, item := range worker.listing.Active {
@@ -54,13 +54,9 @@
 	var filling []pacing.FillingSample
 	for key, run := range worker.runs {
 		if run.order.Fills && run.phase == phaseStarted {
-			sample := pacing.FillingSample{
+			filling = append(filling, pacing.FillingSample{
 				Task: key.task, Image: pacing.Image(run.order.Image), Cores: float64(run.order.CPU) / milliPerCore * run.usage.Share(), Used: float64(used[key]) / milliPerCore,
-			}
-			if withUrgencies {
-				sample.Urgency = run.urgency
-			}
-			filling = append(filling, sample)
+			})
 		}
 	}
 	return serving, filling
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -75,7 +75,6 @@
 	// rejections are the ones to be sent with the next report.
 	rejections []session.Rejection
 	session    sessionState
-	urgency    urgencyState
 	// directory is nil before Follow is called.
 	directory Directory
 	// crashed holds the workers whose crash no leader has stored yet.
@@ -174,9 +173,6 @@
 	pacedAfterStart bool
 	// startAttempts counts the starts that failed with ErrNothingDone or ErrNotListening.
 	startAttempts int
-	// urgency is the level that the leader sent at urgencyAt, or Normal.
-	urgency   pacing.Urgency
-	urgencyAt clock.Time
 	// hasOrder is false for runs that the worker listed before the leader ordered them again after a restart of
 	// the agent. Their reservation is not known yet.
 	hasOrder bool
@@ -202,7 +198,7 @@
 	baseContext, cancel := context.WithCancel(context.Background())
 	supervisor := &Supervisor{
 		node: node, clock: source, runtime: runtime, leaseLength: leaseLength, maxOverTarget: maxOverTarget, loop: loop.New(), baseContext: baseContext, cancel: cancel,
-		callSlots: make(chan struct{}, maxConcurrentCalls), reportRequests: make(chan struct{}, 1), urgency: urgencyState{counters: newUrgencyCounters()},
+		callSlots: make(chan struct{}, maxConcurrentCalls), reportRequests: make(chan struct{}, 1),
 	}
 	supervisor.background(supervisor.renewLeases)
 	return supervisor
