--- a/scheduler/makeroom.go
+++ b/scheduler/makeroom.go
@@ -3,6 +3,7 @@
 import (
 	"hyssopjunction/clock"
 	"hyssopjunction/packing"
+	"hyssopjunction/set"
 	"hyssopjunction/unit"
 	"hyssopjunction/workflow"
 )
@@ -32,15 +33,19 @@
 	}
 	scheduler.madeRoomAt = now
 	limit := max(1, len(scheduler.workers)/workersPerRoom)
+	// hopeless holds the steps for whose tasks no move makes room.
+	hopeless := set.New[*workflow.Step]()
 	for _, task := range waiting {
 		if limit == 0 {
 			return
 		}
-		if now.Sub(task.record.standingWaitSince) < headroomWait {
-			continue // It does not use the headroom yet.
+		if hopeless.Has(task.step) || now.Sub(task.record.standingWaitSince) < headroomWait {
+			continue // The second holds for a task that does not use the headroom yet.
 		}
 		if scheduler.makeRoomFor(task, now) {
 			limit--
+		} else {
+			hopeless.Add(task.step)
 		}
 	}
 }
