scheduler: the view for making room has a type of its own

Cause: makeRoomFor collected, decided and ordered in one function.

Change: newPackingView collects.

--- a/scheduler/makeroom.go
+++ b/scheduler/makeroom.go
@@ -52,8 +52,40 @@
 
 // makeRoomFor makes room for a task and reports whether it did.
 func (scheduler *Scheduler) makeRoomFor(task waitingTask, now clock.Time) bool {
-	workers, runs, free := []packing.Worker(nil), [][]*activeRun(nil), unit.Resources{}
-	var states []*workerState
+	view := scheduler.newPackingView(task, now)
+	need := task.step.Reserved()
+	if !need.FitsIn(view.free) {
+		return false
+	}
+	move, ok := packing.Choose(view.workers, need, packing.Rules{
+		MayHost: func(worker int) bool { return view.mayHost[worker] },
+		MayMove: func(from, moved, to int) bool {
+			run := view.runs[from][moved]
+			return scheduler.mayPlaceRun(run, view.states[to], now) && hasStepRoom(run.step, run.name, view.states[to])
+		},
+	})
+	if !ok {
+		return false
+	}
+	scheduler.transferRun(view.runs[move.From][move.Task], view.states[move.To], StopRoom, now)
+	scheduler.holdRoom(task.name, task.step, view.states[move.From], now)
+	return true
+}
+
+// packingView is what package packing decides on. All lists have one entry for each worker.
+type packingView struct {
+	workers []packing.Worker
+	states  []*workerState
+	// runs holds the runs whose tasks may move, in the order of those of the packing.Worker.
+	runs [][]*activeRun
+	// mayHost tells where the waiting task may run, and free sums up what is unreserved there.
+	mayHost []bool
+	free    unit.Resources
+}
+
+// newPackingView returns the view for a waiting task. Only smaller tasks than that may move.
+func (scheduler *Scheduler) newPackingView(task waitingTask, now clock.Time) packingView {
+	var view packingView
 	for _, incarnation := range scheduler.sortedWorkers() {
 		state := scheduler.workers[incarnation]
 		if !state.reserved.FitsIn(state.Capacity) {
@@ -66,27 +98,17 @@
 				worker.Tasks, movable = append(worker.Tasks, run.step.Reserved()), append(movable, run)
 			}
 		}
-		workers, states, runs = append(workers, worker), append(states, state), append(runs, movable)
-		if scheduler.mayPlace(task.record, task.step, state, now) {
-			free = free.Add(worker.Free)
+		mayPlace := scheduler.mayPlace(task.record, task.step, state, now)
+		if mayPlace {
+			view.free = view.free.Add(worker.Free)
 		}
+		view.workers, view.states, view.runs = append(view.workers, worker), append(view.states, state), append(view.runs, movable)
+		view.mayHost = append(view.mayHost, mayPlace && hasStepRoom(task.step, task.name, state))
 	}
-	if !task.step.Reserved().FitsIn(free) {
-		return false
-	}
-	move, ok := packing.Choose(workers, task.step.Reserved(), packing.Rules{
-		MayHost: func(worker int) bool {
-			return scheduler.mayPlace(task.record, task.step, states[worker], now) && (task.step.PerWorker == 0 || states[worker].stepRuns(task.name) < task.step.PerWorker)
-		},
-		MayMove: func(from, moved, to int) bool {
-			run := runs[from][moved]
-			return scheduler.mayPlaceRun(run, states[to], now) && (run.step.PerWorker == 0 || states[to].stepRuns(run.name) < run.step.PerWorker)
-		},
-	})
-	if !ok {
-		return false
-	}
-	scheduler.transferRun(runs[move.From][move.Task], states[move.To], StopRoom, now)
-	scheduler.holdRoom(task.name, task.step, states[move.From], now)
-	return true
+	return view
+}
+
+// hasStepRoom reports whether a worker may get one more task of a step.
+func hasStepRoom(step *workflow.Step, name workflow.Name, worker *workerState) bool {
+	return step.PerWorker == 0 || worker.stepRuns(name) < step.PerWorker
 }
