scheduler: rooms held for standing tasks are released without colocation too

Cause: found by reading the change once more. Packing holds rooms for the moved and the waiting task, but only the rounds of colocation let them go.

Change: held rooms expire in each round of planning. TestHeldRoomIsReleasedWithoutColocation fails without it (2 rooms held).

Measured: tests of package scheduler only.

--- a/scheduler/makeroom_test.go
+++ b/scheduler/makeroom_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"hyssopjunction/clock"
+	"hyssopjunction/mechanism"
+	"hyssopjunction/set"
 	"hyssopjunction/unit"
 	"hyssopjunction/workflow"
 )
@@ -44,3 +46,25 @@
 	}
 	assertWithinCapacity(t, fixture)
 }
+
+// TestHeldRoomIsReleasedWithoutColocation guards against room that stays held for good after the job that waits for it was
+// cancelled, while the mechanism that held rooms first is switched off.
+func TestHeldRoomIsReleasedWithoutColocation(t *testing.T) {
+	fixture := newFixture(t, 2)
+	fixture.scheduler.Disable(set.New(mechanism.Colocation))
+	small, large := servingStep(6, "image"), servingStep(1, "image")
+	small.Need, large.Need = unit.Resources{CPU: 8000, Memory: 1000}, unit.Resources{CPU: 16_000, Memory: 1000}
+	fixture.submit("small", small)
+	assertStartCount(t, fixture.plan(0), 6)
+	fixture.now = fixture.now.Add(minServingStay)
+	fixture.submit("large", large)
+	assertStartCount(t, fixture.plan(1), 0)
+	if stops := fixture.stops(headroomWait); len(stops) != 1 {
+		t.Fatalf("got %d stops, want one that makes room", len(stops))
+	}
+	fixture.scheduler.Cancel("large")
+	fixture.plan(transferTimeout)
+	if held := len(fixture.scheduler.transfers); held != 0 {
+		t.Errorf("room for %d tasks is still held", held)
+	}
+}
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -45,6 +45,7 @@
 	if scheduler.uses(mechanism.Moves) {
 		scheduler.moveSlow(now)
 	}
+	scheduler.expireTransfers(now) // Also without colocation, because packing holds rooms too.
 	if scheduler.uses(mechanism.Colocation) {
 		scheduler.rebalanceServing(now)
 	}
--- a/scheduler/rebalance.go
+++ b/scheduler/rebalance.go
@@ -35,7 +35,6 @@
 // rebalanceServing starts the moves of serving tasks that gain the most cores for filling tasks. Most workers are full,
 // so most moves are exchanges of two tasks.
 func (scheduler *Scheduler) rebalanceServing(now clock.Time) {
-	scheduler.expireTransfers(now)
 	if now.Sub(scheduler.rebalancedAt) < rebalanceInterval || len(scheduler.workers) == 0 {
 		return
 	}
