review: case 1, a job that grows beyond a row stops the deployment

The leader repeats a transaction that the store refuses for good, because a value is longer than RowBytes.

--- /dev/null
+++ b/review/harness/store.go
@@ -0,0 +1,311 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Limits of the store, as the pages give them.
+const (
+	rowBytes        = 65536
+	transactionRows = 100
+	transactionSize = 1 << 20
+	transactionTime = 5 * time.Millisecond
+	pageRows        = 500
+)
+
+type rowKey struct{ table, part, key string }
+
+// storedRow is a row as the protocol encodes it.
+type storedRow struct {
+	Table   string
+	Part    string `json:"part"`
+	Key     string
+	Value   []byte `json:",omitempty"`
+	Ver     int64
+	Deleted bool `json:",omitempty"`
+}
+
+// store is a stand-in of the platform's store of rows. It is linearizable and loses nothing.
+type store struct {
+	mu        sync.Mutex
+	rows      map[rowKey]storedRow
+	history   []storedRow
+	version   int64
+	changed   chan struct{}
+	startedAt time.Time
+	// refused counts the transactions that were refused because a value is longer than rowBytes.
+	refused int
+	record  *record
+	// largest is the size of the longest value that was sent.
+	largest int
+	// reject tells which nodes get 503 for all calls.
+	reject map[string]bool
+	// fault decides how a call of a node fails: "" not at all, "busy", "reset", "silent", "lost" (done and not answered) or
+	// "late" (done 1 to 6 s later and not answered). Nil means that no call fails.
+	fault func(node, path string) string
+}
+
+func newStore(record *record) *store {
+	return &store{rows: map[rowKey]storedRow{}, changed: make(chan struct{}), startedAt: time.Now(), record: record, reject: map[string]bool{}}
+}
+
+// setRejected makes the store answer 503 to all calls of a node, or serve it again.
+func (store *store) setRejected(node string, rejected bool) {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	store.reject[node] = rejected
+}
+
+// setFault makes fault decide how calls fail; nil means that none does.
+func (store *store) setFault(fault func(node, path string) string) {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	store.fault = fault
+}
+
+// handlerFor returns the handler of the calls of one node.
+func (store *store) handlerFor(node string) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		store.mu.Lock()
+		rejected := store.reject[node]
+		store.mu.Unlock()
+		if rejected {
+			_, _ = io.Copy(io.Discard, request.Body)
+			writer.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		store.mu.Lock()
+		fault := ""
+		if store.fault != nil {
+			fault = store.fault(node, request.URL.Path)
+		}
+		store.mu.Unlock()
+		switch fault {
+		case "busy":
+			_, _ = io.Copy(io.Discard, request.Body)
+			writer.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case "reset":
+			panic(http.ErrAbortHandler)
+		case "silent":
+			_, _ = io.Copy(io.Discard, request.Body)
+			<-request.Context().Done()
+			return
+		case "late":
+			data, _ := io.ReadAll(request.Body)
+			later := request.Clone(context.Background())
+			time.AfterFunc(time.Second+time.Duration(rand.Int64N(int64(5*time.Second))), func() {
+				later.Body = io.NopCloser(bytes.NewReader(data))
+				store.answer(node, later)
+			})
+			<-request.Context().Done()
+			return
+		}
+		status, body := store.answer(node, request)
+		if fault == "lost" {
+			<-request.Context().Done()
+			return
+		}
+		reply(writer, status, body)
+	})
+}
+
+// put writes a row as the operator does.
+func (store *store) put(table, key string, value []byte) {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	store.apply([]storedRow{{Table: table, Key: key, Value: value}}, nil)
+}
+
+// get returns the value of a row.
+func (store *store) get(table, part, key string) ([]byte, bool) {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	row, ok := store.rows[rowKey{table, part, key}]
+	return row.Value, ok
+}
+
+func (store *store) refusals() int {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	return store.refused
+}
+
+func (store *store) apply(puts, removes []storedRow) {
+	store.version++
+	for _, row := range puts {
+		row.Ver = store.version
+		store.rows[rowKey{row.Table, row.Part, row.Key}] = row
+		store.history = append(store.history, row)
+	}
+	for _, row := range removes {
+		delete(store.rows, rowKey{row.Table, row.Part, row.Key})
+		row.Ver, row.Deleted, row.Value = store.version, true, nil
+		store.history = append(store.history, row)
+	}
+	close(store.changed)
+	store.changed = make(chan struct{})
+}
+
+type rowsAnswer struct {
+	Rows    []storedRow `json:"rows"`
+	HasMore bool
+	Ver     int64
+	NowMs   int64
+}
+
+func (store *store) newAnswer(rows []storedRow) rowsAnswer {
+	return rowsAnswer{Rows: rows, Ver: store.version, NowMs: time.Since(store.startedAt).Milliseconds() + 1}
+}
+
+func (store *store) answer(node string, request *http.Request) (int, any) {
+	switch request.URL.Path {
+	case "/api/rows-tx":
+		return store.transact(node, request)
+	case "/api/rows-get":
+		return store.list(request)
+	case "/api/rows-feed":
+		return store.feed(request)
+	default:
+		return http.StatusNotFound, struct{}{}
+	}
+}
+
+func (store *store) transact(node string, request *http.Request) (int, any) {
+	data, err := io.ReadAll(request.Body)
+	if err != nil || len(data) > transactionSize {
+		return http.StatusBadRequest, struct{}{}
+	}
+	var form struct{ ExpectedRevision, Puts, Remove []storedRow }
+	if err := json.Unmarshal(data, &form); err != nil {
+		return http.StatusBadRequest, struct{}{}
+	}
+	rows := slices.Concat(form.ExpectedRevision, form.Puts, form.Remove)
+	if len(rows) > transactionRows {
+		return http.StatusBadRequest, struct{}{}
+	}
+	for _, row := range rows {
+		if row.Part != rows[0].Part {
+			return http.StatusBadRequest, struct{}{}
+		}
+	}
+	for _, row := range form.Puts {
+		if row.Table == "op" || row.Table == "servers" {
+			return http.StatusForbidden, struct{}{}
+		}
+		store.mu.Lock()
+		store.largest = max(store.largest, len(row.Value))
+		store.mu.Unlock()
+		if len(row.Value) > rowBytes {
+			store.mu.Lock()
+			store.refused++
+			first := store.refused == 1
+			store.mu.Unlock()
+			if first {
+				store.record.printf("store: %s: 400, the value of row %s/%s has %d bytes; RowBytes is %d (further ones are counted only)", node, row.Table, row.Key, len(row.Value), rowBytes)
+			}
+			return http.StatusBadRequest, struct{}{}
+		}
+	}
+	time.Sleep(transactionTime)
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	holds := true
+	var current []storedRow
+	for _, expected := range form.ExpectedRevision {
+		row, ok := store.rows[rowKey{expected.Table, expected.Part, expected.Key}]
+		if ok {
+			current = append(current, row)
+		}
+		holds = holds && row.Ver == expected.Ver
+	}
+	if !holds {
+		return http.StatusPreconditionFailed, store.newAnswer(current)
+	}
+	store.apply(form.Puts, form.Remove)
+	return http.StatusOK, store.newAnswer(nil)
+}
+
+func (store *store) list(request *http.Request) (int, any) {
+	query := request.URL.Query()
+	limit, err := strconv.Atoi(query.Get("Limit"))
+	if err != nil || limit > pageRows {
+		limit = pageRows
+	}
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	var rows []storedRow
+	for key, row := range store.rows {
+		if key.table == query.Get("Table") && key.part == query.Get("part") && key.key >= query.Get("From") &&
+			(query.Get("To") == "" || key.key < query.Get("To")) {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(left, right storedRow) int { return strings.Compare(left.Key, right.Key) })
+	size := 0
+	for position, row := range rows {
+		size += len(row.Value)*4/3 + len(row.Key) + 100
+		if position == limit || position > 0 && size > transactionSize {
+			answer := store.newAnswer(rows[:position])
+			answer.HasMore = true
+			return http.StatusOK, answer
+		}
+	}
+	return http.StatusOK, store.newAnswer(rows)
+}
+
+func (store *store) feed(request *http.Request) (int, any) {
+	query := request.URL.Query()
+	after, err := strconv.ParseInt(query.Get("After"), 10, 64)
+	if err != nil {
+		return http.StatusBadRequest, struct{}{}
+	}
+	wait, err := strconv.Atoi(query.Get("WaitMs"))
+	if err != nil {
+		wait = 0
+	}
+	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		store.mu.Lock()
+		var rows []storedRow
+		first, _ := slices.BinarySearchFunc(store.history, after+1, func(row storedRow, version int64) int { return int(row.Ver - version) })
+		for _, row := range store.history[first:] {
+			if row.Table == query.Get("Table") {
+				rows = append(rows, row)
+			}
+		}
+		answer, changed := store.newAnswer(rows), store.changed
+		store.mu.Unlock()
+		if len(rows) > 0 {
+			return http.StatusOK, answer
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			return http.StatusOK, answer
+		case <-request.Context().Done():
+			return http.StatusOK, answer
+		}
+	}
+}
+
+func reply(writer http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		writer.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	_, _ = writer.Write(data)
+}
