--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -96,7 +96,7 @@
 	time.Sleep(finishTime)
 	var waiting []*job
 	for _, job := range jobs {
-		if job.accepted.IsZero() || !job.cancelled.IsZero() {
+		if job.accepted.IsZero() {
 			continue
 		}
 		state, answered := cluster.state(job)
@@ -295,9 +295,9 @@
 	time.Sleep(4 * time.Second)
 	if trouble {
 		cluster.record.printf("store: down, 503 for all calls, for 4.5 s")
-		cluster.store.setFault(func(string, string) string { return "busy" })
+		cluster.store.setDown(true)
 		time.Sleep(4500 * time.Millisecond)
-		cluster.store.setFault(nil)
+		cluster.store.setDown(false)
 		cluster.record.printf("store: serves again")
 	}
 	state := ""
--- a/review/harness/cluster.go
+++ b/review/harness/cluster.go
@@ -76,7 +76,6 @@
 	store   *store
 	log     *runLog
 	jobs    *jobs
-	gangs   *gangs
 	record  *record
 	entries []*daemon
 	agents  []*daemon
@@ -109,7 +108,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cluster := &cluster{layout: layout, dir: dir, program: program, store: newStore(record), log: &runLog{}, jobs: newJobs(), gangs: &gangs{runs: map[string]*gangRun{}}, record: record}
+	cluster := &cluster{layout: layout, dir: dir, program: program, store: newStore(record), log: &runLog{}, jobs: newJobs(), record: record}
 	for number := range 60 {
 		subnet := fmt.Sprintf("127.%d", 190+(os.Getpid()+number)%60)
 		if listener, err := net.Listen("tcp", subnet+".255.1:8150"); err == nil {
--- a/review/harness/jobs.go
+++ b/review/harness/jobs.go
@@ -17,17 +17,7 @@
 	EstimatedMs   int    `json:",omitempty"`
 	Checkpointing bool   `json:",omitempty"`
 	LongRunning   bool   `json:",omitempty"`
-	After         []int  `json:",omitempty"`
-	Image         string `json:",omitempty"`
-	TargetMs      int    `json:",omitempty"`
-	Gang          bool   `json:",omitempty"`
-	AntiAffinity  int    `json:",omitempty"`
-	Speculative   bool   `json:",omitempty"`
-	RackLocal     bool   `json:",omitempty"`
 	Affinity      string `json:",omitempty"`
-	Fills         bool   `json:",omitempty"`
-	MayMiss       int    `json:",omitempty"`
-	Requirements  string `json:",omitempty"`
 
 	work time.Duration
 	// stagger is by how much longer each task works than the one before.
@@ -47,8 +37,7 @@
 
 	accepted time.Time
 	// answers holds all statuses of attempts to submit the job.
-	answers   []int
-	cancelled time.Time
+	answers []int
 }
 
 const failAfter = 2 * time.Second
@@ -61,8 +50,6 @@
 	// failsFirst reports that the first run fails after failAfter.
 	failsFirst bool
 	cpu        int
-	// gang is the number of members if the step is a gang.
-	gang int
 }
 
 // jobs holds all jobs that consumers sent.
@@ -97,11 +84,7 @@
 		return taskPlan{}, false
 	}
 	step := job.steps[number]
-	gang := 0
-	if step.Gang {
-		gang = step.Count
-	}
-	return taskPlan{payload: job.payload, work: step.work + time.Duration(index)*step.stagger, lasts: step.LongRunning, saves: step.Checkpointing, cpu: step.Cpu, failsFirst: step.failEvery > 0 && index%step.failEvery == 3%step.failEvery, gang: gang}, true
+	return taskPlan{payload: job.payload, work: step.work + time.Duration(index)*step.stagger, lasts: step.LongRunning, saves: step.Checkpointing, cpu: step.Cpu, failsFirst: step.failEvery > 0 && index%step.failEvery == 3%step.failEvery}, true
 }
 
 // submit sends a job as a consumer does: after no response, 502 or 504 the same request goes to another entry, at most four
--- a/review/harness/runner.go
+++ b/review/harness/runner.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -22,14 +21,12 @@
 	restoreTime = 100 * time.Millisecond
 	checkpointS = time.Second
 	startupTime = 400 * time.Millisecond
-	gangTimeout = 3 * time.Second
 )
 
 // run is one run of a task, for the verdict.
 type run struct {
 	task, runner, how string
 	number            int
-	checkpoint, saved string
 	started, ended    time.Time
 	// noted is when the end was taken note of: LastSeen reached it.
 	noted time.Time
@@ -68,65 +65,6 @@
 	saves   bool
 	cpu     int
 	fails   bool
-	// completeAt is when all members of the gang were present, as last read.
-	completeAt time.Time
-	// gang is the run of the gang that the task is a member of, or nil.
-	gang *gangRun
-}
-
-// gangRun is one run of a gang.
-type gangRun struct {
-	count   int
-	present map[string]bool
-	// completeAt is when all members were present.
-	completeAt time.Time
-	// brokenAt is when a member ended without being done.
-	brokenAt time.Time
-}
-
-// gangs holds the runs of gangs by job, occurrence, step and run.
-type gangs struct {
-	mu   sync.Mutex
-	runs map[string]*gangRun
-}
-
-func gangKey(task string, number int) string {
-	return fmt.Sprintf("%s#%d", task[:strings.LastIndexByte(task, '.')], number)
-}
-
-func (gangs *gangs) join(task string, number, count int, now time.Time) *gangRun {
-	gangs.mu.Lock()
-	defer gangs.mu.Unlock()
-	key := gangKey(task, number)
-	gang, ok := gangs.runs[key]
-	if !ok {
-		gang = &gangRun{count: count, present: map[string]bool{}}
-		gangs.runs[key] = gang
-	}
-	gang.present[task] = true
-	if len(gang.present) == gang.count && gang.completeAt.IsZero() {
-		gang.completeAt = now
-	}
-	return gang
-}
-
-// leave records that a member ended without being done.
-func (gangs *gangs) leave(gang *gangRun, task string, at time.Time) {
-	gangs.mu.Lock()
-	defer gangs.mu.Unlock()
-	if !gang.completeAt.IsZero() {
-		if gang.brokenAt.IsZero() {
-			gang.brokenAt = at
-		}
-		return
-	}
-	delete(gang.present, task)
-}
-
-func (gangs *gangs) times(gang *gangRun) (completeAt, brokenAt time.Time) {
-	gangs.mu.Lock()
-	defer gangs.mu.Unlock()
-	return gang.completeAt, gang.brokenAt
 }
 
 // runner is a stand-in of a runner. It has one life at a time.
@@ -156,9 +94,6 @@
 	pending    map[int64]*run
 	lastEnd    int64
 	sequence   int64
-	// isSilent makes the runner answer no call. lateShare is the share of orders that get no answer and are carried out late.
-	isSilent  bool
-	lateShare float64
 }
 
 // start begins a life of the runner. keepID makes it have the id of the life before. firstBeat is when its first heartbeat
@@ -200,9 +135,6 @@
 		runner.cluster.log.mu.Lock()
 		active.record.ended, active.record.how = time.Now(), "crashed"
 		runner.cluster.log.mu.Unlock()
-		if active.gang != nil {
-			runner.cluster.gangs.leave(active.gang, task, time.Now())
-		}
 		delete(runner.tasks, task)
 	}
 	server := runner.server
@@ -278,46 +210,12 @@
 		reply(writer, http.StatusBadRequest, struct{}{})
 		return
 	}
-	if !runner.fault(request, form) {
-		return
-	}
 	if request.URL.Path == "/api/hold" && form.WaitMs > 0 {
 		runner.awaitEnd(request, form)
 	}
 	runner.carryOut(writer, request.URL.Path, form)
 }
 
-// fault waits while the runner is silent, and carries out a share of the orders late. It returns false if the caller gets no
-// answer.
-func (runner *runner) fault(request *http.Request, form callForm) bool {
-	runner.mu.Lock()
-	isSilent, life := runner.isSilent, runner.life
-	isLate := request.URL.Path != "/api/hold" && rand.Float64() < runner.lateShare
-	runner.mu.Unlock()
-	if !isSilent && !isLate {
-		return true
-	}
-	if isLate {
-		time.AfterFunc(2*time.Second+time.Duration(rand.Int64N(int64(10*time.Second))), func() {
-			runner.mu.Lock()
-			isSame := runner.life == life && runner.isUp
-			runner.mu.Unlock()
-			if isSame {
-				runner.carryOut(discard{}, request.URL.Path, form)
-			}
-		})
-	}
-	<-request.Context().Done()
-	return false
-}
-
-// discard is a response that nobody reads.
-type discard struct{}
-
-func (discard) Header() http.Header            { return http.Header{} }
-func (discard) Write(data []byte) (int, error) { return len(data), nil }
-func (discard) WriteHeader(int)                {}
-
 // carryOut carries out a call.
 func (runner *runner) carryOut(writer http.ResponseWriter, path string, form callForm) {
 	runner.mu.Lock()
@@ -413,10 +311,6 @@
 		active.done = time.Duration(millis) * time.Millisecond
 		active.started = now.Add(restoreTime)
 	}
-	if plan.gang > 0 {
-		active.gang = runner.cluster.gangs.join(form.Task, form.RunID, plan.gang, now)
-	}
-	active.record.checkpoint = form.Checkpoint
 	runner.highest[form.Task] = form.RunID
 	runner.tasks[form.Task] = active
 	runner.cluster.log.mu.Lock()
@@ -427,12 +321,6 @@
 
 // progress returns the work that the task has done.
 func (active *activeTask) progress(now time.Time) time.Duration {
-	if active.gang != nil {
-		if active.completeAt.IsZero() {
-			return active.done
-		}
-		return active.done + max(0, now.Sub(active.completeAt))
-	}
 	return active.done + max(0, now.Sub(active.started))
 }
 
@@ -489,20 +377,6 @@
 	for task, active := range runner.tasks {
 		end := active.started.Add(active.work - active.done)
 		isOver := !active.lasts && end.Before(now)
-		if active.gang != nil {
-			var brokenAt time.Time
-			active.completeAt, brokenAt = runner.cluster.gangs.times(active.gang)
-			end = active.completeAt.Add(active.work - active.done)
-			isOver = !active.completeAt.IsZero() && end.Before(now)
-			switch {
-			case !brokenAt.IsZero() && (!isOver || brokenAt.Before(end)):
-				runner.finish(task, "broken", now)
-				continue
-			case active.completeAt.IsZero() && now.Sub(active.started) > gangTimeout && !leaseEnd.Before(now):
-				runner.finish(task, "alone", now)
-				continue
-			}
-		}
 		switch {
 		case leaseEnd.Before(now) && (!isOver || leaseEnd.Before(end)):
 			runner.finish(task, "lapsed", leaseEnd)
@@ -517,9 +391,6 @@
 func (runner *runner) finish(task, how string, at time.Time) {
 	active := runner.tasks[task]
 	delete(runner.tasks, task)
-	if active.gang != nil && how != "done" {
-		runner.cluster.gangs.leave(active.gang, task, at)
-	}
 	runner.lastEnd++
 	saved := ""
 	if how != "done" {
@@ -529,7 +400,7 @@
 	runner.pending[runner.lastEnd] = active.record
 	runner.cluster.log.mu.Lock()
 	defer runner.cluster.log.mu.Unlock()
-	active.record.ended, active.record.how, active.record.saved = at, how, saved
+	active.record.ended, active.record.how = at, how
 }
 
 // usedCPU returns the processors in use, in thousandths, and whether the runner is up.
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -1,11 +1,8 @@
 package main
 
 import (
-	"bytes"
-	"context"
 	"encoding/json"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -52,74 +49,33 @@
 	record  *record
 	// largest is the size of the longest value that was sent.
 	largest int
-	// reject tells which nodes get 503 for all calls.
-	reject map[string]bool
-	// fault decides how a call of a node fails: "" not at all, "busy", "reset", "silent", "lost" (done and not answered) or
-	// "late" (done 1 to 6 s later and not answered). Nil means that no call fails.
-	fault func(node, path string) string
+	// isDown makes the store answer 503 to all calls.
+	isDown bool
 }
 
 func newStore(record *record) *store {
-	return &store{rows: map[rowKey]storedRow{}, changed: make(chan struct{}), startedAt: time.Now(), record: record, reject: map[string]bool{}}
+	return &store{rows: map[rowKey]storedRow{}, changed: make(chan struct{}), startedAt: time.Now(), record: record}
 }
 
-// setRejected makes the store answer 503 to all calls of a node, or serve it again.
-func (store *store) setRejected(node string, rejected bool) {
+// setDown makes the store answer 503 to all calls, or serve them again.
+func (store *store) setDown(isDown bool) {
 	store.mu.Lock()
 	defer store.mu.Unlock()
-	store.reject[node] = rejected
-}
-
-// setFault makes fault decide how calls fail; nil means that none does.
-func (store *store) setFault(fault func(node, path string) string) {
-	store.mu.Lock()
-	defer store.mu.Unlock()
-	store.fault = fault
+	store.isDown = isDown
 }
 
 // handlerFor returns the handler of the calls of one node.
 func (store *store) handlerFor(node string) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		store.mu.Lock()
-		rejected := store.reject[node]
-		store.mu.Unlock()
-		if rejected {
-			_, _ = io.Copy(io.Discard, request.Body)
-			writer.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		store.mu.Lock()
-		fault := ""
-		if store.fault != nil {
-			fault = store.fault(node, request.URL.Path)
-		}
+		isDown := store.isDown
 		store.mu.Unlock()
-		switch fault {
-		case "busy":
+		if isDown {
 			_, _ = io.Copy(io.Discard, request.Body)
 			writer.WriteHeader(http.StatusServiceUnavailable)
 			return
-		case "reset":
-			panic(http.ErrAbortHandler)
-		case "silent":
-			_, _ = io.Copy(io.Discard, request.Body)
-			<-request.Context().Done()
-			return
-		case "late":
-			data, _ := io.ReadAll(request.Body)
-			later := request.Clone(context.Background())
-			time.AfterFunc(time.Second+time.Duration(rand.Int64N(int64(5*time.Second))), func() {
-				later.Body = io.NopCloser(bytes.NewReader(data))
-				store.answer(node, later)
-			})
-			<-request.Context().Done()
-			return
 		}
 		status, body := store.answer(node, request)
-		if fault == "lost" {
-			<-request.Context().Done()
-			return
-		}
 		reply(writer, status, body)
 	})
 }
