--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -232,7 +232,7 @@
 	defer cluster.close()
 	stop := make(chan struct{})
 	traffic := cluster.traffic(225*time.Millisecond, stop)
-	for round := range 16 {
+	for round := range 28 {
 		time.Sleep(2500 * time.Millisecond)
 		if !trouble {
 			continue
