--- a/review/harness/further.go
+++ b/review/harness/further.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -96,3 +97,75 @@
 	}
 	return held, fmt.Sprintf("%d jobs", len(jobs)+1), nil
 }
+
+// heldByTrials loses a runner on which many small jobs have just started.
+func heldByTrials(folder, program string, trouble bool) (outcome, string, error) {
+	cluster, err := begin(folder, program, layout{entries: 3, runners: 8, runnerCPU: 8000, runnersPerRack: 3})
+	if err != nil {
+		return invalid, "", err
+	}
+	defer cluster.close()
+	base := &job{id: jobID(11, 0), prefix: lastPrefix, payload: "base", steps: []step{{Count: 6, Cpu: 5000, MemoryLimitMb: 64, EstimatedMs: 400, LongRunning: true}}}
+	if !cluster.submit(base, 0) {
+		return invalid, "", nil
+	}
+	time.Sleep(4 * time.Second)
+	due := time.Now().UnixMilli() + 9000
+	var group sync.WaitGroup
+	for number := range 480 {
+		group.Go(func() {
+			quick := &job{id: jobID(12, number), prefix: quickPrefix, payload: "q", repetitions: 1, startAt: due, interval: 1000, steps: []step{{Count: 1, Cpu: 20, MemoryLimitMb: 16, EstimatedMs: 2000, work: 2 * time.Second}}}
+			cluster.submit(quick, number)
+		})
+		time.Sleep(10 * time.Millisecond)
+	}
+	group.Wait()
+	if trouble {
+		for {
+			var host *runner
+			for _, runner := range cluster.runners {
+				runner.mu.Lock()
+				holds := false
+				for task := range runner.tasks {
+					holds = holds || strings.HasPrefix(task, base.id)
+				}
+				if len(runner.tasks) > 16 && holds {
+					host = runner
+				}
+				runner.mu.Unlock()
+			}
+			if host != nil {
+				time.Sleep(60 * time.Millisecond)
+				host.crash()
+				break
+			}
+			if time.Now().UnixMilli() > due+3000 {
+				return invalid, "no crash", nil
+			}
+			time.Sleep(time.Millisecond)
+		}
+	} else {
+		time.Sleep(time.Until(time.UnixMilli(due)) + 200*time.Millisecond)
+	}
+	time.Sleep(5 * time.Second)
+	sheet := &job{id: jobID(13, 0), prefix: lastPrefix, payload: "sheet", steps: []step{{Count: 1, Cpu: 4000, MemoryLimitMb: 64, EstimatedMs: 400, LongRunning: true}}}
+	cluster.submit(sheet, 0)
+	// The crash is one moment: 4 s after it the deployment is calm, and the task that lasts has to start within 3 s.
+	var started time.Time
+	for time.Since(sheet.accepted) < 45*time.Second && started.IsZero() {
+		for _, item := range cluster.runsOf(sheet.id) {
+			started = item.started
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	wait := time.Since(sheet.accepted)
+	if !started.IsZero() {
+		wait = started.Sub(sheet.accepted)
+	}
+	cluster.record.printf("verdict: the task waited for %s", wait)
+	cluster.writeRuns()
+	if wait > 4*time.Second {
+		return broken, fmt.Sprintf("waited %s", wait), nil
+	}
+	return held, fmt.Sprintf("waited %s", wait), nil
+}
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -24,6 +24,7 @@
 	// Not handed in as cases; see REPORT.md.
 	"large-order": largeOrder,
 	"stray":       stray,
+	"trials":      heldByTrials,
 }
 
 // main runs the case with the name in the first argument. The second is its folder, in which record.txt is written.
