--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -34,6 +36,13 @@
 	if err != nil {
 		return nil, err
 	}
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-interrupted
+		cluster.close()
+		os.Exit(int(invalid))
+	}()
 	if err := cluster.startAll(siteRoutes); err != nil {
 		cluster.close()
 		return nil, err
