review: case 7, tasks run twice when a runner is cut off and channels to it are refused

Cause: the agent takes a refused connection of 250 ms for the end of the runner's process, and the leader starts its tasks again while they run on under their lease.

--- a/review/rig/runner.go
+++ b/review/rig/runner.go
@@ -27,6 +27,9 @@
 	at       time.Time
 	stopping bool
 	plan     plan
+	// gang names the gang of the run, or is empty. waiting tells that the gang is not complete.
+	gang    string
+	waiting bool
 }
 
 // runner is a stand-in of a runner of the platform: one machine, on which lifetimes follow one another. Its process is
@@ -62,6 +65,10 @@
 	late func(path string) (time.Duration, bool)
 	// busy answers starts with 503, having done nothing.
 	busy bool
+	// keepID gives the next lifetime the id of the last one.
+	keepID bool
+	// silent leaves every call without an answer.
+	silent bool
 }
 
 const (
@@ -87,7 +94,10 @@
 	r.mu.Lock()
 	r.life++
 	life := r.life
-	r.up, r.id, r.born, r.clock = true, fmt.Sprintf("i-%s-%d", r.name, r.life), time.Now().UnixMilli(), time.Now()
+	r.up, r.born, r.clock = true, time.Now().UnixMilli(), time.Now()
+	if r.id == "" || !r.keepID {
+		r.id = fmt.Sprintf("i-%s-%d", r.name, r.life)
+	}
 	r.token, r.deadline, r.ends, r.lastEnd, r.draining, r.sequence = 0, 0, nil, 0, false, 0
 	r.tasks, r.refused = map[string]*execution{}, map[string]int{}
 	r.server = &http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) { r.handle(life, writer, request) })}
@@ -112,9 +122,17 @@
 	r.expire(time.Now())
 	r.up = false
 	for _, item := range r.tasks {
+		if item.gang != "" {
+			r.world.gangs.end(item, "crashed")
+		}
 		r.world.ended(r, item, "crashed")
 	}
 	r.tasks = map[string]*execution{}
+	if r.world.onLost != nil {
+		for _, end := range r.ends {
+			r.world.onLost(end[1].(string), end[3].(string))
+		}
+	}
 	server := r.server
 	r.stopBeats()
 	r.mu.Unlock()
@@ -122,6 +140,50 @@
 	_ = server.Close()
 }
 
+// goDark ends the lifetime for good: all that runs is gone, and nothing answers any more, as on a machine without power.
+func (r *runner) goDark() {
+	r.mu.Lock()
+	r.expire(time.Now())
+	r.up, r.silent = false, true
+	for _, item := range r.tasks {
+		r.world.ended(r, item, "crashed")
+	}
+	r.tasks = map[string]*execution{}
+	r.stopBeats()
+	r.mu.Unlock()
+	r.world.record("runner %s is lost for good, and silent", r.name)
+}
+
+// cut cuts the lifetime off from all machines of the system: its tasks run on, its channels are reset, new ones are refused,
+// and its announcements reach nobody. heal ends the cut.
+func (r *runner) cut() (heal func() error) {
+	r.mu.Lock()
+	life, server := r.life, r.server
+	r.stopBeats()
+	r.mu.Unlock()
+	r.world.record("runner %s is cut off, its tasks run on", r.name)
+	_ = server.Close()
+	return func() error {
+		listener, err := net.Listen("tcp", r.address)
+		if err != nil {
+			return err
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if !r.up || r.life != life {
+			return listener.Close()
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		r.stopBeats = cancel
+		r.server = &http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) { r.handle(life, writer, request) })}
+		server := r.server
+		go func() { _ = server.Serve(listener) }()
+		go r.beat(ctx)
+		r.world.record("the cut of runner %s heals", r.name)
+		return nil
+	}
+}
+
 // tick ends what is over, so that the record has the right times.
 func (r *runner) tick(life int) {
 	for {
@@ -139,11 +201,20 @@
 // expire ends the runs that are over. The caller holds the lock.
 func (r *runner) expire(now time.Time) {
 	lease := r.clock.Add(r.deadline)
+	if now.After(lease) && r.world.onLost != nil {
+		for _, end := range r.ends {
+			if len(end) == 5 {
+				r.world.onLost(end[1].(string), end[3].(string))
+			}
+		}
+	}
 	for _, item := range r.sorted() {
 		over := item.at.Add(item.plan.length)
 		switch {
-		case now.After(lease) && (item.plan.length == 0 || lease.Before(over)):
+		case now.After(lease) && (item.plan.length == 0 || lease.Before(over) || item.waiting):
 			r.finish(item, "lapsed")
+		case item.gang != "":
+			r.world.gangs.step(r, item, now)
 		case item.plan.length == 0 || now.Before(over):
 		case item.plan.fails:
 			r.finish(item, "failed")
@@ -163,6 +234,9 @@
 }
 
 func (r *runner) finish(item *execution, how string) {
+	if item.gang != "" {
+		r.world.gangs.end(item, how)
+	}
 	delete(r.tasks, item.task)
 	r.refused[item.task] = max(r.refused[item.task], item.run)
 	r.lastEnd++
@@ -222,6 +296,14 @@
 }
 
 func (r *runner) handle(life int, writer http.ResponseWriter, request *http.Request) {
+	r.mu.Lock()
+	silent := r.silent
+	r.mu.Unlock()
+	if silent {
+		_, _ = io.Copy(io.Discard, request.Body)
+		<-request.Context().Done()
+		return
+	}
 	if request.URL.Path == "/healthz" {
 		writer.WriteHeader(http.StatusOK)
 		return
@@ -310,6 +392,12 @@
 		}
 		item := &execution{task: form.Task, run: form.RunID, at: now, plan: r.world.plan(form.Task)}
 		r.tasks[form.Task] = item
+		if r.world.gangOf != nil {
+			if gang, size := r.world.gangOf(form.Task); gang != "" {
+				item.gang, item.waiting = fmt.Sprintf("%s:%d", gang, form.RunID), true
+				r.world.gangs.join(item, size)
+			}
+		}
 		r.world.started(r, item)
 	case "/api/run-stop":
 		r.refused[form.Task] = max(r.refused[form.Task], form.RunID)
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -29,12 +29,19 @@
 	agents  []*machine
 	runners []*runner
 	plan    func(task string) plan
+	// gangOf returns the gang of a task and its size, or an empty text. It may be nil, as may the following.
+	gangOf  func(task string) (string, int)
+	onStart func(r *runner, item *execution)
+	onEnd   func(r *runner, item *execution, how string)
+	onLost  func(task, how string)
 
+	gangs  gangs
 	mu     sync.Mutex
 	begun  time.Time
 	out    *os.File
 	runs   []*runRecord
 	broken []string
+	pairs  map[string]bool
 }
 
 // runRecord is a run as its runner saw it.
@@ -130,6 +137,9 @@
 	w.runs = append(w.runs, &runRecord{task: item.task, run: item.run, runner: r, life: r.id, at: item.at})
 	w.mu.Unlock()
 	w.record("runner %s starts %s run %d", r.name, item.task, item.run)
+	if w.onStart != nil {
+		w.onStart(r, item)
+	}
 }
 
 func (w *world) find(r *runner, task string, run int) *runRecord {
@@ -148,6 +158,9 @@
 	}
 	w.mu.Unlock()
 	w.record("runner %s: %s run %d ends %s", r.name, item.task, item.run, how)
+	if w.onEnd != nil {
+		w.onEnd(r, item, how)
+	}
 }
 
 // noted records that LastSeen has reached an end.
@@ -160,6 +173,19 @@
 	w.record("runner %s: end of %s run %d is taken note of", r.name, end[1], end[2])
 }
 
+// reported tells whether a pair of runs was recorded before, and records it.
+func (w *world) reported(task string, first, second int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.pairs == nil {
+		w.pairs = map[string]bool{}
+	}
+	key := fmt.Sprintf("%s %d %d", task, first, second)
+	known := w.pairs[key]
+	w.pairs[key] = true
+	return known
+}
+
 // running returns the runs of tasks with the prefix that are on now.
 func (w *world) running(prefix string) []*runRecord {
 	w.mu.Lock()
