review: case 7, tasks run twice after a machine with its runner was suspended and cut off

Cause: the lease is measured on the runner's steady clock, which does not count a suspension, and the leader counts it on its own. Change: the case; the rig's runners can be suspended, and one machine can be cut off by proxies.

--- a/review/rig/gang.go
+++ b/review/rig/gang.go
@@ -73,7 +73,7 @@
 		if now.Sub(item.at) > gangTimeout {
 			how = "alone"
 		}
-	case now.Sub(found.at) >= found.length:
+	case found.length > 0 && now.Sub(found.at) >= found.length:
 		switch found.fails {
 		case "":
 			how = "done"
--- a/review/rig/runner.go
+++ b/review/rig/runner.go
@@ -72,7 +72,7 @@
 }
 
 const (
-	stopTime    = 50 * time.Millisecond
+	stopTime    = 150 * time.Millisecond
 	startupTime = 400 * time.Millisecond
 	beatTime    = 1500 * time.Millisecond
 	holdMax     = 6 * time.Second
@@ -140,6 +140,18 @@
 	_ = server.Close()
 }
 
+// suspend stands still with its machine for the time: nothing runs, nothing is answered, and its steady clock doesn't count it.
+func (r *runner) suspend(length time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expire(time.Now())
+	time.Sleep(length)
+	r.clock = r.clock.Add(length)
+	for _, item := range r.tasks {
+		item.at = item.at.Add(length)
+	}
+}
+
 // goDark ends the lifetime for good: all that runs is gone, and nothing answers any more, as on a machine without power.
 func (r *runner) goDark() {
 	r.mu.Lock()
@@ -273,6 +285,9 @@
 			_ = response.Body.Close()
 			if state == "draining" && response.StatusCode/100 == 2 {
 				r.world.record("runner %s: draining acknowledged", r.name)
+				if r.world.onDrainAck != nil {
+					r.world.onDrainAck(r)
+				}
 			}
 		} else {
 			pause = 300 * time.Millisecond
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -1,12 +1,14 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"net"
 	"net/http"
 	"sort"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -235,6 +237,11 @@
 	if more {
 		rows = rows[:limit]
 	}
+	if from, to, ok := strings.Cut(request.Header.Get("X-Rewrite"), " "); ok {
+		for position := range rows {
+			rows[position].Value = bytes.ReplaceAll(rows[position].Value, []byte(from), []byte(to))
+		}
+	}
 	answer := s.answer(rows)
 	answer.HasMore = more
 	return http.StatusOK, answer
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -34,14 +34,19 @@
 	onStart func(r *runner, item *execution)
 	onEnd   func(r *runner, item *execution, how string)
 	onLost  func(task, how string)
-
-	gangs  gangs
-	mu     sync.Mutex
-	begun  time.Time
-	out    *os.File
-	runs   []*runRecord
-	broken []string
-	pairs  map[string]bool
+	// onDrainAck is called when an agent has acknowledged that the runner drains.
+	onDrainAck func(r *runner)
+
+	// proxied is the number of the side machine with proxies, from 1 on, or 0.
+	proxied int
+	proxies *proxies
+	gangs   gangs
+	mu      sync.Mutex
+	begun   time.Time
+	out     *os.File
+	runs    []*runRecord
+	broken  []string
+	pairs   map[string]bool
 }
 
 // runRecord is a run as its runner saw it.
@@ -64,9 +69,11 @@
 	role     string
 	ip       string
 	settings string
-	mu       sync.Mutex
-	process  *exec.Cmd
-	done     chan struct{}
+	// store is the address of the store that the machine sees.
+	store   string
+	mu      sync.Mutex
+	process *exec.Cmd
+	done    chan struct{}
 }
 
 const (
@@ -92,7 +99,7 @@
 	}
 	w := &world{root: root, folder: folder, trouble: trouble, store: newStore(), out: out, begun: time.Now()}
 	for attempt := 0; attempt < 50; attempt++ {
-		w.block = fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), rand.IntN(250))
+		w.block = fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 100+rand.IntN(90))
 		if w.isFree() {
 			break
 		}
@@ -233,7 +240,20 @@
 			zone: zone, labels: []string{"a", fmt.Sprintf("rack-%d", number/perRack)}, cpu: cpu, memory: memory,
 		}
 		item := &machine{world: w, name: fmt.Sprintf("side-%d", number+1), role: "agent", ip: ip}
-		if err := item.write(zone, seeds, r.address); err != nil {
+		machineSeeds := seeds
+		if w.proxied == number+1 {
+			// This machine reaches the entries and the store by way of proxies.
+			var err error
+			if w.proxies, err = newProxies(w, number, entries); err != nil {
+				return err
+			}
+			machineSeeds = nil
+			for _, seed := range seeds {
+				machineSeeds = append(machineSeeds, strings.ReplaceAll(seed, w.proxies.from, w.proxies.to))
+			}
+			item.store = w.proxies.to + "250"
+		}
+		if err := item.write(zone, machineSeeds, r.address); err != nil {
 			return err
 		}
 		w.agents, w.runners = append(w.agents, item), append(w.runners, r)
@@ -278,6 +298,9 @@
 // write writes the settings file of a machine.
 func (m *machine) write(zone string, seeds []string, app string) error {
 	m.settings = filepath.Join(m.world.folder, m.name+".toml")
+	if m.store == "" {
+		m.store = m.world.block + ".250"
+	}
 	text := &strings.Builder{}
 	fmt.Fprintf(text, "NodeName = %q\nRole = %q\nIp = %q\nZone = %q\nRegion = \"region\"\nInternalPortRange = [%d,%d]\nSeeds = [%s]\n",
 		m.name, m.role, m.ip, zone, sessionPort, sessionPort+15, strings.Join(seeds, ","))
@@ -293,8 +316,8 @@
 	}
 	fmt.Fprintf(text, "[Limits]\nMemoryMb = %d\n[Bounds]\nContactMs = 3000\nAckMs = 4000\nDrainMs = 2000\nGraceS = 6\nHoldMaxMs = %d\nStopTimeoutMs = 200\ncancel_ms = 3000\nvisible_ms = 3000\nRemoteFactor = 1.5\nRestoreMs = 100\nImpactMs = 4000\n",
 		memory, holdMax.Milliseconds())
-	fmt.Fprintf(text, "[platform]\nAddress = \"%s.250:%d\"\nform = \"table\"\nWritesPerS = 800\nReadsPerS = 2000\nTransactionMs = 5.0\nPartitionWritesS = 200\nRowBytes = 65536\nCrossShard = false\nHistoryS = 20\n",
-		m.world.block, storePort)
+	fmt.Fprintf(text, "[platform]\nAddress = \"%s:%d\"\nform = \"table\"\nWritesPerS = 800\nReadsPerS = 2000\nTransactionMs = 5.0\nPartitionWritesS = 200\nRowBytes = 65536\nCrossShard = false\nHistoryS = 20\n",
+		m.store, storePort)
 	return os.WriteFile(m.settings, []byte(text.String()), 0o600)
 }
 
