--- a/review/rig/case_crashes.go
+++ b/review/rig/case_crashes.go
@@ -5,11 +5,15 @@
 	"time"
 )
 
-func init() { cases["crashes"] = crashes }
+func init() {
+	cases["crashes"] = func(w *world) error { return crashes(w, 2*time.Second, 4) }
+	// Not handed in as a case of its own: two crashes, each just after a start.
+	cases["early-crashes"] = func(w *world) error { return crashes(w, 20*time.Millisecond, 2) }
+}
 
 // crashes: runners crash, one at a time. A standing job whose task was on three of them must not be shown as failed: no run
 // of it has ended failed.
-func crashes(w *world) error {
+func crashes(w *world, age time.Duration, count int) error {
 	w.plan = func(string) plan { return plan{} }
 	w.configure(1, newRoute("watch", 0, 4))
 	if err := w.setUp(3, 11, 32000, 128000, 3); err != nil {
@@ -35,12 +39,12 @@
 	if onRunner() == nil {
 		return fmt.Errorf("the task did not start")
 	}
-	for range 4 {
+	for range count {
 		on := onRunner()
 		if on == nil {
 			break
 		}
-		time.Sleep(2 * time.Second)
+		time.Sleep(age)
 		if !w.trouble {
 			continue
 		}
