--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -486,3 +486,13 @@
 	sort.Strings(keys)
 	return keys
 }
+
+// agentOf returns the machine of a runner.
+func (w *world) agentOf(r *runner) *machine {
+	for position, other := range w.runners {
+		if other == r {
+			return w.agents[position]
+		}
+	}
+	return nil
+}
