--- a/review/rig/runner.go
+++ b/review/rig/runner.go
@@ -27,9 +27,6 @@
 	at       time.Time
 	stopping bool
 	plan     plan
-	// gang names the gang of the run, or is empty. waiting tells that the gang is not complete.
-	gang    string
-	waiting bool
 }
 
 // runner is a stand-in of a runner of the platform: one machine, on which lifetimes follow one another. Its process is
@@ -57,20 +54,14 @@
 	refused   map[string]int
 	ends      [][]any
 	lastEnd   int64
-	draining  bool
 	sequence  int
 	server    *http.Server
 	stopBeats context.CancelFunc
-	// late decides whether a call is left without an answer and carried out later. It may be nil.
-	late func(path string) (time.Duration, bool)
-	// busy answers starts with 503, having done nothing.
-	busy bool
-	// keepID gives the next lifetime the id of the last one.
-	keepID bool
 	// silent leaves every call without an answer.
 	silent bool
 }
 
+// stopTime is how long a stop takes, below StopTimeoutMs, and startupTime how long a standing task takes until it is at work.
 const (
 	stopTime    = 150 * time.Millisecond
 	startupTime = 400 * time.Millisecond
@@ -94,11 +85,8 @@
 	r.mu.Lock()
 	r.life++
 	life := r.life
-	r.up, r.born, r.clock = true, time.Now().UnixMilli(), time.Now()
-	if r.id == "" || !r.keepID {
-		r.id = fmt.Sprintf("i-%s-%d", r.name, r.life)
-	}
-	r.token, r.deadline, r.ends, r.lastEnd, r.draining, r.sequence = 0, 0, nil, 0, false, 0
+	r.up, r.id, r.born, r.clock = true, fmt.Sprintf("i-%s-%d", r.name, r.life), time.Now().UnixMilli(), time.Now()
+	r.token, r.deadline, r.ends, r.lastEnd, r.sequence = 0, 0, nil, 0, 0
 	r.tasks, r.refused = map[string]*execution{}, map[string]int{}
 	r.server = &http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) { r.handle(life, writer, request) })}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -122,17 +110,9 @@
 	r.expire(time.Now())
 	r.up = false
 	for _, item := range r.tasks {
-		if item.gang != "" {
-			r.world.gangs.end(item, "crashed")
-		}
 		r.world.ended(r, item, "crashed")
 	}
 	r.tasks = map[string]*execution{}
-	if r.world.onLost != nil {
-		for _, end := range r.ends {
-			r.world.onLost(end[1].(string), end[3].(string))
-		}
-	}
 	server := r.server
 	r.stopBeats()
 	r.mu.Unlock()
@@ -213,20 +193,11 @@
 // expire ends the runs that are over. The caller holds the lock.
 func (r *runner) expire(now time.Time) {
 	lease := r.clock.Add(r.deadline)
-	if now.After(lease) && r.world.onLost != nil {
-		for _, end := range r.ends {
-			if len(end) == 5 {
-				r.world.onLost(end[1].(string), end[3].(string))
-			}
-		}
-	}
 	for _, item := range r.sorted() {
 		over := item.at.Add(item.plan.length)
 		switch {
-		case now.After(lease) && (item.plan.length == 0 || lease.Before(over) || item.waiting):
+		case now.After(lease) && (item.plan.length == 0 || lease.Before(over)):
 			r.finish(item, "lapsed")
-		case item.gang != "":
-			r.world.gangs.step(r, item, now)
 		case item.plan.length == 0 || now.Before(over):
 		case item.plan.fails:
 			r.finish(item, "failed")
@@ -246,9 +217,6 @@
 }
 
 func (r *runner) finish(item *execution, how string) {
-	if item.gang != "" {
-		r.world.gangs.end(item, how)
-	}
 	delete(r.tasks, item.task)
 	r.refused[item.task] = max(r.refused[item.task], item.run)
 	r.lastEnd++
@@ -262,18 +230,11 @@
 	for ctx.Err() == nil {
 		r.mu.Lock()
 		r.sequence++
-		state := "ready"
-		if r.draining {
-			state = "draining"
-		}
 		body := map[string]any{
-			"Service": "desk", "Address": r.address, "Zone": r.zone, "Version": "v1", "Slots": 8, "State": state, "ColdRemainingMs": 0,
+			"Service": "desk", "Address": r.address, "Zone": r.zone, "Version": "v1", "Slots": 8, "State": "ready", "ColdRemainingMs": 0,
 			"Capacity": map[string]int{"Cpu": r.cpu, "MemoryLimitMb": r.memory, "Gpu": 0}, "Labels": r.labels,
 			"ClockMs": time.Since(r.clock).Milliseconds(), "Sequence": r.sequence, "born": r.born,
 		}
-		if r.draining {
-			body["RemainingMs"] = 2000
-		}
 		id := r.id
 		r.mu.Unlock()
 		data, _ := json.Marshal(body)
@@ -283,12 +244,6 @@
 		if response, err := client.Do(request); err == nil {
 			_, _ = io.Copy(io.Discard, response.Body)
 			_ = response.Body.Close()
-			if state == "draining" && response.StatusCode/100 == 2 {
-				r.world.record("runner %s: draining acknowledged", r.name)
-				if r.world.onDrainAck != nil {
-					r.world.onDrainAck(r)
-				}
-			}
 		} else {
 			pause = 300 * time.Millisecond
 		}
@@ -329,27 +284,12 @@
 		return
 	}
 	r.mu.Lock()
-	id, late, busy := r.id, r.late, r.busy
+	id := r.id
 	r.mu.Unlock()
 	if expected := request.Header.Get("Hyssopjunction-Expected-Instance"); expected != "" && expected != id {
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if busy && request.URL.Path == "/api/run-start" {
-		writer.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	if late != nil {
-		if after, ok := late(request.URL.Path); ok {
-			r.world.record("runner %s: %s %s run %d gets no answer and is carried out %d ms later", r.name, request.URL.Path, form.Task, form.RunID, after.Milliseconds())
-			time.AfterFunc(after, func() {
-				status, _ := r.carryOut(life, request.URL.Path, form)
-				r.world.record("runner %s: late %s %s run %d: %d", r.name, request.URL.Path, form.Task, form.RunID, status)
-			})
-			<-request.Context().Done()
-			return
-		}
-	}
 	if request.URL.Path == "/api/hold" && form.WaitMs > 0 {
 		until := time.Now().Add(time.Duration(min(form.WaitMs, 2000)) * time.Millisecond)
 		for time.Now().Before(until) && request.Context().Err() == nil {
@@ -407,12 +347,6 @@
 		}
 		item := &execution{task: form.Task, run: form.RunID, at: now, plan: r.world.plan(form.Task)}
 		r.tasks[form.Task] = item
-		if r.world.gangOf != nil {
-			if gang, size := r.world.gangOf(form.Task); gang != "" {
-				item.gang, item.waiting = fmt.Sprintf("%s:%d", gang, form.RunID), true
-				r.world.gangs.join(item, size)
-			}
-		}
 		r.world.started(r, item)
 	case "/api/run-stop":
 		r.refused[form.Task] = max(r.refused[form.Task], form.RunID)
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -25,19 +25,6 @@
 
 type rowKey struct{ table, part, key string }
 
-// fault tells how a call to the store fails.
-type fault int
-
-const (
-	faultNone fault = iota
-	// faultBusy answers 503 and does nothing.
-	faultBusy
-	// faultLost carries the call out and breaks the channel instead of answering.
-	faultLost
-	// faultSilent does nothing and never answers.
-	faultSilent
-)
-
 // store is a stand-in of the platform's metadata store.
 type store struct {
 	mu      sync.Mutex
@@ -48,10 +35,6 @@
 	started time.Time
 	// busy holds until when each part applies its transactions, one after another.
 	busy map[string]time.Time
-	// faults decides how a call fails. It may be nil.
-	faults func(request *http.Request, body []byte) fault
-	// delay is how long an answer takes besides the transaction itself.
-	delay func() time.Duration
 }
 
 const transactionTime = 5 * time.Millisecond
@@ -80,12 +63,6 @@
 	s.apply([]row{{Table: table, Part: part, Key: key, Value: data}}, nil)
 }
 
-func (s *store) remove(table, part, key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.apply(nil, []row{{Table: table, Part: part, Key: key}})
-}
-
 // get returns the value of a row.
 func (s *store) get(table, part, key string) ([]byte, bool) {
 	s.mu.Lock()
@@ -94,12 +71,6 @@
 	return found.Value, ok
 }
 
-func (s *store) setFaults(faults func(*http.Request, []byte) fault) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = faults
-}
-
 func (s *store) apply(puts, removes []row) {
 	s.version++
 	for _, item := range puts {
@@ -135,28 +106,7 @@
 	if err != nil {
 		return
 	}
-	s.mu.Lock()
-	how := faultNone
-	if s.faults != nil {
-		how = s.faults(request, body)
-	}
-	delay := s.delay
-	s.mu.Unlock()
-	switch how {
-	case faultBusy:
-		writer.WriteHeader(http.StatusServiceUnavailable)
-		return
-	case faultSilent:
-		<-request.Context().Done()
-		return
-	}
-	if delay != nil {
-		time.Sleep(delay())
-	}
 	status, result := s.carryOut(request, body)
-	if how == faultLost {
-		panic(http.ErrAbortHandler)
-	}
 	writeJSON(writer, status, result)
 }
 
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -29,18 +29,10 @@
 	agents  []*machine
 	runners []*runner
 	plan    func(task string) plan
-	// gangOf returns the gang of a task and its size, or an empty text. It may be nil, as may the following.
-	gangOf  func(task string) (string, int)
-	onStart func(r *runner, item *execution)
-	onEnd   func(r *runner, item *execution, how string)
-	onLost  func(task, how string)
-	// onDrainAck is called when an agent has acknowledged that the runner drains.
-	onDrainAck func(r *runner)
 
 	// proxied is the number of the side machine with proxies, from 1 on, or 0.
 	proxied int
 	proxies *proxies
-	gangs   gangs
 	mu      sync.Mutex
 	begun   time.Time
 	out     *os.File
@@ -144,9 +136,6 @@
 	w.runs = append(w.runs, &runRecord{task: item.task, run: item.run, runner: r, life: r.id, at: item.at})
 	w.mu.Unlock()
 	w.record("runner %s starts %s run %d", r.name, item.task, item.run)
-	if w.onStart != nil {
-		w.onStart(r, item)
-	}
 }
 
 func (w *world) find(r *runner, task string, run int) *runRecord {
@@ -165,9 +154,6 @@
 	}
 	w.mu.Unlock()
 	w.record("runner %s: %s run %d ends %s", r.name, item.task, item.run, how)
-	if w.onEnd != nil {
-		w.onEnd(r, item, how)
-	}
 }
 
 // noted records that LastSeen has reached an end.
