--- a/review/rig/case_crashes.go
+++ b/review/rig/case_crashes.go
@@ -6,15 +6,22 @@
 )
 
 func init() {
-	cases["crashes"] = func(w *world) error { return crashes(w, 2*time.Second, 4) }
+	cases["crashes"] = func(w *world) error { return crashes(w, 2*time.Second, 4, true) }
 	// Not handed in as a case of its own: two crashes, each just after a start.
-	cases["early-crashes"] = func(w *world) error { return crashes(w, 20*time.Millisecond, 2) }
+	cases["early-crashes"] = func(w *world) error { return crashes(w, 20*time.Millisecond, 2, true) }
+	// The same with a task that ends after a minute.
+	cases["job-crashes"] = func(w *world) error { return crashes(w, 2*time.Second, 4, false) }
 }
 
 // crashes: runners crash, one at a time. A standing job whose task was on three of them must not be shown as failed: no run
 // of it has ended failed.
-func crashes(w *world, age time.Duration, count int) error {
-	w.plan = func(string) plan { return plan{} }
+func crashes(w *world, age time.Duration, count int, lasts bool) error {
+	w.plan = func(string) plan {
+		if lasts {
+			return plan{}
+		}
+		return plan{length: time.Minute}
+	}
 	w.configure(1, newRoute("watch", 0, 4))
 	if err := w.setUp(3, 11, 32000, 128000, 3); err != nil {
 		return err
@@ -23,7 +30,7 @@
 		return fmt.Errorf("the deployment is not ready")
 	}
 	job := id(1)
-	if !w.submit("watch", job, step{"Count": 1, "Cpu": 2000, "MemoryLimitMb": 1024, "EstimatedMs": 60000, "LongRunning": true}) {
+	if !w.submit("watch", job, step{"Count": 1, "Cpu": 2000, "MemoryLimitMb": 1024, "EstimatedMs": 60000, "LongRunning": lasts}) {
 		return fmt.Errorf("the job was not accepted")
 	}
 	onRunner := func() *runner {
