--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -3,9 +3,12 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -36,8 +39,12 @@
 	}
 	result := make(chan error, 1)
 	go func() { result <- run(w) }()
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	select {
 	case err = <-result:
+	case <-ended:
+		err = errors.New("ended by a signal")
 	case <-time.After(limit):
 		err = fmt.Errorf("the case took longer than %s", limit)
 	}
