supervisor: stop runs whose lease outlasts the grant after a suspension

Cause: the worker counts its lease on a steady clock that does not count a suspension, the leader and the agent count the grant on one that does. The deadline that was set before the suspension held that much longer, and nobody compared the two. Calls after the suspension extended it as well, because the last reading of the worker's clock was carried on by the agent's.

Change: the agent keeps the latest deadline of its calls and compares what is left of the lease with what is left of the grant. If the lease ends later by more than 2% and 100 ms, it stops all runs StopTimeoutMs and 500 ms before the end of the grant, unless a new grant comes before. Deadlines are computed from readings of the last 0.8 s, carried on by the agent's steady clock. The leader waits as long as before; no row or message has changed.

TestRunsEndWithGrantAfterSuspension fails without the stops, TestLeaseIsNotExtendedBeyondGrant with the earlier deadlines (4,800 ms of lease for 2,800 ms of grant). TestRunsOutliveSuspension shows that runs go on if a grant comes in time, or if only the agent stood still.

--- a/cmd/cluster.go
+++ b/cmd/cluster.go
@@ -269,7 +269,8 @@
 func startClusterAgent(lifecycle fx.Lifecycle, settings cluster.Settings, path string) error {
 	source := clock.NewBoot()
 	clusterStore := platform.NewStore(settings.Store, source, settings.StoreWrites, settings.StoreReads)
-	agent := supervisor.New(source, platform.NewRunner(settings.Runtime), settings.Node, settings.Lease, settings.Impact)
+	agent := supervisor.New(supervisor.Clocks{Boot: source, Steady: clock.NewSystem()}, platform.NewRunner(settings.Runtime), settings.Node,
+		supervisor.Bounds{Lease: settings.Lease, StopTimeout: settings.StopTimeout, MaxOverTarget: settings.Impact})
 	if err := listenAndServe(lifecycle, settings.Workers, platform.NewRegistry(settings, agent)); err != nil {
 		return err
 	}
--- a/supervisor/candidate.go
+++ b/supervisor/candidate.go
@@ -33,7 +33,7 @@
 	if candidate == nil {
 		return
 	}
-	sentAt := supervisor.clock.Now()
+	sentAt := supervisor.clocks.Boot.Now()
 	ctx, cancel := context.WithTimeout(supervisor.baseContext, confirmTimeout.Duration())
 	listing, err := supervisor.runtime.Renew(ctx, call)
 	cancel()
--- a/supervisor/candidate_test.go
+++ b/supervisor/candidate_test.go
@@ -54,7 +54,7 @@
 		t.Run(name, func(t *testing.T) {
 			fake := newRuntime()
 			fake.id, fake.startedAtMillis = "i-1", 10
-			supervisor := New(clock.NewSystem(), fake, "node", testLease, 4*clock.Second)
+			supervisor := New(testClocks(clock.NewSystem()), fake, "node", testBounds(testLease))
 			t.Cleanup(supervisor.Close)
 			supervisor.Announce(strayAnnouncement(stray))
 			if !supervisor.Announce(Announcement{Incarnation: Incarnation{ID: "i-1", StartedAt: 10}, Sequence: 1, Capacity: unit.Resources{CPU: 4000, Memory: 4000}}) {
--- a/supervisor/crash.go
+++ b/supervisor/crash.go
@@ -63,7 +63,7 @@
 	if worker.announcement.Draining || worker.crash != nil {
 		return
 	}
-	now := supervisor.clock.Now()
+	now := supervisor.clocks.Boot.Now()
 	worker.crash = worker.newCrash(now)
 	worker.crash.log(worker.incarnation, now)
 	supervisor.crashed = append(supervisor.crashed, worker)
--- a/supervisor/crash_test.go
+++ b/supervisor/crash_test.go
@@ -34,9 +34,9 @@
 	supervisor.loop.Call(func() {
 		worker := supervisor.worker
 		worker.runs[runKey{"waiting", 1}] = &runState{phase: phaseStarting, hasOrder: true}
-		worker.runs[runKey{"unanswered", 1}] = &runState{phase: phaseStarting, hasOrder: true, startSentAt: supervisor.clock.Now()}
-		worker.runs[runKey{"refused", 1}] = &runState{phase: phaseStarting, hasOrder: true, startSentAt: supervisor.clock.Now()}
-		worker.recordAnswer(worker.runs[runKey{"refused", 1}], false, ErrNotListening{Reason: "connection refused"}, supervisor.clock.Now())
+		worker.runs[runKey{"unanswered", 1}] = &runState{phase: phaseStarting, hasOrder: true, startSentAt: supervisor.clocks.Boot.Now()}
+		worker.runs[runKey{"refused", 1}] = &runState{phase: phaseStarting, hasOrder: true, startSentAt: supervisor.clocks.Boot.Now()}
+		worker.recordAnswer(worker.runs[runKey{"refused", 1}], false, ErrNotListening{Reason: "connection refused"}, supervisor.clocks.Boot.Now())
 		supervisor.endIncarnation(worker, "test")
 	})
 	assertCrash(t, supervisor, 2)
--- a/supervisor/firstpace.go
+++ b/supervisor/firstpace.go
@@ -14,7 +14,7 @@
 
 // logPaces logs the paces of the worker's filling runs while one of them is throttled, with what limits them most.
 func (supervisor *Supervisor) logPaces(worker *workerState, filling []pacing.FillingSample) {
-	now := supervisor.clock.Now()
+	now := supervisor.clocks.Boot.Now()
 	if now.Sub(worker.pacesLoggedAt) < pacesLogInterval {
 		return
 	}
--- a/supervisor/leadersession.go
+++ b/supervisor/leadersession.go
@@ -120,7 +120,7 @@
 
 // beginSession discards what an earlier session reported.
 func (supervisor *Supervisor) beginSession() {
-	supervisor.session = sessionState{startedAt: supervisor.clock.Now(), sentAt: map[uint64]clock.Time{}}
+	supervisor.session = sessionState{startedAt: supervisor.clocks.Boot.Now(), sentAt: map[uint64]clock.Time{}}
 }
 
 // isResponsive reports whether the leader may place runs on the worker. A leader that has just taken over places
@@ -142,7 +142,7 @@
 	defer close(opened)
 	supervisor.background(func() {
 		select {
-		case <-supervisor.clock.After(openTimeout):
+		case <-supervisor.clocks.Boot.After(openTimeout):
 			cancel()
 		case <-opened:
 		}
@@ -155,8 +155,8 @@
 func (supervisor *Supervisor) exchange(ctx context.Context, directory Directory, address string,
 	stream *session.AgentStream, incoming <-chan *session.Orders,
 ) string {
-	lastOrdersAt := supervisor.clock.Now()
-	reportTimer := supervisor.clock.After(0)
+	lastOrdersAt := supervisor.clocks.Boot.Now()
+	reportTimer := supervisor.clocks.Boot.After(0)
 	term := int64(0)
 	laterLeaders := make(chan string, 1)
 	searching := false
@@ -171,7 +171,7 @@
 			if orders.Term == 0 {
 				return orders.Redirect
 			}
-			lastOrdersAt = supervisor.clock.Now()
+			lastOrdersAt = supervisor.clocks.Boot.Now()
 			accepted := false
 			supervisor.loop.Call(func() { accepted = supervisor.acceptOrders(orders) })
 			if !accepted {
@@ -196,10 +196,10 @@
 			searching = false
 			continue
 		case <-reportTimer:
-			reportTimer = supervisor.clock.After(reportInterval)
+			reportTimer = supervisor.clocks.Boot.After(reportInterval)
 		case <-supervisor.reportRequests:
 		}
-		if supervisor.clock.Now().Sub(lastOrdersAt) > sessionTimeout {
+		if supervisor.clocks.Boot.Now().Sub(lastOrdersAt) > sessionTimeout {
 			klog.InfoS("Leader is unresponsive", "Address", address, "Term", term)
 			return ""
 		}
@@ -249,7 +249,7 @@
 
 // extendGrant records that the worker's lease is granted until a time.
 func (supervisor *Supervisor) extendGrant(until clock.Time) {
-	now := supervisor.clock.Now()
+	now := supervisor.clocks.Boot.Now()
 	if ended := supervisor.grant.until; ended != 0 && !now.Before(ended) && now.Before(until) {
 		waiting := 0
 		if supervisor.worker != nil {
@@ -267,7 +267,7 @@
 // nextReport returns a report with everything that has changed since the last one. The lease is granted from the
 // time at which a report is sent.
 func (supervisor *Supervisor) nextReport() *session.Report {
-	now := supervisor.clock.Now()
+	now := supervisor.clocks.Boot.Now()
 	state := &supervisor.session
 	state.sequence++
 	state.sentAt[state.sequence] = now
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -14,6 +14,9 @@
 // reasonRoom is why a start is given up that does not fit on the worker.
 const reasonRoom = "Room"
 
+// reasonLeaseOverrun is why a run is stopped whose worker's lease ends later than the grant.
+const reasonLeaseOverrun = "LeaseOverrun"
+
 // reasonLeaseEnded is why a start is given up that was ordered under a lease that has ended.
 const reasonLeaseEnded = "LeaseEnded"
 
@@ -39,7 +42,7 @@
 	}
 	leaseEnd := supervisor.grant.until
 	if orders.Sequence < supervisor.session.lapseSequence {
-		leaseEnd = min(leaseEnd, supervisor.clock.Now())
+		leaseEnd = min(leaseEnd, supervisor.clocks.Boot.Now())
 	}
 	for _, order := range orders.Starts {
 		if order.Incarnation != worker.incarnation {
@@ -87,7 +90,7 @@
 			return // The leader has not received the end of the run yet.
 		}
 	}
-	run := &runState{order: order, phase: phaseStarting, pacePercent: pacing.FullPace, hasOrder: true, orderedAt: supervisor.clock.Now(), startLimits: limits}
+	run := &runState{order: order, phase: phaseStarting, pacePercent: pacing.FullPace, hasOrder: true, orderedAt: supervisor.clocks.Boot.Now(), startLimits: limits}
 	if !worker.reserved().Add(order.Reserved).FitsIn(worker.announcement.Capacity) {
 		supervisor.giveUpStart(run, reasonRoom)
 	}
@@ -215,7 +218,7 @@
 	}
 	if run.phase == phaseStarting {
 		// Once a run is stopped, the worker refuses it, also if an earlier start arrives late.
-		switch now := supervisor.clock.Now(); {
+		switch now := supervisor.clocks.Boot.Now(); {
 		case worker.announcement.Draining:
 			supervisor.giveUpStart(run, "Draining")
 		case !now.Before(run.leaseEnd):
@@ -228,20 +231,22 @@
 	}
 	switch run.phase {
 	case phaseStarting:
-		deadline := supervisor.leaseDeadline(worker)
-		if deadline == 0 || worker.unansweredListings >= unresponsiveListings {
+		if worker.unansweredListings >= unresponsiveListings {
+			return nil, false
+		}
+		deadline := supervisor.nextDeadline(worker)
+		if deadline == 0 {
 			return nil, false
 		}
 		call := StartCall{
 			Incarnation: worker.announcement.Incarnation, Task: run.order.Task, Run: run.order.Run, Payload: run.order.Payload,
 			Saved: run.order.Saved, Deadline: deadline, Token: supervisor.grant.term,
 		}
-		worker.leaseSentAt = supervisor.clock.Now()
-		run.previousStartSentAt, run.startSentAt = run.startSentAt, worker.leaseSentAt
+		run.previousStartSentAt, run.startSentAt = run.startSentAt, supervisor.clocks.Boot.Now()
 		run.unansweredStarts++
 		return func(ctx context.Context) error { return supervisor.runtime.Start(ctx, call) }, false
 	case phaseStopping:
-		run.stopSentAt = supervisor.clock.Now()
+		run.stopSentAt = supervisor.clocks.Boot.Now()
 		call := StopCall{Incarnation: worker.announcement.Incarnation, Task: run.order.Task, Run: run.order.Run, Token: supervisor.grant.term}
 		return func(ctx context.Context) error { return supervisor.runtime.Stop(ctx, call) }, true
 	case phaseStarted, phaseStopped:
@@ -264,7 +269,7 @@
 // giveUpStart makes the next call for a run that has not started a stop. The run is rejected only after the worker has
 // confirmed it, because an earlier process of the agent may have made a start call that is carried out later.
 func (supervisor *Supervisor) giveUpStart(run *runState, reason string) {
-	now := supervisor.clock.Now()
+	now := supervisor.clocks.Boot.Now()
 	klog.InfoS("Start given up", "Task", run.order.Task, "Run", run.order.Run, "Reason", reason,
 		"AgeMillis", int64(now.Sub(run.orderedAt)), "LeaseLeftMillis", int64(run.leaseEnd.Sub(now)), "GrantLeftMillis", int64(supervisor.grant.until.Sub(now)))
 	run.phase, run.reason = phaseStopping, reason
@@ -281,7 +286,7 @@
 	if supervisor.worker != worker || IsErrOtherIncarnation(err) {
 		return false
 	}
-	now := supervisor.clock.Now()
+	now := supervisor.clocks.Boot.Now()
 	var refused ErrRefused
 	worker.recordAnswer(run, stop, err, now)
 	switch {
--- a/supervisor/paces.go
+++ b/supervisor/paces.go
@@ -10,7 +10,7 @@
 // updatePaces decides the paces of the filling tasks by the latest samples and sets them.
 func (supervisor *Supervisor) updatePaces(worker *workerState) {
 	serving, filling := worker.samples()
-	worker.governor.Decide(serving, filling, worker.weight, supervisor.clock.Now())
+	worker.governor.Decide(serving, filling, worker.weight, supervisor.clocks.Boot.Now())
 	supervisor.logPaces(worker, filling)
 	supervisor.setPaces(worker)
 }
--- a/supervisor/staleorder_test.go
+++ b/supervisor/staleorder_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,6 +36,8 @@
 	ends      []Ended
 	// onStart is called when a start takes effect, if it is not nil.
 	onStart func(call StartCall)
+	// onListing is called once before the next listing is answered, if it is not nil.
+	onListing func()
 	// started holds the times of the starts that took effect.
 	started []clock.Time
 }
@@ -111,6 +114,10 @@
 		}
 	}
 	worker.leaseEnd = max(worker.leaseEnd, call.Deadline)
+	if worker.onListing != nil {
+		worker.onListing()
+		worker.onListing = nil
+	}
 	listing := Listing{Clock: worker.now(), StartedAt: call.Incarnation.StartedAt, Ended: worker.ends}
 	for key := range worker.running {
 		listing.Active = append(listing.Active, Active{Task: key.task, Run: key.number})
@@ -124,10 +131,23 @@
 	change()
 }
 
+// suspendedClock is a clock that includes the time during which its machine is suspended. The clock that it is based on does
+// not.
+type suspendedClock struct {
+	*clock.Fake
+	suspended atomic.Int64
+}
+
+func (source *suspendedClock) Now() clock.Time {
+	return source.Fake.Now().Add(clock.Millis(source.suspended.Load()))
+}
+
 // staleFixture plays the leader and the worker of a supervisor on a fake clock.
 type staleFixture struct {
 	t          *testing.T
 	clock      *clock.Fake
+	boot       *suspendedClock
+	clocks     Clocks
 	worker     *leasedWorker
 	supervisor *Supervisor
 	term       int64
@@ -140,7 +160,8 @@
 	t.Helper()
 	source := clock.NewFake(clock.Time(clock.Minute))
 	worker := &leasedWorker{clock: source, running: map[runKey]bool{}, stopped: map[runKey]bool{}}
-	fixture := &staleFixture{t: t, clock: source, worker: worker, term: 1}
+	boot := &suspendedClock{Fake: source}
+	fixture := &staleFixture{t: t, clock: source, boot: boot, clocks: Clocks{Boot: boot, Steady: source}, worker: worker, term: 1}
 	fixture.startSupervisor()
 	fixture.passUntil("a listing", func() bool { return fixture.supervisor.worker.clockReadAt != 0 })
 	fixture.grant(fixture.report())
@@ -149,7 +170,7 @@
 
 // startSupervisor starts the agent and announces its worker.
 func (fixture *staleFixture) startSupervisor() {
-	fixture.supervisor = New(fixture.clock, fixture.worker, "node", staleLease, 4*clock.Second)
+	fixture.supervisor = New(fixture.clocks, fixture.worker, "node", testBounds(staleLease))
 	fixture.t.Cleanup(fixture.supervisor.Close)
 	fixture.supervisor.loop.Call(fixture.supervisor.beginSession)
 	fixture.supervisor.Announce(Announcement{Incarnation: Incarnation{ID: "i-1", StartedAt: 10}, Sequence: 1, Capacity: unit.Resources{CPU: 4000, Memory: 4000}})
@@ -163,6 +184,9 @@
 	}
 }
 
+// suspend suspends the machine of the agent and the worker for a time.
+func (fixture *staleFixture) suspend(millis clock.Millis) { fixture.boot.suspended.Add(int64(millis)) }
+
 // passUntil lets the agent work until the condition holds on the control loop.
 func (fixture *staleFixture) passUntil(event string, condition func() bool) {
 	fixture.t.Helper()
@@ -206,9 +230,14 @@
 // order orders run 1 of the task.
 func (fixture *staleFixture) order() {
 	fixture.t.Helper()
-	fixture.receive(&session.Orders{Starts: []session.Start{{
-		Incarnation: "i-1@10@node", Task: staleTask, Run: 1, Reserved: unit.Resources{CPU: 3000, Memory: 10},
-	}}})
+	fixture.receive(startOrders(staleTask, 3000))
+}
+
+// startOrders returns orders to start run 1 of a task.
+func startOrders(task string, cpu unit.MilliCPU) *session.Orders {
+	return &session.Orders{Starts: []session.Start{{
+		Incarnation: "i-1@10@node", Task: task, Run: 1, Reserved: unit.Resources{CPU: cpu, Memory: 10},
+	}}}
 }
 
 // changeSession ends the session and begins one with the leader of a term.
--- a/supervisor/successor.go
+++ b/supervisor/successor.go
@@ -40,7 +40,7 @@
 
 // beginSuccession stops the exposed runs of a worker at its successor.
 func (supervisor *Supervisor) beginSuccession(worker *workerState, startedAt int64) {
-	next := &successor{startedAt: startedAt, knownAt: supervisor.clock.Now(), exposed: map[runKey]*runState{}}
+	next := &successor{startedAt: startedAt, knownAt: supervisor.clocks.Boot.Now(), exposed: map[runKey]*runState{}}
 	worker.successor = next
 	supervisor.recordCrash(worker) // Before the runs change their phase.
 	for key, run := range worker.runs {
--- a/supervisor/successor_test.go
+++ b/supervisor/successor_test.go
@@ -135,7 +135,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			supervisor.loop.Call(func() {
-				supervisor.worker.clockReadAt = supervisor.clock.Now()
+				supervisor.worker.clockReadAt = supervisor.clocks.Boot.Now()
 				if _, call := supervisor.nextRenewCall(); call.RecordedEnd != 7 {
 					t.Errorf("got the acknowledgement of end %d, want 7", call.RecordedEnd)
 				}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -62,10 +62,9 @@
 // Supervisor manages the worker of one node for the leader. Create it with New.
 type Supervisor struct {
 	node           string
-	clock          clock.Clock
+	clocks         Clocks
 	runtime        Runtime
-	leaseLength    clock.Millis
-	maxOverTarget  clock.Millis
+	bounds         Bounds
 	loop           *loop.Loop
 	baseContext    context.Context
 	cancel         context.CancelFunc
@@ -101,9 +100,7 @@
 	incarnation  string
 	governor     *pacing.Governor
 	runs         map[runKey]*runState
-	// workerClock is the last reading of the worker's clock, received at clockReadAt, or 0.
-	workerClock WorkerTime
-	clockReadAt clock.Time
+	workerLease
 	// leaseSentAt is the time of the last call that may have extended the lease, whether it was answered or not. An earlier
 	// process of the agent may have made one until this process got to know the worker.
 	leaseSentAt clock.Time
@@ -209,12 +206,21 @@
 	startBy clock.Time
 }
 
-// New starts the supervisor of the node's worker. The parameter leaseLength is the longest lease that the worker
-// accepts, and maxOverTarget how long serving tasks may exceed their target through filling tasks.
-func New(source clock.Clock, runtime Runtime, node string, leaseLength, maxOverTarget clock.Millis) *Supervisor {
+// Bounds are times in milliseconds that the worker keeps or asks for.
+type Bounds struct {
+	// Lease is the longest lease that the worker accepts.
+	Lease clock.Millis
+	// StopTimeout is how long the worker takes to stop a run at most.
+	StopTimeout clock.Millis
+	// MaxOverTarget is how long serving tasks may exceed their target through filling tasks.
+	MaxOverTarget clock.Millis
+}
+
+// New starts the supervisor of the node's worker.
+func New(clocks Clocks, runtime Runtime, node string, bounds Bounds) *Supervisor {
 	baseContext, cancel := context.WithCancel(context.Background())
 	supervisor := &Supervisor{
-		node: node, clock: source, runtime: runtime, leaseLength: leaseLength, maxOverTarget: maxOverTarget, loop: loop.New(), baseContext: baseContext, cancel: cancel,
+		node: node, clocks: clocks, runtime: runtime, bounds: bounds, loop: loop.New(), baseContext: baseContext, cancel: cancel,
 		callSlots: make(chan struct{}, maxConcurrentCalls), reportRequests: make(chan struct{}, 1),
 	}
 	supervisor.background(supervisor.renewLeases)
@@ -297,8 +303,8 @@
 func (supervisor *Supervisor) adopt(announcement Announcement) {
 	supervisor.worker = &workerState{
 		announcement: announcement, incarnation: fmt.Sprintf("%s@%d@%s", announcement.Incarnation.ID, announcement.Incarnation.StartedAt, supervisor.node),
-		governor: pacing.NewGovernor(supervisor.maxOverTarget), runs: map[runKey]*runState{}, weights: map[[2]pacing.Image]float64{},
-		leaseSentAt: supervisor.clock.Now(),
+		governor: pacing.NewGovernor(supervisor.bounds.MaxOverTarget), runs: map[runKey]*runState{}, weights: map[[2]pacing.Image]float64{},
+		leaseSentAt: supervisor.clocks.Boot.Now(),
 	}
 	klog.InfoS("Worker announced", "Worker", supervisor.worker.incarnation, "Service", announcement.Service, "CPU", int64(announcement.Capacity.CPU), "Labels", announcement.Labels)
 	supervisor.requestReport()
@@ -334,7 +340,7 @@
 			supervisor.sleep(listingPause)
 			continue
 		}
-		sentAt := supervisor.clock.Now()
+		sentAt := supervisor.clocks.Boot.Now()
 		ctx, cancel := context.WithTimeout(supervisor.baseContext, (call.Wait + listingGrace).Duration())
 		listing, err := supervisor.runtime.Renew(ctx, call)
 		cancel()
@@ -349,31 +355,32 @@
 // sleep waits for the time or until the supervisor is closed.
 func (supervisor *Supervisor) sleep(millis clock.Millis) {
 	select {
-	case <-supervisor.clock.After(millis):
+	case <-supervisor.clocks.Boot.After(millis):
 	case <-supervisor.baseContext.Done():
 	}
 }
 
 // nextRenewCall returns the worker and the next call that extends its lease and lists its runs, or nil if no
-// worker has been announced. The call does not extend the lease of an unresponsive worker. It acknowledges ends, and waits for
+// worker has been announced. First it enforces the end of the grant. The call does not extend the lease of an unresponsive worker. It acknowledges ends, and waits for
 // further ones, only if the worker has just confirmed its incarnation.
 func (supervisor *Supervisor) nextRenewCall() (*workerState, RenewCall) {
 	worker := supervisor.worker
 	if worker == nil {
 		return nil, RenewCall{}
 	}
+	supervisor.enforceGrant(worker)
 	call := RenewCall{Incarnation: worker.announcement.Incarnation, Token: supervisor.grant.term}
-	worker.isConfirming = !worker.isConfirmed(supervisor.clock.Now())
+	worker.isConfirming = !worker.isConfirmed(supervisor.clocks.Boot.Now())
 	if !worker.isConfirming {
 		// Otherwise a later incarnation may answer, whose ends have the same numbers.
 		call.RecordedEnd, call.Wait = worker.recordedEnd, listingWait
 	}
+	if supervisor.leaseOverruns(worker, supervisor.clocks.Boot.Now()) {
+		call.Wait = 0 // The next reading of the worker's clock shows whether its lease still overruns.
+	}
 	worker.sentRecordedEnd = call.RecordedEnd
 	if worker.unansweredListings < unresponsiveListings && worker.successor == nil {
-		call.Deadline = supervisor.leaseDeadline(worker)
-	}
-	if call.Deadline > 0 {
-		worker.leaseSentAt = supervisor.clock.Now()
+		call.Deadline = supervisor.nextDeadline(worker)
 	}
 	return worker, call
 }
@@ -383,14 +390,16 @@
 	return worker.clockReadAt != 0 && worker.unansweredListings == 0 && worker.successor == nil && now.Sub(worker.clockReadAt) <= maxConfirmationAge
 }
 
-// leaseDeadline returns the end of the granted lease on the worker's clock, or 0 if no lease is granted. The
-// worker read its clock before its answer arrived at clockReadAt, so the result is never too late.
-func (supervisor *Supervisor) leaseDeadline(worker *workerState) WorkerTime {
-	now := supervisor.clock.Now()
-	if worker.clockReadAt == 0 || !now.Before(supervisor.grant.until) {
+// nextDeadline returns the end of the granted lease on the worker's clock for a call that is made now, or 0 if no lease is
+// granted or the worker's clock has to be read first.
+func (supervisor *Supervisor) nextDeadline(worker *workerState) WorkerTime {
+	now, steadyNow := supervisor.clocks.Boot.Now(), supervisor.clocks.Steady.Now()
+	if !worker.isFresh(now) || !now.Before(supervisor.grant.until) {
 		return 0
 	}
-	return worker.workerClock + WorkerTime(supervisor.grant.until.Sub(worker.clockReadAt))
+	deadline := worker.deadlineAt(supervisor.grant.until, now, steadyNow)
+	worker.deadline, worker.leaseSentAt = max(worker.deadline, deadline), now
+	return deadline
 }
 
 // handleListing processes the outcome of a listing that was requested at sentAt. It reports whether the next one
@@ -399,7 +408,7 @@
 	if supervisor.worker != worker {
 		return false
 	}
-	now := supervisor.clock.Now()
+	now := supervisor.clocks.Boot.Now()
 	wasResponsive := supervisor.isResponsive(worker)
 	if err != nil {
 		worker.recordFailure(err, sentAt, now)
@@ -413,7 +422,7 @@
 		if worker.trackGone(err, now) || IsErrOtherIncarnation(err) {
 			supervisor.endIncarnation(worker, err.Error())
 		}
-		if !worker.lapsed && now.Sub(worker.leaseSentAt) > election.WorkerStoppedAfter(supervisor.leaseLength) {
+		if !worker.lapsed && now.Sub(worker.leaseSentAt) > election.WorkerStoppedAfter(supervisor.bounds.Lease) {
 			klog.InfoS("Worker lapsed", "Worker", worker.incarnation)
 			worker.lapsed = true
 			supervisor.requestReport()
@@ -436,7 +445,8 @@
 	if !sentAt.Before(supervisor.session.startedAt) {
 		supervisor.session.hasListing = true
 	}
-	worker.workerClock, worker.clockReadAt = listing.Clock, now
+	standstill := worker.recordReading(listing.Clock, sentAt, now, supervisor.clocks.Steady.Now(), supervisor.bounds.Lease)
+	supervisor.logStandstill(worker, standstill)
 	hasNewEnds := len(listing.Ended) > 0 && listing.Ended[len(listing.Ended)-1].Number > lastEndNumber(worker.listing.Ended)
 	hasFirstRuns := len(worker.listing.Active)+len(worker.listing.Ended) == 0 && len(listing.Active) > 0
 	worker.listing = listing
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -183,13 +183,22 @@
 	change()
 }
 
+// testClocks returns the clocks of a machine that is never suspended.
+func testClocks(source clock.Clock) Clocks { return Clocks{Boot: source, Steady: source} }
+
+func testBounds(lease clock.Millis) Bounds {
+	return Bounds{Lease: lease, StopTimeout: 200 * clock.Millisecond, MaxOverTarget: 4 * clock.Second}
+}
+
 // newSupervisor returns a supervisor with an announced worker and a lease that is granted for an hour.
 func newSupervisor(t *testing.T, fake *fakeRuntime) *Supervisor {
 	t.Helper()
-	supervisor := New(clock.NewSystem(), fake, "node", testLease, 4*clock.Second)
+	supervisor := New(testClocks(clock.NewSystem()), fake, "node", testBounds(testLease))
 	t.Cleanup(supervisor.Close)
 	supervisor.Announce(Announcement{Incarnation: Incarnation{ID: "i-1", StartedAt: 10}, Sequence: 1, Capacity: unit.Resources{CPU: 4000, Memory: 4000}})
-	supervisor.loop.Call(func() { supervisor.grant.term = 1; supervisor.grant.until = supervisor.clock.Now().Add(clock.Hour) })
+	supervisor.loop.Call(func() {
+		supervisor.grant = grant{term: 1, until: supervisor.clocks.Boot.Now().Add(clock.Hour)}
+	})
 	return supervisor
 }
 
@@ -446,7 +455,7 @@
 		worker := supervisor.worker
 		report := func(answers ...error) bool {
 			for _, err := range answers {
-				supervisor.handleListing(worker, Listing{Clock: worker.workerClock}, supervisor.clock.Now(), err)
+				supervisor.handleListing(worker, Listing{Clock: worker.workerClock}, supervisor.clocks.Boot.Now(), err)
 			}
 			supervisor.session.reportedWorker = nil
 			return supervisor.nextReport().Worker.Responsive
--- a/supervisor/workerend.go
+++ b/supervisor/workerend.go
@@ -41,7 +41,7 @@
 	}
 	klog.InfoS("Worker is gone", "Worker", worker.incarnation, "Reason", reason)
 	supervisor.recordCrash(worker)
-	worker.lapsed, worker.ended, worker.endedAt = true, true, supervisor.clock.Now()
+	worker.lapsed, worker.ended, worker.endedAt = true, true, supervisor.clocks.Boot.Now()
 	worker.endStarts(worker.endedAt) // If the worker answers again, the leader may have placed their tasks elsewhere.
 	// The next report has the worker's profile, also if it answers again by then: the profile shows which is the newer.
 	supervisor.session.reportedWorker = nil
@@ -112,7 +112,7 @@
 		end.At = worker.endedAt
 	}
 	if worker.ended && worker.crash != nil {
-		crash := worker.crash.message(worker.incarnation, supervisor.clock.Now())
+		crash := worker.crash.message(worker.incarnation, supervisor.clocks.Boot.Now())
 		end.Crash = &crash
 	}
 	for _, item := range worker.listing.Ended {
@@ -189,7 +189,7 @@
 			break
 		}
 		select {
-		case <-supervisor.clock.After(shutdownCheckInterval):
+		case <-supervisor.clocks.Boot.After(shutdownCheckInterval):
 		case <-ctx.Done():
 		}
 	}
--- a/supervisor/workerend_test.go
+++ b/supervisor/workerend_test.go
@@ -145,7 +145,7 @@
 	select {
 	case <-done:
 		t.Fatal("the supervisor stopped before the end of its earlier worker was stored")
-	case <-supervisor.clock.After(2 * endRetryInterval):
+	case <-supervisor.clocks.Boot.After(2 * endRetryInterval):
 	}
 	directory.stores.Store(true)
 	assertStopped(t, done)
@@ -175,7 +175,7 @@
 			await(t, supervisor, "a listing", func() bool { return supervisor.worker.clockReadAt != 0 })
 			supervisor.loop.Call(func() {
 				supervisor.beginSession()
-				supervisor.grant.until = supervisor.clock.Now()
+				supervisor.grant.until = supervisor.clocks.Boot.Now()
 				for range 40 {
 					report := supervisor.nextReport()
 					if answered {
@@ -183,7 +183,7 @@
 					}
 				}
 				supervisor.acceptOrders(&session.Orders{Term: 1, Sequence: supervisor.session.sequence, Lease: clock.Minute})
-				if left := supervisor.grant.until.Sub(supervisor.clock.Now()); left <= 0 {
+				if left := supervisor.grant.until.Sub(supervisor.clocks.Boot.Now()); left <= 0 {
 					t.Errorf("got a lease that ends in %s after a grant of %s", left, clock.Minute)
 				}
 				if got := len(supervisor.session.sentAt); got != 1 {
@@ -220,7 +220,7 @@
 	select {
 	case <-done:
 		t.Errorf("stopped after %d reports, before the lapse was stored", directory.reports.Load())
-	case <-supervisor.clock.After(2 * endRetryInterval):
+	case <-supervisor.clocks.Boot.After(2 * endRetryInterval):
 	}
 }
 
@@ -280,7 +280,7 @@
 		t.Run(name, func(t *testing.T) {
 			fake, directory := newRuntime(), &fakeDirectory{}
 			fake.unresponsive = !answersOnce
-			supervisor := New(clock.NewSystem(), fake, "node", testLease, 4*clock.Second)
+			supervisor := New(testClocks(clock.NewSystem()), fake, "node", testBounds(testLease))
 			t.Cleanup(supervisor.Close)
 			supervisor.Follow(directory)
 			startedAt := time.Now()
--- /dev/null
+++ b/supervisor/workerlease_test.go
@@ -0,0 +1,213 @@
+package supervisor
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"hyssopjunction/clock"
+)
+
+// overrunLead is how long before the end of the grant the runs of a staleFixture are stopped if the lease overruns.
+const overrunLead = 200*clock.Millisecond + maxCallTimeout
+
+// startRun starts run 1 of the task.
+func (fixture *staleFixture) startRun() {
+	fixture.t.Helper()
+	fixture.order()
+	fixture.passUntil("the start", func() bool {
+		return len(fixture.supervisor.worker.listing.Active) == 1
+	})
+}
+
+// isRunning reports whether run 1 of the task is active on the worker.
+func (fixture *staleFixture) isRunning() bool {
+	fixture.worker.mu.Lock()
+	defer fixture.worker.mu.Unlock()
+	return fixture.worker.running[runKey{staleTask, 1}] && fixture.worker.leaseEnd > fixture.worker.now()
+}
+
+// grantLeft returns the time until the end of the grant.
+func (fixture *staleFixture) grantLeft() clock.Millis {
+	left := clock.Millis(0)
+	fixture.supervisor.loop.Call(func() { left = fixture.supervisor.grant.until.Sub(fixture.boot.Now()) })
+	return left
+}
+
+// assertRunning fails the test unless the run is active on the worker, or not, as wanted.
+func (fixture *staleFixture) assertRunning(want bool, when string) {
+	fixture.t.Helper()
+	if got := fixture.isRunning(); got != want {
+		fixture.t.Errorf("running %t %s, want %t", got, when, want)
+	}
+}
+
+// passBefore lets the agent work until some time before the end of the grant.
+func (fixture *staleFixture) passBefore(millis clock.Millis) {
+	fixture.pass(max(0, fixture.grantLeft()-millis))
+}
+
+// TestRunsEndWithGrantAfterSuspension guards against a task with two runs: the machine of a worker is suspended and the agent
+// is granted no lease from then on. The worker's clock did not count the suspension, so its lease ended that much later than
+// the leader waited.
+func TestRunsEndWithGrantAfterSuspension(t *testing.T) {
+	t.Parallel()
+	cases := map[string]func(fixture *staleFixture){
+		"one suspension": func(fixture *staleFixture) { fixture.suspend(1500) },
+		"a short one":    func(fixture *staleFixture) { fixture.suspend(500) },
+		"several in a row": func(fixture *staleFixture) {
+			for range 5 {
+				fixture.suspend(250)
+				fixture.pass(70)
+			}
+		},
+		"while a listing is under way": func(fixture *staleFixture) {
+			fixture.worker.update(func() { fixture.worker.onListing = func() { fixture.suspend(1500) } })
+			fixture.pass(200)
+		},
+		"without a connection to the leader before": func(fixture *staleFixture) {
+			fixture.pass(1000)
+			fixture.suspend(1000)
+		},
+		"and the agent paused after it": func(fixture *staleFixture) {
+			fixture.suspend(1000)
+			fixture.clock.Advance(500)
+		},
+		"with a start under way": func(fixture *staleFixture) {
+			held := make(chan StartCall, 1)
+			fixture.worker.update(func() { fixture.worker.heldStart = held })
+			fixture.receive(startOrders("0123456789abcdef.0.0.1", 10))
+			call := <-held
+			fixture.suspend(1500)
+			fixture.worker.update(func() { _ = fixture.worker.start(call) })
+		},
+		"and a later grant that ends before its lease": func(fixture *staleFixture) {
+			sequence := fixture.report()
+			fixture.pass(600)
+			fixture.suspend(1500)
+			fixture.grant(sequence)
+		},
+	}
+	for name, disturb := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fixture := newStaleFixture(t)
+			fixture.startRun()
+			fixture.pass(100)
+			disturb(fixture)
+			fixture.passBefore(overrunLead + 50)
+			fixture.assertRunning(true, "while the stop can wait for a grant")
+			fixture.passBefore(0)
+			fixture.assertRunning(false, "at the end of the grant")
+			fixture.worker.update(func() {
+				if left := len(fixture.worker.running); left > 0 {
+					t.Errorf("%d runs are active at the end of the grant, want 0", left)
+				}
+			})
+		})
+	}
+}
+
+// TestRunsOutliveSuspension guards against runs that are stopped although the leader has granted a lease since the
+// suspension, and against runs that are stopped early although their worker's clock went on.
+func TestRunsOutliveSuspension(t *testing.T) {
+	t.Parallel()
+	cases := map[string]func(fixture *staleFixture){
+		"granted again": func(fixture *staleFixture) { fixture.suspend(1500); fixture.pass(100); fixture.grant(fixture.report()) },
+		"granted just in time": func(fixture *staleFixture) {
+			fixture.suspend(1500)
+			fixture.passBefore(overrunLead + 100)
+			fixture.grant(fixture.report())
+		},
+		"no suspension": func(fixture *staleFixture) { fixture.pass(1500) },
+		"only the agent stood still": func(fixture *staleFixture) {
+			fixture.clock.Advance(1500)
+		},
+	}
+	for name, disturb := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fixture := newStaleFixture(t)
+			fixture.startRun()
+			fixture.pass(100)
+			disturb(fixture)
+			fixture.passBefore(150)
+			fixture.assertRunning(true, "shortly before the end of the grant")
+		})
+	}
+}
+
+// TestLeaseIsNotExtendedBeyondGrant guards against calls that extend the worker's lease beyond the grant: the worker's clock
+// stood still between its last reading and the call.
+func TestLeaseIsNotExtendedBeyondGrant(t *testing.T) {
+	t.Parallel()
+	cases := map[string]func(fixture *staleFixture){
+		"renewal": func(fixture *staleFixture) { fixture.pass(200) },
+		"start":   func(fixture *staleFixture) { fixture.order(); fixture.pass(200) },
+		"start that had waited": func(fixture *staleFixture) {
+			fixture.setUnresponsive(true)
+			fixture.order()
+			fixture.setUnresponsive(false)
+			fixture.pass(100)
+		},
+	}
+	for name, call := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fixture := newStaleFixture(t)
+			fixture.pass(200)
+			fixture.suspend(2000)
+			fixture.grant(fixture.report())
+			call(fixture)
+			left := fixture.grantLeft()
+			fixture.worker.update(func() {
+				if leaseLeft := clock.Millis(fixture.worker.leaseEnd - fixture.worker.now()); leaseLeft > left || leaseLeft < left-500 {
+					t.Errorf("the lease ends in %d ms, want at most 500 ms before the grant, which ends in %d ms", leaseLeft, left)
+				}
+			})
+		})
+	}
+}
+
+// TestRandomSuspensionsKeepGrant guards against runs that outlast the grant under any order of suspensions, pauses, grants
+// and calls that get no answer, as long as the machine goes on in time to stop them.
+func TestRandomSuspensionsKeepGrant(t *testing.T) {
+	t.Parallel()
+	const seeds, events = 20, 60
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			random, fixture := rand.New(rand.NewPCG(seed, 0)), newStaleFixture(t)
+			fixture.startRun()
+			var played []string
+			play := func(event string) {
+				played = append(played, fmt.Sprintf("%s, grant left %s", event, fixture.grantLeft()))
+			}
+			for range events {
+				room := fixture.grantLeft() - overrunLead - listingWait
+				switch event := random.IntN(8); {
+				case event < 2 && room > 0:
+					millis := clock.Millis(random.IntN(int(room) + 1))
+					fixture.suspend(millis)
+					play(fmt.Sprintf("suspended for %s", millis))
+				case event == 2 && room > 0:
+					millis := clock.Millis(random.IntN(int(room) + 1))
+					fixture.clock.Advance(millis)
+					play(fmt.Sprintf("agent paused for %s", millis))
+				case event == 3 && fixture.grantLeft() > 0:
+					fixture.grant(fixture.report())
+					play("granted")
+				default:
+					millis := clock.Millis(50 + random.IntN(400))
+					fixture.pass(millis)
+					play(fmt.Sprintf("%s pass", millis))
+				}
+				if fixture.grantLeft() <= 0 && fixture.isRunning() {
+					fixture.worker.mu.Lock()
+					defer fixture.worker.mu.Unlock()
+					t.Fatalf("the run goes on for %d ms after %q", fixture.worker.leaseEnd-fixture.worker.now(), played[max(0, len(played)-12):])
+				}
+			}
+		})
+	}
+}
