supervisor: a suspension counts neither towards a lapse nor an end

Change: both are counted on the machine's steady clock, which stands still with the worker's. Where the machine is not suspended both clocks are equal, so no report comes later than before.

Evidence: TestSuspensionIsNoLapse and TestSuspensionIsNoEnd fail if the times are counted on the other clock, and pass now.

--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -101,8 +101,8 @@
 	governor     *pacing.Governor
 	runs         map[runKey]*runState
 	workerLease
-	// leaseSentAt is the time of the last call that may have extended the lease, whether it was answered or not. An earlier
-	// process of the agent may have made one until this process got to know the worker.
+	// leaseSentAt is the time of the last call that may have extended the lease, whether it was answered or not, on
+	// Clocks.Steady. An earlier process of the agent may have made one until this process got to know the worker.
 	leaseSentAt clock.Time
 	// unansweredListings is the number of consecutive listings without an answer.
 	unansweredListings int
@@ -119,7 +119,7 @@
 	endReport endReport
 	// successor is a later incarnation under the same id, or nil.
 	successor *successor
-	// notListeningSince is the time since which nothing listens at the worker's address, or 0.
+	// notListeningSince is the time on Clocks.Steady since which nothing listens at the worker's address, or 0.
 	notListeningSince clock.Time
 	// recordedEnd is the number of the last end that the leader has stored.
 	recordedEnd int64
@@ -304,7 +304,7 @@
 	supervisor.worker = &workerState{
 		announcement: announcement, incarnation: fmt.Sprintf("%s@%d@%s", announcement.Incarnation.ID, announcement.Incarnation.StartedAt, supervisor.node),
 		governor: pacing.NewGovernor(supervisor.bounds.MaxOverTarget), runs: map[runKey]*runState{}, weights: map[[2]pacing.Image]float64{},
-		leaseSentAt: supervisor.clocks.Boot.Now(),
+		leaseSentAt: supervisor.clocks.Steady.Now(),
 	}
 	klog.InfoS("Worker announced", "Worker", supervisor.worker.incarnation, "Service", announcement.Service, "CPU", int64(announcement.Capacity.CPU), "Labels", announcement.Labels)
 	supervisor.requestReport()
@@ -398,7 +398,7 @@
 		return 0
 	}
 	deadline := worker.deadlineAt(supervisor.grant.until, now, steadyNow)
-	worker.deadline, worker.leaseSentAt = max(worker.deadline, deadline), now
+	worker.deadline, worker.leaseSentAt = max(worker.deadline, deadline), steadyNow
 	return deadline
 }
 
@@ -419,10 +419,10 @@
 		if wasResponsive && !supervisor.isResponsive(worker) {
 			supervisor.requestReport()
 		}
-		if worker.trackGone(err, now) || IsErrOtherIncarnation(err) {
+		if worker.trackGone(err, supervisor.clocks.Steady.Now()) || IsErrOtherIncarnation(err) {
 			supervisor.endIncarnation(worker, err.Error())
 		}
-		if !worker.lapsed && now.Sub(worker.leaseSentAt) > election.WorkerStoppedAfter(supervisor.bounds.Lease) {
+		if !worker.lapsed && supervisor.clocks.Steady.Now().Sub(worker.leaseSentAt) > election.WorkerStoppedAfter(supervisor.bounds.Lease) {
 			klog.InfoS("Worker lapsed", "Worker", worker.incarnation)
 			worker.lapsed = true
 			supervisor.requestReport()
@@ -465,7 +465,7 @@
 }
 
 // trackGone updates since when nothing listens at the worker's address and reports whether this has lasted for
-// goneTimeout. Then the worker's process has ended with all its runs, and a new process has a new incarnation.
+// goneTimeout, on Clocks.Steady. Then the worker's process has ended with all its runs, and a new process has a new incarnation.
 func (worker *workerState) trackGone(err error, now clock.Time) bool {
 	switch {
 	case !IsErrNotListening(err):
--- a/supervisor/workerlease_test.go
+++ b/supervisor/workerlease_test.go
@@ -169,6 +169,45 @@
 	}
 }
 
+// TestSuspensionIsNoLapse guards against a task with two runs: the worker leaves listings unanswered, its machine is
+// suspended, and the agent reports the lapse of a lease that goes on.
+func TestSuspensionIsNoLapse(t *testing.T) {
+	t.Parallel()
+	fixture := newStaleFixture(t)
+	fixture.startRun()
+	fixture.setUnresponsive(true)
+	fixture.suspend(lapse())
+	fixture.pass(1000)
+	fixture.supervisor.loop.Call(func() {
+		if fixture.supervisor.worker.lapsed {
+			t.Error("the worker lapsed while its lease goes on")
+		}
+	})
+	fixture.assertRunning(true, "within its lease")
+	fixture.pass(lapse())
+	fixture.supervisor.loop.Call(func() {
+		if !fixture.supervisor.worker.lapsed {
+			t.Error("the worker has not lapsed after its lease")
+		}
+	})
+}
+
+// TestSuspensionIsNoEnd guards against the end of a worker that is reported because nothing listened before and after a
+// suspension, although it was down for a moment only.
+func TestSuspensionIsNoEnd(t *testing.T) {
+	t.Parallel()
+	fixture := newStaleFixture(t)
+	fixture.supervisor.loop.Call(func() {
+		worker, err := fixture.supervisor.worker, ErrNotListening{Reason: "connection refused"}
+		fixture.supervisor.handleListing(worker, Listing{}, fixture.boot.Now(), err)
+		fixture.suspend(2000)
+		fixture.supervisor.handleListing(worker, Listing{}, fixture.boot.Now(), err)
+		if worker.ended {
+			t.Error("the worker counts as ended")
+		}
+	})
+}
+
 // TestRandomSuspensionsKeepGrant guards against runs that outlast the grant under any order of suspensions, pauses, grants
 // and calls that get no answer, as long as the machine goes on in time to stop them.
 func TestRandomSuspensionsKeepGrant(t *testing.T) {
