supervisor: stop overrunning runs before the agent stops

Change: the agent goes on until a grant has come or the runs are stopped, which it begins when the end of its grace is as near as the end of a grant would have to be.

Evidence: TestShutdownStopsOverrunningRuns fails without the wait (the run is active after the agent has stopped) and passes now.

--- a/supervisor/workerend.go
+++ b/supervisor/workerend.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -176,14 +177,19 @@
 }
 
 // Shutdown stops the supervisor. It goes on until ctx ends while its worker shuts down too, does not listen or has a successor, or the
-// end or the lapse of a worker is not stored yet, because nobody else can tell.
+// end or the lapse of a worker is not stored yet, because nobody else can tell. It also goes on while runs may outlast the
+// grant, and stops them before ctx ends, because the next process of the agent does not know that grant.
 func (supervisor *Supervisor) Shutdown(ctx context.Context) {
 	for ctx.Err() == nil {
-		waits := false
+		waits, endsSoon := false, endsWithin(ctx, supervisor.stopLead())
 		supervisor.loop.Call(func() {
 			worker := supervisor.worker
 			mayEnd := worker != nil && !worker.lapsed && (worker.announcement.Draining || worker.notListeningSince != 0 || worker.successor != nil)
-			waits = mayEnd || supervisor.pendingEnds > 0
+			overruns := supervisor.hasOverrunningRuns()
+			if overruns && endsSoon {
+				supervisor.stopOverrun(worker, supervisor.clocks.Boot.Now())
+			}
+			waits = mayEnd || overruns || supervisor.pendingEnds > 0
 		})
 		if !waits {
 			break
@@ -195,3 +201,9 @@
 	}
 	supervisor.Close()
 }
+
+// endsWithin reports whether ctx ends within the time.
+func endsWithin(ctx context.Context, millis clock.Millis) bool {
+	deadline, ok := ctx.Deadline()
+	return ok && time.Until(deadline) <= millis.Duration()
+}
--- a/supervisor/workerlease.go
+++ b/supervisor/workerlease.go
@@ -119,6 +119,12 @@
 	}
 }
 
+// hasOverrunningRuns reports whether runs of the present worker may go on after the end of the grant.
+func (supervisor *Supervisor) hasOverrunningRuns() bool {
+	worker := supervisor.worker
+	return worker != nil && len(worker.runs) > 0 && supervisor.leaseOverruns(worker, supervisor.clocks.Boot.Now())
+}
+
 // logStandstill logs that the worker's clock stood still, as it does while its machine is suspended.
 func (supervisor *Supervisor) logStandstill(worker *workerState, standstill clock.Millis) {
 	if standstill < minLoggedStandstill {
