agent, entry: count leases on a clock that includes suspensions

After the machine of an agent and its worker had been suspended, the agent kept its lease, and the tasks on its worker, for longer than the home entry waited before it placed them elsewhere; a suspended entry kept its right to grant leases for longer, too. The expiry on the worker's clock was computed from an earlier reading that was carried on by the agent's clock, which a suspension in between made too late.

Change: both daemons use the clock that includes suspensions, and the expiry is computed as if the worker's clock had stood still since its reading.

--- a/agent/fixture_test.go
+++ b/agent/fixture_test.go
@@ -246,7 +246,9 @@
 // fixture is an agent with a fake worker and fake entries on the clock of a synctest bubble.
 type fixture struct {
 	*testing.T
-	agent   *Agent
+	agent *Agent
+	// clock is the agent's. That of the runtime is the worker's.
+	clock   clock.Clock
 	runtime *fakeRuntime
 	entry   *fakeEntry
 }
@@ -255,8 +257,8 @@
 func withFixture(t *testing.T, check func(fixture *fixture)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		fixture := &fixture{T: t, entry: &fakeEntry{}}
-		fixture.runtime = &fakeRuntime{time: clock.NewSystem(), tasks: map[ident.Task]worker.Status{}, fences: map[ident.Task]ident.Epoch{}}
+		fixture := &fixture{T: t, clock: clock.NewSystem(), entry: &fakeEntry{}}
+		fixture.runtime = &fakeRuntime{time: fixture.clock, tasks: map[ident.Task]worker.Status{}, fences: map[ident.Task]ident.Epoch{}}
 		fixture.startAgent(1)
 		defer func() { fixture.agent.Close() }()
 		fixture.sleep(time.Second)
@@ -268,7 +270,7 @@
 func (fixture *fixture) startAgent(incarnation ident.Incarnation) {
 	settings := DefaultSettings()
 	settings.Worker, settings.Region, settings.Address, settings.Balancer = "w1", "north", "agent", []string{"balancer"}
-	fixture.agent = New(settings, fixture.runtime.time, fixture.runtime, nil, fixture.entry, config.NewPublisher(), incarnation, rand.New(rand.NewPCG(1, 1)))
+	fixture.agent = New(settings, fixture.clock, fixture.runtime, nil, fixture.entry, config.NewPublisher(), incarnation, rand.New(rand.NewPCG(1, 1)))
 }
 
 func (fixture *fixture) sleep(duration time.Duration) {
--- a/agent/tasks.go
+++ b/agent/tasks.go
@@ -128,7 +128,7 @@
 			return
 		}
 		spec = task.spec
-		if expiry, ready = agent.holder.WorkerExpiry(); ready {
+		if expiry, ready = agent.holder.WorkerExpiry(agent.time.Now()); ready {
 			task.starting = true
 		}
 	})
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -29,7 +29,7 @@
 	agent.control.Call(func() {
 		agent.holder.SetWorkerClock(sent, received, report.Now)
 		unstarted, vanished = agent.applyReport(report, sent, received)
-		expiry, renew = agent.holder.WorkerExpiry()
+		expiry, renew = agent.holder.WorkerExpiry(agent.time.Now())
 		renew = renew && expiry > agent.renewedExpiry && agent.holder.Valid(agent.time.Now())
 		lapsing = agent.leaseLapsing(agent.time.Now())
 	})
--- a/cmd/agent.go
+++ b/cmd/agent.go
@@ -51,7 +51,7 @@
 	return runDaemon(settings.Shutdown.BoundMillis,
 		fx.Supply(settings),
 		fx.Provide(
-			func() clock.Clock { return clock.NewSystem() },
+			newClock,
 			func(settings setting.Agent, source clock.Clock) (*keys.Ring, error) {
 				return newRing(settings.TLS, source)
 			},
--- a/cmd/daemon.go
+++ b/cmd/daemon.go
@@ -146,6 +146,10 @@
 	return app.Stop(stopCtx)
 }
 
+// newClock returns the clock of an agent or an entry. It includes the time during which the machine is suspended, because other
+// daemons wait for the ends of the leases that are counted on it.
+func newClock() clock.Clock { return clock.NewBoot() }
+
 // checkFiles loads the files that the settings name. It reports all files that cannot be used, in one error.
 func checkFiles(settings setting.TLS, loaders ...func() error) error {
 	_, err := newRing(settings, clock.NewSystem())
--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -67,7 +67,7 @@
 	return runDaemon(settings.Shutdown.BoundMillis,
 		fx.Supply(settings),
 		fx.Provide(
-			func() clock.Clock { return clock.NewSystem() },
+			newClock,
 			newRandom,
 			func(settings setting.Entry, source clock.Clock) (*keys.Ring, error) {
 				return newRing(settings.TLS, source)
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -115,20 +115,14 @@
 	holder.hasReading, holder.readingAt, holder.reading = true, received, reading
 }
 
-// WorkerExpiry returns when the lease ends on the worker's clock, and false without a lease or a
-// reading. The worker read its clock before the agent received the reading, so the reading plus the
-// time from reception to the end of the lease is never too late. The result never decreases.
-func (holder *Holder) WorkerExpiry() (worker.Instant, bool) {
+// WorkerExpiry returns when the lease ends on the worker's clock, as known now, and false without a
+// lease or a reading. The worker's clock may not count the time during which its machine is suspended,
+// so it may stand still from the reading until now. The result never decreases.
+func (holder *Holder) WorkerExpiry(now clock.Time) (worker.Instant, bool) {
 	if !holder.hasReading || holder.expiry == 0 {
 		return 0, false
 	}
-	expiry := WorkerExpiry(holder.expiry, holder.readingAt, holder.reading)
+	expiry := holder.reading + worker.Instant(holder.expiry.Sub(max(now, holder.readingAt)))
 	holder.workerExpiry = max(holder.workerExpiry, expiry)
 	return holder.workerExpiry, true
 }
-
-// WorkerExpiry converts an expiry from the agent's clock to the worker's clock, given a reading of the
-// worker's clock that the agent received at received.
-func WorkerExpiry(expiry, received clock.Time, reading worker.Instant) worker.Instant {
-	return reading + worker.Instant(expiry.Sub(received))
-}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -54,7 +54,7 @@
 			receivedAt := readAt + rapid.Int64Range(0, 2000).Draw(t, "answer")
 			holder.SetWorkerClock(clock.Time(agentClock.at(repliedAt)), clock.Time(agentClock.at(receivedAt)), worker.Instant(workerClock.at(readAt)))
 			// The agent passes the expiry on to the worker only while it has a lease.
-			if instant, ok := holder.WorkerExpiry(); ok && holder.Valid(clock.Time(agentClock.at(receivedAt))) {
+			if instant, ok := holder.WorkerExpiry(clock.Time(agentClock.at(receivedAt))); ok && holder.Valid(clock.Time(agentClock.at(receivedAt))) {
 				expiry = max(expiry, instant)
 			}
 		}
@@ -306,3 +306,20 @@
 		t.Fatalf("an incarnation that the table declared over goes on: %v", err)
 	}
 }
+
+// TestSuspensionDoesNotExtendLease guards against tasks that outlast the agent's lease: the machine was suspended between a
+// reading of the worker's clock, which did not count that time, and the renewal on the worker.
+func TestSuspensionDoesNotExtendLease(t *testing.T) {
+	const suspension = 8 * clock.Second
+	holder := NewHolder()
+	holder.Sent(1, 1000)
+	if !holder.Granted(1, DefaultTerm, 1, 1010) {
+		t.Fatal("no lease granted")
+	}
+	holder.SetWorkerClock(2000, 2010, 500)
+	now := clock.Time(2020).Add(suspension)
+	expiry, ok := holder.WorkerExpiry(now)
+	if left := clock.Millis(expiry - 500); !ok || left > holder.Remaining(now) {
+		t.Errorf("the worker's lease ends in %s, want at most the %s that the agent's lease has left", left, holder.Remaining(now))
+	}
+}
--- a/placement/agent_test.go
+++ b/placement/agent_test.go
@@ -178,7 +178,7 @@
 		if err == nil && agent.holder.Granted(sequence, term, 1, harness.now) {
 			sampledAt := harness.now
 			agent.holder.SetWorkerClock(sampledAt, harness.now, agent.clock())
-			if expiry, ok := agent.holder.WorkerExpiry(); ok {
+			if expiry, ok := agent.holder.WorkerExpiry(harness.now); ok {
 				agent.expiry = max(agent.expiry, expiry)
 			}
 		}
--- a/recorded/agent.go
+++ b/recorded/agent.go
@@ -173,7 +173,7 @@
 	agent.fenced = agent.fenced || fenced
 	if !fenced && agent.holder.Granted(state.sequence, term, revision, now) {
 		agent.holder.SetWorkerClock(now, now, agent.runtime.now())
-		if expiry, ok := agent.holder.WorkerExpiry(); ok {
+		if expiry, ok := agent.holder.WorkerExpiry(now); ok {
 			agent.runtime.renew(expiry)
 		}
 	}
