supervisor: let a lease lapse that has outlasted its grant

Cause: after a cut that is longer than the grant the leader places all tasks of the worker elsewhere, also those of runs that have finished and whose ends it could not store. Such an end does not count if the worker's lease lapses before it is acknowledged. A suspension lets the lease go on beyond the grant, so the next grant extended it and the end was acknowledged without a lapse.

Change: once a grant has ended, the lease is extended and ends are acknowledged only when a reading of the worker's clock shows that the lease has lapsed, or that it ends within what drift allows for, as it does without a suspension. Meanwhile the worker is reported as unresponsive and listed without a wait. An agent that is told to stop waits for the lapse. The longest possible lease is assumed for a worker at its first reading only if another process or a call for an earlier incarnation may have extended it.

--- a/supervisor/leadersession.go
+++ b/supervisor/leadersession.go
@@ -127,7 +127,7 @@
 // many tasks at once and knows nothing of earlier failures, so the first unanswered listing counts until the
 // worker has answered one in this session.
 func (supervisor *Supervisor) isResponsive(worker *workerState) bool {
-	if worker.successor != nil {
+	if worker.successor != nil || worker.awaitsLapse() {
 		return false
 	}
 	if !supervisor.session.hasListing {
@@ -235,6 +235,9 @@
 	if orders.Term > supervisor.grant.term {
 		supervisor.grant.term = orders.Term
 	}
+	if supervisor.worker != nil {
+		supervisor.observeGrantEnd(supervisor.worker)
+	}
 	if sentAt, ok := supervisor.session.sentAt[orders.Sequence]; ok && orders.Lease > 0 {
 		supervisor.extendGrant(sentAt.Add(orders.Lease))
 	}
--- a/supervisor/staleorder_test.go
+++ b/supervisor/staleorder_test.go
@@ -40,6 +40,9 @@
 	onListing func()
 	// started holds the times of the starts that took effect.
 	started []clock.Time
+	// hasLapsed reports that the lease has lapsed, and acknowledged is the number of the last end that was acknowledged.
+	hasLapsed    bool
+	acknowledged int64
 }
 
 func (worker *leasedWorker) now() WorkerTime { return WorkerTime(worker.clock.Now()) }
@@ -113,6 +116,8 @@
 			worker.end(key, "lapsed")
 		}
 	}
+	worker.hasLapsed = worker.hasLapsed || worker.leaseEnd != 0 && worker.leaseEnd <= worker.now()
+	worker.acknowledged = max(worker.acknowledged, call.RecordedEnd)
 	worker.leaseEnd = max(worker.leaseEnd, call.Deadline)
 	if worker.onListing != nil {
 		worker.onListing()
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -301,10 +301,14 @@
 
 // adopt makes an announced incarnation the worker of the node. The earlier one has ended.
 func (supervisor *Supervisor) adopt(announcement Announcement) {
+	unknownLease := supervisor.bounds.Lease // An earlier process of the agent may have extended it, or a call for an earlier incarnation.
+	if earlier := supervisor.worker; earlier != nil && earlier.announcement.Incarnation.ID != announcement.Incarnation.ID {
+		unknownLease = 0
+	}
 	supervisor.worker = &workerState{
 		announcement: announcement, incarnation: fmt.Sprintf("%s@%d@%s", announcement.Incarnation.ID, announcement.Incarnation.StartedAt, supervisor.node),
 		governor: pacing.NewGovernor(supervisor.bounds.MaxOverTarget), runs: map[runKey]*runState{}, weights: map[[2]pacing.Image]float64{},
-		leaseSentAt: supervisor.clocks.Steady.Now(),
+		leaseSentAt: supervisor.clocks.Steady.Now(), workerLease: workerLease{unknown: unknownLease},
 	}
 	klog.InfoS("Worker announced", "Worker", supervisor.worker.incarnation, "Service", announcement.Service, "CPU", int64(announcement.Capacity.CPU), "Labels", announcement.Labels)
 	supervisor.requestReport()
@@ -369,6 +373,7 @@
 		return nil, RenewCall{}
 	}
 	supervisor.enforceGrant(worker)
+	supervisor.observeGrantEnd(worker)
 	call := RenewCall{Incarnation: worker.announcement.Incarnation, Token: supervisor.grant.term}
 	worker.isConfirming = !worker.isConfirmed(supervisor.clocks.Boot.Now())
 	if !worker.isConfirming {
@@ -378,6 +383,9 @@
 	if supervisor.leaseOverruns(worker, supervisor.clocks.Boot.Now()) {
 		call.Wait = 0 // The next reading of the worker's clock shows whether its lease still overruns.
 	}
+	if worker.lapse != nil {
+		call.RecordedEnd, call.Wait = 0, 0
+	}
 	worker.sentRecordedEnd = call.RecordedEnd
 	if worker.unansweredListings < unresponsiveListings && worker.successor == nil {
 		call.Deadline = supervisor.nextDeadline(worker)
@@ -394,7 +402,7 @@
 // granted or the worker's clock has to be read first.
 func (supervisor *Supervisor) nextDeadline(worker *workerState) WorkerTime {
 	now, steadyNow := supervisor.clocks.Boot.Now(), supervisor.clocks.Steady.Now()
-	if !worker.isFresh(now) || !now.Before(supervisor.grant.until) {
+	if !worker.isFresh(now) || !now.Before(supervisor.grant.until) || worker.lapse != nil {
 		return 0
 	}
 	deadline := worker.deadlineAt(supervisor.grant.until, now, steadyNow)
@@ -434,7 +442,7 @@
 		supervisor.observeSuccessor(worker, listing, sentAt)
 		return false
 	}
-	if !wasResponsive || worker.lapsed {
+	if !wasResponsive && !worker.awaitsLapse() || worker.lapsed {
 		klog.InfoS("Worker answers again", "Worker", worker.incarnation)
 		worker.lapsed, worker.ended, worker.successor = false, false, nil
 		supervisor.withdrawCrash(worker)
@@ -445,8 +453,9 @@
 	if !sentAt.Before(supervisor.session.startedAt) {
 		supervisor.session.hasListing = true
 	}
-	standstill := worker.recordReading(listing.Clock, sentAt, now, supervisor.clocks.Steady.Now(), supervisor.bounds.Lease)
+	standstill := worker.recordReading(listing.Clock, sentAt, now, supervisor.clocks.Steady.Now())
 	supervisor.logStandstill(worker, standstill)
+	supervisor.observeLapse(worker)
 	hasNewEnds := len(listing.Ended) > 0 && listing.Ended[len(listing.Ended)-1].Number > lastEndNumber(worker.listing.Ended)
 	hasFirstRuns := len(worker.listing.Active)+len(worker.listing.Ended) == 0 && len(listing.Active) > 0
 	worker.listing = listing
--- a/supervisor/workerend.go
+++ b/supervisor/workerend.go
@@ -178,7 +178,8 @@
 
 // Shutdown stops the supervisor. It goes on until ctx ends while its worker shuts down too, does not listen or has a successor, or the
 // end or the lapse of a worker is not stored yet, because nobody else can tell. It also goes on while runs may outlast the
-// grant, and stops them before ctx ends, because the next process of the agent does not know that grant.
+// grant, and stops them before ctx ends, because the next process of the agent does not know that grant. For the same reason it waits for the lapse of a lease that has
+// outlasted the grant.
 func (supervisor *Supervisor) Shutdown(ctx context.Context) {
 	for ctx.Err() == nil {
 		waits, endsSoon := false, endsWithin(ctx, supervisor.stopLead())
@@ -189,7 +190,7 @@
 			if overruns && endsSoon {
 				supervisor.stopOverrun(worker, supervisor.clocks.Boot.Now())
 			}
-			waits = mayEnd || overruns || supervisor.pendingEnds > 0
+			waits = mayEnd || overruns || worker != nil && worker.awaitsLapse() || supervisor.pendingEnds > 0
 		})
 		if !waits {
 			break
--- a/supervisor/workerlease.go
+++ b/supervisor/workerlease.go
@@ -37,18 +37,35 @@
 	firstReadAt clock.Time
 	// deadline is the latest end of the lease that any call has set, whether it was answered or not.
 	deadline WorkerTime
+	// unknown is how long the lease may be that others have extended before the first reading.
+	unknown clock.Millis
+	// lapse is set while it is not known whether the lease has lapsed since the grant ended.
+	lapse *pendingLapse
+	// settledGrant is the end of the last grant after which the lease has lapsed.
+	settledGrant clock.Time
+}
+
+// pendingLapse is the lapse of a lease whose grant has ended. The leader may have placed the tasks of the worker elsewhere, also
+// those of runs that have finished and whose ends it has not stored. Such an end must not be acknowledged before the lapse, or
+// the worker counts it although the task runs again; and a lease that is extended does not lapse.
+type pendingLapse struct {
+	// grantEnd is the end of the grant.
+	grantEnd clock.Time
+	// at is the end of the lease on the worker's clock.
+	at WorkerTime
+	// overruns reports that a reading since the end of the grant has shown that the lease overruns it.
+	overruns bool
 }
 
 // recordReading records a reading of the worker's clock from a listing that was requested at sentAt and answered now. It
-// returns for how long the worker's clock certainly stood still since the last reading. An earlier process of the agent may
-// have extended the lease by up to length until the first reading.
-func (lease *workerLease) recordReading(reading WorkerTime, sentAt, now, steadyNow clock.Time, length clock.Millis) clock.Millis {
+// returns for how long the worker's clock certainly stood still since the last reading.
+func (lease *workerLease) recordReading(reading WorkerTime, sentAt, now, steadyNow clock.Time) clock.Millis {
 	if now.Sub(sentAt) > maxReadingTime {
 		return 0
 	}
 	standstill := clock.Millis(0)
 	if lease.clockReadAt == 0 {
-		lease.firstReadAt, lease.deadline = now, reading+WorkerTime(length)
+		lease.firstReadAt, lease.deadline = now, reading+WorkerTime(lease.unknown)
 	} else {
 		standstill = sentAt.Sub(lease.clockReadAt) - clock.Millis(reading-lease.workerClock)
 	}
@@ -85,9 +102,50 @@
 		granted = worker.firstReadAt.Add(length)
 	}
 	left := worker.left(supervisor.clocks.Steady.Now())
-	return left > 0 && left-granted.Sub(now) > length*maxWorkerDriftPercent/100+leaseEndError
+	return left > 0 && left-granted.Sub(now) > supervisor.leaseTolerance()
+}
+
+// leaseTolerance is by how much a worker's lease may seem to end later than the grant although its clock went on.
+func (supervisor *Supervisor) leaseTolerance() clock.Millis {
+	return supervisor.bounds.Lease*maxWorkerDriftPercent/100 + leaseEndError
+}
+
+// observeGrantEnd makes the worker's lease lapse before it is extended again if the grant has ended.
+func (supervisor *Supervisor) observeGrantEnd(worker *workerState) {
+	granted := supervisor.grant.until
+	if granted == 0 || supervisor.clocks.Boot.Now().Before(granted) || worker.lapse != nil || worker.settledGrant == granted {
+		return
+	}
+	if worker.clockReadAt == 0 || !worker.firstReadAt.Before(granted) {
+		return // The worker had no lease under that grant.
+	}
+	worker.lapse = &pendingLapse{grantEnd: granted, at: worker.deadline}
 }
 
+// observeLapse updates whether the lease has lapsed since the grant ended, after a reading of the worker's clock.
+func (supervisor *Supervisor) observeLapse(worker *workerState) {
+	if worker.lapse == nil {
+		return
+	}
+	left := clock.Millis(worker.lapse.at - worker.workerClock)
+	if left > supervisor.leaseTolerance() && !worker.lapse.overruns {
+		worker.lapse.overruns = true
+		klog.InfoS("Lease has to lapse after the end of the grant", "Worker", worker.incarnation, "LeaseLeftMillis", int64(left), "Term", supervisor.grant.term)
+		supervisor.requestReport()
+	}
+	if left > 0 && worker.lapse.overruns {
+		return
+	}
+	if worker.lapse.overruns {
+		klog.InfoS("Lease has lapsed after the end of the grant", "Worker", worker.incarnation, "Term", supervisor.grant.term)
+		supervisor.requestReport()
+	}
+	worker.lapse, worker.settledGrant = nil, worker.lapse.grantEnd
+}
+
+// awaitsLapse reports whether the worker's lease is known to outlast an earlier grant.
+func (worker *workerState) awaitsLapse() bool { return worker.lapse != nil && worker.lapse.overruns }
+
 // stopLead is how long before the end of the grant the runs of a worker are stopped whose lease overruns. It leaves the time
 // for a call that has to be repeated and for the stop itself.
 func (supervisor *Supervisor) stopLead() clock.Millis {
--- a/supervisor/workerlease_test.go
+++ b/supervisor/workerlease_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hyssopjunction/clock"
+	"hyssopjunction/session"
 )
 
 // overrunLead is how long before the end of the grant the runs of a staleFixture are stopped if the lease overruns.
@@ -179,6 +180,49 @@
 	}
 }
 
+// TestEndIsAcknowledgedAfterLapse guards against a task that runs again although its worker counts it as done: the machine was
+// suspended, the grant ended, the leader placed the task elsewhere before it knew of the end, and the worker's lease, which went
+// on, was extended and the end acknowledged without a lapse between.
+func TestEndIsAcknowledgedAfterLapse(t *testing.T) {
+	t.Parallel()
+	cases := map[string]struct {
+		suspension clock.Millis
+		wantWait   bool
+	}{
+		"suspended":     {suspension: 2000, wantWait: true},
+		"not suspended": {},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fixture := newStaleFixture(t)
+			fixture.startRun()
+			fixture.worker.update(func() { fixture.worker.end(runKey{staleTask, 1}, "done") })
+			fixture.pass(600)
+			fixture.suspend(test.suspension)
+			fixture.passSlowly(fixture.grantLeft() + lapse() - staleLease)
+			fixture.grant(fixture.report())
+			fixture.receive(&session.Orders{Incarnation: "i-1@10@node", StoredEnds: 1})
+			fixture.passSlowly(600)
+			fixture.worker.update(func() {
+				if awaits := fixture.worker.acknowledged == 0; awaits != test.wantWait {
+					t.Errorf("waits for the lapse %t, want %t", awaits, test.wantWait)
+				}
+			})
+			for range 6 {
+				fixture.grant(fixture.report())
+				fixture.passSlowly(500)
+			}
+			fixture.worker.update(func() {
+				if fixture.worker.acknowledged != 1 || !fixture.worker.hasLapsed || fixture.worker.leaseEnd <= fixture.worker.now() {
+					t.Errorf("acknowledged %d, lapsed %t, lease left %d, want the end acknowledged after a lapse, and a lease", fixture.worker.acknowledged,
+						fixture.worker.hasLapsed, fixture.worker.leaseEnd-fixture.worker.now())
+				}
+			})
+		})
+	}
+}
+
 // TestSuspensionIsNoLapse guards against a task with two runs: the worker leaves listings unanswered, its machine is
 // suspended, and the agent reports the lapse of a lease that goes on.
 func TestSuspensionIsNoLapse(t *testing.T) {
