soak: suspended machines that are cut off from the entries

Agents reach the entries through proxies, which replace the addresses of the entries in what those send.

--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -53,6 +54,8 @@
 	submitInterval time.Duration
 	// program is the path of the program that the nodes run at first, or empty for the one under test.
 	program string
+	// hasEntryLinks reports that agents reach the entries through proxies.
+	hasEntryLinks bool
 }
 
 // programPath is the path of the program that TestMain builds.
@@ -83,6 +86,8 @@
 	zone      string
 	grace     time.Duration
 	storeLink *proxy
+	// seeds holds the seeds of its settings, or is nil for those of the deployment.
+	seeds []string
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -96,6 +101,10 @@
 type testWorker struct {
 	agent     *node
 	agentLink *proxy
+	// entryLinks carry the connections from the agent to the entries if the layout has them.
+	entryLinks entryLinks
+	// isSuspending reserves the worker for a suspension.
+	isSuspending atomic.Bool
 
 	mu          sync.Mutex
 	incarnation int
@@ -198,6 +207,11 @@
 	}))
 	deployment.t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 	worker.agentLink = newProxy(deployment.t, worker.agent.ip+":8165", strings.TrimPrefix(server.URL, "http://"))
+	if deployment.layout.hasEntryLinks {
+		worker.entryLinks = deployment.newEntryLinks(len(deployment.workers) + 1)
+		worker.agent.seeds = worker.entryLinks.seeds
+		worker.agent.storeLink.close() // Agents need the store only to find entries that are not in the settings.
+	}
 	deployment.writeSettings(worker.agent, worker.agentLink.address())
 	deployment.mu.Lock()
 	defer deployment.mu.Unlock()
@@ -350,6 +364,10 @@
 
 func (deployment *deployment) writeSettings(node *node, app string) {
 	deployment.t.Helper()
+	seeds := deployment.seeds
+	if node.seeds != nil {
+		seeds = node.seeds
+	}
 	text := fmt.Sprintf(`NodeName = %q
 Ip = %q
 Zone = %q
@@ -373,7 +391,7 @@
 Address = %q
 WritesPerS = 800
 ReadsPerS = 2000
-`, node.name, node.ip, node.zone, strings.Join(deployment.seeds, ", "), app, node.ip, node.ip, node.ip, int(node.grace.Seconds()), deployment.layout.lease.Milliseconds(), node.storeLink.address())
+`, node.name, node.ip, node.zone, strings.Join(seeds, ", "), app, node.ip, node.ip, node.ip, int(node.grace.Seconds()), deployment.layout.lease.Milliseconds(), node.storeLink.address())
 	if node.role == "agent" {
 		text = strings.ReplaceAll(text, fmt.Sprintf("Frontend = \"%s:8161\"\n", node.ip), "")
 	}
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -11,6 +11,8 @@
 type proxy struct {
 	target   string
 	listener net.Listener
+	// rewrite changes what the target sends, without changing its length, or is nil.
+	rewrite func(data []byte) []byte
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
@@ -20,12 +22,17 @@
 }
 
 func newProxy(t *testing.T, address, target string) *proxy {
+	t.Helper()
+	return newRewritingProxy(t, address, target, nil)
+}
+
+func newRewritingProxy(t *testing.T, address, target string, rewrite func(data []byte) []byte) *proxy {
 	t.Helper()
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
-	proxy := &proxy{target: target, listener: listener, conns: map[net.Conn]struct{}{}}
+	proxy := &proxy{target: target, listener: listener, rewrite: rewrite, conns: map[net.Conn]struct{}{}}
 	t.Cleanup(proxy.close)
 	go func() {
 		for {
@@ -51,12 +58,14 @@
 	proxy.track(server, true)
 	defer proxy.track(server, false)
 	ended := make(chan struct{}, 2)
-	for _, pair := range [][2]net.Conn{{client, server}, {server, client}} {
-		go func() {
-			proxy.forward(pair[0], pair[1])
-			ended <- struct{}{}
-		}()
-	}
+	go func() {
+		proxy.forward(client, server, nil)
+		ended <- struct{}{}
+	}()
+	go func() {
+		proxy.forward(server, client, proxy.rewrite)
+		ended <- struct{}{}
+	}()
 	<-ended
 }
 
@@ -71,7 +80,7 @@
 	_ = connection.Close()
 }
 
-func (proxy *proxy) forward(from, to net.Conn) {
+func (proxy *proxy) forward(from, to net.Conn, rewrite func(data []byte) []byte) {
 	buffer := make([]byte, 32<<10)
 	for {
 		count, err := from.Read(buffer)
@@ -80,7 +89,11 @@
 		}
 		time.Sleep(proxy.currentDelay())
 		if count > 0 {
-			if _, err := to.Write(buffer[:count]); err != nil {
+			data := buffer[:count]
+			if rewrite != nil {
+				data = rewrite(data)
+			}
+			if _, err := to.Write(data); err != nil {
 				return
 			}
 		}
--- a/standin/platformtest/runner.go
+++ b/standin/platformtest/runner.go
@@ -72,8 +72,14 @@
 	runPlan func(task string) (time.Duration, bool)
 
 	mu sync.Mutex
-	// clockStart is when the runner's clock was 0. ClockMs, DeadlineMs and deadline count from it.
+	// clockStart is when the runner's clock was 0. ClockMs, DeadlineMs and deadline count from it. It is a time of now, as
+	// all times of tasks.
 	clockStart time.Time
+	// suspended is the time for which the runner's machine was suspended, before the present suspension. resumed is closed at
+	// the end of that one, and nil if there is none; suspendedAt is its beginning.
+	suspended   time.Duration
+	suspendedAt time.Time
+	resumed     chan struct{}
 	// token is the highest fencing token of all calls.
 	token int64
 	// deadline is the end of the lease, and lapsedAt the time at which it last lapsed.
@@ -112,6 +118,47 @@
 	}
 }
 
+// Suspend suspends the runner's machine until Resume: its runs and its clock stand still, and calls wait.
+func (runner *Runner) Suspend() {
+	runner.mu.Lock()
+	defer runner.mu.Unlock()
+	if runner.resumed != nil {
+		return
+	}
+	runner.advance()
+	runner.suspendedAt, runner.resumed = time.Now(), make(chan struct{})
+}
+
+// Resume ends a suspension.
+func (runner *Runner) Resume() {
+	runner.mu.Lock()
+	defer runner.mu.Unlock()
+	if runner.resumed == nil {
+		return
+	}
+	close(runner.resumed)
+	runner.suspended, runner.resumed = runner.suspended+time.Since(runner.suspendedAt), nil
+}
+
+// now returns the time of day less the time for which the machine was suspended. The caller must hold the lock.
+func (runner *Runner) now() time.Time {
+	if runner.resumed != nil {
+		return runner.suspendedAt.Add(-runner.suspended)
+	}
+	return time.Now().Add(-runner.suspended)
+}
+
+// lockResumed locks the runner while it is not suspended.
+func (runner *Runner) lockResumed() {
+	runner.mu.Lock()
+	for runner.resumed != nil {
+		resumed := runner.resumed
+		runner.mu.Unlock()
+		<-resumed
+		runner.mu.Lock()
+	}
+}
+
 // SetFault makes fault decide how each call fails from now on; nil means that no call fails.
 func (runner *Runner) SetFault(fault func(request *http.Request) Fault) {
 	runner.mu.Lock()
@@ -220,7 +267,7 @@
 	if request.URL.Path == "/api/hold" && form.WaitMs > 0 {
 		runner.awaitEnd(request, form)
 	}
-	runner.mu.Lock()
+	runner.lockResumed()
 	defer runner.mu.Unlock()
 	if runner.hasCrashed {
 		panic(http.ErrAbortHandler) // A process that has ended carries out nothing and answers nothing.
@@ -236,7 +283,7 @@
 	case "/api/run-stop":
 		runner.highestRun[form.Task] = max(runner.highestRun[form.Task], form.RunID)
 		if active, ok := runner.tasks[form.Task]; ok && active.run == form.RunID {
-			runner.finish(form.Task, "stopped", time.Now())
+			runner.finish(form.Task, "stopped", runner.now())
 		}
 		return http.StatusOK, runner.newAnswer()
 	case "/api/hold":
@@ -264,7 +311,7 @@
 }
 
 func (runner *Runner) newAnswer() runnerAnswer {
-	return runnerAnswer{ClockMs: time.Since(runner.clockStart).Milliseconds(), Born: runner.startedAt}
+	return runnerAnswer{ClockMs: runner.now().Sub(runner.clockStart).Milliseconds(), Born: runner.startedAt}
 }
 
 func (runner *Runner) refuse(reason string) (int, any) {
@@ -278,7 +325,7 @@
 }
 
 func (runner *Runner) start(form callForm) (int, any) {
-	if time.Duration(form.DeadlineMs)*time.Millisecond <= time.Since(runner.clockStart) {
+	if time.Duration(form.DeadlineMs)*time.Millisecond <= runner.now().Sub(runner.clockStart) {
 		return runner.refuse("late")
 	}
 	runner.extendLease(form.DeadlineMs)
@@ -290,7 +337,7 @@
 	}
 	duration, fails := runner.runPlan(form.Task)
 	runner.highestRun[form.Task] = form.RunID
-	runner.tasks[form.Task] = &runnerTask{run: form.RunID, started: time.Now(), duration: duration, fails: fails}
+	runner.tasks[form.Task] = &runnerTask{run: form.RunID, started: runner.now(), duration: duration, fails: fails}
 	record := &Run{Task: form.Task, Run: form.RunID, Runner: runner.id, Started: time.Now()}
 	runner.runs[form.Task] = record
 	runner.log.mu.Lock()
@@ -329,7 +376,7 @@
 	for task, active := range runner.tasks {
 		percent := 100
 		if active.duration > 0 {
-			percent = int(100 * time.Since(active.started) / active.duration)
+			percent = int(100 * runner.now().Sub(active.started) / active.duration)
 		}
 		answer.Running = append(answer.Running, []any{task, active.run, "", percent, 0})
 	}
@@ -339,13 +386,13 @@
 // advance ends the runs that are over, with the time at which they were. The caller must hold the lock.
 func (runner *Runner) advance() {
 	leaseEnd := runner.clockStart.Add(runner.deadline)
-	if leaseEnd.Before(time.Now()) {
-		runner.lapsedAt = leaseEnd
+	if leaseEnd.Before(runner.now()) {
+		runner.lapsedAt = leaseEnd.Add(runner.suspended)
 	}
 	for task, active := range runner.tasks {
 		runEnd := active.started.Add(active.duration)
 		lapsesFirst := active.duration == 0 || leaseEnd.Before(runEnd)
-		switch now := time.Now(); {
+		switch now := runner.now(); {
 		case lapsesFirst && leaseEnd.Before(now):
 			runner.finish(task, "lapsed", leaseEnd)
 		case lapsesFirst || now.Before(runEnd):
@@ -357,6 +404,7 @@
 	}
 }
 
+// finish ends a run at a time of now.
 func (runner *Runner) finish(task, result string, at time.Time) {
 	active := runner.tasks[task]
 	delete(runner.tasks, task)
@@ -366,7 +414,7 @@
 	runner.unacknowledged[runner.lastEnd] = record
 	runner.log.mu.Lock()
 	defer runner.log.mu.Unlock()
-	record.Ended, record.Result = at, result
+	record.Ended, record.Result = at.Add(runner.suspended), result
 }
 
 // Crash ends all runs without reporting their ends, and makes the runner refuse calls for its incarnation.
--- a/standin/platformtest/runner_test.go
+++ b/standin/platformtest/runner_test.go
@@ -43,3 +43,38 @@
 		})
 	}
 }
+
+// TestSuspensionDoesNotCount guards against a stand-in whose leases end during a suspension of its machine, or whose log has
+// the times of its own clock.
+func TestSuspensionDoesNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &Log{}
+		runner := NewRunner("i-1", 1, log, func(string) (time.Duration, bool) { return 0, false })
+		begun := time.Now()
+		recorder := httptest.NewRecorder()
+		runner.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "/api/run-start", strings.NewReader(`{"Task":"0123456789abcdef.0.0.0","RunId":1,"DeadlineMs":1000}`)))
+		time.Sleep(500 * time.Millisecond)
+		runner.Suspend()
+		answered := make(chan struct{})
+		go func() {
+			defer close(answered)
+			runner.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/api/hold", strings.NewReader(`{}`)))
+		}()
+		time.Sleep(3 * time.Second)
+		runner.Advance()
+		select {
+		case <-answered:
+			t.Error("a call was answered during the suspension")
+		default:
+		}
+		if ended := log.Runs()[0].Ended; !ended.IsZero() {
+			t.Errorf("the run ended after %s, during the suspension", ended.Sub(begun))
+		}
+		runner.Resume()
+		time.Sleep(600 * time.Millisecond)
+		runner.Advance()
+		if got, want := log.Runs()[0].Ended.Sub(begun), 4*time.Second; got != want {
+			t.Errorf("the run lapsed after %s, want %s", got, want)
+		}
+	})
+}
