scheduler: count placed jobs as pending until a task has started

Cause: the count was that of the jobs whose state is queued. The state becomes running with the placement of a task and stays so if the start is rejected or lost.

Change: open jobs count until a worker has listed one of their runs, or the end of one that finished or failed. A new leader infers starts from stored results and otherwise from the first reports. States, rows and messages are as before.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -329,7 +329,7 @@
 // Pending returns the number of jobs of a queue that have not started, or false if the term has ended.
 func (coordinator *Coordinator) Pending(queue workflow.Queue) (int, bool) {
 	count := 0
-	ok := coordinator.call(sourceUnknown, func() { count = coordinator.scheduler.QueuedJobCount(queue) })
+	ok := coordinator.call(sourceUnknown, func() { count = coordinator.scheduler.PendingJobCount(queue) })
 	return count, ok
 }
 
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -130,9 +130,6 @@
 
 // clearSurvivor clears the task of a listed run that has been active for long enough.
 func (scheduler *Scheduler) clearSurvivor(run *activeRun, now clock.Time) {
-	if run.listedAt == 0 {
-		run.listedAt = now
-	}
 	record, ok := scheduler.crashes.jobs[run.name.Job]
 	if !ok {
 		return
--- a/scheduler/queries.go
+++ b/scheduler/queries.go
@@ -42,12 +42,12 @@
 	return record.job.State, true
 }
 
-// QueuedJobCount returns the number of jobs of the queue of which no task has started. Scheduled jobs whose time has
-// not come are not counted.
-func (scheduler *Scheduler) QueuedJobCount(queue workflow.Queue) int {
+// PendingJobCount returns the number of open jobs of the queue of which no task has started on a worker, whether it was placed
+// or not.
+func (scheduler *Scheduler) PendingJobCount(queue workflow.Queue) int {
 	count := 0
 	for _, record := range scheduler.open {
-		if record.job.Spec.Queue == queue && record.job.State == workflow.Queued {
+		if record.job.Spec.Queue == queue && !record.hasStarted {
 			count++
 		}
 	}
--- a/scheduler/runend.go
+++ b/scheduler/runend.go
@@ -28,6 +28,9 @@
 	if record, ok := scheduler.jobs[end.Name.Job]; ok && end.Cause == workflow.Faulted {
 		record.failuresByWorker[incarnation]++
 	}
+	if end.Cause != workflow.Interrupted {
+		scheduler.markStarted(run)
+	}
 	delete(orphans, end.Name)
 	if len(orphans) == 0 {
 		delete(scheduler.orphans, incarnation)
@@ -47,6 +50,9 @@
 		return
 	}
 	scheduler.now = now
+	if end.Cause != workflow.Interrupted { // An interrupted run may not have started.
+		scheduler.markStarted(run)
+	}
 	switch end.Cause {
 	case workflow.Finished:
 		worker.health.recordFinished()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -121,6 +121,9 @@
 	crashedAt clock.Time
 	// activeRuns is the number of runs that have not ended.
 	activeRuns int
+	// hasStarted reports that a worker has listed a run of the job, or its end. A new leader learns it from the first reports,
+	// or from what the job's tasks have left.
+	hasStarted bool
 	// standingWaitSince is the time since which the job has a waiting standing task, or 0.
 	standingWaitSince clock.Time
 	// runs holds the active runs.
@@ -176,7 +179,7 @@
 // Restore adds a job in its stored state. Active tasks whose worker is unknown are kept as orphans until
 // the worker is reported by UpdateWorker or removed by RemoveWorker.
 func (scheduler *Scheduler) Restore(job *workflow.Job, acceptedAt clock.Time) {
-	record := &jobRecord{job: job, acceptedAt: acceptedAt, failuresByWorker: map[Incarnation]int{}, runs: set.New[*activeRun]()}
+	record := &jobRecord{job: job, acceptedAt: acceptedAt, failuresByWorker: map[Incarnation]int{}, runs: set.New[*activeRun](), hasStarted: job.HasResults()}
 	scheduler.jobs[job.Spec.ID] = record
 	scheduler.dirty = true
 	if len(job.Occurrences) > 0 {
@@ -382,6 +385,10 @@
 			continue
 		}
 		scheduler.observeProgress(run, item, now)
+		if run.listedAt == 0 {
+			run.listedAt = now
+			scheduler.markStarted(run)
+		}
 		scheduler.clearSurvivor(run, now)
 		run.sample, run.sampledAt = item.Sample, now
 		run.pace.record(item, now)
@@ -407,6 +414,13 @@
 	scheduler.learnFromListing(worker, now)
 }
 
+// markStarted records that a run of a job has started on its worker.
+func (scheduler *Scheduler) markStarted(run *activeRun) {
+	if record, ok := scheduler.open[run.name.Job]; ok {
+		record.hasStarted = true
+	}
+}
+
 // TakeChanges returns and resets the changed jobs and the orders since the last call. The jobs must be
 // stored before the orders are sent.
 func (scheduler *Scheduler) TakeChanges() ([]*workflow.Job, []Order) {
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -346,6 +346,24 @@
 	return true
 }
 
+// HasResults reports whether what is stored of the job shows that one of its tasks has started: a task is done, has failed or
+// has a checkpoint, or an occurrence is complete.
+func (job *Job) HasResults() bool {
+	if len(job.Occurrences) < job.Next {
+		return true
+	}
+	for _, occurrence := range job.Occurrences {
+		for _, tasks := range occurrence.Steps {
+			for _, task := range tasks {
+				if task.Phase == Done || task.Failures > 0 || task.Saved != "" {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // EndRunOfFinalJob records the end of a run of a final job, whose state does not change. It reports whether the job had
 // the run.
 func (job *Job) EndRunOfFinalJob(name Name, number Run) bool {
