coordinator: renew the term while the jobs are loaded

Change: the term is renewed every 0.7 s during the load, which may take 20 s. The heartbeats pass on what is known of the grants of earlier leaders, as that of the takeover does; the leader grants no lease before the load is complete. A conflict ends the load.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -175,7 +175,7 @@
 	}
 	coordinator.scheduler.Disable(deps.Disabled)
 	coordinator.ledger = election.NewGrantLedger(leadership.Inherited, coordinator.startedAt)
-	version, err := coordinator.load(ctx)
+	version, err := coordinator.loadWithTerm(ctx)
 	if err != nil {
 		cancel()
 		coordinator.loop.Close()
--- a/election/election.go
+++ b/election/election.go
@@ -155,7 +155,7 @@
 	if err != nil {
 		return store.Tx{}, Term{}, fmt.Errorf("encoding the term: %w", err)
 	}
-	heartbeatValue, err := json.Marshal(Heartbeat{Term: term.Number, Grants: candidate.InheritedGrants().compose(now)})
+	heartbeatValue, err := json.Marshal(Heartbeat{Term: term.Number, Grants: candidate.InheritedGrants().Compose(now)})
 	if err != nil {
 		return store.Tx{}, Term{}, fmt.Errorf("encoding the heartbeat: %w", err)
 	}
--- a/election/grants.go
+++ b/election/grants.go
@@ -43,8 +43,9 @@
 	return inherited.others, false
 }
 
-// compose returns what a row that is composed now says about earlier leaders.
-func (inherited InheritedGrants) compose(now clock.Time) *Grants {
+// Compose returns what a heartbeat that is composed now says about earlier leaders. It is all that there is to say while the
+// leader itself has granted no lease.
+func (inherited InheritedGrants) Compose(now clock.Time) *Grants {
 	grants := &Grants{EarlierLeaders: max(0, inherited.others.Sub(now)), Silent: make(map[string]clock.Millis, len(inherited.silent))}
 	for node, last := range inherited.silent {
 		grants.Silent[node] = now.Sub(last)
@@ -95,7 +96,7 @@
 
 // NewGrantLedger returns the ledger of a term that was taken over with the transaction of TakeOver.
 func NewGrantLedger(inherited InheritedGrants, startedAt clock.Time) GrantLedger {
-	return GrantLedger{inherited: inherited, startedAt: startedAt, stored: inherited.compose(startedAt).Silent}
+	return GrantLedger{inherited: inherited, startedAt: startedAt, stored: inherited.Compose(startedAt).Silent}
 }
 
 // RecordReport records a report of the node's agent.
--- a/election/grants_test.go
+++ b/election/grants_test.go
@@ -301,7 +301,7 @@
 				t.Errorf("the last grant is taken to be %s before the extension of the first leader ends", want.Sub(got))
 			}
 			reading.Term.Holder, reading.Term.Address, reading.TermVersion = test.next, test.next, 4
-			reading.Heartbeat.Grants = third.InheritedGrants().compose(test.composedAt.Add(500))
+			reading.Heartbeat.Grants = third.InheritedGrants().Compose(test.composedAt.Add(500))
 			fourth := NewCandidate(test.next, test.next)
 			fourth.Observe(reading, test.composedAt.Add(500))
 			if got, _ := fourth.InheritedGrants().Last(node); got.Before(want) {
--- a/leadership/elector.go
+++ b/leadership/elector.go
@@ -23,8 +23,8 @@
 	readTimeout = clock.Second
 	// takeOverTimeout limits the transaction of a takeover. After a timeout the rows are read again.
 	takeOverTimeout = 2 * clock.Second
-	// loadTimeout limits the time in which a new leader loads all jobs.
-	loadTimeout = 10 * clock.Second
+	// loadTimeout limits the time in which a new leader loads all jobs. It renews its term meanwhile.
+	loadTimeout = 20 * clock.Second
 	// queryTimeout limits a query to the leader. After a timeout the caller can read the store.
 	queryTimeout = 700 * clock.Millisecond
 	// releaseTimeout limits the last write of a leader that stops.
--- a/store/store.go
+++ b/store/store.go
@@ -99,6 +99,9 @@
 	return Row{Ref: ref}
 }
 
+// IsErrConflict reports whether err is or wraps an ErrConflict.
+func IsErrConflict(err error) bool { return errors.As(err, new(ErrConflict)) }
+
 // ErrUnavailable reports that the store did not carry out the call.
 type ErrUnavailable struct {
 	Reason string
