supervisor: tell slow answers from a suspension before the first grant

Change: before the first grant only a standstill counts that is certain, from the request of a listing to the answer of the one before. The lapse after the end of a grant is judged by readings that came after it.

Evidence: TestRestartedAgentKeepsRuns fails before (the run is stopped after one answer that took 600 ms) and passes now; a suspension of 700 ms is still noticed there.

--- a/supervisor/staleorder_test.go
+++ b/supervisor/staleorder_test.go
@@ -36,8 +36,10 @@
 	ends      []Ended
 	// onStart is called when a start takes effect, if it is not nil.
 	onStart func(call StartCall)
-	// onListing is called once before the next listing is answered, if it is not nil.
-	onListing func()
+	// onListing is called once before the next listing is answered, if it is not nil, and answerDelay is how long that answer
+	// takes.
+	onListing   func()
+	answerDelay clock.Millis
 	// started holds the times of the starts that took effect.
 	started []clock.Time
 	// hasLapsed reports that the lease has lapsed, and acknowledged is the number of the last end that was acknowledged.
@@ -127,6 +129,8 @@
 	for key := range worker.running {
 		listing.Active = append(listing.Active, Active{Task: key.task, Run: key.number})
 	}
+	worker.clock.Advance(worker.answerDelay)
+	worker.answerDelay = 0
 	return listing, nil
 }
 
--- a/supervisor/workerlease.go
+++ b/supervisor/workerlease.go
@@ -14,8 +14,9 @@
 	// maxReadingTime is how long a listing may take for its reading of the worker's clock to count, and for how long the
 	// reading is carried on. It exceeds the timeout of a listing: if more time has passed, the agent stood still.
 	maxReadingTime = listingWait + 2*listingGrace
-	// minLoggedStandstill is the time from which a standstill of the worker's clock is logged.
-	minLoggedStandstill = 250 * clock.Millisecond
+	// minStandstill is how long the worker's clock must stand still between two readings for that to be noticed. It exceeds
+	// what drift makes of the time between two listings.
+	minStandstill = 250 * clock.Millisecond
 )
 
 // Clocks are two clocks of the agent's machine.
@@ -33,8 +34,9 @@
 	workerClock  WorkerTime
 	clockReadAt  clock.Time
 	steadyReadAt clock.Time
-	// firstReadAt is when the first reading arrived.
+	// firstReadAt is when the first reading arrived, and stoodStill for how long the worker's clock has stood still since.
 	firstReadAt clock.Time
+	stoodStill  clock.Millis
 	// deadline is the latest end of the lease that any call has set, whether it was answered or not.
 	deadline WorkerTime
 	// unknown is how long the lease may be that others have extended before the first reading.
@@ -49,8 +51,8 @@
 // those of runs that have finished and whose ends it has not stored. Such an end must not be acknowledged before the lapse, or
 // the worker counts it although the task runs again; and a lease that is extended does not lapse.
 type pendingLapse struct {
-	// grantEnd is the end of the grant.
-	grantEnd clock.Time
+	// grantEnd is the end of the grant, and noticedAt when the agent noticed it.
+	grantEnd, noticedAt clock.Time
 	// at is the end of the lease on the worker's clock.
 	at WorkerTime
 	// overruns reports that a reading since the end of the grant has shown that the lease overruns it.
@@ -58,7 +60,7 @@
 }
 
 // recordReading records a reading of the worker's clock from a listing that was requested at sentAt and answered now. It
-// returns for how long the worker's clock certainly stood still since the last reading.
+// returns for how long the worker's clock certainly stood still since the last reading, or 0 if the reading does not tell.
 func (lease *workerLease) recordReading(reading WorkerTime, sentAt, now, steadyNow clock.Time) clock.Millis {
 	if now.Sub(sentAt) > maxReadingTime {
 		return 0
@@ -66,11 +68,12 @@
 	standstill := clock.Millis(0)
 	if lease.clockReadAt == 0 {
 		lease.firstReadAt, lease.deadline = now, reading+WorkerTime(lease.unknown)
-	} else {
-		standstill = sentAt.Sub(lease.clockReadAt) - clock.Millis(reading-lease.workerClock)
+	} else if standstill = sentAt.Sub(lease.clockReadAt) - clock.Millis(reading-lease.workerClock); standstill < minStandstill {
+		standstill = 0
 	}
 	lease.workerClock, lease.clockReadAt, lease.steadyReadAt = reading, now, steadyNow
-	return max(0, standstill)
+	lease.stoodStill += standstill
+	return standstill
 }
 
 // isFresh reports whether the last reading of the worker's clock may be carried on until now.
@@ -95,13 +98,10 @@
 	if worker.clockReadAt == 0 || worker.lapsed || worker.isOver() {
 		return false
 	}
-	length := supervisor.bounds.Lease
-	granted := supervisor.grant.until
+	left, granted := worker.left(supervisor.clocks.Steady.Now()), supervisor.grant.until
 	if granted == 0 {
-		// The grant of an earlier process of the agent is not known. It is not later than this.
-		granted = worker.firstReadAt.Add(length)
+		return left > 0 && worker.stoodStill > 0 // The lease and the grant are those of an earlier process of the agent.
 	}
-	left := worker.left(supervisor.clocks.Steady.Now())
 	return left > 0 && left-granted.Sub(now) > supervisor.leaseTolerance()
 }
 
@@ -112,19 +112,19 @@
 
 // observeGrantEnd makes the worker's lease lapse before it is extended again if the grant has ended.
 func (supervisor *Supervisor) observeGrantEnd(worker *workerState) {
-	granted := supervisor.grant.until
-	if granted == 0 || supervisor.clocks.Boot.Now().Before(granted) || worker.lapse != nil || worker.settledGrant == granted {
+	granted, now := supervisor.grant.until, supervisor.clocks.Boot.Now()
+	if granted == 0 || now.Before(granted) || worker.lapse != nil || worker.settledGrant == granted {
 		return
 	}
 	if worker.clockReadAt == 0 || !worker.firstReadAt.Before(granted) {
 		return // The worker had no lease under that grant.
 	}
-	worker.lapse = &pendingLapse{grantEnd: granted, at: worker.deadline}
+	worker.lapse = &pendingLapse{grantEnd: granted, noticedAt: now, at: worker.deadline}
 }
 
-// observeLapse updates whether the lease has lapsed since the grant ended, after a reading of the worker's clock.
+// observeLapse updates whether the lease has lapsed since the grant ended, once the worker's clock was read after that.
 func (supervisor *Supervisor) observeLapse(worker *workerState) {
-	if worker.lapse == nil {
+	if worker.lapse == nil || worker.clockReadAt.Before(worker.lapse.noticedAt) {
 		return
 	}
 	left := clock.Millis(worker.lapse.at - worker.workerClock)
@@ -185,7 +185,7 @@
 
 // logStandstill logs that the worker's clock stood still, as it does while its machine is suspended.
 func (supervisor *Supervisor) logStandstill(worker *workerState, standstill clock.Millis) {
-	if standstill < minLoggedStandstill {
+	if standstill == 0 {
 		return
 	}
 	now := supervisor.clocks.Boot.Now()
--- a/supervisor/workerlease_test.go
+++ b/supervisor/workerlease_test.go
@@ -148,6 +148,33 @@
 	}
 }
 
+// TestRestartedAgentKeepsRuns guards against runs that are stopped by an agent that has not been granted a lease yet, because
+// the worker answers slowly, and against runs that go on there although the machine was suspended.
+func TestRestartedAgentKeepsRuns(t *testing.T) {
+	t.Parallel()
+	cases := map[string]struct {
+		disturb func(fixture *staleFixture)
+		want    bool
+	}{
+		"slow answer":       {func(fixture *staleFixture) { fixture.worker.update(func() { fixture.worker.answerDelay = 600 }) }, true},
+		"agent stood still": {func(fixture *staleFixture) { fixture.clock.Advance(700) }, true},
+		"suspended":         {func(fixture *staleFixture) { fixture.suspend(700) }, false},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fixture := newStaleFixture(t)
+			fixture.startRun()
+			fixture.supervisor.Close()
+			fixture.startSupervisor()
+			fixture.passUntil("a listing", func() bool { return fixture.supervisor.worker.clockReadAt != 0 })
+			test.disturb(fixture)
+			fixture.passSlowly(500)
+			fixture.assertRunning(test.want, "before the first grant")
+		})
+	}
+}
+
 // TestLeaseIsNotExtendedBeyondGrant guards against calls that extend the worker's lease beyond the grant: the worker's clock
 // stood still between its last reading and the call.
 func TestLeaseIsNotExtendedBeyondGrant(t *testing.T) {
