supervisor: shorten a doc comment

The comment of nextRenewCall did not say that ends wait for a pending lapse, and one of its lines had grown to twice the width of the others. No code has changed.

--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -364,9 +364,9 @@
 	}
 }
 
-// nextRenewCall returns the worker and the next call that extends its lease and lists its runs, or nil if no
-// worker has been announced. First it enforces the end of the grant. The call does not extend the lease of an unresponsive worker. It acknowledges ends, and waits for
-// further ones, only if the worker has just confirmed its incarnation.
+// nextRenewCall enforces the end of the grant, and returns the worker and the next call that extends its lease and lists its
+// runs, or nil if no worker has been announced. The call does not extend the lease of an unresponsive worker. It acknowledges
+// ends, and waits for further ones, only if the worker has just confirmed its incarnation, and its lease does not have to lapse.
 func (supervisor *Supervisor) nextRenewCall() (*workerState, RenewCall) {
 	worker := supervisor.worker
 	if worker == nil {
