supervisor: extend leases from older readings while the agent is active

Change: a reading counts until the agent has stood still for more than 1 s, which is what the limit was there for.

Evidence: TestOldReadingExtendsLease fails before (no deadline for a reading of 1.5 s before) and passes now, as do the tests of suspensions.

--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -73,8 +73,9 @@
 	reportRequests chan struct{}
 
 	// The fields below may be accessed only on the control loop.
-	worker *workerState
-	grant  grant
+	worker   *workerState
+	grant    grant
+	activity activity
 	// candidate is the announcement of another incarnation that the worker's process has not confirmed yet, or nil.
 	candidate *Announcement
 	// rejections are the ones to be sent with the next report.
@@ -372,6 +373,7 @@
 	if worker == nil {
 		return nil, RenewCall{}
 	}
+	supervisor.activity.observe(supervisor.clocks.Boot.Now())
 	supervisor.enforceGrant(worker)
 	supervisor.observeGrantEnd(worker)
 	call := RenewCall{Incarnation: worker.announcement.Incarnation, Token: supervisor.grant.term}
@@ -399,10 +401,12 @@
 }
 
 // nextDeadline returns the end of the granted lease on the worker's clock for a call that is made now, or 0 if no lease is
-// granted or the worker's clock has to be read first.
+// granted or the worker's clock has to be read first, because the agent has stood still since its last reading.
 func (supervisor *Supervisor) nextDeadline(worker *workerState) WorkerTime {
 	now, steadyNow := supervisor.clocks.Boot.Now(), supervisor.clocks.Steady.Now()
-	if !worker.isFresh(now) || !now.Before(supervisor.grant.until) || worker.lapse != nil {
+	supervisor.activity.observe(now)
+	hasReading := worker.clockReadAt != 0 && !worker.clockReadAt.Before(supervisor.activity.resumedAt)
+	if !hasReading || !now.Before(supervisor.grant.until) || worker.lapse != nil {
 		return 0
 	}
 	deadline := worker.deadlineAt(supervisor.grant.until, now, steadyNow)
--- a/supervisor/workerlease.go
+++ b/supervisor/workerlease.go
@@ -11,9 +11,9 @@
 	maxWorkerDriftPercent = 2
 	// leaseEndError limits the error of workerLease.left beside the drift: the time that an answer of the worker takes.
 	leaseEndError = 100 * clock.Millisecond
-	// maxReadingTime is how long a listing may take for its reading of the worker's clock to count, and for how long the
-	// reading is carried on. It exceeds the timeout of a listing: if more time has passed, the agent stood still.
-	maxReadingTime = listingWait + 2*listingGrace
+	// maxActiveGap is the time between two events of the agent, and from the request of a listing to its answer, above which
+	// the agent stood still. It exceeds the timeouts of a listing and of one that confirms an announcement.
+	maxActiveGap = listingWait + confirmTimeout + 2*listingGrace
 	// minStandstill is how long the worker's clock must stand still between two readings for that to be noticed. It exceeds
 	// what drift makes of the time between two listings.
 	minStandstill = 250 * clock.Millisecond
@@ -62,7 +62,7 @@
 // recordReading records a reading of the worker's clock from a listing that was requested at sentAt and answered now. It
 // returns for how long the worker's clock certainly stood still since the last reading, or 0 if the reading does not tell.
 func (lease *workerLease) recordReading(reading WorkerTime, sentAt, now, steadyNow clock.Time) clock.Millis {
-	if now.Sub(sentAt) > maxReadingTime {
+	if now.Sub(sentAt) > maxActiveGap {
 		return 0
 	}
 	standstill := clock.Millis(0)
@@ -76,9 +76,18 @@
 	return standstill
 }
 
-// isFresh reports whether the last reading of the worker's clock may be carried on until now.
-func (lease *workerLease) isFresh(now clock.Time) bool {
-	return lease.clockReadAt != 0 && now.Sub(lease.clockReadAt) <= maxReadingTime
+// activity tells when the agent stood still, with its machine or by itself.
+type activity struct {
+	// activeAt is when the agent was last active, and resumedAt when it went on after it last stood still.
+	activeAt, resumedAt clock.Time
+}
+
+// observe records that the agent is active.
+func (activity *activity) observe(now clock.Time) {
+	if now.Sub(activity.activeAt) > maxActiveGap {
+		activity.resumedAt = now
+	}
+	activity.activeAt = now
 }
 
 // deadlineAt returns a time on the worker's clock that is not later than the time until. The worker read its clock before the
--- a/supervisor/workerlease_test.go
+++ b/supervisor/workerlease_test.go
@@ -250,6 +250,25 @@
 	}
 }
 
+// TestOldReadingExtendsLease guards against a worker that is given no starts, and whose lease is not extended, while it leaves
+// half of its calls unanswered: its clock was not read for a while, but nothing stood still.
+func TestOldReadingExtendsLease(t *testing.T) {
+	t.Parallel()
+	fixture := newStaleFixture(t)
+	fixture.pass(200)
+	fixture.supervisor.loop.Call(func() {
+		const age = 1500
+		worker := fixture.supervisor.worker
+		worker.clockReadAt, worker.steadyReadAt, worker.workerClock = worker.clockReadAt-age, worker.steadyReadAt-age, worker.workerClock-age
+		fixture.supervisor.activity.resumedAt -= 2 * age
+		now := fixture.boot.Now()
+		deadline := fixture.supervisor.nextDeadline(worker)
+		if left, granted := clock.Millis(deadline-WorkerTime(fixture.clock.Now())), fixture.supervisor.grant.until.Sub(now); left <= granted-100 || left > granted {
+			t.Errorf("the lease is extended by %d ms, want the %d ms of the grant", left, granted)
+		}
+	})
+}
+
 // TestSuspensionIsNoLapse guards against a task with two runs: the worker leaves listings unanswered, its machine is
 // suspended, and the agent reports the lapse of a lease that goes on.
 func TestSuspensionIsNoLapse(t *testing.T) {
