httpserver: bound the memory of callers' bodies

Callers saw an entry end: it ran out of memory while clients sent large bodies, whole, in chunks or piece by piece, and stopped short of the end.

Cause: the entry read each body into a buffer of its own that grows, with no limit but that of a single body and no end: nothing bounded how many bodies were read at a time, or for how long.

Change: bodies are read in chunks of 16 KiB that are used again. Beyond its first chunk a body needs a grant of a memory that is 8% of MemoryMb, as bytes arrive; a declared length reserves nothing, but a body that cannot fit now is refused before it is read. If the memory is used up, bodies that have brought nothing for 500 ms give way, the longest first. Those refused get 503 with a Retry-After of 1 s, by which time any that stall have given way. A body must be complete within the caller's deadline and the route's timeout (408). Jobs of up to 16 KiB need no grant and pass while large bodies hold everything. Two bodies are decoded at a time, in buffers that are used again.

--- a/cmd/cluster.go
+++ b/cmd/cluster.go
@@ -21,6 +21,7 @@
 	"hyssopjunction/cluster"
 	"hyssopjunction/coordinator"
 	"hyssopjunction/directive"
+	"hyssopjunction/httpserver"
 	"hyssopjunction/intake"
 	"hyssopjunction/jobapi"
 	"hyssopjunction/leadership"
@@ -192,8 +193,9 @@
 	sessionServer := session.NewServer(leadership.NewHandler(elector, directStore))
 	serveSessions(sessionServer, sessionListener)
 	requests := newRequestDrain()
+	bodies := httpserver.NewBodies(httpserver.NewMemory(httpserver.NewBudget(settings.MemoryBytes).BodyBytes, source))
 	callerServer := &http.Server{
-		Handler:           platform.Detached(requests.wrap(platform.NewIngress(follower.Config, jobIntake))),
+		Handler:           platform.Detached(requests.wrap(platform.NewIngress(follower.Config, jobIntake, bodies))),
 		ReadHeaderTimeout: (3 * clock.Second).Duration(), IdleTimeout: (30 * clock.Second).Duration(),
 	}
 	go func() {
