httpserver: refuse JSON that decodes into much more than it is

Callers saw nothing but 400, while an entry grew by half a gigabyte: a few clients sufficed, each with one body of legal size.

Cause: {} takes three bytes with its comma and becomes a step with all its fields. The limit of 64 steps was checked after the body was decoded.

Change: before a body is decoded, its objects and lists (2,048), values (16,384) and depth (64) are counted in one pass that allocates nothing. A job of 64 steps, each of which follows all earlier ones, has 130 and 3,232. A body beyond them gets 400, as before. The count covers repeated and unknown fields, which a limit on the decoded list would not.

TestLegalRequests passes.

--- a/httpserver/body.go
+++ b/httpserver/body.go
@@ -72,7 +72,7 @@
 
 // ReadJSON reads the body of a request, of at most limit bytes, within a time in milliseconds, and calls use with it. use must not
 // keep the bytes. The memory stays granted until the returned function is called, which is never nil: the decoded form is about as
-// large. Errors: ErrTooLarge, ErrBusy, ErrIncomplete, and the error of use.
+// large. Errors: ErrTooLarge, ErrBusy, ErrIncomplete, ErrTooComplex, and the error of use.
 func (bodies *Bodies) ReadJSON(writer http.ResponseWriter, request *http.Request, limit int64, within clock.Millis, use func(data []byte) error) (func(), error) {
 	limit = min(limit, bodies.memory.Total())
 	if request.ContentLength > limit {
@@ -102,6 +102,9 @@
 	defer func() { bodies.scratch <- buffer }()
 	var data []byte
 	buffer, data = body.join(buffer)
+	if err := checkJSON(data); err != nil {
+		return owner.release, err
+	}
 	return owner.release, use(data)
 }
 
