jobapi: read bodies within the memory that callers share

Operators and callers of the product's own API saw an entry take 600 MB for bodies that it then refused with 400.

Cause: the job API beside the metrics decoded each body as it came, with a limit on a single one only, and no limit of time.

Change: it reads bodies as the callers' server does, from the same memory and within the 3 s of a call. A body beyond the limit gets 413 instead of 400, one that finds no memory 503 with Retry-After, one that is late 408. A reason names at most 200 bytes of the body that it quotes.

--- a/cmd/cluster.go
+++ b/cmd/cluster.go
@@ -205,7 +205,7 @@
 	}()
 	ready := func() bool { return !requests.stopping.isSet() && follower.Fresh() }
 	pages := http.NewServeMux()
-	pages.Handle("/v1/", requests.wrap(jobapi.New(follower.Config, jobIntake)))
+	pages.Handle("/v1/", requests.wrap(jobapi.New(follower.Config, jobIntake, bodies)))
 	pages.Handle("/", probe.New(ready))
 	if err := listenAndServe(lifecycle, settings.Metrics, pages); err != nil {
 		return err
--- a/jobapi/handler.go
+++ b/jobapi/handler.go
@@ -3,10 +3,12 @@
 package jobapi
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"net/http"
+	"os"
 	"strconv"
 
 	"github.com/gorilla/mux"
@@ -14,6 +16,7 @@
 
 	"hyssopjunction/clock"
 	"hyssopjunction/directive"
+	"hyssopjunction/httpserver"
 	"hyssopjunction/intake"
 	"hyssopjunction/workflow"
 )
@@ -78,10 +81,11 @@
 	Field  string `json:",omitempty"`
 }
 
-// New returns the handler. config returns the configuration in force, or nil if none has been read yet.
-func New(config func() *directive.Config, jobs Jobs) http.Handler {
+// New returns the handler. config returns the configuration in force, or nil if none has been read yet. bodies reads the bodies of
+// submissions.
+func New(config func() *directive.Config, jobs Jobs, bodies *httpserver.Bodies) http.Handler {
 	router := mux.NewRouter()
-	api := handler{config: config, jobs: jobs}
+	api := handler{config: config, jobs: jobs, bodies: bodies}
 	router.HandleFunc("/v1/queues/{queue}/jobs/{id}", api.submit).Methods(http.MethodPut)
 	router.HandleFunc("/v1/queues/{queue}", api.pending).Methods(http.MethodGet)
 	router.HandleFunc("/v1/jobs/{id}", api.show).Methods(http.MethodGet)
@@ -92,6 +96,7 @@
 type handler struct {
 	config func() *directive.Config
 	jobs   Jobs
+	bodies *httpserver.Bodies
 }
 
 func (api handler) submit(writer http.ResponseWriter, request *http.Request) {
@@ -108,11 +113,15 @@
 		writeJSON(writer, http.StatusNotFound, ErrorBody{Reason: "queues that need advice take no jobs"})
 		return
 	}
-	decoder := json.NewDecoder(http.MaxBytesReader(writer, request.Body, maxBodyBytes))
-	decoder.DisallowUnknownFields()
 	var submission Submission
-	if err := decoder.Decode(&submission); err != nil {
-		writeJSON(writer, http.StatusBadRequest, ErrorBody{Reason: err.Error()})
+	release, err := api.bodies.ReadJSON(writer, request, maxBodyBytes, callTimeout, func(data []byte) error {
+		decoder := json.NewDecoder(bytes.NewReader(data))
+		decoder.DisallowUnknownFields()
+		return decoder.Decode(&submission)
+	})
+	defer release()
+	if err != nil {
+		writeBodyError(writer, err)
 		return
 	}
 	ctx, cancel := context.WithTimeout(request.Context(), callTimeout.Duration())
@@ -181,6 +190,26 @@
 	writeJSON(writer, http.StatusOK, struct{}{})
 }
 
+// maxReasonBytes limits the reason of a refused body. Errors of decoding quote the body.
+const maxReasonBytes = 200
+
+// writeBodyError responds with the status and the ErrorBody that belong to an error of httpserver.Bodies.
+func writeBodyError(writer http.ResponseWriter, err error) {
+	var busy httpserver.ErrBusy
+	status := http.StatusBadRequest
+	switch {
+	case errors.As(err, &busy):
+		setRetryAfter(writer, busy.RetryAfter)
+		status = http.StatusServiceUnavailable
+	case httpserver.IsErrTooLarge(err):
+		status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		status = http.StatusRequestTimeout
+	}
+	reason := err.Error()
+	writeJSON(writer, status, ErrorBody{Reason: reason[:min(len(reason), maxReasonBytes)]})
+}
+
 // writeError responds with the status and the ErrorBody that belong to an error of Jobs.
 func writeError(writer http.ResponseWriter, err error) {
 	var invalid workflow.ErrInvalid
--- a/jobapi/handler_test.go
+++ b/jobapi/handler_test.go
@@ -9,10 +9,16 @@
 
 	"hyssopjunction/clock"
 	"hyssopjunction/directive"
+	"hyssopjunction/httpserver"
 	"hyssopjunction/intake"
 	"hyssopjunction/workflow"
 )
 
+// newBodies returns a reader of bodies with a memory of 8 MiB.
+func newBodies() *httpserver.Bodies {
+	return httpserver.NewBodies(httpserver.NewMemory(8<<20, clock.NewSystem()))
+}
+
 // fakeJobs keeps jobs in memory. If err is set, every call fails with it.
 type fakeJobs struct {
 	jobs map[workflow.ID]*workflow.Job
@@ -79,7 +85,7 @@
 	config := &directive.Config{Queues: []directive.Queue{
 		{Name: "r-1", Service: "desk", Policy: workflow.Policy{MaxAttempts: 2, Slack: 2}}, {Name: "advised", Advised: true},
 	}}
-	return New(func() *directive.Config { return config }, fake)
+	return New(func() *directive.Config { return config }, fake, newBodies())
 }
 
 // TestJobFromSubmissionToCancellation guards against a call that fails between the submission of a job and its
@@ -115,5 +121,5 @@
 	}
 	call(t, newAPI(&fakeJobs{err: intake.ErrUndecided{Reason: "reset"}}), http.MethodPut, jobPath, submissionBody, http.StatusGatewayTimeout)
 	call(t, newAPI(&fakeJobs{err: intake.ErrNoAnswer{Reason: "away"}}), http.MethodGet, statePath, "", http.StatusServiceUnavailable)
-	call(t, New(func() *directive.Config { return nil }, &fakeJobs{}), http.MethodPut, jobPath, submissionBody, http.StatusServiceUnavailable)
+	call(t, New(func() *directive.Config { return nil }, &fakeJobs{}, newBodies()), http.MethodPut, jobPath, submissionBody, http.StatusServiceUnavailable)
 }
