platform: bound the memory of announcements

Operators would see an agent end, and with it the lease of its worker, if whatever reaches its address sent announcements that stop short of their end.

Cause: an agent read each announcement of up to 1 MiB into a buffer of its own, without a limit on how many and for how long.

--- a/cmd/cluster.go
+++ b/cmd/cluster.go
@@ -273,7 +273,8 @@
 	clusterStore := platform.NewStore(settings.Store, source, settings.StoreWrites, settings.StoreReads)
 	agent := supervisor.New(supervisor.Clocks{Boot: source, Steady: clock.NewSystem()}, platform.NewRunner(settings.Runtime), settings.Node,
 		supervisor.Bounds{Lease: settings.Lease, StopTimeout: settings.StopTimeout, MaxOverTarget: settings.Impact})
-	if err := listenAndServe(lifecycle, settings.Workers, platform.NewRegistry(settings, agent)); err != nil {
+	bodies := httpserver.NewBodies(httpserver.NewMemory(httpserver.NewBudget(settings.MemoryBytes).BodyBytes, source))
+	if err := listenAndServe(lifecycle, settings.Workers, platform.NewRegistry(settings, agent, bodies)); err != nil {
 		return err
 	}
 	if err := listenAndServe(lifecycle, settings.Metrics, probe.New(func() bool { return true })); err != nil {
