httpserver: bound the connections of clients

Callers saw an entry that took no more connections and lost its store: clients that only held connections open, each with one request, with none, with half a body that no handler reads, or with responses that they did not take, used up the descriptors of the process.

Cause: no listener had a limit on connections. Bodies without a handler (GET, 404, 405, 503 before the configuration) and writes had no time limit. Idle connections were kept for 30 s, although the configuration has IdleTimeoutMs.

Change: httpserver.Server tracks what each connection waits for. The number of callers' connections is what 40% of MemoryMb holds at the worst cost of one (128 KiB), and at most a third of the sockets that FileDescriptors leaves: a request may need one to the store, and the last third is for sessions, probes and the daemon itself. The pages have 64, probe and worker 16 each. Above that the connection gives way that has waited for longest, first of the idle ones, then of those in a header, in a body, and whose client does not take a response; one whose request is being served never does. If all are, the new one is closed: it was not read. Receive buffers have 32 KiB, because bytes that are not read yet count as memory. The rest of a body that nobody reads may take 500 ms, a write 10 s. IdleTimeoutMs and HeaderTimeoutMs of the configuration are obeyed while they change.

Weighed: a listener that waits for a free place locks ordinary callers out; a limit by source address meets all of them at once behind the platform's address, or none.

--- a/cluster/settings.go
+++ b/cluster/settings.go
@@ -54,6 +54,8 @@
 	OrdersByHeartbeat bool
 	// MemoryBytes is the memory limit of the daemon; 0 means no limit.
 	MemoryBytes int64
+	// Descriptors is the number of descriptors that the daemon may have; 0 means the limit of the operating system.
+	Descriptors int
 }
 
 // Session returns the address, with its port, on which an entry on the machine serves sessions.
--- a/cmd/cluster.go
+++ b/cmd/cluster.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"os"
@@ -126,29 +125,6 @@
 	lifecycle.Append(fx.StopHook(func() { signal.Stop(hangups); close(done) }))
 }
 
-// listenAndServe serves handler on address until the application stops. It does nothing if address is empty.
-func listenAndServe(lifecycle fx.Lifecycle, address string, handler http.Handler) error {
-	if address == "" {
-		return nil
-	}
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return err
-	}
-	serveHTTP(lifecycle, listener, &http.Server{Handler: handler, ReadHeaderTimeout: (2 * clock.Second).Duration()})
-	return nil
-}
-
-// serveHTTP serves on listener until the application stops.
-func serveHTTP(lifecycle fx.Lifecycle, listener net.Listener, server *http.Server) {
-	go func() {
-		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			klog.ErrorS(err, "Server ended", "Address", listener.Addr().String())
-		}
-	}()
-	lifecycle.Append(fx.StopHook(func() error { return server.Close() }))
-}
-
 // runClusterEntry runs an entry of a deployment.
 func runClusterEntry(std streams, path string, disabled []string) error {
 	names, err := mechanism.Parse(disabled)
@@ -185,35 +161,27 @@
 		Disabled:  disabled, MaxRowBytes: settings.StoreRowBytes,
 		Store: relayStore, Clock: source, TimeOfDay: func() int64 { return time.Now().UnixMilli() }, Out: follower.Out,
 	}, settings.Node, settings.Session(settings.Address), settings.Lease)
-	callerListener, err := net.Listen("tcp", settings.Callers)
-	if err != nil {
-		return err
-	}
 	jobIntake := intake.New(relayStore, source, elector.Queries())
 	sessionServer := session.NewServer(leadership.NewHandler(elector, directStore))
 	serveSessions(sessionServer, sessionListener)
-	requests := newRequestDrain()
-	bodies := httpserver.NewBodies(httpserver.NewMemory(httpserver.NewBudget(settings.MemoryBytes).BodyBytes, source))
-	callerServer := &http.Server{
-		Handler:           platform.Detached(requests.wrap(platform.NewIngress(follower.Config, jobIntake, bodies))),
-		ReadHeaderTimeout: (3 * clock.Second).Duration(), IdleTimeout: (30 * clock.Second).Duration(),
+	requests, servers := newRequestDrain(), newHTTPServers(lifecycle, settings, source)
+	callerServer, err := servers.serveCallers(settings.Callers,
+		platform.Detached(requests.wrap(platform.NewIngress(follower.Config, jobIntake, servers.bodies))),
+		func() httpserver.Rules { return callerRules(follower.Config()) })
+	if err != nil {
+		return err
 	}
-	go func() {
-		if err := callerServer.Serve(callerListener); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			klog.ErrorS(err, "Callers' server ended")
-		}
-	}()
 	ready := func() bool { return !requests.stopping.isSet() && follower.Fresh() }
 	pages := http.NewServeMux()
-	pages.Handle("/v1/", requests.wrap(jobapi.New(follower.Config, jobIntake, bodies)))
+	pages.Handle("/v1/", requests.wrap(jobapi.New(follower.Config, jobIntake, servers.bodies)))
 	pages.Handle("/", probe.New(ready))
-	if err := listenAndServe(lifecycle, settings.Metrics, pages); err != nil {
+	if err := servers.servePages("pages", settings.Metrics, pages, pageConnections); err != nil {
 		return err
 	}
-	if err := listenAndServe(lifecycle, settings.Readiness, platform.NewReadiness(ready)); err != nil {
+	if err := servers.servePages("readiness", settings.Readiness, platform.NewReadiness(ready), probeConnections); err != nil {
 		return err
 	}
-	if err := listenAndServe(lifecycle, settings.Workers, platform.NewReadiness(ready)); err != nil {
+	if err := servers.servePages("workers", settings.Workers, platform.NewReadiness(ready), probeConnections); err != nil {
 		return err
 	}
 	watchSettings(lifecycle, path, settings, cluster.Settings.CheckEntry, func(cluster.Settings) {})
@@ -273,11 +241,12 @@
 	clusterStore := platform.NewStore(settings.Store, source, settings.StoreWrites, settings.StoreReads)
 	agent := supervisor.New(supervisor.Clocks{Boot: source, Steady: clock.NewSystem()}, platform.NewRunner(settings.Runtime), settings.Node,
 		supervisor.Bounds{Lease: settings.Lease, StopTimeout: settings.StopTimeout, MaxOverTarget: settings.Impact})
-	bodies := httpserver.NewBodies(httpserver.NewMemory(httpserver.NewBudget(settings.MemoryBytes).BodyBytes, source))
-	if err := listenAndServe(lifecycle, settings.Workers, platform.NewRegistry(settings, agent, bodies)); err != nil {
+	servers := newHTTPServers(lifecycle, settings, source)
+	registry := platform.NewRegistry(settings, agent, servers.bodies)
+	if err := servers.servePages("workers", settings.Workers, registry, probeConnections); err != nil {
 		return err
 	}
-	if err := listenAndServe(lifecycle, settings.Metrics, probe.New(func() bool { return true })); err != nil {
+	if err := servers.servePages("pages", settings.Metrics, probe.New(func() bool { return true }), pageConnections); err != nil {
 		return err
 	}
 	directory := leadership.NewDirectory(clusterStore, sessionAddresses(settings))
--- a/directive/directive.go
+++ b/directive/directive.go
@@ -31,9 +31,13 @@
 	Advised bool
 }
 
-// Limits holds the limits of callers' requests.
+// Limits holds the limits of callers' requests; 0 means the default.
 type Limits struct {
+	// BodyBytes is the size of a body in bytes.
 	BodyBytes int64
+	// HeaderTimeout is how long a header may take, and IdleTimeout how long a connection may be idle.
+	HeaderTimeout clock.Millis
+	IdleTimeout   clock.Millis
 }
 
 // Config is the configuration by operators.
--- a/httpserver/body.go
+++ b/httpserver/body.go
@@ -98,6 +98,7 @@
 	// After the body net/http goes on reading to detect that the client disconnects. It would take a read deadline that
 	// passes for a disconnect and cancel the request.
 	setReadDeadline(controller, time.Time{})
+	bodyComplete(request)
 	buffer := <-bodies.scratch
 	defer func() { bodies.scratch <- buffer }()
 	var data []byte
--- a/httpserver/memory_test.go
+++ b/httpserver/memory_test.go
@@ -81,3 +81,30 @@
 		assertBusy(t, memory.canHold(30))
 	})
 }
+
+// TestNewBudget guards against budgets that exceed a process of any size, or leave nothing for callers.
+func TestNewBudget(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		memory      int64
+		descriptors int
+	}{
+		{"smallest entry", 184 << 20, 4100},
+		{"largest entry", 536 << 20, 8192},
+		{"few descriptors", 284 << 20, 700},
+		{"no limits", 0, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			budget := NewBudget(test.memory, test.descriptors)
+			if budget.Connections < minConnections || budget.BodyBytes < minBodyBytes {
+				t.Errorf("got %+v, want more", budget)
+			}
+			if test.memory > 0 && int64(budget.Connections)*connectionBytes+3*budget.BodyBytes > test.memory*2/3 {
+				t.Errorf("got %+v, which needs more than two thirds of the memory", budget)
+			}
+			if test.descriptors > 0 && budget.Connections > (test.descriptors-fileDescriptors)/callersShare {
+				t.Errorf("got %+v, which leaves too few sockets", budget)
+			}
+		})
+	}
+}
