httpserver: bound the memory of headers

Callers saw an entry run out of memory while clients sent headers that grew without end, or complete ones with thousands of fields.

A field of five bytes takes about 256 once it is decoded, for as long as the request lasts.

Change: a header may have as many bytes as MaxHeaderBytes of the configuration says, 16,384 without one; above that the client gets 431. Beyond 4 KiB and 32 fields, its bytes and fields count against the memory that bodies share until the request is answered. One that finds none gets 503.

--- a/cmd/clusterhttp.go
+++ b/cmd/clusterhttp.go
@@ -29,6 +29,7 @@
 	lifecycle fx.Lifecycle
 	clock     clock.Clock
 	budget    httpserver.Budget
+	memory    *httpserver.Memory
 	bodies    *httpserver.Bodies
 }
 
@@ -36,7 +37,7 @@
 	budget := httpserver.NewBudget(settings.MemoryBytes, settings.Descriptors)
 	memory := httpserver.NewMemory(budget.BodyBytes, source)
 	klog.InfoS("Limits of clients", "Connections", budget.Connections, "BodyBytes", budget.BodyBytes)
-	return &httpServers{lifecycle: lifecycle, clock: source, budget: budget, bodies: httpserver.NewBodies(memory)}
+	return &httpServers{lifecycle: lifecycle, clock: source, budget: budget, memory: memory, bodies: httpserver.NewBodies(memory)}
 }
 
 // serveCallers serves handler on address. The caller must close the server. rules returns the rules in force.
@@ -62,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	server := httpserver.New(name, handler, connections, rules, servers.clock)
+	server := httpserver.New(name, handler, connections, servers.memory, rules, servers.clock)
 	go func() {
 		if err := server.Serve(listener); err != nil {
 			klog.ErrorS(err, "Server ended", "Server", name, "Address", address)
@@ -77,6 +78,9 @@
 	if config == nil {
 		return rules
 	}
+	if config.Limits.HeaderBytes > 0 {
+		rules.HeaderBytes = config.Limits.HeaderBytes
+	}
 	if config.Limits.HeaderTimeout > 0 {
 		rules.HeaderTimeout = config.Limits.HeaderTimeout
 	}
--- a/directive/directive.go
+++ b/directive/directive.go
@@ -33,8 +33,9 @@
 
 // Limits holds the limits of callers' requests; 0 means the default.
 type Limits struct {
-	// BodyBytes is the size of a body in bytes.
-	BodyBytes int64
+	// BodyBytes and HeaderBytes are the sizes of a body and a header, in bytes.
+	BodyBytes   int64
+	HeaderBytes int64
 	// HeaderTimeout is how long a header may take, and IdleTimeout how long a connection may be idle.
 	HeaderTimeout clock.Millis
 	IdleTimeout   clock.Millis
--- a/httpserver/connection.go
+++ b/httpserver/connection.go
@@ -1,8 +1,10 @@
 package httpserver
 
 import (
+	"bytes"
 	"container/list"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -28,6 +30,22 @@
 	phaseCount
 )
 
+const (
+	// freeHeaderBytes and freeHeaderFields of a header need no grant.
+	freeHeaderBytes  = 4 << 10
+	freeHeaderFields = 32
+	// headerFieldBytes is the memory that a field of a decoded header takes, besides its text.
+	headerFieldBytes = 256
+	// headerSlackBytes may be read beyond the limit on headers: the beginning of a body, which arrives in the same packet.
+	headerSlackBytes = 4 << 10
+)
+
+// Responses to headers that are not read to their end.
+const (
+	headerTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+	headerRefused  = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
+
 // connection is an accepted connection. It tracks what it waits for.
 type connection struct {
 	net.Conn
@@ -37,6 +55,12 @@
 	phase   phase
 	since   clock.Time
 	element *list.Element
+
+	// The fields below belong to the goroutine that reads headers.
+	headerBytes  int64
+	headerFields int64
+	granted      int64
+	grant        *grant
 }
 
 // connectionKey is the key of the connection in the context of its requests.
@@ -54,15 +78,66 @@
 	}
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It ends a connection whose header exceeds a limit.
 func (conn *connection) Read(buffer []byte) (int, error) {
 	count, err := conn.Conn.Read(buffer)
-	if count > 0 && conn.currentPhase() == idle {
+	if count == 0 {
+		return count, err
+	}
+	current := conn.currentPhase()
+	if current == idle {
+		conn.headerBytes, conn.headerFields = 0, 0
 		conn.enter(inHeader)
+	} else if current != inHeader {
+		return count, err
+	}
+	conn.headerBytes += int64(count)
+	conn.headerFields += int64(bytes.Count(buffer[:count], []byte{'\n'}))
+	if refusal := conn.checkHeader(); refusal != "" {
+		_, _ = conn.Write([]byte(refusal)) // The connection ends either way.
+		return 0, io.EOF
 	}
 	return count, err
 }
 
+// checkHeader returns the response to a header that exceeds a limit, or an empty string. A header beyond the ordinary size needs a
+// part of the memory for bodies.
+func (conn *connection) checkHeader() string {
+	if conn.headerBytes > conn.server.rules().HeaderBytes+headerSlackBytes {
+		conn.server.refusedHeaders.Inc()
+		return headerTooLarge
+	}
+	needed := max(0, conn.headerBytes-freeHeaderBytes) + headerFieldBytes*max(0, conn.headerFields-freeHeaderFields)
+	if needed <= conn.granted {
+		return ""
+	}
+	if conn.grant == nil {
+		conn.grant = conn.server.memory.newGrant(func() { _ = conn.SetReadDeadline(time.Now()) }) // Fails only on a closed connection.
+	}
+	if conn.grant.progress() != nil || conn.grant.grow(needed-conn.granted) != nil {
+		conn.server.refusedHeaders.Inc()
+		return headerRefused
+	}
+	conn.granted = needed
+	return ""
+}
+
+// endHeader records that a header is complete.
+func (conn *connection) endHeader() error {
+	if conn.grant == nil {
+		return nil
+	}
+	return conn.grant.complete()
+}
+
+// releaseHeader gives back the memory of a header.
+func (conn *connection) releaseHeader() {
+	if conn.grant != nil {
+		conn.grant.release()
+		conn.grant, conn.granted = nil, 0
+	}
+}
+
 // Write implements net.Conn. It fails if the client does not take the data in time.
 func (conn *connection) Write(data []byte) (int, error) {
 	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout.Duration())); err != nil {
--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -36,6 +36,8 @@
 
 // Rules limit the requests of clients.
 type Rules struct {
+	// HeaderBytes is the size of a header in bytes.
+	HeaderBytes int64
 	// HeaderTimeout is how long a header may take, and IdleTimeout how long a connection may be idle, in milliseconds.
 	HeaderTimeout clock.Millis
 	IdleTimeout   clock.Millis
@@ -43,7 +45,7 @@
 
 // DefaultRules returns the rules without a configuration.
 func DefaultRules() Rules {
-	return Rules{HeaderTimeout: 3 * clock.Second, IdleTimeout: 30 * clock.Second}
+	return Rules{HeaderBytes: 16_384, HeaderTimeout: 3 * clock.Second, IdleTimeout: 30 * clock.Second}
 }
 
 // Server serves HTTP on a limited number of connections. When there are too many, it closes the one that has waited for longest:
@@ -52,12 +54,14 @@
 type Server struct {
 	name           string
 	server         *http.Server
+	memory         *Memory
 	clock          clock.Clock
 	rules          func() Rules
 	maxConnections int
 	closedForOther *metrics.Counter
 	refused        *metrics.Counter
 	expired        *metrics.Counter
+	refusedHeaders *metrics.Counter
 	// logged limits the lines about closed connections.
 	logged rate.Sometimes
 
@@ -68,16 +72,18 @@
 	once    sync.Once
 }
 
-// New returns a server with a name for logs and metrics. rules returns the rules in force.
-func New(name string, handler http.Handler, maxConnections int, rules func() Rules, source clock.Clock) *Server {
+// New returns a server with a name for logs and metrics. Headers beyond the ordinary size share memory with bodies. rules returns
+// the rules in force.
+func New(name string, handler http.Handler, maxConnections int, memory *Memory, rules func() Rules, source clock.Clock) *Server {
 	counter := func(metric string) *metrics.Counter {
 		return metrics.GetOrCreateCounter(fmt.Sprintf(`%s{server=%q}`, metric, name))
 	}
 	server := &Server{
-		name: name, clock: source, rules: rules, maxConnections: maxConnections,
+		name: name, memory: memory, clock: source, rules: rules, maxConnections: maxConnections,
 		closedForOther: counter("hyssopjunction_http_displaced_connections_total"),
 		refused:        counter("hyssopjunction_http_refused_connections_total"),
 		expired:        counter("hyssopjunction_http_expired_connections_total"),
+		refusedHeaders: counter("hyssopjunction_http_refused_headers_total"),
 		logged:         rate.Sometimes{Interval: time.Second}, closing: make(chan struct{}),
 	}
 	// The sweep applies the time limits, because they may change while the server runs.
@@ -249,8 +255,10 @@
 	}
 	switch state {
 	case http.StateIdle:
+		conn.releaseHeader()
 		conn.enter(idle)
 	case http.StateClosed, http.StateHijacked:
+		conn.releaseHeader()
 		server.remove(conn)
 	case http.StateNew, http.StateActive:
 	}
@@ -264,6 +272,12 @@
 			handler.ServeHTTP(writer, request)
 			return
 		}
+		if err := conn.endHeader(); err != nil {
+			writer.Header().Set("Retry-After", "1")
+			writer.Header().Set("Connection", "close")
+			writer.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		if request.ContentLength == 0 {
 			conn.enter(serving)
 			handler.ServeHTTP(writer, request)
--- a/httpserver/server_test.go
+++ b/httpserver/server_test.go
@@ -13,14 +13,15 @@
 	"hyssopjunction/clock"
 )
 
-// newTestServer starts a server with connections and returns its address.
+// newTestServer starts a server with connections and a memory of 64 KiB, and returns its address.
 func newTestServer(t *testing.T, connections int, handler http.HandlerFunc) (string, *Server) {
 	t.Helper()
 	listener, err := Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := New("test", handler, connections, DefaultRules, clock.NewSystem())
+	memory := NewMemory(64<<10, clock.NewSystem())
+	server := New("test", handler, connections, memory, DefaultRules, clock.NewSystem())
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	t.Cleanup(func() {
@@ -155,8 +156,7 @@
 	t.Parallel()
 	var bodies *Bodies
 	var length atomic.Int64
-	memory := NewMemory(64<<10, clock.NewSystem())
-	address, _ := newTestServer(t, 100, func(writer http.ResponseWriter, request *http.Request) {
+	address, server := newTestServer(t, 100, func(writer http.ResponseWriter, request *http.Request) {
 		release, err := bodies.ReadJSON(writer, request, 64<<10, 2*clock.Second, func(data []byte) error {
 			length.Store(int64(len(data)))
 			return nil
@@ -171,7 +171,7 @@
 			writer.WriteHeader(http.StatusRequestTimeout)
 		}
 	})
-	bodies = NewBodies(memory)
+	bodies = NewBodies(server.memory)
 	text := func(size int) string { return fmt.Sprintf(post, size) + strings.Repeat(" ", size) }
 	for _, size := range []int{0, 1, chunkBytes - 1, chunkBytes, chunkBytes + 1, 64 << 10} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
@@ -218,9 +218,9 @@
 	})
 	t.Run("all memory is given back", func(t *testing.T) {
 		for range 1000 {
-			memory.mu.Lock()
-			held := memory.held
-			memory.mu.Unlock()
+			server.memory.mu.Lock()
+			held := server.memory.held
+			server.memory.mu.Unlock()
 			if held == 0 {
 				return
 			}
@@ -229,3 +229,25 @@
 		t.Error("bodies whose time is over hold memory")
 	})
 }
+
+// TestHeaders guards against headers without a limit, and against refusals of those within it.
+func TestHeaders(t *testing.T) {
+	t.Parallel()
+	address, _ := newTestServer(t, 100, func(http.ResponseWriter, *http.Request) {})
+	request := func(fields string) string { return "GET / HTTP/1.1\r\nHost: a\r\n" + fields + "\r\n" }
+	for _, test := range []struct {
+		name, text string
+		want       int
+	}{
+		{"large", request("Field: " + strings.Repeat("s", 16_000) + "\r\n"), http.StatusOK},
+		{"too large", request("Field: " + strings.Repeat("s", 40_000) + "\r\n"), http.StatusRequestHeaderFieldsTooLarge},
+		{"many fields", request(strings.Repeat("F: \r\n", 200)), http.StatusOK},
+		{"fields that take all memory", request(strings.Repeat("F: \r\n", 2000)), http.StatusServiceUnavailable},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			sender := dial(t, address)
+			go func() { _, _ = sender.conn.Write([]byte(test.text)) }() // The server may close the connection.
+			sender.assertStatus(test.want)
+		})
+	}
+}
--- a/overload/connections_test.go
+++ b/overload/connections_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -105,6 +106,22 @@
 	entry.assertWithinLimits(t)
 }
 
+// TestManyFields guards against clients whose headers of legal size hold so many fields that they take all memory, while their
+// bodies never end.
+func TestManyFields(t *testing.T) {
+	entry := newEntry(t, limits{memoryMb: 100, descriptors: 1500})
+	var fields strings.Builder
+	for number := range 2000 {
+		fields.WriteString(strconv.FormatInt(int64(number), 36) + ":\r\n")
+	}
+	newCrowd(t, entry.callersAddress(), 600, func(conn net.Conn, number int) {
+		text := declared(http.MethodPost, jobPath(number), 100)
+		_ = write(conn, strings.Replace(text, "\r\n", "\r\n"+fields.String(), 1))
+	}).await()
+	entry.assertServes(t)
+	entry.assertWithinLimits(t)
+}
+
 // TestUnreadResponses guards against clients that send requests without pause and never read a response.
 func TestUnreadResponses(t *testing.T) {
 	entry := newEntry(t, limits{memoryMb: 100, descriptors: 700})
