httpserver: wake less, and end a drain beside unfinished requests

Cause: Shutdown waits for connections whose request is incomplete, up to the last moment, and reports a failure then. Besides, each server woke up every second, also without connections, and each change of a phase read a clock that takes a system call.

Change: while it stops, a server looks for connections whose time is over every 200 ms, otherwise every 3 s and only while it has connections. What is incomplete at the end is closed, with one line in the log; it counts as a failure only if a complete request was not answered.

TestShutdownWithIncompleteRequests covers headers, bodies and requests that are being served.

--- a/cmd/cluster.go
+++ b/cmd/cluster.go
@@ -164,7 +164,7 @@
 	jobIntake := intake.New(relayStore, source, elector.Queries())
 	sessionServer := session.NewServer(leadership.NewHandler(elector, directStore))
 	serveSessions(sessionServer, sessionListener)
-	requests, servers := newRequestDrain(), newHTTPServers(lifecycle, settings, source)
+	requests, servers := newRequestDrain(), newHTTPServers(lifecycle, settings)
 	callerServer, err := servers.serveCallers(settings.Callers,
 		platform.Detached(requests.wrap(platform.NewIngress(follower.Config, jobIntake, servers.bodies))),
 		func() httpserver.Rules { return callerRules(follower.Config()) })
@@ -241,7 +241,7 @@
 	clusterStore := platform.NewStore(settings.Store, source, settings.StoreWrites, settings.StoreReads)
 	agent := supervisor.New(supervisor.Clocks{Boot: source, Steady: clock.NewSystem()}, platform.NewRunner(settings.Runtime), settings.Node,
 		supervisor.Bounds{Lease: settings.Lease, StopTimeout: settings.StopTimeout, MaxOverTarget: settings.Impact})
-	servers := newHTTPServers(lifecycle, settings, source)
+	servers := newHTTPServers(lifecycle, settings)
 	registry := platform.NewRegistry(settings, agent, servers.bodies)
 	if err := servers.servePages("workers", settings.Workers, registry, probeConnections); err != nil {
 		return err
--- a/cmd/clusterhttp.go
+++ b/cmd/clusterhttp.go
@@ -33,7 +33,10 @@
 	bodies    *httpserver.Bodies
 }
 
-func newHTTPServers(lifecycle fx.Lifecycle, settings cluster.Settings, source clock.Clock) *httpServers {
+// newHTTPServers divides what the settings allow. Its times need not include suspensions, so they are read from the clock that
+// takes no system call.
+func newHTTPServers(lifecycle fx.Lifecycle, settings cluster.Settings) *httpServers {
+	source := clock.NewSystem()
 	budget := httpserver.NewBudget(settings.MemoryBytes, settings.Descriptors)
 	memory := httpserver.NewMemory(budget.BodyBytes, source)
 	klog.InfoS("Limits of clients", "Connections", budget.Connections, "BodyBytes", budget.BodyBytes)
--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -23,13 +23,17 @@
 	receiveBufferBytes = 32 << 10
 	// writeTimeout limits how long a client may take to receive what one write of a response holds.
 	writeTimeout = 10 * clock.Second
+	// writeTimeoutSlack is by how much a write may end sooner, so that not each one sets a deadline.
+	writeTimeoutSlack = clock.Second
 	// unreadBodyTime is how long the rest of a body may take that the handler did not read. A connection on which it is
 	// complete by then stays open.
 	unreadBodyTime = 500 * clock.Millisecond
 	// maxBodyTime limits the time of a body for which the handler sets no limit.
 	maxBodyTime = 10 * clock.Second
 	// sweepInterval is the time between two searches for connections whose time is over.
-	sweepInterval = clock.Second
+	sweepInterval = 3 * clock.Second
+	// drainSweepInterval is that time while the server stops.
+	drainSweepInterval = 200 * clock.Millisecond
 	// minRespondingTime is how long a response must wait for its client before the connection may be closed for another one.
 	minRespondingTime = 500 * clock.Millisecond
 )
@@ -68,8 +72,10 @@
 	mu     sync.Mutex
 	phases [phaseCount]list.List
 
-	closing chan struct{}
-	once    sync.Once
+	// occupied receives a value when there may be connections to sweep.
+	occupied chan struct{}
+	closing  chan struct{}
+	once     sync.Once
 }
 
 // New returns a server with a name for logs and metrics. Headers beyond the ordinary size share memory with bodies. rules returns
@@ -84,7 +90,7 @@
 		refused:        counter("hyssopjunction_http_refused_connections_total"),
 		expired:        counter("hyssopjunction_http_expired_connections_total"),
 		refusedHeaders: counter("hyssopjunction_http_refused_headers_total"),
-		logged:         rate.Sometimes{Interval: time.Second}, closing: make(chan struct{}),
+		logged:         rate.Sometimes{Interval: time.Second}, occupied: make(chan struct{}, 1), closing: make(chan struct{}),
 	}
 	// The sweep applies the time limits, because they may change while the server runs.
 	server.server = &http.Server{ //nolint:gosec // See above for ReadHeaderTimeout.
@@ -95,6 +101,11 @@
 	}
 	go func() {
 		for {
+			select {
+			case <-server.closing:
+				return
+			case <-server.occupied:
+			}
 			select {
 			case <-server.closing:
 				return
@@ -128,10 +139,34 @@
 	return err
 }
 
-// Shutdown stops accepting connections and waits until all requests are answered or ctx ends.
+// Shutdown stops accepting connections and waits until all requests are answered or ctx ends. Then it closes the connections on
+// which a request is incomplete. It returns the error of ctx if a complete request was not answered.
 func (server *Server) Shutdown(ctx context.Context) error {
 	defer server.stopSweep()
-	return server.server.Shutdown(ctx)
+	sweeping, stopSweeping := context.WithCancel(ctx)
+	defer stopSweeping()
+	go func() {
+		for sweeping.Err() == nil {
+			server.sweep()
+			select {
+			case <-server.clock.After(drainSweepInterval):
+			case <-sweeping.Done():
+			}
+		}
+	}()
+	err := server.server.Shutdown(ctx)
+	if err == nil || ctx.Err() == nil {
+		return err
+	}
+	server.mu.Lock()
+	open, unanswered := server.count(), server.phases[serving].Len()+server.phases[responding].Len()
+	server.mu.Unlock()
+	klog.InfoS("Connections closed at the end of the drain", "Server", server.name, "Connections", open, "Unanswered", unanswered)
+	closeErr := server.server.Close()
+	if unanswered == 0 {
+		return closeErr
+	}
+	return errors.Join(err, closeErr)
 }
 
 // Close closes all connections.
@@ -185,9 +220,18 @@
 	}
 	conn.since = server.clock.Now()
 	conn.element = server.phases[idle].PushBack(conn)
+	server.scheduleSweep()
 	return conn, true
 }
 
+// scheduleSweep makes the next sweep happen. A server without connections does not wake up.
+func (server *Server) scheduleSweep() {
+	select {
+	case server.occupied <- struct{}{}:
+	default:
+	}
+}
+
 // count returns the number of open connections. The caller must hold the lock.
 func (server *Server) count() int {
 	total := 0
@@ -245,6 +289,9 @@
 			server.close(conn)
 		}
 	}
+	if server.count() > 0 {
+		server.scheduleSweep()
+	}
 }
 
 // track follows the states that net/http reports.
--- a/httpserver/server_test.go
+++ b/httpserver/server_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -251,3 +253,36 @@
 		})
 	}
 }
+
+// TestShutdownWithIncompleteRequests guards against clients that keep a server from stopping, or make it report a failure.
+func TestShutdownWithIncompleteRequests(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	for _, test := range []struct {
+		name, text string
+		phase      phase
+		want       error
+	}{
+		{"header", get[:10], inHeader, nil},
+		{"body", fmt.Sprintf(post, 10), inBody, nil},
+		{"served", get, serving, context.DeadlineExceeded},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			address, server := newTestServer(t, 4, func(_ http.ResponseWriter, request *http.Request) {
+				if request.ContentLength == 0 {
+					<-release
+					return
+				}
+				_, _ = request.Body.Read(make([]byte, 100)) // Ends with the connection.
+			})
+			dial(t, address).send(test.text)
+			awaitPhase(t, server, test.phase, 1)
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			if err := server.Shutdown(ctx); !errors.Is(err, test.want) {
+				t.Errorf("got %v, want %v", err, test.want)
+			}
+		})
+	}
+	close(release)
+}
