backlog: bound the memory of a leader's open jobs

Callers saw every job accepted, whatever the leader already held: a job of a hundred bytes can have a thousand tasks, of which each takes about 100 bytes, for as long as it waits.

Cause: nothing bounded what is accepted and kept. A body inside the limits decides how much memory the leader needs.

Change: the leader measures the memory that its open jobs need (texts, steps, tasks) against 20% of MemoryMb. Above 80% of that it takes no more large jobs (32 KiB and more, about 230 tasks), above 100% none, until 10% less is held; ordinary jobs find room while large ones wait. The heartbeat tells the other entries, with the time until there is room by the rate at which jobs leave, 1 to 30 s, as Retry-After. A refused job is looked up first: one that an earlier attempt has stored gets 200, and 504 if that cannot be read. Jobs that are accepted before an entry knows are kept, but their tasks are held only up to the limit, by priority and age.

connectionsPercent of httpserver is 30 instead of 40, so that the sum of all parts fits the smallest entry (docs/design/clients.md).

Format: the heartbeat may hold Backlog, and holds it only above a limit.

--- a/cmd/cluster.go
+++ b/cmd/cluster.go
@@ -16,6 +16,7 @@
 	"k8s.io/klog/v2"
 
 	"hyssopjunction/assignment"
+	"hyssopjunction/backlog"
 	"hyssopjunction/clock"
 	"hyssopjunction/cluster"
 	"hyssopjunction/coordinator"
@@ -158,7 +159,7 @@
 	elector := leadership.New(coordinator.Dependencies{
 		Retention: coordinator.DefaultRetention(),
 		Bounds:    assignment.Bounds{RemoteFactor: settings.RemoteFactor, Restore: settings.Restore, StopTimeout: settings.StopTimeout},
-		Disabled:  disabled, MaxRowBytes: settings.StoreRowBytes,
+		Disabled:  disabled, MaxRowBytes: settings.StoreRowBytes, MaxBacklog: maxBacklog(settings),
 		Store: relayStore, Clock: source, TimeOfDay: func() int64 { return time.Now().UnixMilli() }, Out: follower.Out,
 	}, settings.Node, settings.Session(settings.Address), settings.Lease)
 	jobIntake := intake.New(relayStore, source, elector.Queries())
@@ -208,6 +209,14 @@
 	return nil
 }
 
+// backlogPercent is the part of an entry's memory that the open jobs may need while it leads, in percent.
+const backlogPercent = 20
+
+// maxBacklog returns the memory that the open jobs may need. It is not limited if the process is not.
+func maxBacklog(settings cluster.Settings) backlog.Bytes {
+	return backlog.Bytes(settings.MemoryBytes * backlogPercent / 100)
+}
+
 // relayAddresses returns the session addresses of the entries by way of which the store may be reached.
 func relayAddresses(settings cluster.Settings, disabled set.Set[mechanism.Name]) []string {
 	if disabled.Has(mechanism.Relays) {
--- a/cmd/clusterctl.go
+++ b/cmd/clusterctl.go
@@ -15,6 +15,7 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/pelletier/go-toml/v2"
 
+	"hyssopjunction/backlog"
 	"hyssopjunction/clock"
 	"hyssopjunction/cluster"
 	"hyssopjunction/directive"
@@ -389,6 +390,8 @@
 }
 
 // Pending implements intake.Leader.
+func (noLeader) Backlog() backlog.Refusal { return backlog.Refusal{} }
+
 func (noLeader) Pending(context.Context, workflow.Queue) (int, error) {
 	return 0, session.ErrNotLeading{}
 }
--- a/coordinator/agents_test.go
+++ b/coordinator/agents_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"testing"
 
+	"hyssopjunction/backlog"
 	"hyssopjunction/clock"
 	"hyssopjunction/election"
 	"hyssopjunction/ident"
@@ -21,7 +22,8 @@
 	t.Helper()
 	source := clock.NewFake(clock.Time(clock.Minute))
 	coordinator := &Coordinator{
-		deps: Dependencies{Clock: source, Faults: NewFaults(source)}, lost: make(chan struct{}), cancel: func() {}, scheduler: scheduler.New(), sessions: map[string]*agentSession{}, workers: map[string]attachedWorker{}, ctx: t.Context(), counters: newCounters(), withheld: set.New[scheduler.Incarnation](),
+		backlog: backlog.New(0),
+		deps:    Dependencies{Clock: source, Faults: NewFaults(source)}, lost: make(chan struct{}), cancel: func() {}, scheduler: scheduler.New(), sessions: map[string]*agentSession{}, workers: map[string]attachedWorker{}, ctx: t.Context(), counters: newCounters(), withheld: set.New[scheduler.Incarnation](),
 	}
 	coordinator.validUntil.Store(int64(source.Now().Add(election.LeaderLease)))
 	coordinator.inboxAsOf = source.Now()
--- a/coordinator/archive.go
+++ b/coordinator/archive.go
@@ -133,6 +133,7 @@
 	}
 	delete(coordinator.endedAt, id)
 	delete(coordinator.inboxVersions, id)
+	coordinator.backlog.Remove(id)
 	if version := coordinator.stateVersions[id]; version != 0 {
 		coordinator.archivedJobs = append(coordinator.archivedJobs, archivedJob{id: id, version: version, at: now})
 		delete(coordinator.stateVersions, id)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"hyssopjunction/assignment"
+	"hyssopjunction/backlog"
 	"hyssopjunction/clock"
 	"hyssopjunction/election"
 	"hyssopjunction/ident"
@@ -57,6 +58,8 @@
 	Bounds assignment.Bounds
 	// MaxRowBytes is the largest value of a row in the store; 0 means defaultMaxRowBytes.
 	MaxRowBytes int
+	// MaxBacklog is the memory that open jobs may need; 0 means no limit.
+	MaxBacklog backlog.Bytes
 	// Disabled holds the mechanisms that are switched off.
 	Disabled set.Set[mechanism.Name]
 }
@@ -88,6 +91,9 @@
 
 	counters counters
 
+	// refusal is which jobs the leader takes no more of, or nil before the backlog is measured.
+	refusal atomic.Pointer[backlog.Refusal]
+
 	// validUntil is the end of the leader's lease, a clock.Time.
 	validUntil atomic.Int64
 
@@ -106,6 +112,8 @@
 	stateVersions map[workflow.ID]store.Version
 	// inboxVersions holds the versions of the rows of the inbox of jobs that are not archived.
 	inboxVersions map[workflow.ID]intake.Versions
+	// backlog measures the jobs that are not archived.
+	backlog *backlog.Gauge
 	// endedAt is when the end of a job was stored.
 	endedAt map[workflow.ID]clock.Time
 	// archivedJobs holds the archived jobs whose state rows are still to be removed, oldest first.
@@ -164,9 +172,10 @@
 		deps: deps, leadership: leadership, workerLease: workerLease, loop: loop.New(), ctx: runCtx, cancel: cancel, lost: make(chan struct{}),
 		scheduler: scheduler.New(), sessions: map[string]*agentSession{}, workers: map[string]attachedWorker{},
 		stateVersions: map[workflow.ID]store.Version{}, inboxVersions: map[workflow.ID]intake.Versions{}, endedAt: map[workflow.ID]clock.Time{}, heartbeat: election.Heartbeat{Term: leadership.Term.Number}, heartbeatVersion: leadership.HeartbeatVersion,
-		counters: newCounters(), withheld: set.New[scheduler.Incarnation](), renewedAt: leadership.Sent, startedAt: deps.Clock.Now(), jobStates: map[workflow.ID]workflow.State{},
+		backlog: backlog.New(deps.MaxBacklog), counters: newCounters(), withheld: set.New[scheduler.Incarnation](), renewedAt: leadership.Sent, startedAt: deps.Clock.Now(), jobStates: map[workflow.ID]workflow.State{},
 	}
 	coordinator.validUntil.Store(int64(leadership.Sent.Add(election.LeaderLease)))
+	coordinator.scheduler.SetTaskLimit(int(deps.MaxBacklog / backlog.TaskBytes))
 	if deps.Faults == nil {
 		coordinator.deps.Faults = NewFaults(deps.Clock)
 	}
@@ -292,6 +301,7 @@
 	}
 	coordinator.archive(now)
 	coordinator.detectLapses(now)
+	coordinator.updateRefusal(now)
 }
 
 // updateOutDataCentres passes the data centres that are out to the scheduler and reports whether they are
--- a/coordinator/inbox.go
+++ b/coordinator/inbox.go
@@ -134,6 +134,7 @@
 		return
 	}
 	coordinator.inboxVersions[id] = intake.Versions{Submission: row.Version}
+	coordinator.backlog.Add(spec)
 	age := max(0, coordinator.deps.Store.Now().Sub(spec.Accepted))
 	if state.Version == 0 {
 		coordinator.scheduler.Submit(spec, now.Add(-age))
--- a/coordinator/load_bench_test.go
+++ b/coordinator/load_bench_test.go
@@ -14,6 +14,7 @@
 
 	"k8s.io/klog/v2"
 
+	"hyssopjunction/backlog"
 	"hyssopjunction/clock"
 	"hyssopjunction/coordinator"
 	"hyssopjunction/election"
@@ -283,6 +284,8 @@
 	return "", false, errors.New("no leader")
 }
 
+func (noQueries) Backlog() backlog.Refusal { return backlog.Refusal{} }
+
 func (noQueries) Pending(context.Context, workflow.Queue) (int, error) {
 	return 0, errors.New("no leader")
 }
--- a/coordinator/write.go
+++ b/coordinator/write.go
@@ -82,6 +82,7 @@
 		heartbeat := coordinator.heartbeat
 		heartbeat.Count++
 		heartbeat.Grants = coordinator.ledger.Compose(coordinator.scheduler.BusyNodes(), coordinator.deps.Clock.Now())
+		heartbeat.Backlog = coordinator.storedRefusal()
 		tx, err := coordinator.renewalTx(heartbeat)
 		if err != nil {
 			return nil, err
--- a/election/election.go
+++ b/election/election.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 
+	"hyssopjunction/backlog"
 	"hyssopjunction/clock"
 	"hyssopjunction/store"
 )
@@ -56,6 +57,8 @@
 	Released bool `json:",omitempty"`
 	// Grants is nil in a row of a leader of an earlier version.
 	Grants *Grants `json:",omitempty"`
+	// Backlog tells which jobs the leader takes no more of; nil means that it takes all.
+	Backlog *backlog.Refusal `json:",omitempty"`
 }
 
 // ErrCorrupt reports a row that cannot be decoded.
@@ -141,6 +144,14 @@
 // RenewalSeenAt returns when the present renewal was first read. ReadFailed may set a later time.
 func (candidate *Candidate) RenewalSeenAt() clock.Time { return candidate.renewalSeenAt }
 
+// Backlog returns which jobs the leader of the last reading takes no more of.
+func (candidate *Candidate) Backlog() backlog.Refusal {
+	if refusal := candidate.reading.Heartbeat.Backlog; refusal != nil {
+		return *refusal
+	}
+	return backlog.Refusal{}
+}
+
 // LastTerm returns the term of the last reading.
 func (candidate *Candidate) LastTerm() Term { return candidate.reading.Term }
 
--- a/httpserver/budget.go
+++ b/httpserver/budget.go
@@ -8,7 +8,7 @@
 	// connectionsPercent of the memory may be used by the connections of callers, and bodiesPercent by the parts of bodies
 	// beyond the first chunk. A body costs up to three times its length until it is answered: as it was received, decoded
 	// and encoded for the store.
-	connectionsPercent = 40
+	connectionsPercent = 30
 	bodiesPercent      = 8
 	// connectionBytes is the memory that a connection can cost without a part of the budget for bodies: buffers, header
 	// and goroutines, those of a connection to the store included (48 KiB), bytes that were received and not read yet,
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"k8s.io/klog/v2"
 
+	"hyssopjunction/backlog"
 	"hyssopjunction/clock"
 	"hyssopjunction/store"
 	"hyssopjunction/workflow"
@@ -25,6 +26,8 @@
 	State(ctx context.Context, id workflow.ID) (workflow.State, bool, error)
 	// Pending returns the number of jobs of the queue that have not started.
 	Pending(ctx context.Context, queue workflow.Queue) (int, error)
+	// Backlog returns which jobs the leader takes no more of, without a query.
+	Backlog() backlog.Refusal
 }
 
 // Intake serves submissions, cancellations and queries of callers. It is safe for concurrent use.
@@ -48,6 +51,9 @@
 	if err := spec.Check(); err != nil {
 		return err
 	}
+	if retryAfter := intake.leader.Backlog().RetryAfter(spec); retryAfter > 0 {
+		return intake.refuse(ctx, spec, retryAfter)
+	}
 	spec.Accepted = intake.store.Now()
 	value, err := workflow.EncodeSpec(spec)
 	if err != nil {
@@ -58,7 +64,7 @@
 		Conditions: []store.Condition{{Ref: ref(Submission, spec.ID)}, {Ref: endedRef(spec.ID)}},
 		Puts:       []store.Put{{Ref: ref(Submission, spec.ID), Value: value}},
 	})
-	metrics.GetOrCreateCounter(fmt.Sprintf(`hyssopjunction_intake_submissions_total{outcome=%q}`, outcome)).Inc()
+	countSubmission(outcome)
 	klog.InfoS("Job submitted", "Job", spec.ID, "Queue", spec.Queue, "Steps", len(spec.Steps), "Outcome", outcome, "Reason", reason,
 		"Millis", int64(intake.clock.Now().Sub(begun)), "Ended", endOf(ctx))
 	switch outcome {
@@ -73,6 +79,27 @@
 	}
 }
 
+// refuse refuses a job that the leader takes no more of, unless an earlier submission has stored it. Errors: ErrNotAccepted,
+// ErrUndecided.
+func (intake *Intake) refuse(ctx context.Context, spec workflow.Spec, retryAfter clock.Millis) error {
+	_, err := intake.storedState(ctx, spec.ID)
+	outcome := Stored
+	switch {
+	case IsErrNoJob(err):
+		outcome, err = Full, ErrNotAccepted{Reason: "the leader holds too many jobs", RetryAfter: retryAfter}
+	case err != nil:
+		outcome, err = Undecided, ErrUndecided{Reason: err.Error()}
+	}
+	countSubmission(outcome)
+	klog.InfoS("Job submitted", "Job", spec.ID, "Queue", spec.Queue, "Steps", len(spec.Steps), "Outcome", outcome,
+		"Bytes", int64(backlog.Footprint(spec)), "RetryAfterMillis", int64(retryAfter))
+	return err
+}
+
+func countSubmission(outcome Outcome) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`hyssopjunction_intake_submissions_total{outcome=%q}`, outcome)).Inc()
+}
+
 // endOf returns why ctx has ended, or an empty string.
 func endOf(ctx context.Context) string {
 	if err := context.Cause(ctx); err != nil {
@@ -92,6 +119,8 @@
 	Refused Outcome = "Refused"
 	// Rejected: the store never accepts the row.
 	Rejected Outcome = "Rejected"
+	// Full: the leader takes no more of such jobs, and the row is not in the store.
+	Full Outcome = "Full"
 	// Undecided: the row may have been stored.
 	Undecided Outcome = "Undecided"
 )
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"hyssopjunction/backlog"
 	"hyssopjunction/clock"
 	"hyssopjunction/session"
 	"hyssopjunction/store"
@@ -60,6 +61,8 @@
 	return "", false, session.ErrNotLeading{}
 }
 
+func (noLeader) Backlog() backlog.Refusal { return backlog.Refusal{} }
+
 func (noLeader) Pending(context.Context, workflow.Queue) (int, error) {
 	return 0, session.ErrNotLeading{}
 }
--- a/leadership/elector.go
+++ b/leadership/elector.go
@@ -9,6 +9,7 @@
 
 	"k8s.io/klog/v2"
 
+	"hyssopjunction/backlog"
 	"hyssopjunction/clock"
 	"hyssopjunction/coordinator"
 	"hyssopjunction/election"
@@ -51,6 +52,8 @@
 	observedTerm atomic.Pointer[election.Term]
 	// renewalSeenAt is when the last renewal of the leader's lease was first read, a clock.Time.
 	renewalSeenAt atomic.Int64
+	// backlog is which jobs the observed leader takes no more of, or nil before the first reading.
+	backlog atomic.Pointer[backlog.Refusal]
 	// coordinator is nil unless this entry leads.
 	coordinator atomic.Pointer[coordinator.Coordinator]
 
@@ -155,6 +158,8 @@
 	if elector.candidate.RenewalSeenAt() == now {
 		elector.renewalSeenAt.Store(int64(now))
 	}
+	refusal := elector.candidate.Backlog()
+	elector.backlog.Store(&refusal)
 	term := elector.candidate.LastTerm()
 	if previous := elector.observedTerm.Load(); previous == nil || previous.Number < term.Number {
 		klog.InfoS("Leader observed", "Term", term.Number, "Holder", term.Holder, "Address", term.Address)
@@ -285,6 +290,17 @@
 	return reply.Count, nil
 }
 
+// Backlog returns which jobs the leader takes no more of, as far as this entry knows.
+func (queries LeaderQueries) Backlog() backlog.Refusal {
+	if coord := queries.elector.coordinator.Load(); coord != nil {
+		return coord.Refusal()
+	}
+	if refusal := queries.elector.backlog.Load(); refusal != nil && !queries.elector.isLeaderStale() {
+		return *refusal
+	}
+	return backlog.Refusal{}
+}
+
 // query calls local if this entry leads, and otherwise remote with a connection to the leader.
 func query[Request, Reply any](ctx context.Context, elector *Elector, request *Request,
 	local func(*Elector, context.Context, *Request) (*Reply, error),
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -28,14 +28,7 @@
 
 func (scheduler *Scheduler) plan(now clock.Time, timeOfDay int64) {
 	scheduler.now = now
-	for id, record := range scheduler.open {
-		scheduler.considered = id
-		if record.job.AddDueOccurrences(timeOfDay) {
-			scheduler.dirty = true
-			scheduler.dirtyJobs[record.job.Spec.ID] = record
-		}
-	}
-	scheduler.considered = ""
+	scheduler.addDueOccurrences(timeOfDay)
 	scheduler.giveUpCulprits(now)
 	scheduler.blockNodes(now)
 	scheduler.learnFromReplicas(now)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -103,6 +103,8 @@
 	calibration *calibration.Model
 	// considered is the job that a decision is being made about, or empty.
 	considered workflow.ID
+	// taskLimit limits the tasks of open jobs that are held; 0 means no limit.
+	taskLimit int
 }
 
 // Considered returns the job that a decision was being made about, if Plan has not returned.
@@ -111,6 +113,8 @@
 // jobRecord is a job with the scheduler's own state about it, which is not stored.
 type jobRecord struct {
 	job *workflow.Job
+	// tasks is the number of tasks of an occurrence.
+	tasks int
 	// acceptedAt is the time at which the job was accepted.
 	acceptedAt clock.Time
 	// failuresByWorker counts failed and rejected runs by worker, so that further runs go to other workers.
@@ -179,7 +183,7 @@
 // Restore adds a job in its stored state. Active tasks whose worker is unknown are kept as orphans until
 // the worker is reported by UpdateWorker or removed by RemoveWorker.
 func (scheduler *Scheduler) Restore(job *workflow.Job, acceptedAt clock.Time) {
-	record := &jobRecord{job: job, acceptedAt: acceptedAt, failuresByWorker: map[Incarnation]int{}, runs: set.New[*activeRun](), hasStarted: job.HasResults()}
+	record := &jobRecord{job: job, tasks: taskCount(job.Spec), acceptedAt: acceptedAt, failuresByWorker: map[Incarnation]int{}, runs: set.New[*activeRun](), hasStarted: job.HasResults()}
 	scheduler.jobs[job.Spec.ID] = record
 	scheduler.dirty = true
 	if len(job.Occurrences) > 0 {
--- a/workflow/job.go
+++ b/workflow/job.go
@@ -206,11 +206,7 @@
 // complete: the job's state is one row, and the leader holds all tasks in memory.
 func (job *Job) AddDueOccurrences(timeOfDay int64) bool {
 	added := false
-	for !job.State.Final() {
-		due, ok := job.DueAt()
-		if !ok || due > timeOfDay || !job.hasRoomForOccurrence() {
-			break
-		}
+	for job.HasDueOccurrence(timeOfDay) {
 		job.Occurrences = append(job.Occurrences, job.newOccurrence(job.Next))
 		job.Next++
 		added = true
@@ -218,6 +214,15 @@
 	return added
 }
 
+// HasDueOccurrence reports whether AddDueOccurrences would add an occurrence at the time of day, in Unix milliseconds.
+func (job *Job) HasDueOccurrence(timeOfDay int64) bool {
+	if job.State.Final() {
+		return false
+	}
+	due, ok := job.DueAt()
+	return ok && due <= timeOfDay && job.hasRoomForOccurrence()
+}
+
 // hasRoomForOccurrence reports whether another occurrence keeps the number of tasks within maxTasks.
 func (job *Job) hasRoomForOccurrence() bool {
 	tasks := 0
