--- a/httpserver/connection.go
+++ b/httpserver/connection.go
@@ -56,8 +56,7 @@
 	since   clock.Time
 	element *list.Element
 
-	// The fields below belong to the goroutine that reads headers and writes responses.
-	writeDeadline clock.Time
+	// The fields below belong to the goroutine that reads headers.
 	headerBytes   int64
 	headerFields  int64
 	granted       int64
@@ -139,14 +138,8 @@
 	}
 }
 
-// Write implements net.Conn. It fails if the client does not take the data in time.
+// Write implements net.Conn. The sweep closes the connection if the client does not take the data in time.
 func (conn *connection) Write(data []byte) (int, error) {
-	if now := conn.server.clock.Now(); conn.writeDeadline.Sub(now) < writeTimeout-writeTimeoutSlack {
-		if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout.Duration())); err != nil {
-			return 0, err
-		}
-		conn.writeDeadline = now.Add(writeTimeout)
-	}
 	before := conn.enter(responding)
 	count, err := conn.Conn.Write(data)
 	conn.enter(before)
--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -23,15 +23,14 @@
 	receiveBufferBytes = 32 << 10
 	// writeTimeout limits how long a client may take to receive what one write of a response holds.
 	writeTimeout = 10 * clock.Second
-	// writeTimeoutSlack is by how much a write may end sooner, so that not each one sets a deadline.
-	writeTimeoutSlack = clock.Second
 	// unreadBodyTime is how long the rest of a body may take that the handler did not read. A connection on which it is
 	// complete by then stays open.
 	unreadBodyTime = 500 * clock.Millisecond
-	// maxBodyTime limits the time of a body for which the handler sets no limit.
-	maxBodyTime = 10 * clock.Second
-	// sweepInterval is the time between two searches for connections whose time is over.
-	sweepInterval = 3 * clock.Second
+	// maxBodyTime limits the time of a body for which the handler sets no limit, or a longer one.
+	maxBodyTime = clock.Minute
+	// sweepInterval is the time between two searches for connections that have waited for too long. It is long, because
+	// they give way to new ones at any time.
+	sweepInterval = 5 * clock.Second
 	// drainSweepInterval is that time while the server stops.
 	drainSweepInterval = 200 * clock.Millisecond
 	// minRespondingTime is how long a response must wait for its client before the connection may be closed for another one.
@@ -273,13 +272,15 @@
 	}
 }
 
-// sweep closes the connections whose header or pause takes too long.
+// sweep closes the connections that have waited for too long.
 func (server *Server) sweep() {
 	rules := server.rules()
 	server.mu.Lock()
 	defer server.mu.Unlock()
 	now := server.clock.Now()
-	for current, timeout := range map[phase]clock.Millis{idle: rules.IdleTimeout, inHeader: rules.HeaderTimeout} {
+	for current, timeout := range [...]clock.Millis{
+		idle: rules.IdleTimeout, inHeader: rules.HeaderTimeout, inBody: maxBodyTime, responding: writeTimeout,
+	} {
 		for element := server.phases[current].Front(); element != nil; element = server.phases[current].Front() {
 			conn := element.Value.(*connection)
 			if now.Sub(conn.since) <= timeout {
@@ -331,11 +332,9 @@
 			return
 		}
 		conn.enter(inBody)
-		controller := http.NewResponseController(writer)
-		setReadDeadline(controller, time.Now().Add(maxBodyTime.Duration()))
 		handler.ServeHTTP(writer, request)
 		if conn.currentPhase() != serving {
-			setReadDeadline(controller, time.Now().Add(unreadBodyTime.Duration()))
+			setReadDeadline(http.NewResponseController(writer), time.Now().Add(unreadBodyTime.Duration()))
 		}
 	})
 }
