--- a/httpserver/connection.go
+++ b/httpserver/connection.go
@@ -57,10 +57,10 @@
 	element *list.Element
 
 	// The fields below belong to the goroutine that reads headers.
-	headerBytes   int64
-	headerFields  int64
-	granted       int64
-	grant         *grant
+	headerBytes  int64
+	headerFields int64
+	granted      int64
+	grant        *grant
 }
 
 // connectionKey is the key of the connection in the context of its requests.
