--- a/httpserver/connection.go
+++ b/httpserver/connection.go
@@ -30,6 +30,11 @@
 	phaseCount
 )
 
+// String returns the name of the phase in logs.
+func (current phase) String() string {
+	return [phaseCount]string{"Idle", "Header", "Body", "Response", "Handler"}[current]
+}
+
 const (
 	// freeHeaderBytes and freeHeaderFields of a header need no grant.
 	freeHeaderBytes  = 4 << 10
--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -213,7 +213,7 @@
 		server.closedForOther.Inc()
 		server.logged.Do(func() {
 			klog.InfoS("Connection closed for another one", "Server", server.name, "Connections", server.maxConnections,
-				"Phase", other.phase, "Millis", int64(server.clock.Now().Sub(other.since)))
+				"Phase", other.phase.String(), "Millis", int64(server.clock.Now().Sub(other.since)))
 		})
 		server.close(other)
 	}
