httpserver: obey the operating system's limit on descriptors

Cause: a process whose settings state more descriptors than the operating system allows would accept connections until it has none left for the store.

Change: the lower of the two limits counts.

--- a/httpserver/budget.go
+++ b/httpserver/budget.go
@@ -35,13 +35,13 @@
 }
 
 // NewBudget divides the limits of a process: its memory in bytes and its descriptors. If memory is 0, the budget is that of a
-// process with 1 GiB. If descriptors is 0, the limit of the operating system applies.
+// process with 1 GiB. The limit of the operating system applies if it is lower than descriptors, or if descriptors is 0.
 func NewBudget(memory int64, descriptors int) Budget {
 	if memory <= 0 {
 		memory = defaultMemoryBytes
 	}
-	if descriptors <= 0 {
-		descriptors = descriptorLimit()
+	if limit := descriptorLimit(); descriptors <= 0 || descriptors > limit {
+		descriptors = limit
 	}
 	connections := min(int(memory*connectionsPercent/100/connectionBytes), (descriptors-fileDescriptors)/callersShare)
 	return Budget{Connections: max(connections, minConnections), BodyBytes: max(memory*bodiesPercent/100, minBodyBytes)}
