overload: count the peak that the kernel recorded

Cause: memory was sampled every 25 ms, so that a short peak could be missed.

Change: the highest resident memory that the kernel recorded counts too.

--- a/overload/process_test.go
+++ b/overload/process_test.go
@@ -209,12 +209,28 @@
 			now.bytes += pages * int64(os.Getpagesize())
 		}
 	}
+	now.bytes = max(now.bytes, highestResident(id))
 	if entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", id)); err == nil {
 		now.descriptors = len(entries)
 	}
 	return now
 }
 
+// highestResident returns the highest resident memory of a process so far, as the kernel recorded it.
+func highestResident(id int) int64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", id))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(data)) {
+		if text, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kilobytes, _ := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(text), " kB"), 10, 64) // The kernel writes a number.
+			return kilobytes << 10
+		}
+	}
+	return 0
+}
+
 // listenState is the state of listening sockets in /proc/net/tcp, whose queue is not one of bytes.
 const listenState = "0A"
 
