intake: look a job up before a refusal says that it never runs

Callers whose answer was lost repeat a submission. If the memory for requests was used up by then, they got 503, which says that the job was not accepted and never runs, although an earlier attempt had stored it and it ran.

Cause: the body of a repetition is refused before anything is known of its job. A header that found no memory was refused with 503 as well, before it was known whose request it is.

Change: a submission that is refused for want of memory is looked up as one is that the leader has no room for: 200 if the job is stored, 503 with Retry-After if it is not, 504 if that is not known or 16 others are being looked up, so that refusals leave the store to others. A header that finds no memory has its connection closed, which says nothing.

--- a/httpserver/connection.go
+++ b/httpserver/connection.go
@@ -45,11 +45,8 @@
 	headerSlackBytes = 4 << 10
 )
 
-// Responses to headers that are not read to their end.
-const (
-	headerTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-	headerRefused  = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-)
+// headerTooLarge is the response to a header beyond the limit.
+const headerTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
 // connection is an accepted connection. It tracks what it waits for.
 type connection struct {
@@ -98,33 +95,33 @@
 	}
 	conn.headerBytes += int64(count)
 	conn.headerFields += int64(bytes.Count(buffer[:count], []byte{'\n'}))
-	if refusal := conn.checkHeader(); refusal != "" {
-		_, _ = conn.Write([]byte(refusal)) // The connection ends either way.
+	if conn.headerBytes > conn.server.rules().HeaderBytes+headerSlackBytes {
+		conn.server.refusedHeaders.Inc()
+		_, _ = conn.Write([]byte(headerTooLarge)) // The connection ends either way.
 		return 0, io.EOF
 	}
+	if !conn.holdHeader() {
+		conn.server.refusedHeaders.Inc()
+		return 0, io.EOF // A response would have to say what became of a request that is not known yet.
+	}
 	return count, err
 }
 
-// checkHeader returns the response to a header that exceeds a limit, or an empty string. A header beyond the ordinary size needs a
-// part of the memory for bodies.
-func (conn *connection) checkHeader() string {
-	if conn.headerBytes > conn.server.rules().HeaderBytes+headerSlackBytes {
-		conn.server.refusedHeaders.Inc()
-		return headerTooLarge
-	}
+// holdHeader gets the part of the memory for bodies that a header beyond the ordinary size needs. It returns false if there is too
+// little.
+func (conn *connection) holdHeader() bool {
 	needed := max(0, conn.headerBytes-freeHeaderBytes) + headerFieldBytes*max(0, conn.headerFields-freeHeaderFields)
 	if needed <= conn.granted {
-		return ""
+		return true
 	}
 	if conn.grant == nil {
 		conn.grant = conn.server.memory.newGrant(func() { _ = conn.SetReadDeadline(time.Now()) }) // Fails only on a closed connection.
 	}
 	if conn.grant.progress() != nil || conn.grant.grow(needed-conn.granted) != nil {
-		conn.server.refusedHeaders.Inc()
-		return headerRefused
+		return false
 	}
 	conn.granted = needed
-	return ""
+	return true
 }
 
 // endHeader records that a header is complete.
--- a/httpserver/server.go
+++ b/httpserver/server.go
@@ -321,10 +321,7 @@
 			return
 		}
 		if err := conn.endHeader(); err != nil {
-			writer.Header().Set("Retry-After", "1")
-			writer.Header().Set("Connection", "close")
-			writer.WriteHeader(http.StatusServiceUnavailable)
-			return
+			panic(http.ErrAbortHandler) // Closes the connection without a response.
 		}
 		if request.ContentLength == 0 {
 			conn.enter(serving)
--- a/intake/backlog_test.go
+++ b/intake/backlog_test.go
@@ -56,3 +56,18 @@
 		}
 	})
 }
+
+// TestRefusalsLeaveTheStoreToOthers guards against refused submissions whose look-ups use up what the store allows.
+func TestRefusalsLeaveTheStoreToOthers(t *testing.T) {
+	intake := New(newFakeStore(), clock.NewSystem(), noLeader{})
+	for range maxLookUps {
+		intake.lookUps <- struct{}{}
+	}
+	if err := intake.Refuse(t.Context(), "0123456789abcdef", "no memory", clock.Second); !IsErrUndecided(err) {
+		t.Errorf("got %v, want ErrUndecided", err)
+	}
+	<-intake.lookUps
+	if err := intake.Refuse(t.Context(), "0123456789abcdef", "no memory", clock.Second); !IsErrNotAccepted(err) {
+		t.Errorf("got %v, want ErrNotAccepted", err)
+	}
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -36,12 +36,20 @@
 	retrier *store.Retrier
 	clock   clock.Clock
 	leader  Leader
+	// lookUps holds a value for each refused submission that is being looked up.
+	lookUps chan struct{}
 }
 
+// maxLookUps limits the refused submissions that are looked up at the same time, so that they leave the store to others.
+const maxLookUps = 16
+
+// errTooManyLookUps reports that maxLookUps is reached.
+var errTooManyLookUps = errors.New("too many submissions are being refused")
+
 // New returns an Intake that stores rows in jobStore. Concurrent submissions share transactions.
 func New(jobStore store.Store, timeSource clock.Clock, leader Leader) *Intake {
 	group := store.NewGroup(jobStore)
-	return &Intake{store: group, retrier: store.NewRetrier(group, timeSource), clock: timeSource, leader: leader}
+	return &Intake{store: group, retrier: store.NewRetrier(group, timeSource), clock: timeSource, leader: leader, lookUps: make(chan struct{}, maxLookUps)}
 }
 
 // Submit stores a job. If a job with the same id is stored already, the submission counts as a repetition and
@@ -52,7 +60,7 @@
 		return err
 	}
 	if retryAfter := intake.leader.Backlog().RetryAfter(spec); retryAfter > 0 {
-		return intake.refuse(ctx, spec, retryAfter)
+		return intake.Refuse(ctx, spec.ID, "the leader holds too many jobs", retryAfter)
 	}
 	spec.Accepted = intake.store.Now()
 	value, err := workflow.EncodeSpec(spec)
@@ -79,23 +87,41 @@
 	}
 }
 
-// refuse refuses a job that the leader takes no more of, unless an earlier submission has stored it. Errors: ErrNotAccepted,
-// ErrUndecided.
-func (intake *Intake) refuse(ctx context.Context, spec workflow.Spec, retryAfter clock.Millis) error {
-	_, err := intake.storedState(ctx, spec.ID)
-	outcome := Stored
-	switch {
-	case IsErrNoJob(err):
-		outcome, err = Full, ErrNotAccepted{Reason: "the leader holds too many jobs", RetryAfter: retryAfter}
-	case err != nil:
-		outcome, err = Undecided, ErrUndecided{Reason: err.Error()}
+// Refuse decides the answer to a submission that cannot be taken now. A job that an earlier submission has stored counts as
+// accepted: a caller may repeat one whose answer was lost. Errors: ErrNotAccepted if the job is not stored, ErrUndecided if that is
+// not known or too many submissions are being refused.
+func (intake *Intake) Refuse(ctx context.Context, id workflow.ID, reason string, retryAfter clock.Millis) error {
+	outcome, err := intake.lookUp(ctx, id)
+	switch outcome {
+	case Full:
+		err = ErrNotAccepted{Reason: reason, RetryAfter: retryAfter}
+	case Undecided:
+		err = ErrUndecided{Reason: reason + "; " + err.Error()}
 	}
 	countSubmission(outcome)
-	klog.InfoS("Job submitted", "Job", spec.ID, "Queue", spec.Queue, "Steps", len(spec.Steps), "Outcome", outcome,
-		"Bytes", int64(backlog.Footprint(spec)), "RetryAfterMillis", int64(retryAfter))
+	klog.InfoS("Job submitted", "Job", id, "Outcome", outcome, "Reason", reason, "RetryAfterMillis", int64(retryAfter), "Error", err)
 	return err
 }
 
+// lookUp returns Stored if a job is stored, Full if it is not, and Undecided with the reason if that is not known.
+func (intake *Intake) lookUp(ctx context.Context, id workflow.ID) (Outcome, error) {
+	select {
+	case intake.lookUps <- struct{}{}:
+		defer func() { <-intake.lookUps }()
+	default:
+		return Undecided, errTooManyLookUps
+	}
+	_, err := intake.State(ctx, id)
+	switch {
+	case err == nil:
+		return Stored, nil
+	case IsErrNoJob(err):
+		return Full, nil
+	default:
+		return Undecided, err
+	}
+}
+
 func countSubmission(outcome Outcome) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`hyssopjunction_intake_submissions_total{outcome=%q}`, outcome)).Inc()
 }
@@ -119,7 +145,7 @@
 	Refused Outcome = "Refused"
 	// Rejected: the store never accepts the row.
 	Rejected Outcome = "Rejected"
-	// Full: the leader takes no more of such jobs, and the row is not in the store.
+	// Full: this entry or the leader takes no more of such jobs now, and the row is not in the store.
 	Full Outcome = "Full"
 	// Undecided: the row may have been stored.
 	Undecided Outcome = "Undecided"
