httpserver: one way to change a waiting grant

Cause: progress and complete held the same lock and check.

Change: both use whileWaiting. Result: the tests of httpserver pass under the race detector.

--- a/httpserver/memory.go
+++ b/httpserver/memory.go
@@ -137,30 +137,29 @@
 
 // progress records that bytes arrived for the owner. It returns ErrBusy if the grant was revoked.
 func (grant *grant) progress() error {
-	memory := grant.memory
-	memory.mu.Lock()
-	defer memory.mu.Unlock()
-	if grant.isRevoked {
-		return ErrBusy{RetryAfter: busyRetryAfter}
-	}
-	if grant.element != nil {
-		grant.progressAt = memory.clock.Now()
-		memory.waiting.MoveToBack(grant.element)
-	}
-	return nil
+	return grant.whileWaiting(func() {
+		grant.progressAt = grant.memory.clock.Now()
+		grant.memory.waiting.MoveToBack(grant.element)
+	})
 }
 
 // complete records that the owner waits for no more bytes, so that the grant is not revoked any more. It returns ErrBusy if it was.
 func (grant *grant) complete() error {
-	memory := grant.memory
-	memory.mu.Lock()
-	defer memory.mu.Unlock()
+	return grant.whileWaiting(func() {
+		grant.memory.waiting.Remove(grant.element)
+		grant.element = nil
+	})
+}
+
+// whileWaiting changes a grant whose owner waits. It returns ErrBusy if the grant was revoked.
+func (grant *grant) whileWaiting(change func()) error {
+	grant.memory.mu.Lock()
+	defer grant.memory.mu.Unlock()
 	if grant.isRevoked {
 		return ErrBusy{RetryAfter: busyRetryAfter}
 	}
 	if grant.element != nil {
-		memory.waiting.Remove(grant.element)
-		grant.element = nil
+		change()
 	}
 	return nil
 }
