review: case 13, long tasks are taken for stalled and stopped

Cause: a run whose whole percent stands for 2.5 s counts as stalled, so tasks of more than 250 s do. Their worker is quarantined and then gets one run at a time until one finishes.

Change: review/13, a script: one job in 20 takes 300 times as long (20 minutes instead of 4 s) on three sound, nearly idle workers.

--- a/review/stage3/case_long.go
+++ b/review/stage3/case_long.go
@@ -9,7 +9,7 @@
 
 func init() { cases["long"] = newLong }
 
-// newLong: one job in twenty takes a hundred times as long as the others. The workers are sound and nearly idle, so the long jobs
+// newLong: one job in twenty takes 300 times as long as the others. The workers are sound and nearly idle, so the long jobs
 // must run to their end like the others; here it is enough that each of them has a task at work.
 func newLong(folder string, trouble bool) (*world, func(*world) string) {
 	workers := make([][]string, 3)
@@ -27,7 +27,7 @@
 	longJobs     = 20 // in a window, of which one is long
 	longWindow   = 3 * time.Second
 	longTask     = 4000 // milliseconds
-	longFactor   = 100
+	longFactor   = 300
 	longObserved = 30 * time.Second
 	longPause    = time.Second
 )
