--- a/review/stage3/runner.go
+++ b/review/stage3/runner.go
@@ -34,7 +34,7 @@
 // activeRun is a run in progress on a runner.
 type activeRun struct {
 	run      int
-	begun    time.Time
+	begun    time.Duration // on the steady clock
 	duration time.Duration // 0: until it is stopped
 	stopping bool
 	// fails: it ends failed after failTime.
@@ -62,10 +62,14 @@
 	lastEnd  int64
 	seen     int64
 	sequence int64
-	changed  chan struct{}
 	out      *json.Encoder
 	// grey makes all that is started fail.
 	grey bool
+	// suspends reports that the machine may be suspended. observed is when the clock was last read, suspended the time for which the machine was suspended, and hasLapsed whether the
+	// lease was over then.
+	suspends            bool
+	observed, suspended time.Duration
+	hasLapsed           bool
 }
 
 func runRunner(arguments []string) {
@@ -81,13 +85,14 @@
 	holdMax := flags.Int64("hold-max", 6000, "")
 	stopTimeout := flags.Int64("stop-timeout", 200, "")
 	beat := flags.Int64("beat", 1500, "")
+	suspends := flags.Bool("suspends", false, "the machine may be suspended, so gaps don't count on the steady clock")
 	clockStep := flags.Int64("clock-step", 0, "milliseconds by which the time of day differs")
 	_ = flags.Parse(arguments)
 	runner := &runner{
 		id: *id, service: *service, zone: *zone, address: *listen, control: *control, labels: strings.Split(*labels, ","),
 		cpu: *cpu, memory: *memory, holdMax: time.Duration(*holdMax) * time.Millisecond, stopTimeout: time.Duration(*stopTimeout) * time.Millisecond,
 		beat: time.Duration(*beat) * time.Millisecond, begun: time.Now(), born: time.Now().UnixMilli() + *clockStep,
-		active: map[string]*activeRun{}, highest: map[string]int{}, changed: make(chan struct{}), out: json.NewEncoder(os.Stdout),
+		active: map[string]*activeRun{}, highest: map[string]int{}, suspends: *suspends, out: json.NewEncoder(os.Stdout),
 	}
 	listener, err := net.Listen("tcp", *listen)
 	if err != nil {
@@ -172,7 +177,22 @@
 	Checkpoint   string
 }
 
-func (runner *runner) clock() int64 { return time.Since(runner.begun).Milliseconds() }
+// suspension is the time between two readings of the clock, of which there are many in a second, from which on the machine was
+// suspended: the steady clock doesn't count that time.
+const suspension = 700 * time.Millisecond
+
+// elapsed returns the time on the runner's steady clock. The caller holds the lock.
+func (runner *runner) elapsed() time.Duration {
+	now := time.Since(runner.begun)
+	if gap := now - runner.observed; gap > suspension && runner.suspends {
+		runner.suspended += gap
+		runner.write(runnerEvent{Event: "suspended", Detail: gap.String()})
+	}
+	runner.observed = now
+	return now - runner.suspended
+}
+
+func (runner *runner) clock() int64 { return runner.elapsed().Milliseconds() }
 
 func (runner *runner) answer() map[string]any {
 	return map[string]any{"ClockMs": runner.clock(), "born": runner.born}
@@ -230,7 +250,7 @@
 }
 
 func (runner *runner) extend(deadline int64) {
-	limit := time.Since(runner.begun) + runner.holdMax
+	limit := runner.elapsed() + runner.holdMax
 	runner.deadline = max(runner.deadline, min(limit, time.Duration(deadline)*time.Millisecond))
 }
 
@@ -255,7 +275,7 @@
 		return runner.refuse("old")
 	}
 	runner.highest[form.Task] = form.RunID
-	runner.active[form.Task] = &activeRun{run: form.RunID, begun: time.Now(), duration: specDuration(form.Spec), fails: runner.grey}
+	runner.active[form.Task] = &activeRun{run: form.RunID, begun: runner.elapsed(), duration: specDuration(form.Spec), fails: runner.grey}
 	runner.write(runnerEvent{Event: "start", Task: form.Task, Run: form.RunID, Spec: form.Spec})
 	return http.StatusOK, runner.answer()
 }
@@ -296,8 +316,8 @@
 	for task, current := range runner.active {
 		percent := 100
 		if current.duration > 0 {
-			percent = int(100 * time.Since(current.begun) / current.duration)
-		} else if time.Since(current.begun) < 200*time.Millisecond {
+			percent = int(100 * (runner.elapsed() - current.begun) / current.duration)
+		} else if runner.elapsed()-current.begun < 200*time.Millisecond {
 			percent = 0
 		}
 		running = append(running, []any{task, current.run, "", min(percent, 100), 1})
@@ -316,12 +336,16 @@
 
 // advance ends the runs that are over.
 func (runner *runner) advance() {
-	lapsed := time.Since(runner.begun) > runner.deadline
+	lapsed := runner.elapsed() > runner.deadline
+	if lapsed && !runner.hasLapsed {
+		runner.write(runnerEvent{Event: "lapse"})
+	}
+	runner.hasLapsed = lapsed
 	for task, current := range runner.active {
 		switch {
-		case current.fails && time.Since(current.begun) >= failTime:
+		case current.fails && runner.elapsed()-current.begun >= failTime:
 			runner.end(task, "failed")
-		case current.duration > 0 && time.Since(current.begun) >= current.duration:
+		case current.duration > 0 && runner.elapsed()-current.begun >= current.duration:
 			runner.end(task, "done")
 		case lapsed:
 			runner.end(task, "lapsed")
--- a/review/stage3/store.go
+++ b/review/stage3/store.go
@@ -90,7 +90,13 @@
 	_, _ = writer.Write(data)
 }
 
+// ServeHTTP implements http.Handler.
 func (store *rowStore) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	store.serveWith(writer, request, func(value []byte) []byte { return value })
+}
+
+// serveWith serves a call, with each value that is read changed by the function.
+func (store *rowStore) serveWith(writer http.ResponseWriter, request *http.Request, change func([]byte) []byte) {
 	query := request.URL.Query()
 	switch request.URL.Path {
 	case "/api/rows-tx":
@@ -115,6 +121,7 @@
 		for _, item := range store.rows {
 			if item.Table == query.Get("Table") && item.Part == query.Get("part") && item.Key >= query.Get("From") &&
 				(query.Get("To") == "" || item.Key < query.Get("To")) {
+				item.Value = change(item.Value)
 				rows = append(rows, item)
 			}
 		}
