intake: keep a cancelled id from being stored afterwards

Cause: the cancellation of a job that is not stored left nothing behind that a submission on its way would meet: one in the socket of an entry that stands still, in a write that the store carries out late, or in a repetition. The logs show it: "Cancellation of a job that is not open" at one entry and "Job submitted" with the outcome Stored at another one after it.

Change: such a cancellation writes a tombstone, a row of the table ended, on the condition that neither the job nor its end is stored. A submission has the same condition, so the store applies one of the two. A job that has been stored meanwhile is cancelled. Earlier builds take the row for an archived job.

--- a/cmd/cluster.go
+++ b/cmd/cluster.go
@@ -201,6 +201,7 @@
 		sessionServer.Stop()
 		elector.Close()
 		follower.Close()
+		jobIntake.Close()
 		relayStore.Close()
 		directStore.Close()
 		klog.InfoS("Stopped")
--- a/cmd/clusterctl.go
+++ b/cmd/clusterctl.go
@@ -108,6 +108,8 @@
 		return ErrExit{Code: ExitNotFound, Reason: err.Error()}
 	case workflow.IsErrInvalid(err):
 		return ErrExit{Code: ExitUsage, Reason: err.Error()}
+	case intake.IsErrCancelled(err):
+		return ErrExit{Code: ExitConflict, Reason: err.Error()}
 	case store.IsErrUnavailable(err) || intake.IsErrNotAccepted(err) || intake.IsErrNoAnswer(err) || intake.IsErrUndecided(err):
 		return ErrExit{Code: ExitRetry, Reason: err.Error()}
 	default:
@@ -182,6 +184,9 @@
 	for _, row := range rows.Rows {
 		ended, err := intake.DecodeEnded(row)
 		errs = append(errs, err)
+		if ended.Tombstone {
+			continue
+		}
 		id := workflow.ID(row.Key)
 		result.specs[id], result.states[id] = workflow.Spec{ID: id, Queue: ended.Queue, Service: ended.Service}, ended.State
 	}
@@ -295,7 +300,9 @@
 // Execute prints a job with its tasks.
 func (command *clusterShow) Execute([]string) error {
 	return command.options.run(func(ctx context.Context, clusterStore *platform.Store) error {
-		job, err := intake.New(clusterStore, clock.NewBoot(), noLeader{}).Job(ctx, command.id())
+		jobs := intake.New(clusterStore, clock.NewBoot(), noLeader{})
+		defer jobs.Close()
+		job, err := jobs.Job(ctx, command.id())
 		if err != nil {
 			return err
 		}
@@ -323,7 +330,9 @@
 // Execute cancels a job.
 func (command *clusterCancel) Execute([]string) error {
 	return command.options.run(func(ctx context.Context, clusterStore *platform.Store) error {
-		return intake.New(clusterStore, clock.NewBoot(), noLeader{}).Cancel(ctx, command.id())
+		jobs := intake.New(clusterStore, clock.NewBoot(), noLeader{})
+		defer jobs.Close()
+		return jobs.Cancel(ctx, command.id())
 	})
 }
 
@@ -354,7 +363,9 @@
 		if !ok {
 			return ErrExit{Code: ExitNotFound, Reason: fmt.Sprintf("no queue %s in the configuration in force", command.Queue)}
 		}
-		return intake.New(clusterStore, clock.NewBoot(), noLeader{}).Submit(ctx, submission.Spec(workflow.ID(command.ID), queue))
+		jobs := intake.New(clusterStore, clock.NewBoot(), noLeader{})
+		defer jobs.Close()
+		return jobs.Submit(ctx, submission.Spec(workflow.ID(command.ID), queue))
 	})
 }
 
--- a/cmd/clusterexplain.go
+++ b/cmd/clusterexplain.go
@@ -29,7 +29,9 @@
 			return err
 		}
 		if !reply.Known {
-			job, err := intake.New(clusterStore, clock.NewBoot(), noLeader{}).Job(ctx, command.id())
+			jobs := intake.New(clusterStore, clock.NewBoot(), noLeader{})
+			defer jobs.Close()
+			job, err := jobs.Job(ctx, command.id())
 			if err != nil {
 				return err
 			}
--- a/coordinator/archive.go
+++ b/coordinator/archive.go
@@ -29,6 +29,8 @@
 	// maxRoundToArchive is the longest duration of a round of writes under ordinary load. Archiving is
 	// postponed while rounds take longer.
 	maxRoundToArchive = 60 * clock.Millisecond
+	// maxEndedRemovals limits the rows of ended jobs that are removed at the same time.
+	maxEndedRemovals = 64
 	// maxStateRemovals limits the rows of job states that one transaction removes.
 	maxStateRemovals = 20
 )
@@ -166,6 +168,9 @@
 			klog.ErrorS(err, "Ended job ignored")
 			continue
 		}
+		if ended.Tombstone {
+			continue // Callers are told that there is no such job.
+		}
 		coordinator.setJobState(workflow.ID(row.Key), ended.State)
 	}
 }
@@ -183,28 +188,54 @@
 			klog.ErrorS(err, "Could not read the ended jobs")
 			continue
 		}
-		var expiredIDs []workflow.ID
-		now := coordinator.deps.Store.Now()
-		for _, row := range rows.Rows {
-			ended, err := intake.DecodeEnded(row)
-			if err != nil {
-				klog.ErrorS(err, "Ended job ignored")
-				continue
-			}
-			if now.Sub(ended.At) < coordinator.deps.Retention.Ended {
-				continue
-			}
-			if _, err := coordinator.deps.Store.Commit(coordinator.ctx, intake.RemoveEndedTx(row)); err != nil {
-				klog.ErrorS(err, "Could not remove an ended job", "Job", row.Key)
-				continue
-			}
-			expiredIDs = append(expiredIDs, workflow.ID(row.Key))
-		}
+		expired := coordinator.expiredJobs(rows.Rows)
+		removedIDs := coordinator.removeEndedJobs(expired)
 		coordinator.jobStatesMu.Lock()
-		for _, id := range expiredIDs {
+		for _, id := range removedIDs {
 			delete(coordinator.jobStates, id)
 		}
 		coordinator.jobStatesMu.Unlock()
-		klog.InfoS("Ended jobs removed", "Count", len(expiredIDs), "Of", len(rows.Rows))
+		klog.InfoS("Ended jobs removed", "Count", len(removedIDs), "Of", len(rows.Rows))
+	}
+}
+
+// expiredJobs returns the rows whose retention has passed.
+func (coordinator *Coordinator) expiredJobs(rows []store.Row) []store.Row {
+	var expired []store.Row
+	now := coordinator.deps.Store.Now()
+	for _, row := range rows {
+		ended, err := intake.DecodeEnded(row)
+		if err != nil {
+			klog.ErrorS(err, "Ended job ignored")
+			continue
+		}
+		if now.Sub(ended.At) >= ended.Retention(coordinator.deps.Retention.Ended) {
+			expired = append(expired, row)
+		}
+	}
+	return expired
+}
+
+// removeEndedJobs removes rows of archived jobs and returns the jobs whose rows were removed. Those of a partition share transactions.
+func (coordinator *Coordinator) removeEndedJobs(expired []store.Row) []workflow.ID {
+	joined := store.NewGroup(coordinator.deps.Store)
+	failures := make([]error, len(expired))
+	var group errgroup.Group
+	group.SetLimit(maxEndedRemovals)
+	for position, row := range expired {
+		group.Go(func() error {
+			_, failures[position] = joined.Commit(coordinator.ctx, intake.RemoveEndedTx(row))
+			return nil
+		})
+	}
+	_ = group.Wait() // The functions return no errors.
+	var removed []workflow.ID
+	for position, err := range failures {
+		if err != nil {
+			klog.ErrorS(err, "Could not remove an ended job", "Job", expired[position].Key)
+			continue
+		}
+		removed = append(removed, workflow.ID(expired[position].Key))
 	}
+	return removed
 }
--- a/coordinator/load_bench_test.go
+++ b/coordinator/load_bench_test.go
@@ -327,6 +327,7 @@
 		group.Go(func() { _ = agents[number].attend(ctx, listener.Addr().String()) })
 	}
 	jobs := intake.New(memory, source, noQueries{})
+	defer jobs.Close()
 	id := 1
 	for range benchServingJobs {
 		submitBenchJob(b, jobs, id, workflow.Step{
--- a/intake/ended.go
+++ b/intake/ended.go
@@ -9,7 +9,7 @@
 	"hyssopjunction/workflow"
 )
 
-// EndedTable holds a short row for each archived job, under its id. It replaces the job's rows in the inbox,
+// EndedTable holds a short row for each archived job, under its id, and tombstones. It replaces the job's rows in the inbox,
 // so that a new leader reads only the jobs that are not archived. One transaction can contain the rows of
 // a job in both tables.
 const EndedTable store.Table = "ended"
@@ -21,6 +21,17 @@
 	At      clock.Time
 	Queue   workflow.Queue
 	Service workflow.Service
+	// Tombstone reports that the job was never stored, but cancelled: the row keeps a submission that is on its way from being stored.
+	// State is workflow.Cancelled then, because earlier versions of the program take the row for that of a job.
+	Tombstone bool `json:",omitempty"`
+}
+
+// Retention returns how long the record is kept; that of jobs is given.
+func (ended Ended) Retention(ofJobs clock.Millis) clock.Millis {
+	if ended.Tombstone {
+		return TombstoneRetention
+	}
+	return ofJobs
 }
 
 // Versions holds the versions of a job's rows in the inbox.
--- a/intake/errors.go
+++ b/intake/errors.go
@@ -21,6 +21,21 @@
 // IsErrNotAccepted reports whether err is or wraps an ErrNotAccepted.
 func IsErrNotAccepted(err error) bool { return errors.As(err, new(ErrNotAccepted)) }
 
+// ErrCancelled reports a submission of a job that was cancelled before it was stored, so that it does not run. Its id can be used
+// again after RetryAfter.
+type ErrCancelled struct {
+	ID         workflow.ID
+	RetryAfter clock.Millis
+}
+
+// Error names the job.
+func (err ErrCancelled) Error() string {
+	return fmt.Sprintf("job %s was cancelled before it was stored", err.ID)
+}
+
+// IsErrCancelled reports whether err is or wraps an ErrCancelled.
+func IsErrCancelled(err error) bool { return errors.As(err, new(ErrCancelled)) }
+
 // ErrUndecided reports a call whose outcome was not known before its deadline. It is safe to repeat the call.
 type ErrUndecided struct {
 	Reason string
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -30,12 +30,13 @@
 	Backlog() backlog.Refusal
 }
 
-// Intake serves submissions, cancellations and queries of callers. It is safe for concurrent use.
+// Intake serves submissions, cancellations and queries of callers. It is safe for concurrent use. Create it with New.
 type Intake struct {
-	store   store.Store
-	retrier *store.Retrier
-	clock   clock.Clock
-	leader  Leader
+	store      store.Store
+	retrier    *store.Retrier
+	clock      clock.Clock
+	leader     Leader
+	tombstones *tombstones
 	// lookUps holds a value for each refused submission that is being looked up.
 	lookUps chan struct{}
 }
@@ -46,15 +47,22 @@
 // errTooManyLookUps reports that maxLookUps is reached.
 var errTooManyLookUps = errors.New("too many submissions are being refused")
 
-// New returns an Intake that stores rows in jobStore. Concurrent submissions share transactions.
+// New returns an Intake that stores rows in jobStore. Concurrent submissions share transactions. Close must be called before
+// jobStore is closed.
 func New(jobStore store.Store, timeSource clock.Clock, leader Leader) *Intake {
 	group := store.NewGroup(jobStore)
-	return &Intake{store: group, retrier: store.NewRetrier(group, timeSource), clock: timeSource, leader: leader, lookUps: make(chan struct{}, maxLookUps)}
+	return &Intake{
+		store: group, retrier: store.NewRetrier(group, timeSource), clock: timeSource, leader: leader,
+		tombstones: newTombstones(group, timeSource), lookUps: make(chan struct{}, maxLookUps),
+	}
 }
 
+// Close stops the removal of tombstones. Those that are left are removed by the leader.
+func (intake *Intake) Close() { intake.tombstones.close() }
+
 // Submit stores a job. If a job with the same id is stored already, the submission counts as a repetition and
-// succeeds. While the store is not available, it is tried until ctx ends. Errors: workflow.ErrInvalid, ErrNotAccepted,
-// ErrUndecided.
+// succeeds. While the store is not available, it is tried until ctx ends. Errors: workflow.ErrInvalid, ErrCancelled,
+// ErrNotAccepted, ErrUndecided.
 func (intake *Intake) Submit(ctx context.Context, spec workflow.Spec) error {
 	if err := spec.Check(); err != nil {
 		return err
@@ -68,16 +76,23 @@
 		return err
 	}
 	begun := intake.clock.Now()
-	outcome, reason := intake.commitUntilDecided(ctx, store.Tx{
+	decided := commitUntilDecided(ctx, intake.retrier, store.Tx{
 		Conditions: []store.Condition{{Ref: ref(Submission, spec.ID)}, {Ref: endedRef(spec.ID)}},
 		Puts:       []store.Put{{Ref: ref(Submission, spec.ID), Value: value}},
 	})
+	outcome, reason := decided.outcome, decided.reason
+	var retryAfter clock.Millis
+	if outcome == Conflicting {
+		outcome, retryAfter, reason = intake.explainConflict(spec.ID, decided.conflict)
+	}
 	countSubmission(outcome)
 	klog.InfoS("Job submitted", "Job", spec.ID, "Queue", spec.Queue, "Steps", len(spec.Steps), "Outcome", outcome, "Reason", reason,
 		"Millis", int64(intake.clock.Now().Sub(begun)), "Ended", endOf(ctx))
 	switch outcome {
 	case Stored:
 		return nil
+	case Cancelled:
+		return ErrCancelled{ID: spec.ID, RetryAfter: retryAfter}
 	case Refused:
 		return ErrNotAccepted{Reason: reason, RetryAfter: storeRetryAfter}
 	case Rejected:
@@ -134,37 +149,24 @@
 	return ""
 }
 
-// Outcome is the outcome of storing a row.
-type Outcome string
-
-// Outcomes of storing a row.
-const (
-	// Stored: the row is in the store, whether by this call or an earlier one, or its job has ended.
-	Stored Outcome = "Stored"
-	// Refused: this call did not store the row.
-	Refused Outcome = "Refused"
-	// Rejected: the store never accepts the row.
-	Rejected Outcome = "Rejected"
-	// Full: this entry or the leader takes no more of such jobs now, and the row is not in the store.
-	Full Outcome = "Full"
-	// Undecided: the row may have been stored.
-	Undecided Outcome = "Undecided"
-)
-
-// commitUntilDecided commits a transaction that stores one row, and repeats it until the store decides or ctx ends. A
-// conflict means that the row is stored already or no longer needed. It returns the outcome and the reason of the last
-// failure.
-func (intake *Intake) commitUntilDecided(ctx context.Context, tx store.Tx) (Outcome, string) {
-	_, err := intake.retrier.Commit(ctx, tx)
+// explainConflict returns what a conflict says of a submission: Stored if the job is stored or has ended, Cancelled with the time in
+// which its id is kept if it was cancelled before it was stored, and otherwise Undecided with the reason.
+func (intake *Intake) explainConflict(id workflow.ID, conflict store.ErrConflict) (outcome Outcome, kept clock.Millis, reason string) {
+	if conflict.Row(ref(Submission, id)).Version != 0 {
+		return Stored, 0, ""
+	}
+	row := conflict.Row(endedRef(id))
+	if row.Version == 0 {
+		return Undecided, 0, "the rows changed"
+	}
+	ended, err := DecodeEnded(row)
 	switch {
-	case err == nil || errors.As(err, new(store.ErrConflict)):
-		return Stored, ""
-	case store.IsErrUnavailable(err):
-		return Refused, err.Error()
-	case store.IsErrRejected(err):
-		return Rejected, err.Error()
+	case err != nil:
+		return Undecided, 0, err.Error()
+	case ended.Tombstone:
+		return Cancelled, max(clock.Second, TombstoneRetention-intake.store.Now().Sub(ended.At)), "cancelled before it was stored"
 	default:
-		return Undecided, err.Error()
+		return Stored, 0, ""
 	}
 }
 
@@ -240,7 +242,11 @@
 	if row.Version == 0 {
 		return Ended{}, ErrNoJob{ID: id}
 	}
-	return DecodeEnded(row)
+	ended, err := DecodeEnded(row)
+	if err == nil && ended.Tombstone {
+		return Ended{}, ErrNoJob{ID: id}
+	}
+	return ended, err
 }
 
 // readRow returns a row, with Version 0 if it does not exist. Error: ErrNoAnswer.
@@ -257,34 +263,6 @@
 	return store.Row{Ref: rowRef}, nil
 }
 
-// Cancel stores the cancellation of a job. It has no effect on a job that has ended. Errors: ErrNoJob,
-// ErrNoAnswer, ErrUndecided, workflow.ErrCorrupt.
-func (intake *Intake) Cancel(ctx context.Context, id workflow.ID) error {
-	submissionRow, err := intake.readRow(ctx, ref(Submission, id))
-	if err != nil {
-		return err
-	}
-	if submissionRow.Version == 0 {
-		_, err := intake.readEnded(ctx, id)
-		klog.InfoS("Cancellation of a job that is not open", "Job", id, "Archived", err == nil, "Error", err)
-		return err
-	}
-	outcome, reason := intake.commitUntilDecided(ctx, store.Tx{
-		Conditions: []store.Condition{{Ref: ref(Submission, id), Version: submissionRow.Version}, {Ref: ref(Cancellation, id)}},
-		Puts:       []store.Put{{Ref: ref(Cancellation, id), Value: []byte("{}")}},
-	})
-	metrics.GetOrCreateCounter(fmt.Sprintf(`hyssopjunction_intake_cancellations_total{outcome=%q}`, outcome)).Inc()
-	klog.InfoS("Cancellation", "Job", id, "Outcome", outcome, "Reason", reason)
-	switch outcome {
-	case Stored:
-		return nil
-	case Refused:
-		return ErrNoAnswer{Reason: reason, RetryAfter: storeRetryAfter}
-	default:
-		return ErrUndecided{Reason: reason}
-	}
-}
-
 // Pending returns the number of jobs of a queue that have not started. Error: ErrNoAnswer.
 func (intake *Intake) Pending(ctx context.Context, queue workflow.Queue) (int, error) {
 	count, err := intake.leader.Pending(ctx, queue)
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,12 +16,17 @@
 
 // fakeStore is a store whose first commits fail with commitErrors, one after the other.
 type fakeStore struct {
+	mu           sync.Mutex
 	commitErrors []error
 	commits      int
 	rows         map[store.Ref]store.Row
+	// afterList, if set, is called once after the next read.
+	afterList func()
 }
 
 func (fake *fakeStore) Commit(_ context.Context, tx store.Tx) (store.Version, error) {
+	fake.mu.Lock()
+	defer fake.mu.Unlock()
 	fake.commits++
 	if len(fake.commitErrors) > 0 {
 		err := fake.commitErrors[0]
@@ -29,17 +35,45 @@
 	}
 	for _, condition := range tx.Conditions {
 		if row := fake.rows[condition.Ref]; row.Version != condition.Version {
-			return 0, store.ErrConflict{Rows: []store.Row{row}}
+			return 0, store.ErrConflict{Rows: fake.current(tx)}
 		}
 	}
 	for _, put := range tx.Puts {
 		fake.rows[put.Ref] = store.Row{Ref: put.Ref, Value: put.Value, Version: store.Version(fake.commits)}
 	}
+	for _, ref := range tx.Removes {
+		delete(fake.rows, ref)
+	}
 	return store.Version(fake.commits), nil
 }
 
+// current returns the rows of the conditions of tx that exist.
+func (fake *fakeStore) current(tx store.Tx) []store.Row {
+	var rows []store.Row
+	for _, condition := range tx.Conditions {
+		if row, ok := fake.rows[condition.Ref]; ok {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
+// count returns the number of rows and of commits.
+func (fake *fakeStore) count() (rows, commits int) {
+	fake.mu.Lock()
+	defer fake.mu.Unlock()
+	return len(fake.rows), fake.commits
+}
+
 func (fake *fakeStore) List(_ context.Context, table store.Table, from, _ string) (store.Rows, error) {
+	fake.mu.Lock()
 	row, ok := fake.rows[store.Ref{Table: table, Key: from}]
+	after := fake.afterList
+	fake.afterList = nil
+	fake.mu.Unlock()
+	if after != nil {
+		after()
+	}
 	if !ok {
 		return store.Rows{}, nil
 	}
--- a/jobapi/handler.go
+++ b/jobapi/handler.go
@@ -223,6 +223,8 @@
 	case errors.As(err, &notAccepted):
 		setRetryAfter(writer, notAccepted.RetryAfter)
 		writeJSON(writer, http.StatusServiceUnavailable, ErrorBody{Reason: err.Error()})
+	case intake.IsErrCancelled(err):
+		writeJSON(writer, http.StatusConflict, ErrorBody{Reason: err.Error()})
 	case errors.As(err, &noAnswer):
 		setRetryAfter(writer, noAnswer.RetryAfter)
 		writeJSON(writer, http.StatusServiceUnavailable, ErrorBody{Reason: err.Error()})
--- a/jobapi/handler_test.go
+++ b/jobapi/handler_test.go
@@ -120,6 +120,7 @@
 		t.Errorf("Retry-After %q, want 2", got)
 	}
 	call(t, newAPI(&fakeJobs{err: intake.ErrUndecided{Reason: "reset"}}), http.MethodPut, jobPath, submissionBody, http.StatusGatewayTimeout)
+	call(t, newAPI(&fakeJobs{err: intake.ErrCancelled{}}), http.MethodPut, jobPath, submissionBody, http.StatusConflict)
 	call(t, newAPI(&fakeJobs{err: intake.ErrNoAnswer{Reason: "away"}}), http.MethodGet, statePath, "", http.StatusServiceUnavailable)
 	call(t, New(func() *directive.Config { return nil }, &fakeJobs{}, newBodies()), http.MethodPut, jobPath, submissionBody, http.StatusServiceUnavailable)
 }
--- a/leadership/fixture_test.go
+++ b/leadership/fixture_test.go
@@ -196,7 +196,10 @@
 			ID: "0123456789abcdef", Queue: "queue", Service: "desk", Policy: workflow.Policy{MaxAttempts: 2, Slack: 1.5},
 			Steps: []workflow.Step{{Count: 1, Standing: true, Need: unit.Resources{CPU: 100, Memory: 64}, Estimate: clock.Second}},
 		}
-		if err := intake.New(cluster.stores[0], clock.NewSystem(), cluster.entries[0].Load().Queries()).Submit(ctx, job); err != nil {
+		jobs := intake.New(cluster.stores[0], clock.NewSystem(), cluster.entries[0].Load().Queries())
+		err := jobs.Submit(ctx, job)
+		jobs.Close()
+		if err != nil {
 			t.Fatal(err)
 		}
 		test(cluster)
--- a/standin/platformtest/store.go
+++ b/standin/platformtest/store.go
@@ -3,6 +3,7 @@
 package platformtest
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -28,6 +29,8 @@
 	Lost
 	// Silent neither carries the call out nor responds until the client gives up.
 	Silent
+	// Late carries the call out after the client has given up, when ReleaseLate is called.
+	Late
 )
 
 // intercept handles a call that the fault keeps from being carried out. It returns false if the call must be
@@ -44,7 +47,7 @@
 		_, _ = io.Copy(io.Discard, request.Body)
 		<-request.Context().Done()
 		return true
-	case None, Lost:
+	case None, Lost, Late:
 	}
 	return false
 }
@@ -79,6 +82,8 @@
 	transactionTime time.Duration
 	// busyUntil is when each partition has applied its queued transactions.
 	busyUntil map[string]time.Time
+	// late holds the bodies of the transactions that are carried out late.
+	late [][]byte
 }
 
 // NewStore returns an empty store.
@@ -158,6 +163,19 @@
 	return row.Value, ok
 }
 
+// RowCount returns the number of rows of a table.
+func (store *Store) RowCount(table string) int {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	count := 0
+	for key := range store.rows {
+		if key.table == table {
+			count++
+		}
+	}
+	return count
+}
+
 // apply writes and removes rows as one transaction. The caller must hold the lock.
 func (store *Store) apply(puts, removes []storedRow) {
 	store.version++
@@ -187,6 +205,10 @@
 	if fault.intercept(writer, request) {
 		return
 	}
+	if fault == Late {
+		store.holdBack(request)
+		return
+	}
 	status, body := store.answer(request)
 	if fault == Lost {
 		panic(http.ErrAbortHandler)
@@ -194,10 +216,44 @@
 	reply(writer, status, body)
 }
 
+// holdBack keeps a transaction for ReleaseLate and waits until its client gives up.
+func (store *Store) holdBack(request *http.Request) {
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return
+	}
+	store.mu.Lock()
+	store.late = append(store.late, body)
+	store.mu.Unlock()
+	<-request.Context().Done()
+}
+
+// ReleaseLate carries out the transactions that were held back, and returns how many of them were applied.
+func (store *Store) ReleaseLate() int {
+	store.mu.Lock()
+	bodies := store.late
+	store.late = nil
+	store.mu.Unlock()
+	applied := 0
+	for _, body := range bodies {
+		if status, _ := store.transact(bytes.NewReader(body)); status == http.StatusOK {
+			applied++
+		}
+	}
+	return applied
+}
+
+// LateCount returns the number of transactions that are held back.
+func (store *Store) LateCount() int {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	return len(store.late)
+}
+
 func (store *Store) answer(request *http.Request) (int, any) {
 	switch request.URL.Path {
 	case "/api/rows-tx":
-		return store.transact(request)
+		return store.transact(request.Body)
 	case "/api/rows-get":
 		return store.list(request)
 	case "/api/rows-feed":
@@ -219,9 +275,9 @@
 	return rowsAnswer{Rows: rows, Ver: store.version, NowMs: time.Since(store.startedAt).Milliseconds() + 1}
 }
 
-func (store *Store) transact(request *http.Request) (int, any) {
+func (store *Store) transact(body io.Reader) (int, any) {
 	var form struct{ ExpectedRevision, Puts, Remove []storedRow }
-	if err := json.NewDecoder(request.Body).Decode(&form); err != nil {
+	if err := json.NewDecoder(body).Decode(&form); err != nil {
 		return http.StatusBadRequest, struct{}{}
 	}
 	rows := slices.Concat(form.ExpectedRevision, form.Puts, form.Remove)
