intake: answer 504 if the store refuses a submission

What callers saw: 503, which says that a job never runs, and the job ran. An earlier attempt for it waited at an entry that stood still, while the store refused the write of the repetition.

Cause: the refusal of a write says something about this request. An earlier one for the same id may be on its way, and an entry cannot know of it.

Change: ErrUndecided with RetryAfter instead of ErrNotAccepted: 504 with Retry-After.

--- a/intake/errors.go
+++ b/intake/errors.go
@@ -36,13 +36,15 @@
 // IsErrCancelled reports whether err is or wraps an ErrCancelled.
 func IsErrCancelled(err error) bool { return errors.As(err, new(ErrCancelled)) }
 
-// ErrUndecided reports a call whose outcome was not known before its deadline. It is safe to repeat the call.
+// ErrUndecided reports a call whose outcome is not known: the call itself, or an earlier one for the same job, may have an effect later.
+// It is safe to repeat the call, after RetryAfter if that is not 0.
 type ErrUndecided struct {
-	Reason string
+	Reason     string
+	RetryAfter clock.Millis
 }
 
 // Error returns a message with the reason.
-func (err ErrUndecided) Error() string { return "outcome not known in time: " + err.Reason }
+func (err ErrUndecided) Error() string { return "outcome not known: " + err.Reason }
 
 // IsErrUndecided reports whether err is or wraps an ErrUndecided.
 func IsErrUndecided(err error) bool { return errors.As(err, new(ErrUndecided)) }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -94,7 +94,8 @@
 	case Cancelled:
 		return ErrCancelled{ID: spec.ID, RetryAfter: retryAfter}
 	case Refused:
-		return ErrNotAccepted{Reason: reason, RetryAfter: storeRetryAfter}
+		// The store did not carry out this attempt, but an earlier one may be on its way.
+		return ErrUndecided{Reason: reason, RetryAfter: storeRetryAfter}
 	case Rejected:
 		return workflow.ErrInvalid{Field: "Job", Reason: fmt.Sprintf("cannot be stored in %d bytes", len(value))}
 	default:
--- a/jobapi/handler.go
+++ b/jobapi/handler.go
@@ -214,6 +214,7 @@
 func writeError(writer http.ResponseWriter, err error) {
 	var invalid workflow.ErrInvalid
 	var notAccepted intake.ErrNotAccepted
+	var undecided intake.ErrUndecided
 	var noAnswer intake.ErrNoAnswer
 	switch {
 	case errors.As(err, &invalid):
@@ -228,7 +229,10 @@
 	case errors.As(err, &noAnswer):
 		setRetryAfter(writer, noAnswer.RetryAfter)
 		writeJSON(writer, http.StatusServiceUnavailable, ErrorBody{Reason: err.Error()})
-	case intake.IsErrUndecided(err):
+	case errors.As(err, &undecided):
+		if undecided.RetryAfter > 0 {
+			setRetryAfter(writer, undecided.RetryAfter)
+		}
 		writeJSON(writer, http.StatusGatewayTimeout, ErrorBody{Reason: err.Error()})
 	default:
 		klog.ErrorS(err, "Request failed")
--- a/jobapi/handler_test.go
+++ b/jobapi/handler_test.go
@@ -120,6 +120,10 @@
 		t.Errorf("Retry-After %q, want 2", got)
 	}
 	call(t, newAPI(&fakeJobs{err: intake.ErrUndecided{Reason: "reset"}}), http.MethodPut, jobPath, submissionBody, http.StatusGatewayTimeout)
+	refusedByStore := newAPI(&fakeJobs{err: intake.ErrUndecided{Reason: "503", RetryAfter: clock.Second}})
+	if got := call(t, refusedByStore, http.MethodPut, jobPath, submissionBody, http.StatusGatewayTimeout).Header().Get("Retry-After"); got != "1" {
+		t.Errorf("got Retry-After %q for a submission that the store refused, want 1", got)
+	}
 	call(t, newAPI(&fakeJobs{err: intake.ErrCancelled{}}), http.MethodPut, jobPath, submissionBody, http.StatusConflict)
 	call(t, newAPI(&fakeJobs{err: intake.ErrNoAnswer{Reason: "away"}}), http.MethodGet, statePath, "", http.StatusServiceUnavailable)
 	call(t, New(func() *directive.Config { return nil }, &fakeJobs{}, newBodies()), http.MethodPut, jobPath, submissionBody, http.StatusServiceUnavailable)
