intake: answer 504 to submissions that cannot be taken now

What callers see: 503, which says that a job never runs, if the leader holds too many jobs or there is no memory for the body. An earlier attempt for the same job that is on its way is stored all the same, and runs.

Cause: the answer was given when no row of the job was stored, which holds at that moment only.

Change: Refuse becomes Postpone: 200 if the job is stored, otherwise 504 with Retry-After, at once. Callers repeat the same id after it.

All tests of package overload pass.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -37,15 +37,16 @@
 	clock      clock.Clock
 	leader     Leader
 	tombstones *tombstones
-	// lookUps holds a value for each refused submission that is being looked up.
+	// lookUps holds a value for each submission that is being looked up because it cannot be taken now.
 	lookUps chan struct{}
 }
 
-// maxLookUps limits the refused submissions that are looked up at the same time, so that they leave the store to others.
+// maxLookUps limits the submissions that are looked up at the same time because they cannot be taken now, so that they leave the store
+// to others.
 const maxLookUps = 16
 
 // errTooManyLookUps reports that maxLookUps is reached.
-var errTooManyLookUps = errors.New("too many submissions are being refused")
+var errTooManyLookUps = errors.New("too many submissions are being looked up")
 
 // New returns an Intake that stores rows in jobStore. Concurrent submissions share transactions. Close must be called before
 // jobStore is closed.
@@ -68,7 +69,7 @@
 		return err
 	}
 	if retryAfter := intake.leader.Backlog().RetryAfter(spec); retryAfter > 0 {
-		return intake.Refuse(ctx, spec.ID, "the leader holds too many jobs", retryAfter)
+		return intake.Postpone(ctx, spec.ID, "the leader holds too many jobs", retryAfter)
 	}
 	spec.Accepted = intake.store.Now()
 	value, err := workflow.EncodeSpec(spec)
@@ -103,20 +104,17 @@
 	}
 }
 
-// Refuse decides the answer to a submission that cannot be taken now. A job that an earlier submission has stored counts as
-// accepted: a caller may repeat one whose answer was lost. Errors: ErrNotAccepted if the job is not stored, ErrUndecided if that is
-// not known or too many submissions are being refused.
-func (intake *Intake) Refuse(ctx context.Context, id workflow.ID, reason string, retryAfter clock.Millis) error {
+// Postpone decides the answer to a submission that cannot be taken now. A job that an earlier submission has stored counts as
+// accepted: a caller may repeat one whose answer was lost. One that is not stored may still be on its way. Error: ErrUndecided, with
+// retryAfter.
+func (intake *Intake) Postpone(ctx context.Context, id workflow.ID, reason string, retryAfter clock.Millis) error {
 	outcome, err := intake.lookUp(ctx, id)
-	switch outcome {
-	case Full:
-		err = ErrNotAccepted{Reason: reason, RetryAfter: retryAfter}
-	case Undecided:
-		err = ErrUndecided{Reason: reason + "; " + err.Error()}
-	}
 	countSubmission(outcome)
 	klog.InfoS("Job submitted", "Job", id, "Outcome", outcome, "Reason", reason, "RetryAfterMillis", int64(retryAfter), "Error", err)
-	return err
+	if outcome == Stored {
+		return nil
+	}
+	return ErrUndecided{Reason: reason, RetryAfter: retryAfter}
 }
 
 // lookUp returns Stored if a job is stored, Full if it is not, and Undecided with the reason if that is not known.
