jobapi: look a job up whose body finds no memory

What callers see: 503, which says that the job does not run, for a job that an earlier call has stored or that is on its way, if there is no memory for the body of the repetition.

Change: it calls intake.Postpone: 200 if the job is stored, otherwise 504 with Retry-After.

Result: TestRefusedBodyIsNoRefusalOfTheJob failed before ("status 503, want 200", "status 503, want 504") and passes.

--- a/jobapi/handler.go
+++ b/jobapi/handler.go
@@ -31,6 +31,8 @@
 // Jobs carries out the calls.
 type Jobs interface {
 	Submit(ctx context.Context, spec workflow.Spec) error
+	// Postpone decides the answer to a submission that cannot be taken now. It returns no error if the job is stored already.
+	Postpone(ctx context.Context, id workflow.ID, reason string, retryAfter clock.Millis) error
 	Job(ctx context.Context, id workflow.ID) (*workflow.Job, error)
 	Cancel(ctx context.Context, id workflow.ID) error
 	Pending(ctx context.Context, queue workflow.Queue) (int, error)
@@ -120,13 +122,19 @@
 		return decoder.Decode(&submission)
 	})
 	defer release()
-	if err != nil {
+	ctx, cancel := context.WithTimeout(request.Context(), callTimeout.Duration())
+	defer cancel()
+	var busy httpserver.ErrBusy
+	switch {
+	case errors.As(err, &busy):
+		err = api.jobs.Postpone(ctx, workflow.ID(id), err.Error(), busy.RetryAfter)
+	case err != nil:
 		writeBodyError(writer, err)
 		return
+	default:
+		err = api.jobs.Submit(ctx, submission.Spec(workflow.ID(id), queue))
 	}
-	ctx, cancel := context.WithTimeout(request.Context(), callTimeout.Duration())
-	defer cancel()
-	if err := api.jobs.Submit(ctx, submission.Spec(workflow.ID(id), queue)); err != nil {
+	if err != nil {
 		writeError(writer, err)
 		return
 	}
@@ -193,14 +201,11 @@
 // maxReasonBytes limits the reason of a refused body. Errors of decoding quote the body.
 const maxReasonBytes = 200
 
-// writeBodyError responds with the status and the ErrorBody that belong to an error of httpserver.Bodies.
+// writeBodyError responds with the status and the ErrorBody that belong to an error of httpserver.Bodies other than
+// httpserver.ErrBusy.
 func writeBodyError(writer http.ResponseWriter, err error) {
-	var busy httpserver.ErrBusy
 	status := http.StatusBadRequest
 	switch {
-	case errors.As(err, &busy):
-		setRetryAfter(writer, busy.RetryAfter)
-		status = http.StatusServiceUnavailable
 	case httpserver.IsErrTooLarge(err):
 		status = http.StatusRequestEntityTooLarge
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/jobapi/handler_test.go
+++ b/jobapi/handler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -23,6 +24,12 @@
 type fakeJobs struct {
 	jobs map[workflow.ID]*workflow.Job
 	err  error
+	// postponed is the answer to a submission that cannot be taken now.
+	postponed error
+}
+
+func (fake *fakeJobs) Postpone(context.Context, workflow.ID, string, clock.Millis) error {
+	return fake.postponed
 }
 
 func (fake *fakeJobs) Submit(_ context.Context, spec workflow.Spec) error {
@@ -81,13 +88,14 @@
 	return recorder
 }
 
-func newAPI(fake *fakeJobs) http.Handler {
-	config := &directive.Config{Queues: []directive.Queue{
+func testConfig() *directive.Config {
+	return &directive.Config{Queues: []directive.Queue{
 		{Name: "r-1", Service: "desk", Policy: workflow.Policy{MaxAttempts: 2, Slack: 2}}, {Name: "advised", Advised: true},
 	}}
-	return New(func() *directive.Config { return config }, fake, newBodies())
 }
 
+func newAPI(fake *fakeJobs) http.Handler { return New(testConfig, fake, newBodies()) }
+
 // TestJobFromSubmissionToCancellation guards against a call that fails between the submission of a job and its
 // cancellation, and against a state that is shown wrongly.
 func TestJobFromSubmissionToCancellation(t *testing.T) {
@@ -112,6 +120,44 @@
 	call(t, api, http.MethodGet, "/v1/queues/none", "", http.StatusNotFound)
 }
 
+// holdMemory reads a body whose end does not come, so that 4 KiB are left of 40, until the returned function is called.
+func holdMemory(t *testing.T, bodies *httpserver.Bodies) (end func()) {
+	t.Helper()
+	reader, writer := io.Pipe()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		release, _ := bodies.ReadJSON(httptest.NewRecorder(), httptest.NewRequest(http.MethodPut, "/", reader), 40<<10, clock.Minute, func([]byte) error { return nil })
+		release()
+	}()
+	if _, err := writer.Write([]byte(strings.Repeat(" ", 36<<10))); err != nil { // It returns once all of it is read.
+		t.Fatal(err)
+	}
+	return func() {
+		_ = writer.Close() // Never returns an error.
+		<-ended
+	}
+}
+
+// TestRefusedBodyIsNoRefusalOfTheJob guards against the status 503 for a job that an earlier call has stored or may still store,
+// because there is no memory for the body.
+func TestRefusedBodyIsNoRefusalOfTheJob(t *testing.T) {
+	for name, test := range map[string]struct {
+		postponed error
+		want      int
+	}{
+		"stored":    {nil, http.StatusOK},
+		"not known": {intake.ErrUndecided{Reason: "no memory", RetryAfter: clock.Second}, http.StatusGatewayTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bodies := httpserver.NewBodies(httpserver.NewMemory(40<<10, clock.NewFake(1)))
+			defer holdMemory(t, bodies)()
+			api := New(testConfig, &fakeJobs{postponed: test.postponed}, bodies)
+			call(t, api, http.MethodPut, jobPath, submissionBody+strings.Repeat(" ", 36<<10), test.want)
+		})
+	}
+}
+
 // TestErrorResponses guards against errors that are mapped to the wrong status: 503 with Retry-After promises
 // that nothing was stored, so an undecided submission must not get it.
 func TestErrorResponses(t *testing.T) {
