platform, jobapi: answer 504 to a submission without a configuration

What callers see: 503, which says that a job never runs, from an entry that has just started, while an earlier attempt at another entry has stored the job or is on its way.

Cause: an entry that has not read the configuration knows nothing of the job.

Change: a submission is answered 504 with Retry-After, other requests 503 as before.

--- a/jobapi/handler.go
+++ b/jobapi/handler.go
@@ -145,8 +145,12 @@
 func (api handler) queue(writer http.ResponseWriter, request *http.Request) (directive.Queue, bool) {
 	config := api.config()
 	if config == nil {
+		status := http.StatusServiceUnavailable
+		if request.Method == http.MethodPut {
+			status = http.StatusGatewayTimeout // An earlier call at another entry may have stored the job.
+		}
 		setRetryAfter(writer, clock.Second)
-		writeJSON(writer, http.StatusServiceUnavailable, ErrorBody{Reason: "the configuration is not known yet"})
+		writeJSON(writer, status, ErrorBody{Reason: "the configuration is not known yet"})
 		return directive.Queue{}, false
 	}
 	queue, ok := config.Queue(workflow.Queue(mux.Vars(request)["queue"]))
