platform: look a job up before its queue's need of advice refuses it

What callers see: 503, which says that a job never runs, for a job that was accepted before its queue needed advice, and may have run.

Cause: a submission to such a queue was refused without a look at the store.

Change: intake.Refuse: 200 if the job is stored, 503 if it is not (workers start no task of such a queue without a ticket, whoever stores the job), 504 if that is not known.

--- a/intake/errors.go
+++ b/intake/errors.go
@@ -8,8 +8,8 @@
 	"hyssopjunction/workflow"
 )
 
-// ErrNotAccepted reports a submission that was not stored, so that the job will not run. It can be repeated
-// after RetryAfter.
+// ErrNotAccepted reports a submission of a job that is not stored and does not run, whatever becomes of other submissions of it. It can
+// be repeated after RetryAfter.
 type ErrNotAccepted struct {
 	Reason     string
 	RetryAfter clock.Millis
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -63,7 +63,7 @@
 
 // Submit stores a job. If a job with the same id is stored already, the submission counts as a repetition and
 // succeeds. While the store is not available, it is tried until ctx ends. Errors: workflow.ErrInvalid, ErrCancelled,
-// ErrNotAccepted, ErrUndecided.
+// ErrUndecided.
 func (intake *Intake) Submit(ctx context.Context, spec workflow.Spec) error {
 	if err := spec.Check(); err != nil {
 		return err
@@ -108,15 +108,34 @@
 // accepted: a caller may repeat one whose answer was lost. One that is not stored may still be on its way. Error: ErrUndecided, with
 // retryAfter.
 func (intake *Intake) Postpone(ctx context.Context, id workflow.ID, reason string, retryAfter clock.Millis) error {
-	outcome, err := intake.lookUp(ctx, id)
-	countSubmission(outcome)
-	klog.InfoS("Job submitted", "Job", id, "Outcome", outcome, "Reason", reason, "RetryAfterMillis", int64(retryAfter), "Error", err)
-	if outcome == Stored {
+	if intake.decideUntaken(ctx, id, reason, retryAfter) == Stored {
 		return nil
 	}
 	return ErrUndecided{Reason: reason, RetryAfter: retryAfter}
 }
 
+// Refuse decides the answer to a submission to a queue whose tasks are not started, whoever stores a job in it. A job that an earlier
+// submission has stored counts as accepted. Errors: ErrNotAccepted if the job is not stored, ErrUndecided if that is not known, both
+// with retryAfter.
+func (intake *Intake) Refuse(ctx context.Context, id workflow.ID, reason string, retryAfter clock.Millis) error {
+	switch intake.decideUntaken(ctx, id, reason, retryAfter) {
+	case Stored:
+		return nil
+	case Full:
+		return ErrNotAccepted{Reason: reason, RetryAfter: retryAfter}
+	default:
+		return ErrUndecided{Reason: reason, RetryAfter: retryAfter}
+	}
+}
+
+// decideUntaken looks up a job whose submission is not taken, and counts and logs the outcome.
+func (intake *Intake) decideUntaken(ctx context.Context, id workflow.ID, reason string, retryAfter clock.Millis) Outcome {
+	outcome, err := intake.lookUp(ctx, id)
+	countSubmission(outcome)
+	klog.InfoS("Job submitted", "Job", id, "Outcome", outcome, "Reason", reason, "RetryAfterMillis", int64(retryAfter), "Error", err)
+	return outcome
+}
+
 // lookUp returns Stored if a job is stored, Full if it is not, and Undecided with the reason if that is not known.
 func (intake *Intake) lookUp(ctx context.Context, id workflow.ID) (Outcome, error) {
 	select {
