intake: take only a stored cancellation for a success of Cancel

What callers would see: a cancellation that is acknowledged has no effect, if the entry stood still until the job was archived, the record of its end was removed and its id was used again.

Cause: every conflict of the transaction counted as a cancellation that an earlier call had stored, or as a job that had ended.

Change: a conflict counts as success only if the row of the cancellation exists. After any other one the rows are read again.

Result: TestCancellationOfReplacedJob failed before in two of four cases ("the cancellation was acknowledged and is not stored", "got <nil>, want ErrNoJob") and passes.

--- a/intake/cancel.go
+++ b/intake/cancel.go
@@ -36,14 +36,15 @@
 	return ErrUndecided{Reason: "the rows of the job changed during each attempt"}
 }
 
-// cancelStored cancels a job whose submission has the version. The outcome is Conflicting if the job has been archived since.
+// cancelStored cancels a job whose submission has the version. The outcome is Conflicting if the job has been archived since: its id may
+// name another job now.
 func (intake *Intake) cancelStored(ctx context.Context, id workflow.ID, version store.Version) (Outcome, error) {
 	decided := commitUntilDecided(ctx, intake.retrier, store.Tx{
 		Conditions: []store.Condition{{Ref: ref(Submission, id), Version: version}, {Ref: ref(Cancellation, id)}},
 		Puts:       []store.Put{{Ref: ref(Cancellation, id), Value: []byte("{}")}},
 	})
-	if decided.outcome == Conflicting {
-		decided.outcome = Stored
+	if decided.outcome == Conflicting && decided.conflict.Row(ref(Cancellation, id)).Version != 0 {
+		decided.outcome = Stored // By an earlier call.
 	}
 	metrics.GetOrCreateCounter(fmt.Sprintf(`hyssopjunction_intake_cancellations_total{outcome=%q}`, decided.outcome)).Inc()
 	klog.InfoS("Cancellation", "Job", id, "Outcome", decided.outcome, "Reason", decided.reason)
--- a/intake/cancel_test.go
+++ b/intake/cancel_test.go
@@ -43,6 +43,14 @@
 	}
 }
 
+// submitted submits the job.
+func submitted(t *testing.T, intake *Intake) {
+	t.Helper()
+	if err := intake.Submit(t.Context(), cancelledSpec()); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // TestCancelledJobIsNotStored guards against a job that is stored and runs after the answer that there is no such job.
 func TestCancelledJobIsNotStored(t *testing.T) {
 	t.Run("submission after the cancellation", func(t *testing.T) {
@@ -102,6 +110,54 @@
 	})
 }
 
+// TestCancellationOfReplacedJob guards against the acknowledgement of a cancellation that has no effect, because the job was archived
+// during the call and its id was used again. An entry that stands still for long may be that late.
+func TestCancellationOfReplacedJob(t *testing.T) {
+	t.Run("archived", func(t *testing.T) {
+		intake, fake := newCancelTest(t)
+		submitted(t, intake)
+		fake.afterList = func() {
+			delete(fake.rows, ref(Submission, cancelledID))
+			fake.rows[endedRef(cancelledID)] = store.Row{Ref: endedRef(cancelledID), Value: []byte(`{"State":"completed","At":1}`), Version: 7}
+		}
+		if err := intake.Cancel(t.Context(), cancelledID); err != nil {
+			t.Errorf("got %v, want success", err)
+		}
+	})
+	t.Run("archived and submitted again", func(t *testing.T) {
+		intake, fake := newCancelTest(t)
+		submitted(t, intake)
+		fake.afterList = func() {
+			row := fake.rows[ref(Submission, cancelledID)]
+			row.Version += 100
+			fake.rows[ref(Submission, cancelledID)] = row
+		}
+		if err := intake.Cancel(t.Context(), cancelledID); err != nil {
+			t.Errorf("got %v, want success", err)
+		}
+		if _, ok := fake.rows[ref(Cancellation, cancelledID)]; !ok {
+			t.Error("the cancellation was acknowledged and is not stored")
+		}
+	})
+	t.Run("archived, and its end removed", func(t *testing.T) {
+		intake, fake := newCancelTest(t)
+		submitted(t, intake)
+		fake.afterList = func() { delete(fake.rows, ref(Submission, cancelledID)) }
+		assertNoJob(t, intake.Cancel(t.Context(), cancelledID))
+		assertCancelled(t, intake.Submit(t.Context(), cancelledSpec()))
+	})
+	t.Run("cancelled by another call", func(t *testing.T) {
+		intake, fake := newCancelTest(t)
+		submitted(t, intake)
+		fake.afterList = func() {
+			fake.rows[ref(Cancellation, cancelledID)] = store.Row{Ref: ref(Cancellation, cancelledID), Value: []byte("{}"), Version: 9}
+		}
+		if err := intake.Cancel(t.Context(), cancelledID); err != nil {
+			t.Errorf("got %v, want success", err)
+		}
+	})
+}
+
 // cancelNumbered cancels jobs that are not stored, by their numbers, and returns how many cancellations were not acknowledged.
 func cancelNumbered(t *testing.T, intake *Intake, from, count int) (limited int) {
 	t.Helper()
