store: keep transactions apart that exclude each other

What callers would see: a job runs for good although its cancellation was answered 410, if both were sent to the same entry at the same moment.

Cause: Group joined transactions that write distinct rows. The conditions of a joined transaction are checked before its rows are written, so a submission and a tombstone, each of which requires that the other is missing, were both applied. Before tombstones no such pair existed.

Change: a transaction waits for the next joined one if it writes a row on which another one has a condition, or the reverse.

--- a/store/group.go
+++ b/store/group.go
@@ -128,20 +128,22 @@
 	}
 }
 
-// takeBatch removes members from the front of the queue that fit in one transaction and write distinct rows. If there
-// are none, the queue is no longer being committed.
+// takeBatch removes members from the front of the queue that fit in one transaction and write no rows on which another one depends:
+// the conditions of a transaction are checked before its rows are written, so each member would see the rows as if it came first. If
+// there are none, the queue is no longer being committed.
 func (group *Group) takeBatch(queue *groupQueue, batch *groupBatch) []*groupMember {
 	group.mu.Lock()
 	defer group.mu.Unlock()
 	entries, size, count := 0, 0, 0
-	written := set.New[Ref]()
+	written, required := set.New[Ref](), set.New[Ref]()
 	for _, member := range queue.waiting {
 		entries += member.tx.entries()
 		size += member.tx.size()
-		if count > 0 && (entries > maxGroupEntries || size > maxGroupBytes || member.tx.writesAny(written)) {
+		if count > 0 && (entries > maxGroupEntries || size > maxGroupBytes || member.tx.writesAny(written) || member.tx.writesAny(required) || member.tx.requiresAny(written)) {
 			break
 		}
 		member.tx.addWritten(written)
+		member.tx.addRequired(required)
 		member.batch = batch
 		count++
 	}
@@ -220,6 +222,18 @@
 	return slices.ContainsFunc(tx.Puts, func(put Put) bool { return rows.Has(put.Ref) }) || slices.ContainsFunc(tx.Removes, rows.Has)
 }
 
+// requiresAny reports whether tx has a condition on a row of the set.
+func (tx Tx) requiresAny(rows set.Set[Ref]) bool {
+	return slices.ContainsFunc(tx.Conditions, func(condition Condition) bool { return rows.Has(condition.Ref) })
+}
+
+// addRequired adds the rows on which tx has conditions to the set.
+func (tx Tx) addRequired(rows set.Set[Ref]) {
+	for _, condition := range tx.Conditions {
+		rows.Add(condition.Ref)
+	}
+}
+
 // addWritten adds the rows that tx writes or removes to the set.
 func (tx Tx) addWritten(rows set.Set[Ref]) {
 	for _, put := range tx.Puts {
--- a/store/group_test.go
+++ b/store/group_test.go
@@ -284,3 +284,53 @@
 		t.Errorf("got %v for the second member, want ErrRejected", result.err)
 	}
 }
+
+// TestGroupKeepsExclusiveTransactionsApart guards against two transactions that are both applied although each requires that the other
+// is not, because they were joined: the conditions of a joined transaction are checked before any of its rows is written.
+func TestGroupKeepsExclusiveTransactionsApart(t *testing.T) {
+	first, second := Ref{Table: "inbox", Key: "a"}, Ref{Table: "ended", Key: "a"}
+	conditions := []Condition{{Ref: first}, {Ref: second}}
+	for name, txs := range map[string][]Tx{
+		"the later one requires": {newRowTx("a"), {Conditions: conditions, Puts: []Put{{Ref: second}}}},
+		"the first one requires": {{Conditions: conditions, Puts: []Put{{Ref: second}}}, newRowTx("a")},
+		"both require":           {{Conditions: conditions, Puts: []Put{{Ref: first}}}, {Conditions: conditions, Puts: []Put{{Ref: second}}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			gated := newGatedStore()
+			group := newTestGroup(gated)
+			inProgress := commitAsync(t.Context(), group, newRowTx("b"))
+			<-gated.arrived
+			var results []<-chan error
+			for number, tx := range txs {
+				results = append(results, commitAsync(t.Context(), group, tx))
+				awaitWaiting(t, group, number+1)
+			}
+			for range 10 {
+				gated.permits <- struct{}{}
+			}
+			if err := <-inProgress; err != nil {
+				t.Fatal(err)
+			}
+			if got := gated.commitCount(); got > 3 {
+				t.Errorf("%d transactions, want at most 3", got)
+			}
+			conflicts := 0
+			for _, result := range results {
+				if err := <-result; IsErrConflict(err) {
+					conflicts++
+				} else if err != nil {
+					t.Errorf("got %v", err)
+				}
+			}
+			if name == "the first one requires" {
+				if conflicts != 0 {
+					t.Errorf("%d conflicts, want none: the second transaction does not depend on the first", conflicts)
+				}
+				return
+			}
+			if conflicts != 1 {
+				t.Errorf("%d conflicts, want 1", conflicts)
+			}
+		})
+	}
+}
