soak: cancel jobs without waiting for their acceptance

Cause: callers of the soak, like those of the bench, cancelled only jobs whose acceptance they had seen. So neither could show that a job runs although its cancellation was acknowledged before it was stored.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -107,6 +107,7 @@
 // run is a soak with one seed. group holds the faults that are not over.
 type run struct {
 	deployment *deployment
+	callers    *callers
 	random     *rand.Rand
 	group      sync.WaitGroup
 }
@@ -131,8 +132,8 @@
 			deployment.keepLogs(t, seed)
 		}
 	})
-	run := &run{deployment: deployment, random: rand.New(rand.NewPCG(seed, 0))}
 	callers := &callers{deployment: deployment, connections: &connections{idle: map[string][]*connection{}}, submissions: map[string]*submission{}}
+	run := &run{deployment: deployment, callers: callers, random: rand.New(rand.NewPCG(seed, 0))}
 	callers.await(t, "the first job", func() bool { return callers.submit("first", 0, twoStepJob) })
 	stop, settled := make(chan struct{}), make(chan struct{})
 	var traffic, watch sync.WaitGroup
@@ -220,6 +221,9 @@
 	for _, letter := range task {
 		sum = (sum*31 + int(letter)) % 1000
 	}
+	if isUnacceptedTask(task) {
+		return 0, false
+	}
 	if isStandingTask(task) {
 		if sum%8 == 0 {
 			return 4*time.Second + time.Duration(sum)*time.Millisecond, true
