coordinator, supervisor: let a lease lapse before replaced ends count

Its machine was suspended and cut off, the run finished, the leader took the lease for lapsed and started the task elsewhere, and the agent was restarted before the cut ended.

Cause: an end counts for the worker unless its lease lapses before it is acknowledged. After a suspension the lease goes on when the leader counts it as lapsed. The agent knows that from the end of its own grant; its next process does not.

Change: if a worker lists a run as finished that the rows show as given up, the messages to its agent name that end (LapseBefore). The agent then neither extends the lease nor acknowledges ends until the lease has lapsed by the worker's clock. Agents of the earlier build ignore the field.

--- a/coordinator/agents.go
+++ b/coordinator/agents.go
@@ -78,6 +78,8 @@
 	expectedSent bool
 	// storedEnd is the highest number of a run's end that is stored.
 	storedEnd int64
+	// lapseBefore is the highest number of an end that the worker's lease must lapse before, until which the end is not acknowledged.
+	lapseBefore int64
 	// lastSequence is the sequence number of the newest report, which arrived at reportedAt.
 	lastSequence uint64
 	reportedAt   clock.Time
@@ -213,7 +215,7 @@
 	}
 	agent.answeredAt = now
 	orders := &session.Orders{
-		StoredEnds: agent.storedEnd, Incarnation: string(agent.incarnation),
+		StoredEnds: agent.storedEnd, Incarnation: string(agent.incarnation), LapseBefore: agent.lapseBefore,
 		LeaderLeaseEnded: now.After(clock.Time(coordinator.validUntil.Load())),
 	}
 	if coordinator.updateGrantsEnded(now) {
@@ -349,7 +351,7 @@
 		klog.InfoS("Worker replaced", "Node", agent.node, "Worker", earlier)
 		coordinator.scheduler.RemoveWorker(earlier)
 	}
-	agent.incarnation, agent.storedEnd, agent.expectedSent, agent.answeredAt = incarnation, 0, false, 0
+	agent.incarnation, agent.storedEnd, agent.lapseBefore, agent.expectedSent, agent.answeredAt = incarnation, 0, 0, false, 0
 	clear(agent.sentWeights)
 	coordinator.workers[agent.node] = attachedWorker{incarnation: incarnation}
 }
@@ -372,6 +374,7 @@
 			fresh = append(fresh, end)
 		}
 	}
+	coordinator.requireLapse(agent, fresh)
 	for _, end := range coordinator.convertEnds(agent.incarnation, fresh) {
 		coordinator.scheduler.RecordEnd(agent.incarnation, end, now)
 	}
@@ -387,6 +390,23 @@
 	})
 }
 
+// requireLapse makes the agent wait for the lapse of its worker's lease before it acknowledges ends of finished runs that this leader or
+// an earlier one has replaced. The lease was taken for lapsed, but goes on if the machine was suspended, and a new process of the agent
+// does not know that.
+func (coordinator *Coordinator) requireLapse(agent *agentSession, ends []session.End) {
+	for _, end := range ends {
+		if end.Cause != workflow.Finished {
+			continue
+		}
+		name, err := workflow.ParseName(end.Task)
+		if err != nil || !coordinator.scheduler.IsReplaced(agent.incarnation, name, end.Run) {
+			continue
+		}
+		klog.InfoS("Finished run was replaced before its end was known", "Task", end.Task, "Run", end.Run, "Worker", agent.incarnation, "End", end.Number)
+		agent.lapseBefore = end.Number
+	}
+}
+
 // convertEnds logs and counts ends of runs on an incarnation and converts them for the scheduler.
 func (coordinator *Coordinator) convertEnds(incarnation scheduler.Incarnation, ends []session.End) []scheduler.End {
 	converted := make([]scheduler.End, 0, len(ends))
@@ -473,7 +493,7 @@
 	}
 	for _, agent := range coordinator.sessions {
 		if batch, ok := byWorker[agent.incarnation]; ok {
-			batch.StoredEnds, batch.Incarnation = agent.storedEnd, string(agent.incarnation)
+			batch.StoredEnds, batch.Incarnation, batch.LapseBefore = agent.storedEnd, string(agent.incarnation), agent.lapseBefore
 			if slices.ContainsFunc(batch.Starts, func(start session.Start) bool { return start.Copies }) {
 				batch.ReportAge = max(0, coordinator.deps.Clock.Now().Sub(agent.reportedAt))
 			}
--- a/scheduler/runend.go
+++ b/scheduler/runend.go
@@ -77,6 +77,28 @@
 	scheduler.endRun(run, end.Cause, end.Saved)
 }
 
+// IsReplaced reports whether a run that has finished on the worker was given up before its end was known, so that its task has been or
+// will be started again. It does not for tasks that may have two runs and for standing ones, which start again in any case.
+func (scheduler *Scheduler) IsReplaced(incarnation Incarnation, name workflow.Name, number workflow.Run) bool {
+	if worker, ok := scheduler.workers[incarnation]; ok {
+		if run, ok := worker.runs[name]; ok && run.number == number {
+			return false
+		}
+	}
+	record, ok := scheduler.jobs[name.Job]
+	if !ok {
+		return false
+	}
+	task := record.job.Task(name)
+	if task == nil {
+		return false
+	}
+	if step := record.job.Spec.Steps[name.Step]; step.Standing || step.MayHaveCopies() {
+		return false
+	}
+	return task.Run > number || task.Phase == workflow.Waiting && !record.job.State.Final()
+}
+
 // RecordRejection records that a run was not started on the worker and never will be. If the worker refused the task itself, any
 // other one may do so too, so the next start is delayed.
 func (scheduler *Scheduler) RecordRejection(incarnation Incarnation, name workflow.Name, number workflow.Run, refusesTask bool, now clock.Time) {
--- a/session/message.go
+++ b/session/message.go
@@ -119,8 +119,12 @@
 	// task that may have two runs.
 	ReportAge clock.Millis `json:",omitempty"`
 	// StoredEnds acknowledges the ends of runs of the worker's Incarnation up to this number: they are stored.
-	StoredEnds  int64   `json:"Recorded,omitempty"`
-	Incarnation string  `json:",omitempty"`
+	StoredEnds  int64  `json:"Recorded,omitempty"`
+	Incarnation string `json:",omitempty"`
+	// LapseBefore is the highest number of an end that the worker's lease must lapse before, until which it must not be told that the end
+	// is stored, or 0. The leader has started the task again, because it took the lease for lapsed. Agents of an earlier version
+	// ignore the field.
+	LapseBefore int64   `json:",omitempty"`
 	Starts      []Start `json:",omitempty"`
 	Stops       []Stop  `json:",omitempty"`
 	// Weights holds the interference weights that changed since they were last sent to the agent's worker.
--- a/supervisor/orders.go
+++ b/supervisor/orders.go
@@ -30,6 +30,7 @@
 		return
 	}
 	if orders.Incarnation == worker.incarnation {
+		supervisor.requireLapse(worker, orders.LapseBefore)
 		worker.recordedEnd = max(worker.recordedEnd, orders.StoredEnds)
 	}
 	for _, weight := range orders.Weights {
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -459,7 +459,7 @@
 	}
 	standstill := worker.recordReading(listing.Clock, sentAt, now, supervisor.clocks.Steady.Now())
 	supervisor.logStandstill(worker, standstill)
-	supervisor.observeLapse(worker)
+	supervisor.observeLapse(worker, lastEndNumber(listing.Ended))
 	hasNewEnds := len(listing.Ended) > 0 && listing.Ended[len(listing.Ended)-1].Number > lastEndNumber(worker.listing.Ended)
 	hasFirstRuns := len(worker.listing.Active)+len(worker.listing.Ended) == 0 && len(listing.Active) > 0
 	worker.listing = listing
--- a/supervisor/workerlease.go
+++ b/supervisor/workerlease.go
@@ -43,11 +43,13 @@
 	unknown clock.Millis
 	// lapse is set while it is not known whether the lease has lapsed since the grant ended.
 	lapse *pendingLapse
-	// settledGrant is the end of the last grant after which the lease has lapsed.
+	// settledGrant is the end of the last grant after which the lease has lapsed, and lapsedEnd the number of the last end of a run
+	// before that.
 	settledGrant clock.Time
+	lapsedEnd    int64
 }
 
-// pendingLapse is the lapse of a lease whose grant has ended. The leader may have placed the tasks of the worker elsewhere, also
+// pendingLapse is the lapse of a lease whose grant has ended, or that the leader has taken for lapsed. The leader may have placed the tasks of the worker elsewhere, also
 // those of runs that have finished and whose ends it has not stored. Such an end must not be acknowledged before the lapse, or
 // the worker counts it although the task runs again; and a lease that is extended does not lapse.
 type pendingLapse struct {
@@ -131,8 +133,20 @@
 	worker.lapse = &pendingLapse{grantEnd: granted, noticedAt: now, at: worker.deadline}
 }
 
-// observeLapse updates whether the lease has lapsed since the grant ended, once the worker's clock was read after that.
-func (supervisor *Supervisor) observeLapse(worker *workerState) {
+// requireLapse makes the worker's lease lapse before the ends up to the number are acknowledged, unless it has lapsed since them.
+func (supervisor *Supervisor) requireLapse(worker *workerState, end int64) {
+	if end <= worker.lapsedEnd || worker.lapse != nil || worker.clockReadAt == 0 {
+		return
+	}
+	klog.InfoS("Lease has to lapse before ends are acknowledged", "Worker", worker.incarnation, "End", end, "Term", supervisor.grant.term,
+		"LeaseLeftMillis", int64(worker.left(supervisor.clocks.Steady.Now())))
+	worker.lapse = &pendingLapse{grantEnd: supervisor.grant.until, noticedAt: supervisor.clocks.Boot.Now(), at: worker.deadline, overruns: true}
+	supervisor.requestReport()
+}
+
+// observeLapse updates whether the lease has lapsed since the grant ended, once the worker's clock was read after that. lastEnd is the
+// number of the last end that was listed with this reading.
+func (supervisor *Supervisor) observeLapse(worker *workerState, lastEnd int64) {
 	if worker.lapse == nil || worker.clockReadAt.Before(worker.lapse.noticedAt) {
 		return
 	}
@@ -149,7 +163,7 @@
 		klog.InfoS("Lease has lapsed after the end of the grant", "Worker", worker.incarnation, "Term", supervisor.grant.term)
 		supervisor.requestReport()
 	}
-	worker.lapse, worker.settledGrant = nil, worker.lapse.grantEnd
+	worker.lapse, worker.settledGrant, worker.lapsedEnd = nil, worker.lapse.grantEnd, max(worker.lapsedEnd, lastEnd)
 }
 
 // awaitsLapse reports whether the worker's lease is known to outlast an earlier grant.
--- a/supervisor/workerlease_test.go
+++ b/supervisor/workerlease_test.go
@@ -250,6 +250,45 @@
 	}
 }
 
+// TestRestartedAgentWaitsForLapse guards against a task that runs again although its worker is told that its end is stored, because the
+// agent was restarted after a suspension and does not know that the leader has taken the lease for lapsed.
+func TestRestartedAgentWaitsForLapse(t *testing.T) {
+	t.Parallel()
+	for name, lapseBefore := range map[string]int64{"replaced": 1, "not replaced": 0} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fixture := newStaleFixture(t)
+			fixture.startRun()
+			fixture.worker.update(func() { fixture.worker.end(runKey{staleTask, 1}, "done") })
+			fixture.supervisor.Close()
+			fixture.suspend(2000)
+			fixture.startSupervisor()
+			fixture.passUntil("a listing", func() bool { return fixture.supervisor.worker.clockReadAt != 0 })
+			receive := func() {
+				fixture.grant(fixture.report())
+				fixture.receive(&session.Orders{Incarnation: "i-1@10@node", StoredEnds: 1, LapseBefore: lapseBefore})
+			}
+			receive()
+			fixture.passSlowly(600)
+			fixture.worker.update(func() {
+				if awaits := fixture.worker.acknowledged == 0; awaits != (lapseBefore > 0) {
+					t.Errorf("waits for the lapse %t, want %t", awaits, lapseBefore > 0)
+				}
+			})
+			for range 20 {
+				receive()
+				fixture.passSlowly(500)
+			}
+			fixture.worker.update(func() {
+				if fixture.worker.acknowledged != 1 || fixture.worker.hasLapsed != (lapseBefore > 0) || fixture.worker.leaseEnd <= fixture.worker.now() {
+					t.Errorf("acknowledged %d, lapsed %t, lease left %d, want the end acknowledged, and a lease", fixture.worker.acknowledged,
+						fixture.worker.hasLapsed, fixture.worker.leaseEnd-fixture.worker.now())
+				}
+			})
+		})
+	}
+}
+
 // TestOldReadingExtendsLease guards against a worker that is given no starts, and whose lease is not extended, while it leaves
 // half of its calls unanswered: its clock was not read for a while, but nothing stood still.
 func TestOldReadingExtendsLease(t *testing.T) {
