supervisor: ask a worker that seems to be born earlier

The time of day had stepped back, and the worker's process was started again within the step.

Cause: an announcement with an earlier start than the latest known one was refused as a delayed one, without asking the worker.

Change: while the known process has ended, has a successor or did not answer the last listing, such an announcement becomes a candidate, which a listing confirms or refutes, like those with a later start. An incarnation that has answered is ended before another one takes its place.

--- a/supervisor/candidate.go
+++ b/supervisor/candidate.go
@@ -69,14 +69,14 @@
 func (supervisor *Supervisor) succeed(announcement Announcement) bool {
 	worker := supervisor.worker
 	// The present incarnation never answered and claims a later start than the process that answers: it does not exist.
-	isBogus := announcement.Incarnation.StartedAt < worker.latestStart()
+	isBogus := announcement.Incarnation.StartedAt < worker.latestStart() && worker.clockReadAt == 0
 	switch {
 	case isBogus:
 		klog.InfoS("Worker was never there", "Worker", worker.incarnation)
 	case supervisor.awaitsSuccession(worker, announcement):
 		return false
 	default:
-		supervisor.endIncarnation(worker, "a later incarnation is announced")
+		supervisor.endIncarnation(worker, "another incarnation is announced")
 	}
 	supervisor.adopt(announcement)
 	return true
--- a/supervisor/candidate_test.go
+++ b/supervisor/candidate_test.go
@@ -1,6 +1,7 @@
 package supervisor
 
 import (
+	"strings"
 	"testing"
 
 	"hyssopjunction/clock"
@@ -67,3 +68,46 @@
 		})
 	}
 }
+
+// TestWorkerIsReplacedAfterClockStep guards against a worker that is never used again, because the time of day stepped back before its
+// process was started again, and its incarnation seems to be an earlier one. Announcements of an earlier incarnation that arrive late
+// must still change nothing.
+func TestWorkerIsReplacedAfterClockStep(t *testing.T) {
+	for name, test := range map[string]struct {
+		announced  Incarnation
+		isReplaced bool
+	}{
+		"next process with another id":                  {Incarnation{ID: "i-2", StartedAt: 8}, true},
+		"next process with the same id":                 {Incarnation{ID: "i-1", StartedAt: 8}, true},
+		"late announcement with another id":             {Incarnation{ID: "i-2", StartedAt: 8}, false},
+		"late announcement with the same id":            {Incarnation{ID: "i-1", StartedAt: 8}, false},
+		"late announcement while nothing listens there": {Incarnation{ID: "i-1", StartedAt: 8}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fake, directory := newRuntime(), &fakeDirectory{}
+			fake.id, fake.startedAtMillis = "i-1", 10
+			supervisor := newSupervisor(t, fake)
+			supervisor.Follow(directory)
+			await(t, supervisor, "a listing", func() bool { return supervisor.worker.clockReadAt != 0 })
+			switch {
+			case test.isReplaced:
+				fake.update(func() { fake.id, fake.startedAtMillis = test.announced.ID, test.announced.StartedAt })
+				await(t, supervisor, "the end of the first one", func() bool { return supervisor.worker.isOver() })
+			case strings.HasSuffix(name, "listens there"):
+				fake.update(func() { fake.refusedListings = 3 })
+			}
+			accepted := supervisor.Announce(strayAnnouncement(test.announced))
+			if test.isReplaced && !accepted {
+				t.Error("the announcement was refused")
+			}
+			want := Incarnation{ID: "i-1", StartedAt: 10}
+			if test.isReplaced {
+				want = test.announced
+			}
+			await(t, supervisor, "the worker", func() bool {
+				worker := supervisor.worker
+				return supervisor.candidate == nil && worker.announcement.Incarnation == want && !worker.isOver() && worker.unansweredListings == 0
+			})
+		})
+	}
+}
--- a/supervisor/successor.go
+++ b/supervisor/successor.go
@@ -105,7 +105,7 @@
 	if announcement.Incarnation.ID != worker.announcement.Incarnation.ID {
 		return false // The later incarnation refuses calls for the earlier one.
 	}
-	if worker.successor == nil || worker.successor.startedAt < announcement.Incarnation.StartedAt {
+	if worker.successor == nil || worker.successor.startedAt != announcement.Incarnation.StartedAt {
 		supervisor.beginSuccession(worker, announcement.Incarnation.StartedAt)
 	}
 	worker.successor.announcement = &announcement
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -283,7 +283,7 @@
 		supervisor.adopt(announcement)
 		return true
 	}
-	if announcement.Incarnation.StartedAt < worker.latestStart() && worker.clockReadAt != 0 {
+	if announcement.Incarnation.StartedAt < worker.latestStart() && worker.clockReadAt != 0 && !worker.mayHaveSuccessor() {
 		klog.InfoS("Announcement of an earlier incarnation ignored", "ID", announcement.Incarnation.ID, "Born", announcement.Incarnation.StartedAt)
 		return false
 	}
@@ -291,6 +291,10 @@
 	return true
 }
 
+// mayHaveSuccessor reports whether another process may have taken the place of the worker's. Its start may seem to be earlier, because the
+// time of day steps back.
+func (worker *workerState) mayHaveSuccessor() bool { return worker.isOver() || worker.unansweredListings > 0 }
+
 // latestStart returns the time of day from which an incarnation counts as a later one than those that the agent knows of.
 func (worker *workerState) latestStart() int64 {
 	latest := worker.announcement.Incarnation.StartedAt + 1
