scheduler: let standing tasks start beside a trial run

Cause: a worker on probation gets one trial run at a time. The limit also held for standing tasks, which do not count as trials.

Change: standing tasks do not wait for the end of a trial run. They were placed on such a worker before, while it had none.

--- a/scheduler/chooseworker.go
+++ b/scheduler/chooseworker.go
@@ -97,7 +97,11 @@
 
 // mayPlace reports whether tasks of the step may be placed on the worker, whether or not there is room.
 func (scheduler *Scheduler) mayPlace(record *jobRecord, step *workflow.Step, worker *workerState, now clock.Time) bool {
-	return worker.isEligible(step, record.job.Spec.Service) && !scheduler.outDataCentres.Has(worker.DataCentre) && worker.acceptsRuns(now)
+	accepts := worker.acceptsRuns
+	if step.Standing {
+		accepts = worker.acceptsStanding
+	}
+	return worker.isEligible(step, record.job.Spec.Service) && !scheduler.outDataCentres.Has(worker.DataCentre) && accepts(now)
 }
 
 // headroom returns the resources that a task of the step must leave free on a worker. Only standing tasks
--- a/scheduler/explain.go
+++ b/scheduler/explain.go
@@ -191,9 +191,9 @@
 		return "drain"
 	case scheduler.outDataCentres.Has(worker.DataCentre):
 		return "data centre is out"
-	case !worker.isInService(now):
+	case !worker.isInService(now) || !step.Standing && worker.hasTrialRun():
 		return "quarantined or refused a start"
-	case !worker.acceptsRuns(now):
+	case !worker.acceptsStanding(now):
 		return "kept free for the trial of a task that may crash it"
 	case step.Label != "" && !slices.Contains(worker.Labels, step.Label):
 		return "lack the label " + step.Label
--- a/scheduler/fixture_test.go
+++ b/scheduler/fixture_test.go
@@ -107,6 +107,31 @@
 	assertStartCount(t, starts, quarantineFailures) // The other failed tasks, and the standing task.
 }
 
+// TestStandingTaskBesideTrialRun guards against a standing task that waits for the end of the trial run of another job on a worker that is
+// on probation, however long that takes.
+func TestStandingTaskBesideTrialRun(t *testing.T) {
+	fixture := newFixture(t, 1)
+	for number := range quarantineFailures {
+		fixture.submit(fmt.Sprint("failing-", number), oneCoreStep(1))
+	}
+	starts := fixture.plan(0)
+	assertStartCount(t, starts, quarantineFailures)
+	for _, order := range starts {
+		fixture.end(order, workflow.Faulted)
+	}
+	starts = fixture.plan(firstQuarantine)
+	assertStartCount(t, starts, 1) // The trial run.
+	standing := oneCoreStep(1)
+	standing.Standing = true
+	fixture.submit("standing", standing)
+	fixture.submit("other", oneCoreStep(1))
+	starts = fixture.plan(1)
+	assertStartCount(t, starts, 1)
+	if got := starts[0].Name.Job; got != "standing" {
+		t.Errorf("got a start of job %s, want that of the standing task", got)
+	}
+}
+
 // TestStandingTaskTakesHeadroomAfterWait guards against a standing task that waits for more than 3 s
 // although it fits, because the headroom for quick tasks stays reserved. It happened after all workers had
 // lost power.
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -36,7 +36,7 @@
 	failedJobs       map[workflow.ID]struct{}
 	quarantinedUntil clock.Time
 	quarantineLength clock.Millis
-	// probation limits the worker to one trial run at a time.
+	// probation limits the worker to one trial run at a time, beside standing tasks.
 	probation bool
 }
 
@@ -64,26 +64,32 @@
 	health.quarantinedUntil, health.probation, health.failedJobs = now.Add(health.quarantineLength), true, nil
 }
 
-// acceptsRuns reports whether the worker may get another run. While tasks are tried on it that may crash it, it gets no other
-// ones.
+// acceptsRuns reports whether the worker may get another run of a task that ends. While tasks are tried on it that may crash it, it gets
+// no other ones. On probation it may have one trial run that was placed after the quarantine.
 func (worker *workerState) acceptsRuns(now clock.Time) bool {
+	return worker.acceptsStanding(now) && !worker.hasTrialRun()
+}
+
+// acceptsStanding reports whether the worker may get another run of a standing task. Such runs do not count as trials, because they do
+// not end, and do not wait for the end of one: that may take as long as any task.
+func (worker *workerState) acceptsStanding(now clock.Time) bool {
 	return !worker.isReserved && !now.Before(worker.trialUntil) && worker.isInService(now)
 }
 
-// isInService reports whether the worker is neither quarantined nor blocked. On probation it may have one trial run that
-// was placed after the quarantine. Standing tasks do not count as trials, because they do not finish.
+// isInService reports whether the worker is neither quarantined nor blocked.
 func (worker *workerState) isInService(now clock.Time) bool {
-	health := &worker.health
-	if now.Before(health.quarantinedUntil) || now.Before(worker.refusalDelayEnd) || now.Before(worker.blockedUntil) {
+	return !now.Before(worker.health.quarantinedUntil) && !now.Before(worker.refusalDelayEnd) && !now.Before(worker.blockedUntil)
+}
+
+// hasTrialRun reports whether a worker on probation has its trial run.
+func (worker *workerState) hasTrialRun() bool {
+	if !worker.health.probation {
 		return false
 	}
-	if !health.probation {
-		return true
-	}
 	for _, run := range worker.runs {
-		if !run.step.Standing && !run.placedAt.Before(health.quarantinedUntil) {
-			return false
+		if !run.step.Standing && !run.placedAt.Before(worker.health.quarantinedUntil) {
+			return true
 		}
 	}
-	return true
+	return false
 }
--- a/scheduler/trial.go
+++ b/scheduler/trial.go
@@ -237,7 +237,7 @@
 // reserved for it.
 func (scheduler *Scheduler) mayTry(record *jobRecord, step *workflow.Step, worker *workerState, now clock.Time) bool {
 	return worker.isEligible(step, record.job.Spec.Service) && !scheduler.outDataCentres.Has(worker.DataCentre) &&
-		!now.Before(worker.trialUntil) && worker.isInService(now)
+		!now.Before(worker.trialUntil) && worker.isInService(now) && !worker.hasTrialRun()
 }
 
 // workAtRisk returns the work on a worker that its crash would cost, in thousandths of a core times milliseconds. Runs with
