intake: write no tombstone for what is no id of a job

What callers would see: the job API takes any text as an id, and the cancellation of it wrote a row.

Cause: both were left out when tombstones were added.

Change: Cancel answers ErrNoJob for such an id without a call to the store. Without the store's time a tombstone counts as one that is about to be removed.

--- a/intake/cancel.go
+++ b/intake/cancel.go
@@ -18,6 +18,9 @@
 // Cancel stores the cancellation of a job. It has no effect on a job that has ended. A job that is not stored will not be stored for
 // TombstoneRetention after ErrNoJob. Errors: ErrNoJob, ErrNoAnswer, ErrUndecided, workflow.ErrCorrupt.
 func (intake *Intake) Cancel(ctx context.Context, id workflow.ID) error {
+	if !workflow.ValidID(string(id)) {
+		return ErrNoJob{ID: id} // No submission can have it.
+	}
 	for range maxCancelAttempts {
 		row, err := intake.readRow(ctx, ref(Submission, id))
 		if err != nil {
@@ -71,7 +74,7 @@
 			klog.InfoS("Cancellation of a job that is not open", "Job", id, "Archived", err == nil, "Error", err)
 			return Stored, err
 		}
-		if intake.store.Now().Sub(ended.At) < TombstoneRetention/2 {
+		if ended.keptFor(intake.store.Now()) > TombstoneRetention/2 {
 			klog.InfoS("Cancellation of a job that is not open", "Job", id, "Archived", false, "Outcome", Stored)
 			return Stored, ErrNoJob{ID: id}
 		}
--- a/intake/cancel_test.go
+++ b/intake/cancel_test.go
@@ -101,6 +101,22 @@
 			t.Errorf("got %q, %v, want %q", state, err, workflow.Completed)
 		}
 	})
+	t.Run("no id of a job", func(t *testing.T) {
+		intake, fake := newCancelTest(t)
+		assertNoJob(t, intake.Cancel(t.Context(), "no-such-id"))
+		if rows, commits := fake.count(); rows != 0 || commits != 0 {
+			t.Errorf("%d rows and %d commits, want none", rows, commits)
+		}
+	})
+	t.Run("time of the store not known", func(t *testing.T) {
+		intake, fake := newCancelTest(t)
+		assertNoJob(t, intake.Cancel(t.Context(), cancelledID))
+		fake.now = 0
+		assertCancelled(t, intake.Submit(t.Context(), cancelledSpec()))
+		if err := intake.Cancel(t.Context(), cancelledID); !IsErrNoAnswer(err) {
+			t.Errorf("got %v, want ErrNoAnswer: the tombstone may be about to be removed", err)
+		}
+	})
 	t.Run("outcome of the write not known", func(t *testing.T) {
 		intake, fake := newCancelTest(t)
 		fake.commitErrors = []error{store.ErrRejected{Reason: "400"}}
--- a/intake/ended.go
+++ b/intake/ended.go
@@ -34,6 +34,14 @@
 	return ofJobs
 }
 
+// keptFor returns how long a tombstone is kept from now on, or 0 if the time of the store is not known.
+func (ended Ended) keptFor(now clock.Time) clock.Millis {
+	if now == 0 {
+		return 0
+	}
+	return min(TombstoneRetention, max(0, TombstoneRetention-now.Sub(ended.At)))
+}
+
 // Versions holds the versions of a job's rows in the inbox.
 type Versions struct {
 	Submission store.Version
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -182,7 +182,7 @@
 	case err != nil:
 		return Undecided, 0, err.Error()
 	case ended.Tombstone:
-		return Cancelled, max(clock.Second, TombstoneRetention-intake.store.Now().Sub(ended.At)), "cancelled before it was stored"
+		return Cancelled, max(clock.Second, ended.keptFor(intake.store.Now())), "cancelled before it was stored"
 	default:
 		return Stored, 0, ""
 	}
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -20,6 +20,8 @@
 	commitErrors []error
 	commits      int
 	rows         map[store.Ref]store.Row
+	// now is the time of the store.
+	now clock.Time
 	// afterList, if set, is called once after the next read.
 	afterList func()
 }
@@ -86,7 +88,7 @@
 
 func (fake *fakeStore) Partition(store.Ref) string { return "" }
 
-func (fake *fakeStore) Now() clock.Time { return 1 }
+func (fake *fakeStore) Now() clock.Time { return fake.now }
 
 // noLeader is the Leader of an entry that does not know a leader.
 type noLeader struct{}
@@ -102,7 +104,7 @@
 }
 
 func newFakeStore(commitErrors ...error) *fakeStore {
-	return &fakeStore{commitErrors: commitErrors, rows: map[store.Ref]store.Row{}}
+	return &fakeStore{commitErrors: commitErrors, rows: map[store.Ref]store.Row{}, now: clock.Time(10 * clock.Minute)}
 }
 
 func submit(t *testing.T, fake *fakeStore, timeout time.Duration) error {
