supervisor: format a file

Cause: was committed without a run of the formatter.

Change: gofumpt on supervisor/supervisor.go, no other change.

--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -293,7 +293,9 @@
 
 // mayHaveSuccessor reports whether another process may have taken the place of the worker's. Its start may seem to be earlier, because the
 // time of day steps back.
-func (worker *workerState) mayHaveSuccessor() bool { return worker.isOver() || worker.unansweredListings > 0 }
+func (worker *workerState) mayHaveSuccessor() bool {
+	return worker.isOver() || worker.unansweredListings > 0
+}
 
 // latestStart returns the time of day from which an incarnation counts as a later one than those that the agent knows of.
 func (worker *workerState) latestStart() int64 {
