store: commit many transactions in one place

Cause: the removal of tombstones and that of ended jobs each had its own loop that commits transactions at the same time, so that they are joined.

Change: Group.CommitAll.

--- a/coordinator/archive.go
+++ b/coordinator/archive.go
@@ -29,8 +29,6 @@
 	// maxRoundToArchive is the longest duration of a round of writes under ordinary load. Archiving is
 	// postponed while rounds take longer.
 	maxRoundToArchive = 60 * clock.Millisecond
-	// maxEndedRemovals limits the rows of ended jobs that are removed at the same time.
-	maxEndedRemovals = 64
 	// maxStateRemovals limits the rows of job states that one transaction removes.
 	maxStateRemovals = 20
 )
@@ -216,21 +214,14 @@
 	return expired
 }
 
-// removeEndedJobs removes rows of archived jobs and returns the jobs whose rows were removed. Those of a partition share transactions.
+// removeEndedJobs removes rows of archived jobs and returns the jobs whose rows were removed.
 func (coordinator *Coordinator) removeEndedJobs(expired []store.Row) []workflow.ID {
-	joined := store.NewGroup(coordinator.deps.Store)
-	failures := make([]error, len(expired))
-	var group errgroup.Group
-	group.SetLimit(maxEndedRemovals)
-	for position, row := range expired {
-		group.Go(func() error {
-			_, failures[position] = joined.Commit(coordinator.ctx, intake.RemoveEndedTx(row))
-			return nil
-		})
+	txs := make([]store.Tx, 0, len(expired))
+	for _, row := range expired {
+		txs = append(txs, intake.RemoveEndedTx(row))
 	}
-	_ = group.Wait() // The functions return no errors.
 	var removed []workflow.ID
-	for position, err := range failures {
+	for position, err := range store.NewGroup(coordinator.deps.Store).CommitAll(coordinator.ctx, txs) {
 		if err != nil {
 			klog.ErrorS(err, "Could not remove an ended job", "Job", expired[position].Key)
 			continue
--- a/intake/tombstone.go
+++ b/intake/tombstone.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 
@@ -33,8 +32,6 @@
 	removalInterval = 5 * clock.Second
 	// removalTimeout limits the duration of a removal.
 	removalTimeout = 10 * clock.Second
-	// maxRemovals limits the rows that are removed at the same time.
-	maxRemovals = 64
 )
 
 // tombstone is a stored tombstone.
@@ -48,7 +45,7 @@
 // tombstones writes the tombstones of an entry, within its limits, and removes them after TombstoneRetention. It is safe for
 // concurrent use.
 type tombstones struct {
-	store   store.Store
+	store   *store.Group
 	retrier *store.Retrier
 	clock   clock.Clock
 	limiter *rate.Limiter
@@ -65,10 +62,10 @@
 	done   chan struct{}
 }
 
-func newTombstones(jobStore store.Store, timeSource clock.Clock) *tombstones {
+func newTombstones(group *store.Group, timeSource clock.Clock) *tombstones {
 	ctx, cancel := context.WithCancel(context.Background())
 	tombs := &tombstones{
-		store: jobStore, retrier: store.NewRetrier(jobStore, timeSource), clock: timeSource,
+		store: group, retrier: store.NewRetrier(group, timeSource), clock: timeSource,
 		limiter: rate.NewLimiter(tombstonesPerSecond, tombstoneBurst),
 		removed: metrics.GetOrCreateCounter("hyssopjunction_intake_tombstones_removed_total"),
 		added:   make(chan struct{}, 1), cancel: cancel, done: make(chan struct{}),
@@ -202,19 +199,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, removalTimeout.Duration())
 	defer cancel()
-	failures := make([]error, len(expired))
-	var group errgroup.Group
-	group.SetLimit(maxRemovals)
-	for position, row := range expired {
-		group.Go(func() error {
-			_, failures[position] = tombs.store.Commit(ctx, RemoveEndedTx(store.Row{Ref: endedRef(row.id), Version: row.version}))
-			return nil
-		})
+	txs := make([]store.Tx, 0, len(expired))
+	for _, row := range expired {
+		txs = append(txs, RemoveEndedTx(store.Row{Ref: endedRef(row.id), Version: row.version}))
 	}
-	_ = group.Wait() // The functions return no errors.
 	var failed []tombstone
 	var lastErr error
-	for position, err := range failures {
+	for position, err := range tombs.store.CommitAll(ctx, txs) {
 		if err != nil && !store.IsErrConflict(err) {
 			failed, lastErr = append(failed, expired[position]), err
 		}
--- a/store/group.go
+++ b/store/group.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/errgroup"
 
 	"hyssopjunction/set"
 )
@@ -76,6 +77,24 @@
 	}
 }
 
+// maxCommits limits the transactions that CommitAll commits at the same time.
+const maxCommits = 64
+
+// CommitAll commits transactions that do not depend on each other, joined where they share a partition, and returns the error of each.
+func (group *Group) CommitAll(ctx context.Context, txs []Tx) []error {
+	errs := make([]error, len(txs))
+	var workers errgroup.Group
+	workers.SetLimit(maxCommits)
+	for position, tx := range txs {
+		workers.Go(func() error {
+			_, errs[position] = group.Commit(ctx, tx)
+			return nil
+		})
+	}
+	_ = workers.Wait() // The functions return no errors.
+	return errs
+}
+
 // enqueue adds a member to the queue of its partition, and starts to commit the queue unless that is in progress.
 func (group *Group) enqueue(partition string, member *groupMember) {
 	group.mu.Lock()
