scheduler: call a run stalled only once a few percent of it were due

Their runs were stopped 2.5 to 3 s after their start on sound workers, which were then quarantined.

Cause: a run counted as stalled if its whole percent did not change for 2.5 s. A percent of a task of more than 250 s takes longer.

Change: the time is at least that of four percent of the task, by its calibrated estimate. For tasks of up to 62 s it is 2.5 s as before.

--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -18,9 +18,12 @@
 	// refusalDelay is how long a worker gets no new runs after it refused a start. The next listing, within
 	// half a second, corrects the scheduler's view of the worker.
 	refusalDelay = 500 * clock.Millisecond
-	// stallTimeout is the time without progress after which a run counts as stalled. Progress is reported
+	// stallTimeout is the shortest time without progress after which a run counts as stalled. Progress is reported
 	// about once a second in whole percent; a task of 20 s advances by 5 percent per second.
 	stallTimeout = 2500 * clock.Millisecond
+	// stallPercents is the number of percent that must have been due by then. Runs take a few times their estimate on slow
+	// workers and away from their data.
+	stallPercents = 4
 	// maxListingGap is the time between two reports of a worker's runs from which the progress of the runs counts anew:
 	// the worker, its agent or the leader was paused. It is two report intervals.
 	maxListingGap = 1200 * clock.Millisecond
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -131,7 +131,7 @@
 			if run.step.Standing || run.stopping || run.step.Gang {
 				continue
 			}
-			if worker.listedAt.Sub(max(run.placedAt, run.progressAt)) > stallTimeout {
+			if worker.listedAt.Sub(max(run.placedAt, run.progressAt)) > scheduler.stallTime(run) {
 				stalledRuns = append(stalledRuns, run)
 			} else if run.progressPercent > 0 {
 				hasProgress = true
@@ -148,6 +148,12 @@
 	}
 }
 
+// stallTime returns the time without progress after which a run counts as stalled: its progress is known in whole percent, and a percent
+// of a long task takes long.
+func (scheduler *Scheduler) stallTime(run *activeRun) clock.Millis {
+	return max(stallTimeout, stallPercents*scheduler.calibration.Expected(string(run.job.Spec.Queue), run.step.Estimate)/100)
+}
+
 // placeStep places the waiting tasks of a step that does not fill, or is a gang, until one finds no room, and records the requirements of that
 // task in blocked. Standing tasks that are being moved are placed where room is held for them.
 func (scheduler *Scheduler) placeStep(candidate candidate, blocked blockedNeeds, now clock.Time) {
--- a/scheduler/stall_test.go
+++ b/scheduler/stall_test.go
@@ -61,6 +61,32 @@
 	}
 }
 
+// stoppedWithin reports no progress of all runs of the worker for a time, and returns the number of runs that are stopped.
+func (fixture *fixture) stoppedWithin(worker Incarnation, length clock.Millis) int {
+	stopped := 0
+	for begun := fixture.now; fixture.now.Sub(begun) < length; {
+		fixture.listAll(worker, 0)
+		stopped += fixture.stopsAfter(testReportInterval)
+	}
+	return stopped
+}
+
+// TestLongRunsAreNotStalled guards against runs that are stopped on a sound worker, each time before their first percent, because a
+// percent of a long task takes longer than the time after which runs count as stalled.
+func TestLongRunsAreNotStalled(t *testing.T) {
+	fixture, worker := newFixture(t, 1), incarnationName(0)
+	step := oneCoreStep(2 * minStalledRuns)
+	step.Estimate = 20 * clock.Minute
+	fixture.submit("job", step)
+	assertStartCount(t, fixture.plan(0), step.Count)
+	if got := fixture.stoppedWithin(worker, step.Estimate/100); got != 0 {
+		t.Errorf("%d runs are stopped before a percent was due", got)
+	}
+	if got := fixture.stoppedWithin(worker, step.Estimate/10); got == 0 {
+		t.Error("no run is stopped although none has made progress for the time of ten percent")
+	}
+}
+
 // TestThrottledRunOfSilentWorkerStays guards against running tasks that are stopped because the last report of an agent
 // that is silent since showed them throttled.
 func TestThrottledRunOfSilentWorkerStays(t *testing.T) {
