coordinator: log ended jobs that cannot be removed in one line

Cause: the removal wrote a line for each row, thousands while the store is away, and two comments of the new code said how a value was chosen.

Change: one line with the count and the last error; the comments say what the values limit.

Result: the tests of coordinator and intake pass.

--- a/coordinator/archive.go
+++ b/coordinator/archive.go
@@ -221,12 +221,16 @@
 		txs = append(txs, intake.RemoveEndedTx(row))
 	}
 	var removed []workflow.ID
+	var lastErr error
 	for position, err := range store.NewGroup(coordinator.deps.Store).CommitAll(coordinator.ctx, txs) {
 		if err != nil {
-			klog.ErrorS(err, "Could not remove an ended job", "Job", expired[position].Key)
+			lastErr = err
 			continue
 		}
 		removed = append(removed, workflow.ID(expired[position].Key))
 	}
+	if lastErr != nil {
+		klog.ErrorS(lastErr, "Could not remove ended jobs", "Count", len(expired)-len(removed))
+	}
 	return removed
 }
--- a/intake/tombstone.go
+++ b/intake/tombstone.go
@@ -16,13 +16,13 @@
 	"hyssopjunction/workflow"
 )
 
-// TombstoneRetention is how long a tombstone stays in the store. Submissions are on their way for less: machines are suspended and the
-// store carries writes out late for seconds, and callers repeat a request within seconds.
+// TombstoneRetention is how long a tombstone stays in the store. It must exceed the time for which a submission may be on its way: in a
+// machine that is suspended, in a write that the store carries out late, or in the caller's repetitions.
 const TombstoneRetention = 2 * clock.Minute
 
 // Limits of the tombstones of an entry: clients may cancel any id.
 const (
-	// tombstonesPerSecond is a fiftieth of the writes that one partition of the store carries out.
+	// tombstonesPerSecond is the rate at which an entry may write them all the time.
 	tombstonesPerSecond = 4
 	// tombstoneBurst covers the jobs that callers submitted to an entry that stood still, and cancel together.
 	tombstoneBurst = 100
