supervisor: say what a pending lapse is now

Cause: the comment was written for the end of a grant alone, in a line that is too long.

Change: comments only.

--- a/supervisor/workerlease.go
+++ b/supervisor/workerlease.go
@@ -49,11 +49,11 @@
 	lapsedEnd    int64
 }
 
-// pendingLapse is the lapse of a lease whose grant has ended, or that the leader has taken for lapsed. The leader may have placed the tasks of the worker elsewhere, also
-// those of runs that have finished and whose ends it has not stored. Such an end must not be acknowledged before the lapse, or
-// the worker counts it although the task runs again; and a lease that is extended does not lapse.
+// pendingLapse is the lapse of a lease whose grant has ended, or that the leader has taken for lapsed. The leader may have placed the
+// tasks of the worker elsewhere, also those of runs that have finished and whose ends it has not stored. Such an end must not be
+// acknowledged before the lapse, or the worker counts it although the task runs again; and a lease that is extended does not lapse.
 type pendingLapse struct {
-	// grantEnd is the end of the grant, and noticedAt when the agent noticed it.
+	// grantEnd is the end of the grant, and noticedAt when the agent noticed it or was told of the lapse.
 	grantEnd, noticedAt clock.Time
 	// at is the end of the lease on the worker's clock.
 	at WorkerTime
